--- /dev/null
+++ b/src/trefoilhoist/internal/invariant.cpp
@@ -0,0 +1,16 @@
+#include "trefoilhoist/internal/invariant.h"
+
+#include <cstdio>
+#include <cstdlib>
+
+namespace Trefoilhoist::Detail {
+
+void reportBrokenInvariant(const char *expression, const char *file, int line, const char *promise)
+{
+    std::fprintf(
+        stderr, "event=invariant_broken promise=\"%s\" expression=\"%s\" at=%s:%d\n", promise, expression, file, line);
+    std::fflush(stderr);
+    std::abort();
+}
+
+} // namespace Trefoilhoist::Detail
--- /dev/null
+++ b/src/trefoilhoist/membership/membershiptable.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "idl/gen/messages_types.h"
+#include "trefoilhoist/internal/rankedmutex.h"
+#include "trefoilhoist/world/world.h"
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace Trefoilhoist {
+
+/// Times of the membership protocol.
+struct MembershipTimes {
+    /// How often a minion announces itself.
+    Duration heartbeat = milliseconds(500);
+    /// A minion unheard for this long is gone.
+    Duration liveness = seconds(3);
+    /// A record of a gone or left minion is kept this long, so that old news can't revive it.
+    Duration tombstone = seconds(600);
+};
+
+/// What a minion says of itself.
+struct Announcement {
+    Minion minion;
+    /// Rises with each announcement of one incarnation.
+    std::int64_t sequence = 0;
+};
+
+/// The minions that this entry knows, from announcements and from peers.
+///
+/// Order of news about one minion: incarnation, then leaving over announced, then sequence. Nothing older
+/// replaces anything newer. Thread-safe; lock rank Membership.
+class MembershipTable
+{
+public:
+    MembershipTable(EntryId self, MembershipTimes times);
+
+    /// A minion announced itself here; this entry owns its liveness from now on.
+    void heard(const Announcement &announcement, TimePoint now);
+
+    /// News from a peer. Returns how many records were newer than what was known.
+    std::size_t apply(const std::vector<Wire::MinionRecord> &records, TimePoint now);
+
+    /// Marks minions that their owner no longer hears as gone, and forgets old tombstones.
+    void expire(TimePoint now);
+
+    /// Records changed since the last call, to push to every peer.
+    [[nodiscard]] std::vector<Wire::MinionRecord> takeDelta(TimePoint now);
+
+    /// A hash per bucket of records; equal tables give equal digests.
+    [[nodiscard]] std::vector<std::int64_t> digest() const;
+    /// Buckets whose hash differs from a peer's digest.
+    [[nodiscard]] std::vector<std::int32_t> differingBuckets(const std::vector<std::int64_t> &peerDigest) const;
+    [[nodiscard]] std::vector<Wire::MinionRecord> recordsIn(const std::vector<std::int32_t> &buckets,
+                                                            TimePoint now) const;
+
+    /// Minions that take new work, by id. Leaving and gone ones are not in it.
+    [[nodiscard]] std::vector<Minion> available() const;
+
+    /// Rises whenever available() may have changed.
+    [[nodiscard]] std::uint64_t generation() const;
+
+private:
+    struct Known;
+
+    EntryId m_self;
+    MembershipTimes m_times;
+    mutable Detail::RankedMutex m_mutex;
+    std::map<MinionId, Known> m_known;
+    std::vector<MinionId> m_changed;
+    std::uint64_t m_generation = 0;
+};
+
+} // namespace Trefoilhoist
--- /dev/null
+++ b/src/trefoilhoist/wire/internal/frame.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "idl/gen/messages_types.h"
+#include "trefoilhoist/net/asio.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <optional>
+#include <string>
+
+namespace Trefoilhoist::Detail {
+
+/// An envelope with its four-byte big-endian length before it.
+[[nodiscard]] std::string frameOf(const Wire::Envelope &envelope);
+
+/// Reads one frame; nothing when the connection ends, the frame is too large or is no envelope.
+[[nodiscard]] awaitable<std::optional<Wire::Envelope>> readFrame(Asio::ip::tcp::socket &socket);
+
+/// Writes one frame; false when the connection ended.
+[[nodiscard]] awaitable<bool> writeFrame(Asio::ip::tcp::socket &socket, std::string frame);
+
+} // namespace Trefoilhoist::Detail
--- /dev/null
+++ b/src/trefoilhoist/wire/message.cpp
@@ -0,0 +1,59 @@
+#include "trefoilhoist/wire/message.h"
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <memory>
+
+namespace Trefoilhoist::Wire {
+
+namespace {
+
+using Buffer = apache::thrift::transport::TMemoryBuffer;
+using Protocol = apache::thrift::protocol::TCompactProtocolT<Buffer>;
+
+} // namespace
+
+template <typename Message>
+std::string encode(const Message &message)
+{
+    auto buf = std::make_shared<Buffer>();
+    Protocol protocol(buf);
+    message.write(&protocol);
+    return buf->getBufferAsString();
+}
+
+template <typename Message>
+std::optional<Message> decode(const std::string &bytes)
+{
+    auto buf = std::make_shared<Buffer>();
+    buf->write(reinterpret_cast<const std::uint8_t *>(bytes.data()), static_cast<std::uint32_t>(bytes.size()));
+    Protocol protocol(buf);
+    Message message;
+    try {
+        message.read(&protocol);
+    } catch (const apache::thrift::TException &) {
+        return std::nullopt;
+    }
+    return message;
+}
+
+#define TREFOILHOIST_WIRE_MESSAGE(Message)                                                                             \
+    template std::string encode<Message>(const Message &);                                                             \
+    template std::optional<Message> decode<Message>(const std::string &);
+
+TREFOILHOIST_WIRE_MESSAGE(Envelope)
+TREFOILHOIST_WIRE_MESSAGE(MembershipDelta)
+TREFOILHOIST_WIRE_MESSAGE(MembershipDigest)
+TREFOILHOIST_WIRE_MESSAGE(MembershipRequest)
+TREFOILHOIST_WIRE_MESSAGE(LoadReport)
+TREFOILHOIST_WIRE_MESSAGE(ClaimRequest)
+TREFOILHOIST_WIRE_MESSAGE(ClaimReply)
+TREFOILHOIST_WIRE_MESSAGE(ClaimFinish)
+TREFOILHOIST_WIRE_MESSAGE(ConfigDigest)
+TREFOILHOIST_WIRE_MESSAGE(ConfigSegments)
+TREFOILHOIST_WIRE_MESSAGE(JobForward)
+TREFOILHOIST_WIRE_MESSAGE(JobReply)
+TREFOILHOIST_WIRE_MESSAGE(Ack)
+
+} // namespace Trefoilhoist::Wire
--- /dev/null
+++ b/src/trefoilhoist/wire/peerclient.cpp
@@ -0,0 +1,190 @@
+#include "trefoilhoist/wire/peerclient.h"
+
+#include "trefoilhoist/wire/internal/frame.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <deque>
+#include <map>
+#include <optional>
+
+namespace Trefoilhoist {
+
+using Tcp = Asio::ip::tcp;
+
+namespace {
+
+using CallResult = tl::expected<Wire::Envelope, CallError>;
+
+// A call that waits for its answer. The timer is the signal: cancelled when there is news.
+struct PendingCall {
+    Asio::steady_timer timer;
+    std::optional<Wire::Envelope> reply;
+    bool connectionLost = false;
+
+    PendingCall(const Asio::any_io_executor &executor, Duration timeout) : timer(executor, timeout) { }
+};
+
+} // namespace
+
+// All members are used on the strand only.
+struct PeerClient::State : std::enable_shared_from_this<PeerClient::State> {
+    Asio::any_io_executor strand;
+    std::string self;
+    std::int64_t incarnation = 0;
+    Endpoint peer;
+    std::shared_ptr<Tcp::socket> socket;
+    bool connecting = false;
+    bool connected = false;
+    bool writing = false;
+    bool stopped = false;
+    std::int64_t lastCorrelation = 0;
+    std::deque<std::string> unsent;
+    std::map<std::int64_t, std::shared_ptr<PendingCall>> pending;
+
+    State(const Asio::any_io_executor &executor, std::string name, std::int64_t inc, Endpoint to)
+        : strand(Asio::make_strand(executor)), self(std::move(name)), incarnation(inc), peer(std::move(to))
+    {
+    }
+
+    static awaitable<CallResult>
+    call(std::shared_ptr<State> state, Wire::MessageKind kind, std::string payload, Duration timeout)
+    {
+        Wire::Envelope envelope;
+        envelope.sender = state->self;
+        envelope.incarnation = state->incarnation;
+        envelope.correlation = ++state->lastCorrelation;
+        envelope.kind = kind;
+        envelope.payload = std::move(payload);
+        auto waiting = std::make_shared<PendingCall>(state->strand, timeout);
+        state->pending[envelope.correlation] = waiting;
+        state->unsent.push_back(Detail::frameOf(envelope));
+        state->flush();
+
+        boost::system::error_code ec;
+        co_await waiting->timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ec));
+        state->pending.erase(envelope.correlation);
+        if (waiting->reply) {
+            co_return std::move(*waiting->reply);
+        }
+        // A frame left unsent by a failed connect is dropped, but this call can't tell: it may have arrived.
+        const char *reason = waiting->connectionLost ? "connection lost" : "no answer in time";
+        co_return tl::unexpected(CallError{Verdict::MayHaveRun, state->peer.str() + ": " + reason});
+    }
+
+    void flush()
+    {
+        if (!connected) {
+            if (!connecting) {
+                connecting = true;
+                spawnOn(strand, "peer connect", [self = shared_from_this()] { return self->connect(); });
+            }
+            return;
+        }
+        if (!writing) {
+            writing = true;
+            spawnOn(strand, "peer write", [self = shared_from_this()] { return self->writeAll(); });
+        }
+    }
+
+    awaitable<void> connect()
+    {
+        boost::system::error_code ec;
+        auto fresh = std::make_shared<Tcp::socket>(strand);
+        const auto address = Asio::ip::make_address(peer.host, ec);
+        if (!ec) {
+            co_await fresh->async_connect(Tcp::endpoint(address, peer.port),
+                                          Asio::redirect_error(Asio::use_awaitable, ec));
+        }
+        connecting = false;
+        if (ec || stopped) {
+            loseConnection();
+            co_return;
+        }
+        fresh->set_option(Tcp::no_delay(true), ec);
+        socket = fresh;
+        connected = true;
+        spawnOn(strand, "peer read", [self = shared_from_this(), fresh] { return self->readAll(fresh); });
+        flush();
+    }
+
+    awaitable<void> writeAll()
+    {
+        auto current = socket;
+        while (current && connected && socket == current && !unsent.empty()) {
+            std::string frame = std::move(unsent.front());
+            unsent.pop_front();
+            if (!co_await Detail::writeFrame(*current, std::move(frame))) {
+                break;
+            }
+        }
+        writing = false;
+        if (connected && !unsent.empty()) {
+            flush();
+        }
+    }
+
+    awaitable<void> readAll(std::shared_ptr<Tcp::socket> from)
+    {
+        while (true) {
+            auto envelope = co_await Detail::readFrame(*from);
+            if (!envelope) {
+                break;
+            }
+            const auto it = pending.find(envelope->correlation);
+            if (envelope->reply && it != pending.end()) {
+                it->second->reply = std::move(*envelope);
+                it->second->timer.cancel();
+            }
+        }
+        if (socket == from) {
+            loseConnection();
+        }
+    }
+
+    void loseConnection()
+    {
+        connected = false;
+        unsent.clear();
+        if (socket) {
+            boost::system::error_code ec;
+            socket->close(ec);
+            socket.reset();
+        }
+        for (auto &[correlation, waiting] : pending) {
+            waiting->connectionLost = true;
+            waiting->timer.cancel();
+        }
+    }
+};
+
+PeerClient::PeerClient(const Asio::any_io_executor &executor, std::string self, std::int64_t incarnation, Endpoint peer)
+    : m_state(std::make_shared<State>(executor, std::move(self), incarnation, std::move(peer)))
+{
+}
+
+PeerClient::~PeerClient()
+{
+    Asio::post(m_state->strand, [state = m_state] {
+        state->stopped = true;
+        state->loseConnection();
+    });
+}
+
+awaitable<CallResult> PeerClient::call(Wire::MessageKind kind, std::string payload, Duration timeout)
+{
+    co_return co_await Asio::co_spawn(
+        m_state->strand, State::call(m_state, kind, std::move(payload), timeout), Asio::use_awaitable);
+}
+
+const Endpoint &PeerClient::peer() const
+{
+    return m_state->peer;
+}
+
+} // namespace Trefoilhoist
--- /dev/null
+++ b/src/trefoilhoist/world/id.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <compare>
+#include <functional>
+#include <ostream>
+#include <string>
+#include <utility>
+
+namespace Trefoilhoist {
+
+/// A name of one kind of object; ids of different kinds don't mix.
+template <typename Tag>
+class Id
+{
+public:
+    Id() = default;
+    explicit Id(std::string value) : m_value(std::move(value)) { }
+
+    [[nodiscard]] const std::string &str() const
+    {
+        return m_value;
+    }
+    [[nodiscard]] bool empty() const
+    {
+        return m_value.empty();
+    }
+    auto operator<=>(const Id &) const = default;
+
+    friend std::ostream &operator<<(std::ostream &out, const Id &id)
+    {
+        return out << id.m_value;
+    }
+
+private:
+    std::string m_value;
+};
+
+using WorkerId = Id<struct WorkerTag>;
+using RackId = Id<struct RackTag>;
+using ZoneId = Id<struct ZoneTag>;
+using MinionId = Id<struct MinionTag>;
+using ServiceId = Id<struct ServiceTag>;
+using CallerId = Id<struct CallerTag>;
+using EntryId = Id<struct EntryTag>;
+using JobId = Id<struct JobTag>;
+using TaskId = Id<struct TaskTag>;
+using TeamId = Id<struct TeamTag>;
+using CellId = Id<struct CellTag>;
+
+} // namespace Trefoilhoist
+
+template <typename Tag>
+struct std::hash<Trefoilhoist::Id<Tag>> {
+    std::size_t operator()(const Trefoilhoist::Id<Tag> &id) const noexcept
+    {
+        return std::hash<std::string>{}(id.str());
+    }
+};
--- /dev/null
+++ b/tests/unit/foundation.cpp
@@ -0,0 +1,170 @@
+#include "trefoilhoist/config/settings.h"
+#include "trefoilhoist/metrics/metrics.h"
+#include "trefoilhoist/net/asio.h"
+#include "trefoilhoist/net/httpclient.h"
+#include "trefoilhoist/net/httpserver.h"
+#include "trefoilhoist/verdict/verdict.h"
+#include "trefoilhoist/wire/message.h"
+#include "trefoilhoist/wire/peerclient.h"
+#include "trefoilhoist/wire/peerserver.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <gtest/gtest.h>
+
+#include <future>
+#include <thread>
+
+using namespace Trefoilhoist;
+
+namespace {
+
+const char *const schema = R"({"type":"object","additionalProperties":false,"required":["listen"],
+    "properties":{"listen":{"type":"string"},"limits":{"type":"object","additionalProperties":false,
+    "properties":{"slots":{"type":"integer"}}}}})";
+
+class NetTest : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        m_thread = std::thread([this] {
+            const auto guard = Asio::make_work_guard(m_context);
+            m_context.run();
+        });
+    }
+    void TearDown() override
+    {
+        m_context.stop();
+        m_thread.join();
+    }
+
+    // Runs a coroutine to its end on the context and returns its value.
+    template <typename Value>
+    Value await(std::function<awaitable<Value>()> body)
+    {
+        auto promise = std::make_shared<std::promise<Value>>();
+        auto future = promise->get_future();
+        spawn(m_context.get_executor(), "test", [promise, body]() -> awaitable<void> {
+            promise->set_value(co_await body());
+        });
+        return future.get();
+    }
+
+    Asio::io_context m_context;
+    std::thread m_thread;
+};
+
+} // namespace
+
+TEST(Settings_unknownKey, isRefusedWithItsName)
+{
+    const auto result = checkSettings(R"({"listen":"127.0.0.1:0","colour":1})", schema, "entry.json");
+    ASSERT_FALSE(result);
+    EXPECT_NE(result.error().str().find("colour"), std::string::npos);
+}
+
+TEST(Settings_wrongType, isRefusedWithItsPlace)
+{
+    const auto result = checkSettings(R"({"listen":"a","limits":{"slots":"x"}})", schema, "entry.json");
+    ASSERT_FALSE(result);
+    EXPECT_EQ(result.error().place, "/limits/slots");
+}
+
+TEST(Settings_comments, areSkipped)
+{
+    EXPECT_TRUE(checkSettings("{ // where\n\"listen\": \"a\" }", schema, "entry.json"));
+}
+
+TEST(Verdict_name, readsBackAsItself)
+{
+    for (const auto verdict : {Verdict::NotRun, Verdict::MayHaveRun, Verdict::Ran}) {
+        EXPECT_EQ(verdictFromName(verdictName(verdict)), verdict);
+    }
+}
+
+TEST(LatencyWindow_oldSamples, areForgotten)
+{
+    Clock clock;
+    clock.pause();
+    LatencyWindow window(seconds(10));
+    window.record(milliseconds(500), clock.now());
+    clock.advance(seconds(25));
+    window.record(milliseconds(1), clock.now());
+    EXPECT_LE(window.summary(clock.now()).maxUs, 1000);
+    EXPECT_EQ(window.totalCount(), 2);
+}
+
+TEST(WireMessage_brokenBytes, areNotDecoded)
+{
+    EXPECT_FALSE(Wire::decode<Wire::Envelope>("\x18\x05hi"));
+}
+
+TEST_F(NetTest, httpCall_wholeAnswer_isReturnedWithCorrelation)
+{
+    HttpServer server(m_context.get_executor(), {}, [](HttpRequest request) -> awaitable<HttpResponse> {
+        auto response = textResponse(200, request.method + " " + request.target + " " + request.body);
+        response.headers.set(correlationHeader, request.headers.get(correlationHeader));
+        co_return response;
+    });
+    const auto port = server.listen({"127.0.0.1", 0});
+    ASSERT_TRUE(port);
+    HttpClient client(m_context.get_executor());
+    for (int i = 0; i < 3; ++i) {
+        const auto result = await<tl::expected<HttpResponse, CallError>>([&] {
+            HttpRequest request{"POST", "/a?b=c", {}, "body"};
+            HttpCallOptions options;
+            options.correlation = "c" + std::to_string(i);
+            return client.call({"127.0.0.1", *port}, request, options);
+        });
+        ASSERT_TRUE(result) << result.error().reason;
+        EXPECT_EQ(result->body, "POST /a?b=c body");
+    }
+}
+
+TEST_F(NetTest, httpCall_answerOfAnotherRequest_isAnError)
+{
+    HttpServer server(m_context.get_executor(), {}, [](HttpRequest) -> awaitable<HttpResponse> {
+        auto response = textResponse(200, "other");
+        response.headers.set(correlationHeader, "someone-else");
+        co_return response;
+    });
+    const auto port = server.listen({"127.0.0.1", 0});
+    ASSERT_TRUE(port);
+    HttpClient client(m_context.get_executor());
+    const auto result = await<tl::expected<HttpResponse, CallError>>([&] {
+        HttpCallOptions options;
+        options.correlation = "mine";
+        return client.call({"127.0.0.1", *port}, HttpRequest{}, options);
+    });
+    ASSERT_FALSE(result);
+    EXPECT_EQ(result.error().verdict, Verdict::MayHaveRun);
+}
+
+TEST_F(NetTest, httpCall_nobodyListening_isNotRun)
+{
+    HttpClient client(m_context.get_executor());
+    const auto result = await<tl::expected<HttpResponse, CallError>>([&] {
+        return client.call({"127.0.0.1", 1}, HttpRequest{}, HttpCallOptions{});
+    });
+    ASSERT_FALSE(result);
+    EXPECT_EQ(result.error().verdict, Verdict::NotRun);
+}
+
+TEST_F(NetTest, peerCall_knownPeer_isAnswered)
+{
+    PeerServer server(
+        m_context.get_executor(), "b", 7, [](Wire::Envelope envelope) -> awaitable<std::optional<Wire::Envelope>> {
+            Wire::Envelope reply;
+            reply.kind = Wire::MessageKind::AckKind;
+            reply.payload = envelope.payload + " heard";
+            co_return reply;
+        });
+    const auto port = server.listen({"127.0.0.1", 0});
+    ASSERT_TRUE(port);
+    PeerClient client(m_context.get_executor(), "a", 1, {"127.0.0.1", *port});
+    const auto result = await<tl::expected<Wire::Envelope, CallError>>(
+        [&] { return client.call(Wire::MessageKind::HelloKind, "hi", seconds(5)); });
+    ASSERT_TRUE(result);
+    EXPECT_EQ(result->payload, "hi heard");
+    EXPECT_EQ(result->incarnation, 7);
+}
