--- a/src/trefoilhoist/world/id.h
+++ b/src/trefoilhoist/world/id.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <compare>
 #include <functional>
 #include <ostream>
 #include <string>
@@ -24,7 +23,11 @@
     {
         return m_value.empty();
     }
-    auto operator<=>(const Id &) const = default;
+    bool operator==(const Id &) const = default;
+    bool operator<(const Id &other) const
+    {
+        return m_value < other.m_value;
+    }
 
     friend std::ostream &operator<<(std::ostream &out, const Id &id)
     {
--- /dev/null
+++ b/tools/load/main.cpp
@@ -0,0 +1,107 @@
+#include "loadrun.h"
+
+#include "trefoilhoist/net/program.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <tclap/CmdLine.h>
+
+#include <fstream>
+#include <iostream>
+#include <thread>
+
+namespace {
+
+using namespace Trefoilhoist;
+
+struct Options {
+    Tools::LoadPlan plan;
+    std::string jsonFile;
+    int threads = 2;
+};
+
+Options parseOptions(int argc, char **argv)
+{
+    TCLAP::CmdLine command(
+        "Sends requests to entries and checks every answer against its request", ' ', TREFOILHOIST_VERSION);
+    TCLAP::MultiArg<std::string> targets(
+        "t", "target", "An entry, or a minion with --direct", true, "host:port", command);
+    TCLAP::ValueArg<std::string> service("s", "service", "Service to call", false, "lending", "name", command);
+    TCLAP::MultiArg<std::string> callers(
+        "c", "caller", "Caller and its requests a second; default: counter=50", false, "name=rate", command);
+    TCLAP::ValueArg<double> length("l", "seconds", "How long to send", false, 5, "seconds", command);
+    TCLAP::ValueArg<int> deadline("d", "deadline-ms", "Deadline of each request", false, 2000, "milliseconds", command);
+    TCLAP::ValueArg<double> orders(
+        "o", "order-share", "Share of non-idempotent requests", false, 0.2, "share", command);
+    TCLAP::ValueArg<std::uint64_t> seed("r", "seed", "Seed of the arrivals", false, 1, "number", command);
+    TCLAP::ValueArg<int> threads("n", "threads", "Threads", false, 2, "number", command);
+    TCLAP::ValueArg<std::string> json("j", "json", "Write the report as JSON to this file", false, "", "file", command);
+    TCLAP::SwitchArg direct("x", "direct", "The targets are minions", command);
+    command.setExceptionHandling(false);
+    command.parse(argc, argv);
+
+    Options options;
+    for (const auto &target : targets.getValue()) {
+        options.plan.targets.push_back(endpointFromText(target));
+    }
+    for (const auto &caller : callers.getValue()) {
+        const auto equals = caller.rfind('=');
+        if (equals == std::string::npos) {
+            throw std::invalid_argument("--caller \"" + caller + "\" is not name=rate");
+        }
+        options.plan.rates[CallerId(caller.substr(0, equals))] = std::stod(caller.substr(equals + 1));
+    }
+    if (options.plan.rates.empty()) {
+        options.plan.rates[CallerId("counter")] = 50;
+    }
+    options.plan.service = ServiceId(service.getValue());
+    options.plan.length = Duration(static_cast<std::int64_t>(length.getValue() * 1e6));
+    options.plan.deadline = milliseconds(deadline.getValue());
+    options.plan.orderShare = orders.getValue();
+    options.plan.seed = seed.getValue();
+    options.plan.direct = direct.getValue();
+    options.jsonFile = json.getValue();
+    options.threads = threads.getValue();
+    return options;
+}
+
+int runLoad(const Options &options)
+{
+    Asio::io_context context;
+    Tools::LoadReport report;
+    Tools::LoadRun run(context.get_executor(), options.plan);
+    spawn(context.get_executor(), "load", [&]() -> awaitable<void> {
+        report = co_await run.run();
+        context.stop();
+    });
+    std::vector<std::thread> pool;
+    pool.reserve(static_cast<std::size_t>(options.threads));
+    for (int i = 0; i < options.threads; ++i) {
+        pool.emplace_back([&] { context.run(); });
+    }
+    for (auto &thread : pool) {
+        thread.join();
+    }
+    std::cout << report.text();
+    if (!options.jsonFile.empty()) {
+        std::ofstream(options.jsonFile) << report.json() << '\n';
+    }
+    const auto total = report.total();
+    return total.answered > 0 && total.wrongAnswers == 0 ? exitOk : exitFailed;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    try {
+        return runLoad(parseOptions(argc, argv));
+    } catch (const TCLAP::ArgException &e) {
+        std::cerr << "trefoilhoist-load: " << e.argId() << ": " << e.error() << '\n';
+        return exitBadSettings;
+    } catch (const TCLAP::ExitException &e) {
+        return e.getExitStatus();
+    } catch (const std::exception &e) {
+        std::cerr << "trefoilhoist-load: " << e.what() << '\n';
+        return exitBadSettings;
+    }
+}
