--- /dev/null
+++ b/src/programs/burn/main.cpp
@@ -0,0 +1,124 @@
+#include "burnrender.h"
+
+#include "trefoilhoist/net/httpclient.h"
+#include "trefoilhoist/net/program.h"
+
+#include <tclap/CmdLine.h>
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace {
+
+using namespace Trefoilhoist;
+
+constexpr int exitFastBurn = 3;
+
+struct Options {
+    std::vector<std::string> entries;
+    std::vector<std::string> snapshots;
+    std::string saveFile;
+    std::string svgFile;
+    bool json = false;
+    bool failOnFastBurn = false;
+};
+
+Options parseOptions(int argc, char **argv)
+{
+    TCLAP::CmdLine command("Reports how fast services burn their error budgets", ' ', TREFOILHOIST_VERSION);
+    TCLAP::MultiArg<std::string> entries("e", "entry", "A running entry", false, "host:port", command);
+    TCLAP::MultiArg<std::string> snapshots("f", "snapshot", "A saved snapshot", false, "file", command);
+    TCLAP::ValueArg<std::string> save(
+        "w", "save", "Save the entries' snapshots to FILE.1, FILE.2, ...", false, "", "file", command);
+    TCLAP::ValueArg<std::string> svg("g", "svg", "Write a picture to this file", false, "", "file", command);
+    TCLAP::SwitchArg json("j", "json", "Print JSON", command);
+    TCLAP::SwitchArg fail("x", "fail-on-fast-burn", "Exit with 3 when a budget burns fast", command);
+    command.setExceptionHandling(false);
+    command.parse(argc, argv);
+    if (entries.getValue().empty() && snapshots.getValue().empty()) {
+        throw std::invalid_argument("name at least one --entry or --snapshot");
+    }
+    return {
+        entries.getValue(), snapshots.getValue(), save.getValue(), svg.getValue(), json.getValue(), fail.getValue()};
+}
+
+// Fetches /-/burn of one entry. Throws std::runtime_error when it does not answer.
+std::string fetchSnapshot(const std::string &entry)
+{
+    Asio::io_context context;
+    HttpClient client(context.get_executor());
+    tl::expected<HttpResponse, CallError> answer = tl::unexpected(CallError{});
+    const auto endpoint = endpointFromText(entry);
+    spawn(context.get_executor(), "burn", [&]() -> awaitable<void> {
+        answer = co_await client.call(endpoint, HttpRequest{"GET", "/-/burn", {}, {}}, HttpCallOptions{});
+    });
+    context.run();
+    if (!answer) {
+        throw std::runtime_error("entry " + entry + ": " + answer.error().reason);
+    }
+    if (answer->status != 200) {
+        throw std::runtime_error("entry " + entry + " answered " + std::to_string(answer->status));
+    }
+    return answer->body;
+}
+
+std::string readSnapshot(const std::string &file)
+{
+    std::ifstream in(file);
+    if (!in) {
+        throw std::runtime_error(file + ": cannot open the file");
+    }
+    std::ostringstream buf;
+    buf << in.rdbuf();
+    return buf.str();
+}
+
+void addTo(BurnReport &report, const std::string &source, const std::string &snapshot)
+{
+    const auto added = report.add(snapshot);
+    if (!added) {
+        throw std::runtime_error(source + ": " + added.error());
+    }
+}
+
+int runBurn(const Options &options)
+{
+    BurnReport report;
+    int number = 0;
+    for (const auto &entry : options.entries) {
+        const auto snapshot = fetchSnapshot(entry);
+        if (!options.saveFile.empty()) {
+            std::ofstream(options.saveFile + "." + std::to_string(++number)) << snapshot;
+        }
+        addTo(report, entry, snapshot);
+    }
+    for (const auto &file : options.snapshots) {
+        addTo(report, file, readSnapshot(file));
+    }
+    std::cout << (options.json ? burnJson(report) + "\n" : burnText(report));
+    if (!options.svgFile.empty()) {
+        std::ofstream(options.svgFile) << burnSvg(report);
+    }
+    return options.failOnFastBurn && report.worst() == BurnLevel::Fast ? exitFastBurn : exitOk;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    try {
+        return runBurn(parseOptions(argc, argv));
+    } catch (const TCLAP::ArgException &e) {
+        std::cerr << "trefoilhoist-burn: " << e.argId() << ": " << e.error() << '\n';
+        return exitBadSettings;
+    } catch (const TCLAP::ExitException &e) {
+        return e.getExitStatus();
+    } catch (const std::invalid_argument &e) {
+        std::cerr << "trefoilhoist-burn: " << e.what() << '\n';
+        return exitBadSettings;
+    } catch (const std::exception &e) {
+        std::cerr << "trefoilhoist-burn: " << e.what() << '\n';
+        return exitFailed;
+    }
+}
