Add the membership table

Cause: entries need one view of the minions without a list of targets. Order of news: incarnation, leaving over announced, sequence, gone, owner's name. The owner alone keeps the heartbeats; peers hear changes, so an unchanged heartbeat costs no message. When late news of an earlier owner is newer than what peers were told but older than the last heartbeat, the owner tells the heartbeat again. Additive to the header: switches for tests, ownerHeard, refusedAsLeaving, ownerOf, records. Conclusion: unit-membership passes (11 tests).

--- /dev/null
+++ b/src/trefoilhoist/membership/membershiptable.cpp
@@ -0,0 +1,380 @@
+#include "trefoilhoist/membership/membershiptable.h"
+
+#include "trefoilhoist/membership/minionrecord.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+namespace Trefoilhoist {
+
+namespace {
+
+constexpr std::size_t bucketCount = 64;
+/// Fewer minions than this fall silent together by chance.
+constexpr std::size_t minDoubted = 3;
+
+std::size_t bucketOf(const std::string &id)
+{
+    return XXH3_64bits(id.data(), id.size()) % bucketCount;
+}
+
+std::int64_t millisecondsOf(Duration duration)
+{
+    return duration_cast<milliseconds>(duration).count();
+}
+
+} // namespace
+
+struct MembershipTable::State {
+    /// One minion. `record` is what peers were told; its owner alone knows the later heartbeats.
+    struct Known {
+        Wire::MinionRecord record;
+        std::int64_t heardSequence = 0;
+        TimePoint heardAt{};
+        TimePoint goneAt{};
+    };
+    using KnownMap = std::map<std::string, Known>;
+
+    EntryId self;
+    MembershipTimes times;
+    MembershipSwitches switches;
+    KnownMap known;
+    std::set<std::string> changed;
+    std::unordered_map<std::string, TimePoint> owners;
+    std::array<std::uint64_t, bucketCount> buckets{};
+    std::uint64_t generation = 0;
+    TimePoint lastExpire{};
+    TimePoint graceUntil{};
+    TimePoint doubtSince{};
+
+    [[nodiscard]] bool isMine(const Known &entry) const
+    {
+        return entry.record.owner == self.str();
+    }
+
+    [[nodiscard]] Duration ageOf(const Known &entry, TimePoint now) const
+    {
+        if (entry.record.gone) {
+            return now - entry.goneAt;
+        }
+        TimePoint last = entry.heardAt;
+        if (const auto it = owners.find(entry.record.owner); !isMine(entry) && it != owners.end()) {
+            last = std::max(last, it->second);
+        }
+        return now - last;
+    }
+
+    [[nodiscard]] Wire::MinionRecord exported(const Known &entry, TimePoint now) const
+    {
+        Wire::MinionRecord record = entry.record;
+        record.ageMs = std::max<std::int64_t>(0, millisecondsOf(ageOf(entry, now)));
+        return record;
+    }
+
+    static std::uint64_t hashOf(const Wire::MinionRecord &record)
+    {
+        // Tombstones lapse at different times in different tables, so they stay out of the digest.
+        return record.gone || record.id.empty() ? 0 : recordHash(record);
+    }
+
+    void replace(Known &entry, Wire::MinionRecord record)
+    {
+        auto &bucket = buckets.at(bucketOf(record.id));
+        bucket ^= hashOf(entry.record);
+        if (entry.record.id.empty() || !sameContent(entry.record, record)) {
+            ++generation;
+        }
+        entry.record = std::move(record);
+        entry.record.ageMs = 0;
+        bucket ^= hashOf(entry.record);
+    }
+
+    KnownMap::iterator erase(KnownMap::iterator it)
+    {
+        buckets.at(bucketOf(it->first)) ^= hashOf(it->second.record);
+        if (!it->second.record.gone) {
+            ++generation;
+        }
+        changed.erase(it->first);
+        return known.erase(it);
+    }
+
+    // The record with the latest heartbeat in it.
+    static Wire::MinionRecord latest(const Known &entry)
+    {
+        Wire::MinionRecord record = entry.record;
+        record.sequence = std::max(record.sequence, entry.heardSequence);
+        return record;
+    }
+
+    void publish(Known &entry, Wire::MinionRecord record)
+    {
+        changed.insert(record.id);
+        replace(entry, std::move(record));
+    }
+
+    void hear(const Announcement &announcement, TimePoint now);
+    bool take(const Wire::MinionRecord &record, TimePoint now);
+    bool takeNew(const Wire::MinionRecord &record, TimePoint now);
+    void noticePause(TimePoint now);
+    [[nodiscard]] bool isSilent(const Known &entry, TimePoint now) const;
+    [[nodiscard]] bool doubtsSelf(TimePoint now);
+    void markGone(Known &entry, TimePoint now);
+};
+
+void MembershipTable::State::hear(const Announcement &announcement, TimePoint now)
+{
+    const auto record = recordOf(announcement.minion, announcement.sequence, self);
+    auto [it, isNew] = known.try_emplace(record.id);
+    Known &entry = it->second;
+    if (!isNew && switches.orderNews && compareNews(record, latest(entry)) <= 0) {
+        return;
+    }
+    const bool changes = isNew || !isMine(entry) || !sameContent(entry.record, record);
+    entry.heardSequence = record.sequence;
+    entry.heardAt = now;
+    if (changes) {
+        publish(entry, record);
+    }
+}
+
+bool MembershipTable::State::takeNew(const Wire::MinionRecord &record, TimePoint now)
+{
+    const auto limit = record.gone ? times.tombstone : times.orphan;
+    if (switches.refuseAged && milliseconds(record.ageMs) >= limit) {
+        return false;
+    }
+    Known &entry = known[record.id];
+    entry.heardSequence = record.sequence;
+    entry.heardAt = entry.goneAt = now - milliseconds(record.ageMs);
+    replace(entry, record);
+    return true;
+}
+
+bool MembershipTable::State::take(const Wire::MinionRecord &record, TimePoint now)
+{
+    const auto it = known.find(record.id);
+    if (it == known.end()) {
+        return takeNew(record, now);
+    }
+    Known &entry = it->second;
+    if (switches.orderNews && compareNews(record, entry.record) <= 0) {
+        return false;
+    }
+    if (switches.orderNews && isMine(entry) && !entry.record.gone && compareNews(record, latest(entry)) < 0) {
+        // Peers may believe the late news, because later heartbeats were not told to them.
+        if (switches.republishOverOldNews) {
+            publish(entry, latest(entry));
+        }
+        return false;
+    }
+    entry.heardSequence = record.sequence;
+    entry.heardAt = entry.goneAt = now - milliseconds(record.ageMs);
+    if (record.owner == self.str()) {
+        // News of an earlier life of this entry: the minion gets the time to be heard again.
+        entry.heardAt = now;
+    }
+    replace(entry, record);
+    return true;
+}
+
+void MembershipTable::State::noticePause(TimePoint now)
+{
+    const bool paused = lastExpire != TimePoint{} && now - lastExpire > times.liveness / 2;
+    if (paused && switches.pauseGrace) {
+        graceUntil = now + times.liveness;
+    }
+    lastExpire = now;
+}
+
+bool MembershipTable::State::isSilent(const Known &entry, TimePoint now) const
+{
+    return isMine(entry) && !entry.record.gone && now - entry.heardAt > times.liveness;
+}
+
+bool MembershipTable::State::doubtsSelf(TimePoint now)
+{
+    std::size_t own = 0;
+    std::size_t silent = 0;
+    for (const auto &[id, entry] : known) {
+        if (isMine(entry) && !entry.record.gone && !entry.record.leaving) {
+            ++own;
+            silent += isSilent(entry, now) ? 1 : 0;
+        }
+    }
+    if (!switches.doubtSelf || silent < minDoubted || silent * 2 <= own) {
+        doubtSince = TimePoint{};
+        return false;
+    }
+    if (doubtSince == TimePoint{}) {
+        doubtSince = now;
+    }
+    return now - doubtSince < times.doubt;
+}
+
+void MembershipTable::State::markGone(Known &entry, TimePoint now)
+{
+    auto record = latest(entry);
+    record.gone = true;
+    entry.goneAt = now;
+    publish(entry, record);
+}
+
+MembershipTable::MembershipTable(EntryId self, MembershipTimes times, MembershipSwitches switches)
+    : m_mutex(Detail::LockRank::Membership), m_state(std::make_unique<State>())
+{
+    m_state->self = std::move(self);
+    m_state->times = times;
+    m_state->switches = switches;
+}
+
+MembershipTable::~MembershipTable() = default;
+
+void MembershipTable::heard(const Announcement &announcement, TimePoint now)
+{
+    std::lock_guard lock(m_mutex);
+    m_state->hear(announcement, now);
+}
+
+std::size_t MembershipTable::apply(const std::vector<Wire::MinionRecord> &records, TimePoint now)
+{
+    std::lock_guard lock(m_mutex);
+    std::size_t newer = 0;
+    for (const auto &record : records) {
+        if (!record.id.empty() && m_state->take(record, now)) {
+            ++newer;
+        }
+    }
+    return newer;
+}
+
+void MembershipTable::ownerHeard(const EntryId &owner, TimePoint now)
+{
+    std::lock_guard lock(m_mutex);
+    m_state->owners[owner.str()] = now;
+}
+
+void MembershipTable::refusedAsLeaving(const MinionId &minion, std::int64_t incarnation, TimePoint now)
+{
+    std::lock_guard lock(m_mutex);
+    const auto it = m_state->known.find(minion.str());
+    if (it == m_state->known.end() || it->second.record.incarnation != incarnation || it->second.record.leaving) {
+        return;
+    }
+    auto record = State::latest(it->second);
+    record.leaving = true;
+    it->second.heardAt = std::max(it->second.heardAt, now);
+    m_state->publish(it->second, record);
+}
+
+void MembershipTable::expire(TimePoint now)
+{
+    std::lock_guard lock(m_mutex);
+    m_state->noticePause(now);
+    const bool keep = now < m_state->graceUntil || m_state->doubtsSelf(now);
+    for (auto it = m_state->known.begin(); it != m_state->known.end();) {
+        auto &entry = it->second;
+        if (m_state->isSilent(entry, now) && (!keep || entry.record.leaving)) {
+            m_state->markGone(entry, now);
+        }
+        const auto age = m_state->ageOf(entry, now);
+        const auto &times = m_state->times;
+        const bool lapsed = entry.record.gone ? age > times.tombstone || !m_state->switches.keepTombstones
+                                              : !m_state->isMine(entry) && age > times.orphan;
+        it = lapsed ? m_state->erase(it) : std::next(it);
+    }
+}
+
+std::vector<Wire::MinionRecord> MembershipTable::takeDelta(TimePoint now)
+{
+    std::lock_guard lock(m_mutex);
+    std::vector<Wire::MinionRecord> delta;
+    delta.reserve(m_state->changed.size());
+    for (const auto &id : m_state->changed) {
+        delta.push_back(m_state->exported(m_state->known.at(id), now));
+    }
+    m_state->changed.clear();
+    return delta;
+}
+
+std::vector<std::int64_t> MembershipTable::digest() const
+{
+    std::lock_guard lock(m_mutex);
+    std::vector<std::int64_t> digest;
+    digest.reserve(bucketCount);
+    for (const auto bucket : m_state->buckets) {
+        digest.push_back(static_cast<std::int64_t>(bucket));
+    }
+    return digest;
+}
+
+std::vector<std::int32_t> MembershipTable::differingBuckets(const std::vector<std::int64_t> &peerDigest) const
+{
+    const auto own = digest();
+    std::vector<std::int32_t> differing;
+    for (std::size_t n = 0; n < bucketCount; ++n) {
+        if (n >= peerDigest.size() || own[n] != peerDigest[n]) {
+            differing.push_back(static_cast<std::int32_t>(n));
+        }
+    }
+    return differing;
+}
+
+std::vector<Wire::MinionRecord> MembershipTable::recordsIn(const std::vector<std::int32_t> &buckets,
+                                                           TimePoint now) const
+{
+    std::lock_guard lock(m_mutex);
+    const std::set<std::int32_t> wanted(buckets.begin(), buckets.end());
+    std::vector<Wire::MinionRecord> found;
+    for (const auto &[id, entry] : m_state->known) {
+        if (wanted.contains(static_cast<std::int32_t>(bucketOf(id)))) {
+            found.push_back(m_state->exported(entry, now));
+        }
+    }
+    return found;
+}
+
+std::vector<Minion> MembershipTable::available() const
+{
+    std::lock_guard lock(m_mutex);
+    std::vector<Minion> minions;
+    for (const auto &[id, entry] : m_state->known) {
+        if (!entry.record.gone && !entry.record.leaving) {
+            minions.push_back(minionOf(entry.record));
+        }
+    }
+    return minions;
+}
+
+std::uint64_t MembershipTable::generation() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_state->generation;
+}
+
+EntryId MembershipTable::ownerOf(const MinionId &minion) const
+{
+    std::lock_guard lock(m_mutex);
+    const auto it = m_state->known.find(minion.str());
+    return it == m_state->known.end() ? EntryId{} : EntryId(it->second.record.owner);
+}
+
+std::vector<Wire::MinionRecord> MembershipTable::records(TimePoint now) const
+{
+    std::lock_guard lock(m_mutex);
+    std::vector<Wire::MinionRecord> all;
+    for (const auto &[id, entry] : m_state->known) {
+        all.push_back(m_state->exported(entry, now));
+    }
+    return all;
+}
+
+} // namespace Trefoilhoist
--- a/src/trefoilhoist/membership/membershiptable.h
+++ b/src/trefoilhoist/membership/membershiptable.h
@@ -5,7 +5,7 @@
 #include "trefoilhoist/world/world.h"
 
 #include <cstdint>
-#include <map>
+#include <memory>
 #include <vector>
 
 namespace Trefoilhoist {
@@ -18,6 +18,21 @@
     Duration liveness = seconds(3);
     /// A record of a gone or left minion is kept this long, so that old news can't revive it.
     Duration tombstone = seconds(600);
+    /// A minion whose owner is unheard for this long is forgotten. Below the tombstone's time, so that a
+    /// forgotten minion is never taken from an older table.
+    Duration orphan = seconds(300);
+    /// How long the owner doubts its own hearing when most of its minions fall silent at once.
+    Duration doubt = seconds(10);
+};
+
+/// Turns parts of the protocol off. Only tests do, to show that each part matters.
+struct MembershipSwitches {
+    bool orderNews = true;
+    bool keepTombstones = true;
+    bool refuseAged = true;
+    bool pauseGrace = true;
+    bool doubtSelf = true;
+    bool republishOverOldNews = true;
 };
 
 /// What a minion says of itself.
@@ -34,7 +49,10 @@
 class MembershipTable
 {
 public:
-    MembershipTable(EntryId self, MembershipTimes times);
+    MembershipTable(EntryId self, MembershipTimes times, MembershipSwitches switches = {});
+    ~MembershipTable();
+    MembershipTable(const MembershipTable &) = delete;
+    MembershipTable &operator=(const MembershipTable &) = delete;
 
     /// A minion announced itself here; this entry owns its liveness from now on.
     void heard(const Announcement &announcement, TimePoint now);
@@ -42,6 +60,12 @@
     /// News from a peer. Returns how many records were newer than what was known.
     std::size_t apply(const std::vector<Wire::MinionRecord> &records, TimePoint now);
 
+    /// A peer entry answered or sent anything: the minions it owns have an owner.
+    void ownerHeard(const EntryId &owner, TimePoint now);
+
+    /// The minion refused a request because it is leaving. The incarnation is the one the request went to.
+    void refusedAsLeaving(const MinionId &minion, std::int64_t incarnation, TimePoint now);
+
     /// Marks minions that their owner no longer hears as gone, and forgets old tombstones.
     void expire(TimePoint now);
 
@@ -61,15 +85,15 @@
     /// Rises whenever available() may have changed.
     [[nodiscard]] std::uint64_t generation() const;
 
-private:
-    struct Known;
+    /// The entry that hears a minion's announcements; empty for an unknown minion.
+    [[nodiscard]] EntryId ownerOf(const MinionId &minion) const;
+    /// Everything known, tombstones too.
+    [[nodiscard]] std::vector<Wire::MinionRecord> records(TimePoint now) const;
 
-    EntryId m_self;
-    MembershipTimes m_times;
+private:
+    struct State;
     mutable Detail::RankedMutex m_mutex;
-    std::map<MinionId, Known> m_known;
-    std::vector<MinionId> m_changed;
-    std::uint64_t m_generation = 0;
+    std::unique_ptr<State> m_state;
 };
 
 } // namespace Trefoilhoist
--- /dev/null
+++ b/tests/unit/membership.cpp
@@ -0,0 +1,182 @@
+#include "trefoilhoist/membership/membershiptable.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+using namespace Trefoilhoist;
+
+namespace {
+
+const EntryId alpha("entry-a");
+const EntryId beta("entry-b");
+
+Announcement announcement(std::int64_t sequence, bool leaving = false, std::int64_t incarnation = 1)
+{
+    Announcement news;
+    news.minion.id = MinionId("m1");
+    news.minion.endpoint = Endpoint{"127.0.1.1", 8080};
+    news.minion.zone = ZoneId("az-1");
+    news.minion.service = ServiceId("lending");
+    news.minion.slots = 8;
+    news.minion.connections = 64;
+    news.minion.incarnation = incarnation;
+    news.minion.leaving = leaving;
+    news.sequence = sequence;
+    return news;
+}
+
+class MembershipTest : public testing::Test
+{
+protected:
+    TimePoint at(int millis) const
+    {
+        return TimePoint(seconds(1000)) + milliseconds(millis);
+    }
+    // Hands the delta of one table to the other.
+    std::size_t push(MembershipTable &from, MembershipTable &to, TimePoint now)
+    {
+        return to.apply(from.takeDelta(now), now);
+    }
+    // Both sides ask for the buckets that differ, as entries do each second.
+    void exchange(MembershipTable &one, MembershipTable &two, TimePoint now)
+    {
+        one.apply(two.recordsIn(one.differingBuckets(two.digest()), now), now);
+        two.apply(one.recordsIn(two.differingBuckets(one.digest()), now), now);
+    }
+    // Runs expire() as often as a live entry does.
+    void live(MembershipTable &table, int fromMillis, int toMillis)
+    {
+        for (int n = fromMillis; n <= toMillis; n += 500) {
+            table.expire(at(n));
+        }
+    }
+
+    MembershipTable m_a{alpha, MembershipTimes{}};
+    MembershipTable m_b{beta, MembershipTimes{}};
+};
+
+} // namespace
+
+TEST_F(MembershipTest, minion_announced_isAvailableHereAndAtThePeer)
+{
+    m_a.heard(announcement(1), at(0));
+    EXPECT_EQ(push(m_a, m_b, at(0)), 1U);
+    ASSERT_EQ(m_b.available().size(), 1U);
+    EXPECT_EQ(m_b.available().front().slots, 8);
+    EXPECT_EQ(m_b.ownerOf(MinionId("m1")), alpha);
+    EXPECT_EQ(m_a.digest(), m_b.digest());
+}
+
+TEST_F(MembershipTest, heartbeat_unchanged_pushesNothing)
+{
+    m_a.heard(announcement(1), at(0));
+    (void)m_a.takeDelta(at(0));
+    const auto generation = m_a.generation();
+    m_a.heard(announcement(2), at(500));
+    EXPECT_TRUE(m_a.takeDelta(at(500)).empty());
+    EXPECT_EQ(m_a.generation(), generation);
+}
+
+TEST_F(MembershipTest, leaving_thenLaterHeartbeatOfTheSameIncarnation_staysLeaving)
+{
+    m_a.heard(announcement(1), at(0));
+    m_a.heard(announcement(5, true), at(10));
+    m_a.heard(announcement(9), at(20));
+    EXPECT_TRUE(m_a.available().empty());
+    m_a.heard(announcement(1, false, 2), at(30));
+    EXPECT_EQ(m_a.available().size(), 1U);
+}
+
+TEST_F(MembershipTest, silentMinion_isGoneAndOldNewsDoesNotReviveIt)
+{
+    m_a.heard(announcement(1), at(0));
+    const auto old = m_a.takeDelta(at(0));
+    m_a.heard(announcement(4), at(1000));
+    live(m_a, 1000, 4500);
+    EXPECT_TRUE(m_a.available().empty());
+    m_b.apply(old, at(4500));
+    EXPECT_EQ(push(m_a, m_b, at(4500)), 1U);
+    m_a.apply(old, at(4600));
+    m_b.apply(old, at(4600));
+    m_a.heard(announcement(3), at(4700));
+    EXPECT_TRUE(m_a.available().empty());
+    EXPECT_TRUE(m_b.available().empty());
+    m_a.heard(announcement(5), at(4800));
+    EXPECT_EQ(m_a.available().size(), 1U);
+}
+
+TEST_F(MembershipTest, minion_announcedElsewhere_movesToThatOwner)
+{
+    m_a.heard(announcement(1), at(0));
+    push(m_a, m_b, at(0));
+    m_b.heard(announcement(2), at(500));
+    push(m_b, m_a, at(500));
+    EXPECT_EQ(m_a.ownerOf(MinionId("m1")), beta);
+    // The old owner no longer judges its liveness.
+    live(m_a, 500, 9000);
+    EXPECT_EQ(m_a.available().size(), 1U);
+}
+
+TEST_F(MembershipTest, lateNewsOfAnEarlierOwner_isAnsweredByTheLatestHeartbeat)
+{
+    m_a.heard(announcement(1), at(0));
+    push(m_a, m_b, at(0));
+    m_b.heard(announcement(2), at(500));
+    const auto late = m_b.takeDelta(at(500));
+    m_a.heard(announcement(3), at(1000));
+    EXPECT_EQ(m_a.apply(late, at(1500)), 0U);
+    push(m_a, m_b, at(1500));
+    EXPECT_EQ(m_b.ownerOf(MinionId("m1")), alpha);
+    EXPECT_EQ(m_a.digest(), m_b.digest());
+}
+
+TEST_F(MembershipTest, lostDelta_isRepairedByDigest)
+{
+    m_a.heard(announcement(1), at(0));
+    (void)m_a.takeDelta(at(0));
+    EXPECT_NE(m_a.digest(), m_b.digest());
+    exchange(m_b, m_a, at(1000));
+    EXPECT_EQ(m_a.digest(), m_b.digest());
+    EXPECT_EQ(m_b.available().size(), 1U);
+}
+
+TEST_F(MembershipTest, ownerCutOff_keepsItsMinionsUntilTheOrphanTime)
+{
+    m_a.heard(announcement(1), at(0));
+    push(m_a, m_b, at(0));
+    m_b.ownerHeard(alpha, at(1000));
+    live(m_b, 0, 300'500);
+    EXPECT_EQ(m_b.available().size(), 1U);
+    m_b.expire(at(301'500));
+    EXPECT_TRUE(m_b.available().empty());
+}
+
+TEST_F(MembershipTest, refusalAsLeaving_stopsNewWorkAcrossACut)
+{
+    m_a.heard(announcement(1), at(0));
+    push(m_a, m_b, at(0));
+    m_b.refusedAsLeaving(MinionId("m1"), 1, at(100));
+    EXPECT_TRUE(m_b.available().empty());
+    // The owner learns it as well and its later heartbeats don't undo it.
+    push(m_b, m_a, at(200));
+    m_a.heard(announcement(7), at(300));
+    EXPECT_TRUE(m_a.available().empty());
+}
+
+TEST_F(MembershipTest, refusalByAnEarlierIncarnation_isNoNewsOfTheNext)
+{
+    m_a.heard(announcement(1, false, 2), at(0));
+    m_a.refusedAsLeaving(MinionId("m1"), 1, at(100));
+    EXPECT_EQ(m_a.available().size(), 1U);
+}
+
+TEST_F(MembershipTest, frozenOwner_wakingUp_givesMinionsTheTimeToBeHeard)
+{
+    m_a.heard(announcement(1), at(0));
+    live(m_a, 0, 1000);
+    m_a.expire(at(60'000));
+    EXPECT_EQ(m_a.available().size(), 1U);
+    live(m_a, 60'500, 64'000);
+    EXPECT_TRUE(m_a.available().empty());
+}
