Add the router: policies, limits, fair queue, ejection, retry budget

Cause: several entries share a minion's slots and connections without an arbiter. Additive to the header: names of policies, hedge flag, AttemptEnd::Leaving, hedgeDelay, connectionLimit, ejected, switches for tests, the entry's own id in the settings.

--- /dev/null
+++ b/src/trefoilhoist/routing/internal/callerqueue.cpp
@@ -0,0 +1,116 @@
+#include "trefoilhoist/routing/internal/callerqueue.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace Trefoilhoist::Detail {
+
+CallerQueue::CallerQueue(bool fair) : m_fair(fair) { }
+
+CallerLoad &CallerQueue::caller(const CallerId &id, TimePoint now)
+{
+    const CallerId &key = m_fair ? id : CallerId{};
+    auto &found = m_callers[key];
+    found.id = key;
+    found.lastSeen = now;
+    return found;
+}
+
+std::size_t CallerQueue::activeCallers() const
+{
+    return m_callers.size();
+}
+
+std::size_t CallerQueue::waitingCallers() const
+{
+    return m_turns.size();
+}
+
+int CallerQueue::size() const
+{
+    return m_size;
+}
+
+bool CallerQueue::empty() const
+{
+    return m_size == 0;
+}
+
+void CallerQueue::push(CallerLoad &caller, const RouteRequest &request)
+{
+    if (caller.waiting.empty()) {
+        m_turns.push_back(&caller);
+    }
+    caller.waiting.push_back(request);
+    ++m_size;
+}
+
+std::optional<RouteRequest> CallerQueue::pop(const std::function<bool(const CallerLoad &)> &mayGo)
+{
+    const auto it
+        = std::find_if(m_turns.begin(), m_turns.end(), [&](const CallerLoad *caller) { return mayGo(*caller); });
+    if (it == m_turns.end()) {
+        return std::nullopt;
+    }
+    auto *const caller = *it;
+    auto request = std::move(caller->waiting.front());
+    caller->waiting.pop_front();
+    --m_size;
+    m_turns.erase(it);
+    if (!caller->waiting.empty()) {
+        m_turns.push_back(caller);
+    }
+    return request;
+}
+
+const CallerLoad *CallerQueue::longest() const
+{
+    const auto it = std::max_element(m_turns.begin(), m_turns.end(), [](const auto *left, const auto *right) {
+        return left->waiting.size() < right->waiting.size();
+    });
+    return it == m_turns.end() ? nullptr : *it;
+}
+
+RouteRequest CallerQueue::popLongest()
+{
+    auto &caller = m_callers.at(longest()->id);
+    auto request = std::move(caller.waiting.back());
+    caller.waiting.pop_back();
+    --m_size;
+    leaveTurns(&caller);
+    return request;
+}
+
+std::vector<RouteRequest> CallerQueue::removeIf(const std::function<bool(const RouteRequest &)> &gone)
+{
+    std::vector<RouteRequest> removed;
+    for (auto it = m_turns.begin(); it != m_turns.end();) {
+        auto *const caller = *it++;
+        auto &waiting = caller->waiting;
+        const auto kept = std::stable_partition(
+            waiting.begin(), waiting.end(), [&](const RouteRequest &request) { return !gone(request); });
+        std::move(kept, waiting.end(), std::back_inserter(removed));
+        waiting.erase(kept, waiting.end());
+        leaveTurns(caller);
+    }
+    m_size -= static_cast<int>(removed.size());
+    return removed;
+}
+
+void CallerQueue::forgetIdle(TimePoint before)
+{
+    std::erase_if(m_callers, [&](const auto &row) {
+        const CallerLoad &caller = row.second;
+        return caller.inFlight == 0 && caller.waiting.empty() && caller.lastSeen < before;
+    });
+}
+
+void CallerQueue::leaveTurns(CallerLoad *caller)
+{
+    if (caller->waiting.empty()) {
+        m_turns.remove(caller);
+    }
+}
+
+} // namespace Trefoilhoist::Detail
--- /dev/null
+++ b/src/trefoilhoist/routing/internal/peerloads.cpp
@@ -0,0 +1,63 @@
+#include "trefoilhoist/routing/internal/peerloads.h"
+
+#include <algorithm>
+
+namespace Trefoilhoist::Detail {
+
+std::vector<MinionId> PeerLoads::set(const EntryId &peer, const std::map<MinionId, int> &inFlight, TimePoint now)
+{
+    auto changed = forget(peer);
+    for (const auto &[id, count] : inFlight) {
+        m_sums[id] += count;
+        changed.push_back(id);
+    }
+    m_reports[peer] = Report{inFlight, now};
+    return changed;
+}
+
+std::vector<MinionId> PeerLoads::forget(const EntryId &peer)
+{
+    std::vector<MinionId> changed;
+    const auto it = m_reports.find(peer);
+    if (it == m_reports.end()) {
+        return changed;
+    }
+    for (const auto &[id, count] : it->second.inFlight) {
+        const auto sum = m_sums.find(id);
+        sum->second -= count;
+        if (sum->second <= 0) {
+            m_sums.erase(sum);
+        }
+        changed.push_back(id);
+    }
+    m_reports.erase(it);
+    return changed;
+}
+
+std::vector<EntryId> PeerLoads::silentSince(TimePoint before) const
+{
+    std::vector<EntryId> silent;
+    for (const auto &[peer, report] : m_reports) {
+        if (report.at < before) {
+            silent.push_back(peer);
+        }
+    }
+    return silent;
+}
+
+int PeerLoads::sum(const MinionId &minion) const
+{
+    const auto it = m_sums.find(minion);
+    return it == m_sums.end() ? 0 : it->second;
+}
+
+EntryShare PeerLoads::shareOf(const EntryId &self) const
+{
+    EntryShare share;
+    share.entries = static_cast<int>(m_reports.size()) + 1;
+    share.rank = static_cast<int>(
+        std::count_if(m_reports.begin(), m_reports.end(), [&](const auto &row) { return row.first < self; }));
+    return share;
+}
+
+} // namespace Trefoilhoist::Detail
--- /dev/null
+++ b/src/trefoilhoist/routing/internal/servicepool.cpp
@@ -0,0 +1,511 @@
+#include "trefoilhoist/routing/internal/servicepool.h"
+
+#include "trefoilhoist/internal/invariant.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace Trefoilhoist::Detail {
+
+namespace {
+
+/// Zone-local minions are preferred until this share of their slots is taken.
+constexpr double localShare = 0.75;
+/// Slots that callers over their share leave to the others.
+constexpr double reservedShare = 0.1;
+constexpr Duration minPause = milliseconds(1);
+constexpr Duration maxRefusedPause = milliseconds(50);
+constexpr Duration unreachablePause = milliseconds(50);
+constexpr Duration maxUnreachablePause = milliseconds(500);
+/// A caller without requests for this long no longer shares the slots.
+constexpr Duration callerIdle = seconds(1);
+/// A probe waits this long for an idempotent request before any request will do.
+constexpr Duration probePatience = seconds(5);
+constexpr Duration noMinionRetry = seconds(1);
+constexpr Duration minRetryAfter = milliseconds(50);
+constexpr Duration maxRetryAfter = seconds(10);
+constexpr Duration latencyWindow = seconds(10);
+constexpr std::uint64_t minHedgeSamples = 100;
+constexpr double meanSmoothing = 1.0 / 64;
+/// Random choices before a scan for a minion that was not tried.
+constexpr int untriedPicks = 3;
+
+Duration fromMicros(double us)
+{
+    return Duration(static_cast<Duration::rep>(us));
+}
+
+// Puts the minion in a list or takes it out, in constant time. `at` is the member that holds its place.
+void setListed(MinionList &list, MinionLoad &load, std::size_t MinionLoad::*at, bool wanted)
+{
+    const bool present = load.*at != notListed;
+    if (wanted == present) {
+        return;
+    }
+    if (wanted) {
+        load.*at = list.size();
+        list.push_back(&load);
+        return;
+    }
+    auto *const last = list.back();
+    list[load.*at] = last;
+    last->*at = load.*at;
+    list.pop_back();
+    load.*at = notListed;
+}
+
+} // namespace
+
+ServicePool::ServicePool(const RouterSettings &settings, std::uint64_t seed)
+    : m_settings(settings)
+    , m_policy(policyOf(settings.policy))
+    , m_random(seed)
+    , m_queue(settings.switches.fairQueue)
+    , m_budget(settings.retryBudget)
+    , m_latencies(latencyWindow)
+{
+}
+
+void ServicePool::list(const Minion &minion, int peers, EntryShare entries)
+{
+    m_entries = entries;
+    auto &found = m_loads[minion.id];
+    if (!found) {
+        found = std::make_unique<MinionLoad>();
+    }
+    MinionLoad &load = *found;
+    const bool restarted = load.listed && load.minion.incarnation != minion.incarnation;
+    if (restarted && load.health.isEjected()) {
+        std::erase(m_ejected, &load);
+    }
+    if (restarted) {
+        load.health.restore();
+        load.pausedUntil = TimePoint{};
+    }
+    m_totalSlots += minion.slots - (load.listed ? load.minion.slots : 0);
+    m_listed += load.listed ? 0 : 1;
+    load.listed = true;
+    load.minion = minion;
+    load.peers = peers;
+    setShare(load);
+    reindex(load);
+}
+
+void ServicePool::unlistUnless(const std::function<bool(const MinionId &)> &keep)
+{
+    std::vector<MinionId> unused;
+    for (const auto &[id, load] : m_loads) {
+        if (!load->listed || keep(id)) {
+            continue;
+        }
+        load->listed = false;
+        --m_listed;
+        m_totalSlots -= load->minion.slots;
+        std::erase(m_ejected, load.get());
+        load->health.restore();
+        reindex(*load);
+        unused.push_back(id);
+    }
+    for (const auto &id : unused) {
+        dropIfUnused(id);
+    }
+}
+
+void ServicePool::admit(const RouteRequest &request, TimePoint now, Actions &actions)
+{
+    auto &caller = m_queue.caller(request.caller, now);
+    if (request.attempt == 1 && !request.hedge) {
+        m_budget.firstAttempt();
+    }
+    pump(now, actions);
+    if (request.hedge) {
+        admitHedge(request, caller, actions);
+        return;
+    }
+    if (auto *const probe = takeProbe(request, now); probe != nullptr) {
+        dispatch(request, caller, *probe, true, actions);
+        return;
+    }
+    if (m_listed == 0) {
+        actions.emplace_back(Refuse{request.number, "no minion serves " + request.service.str(), noMinionRetry});
+        return;
+    }
+    if (caller.waiting.empty() && !m_room.empty() && mayGo(caller) && !isTooLate(request, now, Duration{})) {
+        dispatch(request, caller, *choose(request), false, actions);
+        return;
+    }
+    enqueue(request, caller, now, actions);
+}
+
+void ServicePool::admitHedge(const RouteRequest &request, CallerLoad &caller, Actions &actions)
+{
+    auto *const load = m_room.empty() || isOverShare(caller) ? nullptr : chooseUntried(m_room, request.tried);
+    if (load == nullptr) {
+        refuse(request, "no other minion has room", actions);
+        return;
+    }
+    dispatch(request, caller, *load, false, actions);
+}
+
+void ServicePool::enqueue(const RouteRequest &request, CallerLoad &caller, TimePoint now, Actions &actions)
+{
+    if (isTooLate(request, now, expectedWait(caller))) {
+        refuse(request, "the deadline can't be met", actions);
+        return;
+    }
+    if (m_queue.size() >= m_settings.maxQueued) {
+        const auto *const longest = m_queue.longest();
+        if (longest == nullptr || longest->waiting.size() <= caller.waiting.size() + 1) {
+            refuse(request, "the queue is full", actions);
+            return;
+        }
+        refuse(m_queue.popLongest(), "the queue is full and this caller has the most waiting", actions);
+    }
+    m_queue.push(caller, request);
+    actions.emplace_back(Enqueued{request.number});
+}
+
+void ServicePool::pump(TimePoint now, Actions &actions)
+{
+    resumePaused(now);
+    while (!m_room.empty() && !m_queue.empty()) {
+        auto request = m_queue.pop([this](const CallerLoad &caller) { return mayGo(caller); });
+        if (!request) {
+            return;
+        }
+        if (isTooLate(*request, now, Duration{})) {
+            refuse(*request, "the deadline can't be met", actions);
+            continue;
+        }
+        auto &caller = m_queue.caller(request->caller, now);
+        dispatch(*request, caller, *choose(*request), false, actions);
+    }
+}
+
+void ServicePool::dispatch(
+    const RouteRequest &request, CallerLoad &caller, MinionLoad &load, bool probe, Actions &actions)
+{
+    TREFOILHOIST_INVARIANT(load.listed && !load.minion.leaving, "P7 a leaving minion gets nothing new");
+    TREFOILHOIST_INVARIANT(load.leftIncarnation != load.minion.incarnation, "P7 a leaving minion gets nothing new");
+    TREFOILHOIST_INVARIANT(load.own < load.minion.slots, "P1 an entry alone never exceeds a minion's slots");
+    if (probe) {
+        load.health.startProbe();
+    }
+    ++load.own;
+    ++caller.inFlight;
+    ++m_inFlight;
+    m_attempts.emplace(request.number, Attempt{&load, &caller, probe});
+    reindex(load);
+    actions.emplace_back(Dispatch{request.number, load.minion});
+}
+
+void ServicePool::refuse(const RouteRequest &request, const std::string &reason, Actions &actions) const
+{
+    const auto perSlot = fromMicros(m_meanUs / std::max(1, m_inFlight));
+    const auto retryAfter = std::clamp<Duration>(perSlot * (m_queue.size() + 1), minRetryAfter, maxRetryAfter);
+    actions.emplace_back(Refuse{request.number, reason, retryAfter});
+}
+
+bool ServicePool::finished(const AttemptResult &result, TimePoint now, Actions &actions)
+{
+    const auto [first, last] = m_attempts.equal_range(result.request);
+    const auto it
+        = std::find_if(first, last, [&](const auto &row) { return row.second.load->minion.id == result.minion; });
+    if (it == last) {
+        return false;
+    }
+    const Attempt attempt = it->second;
+    m_attempts.erase(it);
+    --attempt.load->own;
+    --attempt.caller->inFlight;
+    --m_inFlight;
+    recordLatency(result, now);
+    judge(attempt, result, now);
+    reindex(*attempt.load);
+    dropIfUnused(result.minion);
+    pump(now, actions);
+    return true;
+}
+
+void ServicePool::recordLatency(const AttemptResult &result, TimePoint now)
+{
+    if (result.end != AttemptEnd::Answered && result.end != AttemptEnd::Lost) {
+        return;
+    }
+    const auto us = static_cast<double>(result.latency.count());
+    m_meanUs = m_meanUs == 0 ? us : m_meanUs + (us - m_meanUs) * meanSmoothing;
+    m_latencies.record(result.latency, now);
+}
+
+void ServicePool::judge(const Attempt &attempt, const AttemptResult &result, TimePoint now)
+{
+    auto &load = *attempt.load;
+    noticeRefusal(load, result, now);
+    if (attempt.probe && load.health.isEjected()) {
+        applyVerdict(load, load.health.probed(result, m_meanUs, now), now);
+    } else if (!load.health.isEjected()) {
+        applyVerdict(load, load.health.attempted(result, m_meanUs), now);
+    }
+}
+
+void ServicePool::noticeRefusal(MinionLoad &load, const AttemptResult &result, TimePoint now)
+{
+    switch (result.end) {
+    case AttemptEnd::Leaving:
+        load.leftIncarnation = load.minion.incarnation;
+        break;
+    case AttemptEnd::Refused: {
+        const auto perSlot = fromMicros(m_meanUs / std::max(1, load.minion.slots));
+        pause(load, std::clamp<Duration>(perSlot, minPause, maxRefusedPause), now);
+        break;
+    }
+    case AttemptEnd::Unreachable:
+        pause(load, std::min<Duration>(unreachablePause * (1 + load.health.errors()), maxUnreachablePause), now);
+        break;
+    case AttemptEnd::Answered:
+    case AttemptEnd::ServerError:
+    case AttemptEnd::Lost:
+        break;
+    }
+}
+
+void ServicePool::applyVerdict(MinionLoad &load, HealthVerdict verdict, TimePoint now)
+{
+    const bool wasEjected = load.health.isEjected();
+    if (verdict == HealthVerdict::Restore) {
+        load.health.restore();
+        std::erase(m_ejected, &load);
+        return;
+    }
+    if (verdict != HealthVerdict::Eject || !m_settings.switches.ejection || !load.listed) {
+        return;
+    }
+    const auto allowed = static_cast<std::size_t>(m_settings.maxEjected * m_listed);
+    if (!wasEjected && m_ejected.size() >= allowed) {
+        return;
+    }
+    load.health.eject(now);
+    if (!wasEjected) {
+        m_ejected.push_back(&load);
+    }
+}
+
+void ServicePool::pause(MinionLoad &load, Duration duration, TimePoint now)
+{
+    if (!m_settings.switches.pauseRefusing) {
+        return;
+    }
+    load.pausedUntil = now + duration;
+    m_paused.emplace(load.pausedUntil, load.minion.id);
+}
+
+void ServicePool::resumePaused(TimePoint now)
+{
+    while (!m_paused.empty() && m_paused.begin()->first <= now) {
+        const auto it = m_loads.find(m_paused.begin()->second);
+        m_paused.erase(m_paused.begin());
+        if (it != m_loads.end() && it->second->pausedUntil <= now) {
+            it->second->pausedUntil = TimePoint{};
+            reindex(*it->second);
+        }
+    }
+}
+
+void ServicePool::tick(TimePoint now, Actions &actions)
+{
+    pump(now, actions);
+    for (const auto &request : m_queue.removeIf([&](const RouteRequest &r) { return isTooLate(r, now, Duration{}); })) {
+        refuse(request, "the deadline can't be met", actions);
+    }
+    if (m_listed == 0) {
+        refuseAll("no minion serves this any more", actions);
+    }
+    m_queue.forgetIdle(now - callerIdle);
+}
+
+void ServicePool::refuseAll(const std::string &reason, Actions &actions)
+{
+    for (const auto &request : m_queue.removeIf([](const RouteRequest &) { return true; })) {
+        actions.emplace_back(Refuse{request.number, reason, noMinionRetry});
+    }
+}
+
+bool ServicePool::abandon(RequestNumber request)
+{
+    return !m_queue.removeIf([&](const RouteRequest &r) { return r.number == request; }).empty();
+}
+
+bool ServicePool::takeRetry(TimePoint now)
+{
+    return !m_settings.switches.retryBudget || m_budget.take(now);
+}
+
+std::optional<Duration> ServicePool::hedgeDelay(TimePoint now) const
+{
+    const auto summary = m_latencies.summary(now);
+    if (summary.count < minHedgeSamples) {
+        return std::nullopt;
+    }
+    // Between p90 and p99: few enough for the retry budget, early enough to help the tail.
+    return fromMicros(std::sqrt(summary.p90Us * summary.p99Us));
+}
+
+MinionLoad *ServicePool::choose(const RouteRequest &request)
+{
+    const MinionList &list = m_localRoom.empty() ? m_room : m_localRoom;
+    if (request.tried.empty()) {
+        return std::visit([&](auto policy) { return policy.pick(list, m_random); }, m_policy);
+    }
+    auto *const untried = chooseUntried(m_room, request.tried);
+    return untried != nullptr ? untried
+                              : std::visit([&](auto policy) { return policy.pick(list, m_random); }, m_policy);
+}
+
+MinionLoad *ServicePool::chooseUntried(const MinionList &list, const std::vector<MinionId> &tried)
+{
+    const auto isTried = [&](const MinionLoad *load) {
+        return std::find(tried.begin(), tried.end(), load->minion.id) != tried.end();
+    };
+    for (int n = 0; n < untriedPicks; ++n) {
+        auto *const load = std::visit([&](auto policy) { return policy.pick(list, m_random); }, m_policy);
+        if (!isTried(load)) {
+            return load;
+        }
+    }
+    const auto it = std::find_if_not(list.begin(), list.end(), isTried);
+    return it == list.end() ? nullptr : *it;
+}
+
+MinionLoad *ServicePool::takeProbe(const RouteRequest &request, TimePoint now)
+{
+    if (request.attempt > 1) {
+        return nullptr;
+    }
+    const auto it = std::find_if(m_ejected.begin(), m_ejected.end(), [&](const MinionLoad *load) {
+        const bool suits = request.idempotent || load->health.probeOverdue(now) > probePatience;
+        return suits && load->health.isProbeDue(now) && load->own < load->minion.slots
+            && load->leftIncarnation != load->minion.incarnation;
+    });
+    return it == m_ejected.end() ? nullptr : *it;
+}
+
+bool ServicePool::isOverShare(const CallerLoad &caller) const
+{
+    const auto callers = static_cast<int>(m_queue.activeCallers());
+    const int share = std::max(1, m_totalSlots / std::max(1, m_entries.entries * callers));
+    return callers > 1 && caller.inFlight >= share;
+}
+
+bool ServicePool::mayGo(const CallerLoad &caller) const
+{
+    if (!m_settings.switches.callerReserve || !isOverShare(caller)) {
+        return true;
+    }
+    return m_freeSlots > static_cast<int>(std::ceil(reservedShare * m_totalSlots));
+}
+
+Duration ServicePool::expectedWait(const CallerLoad &caller) const
+{
+    // Callers take turns: ahead are the caller's own requests and as many of each other waiting caller.
+    const auto turns = (caller.waiting.size() + 1) * std::max<std::size_t>(1, m_queue.waitingCallers());
+    const auto ahead = std::min<std::size_t>(turns, static_cast<std::size_t>(m_queue.size()) + 1);
+    return fromMicros(m_meanUs * static_cast<double>(ahead) / std::max(1, m_inFlight));
+}
+
+bool ServicePool::isTooLate(const RouteRequest &request, TimePoint now, Duration wait) const
+{
+    if (!m_settings.switches.deadlines) {
+        return false;
+    }
+    return now + wait + fromMicros(m_meanUs / 2) >= request.deadline;
+}
+
+void ServicePool::setPeers(const MinionId &minion, int peers)
+{
+    const auto it = m_loads.find(minion);
+    if (it != m_loads.end() && it->second->peers != peers) {
+        it->second->peers = peers;
+        reindex(*it->second);
+    }
+}
+
+void ServicePool::setEntries(EntryShare entries)
+{
+    m_entries = entries;
+    for (const auto &[id, load] : m_loads) {
+        setShare(*load);
+        reindex(*load);
+    }
+}
+
+void ServicePool::setShare(MinionLoad &load) const
+{
+    const int n = m_entries.entries;
+    const auto offset = static_cast<int>(std::hash<MinionId>{}(load.minion.id) % static_cast<std::size_t>(n));
+    const int extra = (m_entries.rank + offset) % n < load.minion.slots % n ? 1 : 0;
+    load.share = load.minion.slots / n + extra;
+    load.connectionLimit = std::max(1, load.minion.connections / n);
+}
+
+bool ServicePool::takesWork(const MinionLoad &load) const
+{
+    return load.listed && !load.health.isEjected() && load.pausedUntil == TimePoint{}
+    && load.leftIncarnation != load.minion.incarnation;
+}
+
+void ServicePool::reindex(MinionLoad &load)
+{
+    const bool takes = takesWork(load);
+    const bool room = takes && load.own < load.connectionLimit
+        && std::visit([&](auto policy) { return policy.hasRoom(load); }, m_policy);
+    const bool local = room && m_settings.switches.zoneFirst && load.minion.zone == m_settings.zone
+        && load.total() < localShare * load.minion.slots;
+    setListed(m_room, load, &MinionLoad::roomAt, room);
+    setListed(m_localRoom, load, &MinionLoad::localAt, local);
+    const int free = takes ? std::max(0, load.minion.slots - load.total()) : 0;
+    m_freeSlots += free - load.countedFree;
+    load.countedFree = free;
+}
+
+void ServicePool::dropIfUnused(const MinionId &minion)
+{
+    const auto it = m_loads.find(minion);
+    if (it != m_loads.end() && !it->second->listed && it->second->own == 0) {
+        m_loads.erase(it);
+    }
+}
+
+void ServicePool::addInFlight(std::map<MinionId, int> &inFlight) const
+{
+    for (const auto &[id, load] : m_loads) {
+        if (load->own > 0) {
+            inFlight[id] += load->own;
+        }
+    }
+}
+
+void ServicePool::addEjected(std::vector<MinionId> &ejected) const
+{
+    for (const auto *load : m_ejected) {
+        ejected.push_back(load->minion.id);
+    }
+}
+
+int ServicePool::connectionLimit(const MinionId &minion) const
+{
+    const auto it = m_loads.find(minion);
+    return it == m_loads.end() ? 0 : it->second->connectionLimit;
+}
+
+int ServicePool::queued() const
+{
+    return m_queue.size();
+}
+
+bool ServicePool::isIdle() const
+{
+    return m_loads.empty() && m_queue.empty() && m_attempts.empty();
+}
+
+} // namespace Trefoilhoist::Detail
--- /dev/null
+++ b/src/trefoilhoist/routing/internal/servicepool.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "trefoilhoist/metrics/metrics.h"
+#include "trefoilhoist/routing/internal/callerqueue.h"
+#include "trefoilhoist/routing/internal/policy.h"
+#include "trefoilhoist/routing/internal/retrybudget.h"
+#include "trefoilhoist/routing/router.h"
+
+#include <map>
+#include <memory>
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+namespace Trefoilhoist::Detail {
+
+/// Where this entry stands among the entries that share the minions.
+struct EntryShare {
+    int rank = 0;
+    int entries = 1;
+};
+
+/// The minions of one service, its waiting requests and its retry budget.
+class ServicePool
+{
+public:
+    using Actions = std::vector<RouteAction>;
+
+    ServicePool(const RouterSettings &settings, std::uint64_t seed);
+
+    /// Lists a minion or takes news of it. `peers` are the requests of other entries on it.
+    void list(const Minion &minion, int peers, EntryShare entries);
+    /// Unlists every minion whose id `keep` doesn't hold true for.
+    void unlistUnless(const std::function<bool(const MinionId &)> &keep);
+
+    void admit(const RouteRequest &request, TimePoint now, Actions &actions);
+    /// False when no such attempt is in flight here.
+    bool finished(const AttemptResult &result, TimePoint now, Actions &actions);
+    void tick(TimePoint now, Actions &actions);
+    bool abandon(RequestNumber request);
+    [[nodiscard]] bool takeRetry(TimePoint now);
+    [[nodiscard]] std::optional<Duration> hedgeDelay(TimePoint now) const;
+
+    void setPeers(const MinionId &minion, int peers);
+    void setEntries(EntryShare entries);
+
+    void addInFlight(std::map<MinionId, int> &inFlight) const;
+    void addEjected(std::vector<MinionId> &ejected) const;
+    [[nodiscard]] int connectionLimit(const MinionId &minion) const;
+    [[nodiscard]] int queued() const;
+    /// True when nothing is listed, waiting or in flight.
+    [[nodiscard]] bool isIdle() const;
+
+private:
+    struct Attempt {
+        MinionLoad *load = nullptr;
+        CallerLoad *caller = nullptr;
+        bool probe = false;
+    };
+    using Attempts = std::unordered_multimap<RequestNumber, Attempt>;
+
+    void pump(TimePoint now, Actions &actions);
+    void enqueue(const RouteRequest &request, CallerLoad &caller, TimePoint now, Actions &actions);
+    void admitHedge(const RouteRequest &request, CallerLoad &caller, Actions &actions);
+    void makeRoom(const CallerLoad &caller, const RouteRequest &request, Actions &actions);
+    void dispatch(const RouteRequest &request, CallerLoad &caller, MinionLoad &load, bool probe, Actions &actions);
+    void refuse(const RouteRequest &request, const std::string &reason, Actions &actions) const;
+    void refuseAll(const std::string &reason, Actions &actions);
+
+    [[nodiscard]] MinionLoad *choose(const RouteRequest &request);
+    [[nodiscard]] MinionLoad *chooseUntried(const MinionList &list, const std::vector<MinionId> &tried);
+    [[nodiscard]] MinionLoad *takeProbe(const RouteRequest &request, TimePoint now);
+    [[nodiscard]] bool isOverShare(const CallerLoad &caller) const;
+    [[nodiscard]] bool mayGo(const CallerLoad &caller) const;
+    [[nodiscard]] Duration expectedWait(const CallerLoad &caller) const;
+    [[nodiscard]] bool isTooLate(const RouteRequest &request, TimePoint now, Duration wait) const;
+
+    void judge(const Attempt &attempt, const AttemptResult &result, TimePoint now);
+    void applyVerdict(MinionLoad &load, HealthVerdict verdict, TimePoint now);
+    void noticeRefusal(MinionLoad &load, const AttemptResult &result, TimePoint now);
+    void pause(MinionLoad &load, Duration duration, TimePoint now);
+    void resumePaused(TimePoint now);
+    void recordLatency(const AttemptResult &result, TimePoint now);
+
+    void setShare(MinionLoad &load) const;
+    void reindex(MinionLoad &load);
+    [[nodiscard]] bool takesWork(const MinionLoad &load) const;
+    void dropIfUnused(const MinionId &minion);
+
+    const RouterSettings &m_settings;
+    Policy m_policy;
+    std::mt19937_64 m_random;
+    EntryShare m_entries;
+    std::unordered_map<MinionId, std::unique_ptr<MinionLoad>> m_loads;
+    /// Minions with room, and those of them that are in this entry's zone and not too full.
+    MinionList m_room;
+    MinionList m_localRoom;
+    MinionList m_ejected;
+    std::multimap<TimePoint, MinionId> m_paused;
+    int m_listed = 0;
+    int m_totalSlots = 0;
+    int m_freeSlots = 0;
+    int m_inFlight = 0;
+    CallerQueue m_queue;
+    RetryBudget m_budget;
+    Attempts m_attempts;
+    LatencyWindow m_latencies;
+    double m_meanUs = 0;
+};
+
+} // namespace Trefoilhoist::Detail
--- a/src/trefoilhoist/routing/router.h
+++ b/src/trefoilhoist/routing/router.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -28,6 +29,8 @@
     int attempt = 1;
     /// Minions that this request was already sent to.
     std::vector<MinionId> tried;
+    /// A second try beside one that still runs: goes to another minion at once or not at all.
+    bool hedge = false;
 };
 
 /// Send the request to this minion now.
@@ -58,6 +61,8 @@
     ServerError,
     /// The minion refused it as not run: no slot, or leaving.
     Refused,
+    /// The minion refused it as not run and said that it is leaving.
+    Leaving,
     /// No connection.
     Unreachable,
     /// Sent, and no whole answer came in time.
@@ -75,9 +80,26 @@
 /// How requests are spread over the minions.
 enum class RoutingPolicy { LeastInFlight, PowerOfTwo, FairShare };
 
+/// The name of a policy in settings and reports, for example "power-of-two".
+[[nodiscard]] std::string_view routingPolicyName(RoutingPolicy policy);
+[[nodiscard]] std::optional<RoutingPolicy> routingPolicyFromName(std::string_view name);
+
+/// Turns parts of routing off. Only tests and trials do, to show that each part matters.
+struct RouterSwitches {
+    bool fairQueue = true;
+    bool callerReserve = true;
+    bool deadlines = true;
+    bool ejection = true;
+    bool retryBudget = true;
+    bool pauseRefusing = true;
+    bool zoneFirst = true;
+};
+
 /// Limits and times of routing.
 struct RouterSettings {
     RoutingPolicy policy = RoutingPolicy::PowerOfTwo;
+    /// This entry; orders the entries that share a minion's slots.
+    EntryId self;
     ZoneId zone;
     /// Requests waiting per service.
     int maxQueued = 256;
@@ -86,6 +108,7 @@
     /// Largest share of a service's minions that are ejected at once.
     double maxEjected = 0.34;
     std::uint64_t seed = 1;
+    RouterSwitches switches;
 };
 
 /// Decides which minion serves a request, and when. No input or output, no clock: `now` is passed in.
@@ -116,6 +139,10 @@
     /// True when the budget allows a retry or hedge now; takes it from the budget.
     [[nodiscard]] bool takeRetry(const ServiceId &service, TimePoint now);
 
+    /// How long an idempotent request waits for its answer before a hedge is worth its cost; nothing while too
+    /// little is known of the service's latencies.
+    [[nodiscard]] std::optional<Duration> hedgeDelay(const ServiceId &service, TimePoint now) const;
+
     /// A peer entry's requests in flight per minion; older than a few seconds counts no more.
     void setPeerLoad(const EntryId &peer, const std::map<MinionId, int> &inFlight, TimePoint now);
     /// A peer entry that is gone holds no slots.
@@ -124,6 +151,10 @@
     /// This entry's requests in flight per minion.
     [[nodiscard]] std::map<MinionId, int> inFlight() const;
     [[nodiscard]] int queued() const;
+    /// Connections that this entry may hold open to a minion, so that all entries together keep its limit.
+    [[nodiscard]] int connectionLimit(const MinionId &minion) const;
+    /// Minions that get nothing but probes, by evidence of this entry.
+    [[nodiscard]] std::vector<MinionId> ejected() const;
 
 private:
     struct State;
--- /dev/null
+++ b/tests/unit/router.cpp
@@ -0,0 +1,366 @@
+#include "trefoilhoist/routing/router.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <set>
+#include <string>
+
+using namespace Trefoilhoist;
+
+namespace {
+
+const ServiceId lending("lending");
+
+Minion minionOf(int n, int slots = 8, const std::string &zone = "az-1")
+{
+    Minion minion;
+    minion.id = MinionId("m" + std::to_string(n));
+    minion.endpoint = Endpoint{"127.0.1." + std::to_string(n), 8080};
+    minion.zone = ZoneId(zone);
+    minion.service = lending;
+    minion.slots = slots;
+    minion.connections = 64;
+    minion.incarnation = 1;
+    return minion;
+}
+
+template <typename Kind>
+std::vector<Kind> only(const std::vector<RouteAction> &actions)
+{
+    std::vector<Kind> found;
+    for (const auto &action : actions) {
+        if (const auto *it = std::get_if<Kind>(&action)) {
+            found.push_back(*it);
+        }
+    }
+    return found;
+}
+
+class RouterTest : public testing::TestWithParam<RoutingPolicy>
+{
+protected:
+    void start(const std::vector<Minion> &minions, RouterSettings settings = {})
+    {
+        settings.self = EntryId("entry-a");
+        settings.zone = ZoneId("az-1");
+        m_router = std::make_unique<Router>(settings);
+        (void)m_router->setMinions(minions, m_now);
+    }
+
+    RouteRequest request(const std::string &caller = "buyer", Duration deadline = seconds(10))
+    {
+        RouteRequest made;
+        made.number = ++m_number;
+        made.caller = CallerId(caller);
+        made.service = lending;
+        made.deadline = m_now + deadline;
+        made.idempotent = true;
+        return made;
+    }
+
+    std::vector<RouteAction> admit(const std::string &caller = "buyer", Duration deadline = seconds(10))
+    {
+        return m_router->admit(request(caller, deadline), m_now);
+    }
+
+    std::vector<RouteAction>
+    finish(const Dispatch &sent, AttemptEnd end = AttemptEnd::Answered, Duration latency = milliseconds(10))
+    {
+        return m_router->finished({sent.request, sent.minion.id, end, latency}, m_now);
+    }
+
+    // Admits requests that go at once, as many as asked for.
+    std::vector<Dispatch> fill(int count, const std::string &caller = "buyer")
+    {
+        std::vector<Dispatch> sent;
+        for (int n = 0; n < count; ++n) {
+            const auto found = only<Dispatch>(admit(caller));
+            sent.insert(sent.end(), found.begin(), found.end());
+        }
+        return sent;
+    }
+
+    // One request after the other, each answered as `endOf` says for its minion.
+    template <typename EndOf>
+    std::set<MinionId> serve(int count, EndOf endOf)
+    {
+        std::set<MinionId> used;
+        for (int n = 0; n < count; ++n) {
+            m_now += milliseconds(5);
+            for (const auto &sent : only<Dispatch>(admit())) {
+                used.insert(sent.minion.id);
+                const auto [end, latency] = endOf(sent.minion.id);
+                (void)finish(sent, end, latency);
+            }
+        }
+        return used;
+    }
+
+    TimePoint m_now = TimePoint(seconds(1000));
+    RequestNumber m_number = 0;
+    std::unique_ptr<Router> m_router;
+};
+
+std::pair<AttemptEnd, Duration> answered(const MinionId & /*minion*/)
+{
+    return {AttemptEnd::Answered, milliseconds(10)};
+}
+
+} // namespace
+
+TEST_P(RouterTest, slots_neverExceededByThisEntry)
+{
+    RouterSettings settings;
+    settings.policy = GetParam();
+    start({minionOf(1, 3), minionOf(2, 2)}, settings);
+    const auto sent = fill(10);
+    const auto load = m_router->inFlight();
+    EXPECT_LE(load.at(MinionId("m1")), 3);
+    EXPECT_LE(load.at(MinionId("m2")), 2);
+    EXPECT_EQ(m_router->queued(), 10 - static_cast<int>(sent.size()));
+    EXPECT_GE(sent.size(), 3U);
+}
+
+TEST_P(RouterTest, finishedAttempt_freesTheSlotOnceAndServesTheNext)
+{
+    RouterSettings settings;
+    settings.policy = GetParam();
+    start({minionOf(1, 2)}, settings);
+    const auto sent = fill(6);
+    ASSERT_FALSE(sent.empty());
+    const auto queued = m_router->queued();
+    EXPECT_EQ(only<Dispatch>(finish(sent.front())).size(), 1U);
+    EXPECT_TRUE(finish(sent.front()).empty());
+    EXPECT_EQ(m_router->queued(), queued - 1);
+    EXPECT_LE(m_router->inFlight().at(MinionId("m1")), 2);
+}
+
+INSTANTIATE_TEST_SUITE_P(Policies,
+                         RouterTest,
+                         testing::Values(RoutingPolicy::LeastInFlight,
+                                         RoutingPolicy::PowerOfTwo,
+                                         RoutingPolicy::FairShare),
+                         [](const auto &row) {
+                             std::string name(routingPolicyName(row.param));
+                             std::erase(name, '-');
+                             return name;
+                         });
+
+using RouterLimitsTest = RouterTest;
+
+TEST_F(RouterLimitsTest, peerLoad_countsAgainstTheSlotsUntilItIsOld)
+{
+    start({minionOf(1, 4)});
+    m_router->setPeerLoad(EntryId("entry-b"), {{MinionId("m1"), 3}}, m_now);
+    EXPECT_EQ(fill(4).size(), 1U);
+    m_now += seconds(4);
+    EXPECT_EQ(only<Dispatch>(m_router->tick(m_now)).size(), 3U);
+}
+
+TEST_F(RouterLimitsTest, gonePeer_holdsNoSlots)
+{
+    start({minionOf(1, 4)});
+    m_router->setPeerLoad(EntryId("entry-b"), {{MinionId("m1"), 4}}, m_now);
+    EXPECT_EQ(fill(1).size(), 0U);
+    m_router->forgetPeer(EntryId("entry-b"));
+    EXPECT_EQ(only<Dispatch>(m_router->tick(m_now)).size(), 1U);
+}
+
+TEST_F(RouterLimitsTest, connections_areSharedOutBetweenTheEntries)
+{
+    start({minionOf(1)});
+    EXPECT_EQ(m_router->connectionLimit(MinionId("m1")), 64);
+    for (const char *peer : {"entry-b", "entry-c", "entry-d"}) {
+        m_router->setPeerLoad(EntryId(peer), {}, m_now);
+    }
+    EXPECT_EQ(m_router->connectionLimit(MinionId("m1")), 16);
+}
+
+TEST_F(RouterLimitsTest, unknownService_isRefusedAtOnce)
+{
+    start({});
+    const auto refused = only<Refuse>(admit());
+    ASSERT_EQ(refused.size(), 1U);
+    EXPECT_GT(refused.front().retryAfter, Duration{});
+    EXPECT_FALSE(m_router->takeRetry(lending, m_now));
+}
+
+TEST_F(RouterLimitsTest, fullQueue_refusesTheCallerWithTheMostWaiting)
+{
+    RouterSettings settings;
+    settings.maxQueued = 10;
+    start({minionOf(1, 1)}, settings);
+    fill(11, "big");
+    ASSERT_EQ(m_router->queued(), 10);
+    EXPECT_EQ(only<Refuse>(admit("big")).size(), 1U);
+    const auto actions = admit("small");
+    ASSERT_EQ(only<Enqueued>(actions).size(), 1U);
+    EXPECT_EQ(only<Enqueued>(actions).front().request, m_number);
+    ASSERT_EQ(only<Refuse>(actions).size(), 1U);
+    EXPECT_EQ(only<Refuse>(actions).front().request, 11U);
+}
+
+TEST_F(RouterLimitsTest, waitingRequest_withoutTimeLeft_isRefusedAndNeverSent)
+{
+    start({minionOf(1, 1)});
+    const auto sent = fill(1);
+    admit("buyer", milliseconds(100));
+    m_now += milliseconds(200);
+    EXPECT_EQ(only<Refuse>(m_router->tick(m_now)).size(), 1U);
+    EXPECT_TRUE(only<Dispatch>(finish(sent.front())).empty());
+}
+
+TEST_F(RouterLimitsTest, deadlineThatCannotBeMet_isRefusedBeforeWaiting)
+{
+    start({minionOf(1, 1)});
+    serve(50, [](const MinionId &) { return std::pair(AttemptEnd::Answered, Duration(milliseconds(100))); });
+    fill(5);
+    EXPECT_EQ(only<Refuse>(admit("buyer", milliseconds(300))).size(), 1U);
+    EXPECT_EQ(only<Enqueued>(admit("buyer", milliseconds(2000))).size(), 1U);
+}
+
+TEST_F(RouterLimitsTest, abandonedRequest_isNeverSent)
+{
+    start({minionOf(1, 1)});
+    const auto sent = fill(1);
+    admit();
+    m_router->abandon(m_number);
+    EXPECT_EQ(m_router->queued(), 0);
+    EXPECT_TRUE(finish(sent.front()).empty());
+}
+
+TEST_F(RouterLimitsTest, callersInTheQueue_takeTurns)
+{
+    start({minionOf(1, 1)});
+    const auto sent = fill(1, "big");
+    fill(5, "big");
+    admit("small");
+    const auto small = m_number;
+    const auto first = only<Dispatch>(finish(sent.front()));
+    ASSERT_EQ(first.size(), 1U);
+    const auto second = only<Dispatch>(finish(first.front()));
+    ASSERT_EQ(second.size(), 1U);
+    EXPECT_TRUE(first.front().request == small || second.front().request == small);
+}
+
+TEST_F(RouterLimitsTest, callerOverItsShare_leavesSlotsToOthers)
+{
+    start({minionOf(1, 10), minionOf(2, 10)});
+    fill(1, "small");
+    EXPECT_EQ(fill(30, "big").size(), 17U);
+    EXPECT_EQ(fill(2, "small").size(), 2U);
+}
+
+TEST_F(RouterLimitsTest, ownZone_isUsedFirstWhileItHasRoom)
+{
+    start({minionOf(1, 8, "az-1"), minionOf(2, 8, "az-2")});
+    int local = 0;
+    for (const auto &sent : fill(6)) {
+        local += sent.minion.id == MinionId("m1") ? 1 : 0;
+    }
+    EXPECT_EQ(local, 6);
+    EXPECT_EQ(fill(10).size(), 10U);
+}
+
+using RouterEvidenceTest = RouterTest;
+
+TEST_F(RouterEvidenceTest, leavingMinion_getsNothingUntilItStartsAgain)
+{
+    start({minionOf(1), minionOf(2)});
+    serve(20, [](const MinionId &id) {
+        return std::pair(id == MinionId("m1") ? AttemptEnd::Leaving : AttemptEnd::Answered, Duration(milliseconds(5)));
+    });
+    (void)m_router->setMinions({minionOf(1), minionOf(2)}, m_now);
+    EXPECT_FALSE(serve(100, answered).contains(MinionId("m1")));
+    auto restarted = minionOf(1);
+    restarted.incarnation = 2;
+    (void)m_router->setMinions({restarted, minionOf(2)}, m_now);
+    EXPECT_TRUE(serve(100, answered).contains(MinionId("m1")));
+}
+
+TEST_F(RouterEvidenceTest, refusingMinion_isLeftAloneForAMoment)
+{
+    start({minionOf(1), minionOf(2)});
+    auto sent = fill(1);
+    (void)finish(sent.front(), AttemptEnd::Refused, milliseconds(1));
+    for (const auto &next : fill(6)) {
+        EXPECT_NE(next.minion.id, sent.front().minion.id);
+    }
+}
+
+TEST_F(RouterEvidenceTest, failingMinion_isEjectedProbedAndTakenBack)
+{
+    start({minionOf(1), minionOf(2), minionOf(3)});
+    const MinionId bad("m1");
+    serve(200, [&](const MinionId &id) {
+        return std::pair(id == bad ? AttemptEnd::Lost : AttemptEnd::Answered, Duration(milliseconds(10)));
+    });
+    ASSERT_EQ(m_router->ejected(), std::vector<MinionId>{bad});
+    m_now += seconds(40);
+    serve(10, answered);
+    EXPECT_TRUE(m_router->ejected().empty());
+}
+
+TEST_F(RouterEvidenceTest, slowMinion_isEjected)
+{
+    start({minionOf(1), minionOf(2), minionOf(3), minionOf(4)});
+    serve(400, [](const MinionId &id) {
+        return std::pair(AttemptEnd::Answered, Duration(milliseconds(id == MinionId("m2") ? 200 : 10)));
+    });
+    EXPECT_EQ(m_router->ejected(), std::vector<MinionId>{MinionId("m2")});
+}
+
+TEST_F(RouterEvidenceTest, ejection_staysWithinItsShare)
+{
+    start({minionOf(1), minionOf(2), minionOf(3), minionOf(4), minionOf(5), minionOf(6)});
+    const auto used = serve(500, [](const MinionId &) { return std::pair(AttemptEnd::Lost, Duration(seconds(1))); });
+    EXPECT_EQ(m_router->ejected().size(), 2U);
+    EXPECT_EQ(used.size(), 6U);
+}
+
+TEST_F(RouterEvidenceTest, retries_comeFromAShareOfFirstAttempts)
+{
+    start({minionOf(1, 1000)});
+    fill(1000);
+    int taken = 0;
+    for (int n = 0; n < 1000; ++n) {
+        taken += m_router->takeRetry(lending, m_now) ? 1 : 0;
+    }
+    EXPECT_GE(taken, 10);
+    EXPECT_LE(taken, 20);
+}
+
+TEST_F(RouterEvidenceTest, hedge_goesToAnotherMinionOrNotAtAll)
+{
+    start({minionOf(1, 1), minionOf(2, 1)});
+    auto hedge = request();
+    const auto first = only<Dispatch>(m_router->admit(hedge, m_now));
+    ASSERT_EQ(first.size(), 1U);
+    hedge.attempt = 2;
+    hedge.hedge = true;
+    hedge.tried = {first.front().minion.id};
+    const auto second = only<Dispatch>(m_router->admit(hedge, m_now));
+    ASSERT_EQ(second.size(), 1U);
+    EXPECT_NE(second.front().minion.id, first.front().minion.id);
+    hedge.number = ++m_number;
+    EXPECT_EQ(only<Refuse>(m_router->admit(hedge, m_now)).size(), 1U);
+    // Each attempt of the one request frees its own slot.
+    (void)finish(first.front());
+    EXPECT_FALSE(m_router->inFlight().contains(first.front().minion.id));
+    EXPECT_EQ(m_router->inFlight().at(second.front().minion.id), 1);
+}
+
+TEST_F(RouterEvidenceTest, hedgeDelay_liesInTheTailOfTheLatencies)
+{
+    start({minionOf(1), minionOf(2)});
+    EXPECT_FALSE(m_router->hedgeDelay(lending, m_now).has_value());
+    int n = 0;
+    serve(1000, [&](const MinionId &) {
+        return std::pair(AttemptEnd::Answered, Duration(milliseconds(++n % 50 == 0 ? 100 : 10)));
+    });
+    const auto delay = m_router->hedgeDelay(lending, m_now);
+    ASSERT_TRUE(delay.has_value());
+    EXPECT_GT(*delay, milliseconds(10));
+    EXPECT_LT(*delay, milliseconds(110));
+}
