--- a/src/trefoilhoist/membership/membershiptable.cpp
+++ b/src/trefoilhoist/membership/membershiptable.cpp
@@ -135,7 +135,7 @@
     const auto record = recordOf(announcement.minion, announcement.sequence, self);
     auto [it, isNew] = known.try_emplace(record.id);
     Known &entry = it->second;
-    if (!isNew && switches.orderNews && compareNews(record, latest(entry)) <= 0) {
+    if (!isNew && switches.orderNews && !isNewer(record, latest(entry))) {
         return;
     }
     const bool changes = isNew || !isMine(entry) || !sameContent(entry.record, record);
@@ -166,10 +166,10 @@
         return takeNew(record, now);
     }
     Known &entry = it->second;
-    if (switches.orderNews && compareNews(record, entry.record) <= 0) {
+    if (switches.orderNews && !isNewer(record, entry.record)) {
         return false;
     }
-    if (switches.orderNews && isMine(entry) && !entry.record.gone && compareNews(record, latest(entry)) < 0) {
+    if (switches.orderNews && isMine(entry) && !entry.record.gone && isNewer(latest(entry), record)) {
         // Peers may believe the late news, because later heartbeats were not told to them.
         if (switches.republishOverOldNews) {
             publish(entry, latest(entry));
--- a/src/trefoilhoist/membership/minionrecord.cpp
+++ b/src/trefoilhoist/membership/minionrecord.cpp
@@ -29,14 +29,9 @@
 
 } // namespace
 
-std::strong_ordering compareNews(const Wire::MinionRecord &left, const Wire::MinionRecord &right)
+bool isNewer(const Wire::MinionRecord &left, const Wire::MinionRecord &right)
 {
-    const auto mine = rankOf(left);
-    const auto other = rankOf(right);
-    if (mine < other) {
-        return std::strong_ordering::less;
-    }
-    return other < mine ? std::strong_ordering::greater : std::strong_ordering::equal;
+    return rankOf(right) < rankOf(left);
 }
 
 std::uint64_t recordHash(const Wire::MinionRecord &record)
--- a/src/trefoilhoist/membership/minionrecord.h
+++ b/src/trefoilhoist/membership/minionrecord.h
@@ -3,14 +3,14 @@
 #include "idl/gen/messages_types.h"
 #include "trefoilhoist/world/world.h"
 
-#include <compare>
 #include <cstdint>
 
 namespace Trefoilhoist {
 
-/// Orders news about one minion: incarnation, then leaving over announced, then sequence, then gone over
-/// present. Two entries that heard the same announcement are told apart by their name, so that all agree.
-[[nodiscard]] std::strong_ordering compareNews(const Wire::MinionRecord &left, const Wire::MinionRecord &right);
+/// True when the left news about a minion is newer than the right: by incarnation, then leaving over announced,
+/// then sequence, then gone over present. Two entries that heard the same announcement are told apart by their
+/// name, so that all agree.
+[[nodiscard]] bool isNewer(const Wire::MinionRecord &left, const Wire::MinionRecord &right);
 
 /// A hash over everything but the age, equal in every process.
 [[nodiscard]] std::uint64_t recordHash(const Wire::MinionRecord &record);
