--- /dev/null
+++ b/src/programs/entry/entry.cpp
@@ -0,0 +1,90 @@
+#include "entry.h"
+
+#include <glog/logging.h>
+
+namespace Trefoilhoist {
+
+namespace {
+
+constexpr Duration idlePollInterval = milliseconds(10);
+
+// Unique for each start of each entry, so that no answer of an earlier life is taken for one of this life.
+std::string correlationPrefix(const EntrySettings &settings, std::int64_t incarnation)
+{
+    return settings.id.str() + "-" + std::to_string(incarnation) + "-";
+}
+
+} // namespace
+
+Entry::Entry(Runtime &runtime, EntrySettings settings)
+    : m_runtime(runtime)
+    , m_settings(std::move(settings))
+    , m_metrics(runtime.clock())
+    , m_membership(m_settings.id, m_settings.membership)
+    , m_router(m_settings.routing)
+    , m_requests(runtime.executor(),
+                 m_settings,
+                 correlationPrefix(m_settings, runtime.incarnation()),
+                 runtime.clock(),
+                 m_router,
+                 m_metrics)
+    , m_feed(runtime.clock(), m_membership, m_router, m_requests)
+    , m_exchange(
+          runtime.executor(), m_settings, runtime.incarnation(), runtime.clock(), m_membership, m_router, m_metrics)
+    , m_surface(m_settings, {runtime.clock(), m_membership, m_requests, m_feed, m_config, m_burn, m_metrics})
+    , m_http(runtime.executor(),
+             m_settings.http,
+             [this](HttpRequest request) { return m_surface.handle(std::move(request)); })
+    , m_peerServer(runtime.executor(), m_settings.id.str(), runtime.incarnation(), [this](Wire::Envelope envelope) {
+        return peerCall(std::move(envelope));
+    })
+{
+}
+
+void Entry::start()
+{
+    const auto peerPort = m_peerServer.listen(m_settings.peerListen);
+    if (!peerPort) {
+        m_runtime.failStart("/peerListen", peerPort.error());
+    }
+    const auto port = m_http.listen(m_settings.listen);
+    if (!port) {
+        m_runtime.failStart("/listen", port.error());
+    }
+    spawn(m_runtime.executor(), "minion feed", [this] { return m_feed.loop(); });
+    m_exchange.start();
+    m_runtime.onStop([this] { return stop(); });
+    m_runtime.ready("http=" + Endpoint{m_settings.listen.host, *port}.str()
+                    + " peer=" + Endpoint{m_settings.peerListen.host, *peerPort}.str());
+}
+
+awaitable<std::optional<Wire::Envelope>> Entry::peerCall(Wire::Envelope envelope)
+{
+    co_return m_exchange.handle(envelope);
+}
+
+awaitable<void> Entry::waitUntilIdle()
+{
+    const auto end = m_runtime.clock().now() + m_settings.stop.drain;
+    while (m_http.inFlight() > 0 && m_runtime.clock().now() < end) {
+        co_await sleepFor(idlePollInterval);
+    }
+}
+
+awaitable<void> Entry::stop()
+{
+    m_surface.setUnready();
+    m_exchange.setDraining();
+    LOG(INFO) << "event=unready entry=" << m_settings.id << " grace_us=" << m_settings.stop.grace.count();
+    co_await sleepFor(m_settings.stop.grace);
+    m_http.drain();
+    co_await waitUntilIdle();
+    m_http.close();
+    co_await waitUntilIdle();
+    if (m_http.inFlight() > 0) {
+        LOG(ERROR) << "event=requests_cut count=" << m_http.inFlight();
+    }
+    m_peerServer.close();
+}
+
+} // namespace Trefoilhoist
--- /dev/null
+++ b/src/programs/entry/entry.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "entryserver.h"
+#include "entrysettings.h"
+#include "minionfeed.h"
+#include "peerexchange.h"
+#include "requestexecutor.h"
+
+#include "trefoilhoist/net/program.h"
+#include "trefoilhoist/wire/peerserver.h"
+
+#include <optional>
+
+namespace Trefoilhoist {
+
+/// One entry: its tables, its servers and its loops.
+class Entry
+{
+public:
+    Entry(Runtime &runtime, EntrySettings settings);
+
+    /// Binds, starts the loops and prints the ready line. Throws StartError for an address that can't be used.
+    void start();
+
+    /// The graceful stop: unready, grace, drain, then closed.
+    awaitable<void> stop();
+
+private:
+    awaitable<std::optional<Wire::Envelope>> peerCall(Wire::Envelope envelope);
+    awaitable<void> waitUntilIdle();
+
+    Runtime &m_runtime;
+    EntrySettings m_settings;
+    MetricsRegistry m_metrics;
+    ConfigTable m_config;
+    BurnTable m_burn;
+    MembershipTable m_membership;
+    Router m_router;
+    RequestExecutor m_requests;
+    MinionFeed m_feed;
+    PeerExchange m_exchange;
+    EntryServer m_surface;
+    HttpServer m_http;
+    PeerServer m_peerServer;
+};
+
+} // namespace Trefoilhoist
--- /dev/null
+++ b/src/programs/entry/entryserver.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "entrysettings.h"
+#include "minionfeed.h"
+#include "requestexecutor.h"
+
+#include "trefoilhoist/config/configtable.h"
+#include "trefoilhoist/membership/membershiptable.h"
+#include "trefoilhoist/metrics/burntable.h"
+#include "trefoilhoist/metrics/metrics.h"
+#include "trefoilhoist/net/httpserver.h"
+
+#include <atomic>
+#include <functional>
+
+namespace Trefoilhoist {
+
+/// The tables and parts that the HTTP surface reads and calls.
+struct EntryParts {
+    const Clock &clock;
+    MembershipTable &membership;
+    RequestExecutor &requests;
+    MinionFeed &feed;
+    const ConfigTable &config;
+    BurnTable &burn;
+    MetricsRegistry &metrics;
+};
+
+/// The entry's HTTP surface: callers' requests, announcements, job intake and the operators' pages.
+class EntryServer
+{
+public:
+    /// Answers a call of the job intake.
+    using JobHandler = std::function<awaitable<HttpResponse>(HttpRequest)>;
+
+    EntryServer(const EntrySettings &settings, EntryParts parts);
+
+    /// Until a handler is set, jobs are refused as not run.
+    void setJobHandler(JobHandler handler);
+
+    /// Answers one call. Thread-safe.
+    awaitable<HttpResponse> handle(HttpRequest request);
+
+    /// From here health says unready.
+    void setUnready();
+
+private:
+    awaitable<HttpResponse> serviceCall(HttpRequest request);
+    awaitable<HttpResponse> ownCall(HttpRequest request);
+    [[nodiscard]] HttpResponse announce(const HttpRequest &request);
+    [[nodiscard]] HttpResponse health() const;
+    [[nodiscard]] HttpResponse configVersions() const;
+    [[nodiscard]] HttpResponse metricsPage() const;
+    [[nodiscard]] bool idempotent(const ServiceId &service, const std::string &method) const;
+    void recordOutcome(const ServiceRequest &request, const ServiceOutcome &outcome, TimePoint start);
+
+    EntrySettings m_settings;
+    EntryParts m_parts;
+    JobHandler m_jobs;
+    std::atomic<bool> m_ready = true;
+};
+
+} // namespace Trefoilhoist
--- /dev/null
+++ b/src/programs/entry/peerexchange.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "entrysettings.h"
+
+#include "trefoilhoist/membership/membershiptable.h"
+#include "trefoilhoist/metrics/metrics.h"
+#include "trefoilhoist/routing/router.h"
+#include "trefoilhoist/wire/peerclient.h"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Trefoilhoist {
+
+/// Another entry as this one reaches it. Thread-safe.
+class Peer
+{
+public:
+    Peer(const Asio::any_io_executor &executor, const EntryId &self, std::int64_t incarnation, PeerAddress address);
+
+    /// Calls the peer and learns its id from the answer.
+    awaitable<tl::expected<Wire::Envelope, CallError>>
+    call(Wire::MessageKind kind, std::string payload, Duration timeout);
+
+    /// Empty until the settings name it or the peer has answered once.
+    [[nodiscard]] EntryId id() const;
+
+private:
+    mutable std::mutex m_mutex;
+    EntryId m_id;
+    PeerClient m_client;
+};
+
+/// Membership, load and liveness between entries: changes are pushed at once, digests are compared each second.
+/// Thread-safe.
+class PeerExchange
+{
+public:
+    PeerExchange(Asio::any_io_executor executor,
+                 const EntrySettings &settings,
+                 std::int64_t incarnation,
+                 const Clock &clock,
+                 MembershipTable &membership,
+                 Router &router,
+                 MetricsRegistry &metrics);
+
+    /// Starts the loops that push and compare.
+    void start();
+
+    /// Answers a peer's message about membership or load; nothing for other kinds.
+    [[nodiscard]] std::optional<Wire::Envelope> handle(const Wire::Envelope &envelope);
+
+    /// Tells peers with the next digest that this entry takes no new requests.
+    void setDraining();
+
+    [[nodiscard]] const std::vector<std::shared_ptr<Peer>> &peers() const;
+
+private:
+    awaitable<void> pushLoop();
+    awaitable<void> digestLoop(std::shared_ptr<Peer> peer);
+    void pushToAll(Wire::MessageKind kind, const std::string &payload);
+    void heardFrom(const std::string &peer);
+    [[nodiscard]] std::string loadReport() const;
+    [[nodiscard]] std::string digestMessage() const;
+    [[nodiscard]] Wire::Envelope answerDigest(const Wire::Envelope &envelope);
+    void applyLoad(const Wire::Envelope &envelope);
+
+    Asio::any_io_executor m_executor;
+    EntrySettings m_settings;
+    const Clock &m_clock;
+    MembershipTable &m_membership;
+    Router &m_router;
+    MetricsRegistry &m_metrics;
+    std::vector<std::shared_ptr<Peer>> m_peers;
+    std::atomic<bool> m_draining = false;
+};
+
+} // namespace Trefoilhoist
--- /dev/null
+++ b/src/programs/entry/requestcourse.cpp
@@ -0,0 +1,63 @@
+#include "requestcourse.h"
+
+#include "trefoilhoist/internal/invariant.h"
+
+namespace Trefoilhoist {
+
+RequestCourse::RequestCourse(RequestTerms terms) : m_terms(terms) { }
+
+void RequestCourse::dispatched(const MinionId &minion)
+{
+    TREFOILHOIST_INVARIANT(!m_inFlight && !m_answered, "P6 at most once");
+    TREFOILHOIST_INVARIANT(m_terms.idempotent || !m_mayHaveRun, "P6 at most once");
+    m_tried.push_back(minion);
+    m_inFlight = true;
+}
+
+void RequestCourse::closeAttempt(AttemptEnd end)
+{
+    TREFOILHOIST_INVARIANT(m_inFlight, "P4 own whole answer");
+    m_inFlight = false;
+    switch (end) {
+    case AttemptEnd::Answered:
+    case AttemptEnd::ServerError:
+        m_answered = true;
+        break;
+    case AttemptEnd::Lost:
+        m_mayHaveRun = true;
+        break;
+    case AttemptEnd::Refused:
+    case AttemptEnd::Unreachable:
+        break;
+    }
+}
+
+bool RequestCourse::retryAllowed(TimePoint now) const
+{
+    if (now >= m_terms.deadline || static_cast<int>(m_tried.size()) >= m_terms.maxAttempts) {
+        return false;
+    }
+    return m_terms.idempotent || !m_mayHaveRun;
+}
+
+GiveUp RequestCourse::giveUp(const std::string &reason) const
+{
+    // An attempt still in flight may run, whatever else is known.
+    const bool mayHaveRun = m_mayHaveRun || m_inFlight;
+    return {mayHaveRun ? Verdict::MayHaveRun : Verdict::NotRun, reason};
+}
+
+const std::vector<MinionId> &RequestCourse::tried() const
+{
+    return m_tried;
+}
+
+Verdict RequestCourse::verdict() const
+{
+    if (m_answered) {
+        return Verdict::Ran;
+    }
+    return m_mayHaveRun || m_inFlight ? Verdict::MayHaveRun : Verdict::NotRun;
+}
+
+} // namespace Trefoilhoist
--- /dev/null
+++ b/src/programs/entry/requestexecutor.cpp
@@ -0,0 +1,239 @@
+#include "requestexecutor.h"
+
+#include "trefoilhoist/internal/invariant.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <deque>
+#include <mutex>
+#include <optional>
+#include <unordered_map>
+
+namespace Trefoilhoist {
+
+namespace {
+
+constexpr int statusNotRun = 503;
+constexpr int statusMayHaveRun = 502;
+constexpr int firstServerError = 500;
+constexpr Duration defaultRetryAfter = seconds(1);
+
+RequestNumber requestOf(const RouteAction &action)
+{
+    return std::visit([](const auto &it) { return it.request; }, action);
+}
+
+// Names the request in the answer's place; the minion's own fields stay.
+HttpResponse forwarded(HttpResponse answer, const MinionId &minion)
+{
+    answer.headers.erase(correlationHeader);
+    answer.headers.set(verdictHeader, std::string(verdictName(Verdict::Ran)));
+    answer.headers.set(minionHeader, minion.str());
+    return answer;
+}
+
+bool refusedByMinion(const HttpResponse &answer)
+{
+    return answer.headers.get(verdictHeader) == verdictName(Verdict::NotRun);
+}
+
+} // namespace
+
+HttpResponse verdictResponse(Verdict verdict, const std::string &reason, Duration retryAfter)
+{
+    const bool notRun = verdict == Verdict::NotRun;
+    auto response = textResponse(notRun ? statusNotRun : statusMayHaveRun, reason + "\n");
+    response.headers.set(verdictHeader, std::string(verdictName(verdict)));
+    if (notRun) {
+        const auto wait = std::max<std::int64_t>(1, std::chrono::ceil<seconds>(retryAfter).count());
+        response.headers.set(retryAfterHeader, std::to_string(wait));
+    }
+    return response;
+}
+
+// A request that waits for its routing action. Members are used on the strand of its coroutine.
+struct RequestExecutor::Waiter {
+    Asio::steady_timer timer;
+    std::optional<RouteAction> action;
+
+    explicit Waiter(const Asio::any_io_executor &executor) : timer(executor) { }
+};
+
+struct RequestExecutor::State {
+    EntrySettings settings;
+    std::string correlationPrefix;
+    const Clock &clock;
+    Router &router;
+    MetricsRegistry &metrics;
+    HttpClient client;
+    std::atomic<RequestNumber> lastNumber = 0;
+    std::mutex mutex;
+    std::unordered_map<RequestNumber, std::shared_ptr<Waiter>> waiting;
+
+    State(const Asio::any_io_executor &executor,
+          const EntrySettings &entrySettings,
+          std::string prefix,
+          const Clock &runtimeClock,
+          Router &requestRouter,
+          MetricsRegistry &registry)
+        : settings(entrySettings)
+        , correlationPrefix(std::move(prefix))
+        , clock(runtimeClock)
+        , router(requestRouter)
+        , metrics(registry)
+        , client(executor)
+    {
+    }
+
+    std::shared_ptr<Waiter> takeWaiter(RequestNumber request)
+    {
+        std::lock_guard lock(mutex);
+        const auto it = waiting.find(request);
+        if (it == waiting.end()) {
+            return nullptr;
+        }
+        auto waiter = std::move(it->second);
+        waiting.erase(it);
+        return waiter;
+    }
+};
+
+RequestExecutor::RequestExecutor(Asio::any_io_executor executor,
+                                 const EntrySettings &settings,
+                                 std::string correlationPrefix,
+                                 const Clock &clock,
+                                 Router &router,
+                                 MetricsRegistry &metrics)
+    : m_state(std::make_unique<State>(executor, settings, std::move(correlationPrefix), clock, router, metrics))
+{
+}
+
+RequestExecutor::~RequestExecutor() = default;
+
+void RequestExecutor::perform(std::vector<RouteAction> actions)
+{
+    std::deque<RouteAction> todo(std::make_move_iterator(actions.begin()), std::make_move_iterator(actions.end()));
+    while (!todo.empty()) {
+        auto action = std::move(todo.front());
+        todo.pop_front();
+        if (std::holds_alternative<Enqueued>(action)) {
+            continue;
+        }
+        if (auto waiter = m_state->takeWaiter(requestOf(action))) {
+            Asio::post(waiter->timer.get_executor(), [waiter, action = std::move(action)]() mutable {
+                waiter->action = std::move(action);
+                waiter->timer.cancel();
+            });
+            continue;
+        }
+        // The request gave up meanwhile: its slot goes back unused.
+        if (const auto *dispatch = std::get_if<Dispatch>(&action)) {
+            const AttemptResult unused{dispatch->request, dispatch->minion.id, AttemptEnd::Refused, Duration{}};
+            auto more = m_state->router.finished(unused, m_state->clock.now());
+            std::move(more.begin(), more.end(), std::back_inserter(todo));
+        }
+    }
+}
+
+awaitable<RouteAction> RequestExecutor::route(const RouteRequest &request)
+{
+    auto waiter = std::make_shared<Waiter>(co_await Asio::this_coro::executor);
+    {
+        std::lock_guard lock(m_state->mutex);
+        m_state->waiting[request.number] = waiter;
+    }
+    waiter->timer.expires_after(std::max(Duration{}, request.deadline - m_state->clock.now()));
+    perform(m_state->router.admit(request, m_state->clock.now()));
+
+    boost::system::error_code ec;
+    while (!waiter->action) {
+        co_await waiter->timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ec));
+        if (!ec && !waiter->action && m_state->takeWaiter(request.number)) {
+            m_state->router.abandon(request.number);
+            co_return Refuse{request.number, "no free minion within the deadline", defaultRetryAfter};
+        }
+    }
+    co_return *waiter->action;
+}
+
+awaitable<AttemptEnd> RequestExecutor::attempt(const ServiceRequest &request,
+                                               const Dispatch &dispatch,
+                                               HttpResponse &response,
+                                               std::string &reason)
+{
+    const auto start = m_state->clock.now();
+    const auto left = request.deadline - start;
+    if (left <= Duration{}) {
+        reason = "the deadline passed before the request was sent";
+        co_return AttemptEnd::Refused;
+    }
+    HttpCallOptions options;
+    options.timeout = left;
+    options.connectTimeout = m_state->settings.requests.connectTimeout;
+    options.maxBodyBytes = m_state->settings.requests.maxAnswerBytes;
+    options.correlation = m_state->correlationPrefix + std::to_string(dispatch.request) + "-"
+        + std::to_string(m_state->lastNumber.fetch_add(1));
+    auto forward = request.forward;
+    forward.headers.set(deadlineHeader, std::to_string(std::max<std::int64_t>(1, left.count() / 1000)));
+
+    auto result = co_await m_state->client.call(dispatch.minion.endpoint, std::move(forward), options);
+    if (!result) {
+        reason = result.error().reason;
+        co_return result.error().verdict == Verdict::NotRun ? AttemptEnd::Unreachable : AttemptEnd::Lost;
+    }
+    TREFOILHOIST_INVARIANT(result->headers.get(correlationHeader) == options.correlation, "P4 own whole answer");
+    if (refusedByMinion(*result)) {
+        reason = "refused by minion " + dispatch.minion.id.str();
+        co_return AttemptEnd::Refused;
+    }
+    response = forwarded(std::move(*result), dispatch.minion.id);
+    co_return response.status >= firstServerError ? AttemptEnd::ServerError : AttemptEnd::Answered;
+}
+
+awaitable<ServiceOutcome> RequestExecutor::run(ServiceRequest request)
+{
+    RequestCourse course({request.idempotent, request.deadline, m_state->settings.requests.maxAttempts});
+    RouteRequest routed;
+    routed.caller = request.caller;
+    routed.service = request.service;
+    routed.deadline = request.deadline;
+    routed.idempotent = request.idempotent;
+    std::string reason;
+    MinionId last;
+    while (true) {
+        routed.number = m_state->lastNumber.fetch_add(1) + 1;
+        routed.tried = course.tried();
+        const auto action = co_await route(routed);
+        if (const auto *refusal = std::get_if<Refuse>(&action)) {
+            const auto end = course.giveUp(reason.empty() ? refusal->reason : reason + "; " + refusal->reason);
+            co_return ServiceOutcome{end.verdict, verdictResponse(end.verdict, end.reason, refusal->retryAfter), last};
+        }
+
+        const auto &dispatch = std::get<Dispatch>(action);
+        last = dispatch.minion.id;
+        course.dispatched(last);
+        HttpResponse response;
+        const auto start = m_state->clock.now();
+        const auto end = co_await attempt(request, dispatch, response, reason);
+        const auto now = m_state->clock.now();
+        perform(m_state->router.finished({dispatch.request, dispatch.minion.id, end, now - start}, now));
+
+        const auto step = course.attemptEnded(
+            end, reason, now, [&] { return m_state->router.takeRetry(request.service, now); });
+        if (std::holds_alternative<ForwardAnswer>(step)) {
+            co_return ServiceOutcome{Verdict::Ran, std::move(response), last};
+        }
+        if (const auto *stop = std::get_if<GiveUp>(&step)) {
+            co_return ServiceOutcome{stop->verdict, verdictResponse(stop->verdict, stop->reason, defaultRetryAfter), last};
+        }
+        routed.attempt = std::get<TryAgain>(step).attempt;
+    }
+}
+
+} // namespace Trefoilhoist
--- a/src/trefoilhoist/net/httpclient.cpp
+++ b/src/trefoilhoist/net/httpclient.cpp
@@ -88,6 +88,10 @@
         if (ec) {
             co_return failure(Verdict::MayHaveRun, "no whole answer from " + endpoint.str() + ": " + ec.message());
         }
+        if (parser.need_eof()) {
+            // An answer that ends with its connection can't be told from one that was cut.
+            co_return failure(Verdict::MayHaveRun, "the answer from " + endpoint.str() + " has no length");
+        }
         const auto answer = parser.release();
         m_reusable = answer.keep_alive() && m_buffer.size() == 0;
         auto response = plainResponse(answer);
@@ -135,7 +139,7 @@
                 || name == Http::field::transfer_encoding || name == Http::field::keep_alive) {
                 continue;
             }
-            response.headers.set(std::string_view(field.name_string().data(), field.name_string().size()),
+            response.headers.add(std::string_view(field.name_string().data(), field.name_string().size()),
                                  std::string(field.value()));
         }
         response.body = answer.body();
--- a/src/trefoilhoist/net/httpmessage.cpp
+++ b/src/trefoilhoist/net/httpmessage.cpp
@@ -54,6 +54,11 @@
     m_fields.emplace_back(std::string(name), std::move(value));
 }
 
+void HttpHeaders::add(std::string_view name, std::string value)
+{
+    m_fields.emplace_back(std::string(name), std::move(value));
+}
+
 std::string HttpHeaders::get(std::string_view name) const
 {
     for (const auto &[key, value] : m_fields) {
--- a/src/trefoilhoist/net/httpmessage.h
+++ b/src/trefoilhoist/net/httpmessage.h
@@ -15,6 +15,8 @@
 
     /// Replaces every field of that name.
     void set(std::string_view name, std::string value);
+    /// Adds a field beside others of the same name.
+    void add(std::string_view name, std::string value);
     /// The first value of that name, or an empty text.
     [[nodiscard]] std::string get(std::string_view name) const;
     [[nodiscard]] bool has(std::string_view name) const;
--- a/src/trefoilhoist/net/httpserver.cpp
+++ b/src/trefoilhoist/net/httpserver.cpp
@@ -129,7 +129,7 @@
         request.method = std::string(message.method_string());
         request.target = std::string(message.target());
         for (const auto &field : message) {
-            request.headers.set(std::string_view(field.name_string().data(), field.name_string().size()),
+            request.headers.add(std::string_view(field.name_string().data(), field.name_string().size()),
                                 std::string(field.value()));
         }
         request.body = std::move(message.body());
