--- a/idl/gen/messages_types.cpp
+++ b/idl/gen/messages_types.cpp
@@ -26,7 +26,9 @@
   LoadReportKind,
   AckKind,
   JobForwardKind,
-  JobReplyKind
+  JobReplyKind,
+  ClaimPageRequestKind,
+  ClaimPageKind
 };
 const char* _kMessageKindNames[] = {
   "HelloKind",
@@ -41,9 +43,11 @@
   "LoadReportKind",
   "AckKind",
   "JobForwardKind",
-  "JobReplyKind"
+  "JobReplyKind",
+  "ClaimPageRequestKind",
+  "ClaimPageKind"
 };
-const std::map<int, const char*> _MessageKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(13, _kMessageKindValues, _kMessageKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _MessageKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(15, _kMessageKindValues, _kMessageKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const MessageKind val) {
   std::map<int, const char*>::const_iterator it = _MessageKind_VALUES_TO_NAMES.find(val);
@@ -866,6 +870,10 @@
 void MembershipDigest::__set_draining(const bool val) {
   this->draining = val;
 }
+
+void MembershipDigest::__set_heardMs(const std::map<std::string, int64_t> & val) {
+  this->heardMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const MembershipDigest& obj)
 {
   obj.printTo(out);
@@ -958,6 +966,29 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->heardMs.clear();
+            uint32_t _size37;
+            ::apache::thrift::protocol::TType _ktype38;
+            ::apache::thrift::protocol::TType _vtype39;
+            xfer += iprot->readMapBegin(_ktype38, _vtype39, _size37);
+            uint32_t _i41;
+            for (_i41 = 0; _i41 < _size37; ++_i41)
+            {
+              std::string _key42;
+              xfer += iprot->readString(_key42);
+              int64_t& _val43 = this->heardMs[_key42];
+              xfer += iprot->readI64(_val43);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.heardMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -978,10 +1009,10 @@
   xfer += oprot->writeFieldBegin("buckets", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->buckets.size()));
-    std::vector<int64_t> ::const_iterator _iter37;
-    for (_iter37 = this->buckets.begin(); _iter37 != this->buckets.end(); ++_iter37)
+    std::vector<int64_t> ::const_iterator _iter44;
+    for (_iter44 = this->buckets.begin(); _iter44 != this->buckets.end(); ++_iter44)
     {
-      xfer += oprot->writeI64((*_iter37));
+      xfer += oprot->writeI64((*_iter44));
     }
     xfer += oprot->writeListEnd();
   }
@@ -994,10 +1025,10 @@
   xfer += oprot->writeFieldBegin("configVersions", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->configVersions.size()));
-    std::vector<int64_t> ::const_iterator _iter38;
-    for (_iter38 = this->configVersions.begin(); _iter38 != this->configVersions.end(); ++_iter38)
+    std::vector<int64_t> ::const_iterator _iter45;
+    for (_iter45 = this->configVersions.begin(); _iter45 != this->configVersions.end(); ++_iter45)
     {
-      xfer += oprot->writeI64((*_iter38));
+      xfer += oprot->writeI64((*_iter45));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1011,6 +1042,19 @@
   xfer += oprot->writeBool(this->draining);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("heardMs", ::apache::thrift::protocol::T_MAP, 6);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->heardMs.size()));
+    std::map<std::string, int64_t> ::const_iterator _iter46;
+    for (_iter46 = this->heardMs.begin(); _iter46 != this->heardMs.end(); ++_iter46)
+    {
+      xfer += oprot->writeString(_iter46->first);
+      xfer += oprot->writeI64(_iter46->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1023,41 +1067,46 @@
   swap(a.configVersions, b.configVersions);
   swap(a.availabilityZone, b.availabilityZone);
   swap(a.draining, b.draining);
+  swap(a.heardMs, b.heardMs);
   swap(a.__isset, b.__isset);
 }
 
-MembershipDigest::MembershipDigest(const MembershipDigest& other39) {
-  buckets = other39.buckets;
-  configVersionSum = other39.configVersionSum;
-  configVersions = other39.configVersions;
-  availabilityZone = other39.availabilityZone;
-  draining = other39.draining;
-  __isset = other39.__isset;
-}
-MembershipDigest::MembershipDigest(MembershipDigest&& other40) noexcept {
-  buckets = std::move(other40.buckets);
-  configVersionSum = other40.configVersionSum;
-  configVersions = std::move(other40.configVersions);
-  availabilityZone = std::move(other40.availabilityZone);
-  draining = other40.draining;
-  __isset = other40.__isset;
-}
-MembershipDigest& MembershipDigest::operator=(const MembershipDigest& other41) {
-  buckets = other41.buckets;
-  configVersionSum = other41.configVersionSum;
-  configVersions = other41.configVersions;
-  availabilityZone = other41.availabilityZone;
-  draining = other41.draining;
-  __isset = other41.__isset;
+MembershipDigest::MembershipDigest(const MembershipDigest& other47) {
+  buckets = other47.buckets;
+  configVersionSum = other47.configVersionSum;
+  configVersions = other47.configVersions;
+  availabilityZone = other47.availabilityZone;
+  draining = other47.draining;
+  heardMs = other47.heardMs;
+  __isset = other47.__isset;
+}
+MembershipDigest::MembershipDigest(MembershipDigest&& other48) noexcept {
+  buckets = std::move(other48.buckets);
+  configVersionSum = other48.configVersionSum;
+  configVersions = std::move(other48.configVersions);
+  availabilityZone = std::move(other48.availabilityZone);
+  draining = other48.draining;
+  heardMs = std::move(other48.heardMs);
+  __isset = other48.__isset;
+}
+MembershipDigest& MembershipDigest::operator=(const MembershipDigest& other49) {
+  buckets = other49.buckets;
+  configVersionSum = other49.configVersionSum;
+  configVersions = other49.configVersions;
+  availabilityZone = other49.availabilityZone;
+  draining = other49.draining;
+  heardMs = other49.heardMs;
+  __isset = other49.__isset;
   return *this;
 }
-MembershipDigest& MembershipDigest::operator=(MembershipDigest&& other42) noexcept {
-  buckets = std::move(other42.buckets);
-  configVersionSum = other42.configVersionSum;
-  configVersions = std::move(other42.configVersions);
-  availabilityZone = std::move(other42.availabilityZone);
-  draining = other42.draining;
-  __isset = other42.__isset;
+MembershipDigest& MembershipDigest::operator=(MembershipDigest&& other50) noexcept {
+  buckets = std::move(other50.buckets);
+  configVersionSum = other50.configVersionSum;
+  configVersions = std::move(other50.configVersions);
+  availabilityZone = std::move(other50.availabilityZone);
+  draining = other50.draining;
+  heardMs = std::move(other50.heardMs);
+  __isset = other50.__isset;
   return *this;
 }
 void MembershipDigest::printTo(std::ostream& out) const {
@@ -1068,6 +1117,7 @@
   out << ", " << "configVersions=" << to_string(configVersions);
   out << ", " << "availabilityZone=" << to_string(availabilityZone);
   out << ", " << "draining=" << to_string(draining);
+  out << ", " << "heardMs=" << to_string(heardMs);
   out << ")";
 }
 
@@ -1111,14 +1161,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->buckets.clear();
-            uint32_t _size43;
-            ::apache::thrift::protocol::TType _etype46;
-            xfer += iprot->readListBegin(_etype46, _size43);
-            this->buckets.resize(_size43);
-            uint32_t _i47;
-            for (_i47 = 0; _i47 < _size43; ++_i47)
+            uint32_t _size51;
+            ::apache::thrift::protocol::TType _etype54;
+            xfer += iprot->readListBegin(_etype54, _size51);
+            this->buckets.resize(_size51);
+            uint32_t _i55;
+            for (_i55 = 0; _i55 < _size51; ++_i55)
             {
-              xfer += iprot->readI32(this->buckets[_i47]);
+              xfer += iprot->readI32(this->buckets[_i55]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1147,10 +1197,10 @@
   xfer += oprot->writeFieldBegin("buckets", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->buckets.size()));
-    std::vector<int32_t> ::const_iterator _iter48;
-    for (_iter48 = this->buckets.begin(); _iter48 != this->buckets.end(); ++_iter48)
+    std::vector<int32_t> ::const_iterator _iter56;
+    for (_iter56 = this->buckets.begin(); _iter56 != this->buckets.end(); ++_iter56)
     {
-      xfer += oprot->writeI32((*_iter48));
+      xfer += oprot->writeI32((*_iter56));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1167,22 +1217,22 @@
   swap(a.__isset, b.__isset);
 }
 
-MembershipRequest::MembershipRequest(const MembershipRequest& other49) {
-  buckets = other49.buckets;
-  __isset = other49.__isset;
+MembershipRequest::MembershipRequest(const MembershipRequest& other57) {
+  buckets = other57.buckets;
+  __isset = other57.__isset;
 }
-MembershipRequest::MembershipRequest(MembershipRequest&& other50) noexcept {
-  buckets = std::move(other50.buckets);
-  __isset = other50.__isset;
+MembershipRequest::MembershipRequest(MembershipRequest&& other58) noexcept {
+  buckets = std::move(other58.buckets);
+  __isset = other58.__isset;
 }
-MembershipRequest& MembershipRequest::operator=(const MembershipRequest& other51) {
-  buckets = other51.buckets;
-  __isset = other51.__isset;
+MembershipRequest& MembershipRequest::operator=(const MembershipRequest& other59) {
+  buckets = other59.buckets;
+  __isset = other59.__isset;
   return *this;
 }
-MembershipRequest& MembershipRequest::operator=(MembershipRequest&& other52) noexcept {
-  buckets = std::move(other52.buckets);
-  __isset = other52.__isset;
+MembershipRequest& MembershipRequest::operator=(MembershipRequest&& other60) noexcept {
+  buckets = std::move(other60.buckets);
+  __isset = other60.__isset;
   return *this;
 }
 void MembershipRequest::printTo(std::ostream& out) const {
@@ -1302,30 +1352,30 @@
   swap(a.__isset, b.__isset);
 }
 
-LoadEntry::LoadEntry(const LoadEntry& other53) {
-  minion = other53.minion;
-  inFlight = other53.inFlight;
-  queued = other53.queued;
-  __isset = other53.__isset;
+LoadEntry::LoadEntry(const LoadEntry& other61) {
+  minion = other61.minion;
+  inFlight = other61.inFlight;
+  queued = other61.queued;
+  __isset = other61.__isset;
 }
-LoadEntry::LoadEntry(LoadEntry&& other54) noexcept {
-  minion = std::move(other54.minion);
-  inFlight = other54.inFlight;
-  queued = other54.queued;
-  __isset = other54.__isset;
+LoadEntry::LoadEntry(LoadEntry&& other62) noexcept {
+  minion = std::move(other62.minion);
+  inFlight = other62.inFlight;
+  queued = other62.queued;
+  __isset = other62.__isset;
 }
-LoadEntry& LoadEntry::operator=(const LoadEntry& other55) {
-  minion = other55.minion;
-  inFlight = other55.inFlight;
-  queued = other55.queued;
-  __isset = other55.__isset;
+LoadEntry& LoadEntry::operator=(const LoadEntry& other63) {
+  minion = other63.minion;
+  inFlight = other63.inFlight;
+  queued = other63.queued;
+  __isset = other63.__isset;
   return *this;
 }
-LoadEntry& LoadEntry::operator=(LoadEntry&& other56) noexcept {
-  minion = std::move(other56.minion);
-  inFlight = other56.inFlight;
-  queued = other56.queued;
-  __isset = other56.__isset;
+LoadEntry& LoadEntry::operator=(LoadEntry&& other64) noexcept {
+  minion = std::move(other64.minion);
+  inFlight = other64.inFlight;
+  queued = other64.queued;
+  __isset = other64.__isset;
   return *this;
 }
 void LoadEntry::printTo(std::ostream& out) const {
@@ -1377,14 +1427,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size57;
-            ::apache::thrift::protocol::TType _etype60;
-            xfer += iprot->readListBegin(_etype60, _size57);
-            this->loads.resize(_size57);
-            uint32_t _i61;
-            for (_i61 = 0; _i61 < _size57; ++_i61)
+            uint32_t _size65;
+            ::apache::thrift::protocol::TType _etype68;
+            xfer += iprot->readListBegin(_etype68, _size65);
+            this->loads.resize(_size65);
+            uint32_t _i69;
+            for (_i69 = 0; _i69 < _size65; ++_i69)
             {
-              xfer += this->loads[_i61].read(iprot);
+              xfer += this->loads[_i69].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1413,10 +1463,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<LoadEntry> ::const_iterator _iter62;
-    for (_iter62 = this->loads.begin(); _iter62 != this->loads.end(); ++_iter62)
+    std::vector<LoadEntry> ::const_iterator _iter70;
+    for (_iter70 = this->loads.begin(); _iter70 != this->loads.end(); ++_iter70)
     {
-      xfer += (*_iter62).write(oprot);
+      xfer += (*_iter70).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1433,22 +1483,22 @@
   swap(a.__isset, b.__isset);
 }
 
-LoadReport::LoadReport(const LoadReport& other63) {
-  loads = other63.loads;
-  __isset = other63.__isset;
+LoadReport::LoadReport(const LoadReport& other71) {
+  loads = other71.loads;
+  __isset = other71.__isset;
 }
-LoadReport::LoadReport(LoadReport&& other64) noexcept {
-  loads = std::move(other64.loads);
-  __isset = other64.__isset;
+LoadReport::LoadReport(LoadReport&& other72) noexcept {
+  loads = std::move(other72.loads);
+  __isset = other72.__isset;
 }
-LoadReport& LoadReport::operator=(const LoadReport& other65) {
-  loads = other65.loads;
-  __isset = other65.__isset;
+LoadReport& LoadReport::operator=(const LoadReport& other73) {
+  loads = other73.loads;
+  __isset = other73.__isset;
   return *this;
 }
-LoadReport& LoadReport::operator=(LoadReport&& other66) noexcept {
-  loads = std::move(other66.loads);
-  __isset = other66.__isset;
+LoadReport& LoadReport::operator=(LoadReport&& other74) noexcept {
+  loads = std::move(other74.loads);
+  __isset = other74.__isset;
   return *this;
 }
 void LoadReport::printTo(std::ostream& out) const {
@@ -1490,6 +1540,10 @@
 void ClaimRequest::__set_attempt(const int32_t val) {
   this->attempt = val;
 }
+
+void ClaimRequest::__set_fingerprint(const std::string& val) {
+  this->fingerprint = val;
+}
 std::ostream& operator<<(std::ostream& out, const ClaimRequest& obj)
 {
   obj.printTo(out);
@@ -1574,6 +1628,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->fingerprint);
+          this->__isset.fingerprint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1619,6 +1681,10 @@
   xfer += oprot->writeI32(this->attempt);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->fingerprint);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1633,49 +1699,54 @@
   swap(a.holderIncarnation, b.holderIncarnation);
   swap(a.deadlineMs, b.deadlineMs);
   swap(a.attempt, b.attempt);
+  swap(a.fingerprint, b.fingerprint);
   swap(a.__isset, b.__isset);
 }
 
-ClaimRequest::ClaimRequest(const ClaimRequest& other67) {
-  key = other67.key;
-  caller = other67.caller;
-  serviceName = other67.serviceName;
-  holder = other67.holder;
-  holderIncarnation = other67.holderIncarnation;
-  deadlineMs = other67.deadlineMs;
-  attempt = other67.attempt;
-  __isset = other67.__isset;
-}
-ClaimRequest::ClaimRequest(ClaimRequest&& other68) noexcept {
-  key = std::move(other68.key);
-  caller = std::move(other68.caller);
-  serviceName = std::move(other68.serviceName);
-  holder = std::move(other68.holder);
-  holderIncarnation = other68.holderIncarnation;
-  deadlineMs = other68.deadlineMs;
-  attempt = other68.attempt;
-  __isset = other68.__isset;
-}
-ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other69) {
-  key = other69.key;
-  caller = other69.caller;
-  serviceName = other69.serviceName;
-  holder = other69.holder;
-  holderIncarnation = other69.holderIncarnation;
-  deadlineMs = other69.deadlineMs;
-  attempt = other69.attempt;
-  __isset = other69.__isset;
+ClaimRequest::ClaimRequest(const ClaimRequest& other75) {
+  key = other75.key;
+  caller = other75.caller;
+  serviceName = other75.serviceName;
+  holder = other75.holder;
+  holderIncarnation = other75.holderIncarnation;
+  deadlineMs = other75.deadlineMs;
+  attempt = other75.attempt;
+  fingerprint = other75.fingerprint;
+  __isset = other75.__isset;
+}
+ClaimRequest::ClaimRequest(ClaimRequest&& other76) noexcept {
+  key = std::move(other76.key);
+  caller = std::move(other76.caller);
+  serviceName = std::move(other76.serviceName);
+  holder = std::move(other76.holder);
+  holderIncarnation = other76.holderIncarnation;
+  deadlineMs = other76.deadlineMs;
+  attempt = other76.attempt;
+  fingerprint = std::move(other76.fingerprint);
+  __isset = other76.__isset;
+}
+ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other77) {
+  key = other77.key;
+  caller = other77.caller;
+  serviceName = other77.serviceName;
+  holder = other77.holder;
+  holderIncarnation = other77.holderIncarnation;
+  deadlineMs = other77.deadlineMs;
+  attempt = other77.attempt;
+  fingerprint = other77.fingerprint;
+  __isset = other77.__isset;
   return *this;
 }
-ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other70) noexcept {
-  key = std::move(other70.key);
-  caller = std::move(other70.caller);
-  serviceName = std::move(other70.serviceName);
-  holder = std::move(other70.holder);
-  holderIncarnation = other70.holderIncarnation;
-  deadlineMs = other70.deadlineMs;
-  attempt = other70.attempt;
-  __isset = other70.__isset;
+ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other78) noexcept {
+  key = std::move(other78.key);
+  caller = std::move(other78.caller);
+  serviceName = std::move(other78.serviceName);
+  holder = std::move(other78.holder);
+  holderIncarnation = other78.holderIncarnation;
+  deadlineMs = other78.deadlineMs;
+  attempt = other78.attempt;
+  fingerprint = std::move(other78.fingerprint);
+  __isset = other78.__isset;
   return *this;
 }
 void ClaimRequest::printTo(std::ostream& out) const {
@@ -1688,6 +1759,130 @@
   out << ", " << "holderIncarnation=" << to_string(holderIncarnation);
   out << ", " << "deadlineMs=" << to_string(deadlineMs);
   out << ", " << "attempt=" << to_string(attempt);
+  out << ", " << "fingerprint=" << to_string(fingerprint);
+  out << ")";
+}
+
+
+HeaderField::~HeaderField() noexcept {
+}
+
+
+void HeaderField::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void HeaderField::__set_value(const std::string& val) {
+  this->value = val;
+}
+std::ostream& operator<<(std::ostream& out, const HeaderField& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t HeaderField::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->value);
+          this->__isset.value = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t HeaderField::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("HeaderField");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->value);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(HeaderField &a, HeaderField &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.value, b.value);
+  swap(a.__isset, b.__isset);
+}
+
+HeaderField::HeaderField(const HeaderField& other79) {
+  name = other79.name;
+  value = other79.value;
+  __isset = other79.__isset;
+}
+HeaderField::HeaderField(HeaderField&& other80) noexcept {
+  name = std::move(other80.name);
+  value = std::move(other80.value);
+  __isset = other80.__isset;
+}
+HeaderField& HeaderField::operator=(const HeaderField& other81) {
+  name = other81.name;
+  value = other81.value;
+  __isset = other81.__isset;
+  return *this;
+}
+HeaderField& HeaderField::operator=(HeaderField&& other82) noexcept {
+  name = std::move(other82.name);
+  value = std::move(other82.value);
+  __isset = other82.__isset;
+  return *this;
+}
+void HeaderField::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "HeaderField(";
+  out << "name=" << to_string(name);
+  out << ", " << "value=" << to_string(value);
   out << ")";
 }
 
@@ -1723,6 +1918,22 @@
 void ClaimReply::__set_answerDropped(const bool val) {
   this->answerDropped = val;
 }
+
+void ClaimReply::__set_verdict(const int32_t val) {
+  this->verdict = val;
+}
+
+void ClaimReply::__set_headers(const std::vector<HeaderField> & val) {
+  this->headers = val;
+}
+
+void ClaimReply::__set_vouched(const bool val) {
+  this->vouched = val;
+}
+
+void ClaimReply::__set_reason(const std::string& val) {
+  this->reason = val;
+}
 std::ostream& operator<<(std::ostream& out, const ClaimReply& obj)
 {
   obj.printTo(out);
@@ -1753,9 +1964,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast71;
-          xfer += iprot->readI32(ecast71);
-          this->state = static_cast<ClaimState>(ecast71);
+          int32_t ecast83;
+          xfer += iprot->readI32(ecast83);
+          this->state = static_cast<ClaimState>(ecast83);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -1809,6 +2020,50 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->verdict);
+          this->__isset.verdict = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->headers.clear();
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->headers.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
+            {
+              xfer += this->headers[_i88].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.headers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->vouched);
+          this->__isset.vouched = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->reason);
+          this->__isset.reason = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1854,6 +2109,30 @@
   xfer += oprot->writeBool(this->answerDropped);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("verdict", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->verdict);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
+    std::vector<HeaderField> ::const_iterator _iter89;
+    for (_iter89 = this->headers.begin(); _iter89 != this->headers.end(); ++_iter89)
+    {
+      xfer += (*_iter89).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("vouched", ::apache::thrift::protocol::T_BOOL, 10);
+  xfer += oprot->writeBool(this->vouched);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reason", ::apache::thrift::protocol::T_STRING, 11);
+  xfer += oprot->writeString(this->reason);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1868,49 +2147,69 @@
   swap(a.memoryMs, b.memoryMs);
   swap(a.holder, b.holder);
   swap(a.answerDropped, b.answerDropped);
+  swap(a.verdict, b.verdict);
+  swap(a.headers, b.headers);
+  swap(a.vouched, b.vouched);
+  swap(a.reason, b.reason);
   swap(a.__isset, b.__isset);
 }
 
-ClaimReply::ClaimReply(const ClaimReply& other72) {
-  state = other72.state;
-  status = other72.status;
-  contentType = other72.contentType;
-  body = other72.body;
-  memoryMs = other72.memoryMs;
-  holder = other72.holder;
-  answerDropped = other72.answerDropped;
-  __isset = other72.__isset;
+ClaimReply::ClaimReply(const ClaimReply& other90) {
+  state = other90.state;
+  status = other90.status;
+  contentType = other90.contentType;
+  body = other90.body;
+  memoryMs = other90.memoryMs;
+  holder = other90.holder;
+  answerDropped = other90.answerDropped;
+  verdict = other90.verdict;
+  headers = other90.headers;
+  vouched = other90.vouched;
+  reason = other90.reason;
+  __isset = other90.__isset;
 }
-ClaimReply::ClaimReply(ClaimReply&& other73) noexcept {
-  state = other73.state;
-  status = other73.status;
-  contentType = std::move(other73.contentType);
-  body = std::move(other73.body);
-  memoryMs = other73.memoryMs;
-  holder = std::move(other73.holder);
-  answerDropped = other73.answerDropped;
-  __isset = other73.__isset;
+ClaimReply::ClaimReply(ClaimReply&& other91) noexcept {
+  state = other91.state;
+  status = other91.status;
+  contentType = std::move(other91.contentType);
+  body = std::move(other91.body);
+  memoryMs = other91.memoryMs;
+  holder = std::move(other91.holder);
+  answerDropped = other91.answerDropped;
+  verdict = other91.verdict;
+  headers = std::move(other91.headers);
+  vouched = other91.vouched;
+  reason = std::move(other91.reason);
+  __isset = other91.__isset;
 }
-ClaimReply& ClaimReply::operator=(const ClaimReply& other74) {
-  state = other74.state;
-  status = other74.status;
-  contentType = other74.contentType;
-  body = other74.body;
-  memoryMs = other74.memoryMs;
-  holder = other74.holder;
-  answerDropped = other74.answerDropped;
-  __isset = other74.__isset;
+ClaimReply& ClaimReply::operator=(const ClaimReply& other92) {
+  state = other92.state;
+  status = other92.status;
+  contentType = other92.contentType;
+  body = other92.body;
+  memoryMs = other92.memoryMs;
+  holder = other92.holder;
+  answerDropped = other92.answerDropped;
+  verdict = other92.verdict;
+  headers = other92.headers;
+  vouched = other92.vouched;
+  reason = other92.reason;
+  __isset = other92.__isset;
   return *this;
 }
-ClaimReply& ClaimReply::operator=(ClaimReply&& other75) noexcept {
-  state = other75.state;
-  status = other75.status;
-  contentType = std::move(other75.contentType);
-  body = std::move(other75.body);
-  memoryMs = other75.memoryMs;
-  holder = std::move(other75.holder);
-  answerDropped = other75.answerDropped;
-  __isset = other75.__isset;
+ClaimReply& ClaimReply::operator=(ClaimReply&& other93) noexcept {
+  state = other93.state;
+  status = other93.status;
+  contentType = std::move(other93.contentType);
+  body = std::move(other93.body);
+  memoryMs = other93.memoryMs;
+  holder = std::move(other93.holder);
+  answerDropped = other93.answerDropped;
+  verdict = other93.verdict;
+  headers = std::move(other93.headers);
+  vouched = other93.vouched;
+  reason = std::move(other93.reason);
+  __isset = other93.__isset;
   return *this;
 }
 void ClaimReply::printTo(std::ostream& out) const {
@@ -1923,6 +2222,10 @@
   out << ", " << "memoryMs=" << to_string(memoryMs);
   out << ", " << "holder=" << to_string(holder);
   out << ", " << "answerDropped=" << to_string(answerDropped);
+  out << ", " << "verdict=" << to_string(verdict);
+  out << ", " << "headers=" << to_string(headers);
+  out << ", " << "vouched=" << to_string(vouched);
+  out << ", " << "reason=" << to_string(reason);
   out << ")";
 }
 
@@ -1958,6 +2261,26 @@
 void ClaimFinish::__set_body(const std::string& val) {
   this->body = val;
 }
+
+void ClaimFinish::__set_holder(const std::string& val) {
+  this->holder = val;
+}
+
+void ClaimFinish::__set_headers(const std::vector<HeaderField> & val) {
+  this->headers = val;
+}
+
+void ClaimFinish::__set_attempt(const int32_t val) {
+  this->attempt = val;
+}
+
+void ClaimFinish::__set_proven(const bool val) {
+  this->proven = val;
+}
+
+void ClaimFinish::__set_fingerprint(const std::string& val) {
+  this->fingerprint = val;
+}
 std::ostream& operator<<(std::ostream& out, const ClaimFinish& obj)
 {
   obj.printTo(out);
@@ -2042,120 +2365,905 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      default:
-        xfer += iprot->skip(ftype);
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->holder);
+          this->__isset.holder = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
         break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t ClaimFinish::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ClaimFinish");
-
-  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->key);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("caller", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->caller);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->serviceName);
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->headers.clear();
+            uint32_t _size94;
+            ::apache::thrift::protocol::TType _etype97;
+            xfer += iprot->readListBegin(_etype97, _size94);
+            this->headers.resize(_size94);
+            uint32_t _i98;
+            for (_i98 = 0; _i98 < _size94; ++_i98)
+            {
+              xfer += this->headers[_i98].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.headers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->attempt);
+          this->__isset.attempt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->proven);
+          this->__isset.proven = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->fingerprint);
+          this->__isset.fingerprint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ClaimFinish::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ClaimFinish");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("caller", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->caller);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("verdict", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->verdict);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->status);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("contentType", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->contentType);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeBinary(this->body);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->holder);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
+    std::vector<HeaderField> ::const_iterator _iter99;
+    for (_iter99 = this->headers.begin(); _iter99 != this->headers.end(); ++_iter99)
+    {
+      xfer += (*_iter99).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_I32, 10);
+  xfer += oprot->writeI32(this->attempt);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("proven", ::apache::thrift::protocol::T_BOOL, 11);
+  xfer += oprot->writeBool(this->proven);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_STRING, 12);
+  xfer += oprot->writeString(this->fingerprint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ClaimFinish &a, ClaimFinish &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.caller, b.caller);
+  swap(a.serviceName, b.serviceName);
+  swap(a.verdict, b.verdict);
+  swap(a.status, b.status);
+  swap(a.contentType, b.contentType);
+  swap(a.body, b.body);
+  swap(a.holder, b.holder);
+  swap(a.headers, b.headers);
+  swap(a.attempt, b.attempt);
+  swap(a.proven, b.proven);
+  swap(a.fingerprint, b.fingerprint);
+  swap(a.__isset, b.__isset);
+}
+
+ClaimFinish::ClaimFinish(const ClaimFinish& other100) {
+  key = other100.key;
+  caller = other100.caller;
+  serviceName = other100.serviceName;
+  verdict = other100.verdict;
+  status = other100.status;
+  contentType = other100.contentType;
+  body = other100.body;
+  holder = other100.holder;
+  headers = other100.headers;
+  attempt = other100.attempt;
+  proven = other100.proven;
+  fingerprint = other100.fingerprint;
+  __isset = other100.__isset;
+}
+ClaimFinish::ClaimFinish(ClaimFinish&& other101) noexcept {
+  key = std::move(other101.key);
+  caller = std::move(other101.caller);
+  serviceName = std::move(other101.serviceName);
+  verdict = other101.verdict;
+  status = other101.status;
+  contentType = std::move(other101.contentType);
+  body = std::move(other101.body);
+  holder = std::move(other101.holder);
+  headers = std::move(other101.headers);
+  attempt = other101.attempt;
+  proven = other101.proven;
+  fingerprint = std::move(other101.fingerprint);
+  __isset = other101.__isset;
+}
+ClaimFinish& ClaimFinish::operator=(const ClaimFinish& other102) {
+  key = other102.key;
+  caller = other102.caller;
+  serviceName = other102.serviceName;
+  verdict = other102.verdict;
+  status = other102.status;
+  contentType = other102.contentType;
+  body = other102.body;
+  holder = other102.holder;
+  headers = other102.headers;
+  attempt = other102.attempt;
+  proven = other102.proven;
+  fingerprint = other102.fingerprint;
+  __isset = other102.__isset;
+  return *this;
+}
+ClaimFinish& ClaimFinish::operator=(ClaimFinish&& other103) noexcept {
+  key = std::move(other103.key);
+  caller = std::move(other103.caller);
+  serviceName = std::move(other103.serviceName);
+  verdict = other103.verdict;
+  status = other103.status;
+  contentType = std::move(other103.contentType);
+  body = std::move(other103.body);
+  holder = std::move(other103.holder);
+  headers = std::move(other103.headers);
+  attempt = other103.attempt;
+  proven = other103.proven;
+  fingerprint = std::move(other103.fingerprint);
+  __isset = other103.__isset;
+  return *this;
+}
+void ClaimFinish::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ClaimFinish(";
+  out << "key=" << to_string(key);
+  out << ", " << "caller=" << to_string(caller);
+  out << ", " << "serviceName=" << to_string(serviceName);
+  out << ", " << "verdict=" << to_string(verdict);
+  out << ", " << "status=" << to_string(status);
+  out << ", " << "contentType=" << to_string(contentType);
+  out << ", " << "body=" << to_string(body);
+  out << ", " << "holder=" << to_string(holder);
+  out << ", " << "headers=" << to_string(headers);
+  out << ", " << "attempt=" << to_string(attempt);
+  out << ", " << "proven=" << to_string(proven);
+  out << ", " << "fingerprint=" << to_string(fingerprint);
+  out << ")";
+}
+
+
+ClaimRecord::~ClaimRecord() noexcept {
+}
+
+
+void ClaimRecord::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void ClaimRecord::__set_caller(const std::string& val) {
+  this->caller = val;
+}
+
+void ClaimRecord::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void ClaimRecord::__set_state(const ClaimState val) {
+  this->state = val;
+}
+
+void ClaimRecord::__set_holder(const std::string& val) {
+  this->holder = val;
+}
+
+void ClaimRecord::__set_attempt(const int32_t val) {
+  this->attempt = val;
+}
+
+void ClaimRecord::__set_fingerprint(const std::string& val) {
+  this->fingerprint = val;
+}
+
+void ClaimRecord::__set_ageMs(const int64_t val) {
+  this->ageMs = val;
+}
+
+void ClaimRecord::__set_verdict(const int32_t val) {
+  this->verdict = val;
+}
+
+void ClaimRecord::__set_status(const int32_t val) {
+  this->status = val;
+}
+
+void ClaimRecord::__set_headers(const std::vector<HeaderField> & val) {
+  this->headers = val;
+}
+
+void ClaimRecord::__set_body(const std::string& val) {
+  this->body = val;
+}
+
+void ClaimRecord::__set_answerDropped(const bool val) {
+  this->answerDropped = val;
+}
+std::ostream& operator<<(std::ostream& out, const ClaimRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ClaimRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->caller);
+          this->__isset.caller = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast104;
+          xfer += iprot->readI32(ecast104);
+          this->state = static_cast<ClaimState>(ecast104);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->holder);
+          this->__isset.holder = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->attempt);
+          this->__isset.attempt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->fingerprint);
+          this->__isset.fingerprint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ageMs);
+          this->__isset.ageMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->verdict);
+          this->__isset.verdict = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->status);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->headers.clear();
+            uint32_t _size105;
+            ::apache::thrift::protocol::TType _etype108;
+            xfer += iprot->readListBegin(_etype108, _size105);
+            this->headers.resize(_size105);
+            uint32_t _i109;
+            for (_i109 = 0; _i109 < _size105; ++_i109)
+            {
+              xfer += this->headers[_i109].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.headers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->body);
+          this->__isset.body = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->answerDropped);
+          this->__isset.answerDropped = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ClaimRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ClaimRecord");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("caller", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->caller);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->serviceName);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("verdict", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->state));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->holder);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->attempt);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->fingerprint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMs", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->ageMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("verdict", ::apache::thrift::protocol::T_I32, 9);
   xfer += oprot->writeI32(this->verdict);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 10);
   xfer += oprot->writeI32(this->status);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("contentType", ::apache::thrift::protocol::T_STRING, 6);
-  xfer += oprot->writeString(this->contentType);
+  xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 11);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
+    std::vector<HeaderField> ::const_iterator _iter110;
+    for (_iter110 = this->headers.begin(); _iter110 != this->headers.end(); ++_iter110)
+    {
+      xfer += (*_iter110).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 12);
   xfer += oprot->writeBinary(this->body);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("answerDropped", ::apache::thrift::protocol::T_BOOL, 13);
+  xfer += oprot->writeBool(this->answerDropped);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(ClaimFinish &a, ClaimFinish &b) {
+void swap(ClaimRecord &a, ClaimRecord &b) {
   using ::std::swap;
   swap(a.key, b.key);
   swap(a.caller, b.caller);
   swap(a.serviceName, b.serviceName);
+  swap(a.state, b.state);
+  swap(a.holder, b.holder);
+  swap(a.attempt, b.attempt);
+  swap(a.fingerprint, b.fingerprint);
+  swap(a.ageMs, b.ageMs);
   swap(a.verdict, b.verdict);
   swap(a.status, b.status);
-  swap(a.contentType, b.contentType);
+  swap(a.headers, b.headers);
   swap(a.body, b.body);
+  swap(a.answerDropped, b.answerDropped);
   swap(a.__isset, b.__isset);
 }
 
-ClaimFinish::ClaimFinish(const ClaimFinish& other76) {
-  key = other76.key;
-  caller = other76.caller;
-  serviceName = other76.serviceName;
-  verdict = other76.verdict;
-  status = other76.status;
-  contentType = other76.contentType;
-  body = other76.body;
-  __isset = other76.__isset;
+ClaimRecord::ClaimRecord(const ClaimRecord& other111) {
+  key = other111.key;
+  caller = other111.caller;
+  serviceName = other111.serviceName;
+  state = other111.state;
+  holder = other111.holder;
+  attempt = other111.attempt;
+  fingerprint = other111.fingerprint;
+  ageMs = other111.ageMs;
+  verdict = other111.verdict;
+  status = other111.status;
+  headers = other111.headers;
+  body = other111.body;
+  answerDropped = other111.answerDropped;
+  __isset = other111.__isset;
 }
-ClaimFinish::ClaimFinish(ClaimFinish&& other77) noexcept {
-  key = std::move(other77.key);
-  caller = std::move(other77.caller);
-  serviceName = std::move(other77.serviceName);
-  verdict = other77.verdict;
-  status = other77.status;
-  contentType = std::move(other77.contentType);
-  body = std::move(other77.body);
-  __isset = other77.__isset;
+ClaimRecord::ClaimRecord(ClaimRecord&& other112) noexcept {
+  key = std::move(other112.key);
+  caller = std::move(other112.caller);
+  serviceName = std::move(other112.serviceName);
+  state = other112.state;
+  holder = std::move(other112.holder);
+  attempt = other112.attempt;
+  fingerprint = std::move(other112.fingerprint);
+  ageMs = other112.ageMs;
+  verdict = other112.verdict;
+  status = other112.status;
+  headers = std::move(other112.headers);
+  body = std::move(other112.body);
+  answerDropped = other112.answerDropped;
+  __isset = other112.__isset;
 }
-ClaimFinish& ClaimFinish::operator=(const ClaimFinish& other78) {
-  key = other78.key;
-  caller = other78.caller;
-  serviceName = other78.serviceName;
-  verdict = other78.verdict;
-  status = other78.status;
-  contentType = other78.contentType;
-  body = other78.body;
-  __isset = other78.__isset;
+ClaimRecord& ClaimRecord::operator=(const ClaimRecord& other113) {
+  key = other113.key;
+  caller = other113.caller;
+  serviceName = other113.serviceName;
+  state = other113.state;
+  holder = other113.holder;
+  attempt = other113.attempt;
+  fingerprint = other113.fingerprint;
+  ageMs = other113.ageMs;
+  verdict = other113.verdict;
+  status = other113.status;
+  headers = other113.headers;
+  body = other113.body;
+  answerDropped = other113.answerDropped;
+  __isset = other113.__isset;
   return *this;
 }
-ClaimFinish& ClaimFinish::operator=(ClaimFinish&& other79) noexcept {
-  key = std::move(other79.key);
-  caller = std::move(other79.caller);
-  serviceName = std::move(other79.serviceName);
-  verdict = other79.verdict;
-  status = other79.status;
-  contentType = std::move(other79.contentType);
-  body = std::move(other79.body);
-  __isset = other79.__isset;
+ClaimRecord& ClaimRecord::operator=(ClaimRecord&& other114) noexcept {
+  key = std::move(other114.key);
+  caller = std::move(other114.caller);
+  serviceName = std::move(other114.serviceName);
+  state = other114.state;
+  holder = std::move(other114.holder);
+  attempt = other114.attempt;
+  fingerprint = std::move(other114.fingerprint);
+  ageMs = other114.ageMs;
+  verdict = other114.verdict;
+  status = other114.status;
+  headers = std::move(other114.headers);
+  body = std::move(other114.body);
+  answerDropped = other114.answerDropped;
+  __isset = other114.__isset;
   return *this;
 }
-void ClaimFinish::printTo(std::ostream& out) const {
+void ClaimRecord::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ClaimFinish(";
+  out << "ClaimRecord(";
   out << "key=" << to_string(key);
   out << ", " << "caller=" << to_string(caller);
   out << ", " << "serviceName=" << to_string(serviceName);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "holder=" << to_string(holder);
+  out << ", " << "attempt=" << to_string(attempt);
+  out << ", " << "fingerprint=" << to_string(fingerprint);
+  out << ", " << "ageMs=" << to_string(ageMs);
   out << ", " << "verdict=" << to_string(verdict);
   out << ", " << "status=" << to_string(status);
-  out << ", " << "contentType=" << to_string(contentType);
+  out << ", " << "headers=" << to_string(headers);
   out << ", " << "body=" << to_string(body);
+  out << ", " << "answerDropped=" << to_string(answerDropped);
+  out << ")";
+}
+
+
+ClaimPageRequest::~ClaimPageRequest() noexcept {
+}
+
+
+void ClaimPageRequest::__set_after(const std::string& val) {
+  this->after = val;
+}
+
+void ClaimPageRequest::__set_maxBytes(const int64_t val) {
+  this->maxBytes = val;
+}
+std::ostream& operator<<(std::ostream& out, const ClaimPageRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ClaimPageRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->after);
+          this->__isset.after = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->maxBytes);
+          this->__isset.maxBytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ClaimPageRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ClaimPageRequest");
+
+  xfer += oprot->writeFieldBegin("after", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->after);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("maxBytes", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->maxBytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ClaimPageRequest &a, ClaimPageRequest &b) {
+  using ::std::swap;
+  swap(a.after, b.after);
+  swap(a.maxBytes, b.maxBytes);
+  swap(a.__isset, b.__isset);
+}
+
+ClaimPageRequest::ClaimPageRequest(const ClaimPageRequest& other115) {
+  after = other115.after;
+  maxBytes = other115.maxBytes;
+  __isset = other115.__isset;
+}
+ClaimPageRequest::ClaimPageRequest(ClaimPageRequest&& other116) noexcept {
+  after = std::move(other116.after);
+  maxBytes = other116.maxBytes;
+  __isset = other116.__isset;
+}
+ClaimPageRequest& ClaimPageRequest::operator=(const ClaimPageRequest& other117) {
+  after = other117.after;
+  maxBytes = other117.maxBytes;
+  __isset = other117.__isset;
+  return *this;
+}
+ClaimPageRequest& ClaimPageRequest::operator=(ClaimPageRequest&& other118) noexcept {
+  after = std::move(other118.after);
+  maxBytes = other118.maxBytes;
+  __isset = other118.__isset;
+  return *this;
+}
+void ClaimPageRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ClaimPageRequest(";
+  out << "after=" << to_string(after);
+  out << ", " << "maxBytes=" << to_string(maxBytes);
+  out << ")";
+}
+
+
+ClaimPage::~ClaimPage() noexcept {
+}
+
+
+void ClaimPage::__set_claims(const std::vector<ClaimRecord> & val) {
+  this->claims = val;
+}
+
+void ClaimPage::__set_following(const std::string& val) {
+  this->following = val;
+}
+
+void ClaimPage::__set_intact(const bool val) {
+  this->intact = val;
+}
+std::ostream& operator<<(std::ostream& out, const ClaimPage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ClaimPage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->claims.clear();
+            uint32_t _size119;
+            ::apache::thrift::protocol::TType _etype122;
+            xfer += iprot->readListBegin(_etype122, _size119);
+            this->claims.resize(_size119);
+            uint32_t _i123;
+            for (_i123 = 0; _i123 < _size119; ++_i123)
+            {
+              xfer += this->claims[_i123].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.claims = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->following);
+          this->__isset.following = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->intact);
+          this->__isset.intact = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ClaimPage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ClaimPage");
+
+  xfer += oprot->writeFieldBegin("claims", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->claims.size()));
+    std::vector<ClaimRecord> ::const_iterator _iter124;
+    for (_iter124 = this->claims.begin(); _iter124 != this->claims.end(); ++_iter124)
+    {
+      xfer += (*_iter124).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("following", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->following);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("intact", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->intact);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ClaimPage &a, ClaimPage &b) {
+  using ::std::swap;
+  swap(a.claims, b.claims);
+  swap(a.following, b.following);
+  swap(a.intact, b.intact);
+  swap(a.__isset, b.__isset);
+}
+
+ClaimPage::ClaimPage(const ClaimPage& other125) {
+  claims = other125.claims;
+  following = other125.following;
+  intact = other125.intact;
+  __isset = other125.__isset;
+}
+ClaimPage::ClaimPage(ClaimPage&& other126) noexcept {
+  claims = std::move(other126.claims);
+  following = std::move(other126.following);
+  intact = other126.intact;
+  __isset = other126.__isset;
+}
+ClaimPage& ClaimPage::operator=(const ClaimPage& other127) {
+  claims = other127.claims;
+  following = other127.following;
+  intact = other127.intact;
+  __isset = other127.__isset;
+  return *this;
+}
+ClaimPage& ClaimPage::operator=(ClaimPage&& other128) noexcept {
+  claims = std::move(other128.claims);
+  following = std::move(other128.following);
+  intact = other128.intact;
+  __isset = other128.__isset;
+  return *this;
+}
+void ClaimPage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ClaimPage(";
+  out << "claims=" << to_string(claims);
+  out << ", " << "following=" << to_string(following);
+  out << ", " << "intact=" << to_string(intact);
   out << ")";
 }
 
@@ -2199,14 +3307,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->versions.clear();
-            uint32_t _size80;
-            ::apache::thrift::protocol::TType _etype83;
-            xfer += iprot->readListBegin(_etype83, _size80);
-            this->versions.resize(_size80);
-            uint32_t _i84;
-            for (_i84 = 0; _i84 < _size80; ++_i84)
+            uint32_t _size129;
+            ::apache::thrift::protocol::TType _etype132;
+            xfer += iprot->readListBegin(_etype132, _size129);
+            this->versions.resize(_size129);
+            uint32_t _i133;
+            for (_i133 = 0; _i133 < _size129; ++_i133)
             {
-              xfer += iprot->readI64(this->versions[_i84]);
+              xfer += iprot->readI64(this->versions[_i133]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2235,10 +3343,10 @@
   xfer += oprot->writeFieldBegin("versions", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->versions.size()));
-    std::vector<int64_t> ::const_iterator _iter85;
-    for (_iter85 = this->versions.begin(); _iter85 != this->versions.end(); ++_iter85)
+    std::vector<int64_t> ::const_iterator _iter134;
+    for (_iter134 = this->versions.begin(); _iter134 != this->versions.end(); ++_iter134)
     {
-      xfer += oprot->writeI64((*_iter85));
+      xfer += oprot->writeI64((*_iter134));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2255,22 +3363,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigDigest::ConfigDigest(const ConfigDigest& other86) {
-  versions = other86.versions;
-  __isset = other86.__isset;
+ConfigDigest::ConfigDigest(const ConfigDigest& other135) {
+  versions = other135.versions;
+  __isset = other135.__isset;
 }
-ConfigDigest::ConfigDigest(ConfigDigest&& other87) noexcept {
-  versions = std::move(other87.versions);
-  __isset = other87.__isset;
+ConfigDigest::ConfigDigest(ConfigDigest&& other136) noexcept {
+  versions = std::move(other136.versions);
+  __isset = other136.__isset;
 }
-ConfigDigest& ConfigDigest::operator=(const ConfigDigest& other88) {
-  versions = other88.versions;
-  __isset = other88.__isset;
+ConfigDigest& ConfigDigest::operator=(const ConfigDigest& other137) {
+  versions = other137.versions;
+  __isset = other137.__isset;
   return *this;
 }
-ConfigDigest& ConfigDigest::operator=(ConfigDigest&& other89) noexcept {
-  versions = std::move(other89.versions);
-  __isset = other89.__isset;
+ConfigDigest& ConfigDigest::operator=(ConfigDigest&& other138) noexcept {
+  versions = std::move(other138.versions);
+  __isset = other138.__isset;
   return *this;
 }
 void ConfigDigest::printTo(std::ostream& out) const {
@@ -2390,30 +3498,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigSegment::ConfigSegment(const ConfigSegment& other90) {
-  index = other90.index;
-  version = other90.version;
-  value = other90.value;
-  __isset = other90.__isset;
+ConfigSegment::ConfigSegment(const ConfigSegment& other139) {
+  index = other139.index;
+  version = other139.version;
+  value = other139.value;
+  __isset = other139.__isset;
 }
-ConfigSegment::ConfigSegment(ConfigSegment&& other91) noexcept {
-  index = other91.index;
-  version = other91.version;
-  value = std::move(other91.value);
-  __isset = other91.__isset;
+ConfigSegment::ConfigSegment(ConfigSegment&& other140) noexcept {
+  index = other140.index;
+  version = other140.version;
+  value = std::move(other140.value);
+  __isset = other140.__isset;
 }
-ConfigSegment& ConfigSegment::operator=(const ConfigSegment& other92) {
-  index = other92.index;
-  version = other92.version;
-  value = other92.value;
-  __isset = other92.__isset;
+ConfigSegment& ConfigSegment::operator=(const ConfigSegment& other141) {
+  index = other141.index;
+  version = other141.version;
+  value = other141.value;
+  __isset = other141.__isset;
   return *this;
 }
-ConfigSegment& ConfigSegment::operator=(ConfigSegment&& other93) noexcept {
-  index = other93.index;
-  version = other93.version;
-  value = std::move(other93.value);
-  __isset = other93.__isset;
+ConfigSegment& ConfigSegment::operator=(ConfigSegment&& other142) noexcept {
+  index = other142.index;
+  version = other142.version;
+  value = std::move(other142.value);
+  __isset = other142.__isset;
   return *this;
 }
 void ConfigSegment::printTo(std::ostream& out) const {
@@ -2465,14 +3573,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->segments.clear();
-            uint32_t _size94;
-            ::apache::thrift::protocol::TType _etype97;
-            xfer += iprot->readListBegin(_etype97, _size94);
-            this->segments.resize(_size94);
-            uint32_t _i98;
-            for (_i98 = 0; _i98 < _size94; ++_i98)
+            uint32_t _size143;
+            ::apache::thrift::protocol::TType _etype146;
+            xfer += iprot->readListBegin(_etype146, _size143);
+            this->segments.resize(_size143);
+            uint32_t _i147;
+            for (_i147 = 0; _i147 < _size143; ++_i147)
             {
-              xfer += this->segments[_i98].read(iprot);
+              xfer += this->segments[_i147].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2501,10 +3609,10 @@
   xfer += oprot->writeFieldBegin("segments", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->segments.size()));
-    std::vector<ConfigSegment> ::const_iterator _iter99;
-    for (_iter99 = this->segments.begin(); _iter99 != this->segments.end(); ++_iter99)
+    std::vector<ConfigSegment> ::const_iterator _iter148;
+    for (_iter148 = this->segments.begin(); _iter148 != this->segments.end(); ++_iter148)
     {
-      xfer += (*_iter99).write(oprot);
+      xfer += (*_iter148).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2521,22 +3629,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigSegments::ConfigSegments(const ConfigSegments& other100) {
-  segments = other100.segments;
-  __isset = other100.__isset;
+ConfigSegments::ConfigSegments(const ConfigSegments& other149) {
+  segments = other149.segments;
+  __isset = other149.__isset;
 }
-ConfigSegments::ConfigSegments(ConfigSegments&& other101) noexcept {
-  segments = std::move(other101.segments);
-  __isset = other101.__isset;
+ConfigSegments::ConfigSegments(ConfigSegments&& other150) noexcept {
+  segments = std::move(other150.segments);
+  __isset = other150.__isset;
 }
-ConfigSegments& ConfigSegments::operator=(const ConfigSegments& other102) {
-  segments = other102.segments;
-  __isset = other102.__isset;
+ConfigSegments& ConfigSegments::operator=(const ConfigSegments& other151) {
+  segments = other151.segments;
+  __isset = other151.__isset;
   return *this;
 }
-ConfigSegments& ConfigSegments::operator=(ConfigSegments&& other103) noexcept {
-  segments = std::move(other103.segments);
-  __isset = other103.__isset;
+ConfigSegments& ConfigSegments::operator=(ConfigSegments&& other152) noexcept {
+  segments = std::move(other152.segments);
+  __isset = other152.__isset;
   return *this;
 }
 void ConfigSegments::printTo(std::ostream& out) const {
@@ -2622,22 +3730,22 @@
   swap(a.__isset, b.__isset);
 }
 
-JobForward::JobForward(const JobForward& other104) {
-  job = other104.job;
-  __isset = other104.__isset;
+JobForward::JobForward(const JobForward& other153) {
+  job = other153.job;
+  __isset = other153.__isset;
 }
-JobForward::JobForward(JobForward&& other105) noexcept {
-  job = std::move(other105.job);
-  __isset = other105.__isset;
+JobForward::JobForward(JobForward&& other154) noexcept {
+  job = std::move(other154.job);
+  __isset = other154.__isset;
 }
-JobForward& JobForward::operator=(const JobForward& other106) {
-  job = other106.job;
-  __isset = other106.__isset;
+JobForward& JobForward::operator=(const JobForward& other155) {
+  job = other155.job;
+  __isset = other155.__isset;
   return *this;
 }
-JobForward& JobForward::operator=(JobForward&& other107) noexcept {
-  job = std::move(other107.job);
-  __isset = other107.__isset;
+JobForward& JobForward::operator=(JobForward&& other156) noexcept {
+  job = std::move(other156.job);
+  __isset = other156.__isset;
   return *this;
 }
 void JobForward::printTo(std::ostream& out) const {
@@ -2740,26 +3848,26 @@
   swap(a.__isset, b.__isset);
 }
 
-JobReply::JobReply(const JobReply& other108) {
-  accepted = other108.accepted;
-  reason = other108.reason;
-  __isset = other108.__isset;
+JobReply::JobReply(const JobReply& other157) {
+  accepted = other157.accepted;
+  reason = other157.reason;
+  __isset = other157.__isset;
 }
-JobReply::JobReply(JobReply&& other109) noexcept {
-  accepted = other109.accepted;
-  reason = std::move(other109.reason);
-  __isset = other109.__isset;
+JobReply::JobReply(JobReply&& other158) noexcept {
+  accepted = other158.accepted;
+  reason = std::move(other158.reason);
+  __isset = other158.__isset;
 }
-JobReply& JobReply::operator=(const JobReply& other110) {
-  accepted = other110.accepted;
-  reason = other110.reason;
-  __isset = other110.__isset;
+JobReply& JobReply::operator=(const JobReply& other159) {
+  accepted = other159.accepted;
+  reason = other159.reason;
+  __isset = other159.__isset;
   return *this;
 }
-JobReply& JobReply::operator=(JobReply&& other111) noexcept {
-  accepted = other111.accepted;
-  reason = std::move(other111.reason);
-  __isset = other111.__isset;
+JobReply& JobReply::operator=(JobReply&& other160) noexcept {
+  accepted = other160.accepted;
+  reason = std::move(other160.reason);
+  __isset = other160.__isset;
   return *this;
 }
 void JobReply::printTo(std::ostream& out) const {
@@ -2846,22 +3954,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Ack::Ack(const Ack& other112) noexcept {
-  ok = other112.ok;
-  __isset = other112.__isset;
+Ack::Ack(const Ack& other161) noexcept {
+  ok = other161.ok;
+  __isset = other161.__isset;
 }
-Ack::Ack(Ack&& other113) noexcept {
-  ok = other113.ok;
-  __isset = other113.__isset;
+Ack::Ack(Ack&& other162) noexcept {
+  ok = other162.ok;
+  __isset = other162.__isset;
 }
-Ack& Ack::operator=(const Ack& other114) noexcept {
-  ok = other114.ok;
-  __isset = other114.__isset;
+Ack& Ack::operator=(const Ack& other163) noexcept {
+  ok = other163.ok;
+  __isset = other163.__isset;
   return *this;
 }
-Ack& Ack::operator=(Ack&& other115) noexcept {
-  ok = other115.ok;
-  __isset = other115.__isset;
+Ack& Ack::operator=(Ack&& other164) noexcept {
+  ok = other164.ok;
+  __isset = other164.__isset;
   return *this;
 }
 void Ack::printTo(std::ostream& out) const {
--- a/idl/gen/messages_types.h
+++ b/idl/gen/messages_types.h
@@ -34,7 +34,9 @@
   LoadReportKind = 10,
   AckKind = 11,
   JobForwardKind = 12,
-  JobReplyKind = 13
+  JobReplyKind = 13,
+  ClaimPageRequestKind = 14,
+  ClaimPageKind = 15
 };
 
 extern const std::map<int, const char*> _MessageKind_VALUES_TO_NAMES;
@@ -72,10 +74,18 @@
 
 class ClaimRequest;
 
+class HeaderField;
+
 class ClaimReply;
 
 class ClaimFinish;
 
+class ClaimRecord;
+
+class ClaimPageRequest;
+
+class ClaimPage;
+
 class ConfigDigest;
 
 class ConfigSegment;
@@ -352,12 +362,13 @@
 std::ostream& operator<<(std::ostream& out, const MembershipDelta& obj);
 
 typedef struct _MembershipDigest__isset {
-  _MembershipDigest__isset() : buckets(false), configVersionSum(false), configVersions(false), availabilityZone(false), draining(false) {}
+  _MembershipDigest__isset() : buckets(false), configVersionSum(false), configVersions(false), availabilityZone(false), draining(false), heardMs(false) {}
   bool buckets :1;
   bool configVersionSum :1;
   bool configVersions :1;
   bool availabilityZone :1;
   bool draining :1;
+  bool heardMs :1;
 } _MembershipDigest__isset;
 
 class MembershipDigest : public virtual ::apache::thrift::TBase {
@@ -379,6 +390,7 @@
   std::vector<int64_t>  configVersions;
   std::string availabilityZone;
   bool draining;
+  std::map<std::string, int64_t>  heardMs;
 
   _MembershipDigest__isset __isset;
 
@@ -392,6 +404,8 @@
 
   void __set_draining(const bool val);
 
+  void __set_heardMs(const std::map<std::string, int64_t> & val);
+
   bool operator == (const MembershipDigest & rhs) const
   {
     if (!(buckets == rhs.buckets))
@@ -404,6 +418,8 @@
       return false;
     if (!(draining == rhs.draining))
       return false;
+    if (!(heardMs == rhs.heardMs))
+      return false;
     return true;
   }
   bool operator != (const MembershipDigest &rhs) const {
@@ -570,7 +586,7 @@
 std::ostream& operator<<(std::ostream& out, const LoadReport& obj);
 
 typedef struct _ClaimRequest__isset {
-  _ClaimRequest__isset() : key(false), caller(false), serviceName(false), holder(false), holderIncarnation(false), deadlineMs(false), attempt(false) {}
+  _ClaimRequest__isset() : key(false), caller(false), serviceName(false), holder(false), holderIncarnation(false), deadlineMs(false), attempt(false), fingerprint(false) {}
   bool key :1;
   bool caller :1;
   bool serviceName :1;
@@ -578,6 +594,7 @@
   bool holderIncarnation :1;
   bool deadlineMs :1;
   bool attempt :1;
+  bool fingerprint :1;
 } _ClaimRequest__isset;
 
 class ClaimRequest : public virtual ::apache::thrift::TBase {
@@ -594,7 +611,8 @@
                  holder(),
                  holderIncarnation(0),
                  deadlineMs(0),
-                 attempt(0) {
+                 attempt(0),
+                 fingerprint() {
   }
 
   virtual ~ClaimRequest() noexcept;
@@ -605,6 +623,7 @@
   int64_t holderIncarnation;
   int64_t deadlineMs;
   int32_t attempt;
+  std::string fingerprint;
 
   _ClaimRequest__isset __isset;
 
@@ -622,6 +641,8 @@
 
   void __set_attempt(const int32_t val);
 
+  void __set_fingerprint(const std::string& val);
+
   bool operator == (const ClaimRequest & rhs) const
   {
     if (!(key == rhs.key))
@@ -638,6 +659,8 @@
       return false;
     if (!(attempt == rhs.attempt))
       return false;
+    if (!(fingerprint == rhs.fingerprint))
+      return false;
     return true;
   }
   bool operator != (const ClaimRequest &rhs) const {
@@ -656,8 +679,60 @@
 
 std::ostream& operator<<(std::ostream& out, const ClaimRequest& obj);
 
+typedef struct _HeaderField__isset {
+  _HeaderField__isset() : name(false), value(false) {}
+  bool name :1;
+  bool value :1;
+} _HeaderField__isset;
+
+class HeaderField : public virtual ::apache::thrift::TBase {
+ public:
+
+  HeaderField(const HeaderField&);
+  HeaderField(HeaderField&&) noexcept;
+  HeaderField& operator=(const HeaderField&);
+  HeaderField& operator=(HeaderField&&) noexcept;
+  HeaderField() noexcept
+              : name(),
+                value() {
+  }
+
+  virtual ~HeaderField() noexcept;
+  std::string name;
+  std::string value;
+
+  _HeaderField__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_value(const std::string& val);
+
+  bool operator == (const HeaderField & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(value == rhs.value))
+      return false;
+    return true;
+  }
+  bool operator != (const HeaderField &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const HeaderField & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(HeaderField &a, HeaderField &b);
+
+std::ostream& operator<<(std::ostream& out, const HeaderField& obj);
+
 typedef struct _ClaimReply__isset {
-  _ClaimReply__isset() : state(false), status(false), contentType(false), body(false), memoryMs(false), holder(false), answerDropped(false) {}
+  _ClaimReply__isset() : state(false), status(false), contentType(false), body(false), memoryMs(false), holder(false), answerDropped(false), verdict(false), headers(false), vouched(false), reason(false) {}
   bool state :1;
   bool status :1;
   bool contentType :1;
@@ -665,6 +740,10 @@
   bool memoryMs :1;
   bool holder :1;
   bool answerDropped :1;
+  bool verdict :1;
+  bool headers :1;
+  bool vouched :1;
+  bool reason :1;
 } _ClaimReply__isset;
 
 class ClaimReply : public virtual ::apache::thrift::TBase {
@@ -681,7 +760,10 @@
                body(),
                memoryMs(0),
                holder(),
-               answerDropped(0) {
+               answerDropped(0),
+               verdict(0),
+               vouched(0),
+               reason() {
   }
 
   virtual ~ClaimReply() noexcept;
@@ -696,6 +778,10 @@
   int64_t memoryMs;
   std::string holder;
   bool answerDropped;
+  int32_t verdict;
+  std::vector<HeaderField>  headers;
+  bool vouched;
+  std::string reason;
 
   _ClaimReply__isset __isset;
 
@@ -713,6 +799,14 @@
 
   void __set_answerDropped(const bool val);
 
+  void __set_verdict(const int32_t val);
+
+  void __set_headers(const std::vector<HeaderField> & val);
+
+  void __set_vouched(const bool val);
+
+  void __set_reason(const std::string& val);
+
   bool operator == (const ClaimReply & rhs) const
   {
     if (!(state == rhs.state))
@@ -729,6 +823,14 @@
       return false;
     if (!(answerDropped == rhs.answerDropped))
       return false;
+    if (!(verdict == rhs.verdict))
+      return false;
+    if (!(headers == rhs.headers))
+      return false;
+    if (!(vouched == rhs.vouched))
+      return false;
+    if (!(reason == rhs.reason))
+      return false;
     return true;
   }
   bool operator != (const ClaimReply &rhs) const {
@@ -748,7 +850,7 @@
 std::ostream& operator<<(std::ostream& out, const ClaimReply& obj);
 
 typedef struct _ClaimFinish__isset {
-  _ClaimFinish__isset() : key(false), caller(false), serviceName(false), verdict(false), status(false), contentType(false), body(false) {}
+  _ClaimFinish__isset() : key(false), caller(false), serviceName(false), verdict(false), status(false), contentType(false), body(false), holder(false), headers(false), attempt(false), proven(false), fingerprint(false) {}
   bool key :1;
   bool caller :1;
   bool serviceName :1;
@@ -756,6 +858,11 @@
   bool status :1;
   bool contentType :1;
   bool body :1;
+  bool holder :1;
+  bool headers :1;
+  bool attempt :1;
+  bool proven :1;
+  bool fingerprint :1;
 } _ClaimFinish__isset;
 
 class ClaimFinish : public virtual ::apache::thrift::TBase {
@@ -772,7 +879,11 @@
                 verdict(0),
                 status(0),
                 contentType(),
-                body() {
+                body(),
+                holder(),
+                attempt(0),
+                proven(0),
+                fingerprint() {
   }
 
   virtual ~ClaimFinish() noexcept;
@@ -783,6 +894,11 @@
   int32_t status;
   std::string contentType;
   std::string body;
+  std::string holder;
+  std::vector<HeaderField>  headers;
+  int32_t attempt;
+  bool proven;
+  std::string fingerprint;
 
   _ClaimFinish__isset __isset;
 
@@ -800,6 +916,16 @@
 
   void __set_body(const std::string& val);
 
+  void __set_holder(const std::string& val);
+
+  void __set_headers(const std::vector<HeaderField> & val);
+
+  void __set_attempt(const int32_t val);
+
+  void __set_proven(const bool val);
+
+  void __set_fingerprint(const std::string& val);
+
   bool operator == (const ClaimFinish & rhs) const
   {
     if (!(key == rhs.key))
@@ -816,6 +942,16 @@
       return false;
     if (!(body == rhs.body))
       return false;
+    if (!(holder == rhs.holder))
+      return false;
+    if (!(headers == rhs.headers))
+      return false;
+    if (!(attempt == rhs.attempt))
+      return false;
+    if (!(proven == rhs.proven))
+      return false;
+    if (!(fingerprint == rhs.fingerprint))
+      return false;
     return true;
   }
   bool operator != (const ClaimFinish &rhs) const {
@@ -834,6 +970,248 @@
 
 std::ostream& operator<<(std::ostream& out, const ClaimFinish& obj);
 
+typedef struct _ClaimRecord__isset {
+  _ClaimRecord__isset() : key(false), caller(false), serviceName(false), state(false), holder(false), attempt(false), fingerprint(false), ageMs(false), verdict(false), status(false), headers(false), body(false), answerDropped(false) {}
+  bool key :1;
+  bool caller :1;
+  bool serviceName :1;
+  bool state :1;
+  bool holder :1;
+  bool attempt :1;
+  bool fingerprint :1;
+  bool ageMs :1;
+  bool verdict :1;
+  bool status :1;
+  bool headers :1;
+  bool body :1;
+  bool answerDropped :1;
+} _ClaimRecord__isset;
+
+class ClaimRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  ClaimRecord(const ClaimRecord&);
+  ClaimRecord(ClaimRecord&&) noexcept;
+  ClaimRecord& operator=(const ClaimRecord&);
+  ClaimRecord& operator=(ClaimRecord&&) noexcept;
+  ClaimRecord() noexcept
+              : key(),
+                caller(),
+                serviceName(),
+                state(static_cast<ClaimState>(0)),
+                holder(),
+                attempt(0),
+                fingerprint(),
+                ageMs(0),
+                verdict(0),
+                status(0),
+                body(),
+                answerDropped(0) {
+  }
+
+  virtual ~ClaimRecord() noexcept;
+  std::string key;
+  std::string caller;
+  std::string serviceName;
+  /**
+   * 
+   * @see ClaimState
+   */
+  ClaimState state;
+  std::string holder;
+  int32_t attempt;
+  std::string fingerprint;
+  int64_t ageMs;
+  int32_t verdict;
+  int32_t status;
+  std::vector<HeaderField>  headers;
+  std::string body;
+  bool answerDropped;
+
+  _ClaimRecord__isset __isset;
+
+  void __set_key(const std::string& val);
+
+  void __set_caller(const std::string& val);
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_state(const ClaimState val);
+
+  void __set_holder(const std::string& val);
+
+  void __set_attempt(const int32_t val);
+
+  void __set_fingerprint(const std::string& val);
+
+  void __set_ageMs(const int64_t val);
+
+  void __set_verdict(const int32_t val);
+
+  void __set_status(const int32_t val);
+
+  void __set_headers(const std::vector<HeaderField> & val);
+
+  void __set_body(const std::string& val);
+
+  void __set_answerDropped(const bool val);
+
+  bool operator == (const ClaimRecord & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (!(caller == rhs.caller))
+      return false;
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(state == rhs.state))
+      return false;
+    if (!(holder == rhs.holder))
+      return false;
+    if (!(attempt == rhs.attempt))
+      return false;
+    if (!(fingerprint == rhs.fingerprint))
+      return false;
+    if (!(ageMs == rhs.ageMs))
+      return false;
+    if (!(verdict == rhs.verdict))
+      return false;
+    if (!(status == rhs.status))
+      return false;
+    if (!(headers == rhs.headers))
+      return false;
+    if (!(body == rhs.body))
+      return false;
+    if (!(answerDropped == rhs.answerDropped))
+      return false;
+    return true;
+  }
+  bool operator != (const ClaimRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ClaimRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ClaimRecord &a, ClaimRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const ClaimRecord& obj);
+
+typedef struct _ClaimPageRequest__isset {
+  _ClaimPageRequest__isset() : after(false), maxBytes(false) {}
+  bool after :1;
+  bool maxBytes :1;
+} _ClaimPageRequest__isset;
+
+class ClaimPageRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  ClaimPageRequest(const ClaimPageRequest&);
+  ClaimPageRequest(ClaimPageRequest&&) noexcept;
+  ClaimPageRequest& operator=(const ClaimPageRequest&);
+  ClaimPageRequest& operator=(ClaimPageRequest&&) noexcept;
+  ClaimPageRequest() noexcept
+                   : after(),
+                     maxBytes(0) {
+  }
+
+  virtual ~ClaimPageRequest() noexcept;
+  std::string after;
+  int64_t maxBytes;
+
+  _ClaimPageRequest__isset __isset;
+
+  void __set_after(const std::string& val);
+
+  void __set_maxBytes(const int64_t val);
+
+  bool operator == (const ClaimPageRequest & rhs) const
+  {
+    if (!(after == rhs.after))
+      return false;
+    if (!(maxBytes == rhs.maxBytes))
+      return false;
+    return true;
+  }
+  bool operator != (const ClaimPageRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ClaimPageRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ClaimPageRequest &a, ClaimPageRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const ClaimPageRequest& obj);
+
+typedef struct _ClaimPage__isset {
+  _ClaimPage__isset() : claims(false), following(false), intact(false) {}
+  bool claims :1;
+  bool following :1;
+  bool intact :1;
+} _ClaimPage__isset;
+
+class ClaimPage : public virtual ::apache::thrift::TBase {
+ public:
+
+  ClaimPage(const ClaimPage&);
+  ClaimPage(ClaimPage&&) noexcept;
+  ClaimPage& operator=(const ClaimPage&);
+  ClaimPage& operator=(ClaimPage&&) noexcept;
+  ClaimPage() noexcept
+            : following(),
+              intact(0) {
+  }
+
+  virtual ~ClaimPage() noexcept;
+  std::vector<ClaimRecord>  claims;
+  std::string following;
+  bool intact;
+
+  _ClaimPage__isset __isset;
+
+  void __set_claims(const std::vector<ClaimRecord> & val);
+
+  void __set_following(const std::string& val);
+
+  void __set_intact(const bool val);
+
+  bool operator == (const ClaimPage & rhs) const
+  {
+    if (!(claims == rhs.claims))
+      return false;
+    if (!(following == rhs.following))
+      return false;
+    if (!(intact == rhs.intact))
+      return false;
+    return true;
+  }
+  bool operator != (const ClaimPage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ClaimPage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ClaimPage &a, ClaimPage &b);
+
+std::ostream& operator<<(std::ostream& out, const ClaimPage& obj);
+
 typedef struct _ConfigDigest__isset {
   _ConfigDigest__isset() : versions(false) {}
   bool versions :1;
--- a/idl/messages.thrift
+++ b/idl/messages.thrift
@@ -16,7 +16,9 @@
   LoadReportKind = 10,
   AckKind = 11,
   JobForwardKind = 12,
-  JobReplyKind = 13
+  JobReplyKind = 13,
+  ClaimPageRequestKind = 14,
+  ClaimPageKind = 15
 }
 
 // One frame. `incarnation` rises with each start of the sender.
@@ -61,6 +63,8 @@
   3: list<i64> configVersions;
   4: string availabilityZone;
   5: bool draining;
+  // Milliseconds since the sender last heard each entry; itself is 0.
+  6: map<string, i64> heardMs;
 }
 
 struct MembershipRequest {
@@ -89,10 +93,18 @@
   1: string key;
   2: string caller;
   3: string serviceName;
+  // Names one try of one entry to get the claim; no other try ever has it.
   4: string holder;
   5: i64 holderIncarnation;
   6: i64 deadlineMs;
   7: i32 attempt;
+  // A hash of method, target and body: a key names one request.
+  8: string fingerprint;
+}
+
+struct HeaderField {
+  1: string name;
+  2: string value;
 }
 
 struct ClaimReply {
@@ -105,6 +117,13 @@
   6: string holder;
   // True when the stored answer was too large to keep.
   7: bool answerDropped;
+  // One of Verdict's values, when finished.
+  8: i32 verdict;
+  9: list<HeaderField> headers;
+  // True when no claim that this entry ever granted for the key can have been forgotten.
+  10: bool vouched;
+  // Why it was refused.
+  11: string reason;
 }
 
 struct ClaimFinish {
@@ -116,6 +135,42 @@
   5: i32 status;
   6: string contentType;
   7: binary body;
+  8: string holder;
+  9: list<HeaderField> headers;
+  10: i32 attempt;
+  // With the verdict NotRun: no attempt up to this one has run.
+  11: bool proven;
+  12: string fingerprint;
+}
+
+// One claim as a restarted entry gets it back from its peers.
+struct ClaimRecord {
+  1: string key;
+  2: string caller;
+  3: string serviceName;
+  4: ClaimState state;
+  5: string holder;
+  6: i32 attempt;
+  7: string fingerprint;
+  8: i64 ageMs;
+  9: i32 verdict;
+  10: i32 status;
+  11: list<HeaderField> headers;
+  12: binary body;
+  13: bool answerDropped;
+}
+
+// Asks for claims after `after` in the order of the table; `maxBytes` 0 asks for the flags alone.
+struct ClaimPageRequest {
+  1: string after;
+  2: i64 maxBytes;
+}
+
+struct ClaimPage {
+  1: list<ClaimRecord> claims;
+  // Where the next page starts; empty on the last one.
+  2: string following;
+  3: bool intact;
 }
 
 struct ConfigDigest {
--- a/src/programs/entry/requestexecutor.cpp
+++ b/src/programs/entry/requestexecutor.cpp
@@ -15,6 +15,9 @@
 #include <optional>
 #include <unordered_map>
 
+// GCC 12 takes the frame's own operator delete for a mismatch when it inlines a coroutine (GCC bug 109224).
+#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
+
 namespace Trefoilhoist {
 
 namespace {
