--- a/src/programs/entry/peerexchange.cpp
+++ b/src/programs/entry/peerexchange.cpp
@@ -133,8 +133,7 @@
 awaitable<void> PeerExchange::digestLoop(std::shared_ptr<Peer> peer)
 {
     while (true) {
-        const auto answer
-            = co_await peer->call(Wire::MessageKind::MembershipDigestKind, digestMessage(), peerTimeout);
+        const auto answer = co_await peer->call(Wire::MessageKind::MembershipDigestKind, digestMessage(), peerTimeout);
         if (answer) {
             heardFrom(answer->sender);
             if (const auto delta = Wire::decode<Wire::MembershipDelta>(answer->payload)) {
--- a/src/programs/entry/requestexecutor.cpp
+++ b/src/programs/entry/requestexecutor.cpp
@@ -227,13 +227,14 @@
         const auto now = m_state->clock.now();
         perform(m_state->router.finished({dispatch.request, dispatch.minion.id, end, now - start}, now));
 
-        const auto step = course.attemptEnded(
-            end, reason, now, [&] { return m_state->router.takeRetry(request.service, now); });
+        const auto step
+            = course.attemptEnded(end, reason, now, [&] { return m_state->router.takeRetry(request.service, now); });
         if (std::holds_alternative<ForwardAnswer>(step)) {
             co_return ServiceOutcome{Verdict::Ran, std::move(response), last};
         }
         if (const auto *stop = std::get_if<GiveUp>(&step)) {
-            co_return ServiceOutcome{stop->verdict, verdictResponse(stop->verdict, stop->reason, defaultRetryAfter), last};
+            co_return ServiceOutcome{
+                stop->verdict, verdictResponse(stop->verdict, stop->reason, defaultRetryAfter), last};
         }
         routed.attempt = std::get<TryAgain>(step).attempt;
     }
