--- a/src/programs/ctl/ctloptions.cpp
+++ b/src/programs/ctl/ctloptions.cpp
@@ -19,6 +19,7 @@
 std::vector<Endpoint> endpointsOf(const std::vector<std::string> &texts)
 {
     std::vector<Endpoint> endpoints;
+    endpoints.reserve(texts.size());
     for (const auto &text : texts) {
         endpoints.push_back(endpointFromText(text));
     }
--- a/src/trefoilhoist/config/selector.cpp
+++ b/src/trefoilhoist/config/selector.cpp
@@ -253,7 +253,7 @@
         bounds[condition.key].add(condition);
     }
     for (const auto &[key, bound] : bounds) {
-        const auto reason = bound.contradiction(key);
+        auto reason = bound.contradiction(key);
         if (!reason.empty()) {
             return reason;
         }
--- a/src/trefoilhoist/store/consulstoreclient.cpp
+++ b/src/trefoilhoist/store/consulstoreclient.cpp
@@ -65,6 +65,7 @@
             StoreEntry entry;
             entry.key = item.at("Key");
             entry.modifyIndex = item.at("ModifyIndex");
+            entry.lockIndex = item.value("LockIndex", std::uint64_t{0});
             entry.session = item.value("Session", std::string());
             // Consul gives null for an empty value.
             const auto &value = item.at("Value");
--- a/src/trefoilhoist/store/storeclient.h
+++ b/src/trefoilhoist/store/storeclient.h
@@ -33,6 +33,8 @@
     std::string key;
     std::string value;
     std::uint64_t modifyIndex = 0;
+    /// Rises with each time that a session takes the key's lock: a fencing token.
+    std::uint64_t lockIndex = 0;
     /// The session that holds the key's lock, or empty.
     std::string session;
 };
--- a/standins/store/storestate.cpp
+++ b/standins/store/storestate.cpp
@@ -104,7 +104,7 @@
 
 std::string StoreState::createSession(Duration ttl, Duration lockDelay, TimePoint now)
 {
-    const std::string id = "session-" + std::to_string(++m_lastSession);
+    std::string id = "session-" + std::to_string(++m_lastSession);
     m_sessions[id] = {ttl, lockDelay, now + ttl};
     return id;
 }
--- /dev/null
+++ b/tests/harness/eventqueue.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "trefoilhoist/world/clock.h"
+
+#include <functional>
+#include <map>
+
+namespace Trefoilhoist::Testing {
+
+/// Runs actions in the order of a paused time, for randomised runs of decision objects.
+class EventQueue
+{
+public:
+    [[nodiscard]] TimePoint now() const
+    {
+        return m_now;
+    }
+    void after(Duration delay, std::function<void()> action)
+    {
+        m_events.emplace(m_now + delay, std::move(action));
+    }
+    /// Runs everything due up to `end`; `check` follows each action.
+    void runUntil(TimePoint end, const std::function<void()> &check)
+    {
+        while (!m_events.empty() && m_events.begin()->first <= end) {
+            auto event = m_events.extract(m_events.begin());
+            m_now = event.key();
+            event.mapped()();
+            check();
+        }
+        m_now = end;
+    }
+
+private:
+    TimePoint m_now;
+    std::multimap<TimePoint, std::function<void()>> m_events;
+};
+
+} // namespace Trefoilhoist::Testing
