--- a/src/trefoilhoist/config/configagent.cpp
+++ b/src/trefoilhoist/config/configagent.cpp
@@ -1,7 +1,6 @@
 #include "trefoilhoist/config/configagent.h"
 
 #include "trefoilhoist/config/configsegment.h"
-#include "trefoilhoist/store/backoff.h"
 #include "trefoilhoist/store/keys.h"
 #include "trefoilhoist/wire/message.h"
 
@@ -14,8 +13,6 @@
 
 namespace {
 
-constexpr milliseconds firstBackoff(100);
-constexpr milliseconds maxBackoff(3000);
 // Well under a frame; one segment above it travels alone.
 constexpr std::size_t maxSegmentBytesPerFrame = std::size_t{2} << 20U;
 
@@ -40,8 +37,11 @@
 
 } // namespace
 
-ConfigAgent::ConfigAgent(ConfigTable &table, std::shared_ptr<StoreClient> store, ConfigAgentOptions options)
-    : m_table(table), m_store(std::move(store)), m_options(options)
+ConfigAgent::ConfigAgent(ConfigTable &table,
+                         const Clock &clock,
+                         std::shared_ptr<StoreClient> store,
+                         ConfigAgentOptions options)
+    : m_table(table), m_clock(clock), m_store(std::move(store)), m_options(options)
 {
 }
 
@@ -165,25 +165,21 @@
 
 awaitable<void> ConfigAgent::watchLoop()
 {
-    Backoff backoff(firstBackoff, maxBackoff, m_options.seed);
-    std::uint64_t index = 0;
+    StoreWatch watch(m_options.watch, m_options.seed);
     while (!m_stopped) {
-        // With index 0 the store answers at once.
-        const auto listing = co_await m_store->watch(StoreKeys::configSegments, index, m_options.watchWait);
-        if (!listing) {
-            LOG_EVERY_N(WARNING, 10) << "event=config_watch_failed reason=\"" << listing.error().reason << "\"";
-            co_await sleepFor(backoff.next());
-            continue;
+        const auto call = watch.next();
+        const auto pause = call.notBefore - m_clock.now();
+        if (pause > Duration{}) {
+            co_await sleepFor(pause);
         }
-        applyListing(*listing);
-        if (listing->index <= index) {
-            // A stale or repeated answer, or a wait that ran out; starting over at 0 could spin.
-            co_await sleepFor(backoff.next());
+        const auto sentAt = m_clock.now();
+        const auto listing = co_await m_store->watch(StoreKeys::configSegments, call.index, call.wait);
+        watch.answered(listing, sentAt, m_clock.now());
+        if (listing) {
+            applyListing(*listing);
         } else {
-            backoff.reset();
+            LOG_EVERY_N(WARNING, 10) << "event=config_watch_failed reason=\"" << listing.error().reason << "\"";
         }
-        // An index that went back means another store state: read everything anew.
-        index = listing->index < index ? 0 : listing->index;
     }
 }
 
--- a/src/trefoilhoist/config/configagent.h
+++ b/src/trefoilhoist/config/configagent.h
@@ -4,6 +4,7 @@
 #include "trefoilhoist/config/configtable.h"
 #include "trefoilhoist/net/asio.h"
 #include "trefoilhoist/store/storeclient.h"
+#include "trefoilhoist/store/storewatch.h"
 #include "trefoilhoist/wire/peerclient.h"
 
 #include <atomic>
@@ -17,8 +18,7 @@
 
 /// How a process follows the configuration.
 struct ConfigAgentOptions {
-    /// How long one watch of the store waits for a change.
-    Duration watchWait = seconds(30);
+    StoreWatchTimes watch;
     Duration peerTimeout = seconds(2);
     /// For the jitter between tries.
     std::uint64_t seed = 1;
@@ -32,8 +32,8 @@
 class ConfigAgent : public std::enable_shared_from_this<ConfigAgent>
 {
 public:
-    /// `table` must outlive the agent; `store` may be empty.
-    ConfigAgent(ConfigTable &table, std::shared_ptr<StoreClient> store, ConfigAgentOptions options);
+    /// `table` and `clock` must outlive the agent; `store` may be empty.
+    ConfigAgent(ConfigTable &table, const Clock &clock, std::shared_ptr<StoreClient> store, ConfigAgentOptions options);
 
     /// Starts the watch of the store's configuration.
     void startWatching(const Asio::any_io_executor &executor);
@@ -60,6 +60,7 @@
     void applyListing(const StoreListing &listing);
 
     ConfigTable &m_table;
+    const Clock &m_clock;
     std::shared_ptr<StoreClient> m_store;
     ConfigAgentOptions m_options;
     std::atomic<bool> m_stopped = false;
--- a/src/trefoilhoist/config/configsegment.cpp
+++ b/src/trefoilhoist/config/configsegment.cpp
@@ -132,8 +132,14 @@
         for (const auto &item : json.at("history")) {
             segment.history.push_back(recordFrom(item));
         }
-        if (segment.version < 1) {
-            return tl::unexpected(std::string("the version is below 1"));
+        if (segment.version < 1 || segment.history.empty()) {
+            return tl::unexpected(std::string("the version is below 1 or the history is empty"));
+        }
+        std::int64_t expected = segment.version - static_cast<std::int64_t>(segment.history.size());
+        for (const auto &record : segment.history) {
+            if (record.version != ++expected) {
+                return tl::unexpected(std::string("the history's versions are not consecutive up to the segment's"));
+            }
         }
         return segment;
     } catch (const std::exception &e) {
--- a/src/trefoilhoist/config/configtable.cpp
+++ b/src/trefoilhoist/config/configtable.cpp
@@ -58,18 +58,16 @@
     std::uint64_t generation = 0;
 };
 
-ConfigTable::ConfigTable() : m_mutex(Detail::LockRank::Config), m_state(std::make_unique<State>()) { }
+ConfigTable::ConfigTable(ConfigTableGuards guards)
+    : m_guards(guards), m_mutex(Detail::LockRank::Config), m_state(std::make_unique<State>())
+{
+}
 
 ConfigTable::~ConfigTable() = default;
 
 bool ConfigTable::apply(int segment, std::int64_t version, const std::string &value)
 {
-    if (segment < 0 || segment >= configSegmentCount) {
-        return false;
-    }
-    std::lock_guard lock(m_mutex);
-    auto &applied = m_state->segments[static_cast<std::size_t>(segment)];
-    if (version <= applied.version) {
+    if (segment < 0 || segment >= configSegmentCount || !isNews(segment, version, value)) {
         return false;
     }
     auto content = ConfigSegment::parse(value);
@@ -78,14 +76,29 @@
                    << (content ? "the version differs from the value's" : content.error()) << "\"";
         return false;
     }
-    const auto before = applied.version;
+    std::lock_guard lock(m_mutex);
+    auto &applied = m_state->segments[static_cast<std::size_t>(segment)];
+    // Another thread may have applied a newer one since isNews().
+    if (version <= applied.version && m_guards.refuseOlder) {
+        return false;
+    }
+    TREFOILHOIST_INVARIANT(version > applied.version, "P9 a segment's version in force only rises");
     applied = {version, value, std::move(*content)};
     ++m_state->generation;
-    TREFOILHOIST_INVARIANT(applied.version > before, "P9 a segment's version only rises");
-    TREFOILHOIST_INVARIANT(applied.content.version == applied.version, "P9 the version in force is the value's own");
     return true;
 }
 
+bool ConfigTable::isNews(int segment, std::int64_t version, const std::string &value) const
+{
+    std::lock_guard lock(m_mutex);
+    const auto &applied = m_state->segments[static_cast<std::size_t>(segment)];
+    if (version == applied.version && value != applied.value) {
+        LOG(ERROR) << "event=config_segment_conflict segment=" << segment << " version=" << version
+                   << " reason=\"two values of one version; the first stays in force\"";
+    }
+    return version > applied.version || !m_guards.refuseOlder;
+}
+
 std::vector<std::int64_t> ConfigTable::versions() const
 {
     std::lock_guard lock(m_mutex);
--- a/src/trefoilhoist/config/configtable.h
+++ b/src/trefoilhoist/config/configtable.h
@@ -33,11 +33,17 @@
 
 [[nodiscard]] int configSegmentOf(ObjectKind kind, std::string_view name);
 
+/// Mechanisms that a test switches off to see the promise break.
+struct ConfigTableGuards {
+    /// Ignores a version that is not above the one in force.
+    bool refuseOlder = true;
+};
+
 /// The configuration in force in this process. A segment's version never goes back. Thread-safe; lock rank Config.
 class ConfigTable
 {
 public:
-    ConfigTable();
+    explicit ConfigTable(ConfigTableGuards guards = {});
     ~ConfigTable();
     ConfigTable(const ConfigTable &) = delete;
     ConfigTable &operator=(const ConfigTable &) = delete;
@@ -60,6 +66,10 @@
 
 private:
     struct State;
+
+    [[nodiscard]] bool isNews(int segment, std::int64_t version, const std::string &value) const;
+
+    ConfigTableGuards m_guards;
     mutable Detail::RankedMutex m_mutex;
     std::unique_ptr<State> m_state;
 };
--- a/tests/random/storelease.cpp
+++ b/tests/random/storelease.cpp
@@ -80,7 +80,8 @@
     TimePoint localNow(const Holder &holder)
     {
         return TimePoint{}
-        + Duration(static_cast<std::int64_t>(m_events.now().time_since_epoch().count() * holder.rate));
+        + Duration(static_cast<std::int64_t>(static_cast<double>(m_events.now().time_since_epoch().count())
+                                             * holder.rate));
     }
     Duration delay()
     {
