Count the time of a pause into the age of membership news

Now: within half a liveness time of a pause the pause counts into every age; an owner's minions are fresh only in the buckets where its digest agrees (ownerHeard takes the digest); a leaving record is kept as long as a tombstone.

--- a/src/trefoilhoist/membership/membershiptable.cpp
+++ b/src/trefoilhoist/membership/membershiptable.cpp
@@ -40,6 +40,7 @@
         std::int64_t heardSequence = 0;
         TimePoint heardAt{};
         TimePoint goneAt{};
+        TimePoint takenAt{};
     };
     using KnownMap = std::map<std::string, Known>;
 
@@ -48,11 +49,13 @@
     MembershipSwitches switches;
     KnownMap known;
     std::set<std::string> changed;
-    std::unordered_map<std::string, TimePoint> owners;
+    /// Per owner and bucket: when its digest last agreed with this table.
+    std::unordered_map<std::string, std::array<TimePoint, bucketCount>> owners;
     std::array<std::uint64_t, bucketCount> buckets{};
     std::uint64_t generation = 0;
-    TimePoint lastExpire{};
+    TimePoint lastSeen{};
     TimePoint graceUntil{};
+    Duration lastPause{};
     TimePoint doubtSince{};
 
     [[nodiscard]] bool isMine(const Known &entry) const
@@ -67,7 +70,7 @@
         }
         TimePoint last = entry.heardAt;
         if (const auto it = owners.find(entry.record.owner); !isMine(entry) && it != owners.end()) {
-            last = std::max(last, it->second);
+            last = std::max(last, it->second.at(bucketOf(entry.record.id)));
         }
         return now - last;
     }
@@ -123,15 +126,33 @@
 
     void hear(const Announcement &announcement, TimePoint now);
     bool take(const Wire::MinionRecord &record, TimePoint now);
-    bool takeNew(const Wire::MinionRecord &record, TimePoint now);
+    void takeNew(const Wire::MinionRecord &record, TimePoint now);
     void noticePause(TimePoint now);
+    [[nodiscard]] Duration hiddenAge(TimePoint now) const;
+    [[nodiscard]] bool isTooOld(const Wire::MinionRecord &record, TimePoint now) const;
     [[nodiscard]] bool isSilent(const Known &entry, TimePoint now) const;
     [[nodiscard]] bool doubtsSelf(TimePoint now);
+    [[nodiscard]] bool isLapsed(const Known &entry, TimePoint now) const;
     void markGone(Known &entry, TimePoint now);
 };
 
+// True for news that would list a minion whose end may be forgotten already, or keep a tombstone for ever.
+bool MembershipTable::State::isTooOld(const Wire::MinionRecord &record, TimePoint now) const
+{
+    if (!switches.refuseAged) {
+        return false;
+    }
+    if (record.gone || record.leaving) {
+        return !known.contains(record.id) && milliseconds(record.ageMs) >= times.tombstone;
+    }
+    return milliseconds(record.ageMs) + hiddenAge(now) >= times.orphan;
+}
+
 void MembershipTable::State::hear(const Announcement &announcement, TimePoint now)
 {
+    if (switches.refuseAged && !announcement.minion.leaving && hiddenAge(now) >= times.orphan) {
+        return;
+    }
     const auto record = recordOf(announcement.minion, announcement.sequence, self);
     auto [it, isNew] = known.try_emplace(record.id);
     Known &entry = it->second;
@@ -140,30 +161,31 @@
     }
     const bool changes = isNew || !isMine(entry) || !sameContent(entry.record, record);
     entry.heardSequence = record.sequence;
-    entry.heardAt = now;
+    entry.heardAt = entry.takenAt = now;
     if (changes) {
         publish(entry, record);
     }
 }
 
-bool MembershipTable::State::takeNew(const Wire::MinionRecord &record, TimePoint now)
+void MembershipTable::State::takeNew(const Wire::MinionRecord &record, TimePoint now)
 {
-    const auto limit = record.gone ? times.tombstone : times.orphan;
-    if (switches.refuseAged && milliseconds(record.ageMs) >= limit) {
-        return false;
-    }
     Known &entry = known[record.id];
     entry.heardSequence = record.sequence;
-    entry.heardAt = entry.goneAt = now - milliseconds(record.ageMs);
+    entry.goneAt = now - milliseconds(record.ageMs);
+    entry.heardAt = entry.goneAt - hiddenAge(now);
+    entry.takenAt = now;
     replace(entry, record);
-    return true;
 }
 
 bool MembershipTable::State::take(const Wire::MinionRecord &record, TimePoint now)
 {
+    if (isTooOld(record, now)) {
+        return false;
+    }
     const auto it = known.find(record.id);
     if (it == known.end()) {
-        return takeNew(record, now);
+        takeNew(record, now);
+        return true;
     }
     Known &entry = it->second;
     if (switches.orderNews && !isNewer(record, entry.record)) {
@@ -177,7 +199,9 @@
         return false;
     }
     entry.heardSequence = record.sequence;
-    entry.heardAt = entry.goneAt = now - milliseconds(record.ageMs);
+    entry.goneAt = now - milliseconds(record.ageMs);
+    entry.heardAt = entry.goneAt - hiddenAge(now);
+    entry.takenAt = now;
     if (record.owner == self.str()) {
         // News of an earlier life of this entry: the minion gets the time to be heard again.
         entry.heardAt = now;
@@ -188,11 +212,18 @@
 
 void MembershipTable::State::noticePause(TimePoint now)
 {
-    const bool paused = lastExpire != TimePoint{} && now - lastExpire > times.liveness / 2;
-    if (paused && switches.pauseGrace) {
+    const auto gap = now - lastSeen;
+    if (lastSeen != TimePoint{} && gap > times.liveness / 2 && switches.pauseGrace) {
+        lastPause = gap;
         graceUntil = now + times.liveness;
     }
-    lastExpire = now;
+    lastSeen = std::max(lastSeen, now);
+}
+
+// News taken after a pause may have waited in the socket all the while.
+Duration MembershipTable::State::hiddenAge(TimePoint now) const
+{
+    return now < graceUntil - times.liveness / 2 ? lastPause : Duration{};
 }
 
 bool MembershipTable::State::isSilent(const Known &entry, TimePoint now) const
@@ -220,6 +251,18 @@
     return now - doubtSince < times.doubt;
 }
 
+// True for a record that may be forgotten: a tombstone, or a minion whose owner fell silent.
+bool MembershipTable::State::isLapsed(const Known &entry, TimePoint now) const
+{
+    if (entry.record.gone) {
+        return ageOf(entry, now) > times.tombstone || !switches.keepTombstones;
+    }
+    if (isMine(entry)) {
+        return false;
+    }
+    return entry.record.leaving ? now - entry.takenAt > times.tombstone : ageOf(entry, now) > times.orphan;
+}
+
 void MembershipTable::State::markGone(Known &entry, TimePoint now)
 {
     auto record = latest(entry);
@@ -241,12 +284,14 @@
 void MembershipTable::heard(const Announcement &announcement, TimePoint now)
 {
     std::lock_guard lock(m_mutex);
+    m_state->noticePause(now);
     m_state->hear(announcement, now);
 }
 
 std::size_t MembershipTable::apply(const std::vector<Wire::MinionRecord> &records, TimePoint now)
 {
     std::lock_guard lock(m_mutex);
+    m_state->noticePause(now);
     std::size_t newer = 0;
     for (const auto &record : records) {
         if (!record.id.empty() && m_state->take(record, now)) {
@@ -256,10 +301,17 @@
     return newer;
 }
 
-void MembershipTable::ownerHeard(const EntryId &owner, TimePoint now)
+void MembershipTable::ownerHeard(const EntryId &owner, const std::vector<std::int64_t> &digest, TimePoint now)
 {
     std::lock_guard lock(m_mutex);
-    m_state->owners[owner.str()] = now;
+    m_state->noticePause(now);
+    auto &agreed = m_state->owners[owner.str()];
+    const auto at = now - m_state->hiddenAge(now);
+    for (std::size_t n = 0; n < std::min(bucketCount, digest.size()); ++n) {
+        if (static_cast<std::int64_t>(m_state->buckets[n]) == digest[n]) {
+            agreed[n] = std::max(agreed[n], at);
+        }
+    }
 }
 
 void MembershipTable::refusedAsLeaving(const MinionId &minion, std::int64_t incarnation, TimePoint now)
@@ -285,11 +337,7 @@
         if (m_state->isSilent(entry, now) && (!keep || entry.record.leaving)) {
             m_state->markGone(entry, now);
         }
-        const auto age = m_state->ageOf(entry, now);
-        const auto &times = m_state->times;
-        const bool lapsed = entry.record.gone ? age > times.tombstone || !m_state->switches.keepTombstones
-                                              : !m_state->isMine(entry) && age > times.orphan;
-        it = lapsed ? m_state->erase(it) : std::next(it);
+        it = m_state->isLapsed(entry, now) ? m_state->erase(it) : std::next(it);
     }
 }
 
--- a/src/trefoilhoist/membership/membershiptable.h
+++ b/src/trefoilhoist/membership/membershiptable.h
@@ -60,8 +60,8 @@
     /// News from a peer. Returns how many records were newer than what was known.
     std::size_t apply(const std::vector<Wire::MinionRecord> &records, TimePoint now);
 
-    /// A peer entry answered or sent anything: the minions it owns have an owner.
-    void ownerHeard(const EntryId &owner, TimePoint now);
+    /// A peer entry sent its digest. Where it agrees with this table, the minions that the peer owns are fresh.
+    void ownerHeard(const EntryId &owner, const std::vector<std::int64_t> &digest, TimePoint now);
 
     /// The minion refused a request because it is leaving. The incarnation is the one the request went to.
     void refusedAsLeaving(const MinionId &minion, std::int64_t incarnation, TimePoint now);
