--- a/src/programs/entry/entry.cpp
+++ b/src/programs/entry/entry.cpp
@@ -1,5 +1,7 @@
 #include "entry.h"
 
+#include "trefoilhoist/store/consulstoreclient.h"
+
 #include <glog/logging.h>
 
 namespace Trefoilhoist {
@@ -14,12 +16,25 @@
     return settings.id.str() + "-" + std::to_string(incarnation) + "-";
 }
 
+std::shared_ptr<StoreClient> storeFrom(Runtime &runtime, const EntrySettings &settings)
+{
+    if (!settings.store) {
+        return nullptr;
+    }
+    ConsulStoreOptions options;
+    options.addresses = {*settings.store};
+    options.caller = "entry/" + settings.id.str();
+    return std::make_shared<ConsulStoreClient>(runtime.executor(), options);
+}
+
 } // namespace
 
 Entry::Entry(Runtime &runtime, EntrySettings settings)
     : m_runtime(runtime)
     , m_settings(std::move(settings))
     , m_metrics(runtime.clock())
+    , m_store(storeFrom(runtime, m_settings))
+    , m_configAgent(std::make_shared<ConfigAgent>(m_config, m_store, ConfigAgentOptions{}))
     , m_membership(m_settings.id, m_settings.membership)
     , m_router(m_settings.routing)
     , m_requests(runtime.executor(),
@@ -29,8 +44,14 @@
                  m_router,
                  m_metrics)
     , m_feed(runtime.clock(), m_membership, m_router, m_requests)
-    , m_exchange(
-          runtime.executor(), m_settings, runtime.incarnation(), runtime.clock(), m_membership, m_router, m_metrics)
+    , m_exchange(runtime.executor(),
+                 m_settings,
+                 runtime.incarnation(),
+                 runtime.clock(),
+                 m_membership,
+                 m_router,
+                 *m_configAgent,
+                 m_metrics)
     , m_surface(m_settings, {runtime.clock(), m_membership, m_requests, m_feed, m_config, m_burn, m_metrics})
     , m_http(runtime.executor(),
              m_settings.http,
@@ -53,6 +74,9 @@
     }
     spawn(m_runtime.executor(), "minion feed", [this] { return m_feed.loop(); });
     m_exchange.start();
+    if (m_store) {
+        m_configAgent->startWatching(m_runtime.executor());
+    }
     m_runtime.onStop([this] { return stop(); });
     m_runtime.ready("http=" + Endpoint{m_settings.listen.host, *port}.str()
                     + " peer=" + Endpoint{m_settings.peerListen.host, *peerPort}.str());
--- a/src/programs/entry/entry.h
+++ b/src/programs/entry/entry.h
@@ -6,7 +6,9 @@
 #include "peerexchange.h"
 #include "requestexecutor.h"
 
+#include "trefoilhoist/config/configagent.h"
 #include "trefoilhoist/net/program.h"
+#include "trefoilhoist/store/storeclient.h"
 #include "trefoilhoist/wire/peerserver.h"
 
 #include <optional>
@@ -33,6 +35,8 @@
     EntrySettings m_settings;
     MetricsRegistry m_metrics;
     ConfigTable m_config;
+    std::shared_ptr<StoreClient> m_store;
+    std::shared_ptr<ConfigAgent> m_configAgent;
     BurnTable m_burn;
     MembershipTable m_membership;
     Router m_router;
--- a/src/programs/entry/entrysettings.cpp
+++ b/src/programs/entry/entrysettings.cpp
@@ -2,10 +2,7 @@
 
 #include "trefoilhoist/net/program.h"
 
-#include <array>
 #include <stdexcept>
-#include <string_view>
-#include <utility>
 
 namespace Trefoilhoist {
 
@@ -13,22 +10,6 @@
 
 using Json = nlohmann::json;
 
-constexpr std::array<std::pair<RoutingPolicy, std::string_view>, 3> routingPolicyNames{{
-    {RoutingPolicy::LeastInFlight, "least-in-flight"},
-    {RoutingPolicy::PowerOfTwo, "power-of-two"},
-    {RoutingPolicy::FairShare, "fair-share"},
-}};
-
-RoutingPolicy routingPolicyFrom(const std::string &text, RoutingPolicy fallback)
-{
-    for (const auto &[policy, name] : routingPolicyNames) {
-        if (name == text) {
-            return policy;
-        }
-    }
-    return fallback;
-}
-
 Endpoint endpointAt(const std::string &place, const std::string &text)
 {
     try {
@@ -71,7 +52,8 @@
 void readRouting(const Json &routing, EntrySettings &out)
 {
     auto &to = out.routing;
-    to.policy = routingPolicyFrom(routing.value("policy", std::string()), to.policy);
+    to.policy = routingPolicyFromName(routing.value("policy", std::string())).value_or(to.policy);
+    to.self = out.id;
     to.maxQueued = routing.value("maxQueued", to.maxQueued);
     to.retryBudget = routing.value("retryBudget", to.retryBudget);
     to.maxEjected = routing.value("maxEjected", to.maxEjected);
--- a/src/programs/entry/peerexchange.cpp
+++ b/src/programs/entry/peerexchange.cpp
@@ -49,6 +49,11 @@
     co_return answer;
 }
 
+PeerClient &Peer::client()
+{
+    return m_client;
+}
+
 EntryId Peer::id() const
 {
     std::lock_guard lock(m_mutex);
@@ -61,12 +66,14 @@
                            const Clock &clock,
                            MembershipTable &membership,
                            Router &router,
+                           ConfigAgent &config,
                            MetricsRegistry &metrics)
     : m_executor(std::move(executor))
     , m_settings(settings)
     , m_clock(clock)
     , m_membership(membership)
     , m_router(router)
+    , m_config(config)
     , m_metrics(metrics)
 {
     for (const auto &address : settings.peers) {
@@ -133,8 +140,7 @@
 awaitable<void> PeerExchange::digestLoop(std::shared_ptr<Peer> peer)
 {
     while (true) {
-        const auto answer
-            = co_await peer->call(Wire::MessageKind::MembershipDigestKind, digestMessage(), peerTimeout);
+        const auto answer = co_await peer->call(Wire::MessageKind::MembershipDigestKind, digestMessage(), peerTimeout);
         if (answer) {
             heardFrom(answer->sender);
             if (const auto delta = Wire::decode<Wire::MembershipDelta>(answer->payload)) {
@@ -165,6 +171,7 @@
     Wire::MembershipDigest digest;
     digest.buckets = m_membership.digest();
     digest.availabilityZone = m_settings.zone.str();
+    digest.configVersions = m_config.versions();
     digest.draining = m_draining;
     return Wire::encode(digest);
 }
@@ -174,6 +181,7 @@
     Wire::MembershipDelta delta;
     if (const auto digest = Wire::decode<Wire::MembershipDigest>(envelope.payload)) {
         delta.minions = m_membership.recordsIn(m_membership.differingBuckets(digest->buckets), m_clock.now());
+        pullConfig(envelope.sender, digest->configVersions);
         if (digest->draining) {
             m_router.forgetPeer(EntryId(envelope.sender));
         }
@@ -181,6 +189,20 @@
     return envelopeOf(Wire::MessageKind::MembershipDeltaKind, Wire::encode(delta));
 }
 
+void PeerExchange::pullConfig(const std::string &sender, const std::vector<std::int64_t> &versions)
+{
+    if (!m_config.behind(versions)) {
+        return;
+    }
+    for (const auto &peer : m_peers) {
+        if (peer->id().str() == sender) {
+            spawn(m_executor, "config pull", [this, peer]() -> awaitable<void> {
+                co_await m_config.pullFrom(peer->client());
+            });
+        }
+    }
+}
+
 void PeerExchange::applyLoad(const Wire::Envelope &envelope)
 {
     const auto report = Wire::decode<Wire::LoadReport>(envelope.payload);
@@ -211,7 +233,7 @@
     case Wire::MessageKind::HelloKind:
         return acknowledgement();
     default:
-        return std::nullopt;
+        return m_config.handle(envelope);
     }
 }
 
--- a/src/programs/entry/peerexchange.h
+++ b/src/programs/entry/peerexchange.h
@@ -2,6 +2,7 @@
 
 #include "entrysettings.h"
 
+#include "trefoilhoist/config/configagent.h"
 #include "trefoilhoist/membership/membershiptable.h"
 #include "trefoilhoist/metrics/metrics.h"
 #include "trefoilhoist/routing/router.h"
@@ -27,6 +28,8 @@
     awaitable<tl::expected<Wire::Envelope, CallError>>
     call(Wire::MessageKind kind, std::string payload, Duration timeout);
 
+    [[nodiscard]] PeerClient &client();
+
     /// Empty until the settings name it or the peer has answered once.
     [[nodiscard]] EntryId id() const;
 
@@ -36,7 +39,7 @@
     PeerClient m_client;
 };
 
-/// Membership, load and liveness between entries: changes are pushed at once, digests are compared each second.
+/// Membership, load and configuration between entries: changes are pushed at once, digests are compared each second.
 /// Thread-safe.
 class PeerExchange
 {
@@ -47,12 +50,13 @@
                  const Clock &clock,
                  MembershipTable &membership,
                  Router &router,
+                 ConfigAgent &config,
                  MetricsRegistry &metrics);
 
     /// Starts the loops that push and compare.
     void start();
 
-    /// Answers a peer's message about membership or load; nothing for other kinds.
+    /// Answers a peer's message about membership, load or configuration; nothing for other kinds.
     [[nodiscard]] std::optional<Wire::Envelope> handle(const Wire::Envelope &envelope);
 
     /// Tells peers with the next digest that this entry takes no new requests.
@@ -68,6 +72,7 @@
     [[nodiscard]] std::string loadReport() const;
     [[nodiscard]] std::string digestMessage() const;
     [[nodiscard]] Wire::Envelope answerDigest(const Wire::Envelope &envelope);
+    void pullConfig(const std::string &sender, const std::vector<std::int64_t> &versions);
     void applyLoad(const Wire::Envelope &envelope);
 
     Asio::any_io_executor m_executor;
@@ -75,6 +80,7 @@
     const Clock &m_clock;
     MembershipTable &m_membership;
     Router &m_router;
+    ConfigAgent &m_config;
     MetricsRegistry &m_metrics;
     std::vector<std::shared_ptr<Peer>> m_peers;
     std::atomic<bool> m_draining = false;
--- a/src/programs/entry/requestcourse.cpp
+++ b/src/programs/entry/requestcourse.cpp
@@ -27,6 +27,7 @@
         m_mayHaveRun = true;
         break;
     case AttemptEnd::Refused:
+    case AttemptEnd::Leaving:
     case AttemptEnd::Unreachable:
         break;
     }
--- a/src/programs/entry/requestexecutor.cpp
+++ b/src/programs/entry/requestexecutor.cpp
@@ -107,7 +107,7 @@
     }
 };
 
-RequestExecutor::RequestExecutor(Asio::any_io_executor executor,
+RequestExecutor::RequestExecutor(const Asio::any_io_executor &executor,
                                  const EntrySettings &settings,
                                  std::string correlationPrefix,
                                  const Clock &clock,
@@ -193,7 +193,7 @@
     TREFOILHOIST_INVARIANT(result->headers.get(correlationHeader) == options.correlation, "P4 own whole answer");
     if (refusedByMinion(*result)) {
         reason = "refused by minion " + dispatch.minion.id.str();
-        co_return AttemptEnd::Refused;
+        co_return result->headers.has(leavingHeader) ? AttemptEnd::Leaving : AttemptEnd::Refused;
     }
     response = forwarded(std::move(*result), dispatch.minion.id);
     co_return response.status >= firstServerError ? AttemptEnd::ServerError : AttemptEnd::Answered;
@@ -227,13 +227,14 @@
         const auto now = m_state->clock.now();
         perform(m_state->router.finished({dispatch.request, dispatch.minion.id, end, now - start}, now));
 
-        const auto step = course.attemptEnded(
-            end, reason, now, [&] { return m_state->router.takeRetry(request.service, now); });
+        const auto step
+            = course.attemptEnded(end, reason, now, [&] { return m_state->router.takeRetry(request.service, now); });
         if (std::holds_alternative<ForwardAnswer>(step)) {
             co_return ServiceOutcome{Verdict::Ran, std::move(response), last};
         }
         if (const auto *stop = std::get_if<GiveUp>(&step)) {
-            co_return ServiceOutcome{stop->verdict, verdictResponse(stop->verdict, stop->reason, defaultRetryAfter), last};
+            co_return ServiceOutcome{
+                stop->verdict, verdictResponse(stop->verdict, stop->reason, defaultRetryAfter), last};
         }
         routed.attempt = std::get<TryAgain>(step).attempt;
     }
--- a/src/programs/entry/requestexecutor.h
+++ b/src/programs/entry/requestexecutor.h
@@ -42,7 +42,7 @@
 class RequestExecutor
 {
 public:
-    RequestExecutor(Asio::any_io_executor executor,
+    RequestExecutor(const Asio::any_io_executor &executor,
                     const EntrySettings &settings,
                     std::string correlationPrefix,
                     const Clock &clock,
--- a/src/trefoilhoist/net/httpmessage.h
+++ b/src/trefoilhoist/net/httpmessage.h
@@ -63,6 +63,8 @@
 inline constexpr std::string_view deadlineHeader = "Trefoilhoist-Deadline-Ms";
 inline constexpr std::string_view attemptHeader = "Trefoilhoist-Attempt";
 inline constexpr std::string_view minionHeader = "Trefoilhoist-Minion";
+/// On a minion's refusal: it is leaving and refuses all that follows.
+inline constexpr std::string_view leavingHeader = "Trefoilhoist-Leaving";
 inline constexpr std::string_view idempotencyHeader = "Idempotency-Key";
 inline constexpr std::string_view retryAfterHeader = "Retry-After";
 
