--- a/src/programs/entry/requestexecutor.cpp
+++ b/src/programs/entry/requestexecutor.cpp
@@ -107,7 +107,7 @@
     }
 };
 
-RequestExecutor::RequestExecutor(Asio::any_io_executor executor,
+RequestExecutor::RequestExecutor(const Asio::any_io_executor &executor,
                                  const EntrySettings &settings,
                                  std::string correlationPrefix,
                                  const Clock &clock,
@@ -193,7 +193,7 @@
     TREFOILHOIST_INVARIANT(result->headers.get(correlationHeader) == options.correlation, "P4 own whole answer");
     if (refusedByMinion(*result)) {
         reason = "refused by minion " + dispatch.minion.id.str();
-        co_return AttemptEnd::Refused;
+        co_return result->headers.has(leavingHeader) ? AttemptEnd::Leaving : AttemptEnd::Refused;
     }
     response = forwarded(std::move(*result), dispatch.minion.id);
     co_return response.status >= firstServerError ? AttemptEnd::ServerError : AttemptEnd::Answered;
