--- /dev/null
+++ b/src/trefoilhoist/placement/cellowner.cpp
@@ -0,0 +1,489 @@
+#include "trefoilhoist/placement/cellowner.h"
+
+#include "trefoilhoist/internal/invariant.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+
+namespace Trefoilhoist {
+
+CellOwner::CellOwner(CellOwnerSettings settings, PlacementPolicy policy, LabelSource labels)
+    : m_settings(std::move(settings)), m_policy(std::move(policy)), m_labels(std::move(labels))
+{
+}
+
+std::vector<OwnerAction> CellOwner::handle(TimePoint now, const OwnerEvent &event)
+{
+    std::visit([&](const auto &it) { on(now, it); }, event);
+    if (owning()) {
+        step(now);
+    }
+    return std::exchange(m_actions, {});
+}
+
+void CellOwner::step(TimePoint now)
+{
+    takeStoreEvents(now);
+    cleanEnded(now);
+    decide(now);
+    while (owning() && !m_due.empty() && m_due.begin()->first <= now) {
+        const auto id = m_due.begin()->second;
+        auto &link = m_links.at(id);
+        if (!forget(now, link)) {
+            serve(now, link);
+        }
+    }
+    pollStore(now);
+}
+
+void CellOwner::on(TimePoint now, const OwnershipGained &event)
+{
+    reset();
+    m_epoch = event.epoch;
+    m_heldUntil = event.heldUntil;
+    m_store.emplace(CellStore::Settings{m_settings.cell, m_epoch, m_settings.editInterval}, event.contents);
+    m_jobIndexes = event.contents.jobIndexes;
+    const auto bound = now + m_settings.outageGrace + m_settings.lease + m_settings.margin;
+    for (const auto &worker : event.contents.roster) {
+        auto &link = m_links[worker];
+        link.lapsed = false;
+        link.leaseBound = bound;
+        link.announcedAt = std::max(link.announcedAt, now);
+        m_unheard.insert(worker);
+    }
+    if (!m_settings.safety.waitForLapse) {
+        m_unheard.clear();
+    }
+    for (const auto &[segment, jobs] : event.contents.jobs) {
+        for (const auto &[id, stored] : jobs) {
+            addJob(now, stored, true);
+        }
+    }
+    for (auto &[id, link] : m_links) {
+        link.announced.worker.id = id;
+        schedule(link, now);
+    }
+    LOG(INFO) << "event=ownership_gained cell=" << m_settings.cell << " epoch=" << m_epoch
+              << " jobs=" << m_tasks.jobs().size() << " roster=" << m_unheard.size();
+    if (m_unheard.empty()) {
+        resolveUncertain(now);
+    }
+}
+
+void CellOwner::on(TimePoint /*now*/, const StoreLeaseExtended &event)
+{
+    m_heldUntil = std::max(m_heldUntil, event.heldUntil);
+}
+
+void CellOwner::on(TimePoint /*now*/, const OwnershipLost & /*event*/)
+{
+    if (owning()) {
+        LOG(WARNING) << "event=ownership_lost cell=" << m_settings.cell << " epoch=" << m_epoch;
+    }
+    reset();
+}
+
+void CellOwner::on(TimePoint now, const WorkerAnnounced &event)
+{
+    const auto &worker = event.announcement.worker;
+    auto &link = m_links[worker.id];
+    if (worker.incarnation < link.announced.worker.incarnation) {
+        return;
+    }
+    const bool same = worker.incarnation == link.announced.worker.incarnation;
+    const bool wasLeaving = same && link.announced.worker.leaving;
+    const bool moved = !(link.announced.worker.endpoint == worker.endpoint);
+    link.announced = event.announcement;
+    link.announced.worker.leaving = worker.leaving || wasLeaving;
+    link.announcedAt = now;
+    if (owning()) {
+        if (moved || link.due == TimePoint{} || (link.announced.worker.leaving && !wasLeaving)) {
+            schedule(link, now);
+        }
+        refreshView(now, link);
+    }
+}
+
+void CellOwner::on(TimePoint now, const JobSegmentRead &event)
+{
+    auto &index = m_jobIndexes[event.segment];
+    if (!owning() || event.modifyIndex <= index) {
+        return;
+    }
+    index = event.modifyIndex;
+    for (const auto &[id, stored] : event.jobs) {
+        auto *job = m_tasks.findJob(id);
+        if (job != nullptr && job->stored.nonce != stored.nonce && job->state != JobState::Open) {
+            m_tasks.eraseJob(id);
+            job = nullptr;
+        }
+        if (job == nullptr) {
+            // The store lease is held, so no earlier owner can have started a job that appears only now.
+            addJob(now, stored, false);
+        } else if (stored.cancelled && !job->cancelled && job->stored.nonce == stored.nonce) {
+            job->cancelled = true;
+            abandonJob(now, id);
+        }
+    }
+    for (const auto &id : std::set<JobId>(m_segmentJobs[event.segment])) {
+        auto *job = m_tasks.findJob(id);
+        if (event.jobs.contains(id) || job == nullptr || job->state != JobState::Open) {
+            continue;
+        }
+        LOG(WARNING) << "event=job_vanished job=" << id;
+        job->cancelled = true;
+        abandonJob(now, id);
+    }
+}
+
+void CellOwner::on(TimePoint now, const StoreReplied &event)
+{
+    if (!owning()) {
+        return;
+    }
+    for (auto &it : m_store->reply(now, event.reply)) {
+        m_actions.emplace_back(RunCommand{std::move(it)});
+    }
+}
+
+void CellOwner::on(TimePoint /*now*/, const OwnerTick & /*event*/)
+{
+}
+
+void CellOwner::on(TimePoint /*now*/, const StopRequested & /*event*/)
+{
+    m_stopping = true;
+}
+
+void CellOwner::reset()
+{
+    m_epoch = 0;
+    m_heldUntil = {};
+    m_runCount = 0;
+    m_store.reset();
+    m_tasks = TaskTable();
+    m_jobIndexes.clear();
+    m_segmentJobs.clear();
+    m_ended.clear();
+    m_views.clear();
+    m_due.clear();
+    m_unheard.clear();
+    m_dirty = true;
+    for (auto &[id, link] : m_links) {
+        WorkerLink fresh;
+        fresh.announced = std::move(link.announced);
+        fresh.announcedAt = link.announcedAt;
+        link = std::move(fresh);
+    }
+}
+
+void CellOwner::depose(const std::string &reason)
+{
+    LOG(WARNING) << "event=deposed cell=" << m_settings.cell << " epoch=" << m_epoch << " reason=\"" << reason << '"';
+    m_actions.emplace_back(GiveUpOwnership{reason});
+    reset();
+}
+
+bool CellOwner::mayStart(TimePoint now) const
+{
+    return owning() && !m_stopping && (now < m_heldUntil || !m_settings.safety.checkStoreLease);
+}
+
+bool CellOwner::mayRenew(TimePoint now) const
+{
+    return owning() && (now < m_heldUntil + m_settings.outageGrace || !m_settings.safety.boundOutage);
+}
+
+Labels CellOwner::labelsOf(const Worker &worker) const
+{
+    return m_labels ? m_labels(worker) : worker.labels;
+}
+
+bool CellOwner::leaving(const WorkerLink &link) const
+{
+    const auto &worker = link.announced.worker;
+    if (worker.leaving) {
+        return true;
+    }
+    const auto labels = labelsOf(worker);
+    const auto it = labels.find("drain");
+    return it != labels.end() && it->second == "true";
+}
+
+bool CellOwner::usable(TimePoint now, const WorkerLink &link) const
+{
+    const bool listed = !m_settings.safety.useRoster || m_store->inRoster(link.announced.worker.id);
+    return link.adopted && listed && !link.lastCallFailed && link.token != 0
+        && now < link.acceptedAt + m_settings.lease / 2 && !leaving(link);
+}
+
+void CellOwner::schedule(WorkerLink &link, TimePoint due)
+{
+    const auto &id = link.announced.worker.id;
+    m_due.erase({link.due, id});
+    link.due = due;
+    m_due.insert({due, id});
+}
+
+void CellOwner::urge(TimePoint now, WorkerLink &link)
+{
+    link.urged = true;
+    if (link.call == 0) {
+        schedule(link, now);
+    }
+}
+
+bool CellOwner::forget(TimePoint now, WorkerLink &link)
+{
+    constexpr Duration forgetAfter = seconds(60);
+    const auto id = link.announced.worker.id;
+    if (now < link.announcedAt + forgetAfter || !link.lapsed || !link.places.empty() || m_unheard.contains(id)) {
+        return false;
+    }
+    m_store->removeFromRoster(id);
+    if (m_store->roster().contains(id)) {
+        return false;
+    }
+    LOG(INFO) << "event=worker_forgotten worker=" << id;
+    m_due.erase({link.due, id});
+    m_views.erase(id);
+    m_quarantined.erase(id);
+    m_links.erase(id);
+    return true;
+}
+
+void CellOwner::serve(TimePoint now, WorkerLink &link)
+{
+    checkLapse(now, link);
+    checkCheckpoints(now, link);
+    drain(now, link);
+    schedule(link, now + m_settings.syncInterval);
+    if (link.call != 0 || link.announced.worker.endpoint.port == 0 || !mayRenew(now)) {
+        return;
+    }
+    link.call = ++m_callCount;
+    ++m_counts.syncs;
+    const auto &worker = link.announced.worker;
+    m_actions.emplace_back(SendSync{worker.id, worker.endpoint, link.call, buildRequest(now, link)});
+}
+
+void CellOwner::checkLapse(TimePoint now, WorkerLink &link)
+{
+    const bool impatient = !m_settings.safety.waitForLapse && link.lastCallFailed;
+    if (link.lapsed || (now < link.leaseBound && !impatient)) {
+        return;
+    }
+    link.lapsed = true;
+    if (!link.places.empty()) {
+        LOG(WARNING) << "event=worker_lapsed worker=" << link.announced.worker.id << " tasks=" << link.places.size();
+    }
+    loseRuns(now, link);
+    heard(now, link.announced.worker.id);
+    refreshView(now, link);
+}
+
+void CellOwner::checkCheckpoints(TimePoint now, WorkerLink &link)
+{
+    std::vector<TaskId> late;
+    for (const auto &task : link.checkpointing) {
+        const auto *entry = m_tasks.find(task);
+        if (entry != nullptr && now >= entry->askedAt + m_settings.checkpointTimeout) {
+            late.push_back(task);
+        }
+    }
+    for (const auto &task : late) {
+        orderStop(now, *m_tasks.find(task));
+    }
+}
+
+void CellOwner::drain(TimePoint now, const WorkerLink &link)
+{
+    if (link.places.empty() || !leaving(link)) {
+        return;
+    }
+    for (const auto &task : std::set<TaskId>(link.places)) {
+        apply(now, EvictTask{task, "worker is leaving"});
+    }
+}
+
+SyncRequest CellOwner::buildRequest(TimePoint now, WorkerLink &link)
+{
+    SyncRequest request;
+    request.epoch = m_epoch;
+    request.owner = m_settings.owner;
+    request.lease = m_settings.lease;
+    link.sentStarts.clear();
+    link.sentStops.clear();
+    link.sentDurable.clear();
+    link.sentStrays.clear();
+    link.urged = false;
+    if (!link.adopted) {
+        return request;
+    }
+    request.token = link.token;
+    request.since = link.since;
+    // The worker issued the token before it came here, and its lease ends that long after the issue.
+    link.leaseBound = std::max(link.leaseBound, link.tokenAt + m_settings.lease + m_settings.margin);
+    if (now < link.leaseBound) {
+        link.lapsed = false;
+    }
+    addOrders(now, link, request);
+    return request;
+}
+
+void CellOwner::addOrders(TimePoint now, WorkerLink &link, SyncRequest &request)
+{
+    const auto refOf = [this](const TaskId &task) { return RunRef{task, m_tasks.find(task)->run}; };
+    if (mayStart(now)) {
+        for (const auto &task : link.starting) {
+            const auto &entry = *m_tasks.find(task);
+            const auto &job = m_tasks.openJobs().at(entry.task.job);
+            request.start.push_back({task,
+                                     entry.task.job,
+                                     entry.run,
+                                     entry.checkpoint,
+                                     entry.reserved,
+                                     entry.task.declaredRunTime,
+                                     job.batchClass});
+            link.sentStarts.push_back({task, entry.run});
+        }
+    }
+    for (const auto &task : link.checkpointing) {
+        request.checkpoint.push_back(refOf(task));
+    }
+    for (const auto &[task, share] : link.throttling) {
+        request.throttle.push_back({refOf(task), share});
+    }
+    for (const auto &task : link.stopping) {
+        request.stop.push_back(refOf(task));
+    }
+    link.sentStops = request.stop;
+    link.sentStrays.assign(link.strays.begin(), link.strays.end());
+    request.stop.insert(request.stop.end(), link.strays.begin(), link.strays.end());
+    request.durable.assign(link.durable.begin(), link.durable.end());
+    link.sentDurable = request.durable;
+}
+
+void CellOwner::heard(TimePoint now, const WorkerId &worker)
+{
+    if (m_unheard.erase(worker) > 0 && m_unheard.empty()) {
+        resolveUncertain(now);
+    }
+}
+
+void CellOwner::resolveUncertain(TimePoint now)
+{
+    const auto tasks = m_tasks.uncertain();
+    LOG(INFO) << "event=cell_taken_over cell=" << m_settings.cell << " epoch=" << m_epoch
+              << " tasks_without_place=" << tasks.size();
+    for (const auto &task : tasks) {
+        requeue(now, *m_tasks.find(task));
+    }
+}
+
+void CellOwner::loseRuns(TimePoint now, WorkerLink &link)
+{
+    for (const auto &task : std::set<TaskId>(link.places)) {
+        loseRun(now, link, *m_tasks.find(task), RunEnd::Lost);
+    }
+    link.strays.clear();
+    link.durable.clear();
+}
+
+void CellOwner::refreshView(TimePoint now, const WorkerLink &link)
+{
+    const auto &id = link.announced.worker.id;
+    const auto it = m_views.find(id);
+    if (!link.adopted && it == m_views.end()) {
+        return;
+    }
+    auto &view = it != m_views.end() ? it->second : m_views[id];
+    const bool before = view.reachable && !view.worker.id.empty();
+    view.worker = link.announced.worker;
+    view.worker.labels = labelsOf(link.announced.worker);
+    view.serviceReserved = {};
+    view.services.clear();
+    for (const auto &share : link.announced.services) {
+        view.serviceReserved += share.reserved;
+        view.services.push_back(share.service);
+    }
+    view.reachable = usable(now, link);
+    m_dirty = m_dirty || view.reachable != before;
+}
+
+void CellOwner::pollStore(TimePoint now)
+{
+    if (!owning()) {
+        return;
+    }
+    for (auto &it : m_store->poll(now)) {
+        m_actions.emplace_back(RunCommand{std::move(it)});
+    }
+}
+
+void CellOwner::takeStoreEvents(TimePoint now)
+{
+    if (!owning()) {
+        return;
+    }
+    for (const auto &event : m_store->takeEvents()) {
+        if (!owning()) {
+            return;
+        }
+        std::visit([&](const auto &it) { settle(now, it); }, event);
+    }
+}
+
+WorkerLink *CellOwner::linkOf(const WorkerId &worker)
+{
+    const auto it = m_links.find(worker);
+    return it != m_links.end() ? &it->second : nullptr;
+}
+
+bool CellOwner::owning() const
+{
+    return m_epoch != 0;
+}
+
+std::int64_t CellOwner::epoch() const
+{
+    return m_epoch;
+}
+
+bool CellOwner::drained() const
+{
+    return !m_store || !m_store->recordsBusy();
+}
+
+const TaskTable &CellOwner::tasks() const
+{
+    return m_tasks;
+}
+
+const std::map<WorkerId, WorkerLink> &CellOwner::workers() const
+{
+    return m_links;
+}
+
+const std::map<WorkerId, WorkerView> &CellOwner::views() const
+{
+    return m_views;
+}
+
+const OwnerCounts &CellOwner::counts() const
+{
+    return m_counts;
+}
+
+std::size_t CellOwner::unheard() const
+{
+    return m_unheard.size();
+}
+
+const std::map<WorkerId, std::string> &CellOwner::quarantined() const
+{
+    return m_quarantined;
+}
+
+} // namespace Trefoilhoist
--- /dev/null
+++ b/src/trefoilhoist/placement/cellowner.h
@@ -0,0 +1,286 @@
+#pragma once
+
+#include "trefoilhoist/placement/cellstore.h"
+#include "trefoilhoist/placement/policy.h"
+#include "trefoilhoist/placement/tasktable.h"
+#include "trefoilhoist/placement/workerlink.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace Trefoilhoist {
+
+/// Switches that tests use to show that each mechanism matters. Programs leave all on.
+struct OwnerSafety {
+    /// Starts only while the store lease is surely held.
+    bool checkStoreLease = true;
+    /// Tasks on an unreachable worker wait until its lease must have lapsed.
+    bool waitForLapse = true;
+    /// Stops renewing a bounded time after the store lease.
+    bool boundOutage = true;
+    /// A worker stands in the store's roster before its first start.
+    bool useRoster = true;
+    /// Each start has a new run number.
+    bool freshRunNumbers = true;
+    /// An ended run is told durable only after its record stands in the store.
+    bool recordBeforeDurable = true;
+    /// Ends the process on a broken P1 to P3 invariant.
+    bool assertInvariants = true;
+};
+
+struct CellOwnerSettings {
+    std::string owner;
+    std::string cell;
+    Duration lease = seconds(5);
+    /// How much clocks and pauses between reading and acting may differ.
+    Duration margin = milliseconds(250);
+    /// How long running tasks are renewed after the store lease can't be held any more.
+    Duration outageGrace = seconds(300);
+    Duration syncInterval = seconds(1);
+    Duration retryInterval = milliseconds(250);
+    /// Between two decisions of the policy while there is something new.
+    Duration decideInterval = milliseconds(20);
+    /// Between two decisions when nothing is new.
+    Duration idleDecideInterval = seconds(1);
+    /// A task that takes no checkpoint within this is stopped without.
+    Duration checkpointTimeout = seconds(10);
+    /// How long an ended job is kept, and repeated submissions of it recognised.
+    Duration keepEnded = seconds(600);
+    Duration editInterval = milliseconds(20);
+    std::size_t window = 512;
+    OwnerSafety safety;
+};
+
+// Events.
+
+/// The store lease is taken; the contents were read afterwards.
+struct OwnershipGained {
+    std::int64_t epoch = 0;
+    /// Until then the store lease surely holds.
+    TimePoint heldUntil{};
+    CellContents contents;
+};
+struct StoreLeaseExtended {
+    TimePoint heldUntil{};
+};
+/// Another owner has or will have the cell, or this one gives it up.
+struct OwnershipLost { };
+struct WorkerAnnounced {
+    WorkerAnnouncement announcement;
+};
+/// A value under cells/<cell>/jobs/ as read at `modifyIndex`.
+struct JobSegmentRead {
+    int segment = 0;
+    std::uint64_t modifyIndex = 0;
+    JobSegment jobs;
+};
+struct SyncAnswered {
+    WorkerId worker;
+    std::uint64_t call = 0;
+    SyncAnswer answer;
+};
+/// No answer within the time limit; the sync may have been carried out.
+struct SyncFailed {
+    WorkerId worker;
+    std::uint64_t call = 0;
+};
+struct StoreReplied {
+    StoreReply reply;
+};
+/// A time step; also finishes what the other events have begun.
+struct OwnerTick { };
+/// From here nothing is started.
+struct StopRequested { };
+
+using OwnerEvent = std::variant<OwnershipGained,
+                                StoreLeaseExtended,
+                                OwnershipLost,
+                                WorkerAnnounced,
+                                JobSegmentRead,
+                                SyncAnswered,
+                                SyncFailed,
+                                StoreReplied,
+                                OwnerTick,
+                                StopRequested>;
+
+// Actions.
+
+struct SendSync {
+    WorkerId worker;
+    Endpoint endpoint;
+    std::uint64_t call = 0;
+    SyncRequest request;
+};
+struct RunCommand {
+    StoreCommand command;
+};
+/// A newer owner was seen: give up the store lease and read nothing more for this epoch.
+struct GiveUpOwnership {
+    std::string reason;
+};
+
+using OwnerAction = std::variant<SendSync, RunCommand, GiveUpOwnership>;
+
+/// What the owner has done since the start of the process.
+struct OwnerCounts {
+    std::uint64_t starts = 0;
+    std::uint64_t finished = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t evictions = 0;
+    std::uint64_t lost = 0;
+    std::uint64_t refused = 0;
+    /// Runs that a worker reported of tasks that are over or placed elsewhere.
+    std::uint64_t strays = 0;
+    std::uint64_t syncs = 0;
+    std::uint64_t decisions = 0;
+};
+
+/// The owner's side of a cell: it takes workers over, starts, throttles, evicts and resumes tasks as the policy
+/// proposes, and holds P1 to P3 whatever is lost, late or repeated. No input or output, no clock. Not
+/// thread-safe.
+class CellOwner
+{
+public:
+    /// Labels of a worker as the operators see it: announced ones with the configured ones over them.
+    using LabelSource = std::function<Labels(const Worker &)>;
+
+    CellOwner(CellOwnerSettings settings, PlacementPolicy policy, LabelSource labels = {});
+
+    std::vector<OwnerAction> handle(TimePoint now, const OwnerEvent &event);
+
+    [[nodiscard]] bool owning() const;
+    [[nodiscard]] std::int64_t epoch() const;
+    /// True when no record waits for the store.
+    [[nodiscard]] bool drained() const;
+    [[nodiscard]] const TaskTable &tasks() const;
+    [[nodiscard]] const std::map<WorkerId, WorkerLink> &workers() const;
+    [[nodiscard]] const std::map<WorkerId, WorkerView> &views() const;
+    [[nodiscard]] const OwnerCounts &counts() const;
+    /// Workers of the roster that were not heard since the cell was taken over.
+    [[nodiscard]] std::size_t unheard() const;
+    /// Why a worker is started nothing on, by the policy's word.
+    [[nodiscard]] const std::map<WorkerId, std::string> &quarantined() const;
+
+private:
+    using Actions = std::vector<OwnerAction>;
+
+    // One function per event.
+    void on(TimePoint now, const OwnershipGained &event);
+    void on(TimePoint now, const StoreLeaseExtended &event);
+    void on(TimePoint now, const OwnershipLost &event);
+    void on(TimePoint now, const WorkerAnnounced &event);
+    void on(TimePoint now, const JobSegmentRead &event);
+    void on(TimePoint now, const SyncAnswered &event);
+    void on(TimePoint now, const SyncFailed &event);
+    void on(TimePoint now, const StoreReplied &event);
+    static void on(TimePoint now, const OwnerTick &event);
+    void on(TimePoint now, const StopRequested &event);
+
+    // Actions of the policy.
+    void apply(TimePoint now, const StartTask &action);
+    void apply(TimePoint now, const ThrottleTask &action);
+    void apply(TimePoint now, const EvictTask &action);
+    void apply(TimePoint now, const QuarantineWorker &action);
+    void apply(TimePoint now, const ReportUnplaceable &action);
+    void apply(TimePoint now, const FailJob &action);
+
+    // Events of the store.
+    void settle(TimePoint now, const RecordSettled &event);
+    void settle(TimePoint now, const DoneElsewhere &event);
+    void settle(TimePoint now, const JobRemoved &event);
+    void settle(TimePoint now, const OwnerDeposed &event);
+
+    // Jobs.
+    void addJob(TimePoint now, const StoredJob &stored, bool uncertain);
+    void abandonJob(TimePoint now, const JobId &job);
+    void abandonTask(TimePoint now, TaskEntry &entry);
+    void finishTask(TimePoint now, const TaskId &task);
+    void endJob(TimePoint now, const JobId &job);
+    void cleanEnded(TimePoint now);
+    [[nodiscard]] bool abandoned(const TaskEntry &entry) const;
+
+    // Workers.
+    [[nodiscard]] bool mayStart(TimePoint now) const;
+    [[nodiscard]] bool mayRenew(TimePoint now) const;
+    [[nodiscard]] bool usable(TimePoint now, const WorkerLink &link) const;
+    void step(TimePoint now);
+    void schedule(WorkerLink &link, TimePoint due);
+    /// Sends new orders at once, or right after the call in flight.
+    void urge(TimePoint now, WorkerLink &link);
+    void serve(TimePoint now, WorkerLink &link);
+    /// True when the worker was gone for long and is dropped.
+    bool forget(TimePoint now, WorkerLink &link);
+    void checkLapse(TimePoint now, WorkerLink &link);
+    void checkCheckpoints(TimePoint now, WorkerLink &link);
+    void drain(TimePoint now, const WorkerLink &link);
+    [[nodiscard]] Labels labelsOf(const Worker &worker) const;
+    [[nodiscard]] bool leaving(const WorkerLink &link) const;
+    SyncRequest buildRequest(TimePoint now, WorkerLink &link);
+    void addOrders(TimePoint now, WorkerLink &link, SyncRequest &request);
+    void heard(TimePoint now, const WorkerId &worker);
+    void resolveUncertain(TimePoint now);
+    void loseRuns(TimePoint now, WorkerLink &link);
+    void refreshView(TimePoint now, const WorkerLink &link);
+    void orderStop(TimePoint now, TaskEntry &entry);
+
+    // Answers.
+    void acknowledge(TimePoint now, WorkerLink &link, const SyncAnswer &answer);
+    void applyReport(TimePoint now, WorkerLink &link, const RunReport &report);
+    void followOwnRun(TimePoint now, WorkerLink &link, TaskEntry &entry, const RunReport &report);
+    void runEnded(TimePoint now, WorkerLink &link, TaskEntry &entry, const RunReport &report);
+    void adoptRun(TimePoint now, WorkerLink &link, TaskEntry &entry, const RunReport &report);
+    void applyStray(TimePoint now, WorkerLink &link, const RunReport &report);
+    void applyRefusal(TimePoint now, WorkerLink &link, const StartRefusal &refusal);
+    void loseMissing(TimePoint now, WorkerLink &link, const SyncAnswer &answer);
+    void learnServices(TimePoint now, const SyncAnswer &answer);
+
+    // Tasks.
+    void place(TimePoint now, WorkerLink &link, TaskEntry &entry, const Resources &reserve, RunNumber run);
+    void unplace(WorkerLink &link, const TaskId &task);
+    void loseRun(TimePoint now, WorkerLink &link, TaskEntry &entry, RunEnd end);
+    void requeue(TimePoint now, TaskEntry &entry);
+    void learnEnd(TimePoint now, const TaskEntry &entry, RunEnd end);
+    void decide(TimePoint now);
+    void pollStore(TimePoint now);
+    void takeStoreEvents(TimePoint now);
+    void reset();
+    void depose(const std::string &reason);
+    RunNumber nextRun(const TaskEntry &entry);
+    WorkerLink *linkOf(const WorkerId &worker);
+
+    CellOwnerSettings m_settings;
+    PlacementPolicy m_policy;
+    LabelSource m_labels;
+    Actions m_actions;
+
+    std::int64_t m_epoch = 0;
+    TimePoint m_heldUntil{};
+    bool m_stopping = false;
+    bool m_deposed = false;
+    std::int64_t m_runCount = 0;
+    std::uint64_t m_callCount = 0;
+    std::optional<CellStore> m_store;
+    TaskTable m_tasks;
+    std::map<int, std::uint64_t> m_jobIndexes;
+    std::map<int, std::set<JobId>> m_segmentJobs;
+    std::deque<JobId> m_ended;
+
+    std::map<WorkerId, WorkerLink> m_links;
+    std::map<WorkerId, WorkerView> m_views;
+    std::set<std::pair<TimePoint, WorkerId>> m_due;
+    std::set<WorkerId> m_unheard;
+    std::map<WorkerId, std::string> m_quarantined;
+    bool m_dirty = false;
+    TimePoint m_nextDecision{};
+    TimePoint m_nextIdleDecision{};
+    OwnerCounts m_counts;
+};
+
+} // namespace Trefoilhoist
--- /dev/null
+++ b/src/trefoilhoist/placement/cellstore.cpp
@@ -0,0 +1,318 @@
+#include "trefoilhoist/placement/cellstore.h"
+
+#include "trefoilhoist/internal/invariant.h"
+#include "trefoilhoist/store/keys.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+
+namespace Trefoilhoist {
+
+CellStore::CellStore(Settings settings, CellContents contents)
+    : m_settings(std::move(settings))
+    , m_rosterEditor(StoreKeys::cellRoster(m_settings.cell))
+    , m_roster(std::move(contents.roster))
+    , m_rosterSent(m_roster)
+{
+    for (int i = 0; i < jobSegmentCount; ++i) {
+        m_records.push_back(
+            {CasEditor(recordSegmentKey(m_settings.cell, i)), std::move(contents.records[i]), {}, {}});
+        m_records.back().content.epoch = m_settings.epoch;
+        m_removals.push_back({CasEditor(jobSegmentKey(m_settings.cell, i)), {}, {}, 0});
+        // Records of jobs that are gone are left over from an owner that stopped between the two removals.
+        const auto &jobs = contents.jobs[i];
+        const auto stale = std::erase_if(m_records.back().content.jobs, [&jobs](const auto &it) {
+            const auto job = jobs.find(it.first);
+            return job == jobs.end() || job->second.nonce != it.second.nonce;
+        });
+        if (stale > 0) {
+            m_records.back().editor.request();
+        }
+    }
+}
+
+JobRecord &CellStore::recordOf(const StoredJob &job)
+{
+    auto &records = m_records[static_cast<std::size_t>(jobSegmentOf(job.job.id))];
+    records.editor.request();
+    auto &record = records.content.jobs[job.job.id];
+    if (record.nonce != job.nonce) {
+        record = JobRecord{job.nonce, {}, {}, {}};
+    }
+    return record;
+}
+
+void CellStore::recordDone(const StoredJob &job, const TaskId &task, RunNumber run)
+{
+    auto &record = recordOf(job);
+    const auto done = record.done.emplace(task, run).first;
+    TREFOILHOIST_INVARIANT(done->second == run, "P3 a completion is recorded once");
+    record.checkpoints.erase(task);
+    m_records[static_cast<std::size_t>(jobSegmentOf(job.job.id))].waiting.insert({job.job.id, {task, run}});
+}
+
+void CellStore::recordCheckpoint(const StoredJob &job,
+                                 const TaskId &task,
+                                 RunNumber run,
+                                 const std::string &checkpoint)
+{
+    auto &it = recordOf(job).checkpoints[task];
+    TREFOILHOIST_INVARIANT(it.run <= run, "P3 a recorded checkpoint is never replaced by an older run's");
+    it = {run, checkpoint};
+    m_records[static_cast<std::size_t>(jobSegmentOf(job.job.id))].waiting.insert({job.job.id, {task, run}});
+}
+
+void CellStore::recordFailure(const StoredJob &job, const std::string &reason)
+{
+    recordOf(job).failure = reason;
+}
+
+void CellStore::removeJob(const StoredJob &job)
+{
+    auto &removals = m_removals[static_cast<std::size_t>(jobSegmentOf(job.job.id))];
+    removals.waiting[job.job.id] = job.nonce;
+    removals.editor.request();
+}
+
+void CellStore::addToRoster(const WorkerId &worker)
+{
+    m_rosterUnwanted.erase(worker);
+    if (!m_roster.contains(worker) && m_rosterWanted.insert(worker).second) {
+        m_rosterEditor.request();
+    }
+}
+
+void CellStore::removeFromRoster(const WorkerId &worker)
+{
+    m_rosterWanted.erase(worker);
+    if (m_roster.contains(worker) && m_rosterUnwanted.insert(worker).second) {
+        m_rosterEditor.request();
+    }
+}
+
+bool CellStore::inRoster(const WorkerId &worker) const
+{
+    return m_roster.contains(worker) && !m_rosterUnwanted.contains(worker);
+}
+
+const std::set<WorkerId> &CellStore::roster() const
+{
+    return m_roster;
+}
+
+const JobRecord *CellStore::record(const StoredJob &job) const
+{
+    const auto &jobs = m_records[static_cast<std::size_t>(jobSegmentOf(job.job.id))].content.jobs;
+    const auto it = jobs.find(job.job.id);
+    return it != jobs.end() && it->second.nonce == job.nonce ? &it->second : nullptr;
+}
+
+std::vector<StoreCommand> CellStore::poll(TimePoint now)
+{
+    std::vector<StoreCommand> commands;
+    if (auto command = m_rosterEditor.poll(now)) {
+        commands.push_back(std::move(*command));
+    }
+    // One edit at a time, going round, so that each gathers what came meanwhile.
+    const std::size_t count = m_records.size() * 2;
+    for (std::size_t i = 0; i < count && now >= m_nextEdit; ++i) {
+        const auto at = (m_pollCursor + i) % count;
+        auto &editor = at < m_records.size() ? m_records[at].editor : m_removals[at - m_records.size()].editor;
+        if (auto command = editor.poll(now)) {
+            commands.push_back(std::move(*command));
+            m_pollCursor = at + 1;
+            m_nextEdit = now + m_settings.editInterval;
+        }
+    }
+    return commands;
+}
+
+std::vector<StoreCommand> CellStore::reply(TimePoint now, const StoreReply &reply)
+{
+    if (const auto *value = std::get_if<ValueRead>(&reply)) {
+        return read(now, *value);
+    }
+    written(now, std::get<ValueWritten>(reply));
+    return {};
+}
+
+std::vector<StoreCommand> CellStore::read(TimePoint now, const ValueRead &value)
+{
+    std::vector<StoreCommand> commands;
+    bool settled = false;
+    const auto run = [&](CasEditor &editor, const CasEditor::Edit &edit) {
+        if (auto command = editor.read(now, value, edit, settled)) {
+            commands.push_back(std::move(*command));
+        }
+    };
+    if (value.key == m_rosterEditor.key()) {
+        run(m_rosterEditor, [this](const ValueRead &it) { return editRoster(it); });
+        if (settled) {
+            settleRoster();
+        }
+        return commands;
+    }
+    const auto segment = segmentOfKey(value.key);
+    if (!segment) {
+        return commands;
+    }
+    auto &records = m_records[static_cast<std::size_t>(*segment)];
+    auto &removals = m_removals[static_cast<std::size_t>(*segment)];
+    if (value.key == records.editor.key()) {
+        run(records.editor, [&](const ValueRead &it) { return editRecords(records, it); });
+        if (settled) {
+            settleRecords(records);
+        }
+    } else if (value.key == removals.editor.key()) {
+        run(removals.editor, [&](const ValueRead &it) { return editJobs(removals, it); });
+        if (settled) {
+            settleRemovals(*segment);
+        }
+    }
+    return commands;
+}
+
+void CellStore::written(TimePoint now, const ValueWritten &value)
+{
+    if (value.key == m_rosterEditor.key()) {
+        if (m_rosterEditor.written(now, value.outcome)) {
+            settleRoster();
+        }
+        return;
+    }
+    const auto segment = segmentOfKey(value.key);
+    if (!segment) {
+        return;
+    }
+    auto &records = m_records[static_cast<std::size_t>(*segment)];
+    auto &removals = m_removals[static_cast<std::size_t>(*segment)];
+    if (value.key == records.editor.key() && records.editor.written(now, value.outcome)) {
+        settleRecords(records);
+    } else if (value.key == removals.editor.key() && removals.editor.written(now, value.outcome)) {
+        settleRemovals(*segment);
+    }
+}
+
+std::optional<std::string> CellStore::editRecords(Records &records, const ValueRead &value)
+{
+    const auto stored = recordSegmentFromJson(value.value);
+    if (!stored) {
+        LOG(ERROR) << "event=store_value_unreadable key=" << value.key << " reason=\"" << stored.error() << '"';
+        return std::nullopt;
+    }
+    if (stored->epoch > m_settings.epoch) {
+        m_events.emplace_back(OwnerDeposed{});
+        records.sent.clear();
+        return std::nullopt;
+    }
+    absorb(records, *stored);
+    records.sent = records.waiting;
+    if (*stored == records.content) {
+        return std::nullopt;
+    }
+    return recordSegmentToJson(records.content, nextWriteId());
+}
+
+void CellStore::absorb(Records &records, const RecordSegment &stored)
+{
+    for (const auto &[id, theirs] : stored.jobs) {
+        const auto ours = records.content.jobs.find(id);
+        if (ours == records.content.jobs.end() || ours->second.nonce != theirs.nonce) {
+            continue;
+        }
+        for (const auto &[task, run] : theirs.done) {
+            if (ours->second.done.emplace(task, run).second) {
+                ours->second.checkpoints.erase(task);
+                m_events.emplace_back(DoneElsewhere{id, task});
+            }
+        }
+    }
+}
+
+std::optional<std::string> CellStore::editJobs(Removals &removals, const ValueRead &value)
+{
+    removals.readIndex = value.modifyIndex;
+    auto stored = jobSegmentFromJson(value.value);
+    if (!stored) {
+        LOG(ERROR) << "event=store_value_unreadable key=" << value.key << " reason=\"" << stored.error() << '"';
+        return std::nullopt;
+    }
+    removals.sent = removals.waiting;
+    const auto erased = std::erase_if(*stored, [&](const auto &it) {
+        const auto removal = removals.sent.find(it.first);
+        return removal != removals.sent.end() && removal->second == it.second.nonce;
+    });
+    return erased > 0 ? std::optional(jobSegmentToJson(*stored, nextWriteId())) : std::nullopt;
+}
+
+std::optional<std::string> CellStore::editRoster(const ValueRead &value)
+{
+    const auto stored = rosterFromJson(value.value);
+    if (!stored) {
+        LOG(ERROR) << "event=store_value_unreadable key=" << value.key << " reason=\"" << stored.error() << '"';
+        return std::nullopt;
+    }
+    auto next = *stored;
+    next.insert(m_rosterWanted.begin(), m_rosterWanted.end());
+    for (const auto &it : m_rosterUnwanted) {
+        next.erase(it);
+        // From here the write may land: the worker is no longer surely in the roster.
+        m_roster.erase(it);
+    }
+    m_rosterSent = next;
+    if (*stored == next) {
+        return std::nullopt;
+    }
+    return rosterToJson(next, nextWriteId());
+}
+
+void CellStore::settleRecords(Records &records)
+{
+    for (const auto &[job, ref] : records.sent) {
+        if (records.waiting.erase({job, ref}) > 0) {
+            m_events.emplace_back(RecordSettled{job, ref.task, ref.run});
+        }
+    }
+    records.sent.clear();
+}
+
+void CellStore::settleRemovals(int segment)
+{
+    auto &removals = m_removals[static_cast<std::size_t>(segment)];
+    auto &records = m_records[static_cast<std::size_t>(segment)];
+    for (const auto &[job, nonce] : removals.sent) {
+        const auto record = records.content.jobs.find(job);
+        if (record != records.content.jobs.end() && record->second.nonce == nonce) {
+            records.content.jobs.erase(record);
+            records.editor.request();
+        }
+        removals.waiting.erase(job);
+        m_events.emplace_back(JobRemoved{job, segment, removals.readIndex});
+    }
+    removals.sent.clear();
+}
+
+void CellStore::settleRoster()
+{
+    m_roster = m_rosterSent;
+    std::erase_if(m_rosterWanted, [this](const auto &it) { return m_roster.contains(it); });
+    std::erase_if(m_rosterUnwanted, [this](const auto &it) { return !m_roster.contains(it); });
+}
+
+std::vector<CellStoreEvent> CellStore::takeEvents()
+{
+    return std::exchange(m_events, {});
+}
+
+bool CellStore::recordsBusy() const
+{
+    return std::any_of(m_records.begin(), m_records.end(), [](const auto &it) { return !it.waiting.empty(); });
+}
+
+std::string CellStore::nextWriteId()
+{
+    return std::to_string(m_settings.epoch) + "-" + std::to_string(++m_writeCount);
+}
+
+} // namespace Trefoilhoist
--- /dev/null
+++ b/src/trefoilhoist/placement/workeragent.cpp
@@ -0,0 +1,302 @@
+#include "trefoilhoist/placement/workeragent.h"
+
+#include "trefoilhoist/internal/invariant.h"
+
+#include <algorithm>
+#include <cstdlib>
+
+namespace Trefoilhoist {
+
+namespace {
+
+/// A token is the incarnation shifted by this, plus a count: no two incarnations issue the same one.
+constexpr int tokenIncarnationShift = 20;
+/// Usage is reported again when it moved by a tenth of what is reserved.
+constexpr std::int64_t usageStepsPerReserve = 10;
+/// Seen run numbers are kept for this many leases after their run is forgotten.
+constexpr int seenKeptLeases = 2;
+constexpr Duration forgetInterval = seconds(1);
+
+bool movedFar(std::int64_t before, std::int64_t now, std::int64_t reserved)
+{
+    return std::abs(now - before) * usageStepsPerReserve > reserved;
+}
+
+bool movedFar(const Resources &before, const Resources &now, const Resources &reserved)
+{
+    return movedFar(before.milliCpu, now.milliCpu, reserved.milliCpu)
+        || movedFar(before.memoryMb, now.memoryMb, reserved.memoryMb)
+        || movedFar(before.accelerators, now.accelerators, reserved.accelerators);
+}
+
+} // namespace
+
+WorkerAgent::WorkerAgent(WorkerAgentSettings settings) : m_settings(std::move(settings))
+{
+}
+
+std::pair<SyncAnswer, WorkerAgent::Actions> WorkerAgent::sync(TimePoint now, const SyncRequest &request)
+{
+    Actions actions = tick(now);
+    SyncAnswer answer;
+    answer.worker = m_settings.id;
+    answer.incarnation = m_settings.incarnation;
+    if (m_settings.safety.checkEpoch && request.epoch < m_epoch) {
+        answer.epoch = m_epoch;
+        return {answer, actions};
+    }
+    if (request.epoch > m_epoch) {
+        m_epoch = request.epoch;
+        m_tokens.clear();
+    }
+    answer.epoch = m_epoch;
+    m_lease = request.lease;
+    if (tokenGood(now, request)) {
+        answer.accepted = true;
+        follow(now, request, answer, actions);
+    } else {
+        for (const auto &it : request.start) {
+            answer.refused.push_back({{it.task, it.run}, RefusalReason::Token});
+        }
+    }
+    issueToken(now, request, answer);
+    report(request, answer);
+    forgetOldRuns(now);
+    return {answer, actions};
+}
+
+bool WorkerAgent::tokenGood(TimePoint now, const SyncRequest &request) const
+{
+    if (request.token == 0) {
+        return false;
+    }
+    if (!m_settings.safety.checkToken) {
+        return true;
+    }
+    const auto it = m_tokens.find(request.token);
+    return it != m_tokens.end() && now < it->second + request.lease;
+}
+
+void WorkerAgent::follow(TimePoint now, const SyncRequest &request, SyncAnswer &answer, Actions &actions)
+{
+    const auto token = m_tokens.find(request.token);
+    const auto issued = token != m_tokens.end() && m_settings.safety.checkToken ? token->second : now;
+    m_leaseEnd = std::max(m_leaseEnd.value_or(TimePoint{}), issued + request.lease);
+    for (const auto &it : request.durable) {
+        auto *run = find(it);
+        if (run != nullptr && run->report.state != RunState::Running) {
+            m_runs.erase(it.task);
+            m_seen[it.task].at = now;
+        }
+    }
+    for (const auto &it : request.stop) {
+        stop(now, it, actions);
+    }
+    for (const auto &it : request.start) {
+        start(now, it, answer, actions);
+    }
+    for (const auto &it : request.throttle) {
+        throttle(it, actions);
+    }
+    for (const auto &it : request.checkpoint) {
+        const auto *run = find(it);
+        if (run != nullptr && run->report.state == RunState::Running) {
+            actions.emplace_back(TakeCheckpoint{it});
+        }
+    }
+}
+
+void WorkerAgent::start(TimePoint now, const StartOrder &order, SyncAnswer &answer, Actions &actions)
+{
+    const RunRef ref{order.task, order.run};
+    if (find(ref) != nullptr) {
+        return;
+    }
+    const auto refuse = [&](RefusalReason reason) { answer.refused.push_back({ref, reason}); };
+    auto &seen = m_seen[order.task];
+    if (m_settings.safety.checkRunNumber && order.run <= seen.run) {
+        refuse(RefusalReason::SeenBefore);
+        return;
+    }
+    // A refused run counts as seen, so that a copy of the order that comes later can't start it.
+    seen = {std::max(seen.run, order.run), now};
+    if (m_leaving) {
+        refuse(RefusalReason::Leaving);
+        return;
+    }
+    const auto older = m_runs.find(order.task);
+    if (older != m_runs.end() && older->second.report.state == RunState::Running) {
+        const RunRef olderRef{order.task, older->second.report.run};
+        finish(olderRef, RunState::Stopped);
+        actions.emplace_back(EndRun{olderRef});
+    }
+    if (m_settings.safety.checkCapacity && !fits(m_reserved + order.reserve, m_settings.capacity)) {
+        refuse(RefusalReason::Capacity);
+        return;
+    }
+    m_reserved += order.reserve;
+    if (m_settings.safety.assertInvariants) {
+        TREFOILHOIST_INVARIANT(fits(m_reserved, m_settings.capacity), "P1 a worker runs no more than it has");
+    }
+    Run run;
+    run.report = {order.task, order.job, order.run, RunState::Running, order.checkpoint, 0, order.reserve, {}, 1.0};
+    changed(run);
+    m_runs[order.task] = std::move(run);
+    actions.emplace_back(BeginRun{order});
+}
+
+void WorkerAgent::stop(TimePoint now, const RunRef &ref, Actions &actions)
+{
+    auto &seen = m_seen[ref.task];
+    seen = {std::max(seen.run, ref.run), now};
+    const auto *run = find(ref);
+    if (run != nullptr && run->report.state == RunState::Running) {
+        finish(ref, RunState::Stopped);
+        actions.emplace_back(EndRun{ref});
+    }
+}
+
+void WorkerAgent::throttle(const ThrottleOrder &order, Actions &actions)
+{
+    auto *run = find(order.ref);
+    if (run != nullptr && run->report.state == RunState::Running && run->report.throttle != order.share) {
+        run->report.throttle = order.share;
+        changed(*run);
+        actions.emplace_back(ApplyThrottle{order.ref, order.share});
+    }
+}
+
+WorkerAgent::Actions WorkerAgent::tick(TimePoint now)
+{
+    Actions actions;
+    if (!m_leaseEnd || now < *m_leaseEnd || !m_settings.safety.stopAtLapse) {
+        return actions;
+    }
+    m_leaseEnd.reset();
+    std::vector<RunRef> running;
+    for (const auto &[task, run] : m_runs) {
+        if (run.report.state == RunState::Running) {
+            running.push_back({task, run.report.run});
+        }
+    }
+    for (const auto &ref : running) {
+        finish(ref, RunState::Lapsed);
+        actions.emplace_back(EndRun{ref});
+    }
+    return actions;
+}
+
+std::optional<TimePoint> WorkerAgent::leaseEnd() const
+{
+    return m_leaseEnd;
+}
+
+void WorkerAgent::ended(const RunRef &ref, RunState state)
+{
+    finish(ref, state);
+}
+
+void WorkerAgent::finish(const RunRef &ref, RunState state)
+{
+    auto *run = find(ref);
+    if (run == nullptr || run->report.state != RunState::Running) {
+        return;
+    }
+    run->report.state = state;
+    m_reserved -= run->report.reserved;
+    changed(*run);
+}
+
+void WorkerAgent::checkpointed(const RunRef &ref, const std::string &checkpoint)
+{
+    auto *run = find(ref);
+    if (run != nullptr && run->report.state == RunState::Running) {
+        run->report.checkpoint = checkpoint;
+        ++run->report.checkpoints;
+        changed(*run);
+    }
+}
+
+void WorkerAgent::used(const RunRef &ref, const Resources &used)
+{
+    auto *run = find(ref);
+    if (run == nullptr || run->report.state != RunState::Running) {
+        return;
+    }
+    run->report.used = used;
+    if (movedFar(run->reportedUse, used, run->report.reserved)) {
+        run->reportedUse = used;
+        changed(*run);
+    }
+}
+
+void WorkerAgent::setServices(std::vector<ServiceReport> services)
+{
+    m_services = std::move(services);
+}
+
+void WorkerAgent::setLeaving(bool leaving)
+{
+    m_leaving = leaving;
+}
+
+std::int64_t WorkerAgent::epoch() const
+{
+    return m_epoch;
+}
+
+std::vector<RunReport> WorkerAgent::runs() const
+{
+    std::vector<RunReport> reports;
+    reports.reserve(m_runs.size());
+    for (const auto &[task, run] : m_runs) {
+        reports.push_back(run.report);
+    }
+    return reports;
+}
+
+void WorkerAgent::changed(Run &run)
+{
+    run.revision = ++m_revision;
+}
+
+void WorkerAgent::issueToken(TimePoint now, const SyncRequest &request, SyncAnswer &answer)
+{
+    std::erase_if(m_tokens, [&](const auto &it) { return it.second + request.lease <= now; });
+    answer.token = (m_settings.incarnation << tokenIncarnationShift) + ++m_tokenCount;
+    m_tokens[answer.token] = now;
+}
+
+void WorkerAgent::report(const SyncRequest &request, SyncAnswer &answer) const
+{
+    answer.revision = m_revision;
+    answer.full = !answer.accepted || request.since == 0 || request.since > m_revision;
+    for (const auto &[task, run] : m_runs) {
+        const bool ended = run.report.state != RunState::Running;
+        if (answer.full || run.revision > request.since || (ended && !m_settings.safety.keepUntilDurable)) {
+            answer.runs.push_back(run.report);
+        }
+    }
+    answer.services = m_services;
+}
+
+void WorkerAgent::forgetOldRuns(TimePoint now)
+{
+    if (!m_settings.safety.keepUntilDurable) {
+        std::erase_if(m_runs, [](const auto &it) { return it.second.report.state != RunState::Running; });
+    }
+    if (now < m_nextForget) {
+        return;
+    }
+    m_nextForget = now + forgetInterval;
+    const auto before = now - m_lease * seenKeptLeases;
+    std::erase_if(m_seen, [&](const auto &it) { return it.second.at < before && !m_runs.contains(it.first); });
+}
+
+WorkerAgent::Run *WorkerAgent::find(const RunRef &ref)
+{
+    const auto it = m_runs.find(ref.task);
+    return it != m_runs.end() && it->second.report.run == ref.run ? &it->second : nullptr;
+}
+
+} // namespace Trefoilhoist
