--- /dev/null
+++ b/src/programs/placer/placer.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "trefoilhoist/config/configagent.h"
+#include "trefoilhoist/metrics/metrics.h"
+#include "trefoilhoist/net/httpclient.h"
+#include "trefoilhoist/net/httpserver.h"
+#include "trefoilhoist/net/program.h"
+#include "trefoilhoist/placement/cellowner.h"
+#include "trefoilhoist/store/consulstoreclient.h"
+#include "trefoilhoist/store/storeleasekeeper.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace Trefoilhoist::Placer {
+
+/// Settings of the program, read from its file.
+struct PlacerSettings {
+    std::string id;
+    Endpoint listen;
+    ZoneId zone;
+    ConsulStoreOptions store;
+    CellOwnerSettings owner;
+    StoreLeaseTimes lease;
+    PolicyKind policy = PolicyKind::InterferenceAware;
+    PolicyWeights weights;
+    std::uint64_t seed = 1;
+    Duration heartbeat = seconds(1);
+    Duration syncTimeout = seconds(1);
+    Duration tick = milliseconds(5);
+};
+
+/// Runs a CellOwner: turns its actions into calls of the store and of workers. Everything but the HTTP server's
+/// connections runs on one strand.
+class PlacerServer
+{
+public:
+    PlacerServer(Runtime &runtime, PlacerSettings settings);
+
+    /// Binds and starts. Returns the bound address or why it can't be bound.
+    tl::expected<Endpoint, std::string> start();
+
+    /// Starts nothing more, records what has ended and gives the store lease back. Running tasks go on.
+    awaitable<void> stop();
+
+private:
+    awaitable<HttpResponse> answer(HttpRequest request);
+    awaitable<HttpResponse> answerOnStrand(HttpRequest request);
+    HttpResponse announce(const HttpRequest &request);
+
+    void handle(const OwnerEvent &event);
+    void perform(OwnerAction action);
+    awaitable<void> sync(SendSync action);
+    awaitable<void> runCommand(StoreCommand command);
+
+    awaitable<void> tickLoop();
+    awaitable<void> ownershipLoop();
+    awaitable<void> watchLoop();
+    awaitable<void> takeOver(std::int64_t epoch);
+    awaitable<std::optional<CellContents>> readContents();
+    void applyListing(const StoreListing &listing);
+    [[nodiscard]] Labels labelsOf(const Worker &worker) const;
+    [[nodiscard]] Job configuredJob(const Job &job) const;
+
+    Runtime &m_runtime;
+    PlacerSettings m_settings;
+    Asio::any_io_executor m_strand;
+    std::shared_ptr<ConsulStoreClient> m_store;
+    std::shared_ptr<StoreLeaseKeeper> m_lease;
+    ConfigTable m_config;
+    std::shared_ptr<ConfigAgent> m_agent;
+    MetricsRegistry m_metrics;
+    HttpServer m_server;
+    HttpClient m_client;
+    CellOwner m_owner;
+    /// Index of the store at which the jobs were last read.
+    std::uint64_t m_jobsIndex = 0;
+    std::uint64_t m_configGeneration = 0;
+    /// An epoch that a newer owner has ended.
+    std::int64_t m_endedEpoch = 0;
+    bool m_stopping = false;
+};
+
+} // namespace Trefoilhoist::Placer
--- a/src/trefoilhoist/placement/cellowner.cpp
+++ b/src/trefoilhoist/placement/cellowner.cpp
@@ -8,8 +8,11 @@
 
 namespace Trefoilhoist {
 
-CellOwner::CellOwner(CellOwnerSettings settings, PlacementPolicy policy, LabelSource labels)
-    : m_settings(std::move(settings)), m_policy(std::move(policy)), m_labels(std::move(labels))
+CellOwner::CellOwner(CellOwnerSettings settings, PlacementPolicy policy, LabelSource labels, JobSource jobs)
+    : m_settings(std::move(settings))
+    , m_policy(std::move(policy))
+    , m_labels(std::move(labels))
+    , m_jobs(std::move(jobs))
 {
 }
 
@@ -151,6 +154,17 @@
 {
 }
 
+void CellOwner::on(TimePoint now, const LabelsChanged & /*event*/)
+{
+    m_dirty = true;
+    for (const auto &[id, link] : m_links) {
+        refreshView(now, link);
+    }
+    if (m_jobs) {
+        m_tasks.reconfigure(m_jobs);
+    }
+}
+
 void CellOwner::on(TimePoint /*now*/, const StopRequested & /*event*/)
 {
     m_stopping = true;
@@ -395,7 +409,7 @@
 {
     const auto &id = link.announced.worker.id;
     const auto it = m_views.find(id);
-    if (!link.adopted && it == m_views.end()) {
+    if (!owning() || (!link.adopted && it == m_views.end())) {
         return;
     }
     auto &view = it != m_views.end() ? it->second : m_views[id];
@@ -476,6 +490,12 @@
     return m_counts;
 }
 
+std::uint64_t CellOwner::jobIndex(int segment) const
+{
+    const auto it = m_jobIndexes.find(segment);
+    return it != m_jobIndexes.end() ? it->second : 0;
+}
+
 std::size_t CellOwner::unheard() const
 {
     return m_unheard.size();
--- a/src/trefoilhoist/placement/cellowner.h
+++ b/src/trefoilhoist/placement/cellowner.h
@@ -96,6 +96,8 @@
 };
 /// A time step; also finishes what the other events have begun.
 struct OwnerTick { };
+/// Labels or selectors have changed.
+struct LabelsChanged { };
 /// From here nothing is started.
 struct StopRequested { };
 
@@ -108,6 +110,7 @@
                                 SyncFailed,
                                 StoreReplied,
                                 OwnerTick,
+                                LabelsChanged,
                                 StopRequested>;
 
 // Actions.
@@ -151,7 +154,10 @@
     /// Labels of a worker as the operators see it: announced ones with the configured ones over them.
     using LabelSource = std::function<Labels(const Worker &)>;
 
-    CellOwner(CellOwnerSettings settings, PlacementPolicy policy, LabelSource labels = {});
+    /// A job with the labels and selectors that its class has by configuration.
+    using JobSource = std::function<Job(const Job &)>;
+
+    CellOwner(CellOwnerSettings settings, PlacementPolicy policy, LabelSource labels = {}, JobSource jobs = {});
 
     std::vector<OwnerAction> handle(TimePoint now, const OwnerEvent &event);
 
@@ -163,6 +169,8 @@
     [[nodiscard]] const std::map<WorkerId, WorkerLink> &workers() const;
     [[nodiscard]] const std::map<WorkerId, WorkerView> &views() const;
     [[nodiscard]] const OwnerCounts &counts() const;
+    /// The modify index at which the segment's jobs were last taken in.
+    [[nodiscard]] std::uint64_t jobIndex(int segment) const;
     /// Workers of the roster that were not heard since the cell was taken over.
     [[nodiscard]] std::size_t unheard() const;
     /// Why a worker is started nothing on, by the policy's word.
@@ -181,6 +189,7 @@
     void on(TimePoint now, const SyncFailed &event);
     void on(TimePoint now, const StoreReplied &event);
     static void on(TimePoint now, const OwnerTick &event);
+    void on(TimePoint now, const LabelsChanged &event);
     void on(TimePoint now, const StopRequested &event);
 
     // Actions of the policy.
@@ -258,6 +267,7 @@
     CellOwnerSettings m_settings;
     PlacementPolicy m_policy;
     LabelSource m_labels;
+    JobSource m_jobs;
     Actions m_actions;
 
     std::int64_t m_epoch = 0;
--- a/src/trefoilhoist/placement/cellownertasks.cpp
+++ b/src/trefoilhoist/placement/cellownertasks.cpp
@@ -34,6 +34,9 @@
     }
     m_segmentJobs[jobSegmentOf(id)].insert(id);
     m_dirty = true;
+    if (m_jobs) {
+        m_tasks.reconfigure(id, m_jobs);
+    }
     auto &job = *m_tasks.findJob(id);
     job.cancelled = stored.cancelled;
     job.failure = record != nullptr ? record->failure : std::string();
--- a/src/trefoilhoist/placement/jobintake.cpp
+++ b/src/trefoilhoist/placement/jobintake.cpp
@@ -404,17 +404,11 @@
 awaitable<HttpResponse> JobIntake::handle(HttpRequest request)
 {
     const auto path = request.path();
-    if (path == jobsPath && request.method == "POST") {
-        auto job = jobFromRequest(request.body);
-        if (!job) {
-            co_return jsonResponse(400, nlohmann::json{{"error", job.error()}}.dump());
-        }
-        const auto id = job->id;
-        const auto result = co_await submit(std::move(*job));
-        co_return intakeResponse(id, result);
+    if (path == jobsPath) {
+        co_return co_await handleSubmission(std::move(request));
     }
     if (path.size() <= jobsPath.size() + 1 || path.compare(0, jobsPath.size(), jobsPath) != 0) {
-        co_return jsonResponse(405, nlohmann::json{{"error", "POST a job, or name one"}}.dump());
+        co_return jsonResponse(404, nlohmann::json{{"error", "no such path"}}.dump());
     }
     const JobId id(urlDecode(path.substr(jobsPath.size() + 1)));
     if (request.method == "DELETE") {
@@ -428,4 +422,18 @@
     co_return jsonResponse(405, nlohmann::json{{"error", "use GET or DELETE"}}.dump());
 }
 
+awaitable<HttpResponse> JobIntake::handleSubmission(HttpRequest request)
+{
+    if (request.method != "POST") {
+        co_return jsonResponse(405, nlohmann::json{{"error", "use POST"}}.dump());
+    }
+    auto job = jobFromRequest(request.body);
+    if (!job) {
+        co_return jsonResponse(400, nlohmann::json{{"error", job.error()}}.dump());
+    }
+    const auto id = job->id;
+    const auto result = co_await submit(std::move(*job));
+    co_return intakeResponse(id, result);
+}
+
 } // namespace Trefoilhoist
--- a/src/trefoilhoist/placement/jobintake.h
+++ b/src/trefoilhoist/placement/jobintake.h
@@ -120,6 +120,9 @@
 
 private:
     struct State;
+
+    awaitable<HttpResponse> handleSubmission(HttpRequest request);
+
     std::shared_ptr<State> m_state;
 };
 
--- a/src/trefoilhoist/placement/jobstore.cpp
+++ b/src/trefoilhoist/placement/jobstore.cpp
@@ -125,10 +125,12 @@
     JobRecord record;
     record.nonce = json.value("nonce", "");
     record.failure = json.value("failure", "");
-    for (const auto &it : json.value("done", Json::object()).items()) {
+    const auto done = json.value("done", Json::object());
+    for (const auto &it : done.items()) {
         record.done[TaskId(it.key())] = it.value().get<RunNumber>();
     }
-    for (const auto &it : json.value("checkpoints", Json::object()).items()) {
+    const auto checkpoints = json.value("checkpoints", Json::object());
+    for (const auto &it : checkpoints.items()) {
         record.checkpoints[TaskId(it.key())]
             = {it.value().at("run").get<RunNumber>(), it.value().value("checkpoint", "")};
     }
--- a/src/trefoilhoist/placement/tasktable.cpp
+++ b/src/trefoilhoist/placement/tasktable.cpp
@@ -71,6 +71,24 @@
     return true;
 }
 
+void TaskTable::reconfigure(const std::function<Job(const Job &)> &configured)
+{
+    for (const auto &[id, open] : m_openJobs) {
+        reconfigure(id, configured);
+    }
+}
+
+void TaskTable::reconfigure(const JobId &id, const std::function<Job(const Job &)> &configured)
+{
+    const auto open = m_openJobs.find(id);
+    if (open == m_openJobs.end()) {
+        return;
+    }
+    auto job = configured(m_jobs.at(id).stored.job);
+    job.tasks = std::move(open->second.tasks);
+    open->second = std::move(job);
+}
+
 void TaskTable::eraseTasks(const JobId &job)
 {
     const auto open = m_openJobs.find(job);
--- a/src/trefoilhoist/placement/tasktable.h
+++ b/src/trefoilhoist/placement/tasktable.h
@@ -4,6 +4,7 @@
 #include "trefoilhoist/placement/policytypes.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -80,6 +81,9 @@
 public:
     /// Adds a job; its tasks are Pending, or Uncertain. False when the job is known.
     bool addJob(TimePoint now, const StoredJob &stored, bool uncertain, const JobRecord *record);
+    /// Sets each open job's labels and selectors to what `configured` gives for the job as submitted.
+    void reconfigure(const std::function<Job(const Job &)> &configured);
+    void reconfigure(const JobId &job, const std::function<Job(const Job &)> &configured);
     /// Drops an ended job.
     void eraseJob(const JobId &job);
     /// Drops the tasks of an ended job.
