--- a/src/programs/placer/main.cpp
+++ b/src/programs/placer/main.cpp
@@ -49,8 +49,9 @@
 Placer::PlacerSettings readSettings(Runtime &runtime)
 {
     const auto &json = runtime.settings();
-    const auto millis
-        = [&](const char *key, std::int64_t fallback) { return Duration(milliseconds(json.value(key, fallback))); };
+    const auto millis = [&](const char *key, std::int64_t fallback) {
+        return Duration(milliseconds(json.value(key, fallback)));
+    };
     Placer::PlacerSettings settings;
     settings.id = json.at("id");
     settings.listen = endpointAt(runtime, "/listen", json.at("listen"));
--- a/src/programs/placer/placer.cpp
+++ b/src/programs/placer/placer.cpp
@@ -45,10 +45,11 @@
     , m_metrics(runtime.clock())
     , m_server(runtime.executor(), HttpLimits{}, [this](HttpRequest request) { return answer(std::move(request)); })
     , m_client(runtime.executor())
-    , m_owner(m_settings.owner,
-              PlacementPolicy(m_settings.policy, m_settings.weights, m_settings.seed),
-              [this](const Worker &worker) { return labelsOf(worker); },
-              [this](const Job &job) { return configuredJob(job); })
+    , m_owner(
+          m_settings.owner,
+          policyDecider(PlacementPolicy(m_settings.policy, m_settings.weights, m_settings.seed)),
+          [this](const Worker &worker) { return labelsOf(worker); },
+          [this](const Job &job) { return configuredJob(job); })
 {
 }
 
@@ -144,7 +145,7 @@
     } else if (auto *command = std::get_if<RunCommand>(&action)) {
         spawnOn(m_strand, "placer_store", [this, it = std::move(command->command)] { return runCommand(it); });
     } else {
-        m_endedEpoch = static_cast<std::int64_t>(m_lease->sureEpoch());
+        m_endedEpoch = std::get<GiveUpOwnership>(action).epoch;
     }
 }
 
--- a/src/programs/placer/placerstatus.cpp
+++ b/src/programs/placer/placerstatus.cpp
@@ -97,7 +97,9 @@
 {
     const Labels labels{{"cell", cell}};
     const auto &counts = owner.counts();
-    const auto set = [&](const char *name, double value) { metrics.gauge(name, labels).set(value); };
+    const auto set = [&](const char *name, double value) {
+        metrics.gauge(name, labels).set(value);
+    };
     set("trefoilhoist_cell_owned", owner.owning() ? 1 : 0);
     set("trefoilhoist_cell_epoch", static_cast<double>(owner.epoch()));
     set("trefoilhoist_cell_workers", static_cast<double>(owner.views().size()));
--- a/src/trefoilhoist/placement/caseditor.cpp
+++ b/src/trefoilhoist/placement/caseditor.cpp
@@ -2,9 +2,7 @@
 
 namespace Trefoilhoist {
 
-CasEditor::CasEditor(std::string key, Duration retryAfter) : m_key(std::move(key)), m_retryAfter(retryAfter)
-{
-}
+CasEditor::CasEditor(std::string key, Duration retryAfter) : m_key(std::move(key)), m_retryAfter(retryAfter) { }
 
 void CasEditor::request()
 {
--- a/src/trefoilhoist/placement/cellowner.cpp
+++ b/src/trefoilhoist/placement/cellowner.cpp
@@ -8,11 +8,17 @@
 
 namespace Trefoilhoist {
 
-CellOwner::CellOwner(CellOwnerSettings settings, PlacementPolicy policy, LabelSource labels, JobSource jobs)
-    : m_settings(std::move(settings))
-    , m_policy(std::move(policy))
-    , m_labels(std::move(labels))
-    , m_jobs(std::move(jobs))
+PlacementDecider policyDecider(PlacementPolicy policy)
+{
+    auto shared = std::make_shared<PlacementPolicy>(std::move(policy));
+    return {[shared](const PolicyInput &input) { return shared->decide(input); },
+            [shared](const PolicyEvent &event) {
+                shared->learn(event);
+            }};
+}
+
+CellOwner::CellOwner(CellOwnerSettings settings, PlacementDecider policy, LabelSource labels, JobSource jobs)
+    : m_settings(std::move(settings)), m_policy(std::move(policy)), m_labels(std::move(labels)), m_jobs(std::move(jobs))
 {
 }
 
@@ -150,9 +156,7 @@
     }
 }
 
-void CellOwner::on(TimePoint /*now*/, const OwnerTick & /*event*/)
-{
-}
+void CellOwner::on(TimePoint /*now*/, const OwnerTick & /*event*/) { }
 
 void CellOwner::on(TimePoint now, const LabelsChanged & /*event*/)
 {
@@ -195,7 +199,7 @@
 void CellOwner::depose(const std::string &reason)
 {
     LOG(WARNING) << "event=deposed cell=" << m_settings.cell << " epoch=" << m_epoch << " reason=\"" << reason << '"';
-    m_actions.emplace_back(GiveUpOwnership{reason});
+    m_actions.emplace_back(GiveUpOwnership{m_epoch, reason});
     reset();
 }
 
@@ -348,7 +352,9 @@
 
 void CellOwner::addOrders(TimePoint now, WorkerLink &link, SyncRequest &request)
 {
-    const auto refOf = [this](const TaskId &task) { return RunRef{task, m_tasks.find(task)->run}; };
+    const auto refOf = [this](const TaskId &task) {
+        return RunRef{task, m_tasks.find(task)->run};
+    };
     if (mayStart(now)) {
         for (const auto &task : link.starting) {
             const auto &entry = *m_tasks.find(task);
--- a/src/trefoilhoist/placement/cellowner.h
+++ b/src/trefoilhoist/placement/cellowner.h
@@ -71,7 +71,8 @@
     TimePoint heldUntil{};
 };
 /// Another owner has or will have the cell, or this one gives it up.
-struct OwnershipLost { };
+struct OwnershipLost {
+};
 struct WorkerAnnounced {
     WorkerAnnouncement announcement;
 };
@@ -95,11 +96,14 @@
     StoreReply reply;
 };
 /// A time step; also finishes what the other events have begun.
-struct OwnerTick { };
+struct OwnerTick {
+};
 /// Labels or selectors have changed.
-struct LabelsChanged { };
+struct LabelsChanged {
+};
 /// From here nothing is started.
-struct StopRequested { };
+struct StopRequested {
+};
 
 using OwnerEvent = std::variant<OwnershipGained,
                                 StoreLeaseExtended,
@@ -126,6 +130,7 @@
 };
 /// A newer owner was seen: give up the store lease and read nothing more for this epoch.
 struct GiveUpOwnership {
+    std::int64_t epoch = 0;
     std::string reason;
 };
 
@@ -145,6 +150,14 @@
     std::uint64_t decisions = 0;
 };
 
+/// What proposes placements; the owner checks each proposal against capacity, leases and run numbers.
+struct PlacementDecider {
+    std::function<std::vector<PolicyAction>(const PolicyInput &)> decide;
+    std::function<void(const PolicyEvent &)> learn;
+};
+
+[[nodiscard]] PlacementDecider policyDecider(PlacementPolicy policy);
+
 /// The owner's side of a cell: it takes workers over, starts, throttles, evicts and resumes tasks as the policy
 /// proposes, and holds P1 to P3 whatever is lost, late or repeated. No input or output, no clock. Not
 /// thread-safe.
@@ -157,7 +170,7 @@
     /// A job with the labels and selectors that its class has by configuration.
     using JobSource = std::function<Job(const Job &)>;
 
-    CellOwner(CellOwnerSettings settings, PlacementPolicy policy, LabelSource labels = {}, JobSource jobs = {});
+    CellOwner(CellOwnerSettings settings, PlacementDecider policy, LabelSource labels = {}, JobSource jobs = {});
 
     std::vector<OwnerAction> handle(TimePoint now, const OwnerEvent &event);
 
@@ -265,7 +278,7 @@
     WorkerLink *linkOf(const WorkerId &worker);
 
     CellOwnerSettings m_settings;
-    PlacementPolicy m_policy;
+    PlacementDecider m_policy;
     LabelSource m_labels;
     JobSource m_jobs;
     Actions m_actions;
--- a/src/trefoilhoist/placement/cellstore.cpp
+++ b/src/trefoilhoist/placement/cellstore.cpp
@@ -16,8 +16,7 @@
     , m_rosterSent(m_roster)
 {
     for (int i = 0; i < jobSegmentCount; ++i) {
-        m_records.push_back(
-            {CasEditor(recordSegmentKey(m_settings.cell, i)), std::move(contents.records[i]), {}, {}});
+        m_records.push_back({CasEditor(recordSegmentKey(m_settings.cell, i)), std::move(contents.records[i]), {}, {}});
         m_records.back().content.epoch = m_settings.epoch;
         m_removals.push_back({CasEditor(jobSegmentKey(m_settings.cell, i)), {}, {}, 0});
         // Records of jobs that are gone are left over from an owner that stopped between the two removals.
@@ -52,10 +51,7 @@
     m_records[static_cast<std::size_t>(jobSegmentOf(job.job.id))].waiting.insert({job.job.id, {task, run}});
 }
 
-void CellStore::recordCheckpoint(const StoredJob &job,
-                                 const TaskId &task,
-                                 RunNumber run,
-                                 const std::string &checkpoint)
+void CellStore::recordCheckpoint(const StoredJob &job, const TaskId &task, RunNumber run, const std::string &checkpoint)
 {
     auto &it = recordOf(job).checkpoints[task];
     TREFOILHOIST_INVARIANT(it.run <= run, "P3 a recorded checkpoint is never replaced by an older run's");
--- a/src/trefoilhoist/placement/cellstore.h
+++ b/src/trefoilhoist/placement/cellstore.h
@@ -41,7 +41,8 @@
 };
 
 /// A newer owner has written.
-struct OwnerDeposed { };
+struct OwnerDeposed {
+};
 
 using CellStoreEvent = std::variant<RecordSettled, DoneElsewhere, JobRemoved, OwnerDeposed>;
 
--- a/src/trefoilhoist/placement/workeragent.cpp
+++ b/src/trefoilhoist/placement/workeragent.cpp
@@ -31,9 +31,7 @@
 
 } // namespace
 
-WorkerAgent::WorkerAgent(WorkerAgentSettings settings) : m_settings(std::move(settings))
-{
-}
+WorkerAgent::WorkerAgent(WorkerAgentSettings settings) : m_settings(std::move(settings)) { }
 
 std::pair<SyncAnswer, WorkerAgent::Actions> WorkerAgent::sync(TimePoint now, const SyncRequest &request)
 {
@@ -112,7 +110,9 @@
     if (find(ref) != nullptr) {
         return;
     }
-    const auto refuse = [&](RefusalReason reason) { answer.refused.push_back({ref, reason}); };
+    const auto refuse = [&](RefusalReason reason) {
+        answer.refused.push_back({ref, reason});
+    };
     auto &seen = m_seen[order.task];
     if (m_settings.safety.checkRunNumber && order.run <= seen.run) {
         refuse(RefusalReason::SeenBefore);
