--- a/src/trefoilhoist/config/configagent.cpp
+++ b/src/trefoilhoist/config/configagent.cpp
@@ -37,11 +37,8 @@
 
 } // namespace
 
-ConfigAgent::ConfigAgent(ConfigTable &table,
-                         const Clock &clock,
-                         std::shared_ptr<StoreClient> store,
-                         ConfigAgentOptions options)
-    : m_table(table), m_clock(clock), m_store(std::move(store)), m_options(options)
+ConfigAgent::ConfigAgent(ConfigTable &table, std::shared_ptr<StoreClient> store, ConfigAgentOptions options)
+    : m_table(table), m_store(std::move(store)), m_options(options)
 {
 }
 
--- a/src/trefoilhoist/config/configagent.h
+++ b/src/trefoilhoist/config/configagent.h
@@ -32,8 +32,8 @@
 class ConfigAgent : public std::enable_shared_from_this<ConfigAgent>
 {
 public:
-    /// `table` and `clock` must outlive the agent; `store` may be empty.
-    ConfigAgent(ConfigTable &table, const Clock &clock, std::shared_ptr<StoreClient> store, ConfigAgentOptions options);
+    /// `table` must outlive the agent; `store` may be empty.
+    ConfigAgent(ConfigTable &table, std::shared_ptr<StoreClient> store, ConfigAgentOptions options);
 
     /// Starts the watch of the store's configuration.
     void startWatching(const Asio::any_io_executor &executor);
@@ -60,9 +60,9 @@
     void applyListing(const StoreListing &listing);
 
     ConfigTable &m_table;
-    const Clock &m_clock;
     std::shared_ptr<StoreClient> m_store;
     ConfigAgentOptions m_options;
+    Clock m_clock;
     std::atomic<bool> m_stopped = false;
 };
 
--- a/tests/random/confighistory.cpp
+++ b/tests/random/confighistory.cpp
@@ -105,13 +105,12 @@
         void restart()
         {
             table = std::make_unique<ConfigTable>();
-            agent = std::make_shared<ConfigAgent>(*table, clock, nullptr, ConfigAgentOptions{});
+            agent = std::make_shared<ConfigAgent>(*table, nullptr, ConfigAgentOptions{});
             watch = std::make_unique<StoreWatch>(StoreWatchTimes{}, ++watchSeed);
             versions = table->versions();
             ++life;
         }
 
-        Clock clock;
         std::unique_ptr<ConfigTable> table;
         std::shared_ptr<ConfigAgent> agent;
         std::unique_ptr<StoreWatch> watch;
