--- a/tests/unit/membership.cpp
+++ b/tests/unit/membership.cpp
@@ -180,3 +180,32 @@
     live(m_a, 60'500, 64'000);
     EXPECT_TRUE(m_a.available().empty());
 }
+
+TEST_F(MembershipTest, wakingOwnerWithoutGrace_dropsItsMinions)
+{
+    MembershipSwitches switches;
+    switches.pauseGrace = false;
+    MembershipTable table(alpha, MembershipTimes{}, switches);
+    table.heard(announcement(1), at(0));
+    live(table, 0, 1000);
+    table.expire(at(60'000));
+    EXPECT_TRUE(table.available().empty());
+}
+
+TEST_F(MembershipTest, mostMinionsSilentAtOnce_ownerDoubtsItselfFirst)
+{
+    for (const bool doubt : {true, false}) {
+        MembershipSwitches switches;
+        switches.doubtSelf = doubt;
+        MembershipTable table(alpha, MembershipTimes{}, switches);
+        for (int n = 0; n < 5; ++n) {
+            auto news = announcement(1);
+            news.minion.id = MinionId("m" + std::to_string(n));
+            table.heard(news, at(0));
+        }
+        live(table, 0, 4000);
+        EXPECT_EQ(table.available().size(), doubt ? 5U : 0U);
+        live(table, 4500, 15'000);
+        EXPECT_TRUE(table.available().empty());
+    }
+}
