--- a/src/trefoilhoist/net/httpmessage.h
+++ b/src/trefoilhoist/net/httpmessage.h
@@ -15,6 +15,8 @@
 
     /// Replaces every field of that name.
     void set(std::string_view name, std::string value);
+    /// Adds a field beside others of the same name.
+    void add(std::string_view name, std::string value);
     /// The first value of that name, or an empty text.
     [[nodiscard]] std::string get(std::string_view name) const;
     [[nodiscard]] bool has(std::string_view name) const;
@@ -61,6 +63,8 @@
 inline constexpr std::string_view deadlineHeader = "Trefoilhoist-Deadline-Ms";
 inline constexpr std::string_view attemptHeader = "Trefoilhoist-Attempt";
 inline constexpr std::string_view minionHeader = "Trefoilhoist-Minion";
+/// On a minion's refusal: it is leaving and refuses all that follows.
+inline constexpr std::string_view leavingHeader = "Trefoilhoist-Leaving";
 inline constexpr std::string_view idempotencyHeader = "Idempotency-Key";
 inline constexpr std::string_view retryAfterHeader = "Retry-After";
 
