--- /dev/null
+++ b/src/trefoilhoist/placement/policies/decisioncontext.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "trefoilhoist/placement/policies/actionledger.h"
+#include "trefoilhoist/placement/policies/healthledger.h"
+#include "trefoilhoist/placement/policies/hosttable.h"
+#include "trefoilhoist/placement/policies/sizeestimator.h"
+#include "trefoilhoist/placement/policies/teamshares.h"
+
+namespace Trefoilhoist::Detail {
+
+/// What the parts of one decision share.
+struct DecisionContext {
+    TimePoint now{};
+    PolicyWeights weights;
+    HostTable &table;
+    TeamShares &shares;
+    SizeEstimator &sizes;
+    HealthLedger &health;
+    ActionLedger &ledger;
+};
+
+/// A pending task whose place is sought.
+struct Candidate {
+    const Job *job = nullptr;
+    const PendingTask *pending = nullptr;
+    SizeEstimate size;
+    bool urgent = false;
+    Duration waited{};
+};
+
+/// Work that an eviction would lose or repeat, in core-seconds.
+[[nodiscard]] double evictionWaste(const RunningTask &running, const ActionLedger &ledger, TimePoint now);
+
+} // namespace Trefoilhoist::Detail
--- /dev/null
+++ b/src/trefoilhoist/placement/policies/hosttable.cpp
@@ -0,0 +1,308 @@
+#include "trefoilhoist/placement/policies/hosttable.h"
+
+#include "trefoilhoist/internal/invariant.h"
+
+#include <algorithm>
+
+namespace Trefoilhoist::Detail {
+
+namespace {
+
+/// Pairs of selector texts whose answers are kept.
+constexpr std::size_t maxSelectorPairs = 1024;
+
+Resources positivePart(const Resources &value)
+{
+    return {std::max<std::int64_t>(value.milliCpu, 0),
+            std::max<std::int64_t>(value.memoryMb, 0),
+            std::max<std::int64_t>(value.accelerators, 0)};
+}
+
+Labels labelsOf(const Worker &worker, const PolicyTerms &terms)
+{
+    Labels labels;
+    const auto it = terms.workers.find(worker.id);
+    if (it != terms.workers.end()) {
+        labels = it->second;
+    }
+    labels.insert(worker.labels.begin(), worker.labels.end());
+    labels.try_emplace("worker", worker.id.str());
+    labels.try_emplace("rack", worker.rack.str());
+    labels.try_emplace("zone", worker.zone.str());
+    return labels;
+}
+
+int countOf(const std::unordered_map<const Job *, std::unordered_map<int, int>> &counts, const Job &job, int place)
+{
+    const auto it = counts.find(&job);
+    if (it == counts.end()) {
+        return 0;
+    }
+    const auto found = it->second.find(place);
+    return found == it->second.end() ? 0 : found->second;
+}
+
+} // namespace
+
+void HostTable::load(const PolicyInput &input, const PolicyTerms &terms)
+{
+    m_input = &input;
+    m_terms = &terms;
+    m_rackCounts.clear();
+    m_zoneCounts.clear();
+    m_counts.clear();
+    m_totalRoom = {};
+    indexLabels(input);
+    std::size_t n = 0;
+    for (const auto &[id, view] : input.workers) {
+        auto &host = m_hosts[n++];
+        host = Host{};
+        host.id = id;
+        host.view = &view;
+        host.room = positivePart(view.worker.capacity - view.serviceReserved);
+        host.free = view.worker.capacity - view.serviceReserved - view.uncertain;
+        host.open = view.reachable && !view.worker.leaving;
+        host.rack = groupIndex(m_racks, view.worker.rack.str());
+        host.zone = groupIndex(m_zones, view.worker.zone.str());
+        addRunning(host);
+        m_totalRoom += host.room;
+    }
+}
+
+void HostTable::indexLabels(const PolicyInput &input)
+{
+    bool changed = m_hosts.size() != input.workers.size();
+    m_hosts.resize(input.workers.size());
+    m_labels.resize(input.workers.size());
+    std::size_t n = 0;
+    for (const auto &[id, view] : input.workers) {
+        auto labels = labelsOf(view.worker, *m_terms);
+        if (m_hosts[n].id != id || m_labels[n] != labels) {
+            changed = true;
+            m_labels[n] = std::move(labels);
+        }
+        ++n;
+    }
+    if (changed || m_allowed.size() > maxSelectorPairs) {
+        m_allowed.clear();
+    }
+    if (!changed) {
+        return;
+    }
+    m_positions.clear();
+    n = 0;
+    for (const auto &entry : input.workers) {
+        m_positions.emplace(entry.first, n++);
+    }
+}
+
+Resources HostTable::heldByRunning(const RunningTask &running)
+{
+    // A task that uses more than its reservation leaves less for others.
+    return {std::max(running.reserved.milliCpu, running.used.milliCpu),
+            std::max(running.reserved.memoryMb, running.used.memoryMb),
+            std::max(running.reserved.accelerators, running.used.accelerators)};
+}
+
+void HostTable::addRunning(Host &host)
+{
+    for (const auto &running : host.view->running) {
+        host.free -= heldByRunning(running);
+        const auto *found = job(running.job);
+        if (found == nullptr) {
+            continue;
+        }
+        host.jobs.push_back(found);
+        const auto *terms = classTerms(*found);
+        host.restrictsNeighbours |= !found->beside.empty() || (terms != nullptr && !terms->beside.empty());
+        countJob(*found, host);
+    }
+    for (const auto &service : host.view->services) {
+        const auto it = m_terms->services.find(service);
+        host.restrictsNeighbours |= it != m_terms->services.end() && !it->second.beside.empty();
+    }
+}
+
+int HostTable::groupIndex(std::unordered_map<std::string, int> &indices, const std::string &name)
+{
+    return indices.try_emplace(name, static_cast<int>(indices.size())).first->second;
+}
+
+void HostTable::countJob(const Job &job, const Host &host)
+{
+    ++m_counts[&job];
+    if (job.tasks.size() > 1) {
+        ++m_rackCounts[&job][host.rack];
+        ++m_zoneCounts[&job][host.zone];
+    }
+}
+
+Host *HostTable::find(const WorkerId &id)
+{
+    const auto it = m_positions.find(id);
+    return it == m_positions.end() ? nullptr : &m_hosts[it->second];
+}
+
+const Job *HostTable::job(const JobId &id) const
+{
+    const auto it = m_input->jobs.find(id);
+    return it == m_input->jobs.end() ? nullptr : &it->second;
+}
+
+const ClassTerms *HostTable::classTerms(const Job &job) const
+{
+    const auto it = m_terms->classes.find(job.batchClass);
+    return it == m_terms->classes.end() ? nullptr : &it->second;
+}
+
+bool HostTable::matches(const std::string &text, const Labels &labels)
+{
+    if (text.empty()) {
+        return true;
+    }
+    const auto &read = m_selectors.read(text);
+    return read.problem.empty() && read.selector.matches(labels);
+}
+
+const std::vector<bool> &HostTable::allowed(const Job &job)
+{
+    const auto *terms = classTerms(job);
+    const auto classWhere = terms == nullptr ? std::string() : terms->where;
+    auto key = job.where + '\n' + classWhere;
+    const auto it = m_allowed.find(key);
+    if (it != m_allowed.end()) {
+        return it->second;
+    }
+    std::vector<bool> answers(m_hosts.size());
+    for (std::size_t n = 0; n < m_hosts.size(); ++n) {
+        answers[n] = matches(job.where, m_labels[n]) && matches(classWhere, m_labels[n]);
+    }
+    return m_allowed.emplace(std::move(key), std::move(answers)).first->second;
+}
+
+std::string HostTable::selectorProblem(const Job &job)
+{
+    const auto *terms = classTerms(job);
+    for (const auto *text : {&job.where, &job.beside}) {
+        const auto &problem = m_selectors.read(*text).problem;
+        if (!problem.empty()) {
+            return problem;
+        }
+    }
+    if (terms == nullptr) {
+        return {};
+    }
+    for (const auto *text : {&terms->where, &terms->beside}) {
+        const auto &problem = m_selectors.read(*text).problem;
+        if (!problem.empty()) {
+            return "class " + job.batchClass + ": " + problem;
+        }
+    }
+    return {};
+}
+
+Labels HostTable::jobLabels(const Job &job) const
+{
+    auto labels = job.labels;
+    const auto *terms = classTerms(job);
+    if (terms != nullptr) {
+        labels.insert(terms->labels.begin(), terms->labels.end());
+    }
+    labels["kind"] = "batch";
+    labels["class"] = job.batchClass;
+    labels["team"] = job.team.str();
+    return labels;
+}
+
+Labels HostTable::serviceLabels(const ServiceId &service) const
+{
+    Labels labels;
+    const auto it = m_terms->services.find(service);
+    if (it != m_terms->services.end()) {
+        labels = it->second.labels;
+    }
+    labels["kind"] = "service";
+    labels["service"] = service.str();
+    return labels;
+}
+
+bool HostTable::serviceAccepts(const ServiceId &service, const Job &job, const Labels &labels)
+{
+    const auto it = m_terms->services.find(service);
+    if (it != m_terms->services.end() && !matches(it->second.beside, labels)) {
+        return false;
+    }
+    const auto *terms = classTerms(job);
+    const auto theirs = serviceLabels(service);
+    return matches(job.beside, theirs) && (terms == nullptr || matches(terms->beside, theirs));
+}
+
+bool HostTable::acceptsBeside(const Job &job, const Host &host)
+{
+    const auto *terms = classTerms(job);
+    const bool restricts = !job.beside.empty() || (terms != nullptr && !terms->beside.empty());
+    if (!restricts && !host.restrictsNeighbours) {
+        return true;
+    }
+    const auto labels = jobLabels(job);
+    for (const auto &service : host.view->services) {
+        if (!serviceAccepts(service, job, labels)) {
+            return false;
+        }
+    }
+    for (const auto *other : host.jobs) {
+        if (other == &job) {
+            continue;
+        }
+        const auto *otherTerms = classTerms(*other);
+        const auto theirs = jobLabels(*other);
+        const bool accepted = matches(job.beside, theirs) && matches(other->beside, labels)
+            && (terms == nullptr || matches(terms->beside, theirs))
+            && (otherTerms == nullptr || matches(otherTerms->beside, labels));
+        if (!accepted) {
+            return false;
+        }
+    }
+    return true;
+}
+
+int HostTable::countInRack(const Job &job, const Host &host) const
+{
+    return countOf(m_rackCounts, job, host.rack);
+}
+
+int HostTable::countInZone(const Job &job, const Host &host) const
+{
+    return countOf(m_zoneCounts, job, host.zone);
+}
+
+int HostTable::countRunning(const Job &job) const
+{
+    const auto it = m_counts.find(&job);
+    return it == m_counts.end() ? 0 : it->second;
+}
+
+int HostTable::yieldRank(const Job &job) const
+{
+    const auto *terms = classTerms(job);
+    return job.yieldRank + (terms == nullptr ? 0 : terms->yieldRank);
+}
+
+bool HostTable::yieldsFirst(const ServiceId &service, const Job &job)
+{
+    const auto it = m_terms->services.find(service);
+    return it != m_terms->services.end() && !it->second.yields.empty() && matches(it->second.yields, jobLabels(job));
+}
+
+void HostTable::place(Host &host, const Job &job, const Resources &reserve)
+{
+    TREFOILHOIST_INVARIANT(fits(reserve, host.free), "P1 capacity");
+    host.free -= reserve;
+    --host.startLimit;
+    host.jobs.push_back(&job);
+    const auto *terms = classTerms(job);
+    host.restrictsNeighbours |= !job.beside.empty() || (terms != nullptr && !terms->beside.empty());
+    countJob(job, host);
+}
+
+} // namespace Trefoilhoist::Detail
--- /dev/null
+++ b/src/trefoilhoist/placement/policies/interferencemodel.cpp
@@ -0,0 +1,235 @@
+#include "trefoilhoist/placement/policies/interferencemodel.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Trefoilhoist::Detail {
+
+namespace {
+
+/// Weights that describe the service alone: level, load, square of load.
+constexpr std::size_t baseColumns = 3;
+/// Classes with a column of their own per service; further ones keep the prior.
+constexpr std::size_t maxColumns = baseColumns + 24;
+constexpr double firstNoise = 0.04;
+constexpr double leastNoise = 0.0025;
+constexpr double noiseGain = 0.02;
+constexpr double levelVariance = 1.0;
+constexpr double loadVariance = 0.5;
+/// A sample further off than this many deviations counts as one that far off.
+constexpr double clipDeviations = 3;
+constexpr double highestIntensity = 4;
+/// A class beside an idle service still costs this part of what it costs at the usual load.
+constexpr double idleInterplay = 0.4;
+constexpr double leastRequestsPerSecond = 0.1;
+
+double quadratic(const std::vector<double> &matrix, const std::vector<double> &left, const std::vector<double> &right)
+{
+    double sum = 0;
+    const auto n = left.size();
+    for (std::size_t i = 0; i < n; ++i) {
+        if (left[i] == 0) {
+            continue;
+        }
+        for (std::size_t j = 0; j < n; ++j) {
+            sum += left[i] * matrix[i * n + j] * right[j];
+        }
+    }
+    return sum;
+}
+
+} // namespace
+
+InterferenceModel::InterferenceModel(const Settings &settings) : m_settings(settings) { }
+
+int InterferenceModel::classIndex(const std::string &batchClass)
+{
+    return m_classes.try_emplace(batchClass, static_cast<int>(m_classes.size())).first->second;
+}
+
+std::vector<double> InterferenceModel::baseFeatures(double intensity)
+{
+    return {1.0, intensity, intensity * intensity};
+}
+
+double InterferenceModel::interplay(double intensity)
+{
+    return idleInterplay + (1 - idleInterplay) * intensity;
+}
+
+int InterferenceModel::columnOf(const ServiceModel &service, int batchClass)
+{
+    const auto n = static_cast<std::size_t>(batchClass);
+    return n < service.columns.size() ? service.columns[n] : -1;
+}
+
+Prediction InterferenceModel::priorEffect(const ServiceModel &service, int batchClass) const
+{
+    double sum = m_settings.priorEffect;
+    double count = 1;
+    for (std::size_t n = baseColumns; n < service.weights.size(); ++n) {
+        sum += std::max(service.weights[n], 0.0);
+        ++count;
+    }
+    for (const auto &[id, other] : m_services) {
+        const int column = columnOf(other, batchClass);
+        if (&other != &service && column >= 0) {
+            // The class's own effect on another service tells more than other classes do.
+            sum += 2 * std::max(other.weights[static_cast<std::size_t>(column)], 0.0);
+            count += 2;
+        }
+    }
+    return {sum / count, m_settings.priorDeviation};
+}
+
+int InterferenceModel::addColumn(ServiceModel &service, int batchClass)
+{
+    const auto n = service.weights.size();
+    if (n >= maxColumns) {
+        return -1;
+    }
+    const auto prior = priorEffect(service, batchClass);
+    std::vector<double> wider((n + 1) * (n + 1), 0.0);
+    for (std::size_t i = 0; i < n; ++i) {
+        for (std::size_t j = 0; j < n; ++j) {
+            wider[i * (n + 1) + j] = service.covariance[i * n + j];
+        }
+    }
+    wider[n * (n + 1) + n] = prior.deviation * prior.deviation;
+    service.covariance = std::move(wider);
+    service.weights.push_back(prior.mean);
+    service.columns.resize(std::max(service.columns.size(), static_cast<std::size_t>(batchClass) + 1), -1);
+    service.columns[static_cast<std::size_t>(batchClass)] = static_cast<int>(n);
+    return static_cast<int>(n);
+}
+
+void InterferenceModel::start(ServiceModel &service, double requestsPerSecond, double logP99) const
+{
+    service.scale = requestsPerSecond;
+    service.noise = firstNoise;
+    service.weights = {logP99, 0.0, 0.0};
+    service.covariance = {levelVariance, 0, 0, 0, loadVariance, 0, 0, 0, loadVariance};
+}
+
+void InterferenceModel::learn(const ServiceId &id,
+                              const WorkerId &worker,
+                              double requestsPerSecond,
+                              Duration p99,
+                              const std::vector<ClassLoad> &loads)
+{
+    if (requestsPerSecond < leastRequestsPerSecond || p99 <= Duration{}) {
+        return;
+    }
+    const double logP99 = std::log(std::chrono::duration<double, std::milli>(p99).count());
+    auto &service = m_services[id];
+    if (service.weights.empty()) {
+        start(service, requestsPerSecond, logP99);
+    }
+    const double intensity = std::min(requestsPerSecond / service.scale, highestIntensity);
+    auto features = baseFeatures(intensity);
+    for (const auto &load : loads) {
+        int column = columnOf(service, load.batchClass);
+        if (column < 0) {
+            column = addColumn(service, load.batchClass);
+        }
+        if (column >= 0) {
+            features.resize(service.weights.size(), 0.0);
+            features[static_cast<std::size_t>(column)] += load.load * interplay(intensity);
+        }
+    }
+    features.resize(service.weights.size(), 0.0);
+    double expected = 0;
+    for (std::size_t n = 0; n < features.size(); ++n) {
+        expected += features[n] * service.weights[n];
+    }
+    auto &site = service.workers[worker];
+    site.trend = site.intensity > 0 ? 0.5 * site.trend + 0.5 * (intensity - site.intensity) : 0;
+    site.intensity = intensity;
+    const double residual = logP99 - expected;
+    site.residual = m_settings.residualMemory * site.residual + (1 - m_settings.residualMemory) * residual;
+    update(service, features, residual);
+}
+
+void InterferenceModel::update(ServiceModel &service, const std::vector<double> &features, double residual) const
+{
+    const auto n = features.size();
+    const double spread = quadratic(service.covariance, features, features);
+    const double variance = m_settings.noiseFactor * service.noise + spread;
+    const double limit = clipDeviations * std::sqrt(variance);
+    const double clipped = std::clamp(residual, -limit, limit);
+    std::vector<double> gain(n, 0.0);
+    for (std::size_t i = 0; i < n; ++i) {
+        for (std::size_t j = 0; j < n; ++j) {
+            gain[i] += service.covariance[i * n + j] * features[j];
+        }
+    }
+    for (std::size_t i = 0; i < n; ++i) {
+        service.weights[i] += gain[i] * clipped / variance;
+    }
+    for (std::size_t i = 0; i < n; ++i) {
+        for (std::size_t j = 0; j < n; ++j) {
+            service.covariance[i * n + j] -= gain[i] * gain[j] / variance;
+        }
+        const double most = i < baseColumns ? levelVariance : m_settings.priorDeviation * m_settings.priorDeviation;
+        auto &own = service.covariance[i * n + i];
+        own = std::min(own + m_settings.drift, most);
+    }
+    service.noise = std::max((1 - noiseGain) * service.noise + noiseGain * clipped * clipped, leastNoise);
+    ++service.samples;
+}
+
+std::optional<Prediction>
+InterferenceModel::predict(const ServiceId &id, const WorkerId &worker, const std::vector<ClassLoad> &loads) const
+{
+    const auto it = m_services.find(id);
+    if (it == m_services.end()) {
+        return std::nullopt;
+    }
+    const auto &service = it->second;
+    const auto found = service.workers.find(worker);
+    const Site site = found == service.workers.end() ? Site{1.0, 0, 0} : found->second;
+    const double intensity = std::min(site.intensity + std::max(site.trend, 0.0), highestIntensity);
+    auto features = baseFeatures(intensity);
+    features.resize(service.weights.size(), 0.0);
+    double mean = site.residual;
+    double unknown = 0;
+    for (const auto &load : loads) {
+        const int column = columnOf(service, load.batchClass);
+        const double part = load.load * interplay(intensity);
+        if (column >= 0) {
+            features[static_cast<std::size_t>(column)] += part;
+            // No class is taken to speed a service up.
+            mean -= part * std::min(service.weights[static_cast<std::size_t>(column)], 0.0);
+            continue;
+        }
+        const auto prior = priorEffect(service, load.batchClass);
+        mean += part * prior.mean;
+        unknown += part * part * prior.deviation * prior.deviation;
+    }
+    for (std::size_t n = 0; n < features.size(); ++n) {
+        mean += features[n] * service.weights[n];
+    }
+    return Prediction{mean, std::sqrt(std::max(quadratic(service.covariance, features, features), 0.0) + unknown)};
+}
+
+Prediction InterferenceModel::effect(const ServiceId &id, const WorkerId &worker, int batchClass) const
+{
+    const auto it = m_services.find(id);
+    if (it == m_services.end()) {
+        return {m_settings.priorEffect, m_settings.priorDeviation};
+    }
+    const auto &service = it->second;
+    const auto found = service.workers.find(worker);
+    const double intensity = found == service.workers.end() ? 1.0 : found->second.intensity;
+    const double factor = interplay(intensity);
+    const int column = columnOf(service, batchClass);
+    if (column < 0) {
+        const auto prior = priorEffect(service, batchClass);
+        return {factor * prior.mean, factor * prior.deviation};
+    }
+    const auto n = static_cast<std::size_t>(column);
+    const double variance = service.covariance[n * service.weights.size() + n];
+    return {factor * std::max(service.weights[n], 0.0), factor * std::sqrt(std::max(variance, 0.0))};
+}
+
+} // namespace Trefoilhoist::Detail
--- /dev/null
+++ b/src/trefoilhoist/placement/policies/preemption.cpp
@@ -0,0 +1,90 @@
+#include "trefoilhoist/placement/policies/preemption.h"
+
+#include <algorithm>
+
+namespace Trefoilhoist::Detail {
+
+namespace {
+
+struct Victim {
+    const RunningTask *running = nullptr;
+    int rank = 0;
+    bool overEntitled = false;
+    double waste = 0;
+};
+
+bool yieldsBefore(const Victim &left, const Victim &right)
+{
+    if (left.rank != right.rank) {
+        return left.rank > right.rank;
+    }
+    if (left.overEntitled != right.overEntitled) {
+        return left.overEntitled;
+    }
+    return left.waste < right.waste;
+}
+
+std::vector<Victim>
+findVictims(DecisionContext &context, const Host &host, const TeamId &team, const PreemptionRule &rule)
+{
+    std::vector<Victim> victims;
+    for (const auto &running : host.view->running) {
+        const auto *job = context.table.job(running.job);
+        if (job == nullptr || job->urgent || context.ledger.isEvicting(running.task)) {
+            continue;
+        }
+        const bool over = context.shares.dominant(job->team) > context.shares.entitlement(job->team);
+        if (rule.onlyOverEntitled && (!over || job->team == team)) {
+            continue;
+        }
+        victims.push_back(
+            {&running, context.table.yieldRank(*job), over, evictionWaste(running, context.ledger, context.now)});
+    }
+    std::sort(victims.begin(), victims.end(), yieldsBefore);
+    return victims;
+}
+
+/// Leaves out victims whose room turns out not to be needed, the last to yield first.
+void dropNeedless(std::vector<Victim> &victims, Resources free, const Resources &need)
+{
+    for (std::size_t n = victims.size(); n-- > 0;) {
+        const auto without = free - HostTable::heldByRunning(*victims[n].running);
+        if (fits(need, without)) {
+            free = without;
+            victims.erase(victims.begin() + static_cast<std::ptrdiff_t>(n));
+        }
+    }
+}
+
+} // namespace
+
+std::optional<RoomPlan>
+planRoom(DecisionContext &context, Host &host, const Resources &need, const TeamId &team, const PreemptionRule &rule)
+{
+    auto free = host.free - host.held;
+    for (const auto &running : host.view->running) {
+        if (context.ledger.isEvicting(running.task)) {
+            free += HostTable::heldByRunning(running);
+        }
+    }
+    std::vector<Victim> taken;
+    for (const auto &victim : findVictims(context, host, team, rule)) {
+        if (fits(need, free)) {
+            break;
+        }
+        free += HostTable::heldByRunning(*victim.running);
+        taken.push_back(victim);
+    }
+    if (!fits(need, free)) {
+        return std::nullopt;
+    }
+    dropNeedless(taken, free, need);
+    RoomPlan plan{&host, {}, 0};
+    for (const auto &victim : taken) {
+        plan.victims.push_back(victim.running);
+        plan.cost += victim.waste / (1 + std::max(victim.rank, 0));
+    }
+    return plan;
+}
+
+} // namespace Trefoilhoist::Detail
--- /dev/null
+++ b/src/trefoilhoist/placement/policies/selectorcache.cpp
@@ -0,0 +1,39 @@
+#include "trefoilhoist/placement/policies/selectorcache.h"
+
+namespace Trefoilhoist::Detail {
+
+namespace {
+
+/// Texts kept before the cache starts afresh.
+constexpr std::size_t maxSelectors = 4096;
+
+ReadSelector readSelector(const std::string &text)
+{
+    auto parsed = Selector::parse(text);
+    if (!parsed) {
+        return {Selector(),
+                "selector \"" + text + "\" can't be read at column " + std::to_string(parsed.error().column) + ": "
+                    + parsed.error().reason};
+    }
+    auto contradiction = parsed->contradiction();
+    if (!contradiction.empty()) {
+        contradiction = "selector \"" + text + "\" can never match: " + contradiction;
+    }
+    return {std::move(*parsed), std::move(contradiction)};
+}
+
+} // namespace
+
+const ReadSelector &SelectorCache::read(const std::string &text)
+{
+    const auto it = m_selectors.find(text);
+    if (it != m_selectors.end()) {
+        return it->second;
+    }
+    if (m_selectors.size() >= maxSelectors) {
+        m_selectors.clear();
+    }
+    return m_selectors.emplace(text, readSelector(text)).first->second;
+}
+
+} // namespace Trefoilhoist::Detail
--- /dev/null
+++ b/src/trefoilhoist/placement/policies/startplanner.cpp
@@ -0,0 +1,430 @@
+#include "trefoilhoist/placement/policies/startplanner.h"
+
+#include "trefoilhoist/placement/policies/preemption.h"
+
+#include <algorithm>
+#include <queue>
+
+namespace Trefoilhoist::Detail {
+
+namespace {
+
+/// Added to the score of a worker that the task failed on before.
+constexpr double failedBeforePenalty = 10;
+/// Moves the score of a worker that is due a probe.
+constexpr double probePreference = 5;
+/// A task whose neighbours are never accepted is reported after this.
+constexpr Duration reportNeighboursAfter = seconds(60);
+constexpr std::size_t sweepSlack = 256;
+
+std::string text(const Resources &size)
+{
+    return std::to_string(size.milliCpu) + " milliCpu, " + std::to_string(size.memoryMb) + " MB, "
+        + std::to_string(size.accelerators) + " accelerators";
+}
+
+Resources largest(const Resources &left, const Resources &right)
+{
+    return {std::max(left.milliCpu, right.milliCpu),
+            std::max(left.memoryMb, right.memoryMb),
+            std::max(left.accelerators, right.accelerators)};
+}
+
+/// How far the host is from having room, as parts of its whole room.
+double lack(const Host &host, const Resources &need)
+{
+    const auto missing = need - (host.free - host.held);
+    const auto part = [](std::int64_t value, std::int64_t room) {
+        return room <= 0 ? 0.0 : std::max(0.0, static_cast<double>(value) / static_cast<double>(room));
+    };
+    return part(missing.milliCpu, host.room.milliCpu) + part(missing.memoryMb, host.room.memoryMb)
+        + part(missing.accelerators, host.room.accelerators);
+}
+
+bool failedThere(const PendingTask &pending, const WorkerId &worker)
+{
+    return std::find(pending.failedOn.begin(), pending.failedOn.end(), worker) != pending.failedOn.end();
+}
+
+} // namespace
+
+StartPlanner::StartPlanner(const Settings &settings, std::uint64_t seed) : m_settings(settings), m_scanStart(seed) { }
+
+void StartPlanner::plan(DecisionContext &context, const Score &score, const Placed &placed)
+{
+    m_plans.clear();
+    refreshHolds(context);
+    buildQueues(context);
+    planUrgent(context, score, placed);
+    planNormal(context, score, placed);
+    sweep(context.table.input());
+}
+
+void StartPlanner::refreshHolds(DecisionContext &context)
+{
+    if (m_holds.empty()) {
+        return;
+    }
+    for (auto &[task, hold] : m_holds) {
+        hold.wanted = false;
+    }
+    for (const auto &pending : context.table.input().pending) {
+        const auto it = m_holds.find(pending.task.id);
+        if (it != m_holds.end()) {
+            it->second.wanted = true;
+        }
+    }
+    std::erase_if(m_holds, [&](const auto &entry) {
+        const auto &hold = entry.second;
+        const auto *host = context.table.find(hold.worker);
+        const bool late = hold.urgent && context.now - hold.since > m_settings.urgentHoldFor;
+        return !hold.wanted || late || host == nullptr || !host->open || host->startLimit <= 0;
+    });
+    for (const auto &[task, hold] : m_holds) {
+        context.table.find(hold.worker)->held += hold.need;
+    }
+}
+
+void StartPlanner::buildQueues(DecisionContext &context)
+{
+    m_queues.clear();
+    std::unordered_map<TeamId, std::size_t> positions;
+    const auto &pending = context.table.input().pending;
+    const Job *job = nullptr;
+    bool skipped = false;
+    for (std::size_t n = 0; n < pending.size(); ++n) {
+        if (job == nullptr || job->id != pending[n].task.job) {
+            job = context.table.job(pending[n].task.job);
+            skipped = job == nullptr || context.health.isFailed(job->id);
+        }
+        if (skipped || context.health.mustWait(pending[n], context.now)) {
+            continue;
+        }
+        const auto [it, isNew] = positions.try_emplace(job->team, m_queues.size());
+        if (isNew) {
+            m_queues.push_back({job->team, {}, {}, 0});
+        }
+        auto &queue = m_queues[it->second];
+        (job->urgent ? queue.urgent : queue.normal).push_back(n);
+    }
+}
+
+Candidate StartPlanner::candidateAt(DecisionContext &context, std::size_t position) const
+{
+    const auto &pending = context.table.input().pending[position];
+    const auto *job = context.table.job(pending.task.job);
+    return {job, &pending, {}, job->urgent, context.now - pending.since};
+}
+
+void StartPlanner::planUrgent(DecisionContext &context, const Score &score, const Placed &placed)
+{
+    std::sort(m_queues.begin(), m_queues.end(), [&](const auto &left, const auto &right) {
+        return context.shares.weighted(left.team) < context.shares.weighted(right.team);
+    });
+    for (auto &queue : m_queues) {
+        std::vector<std::size_t> rest;
+        for (const auto position : queue.urgent) {
+            auto candidate = candidateAt(context, position);
+            // Urgent work goes first only within what its team is due, so that it can't starve the rest.
+            const auto size = context.sizes.estimate(*candidate.job, candidate.pending->task).reserve;
+            const bool due = context.shares.urgentWith(queue.team, size) <= context.shares.entitlement(queue.team);
+            if (!due) {
+                rest.push_back(position);
+                continue;
+            }
+            const auto outcome = tryPlace(context, candidate, score, placed);
+            if (outcome == Outcome::NoRoom && m_settings.preempts && !m_holds.contains(candidate.pending->task.id)) {
+                makeRoom(context, candidate, true);
+            }
+        }
+        queue.normal.insert(queue.normal.begin(), rest.begin(), rest.end());
+    }
+}
+
+void StartPlanner::planNormal(DecisionContext &context, const Score &score, const Placed &placed)
+{
+    using Entry = std::pair<double, std::size_t>;
+    std::priority_queue<Entry, std::vector<Entry>, std::greater<>> order;
+    for (std::size_t n = 0; n < m_queues.size(); ++n) {
+        order.emplace(m_settings.fairTeams ? context.shares.weighted(m_queues[n].team) : 0.0, n);
+    }
+    while (!order.empty()) {
+        const auto n = order.top().second;
+        order.pop();
+        auto &queue = m_queues[n];
+        const auto outcome = startNext(context, queue, score, placed);
+        if (outcome == Outcome::Placed) {
+            order.emplace(m_settings.fairTeams ? context.shares.weighted(queue.team) : 0.0, n);
+        }
+    }
+}
+
+StartPlanner::Outcome
+StartPlanner::startNext(DecisionContext &context, TeamQueue &queue, const Score &score, const Placed &placed)
+{
+    while (queue.next < queue.normal.size()) {
+        auto candidate = candidateAt(context, queue.normal[queue.next++]);
+        const auto outcome = tryPlace(context, candidate, score, placed);
+        if (outcome == Outcome::Placed) {
+            return outcome;
+        }
+        if (outcome == Outcome::NoRoom) {
+            waitForRoom(context, candidate);
+        }
+    }
+    return Outcome::Skipped;
+}
+
+StartPlanner::JobPlan &StartPlanner::jobPlan(DecisionContext &context, const Job &job)
+{
+    const auto [it, isNew] = m_plans.try_emplace(&job);
+    auto &plan = it->second;
+    if (isNew) {
+        plan.selectorProblem = context.table.selectorProblem(job);
+        plan.startsLeft = context.health.tasksAllowed(job.id) - context.table.countRunning(job);
+        plan.allowed = &context.table.allowed(job);
+    }
+    return plan;
+}
+
+std::string StartPlanner::sizeProblem(DecisionContext &context, JobPlan &plan, const Candidate &candidate)
+{
+    const auto &task = candidate.pending->task;
+    plan.declared = task.declared;
+    plan.size = context.sizes.estimate(*candidate.job, task);
+    plan.blocked.reset();
+    plan.sized = true;
+    Resources room;
+    int allowed = 0;
+    bool reserveFits = false;
+    bool declaredFits = false;
+    const auto &hosts = context.table.hosts();
+    for (std::size_t n = 0; n < hosts.size(); ++n) {
+        if ((*plan.allowed)[n]) {
+            ++allowed;
+            room = largest(room, hosts[n].room);
+            reserveFits |= fits(plan.size.reserve, hosts[n].room);
+            declaredFits |= fits(task.declared, hosts[n].room);
+        }
+    }
+    if (hosts.empty()) {
+        return {};
+    }
+    if (allowed == 0) {
+        return "no worker's labels match where \"" + candidate.job->where + "\"";
+    }
+    const double limit = context.shares.limit(candidate.job->team);
+    if (!reserveFits && declaredFits) {
+        plan.size.reserve = task.declared;
+    } else if (!reserveFits) {
+        return "needs " + text(plan.size.reserve) + "; the " + std::to_string(allowed)
+            + " workers that it may use have at most " + text(room);
+    }
+    if (limit < 1.0 && context.shares.dominantOf(plan.size.reserve) > limit) {
+        return "needs more than the limit of team " + candidate.job->team.str();
+    }
+    return {};
+}
+
+StartPlanner::Outcome
+StartPlanner::tryPlace(DecisionContext &context, Candidate &candidate, const Score &score, const Placed &placed)
+{
+    auto &plan = jobPlan(context, *candidate.job);
+    const auto &task = candidate.pending->task;
+    if (plan.selectorProblem.empty() && (!plan.sized || plan.declared != task.declared)) {
+        plan.sizeProblem = sizeProblem(context, plan, candidate);
+    }
+    const auto &problem = plan.selectorProblem.empty() ? plan.sizeProblem : plan.selectorProblem;
+    if (!problem.empty()) {
+        report(context, task.id, problem);
+        return Outcome::Skipped;
+    }
+    candidate.size = plan.size;
+    const auto hold = m_holds.find(task.id);
+    const bool held = hold != m_holds.end();
+    if (plan.startsLeft <= 0 || (!held && plan.blocked)) {
+        return plan.startsLeft > 0 && plan.blockedByRoom ? Outcome::NoRoom : Outcome::Skipped;
+    }
+    const auto &team = candidate.job->team;
+    if (context.shares.dominantWith(team, plan.size.reserve) > context.shares.limit(team)) {
+        return Outcome::Skipped;
+    }
+    if (held) {
+        context.table.find(hold->second.worker)->held -= hold->second.need;
+    }
+    bool sawRoom = false;
+    auto *host = choose(context, candidate, plan, score, sawRoom);
+    if (host == nullptr) {
+        if (held) {
+            context.table.find(hold->second.worker)->held += hold->second.need;
+        }
+        plan.blocked = plan.size.reserve;
+        plan.blockedByRoom = !sawRoom;
+        return sawRoom ? Outcome::Refused : Outcome::NoRoom;
+    }
+    m_holds.erase(task.id);
+    m_reported.erase(task.id);
+    --plan.startsLeft;
+    context.table.place(*host, *candidate.job, plan.size.reserve);
+    context.shares.add(*candidate.job, plan.size.reserve);
+    context.health.started(host->id, context.now);
+    context.ledger.add(StartTask{task.id, host->id, plan.size.reserve});
+    placed(candidate, *host);
+    return Outcome::Placed;
+}
+
+Host *StartPlanner::choose(
+    DecisionContext &context, const Candidate &candidate, const JobPlan &plan, const Score &score, bool &sawRoom)
+{
+    auto &hosts = context.table.hosts();
+    Host *best = nullptr;
+    double bestScore = 0;
+    int scored = 0;
+    // Starting elsewhere each time spreads the load of a bounded scan.
+    m_scanStart = m_scanStart * 6364136223846793005ULL + 1442695040888963407ULL;
+    const auto start = hosts.empty() ? 0 : (m_scanStart >> 33) % hosts.size();
+    for (std::size_t i = 0; i < hosts.size() && scored < m_settings.candidateLimit; ++i) {
+        const auto n = start + i < hosts.size() ? start + i : start + i - hosts.size();
+        auto &host = hosts[n];
+        if (!host.open || host.startLimit <= 0 || !(*plan.allowed)[n]
+            || !fits(plan.size.reserve, host.free - host.held)) {
+            continue;
+        }
+        if (!context.table.acceptsBeside(*candidate.job, host)) {
+            sawRoom = true;
+            continue;
+        }
+        ++scored;
+        sawRoom = true;
+        auto value = score(candidate, host);
+        if (!value) {
+            continue;
+        }
+        if (failedThere(*candidate.pending, host.id)) {
+            *value += failedBeforePenalty;
+        }
+        if (context.health.isQuarantined(host.id)) {
+            // A job that is known to finish elsewhere makes the better probe.
+            const bool probes = context.health.isProven(candidate.job->id) && !candidate.urgent;
+            *value += probes ? -probePreference : probePreference;
+        }
+        if (best == nullptr || *value < bestScore) {
+            best = &host;
+            bestScore = *value;
+        }
+    }
+    const bool neighboursRefuse = best == nullptr && sawRoom && scored == 0;
+    if (neighboursRefuse && candidate.waited >= reportNeighboursAfter) {
+        report(context, candidate.pending->task.id, "no worker with room has neighbours that beside selectors accept");
+    }
+    return best;
+}
+
+void StartPlanner::report(DecisionContext &context, const TaskId &task, const std::string &reason)
+{
+    const auto hash = std::hash<std::string>{}(reason);
+    const auto [it, isNew] = m_reported.try_emplace(task, hash);
+    if (!isNew && it->second == hash) {
+        return;
+    }
+    it->second = hash;
+    context.ledger.add(ReportUnplaceable{task, reason});
+}
+
+bool StartPlanner::mayHold(const DecisionContext &context) const
+{
+    const auto hosts = static_cast<double>(context.table.input().workers.size());
+    return static_cast<double>(m_holds.size()) < std::max(1.0, m_settings.mostHeld * hosts);
+}
+
+void StartPlanner::waitForRoom(DecisionContext &context, const Candidate &candidate)
+{
+    const auto &team = candidate.job->team;
+    const bool starved = candidate.waited >= m_settings.fairAfter && m_settings.preempts && m_settings.fairTeams
+        && context.shares.dominantWith(team, candidate.size.reserve) <= context.shares.entitlement(team) / 2;
+    if (m_holds.contains(candidate.pending->task.id) || !mayHold(context) || !m_settings.holds) {
+        return;
+    }
+    if (starved && makeRoom(context, candidate, false)) {
+        return;
+    }
+    if (candidate.waited >= m_settings.holdAfter) {
+        holdRoom(context, candidate);
+    }
+}
+
+void StartPlanner::holdRoom(DecisionContext &context, const Candidate &candidate)
+{
+    const auto &plan = jobPlan(context, *candidate.job);
+    Host *best = nullptr;
+    double least = 0;
+    auto &hosts = context.table.hosts();
+    for (std::size_t n = 0; n < hosts.size(); ++n) {
+        auto &host = hosts[n];
+        const bool usable = host.open && host.startLimit > 0 && (*plan.allowed)[n] && host.held == Resources{}
+            && fits(candidate.size.reserve, host.room) && context.table.acceptsBeside(*candidate.job, host);
+        if (!usable) {
+            continue;
+        }
+        const double missing = lack(host, candidate.size.reserve);
+        if (best == nullptr || missing < least) {
+            best = &host;
+            least = missing;
+        }
+    }
+    if (best != nullptr) {
+        keepRoom(context, *best, candidate, false);
+    }
+}
+
+void StartPlanner::keepRoom(DecisionContext &context, Host &host, const Candidate &candidate, bool urgent)
+{
+    host.held += candidate.size.reserve;
+    m_holds[candidate.pending->task.id] = {host.id, candidate.size.reserve, context.now, urgent, true};
+}
+
+bool StartPlanner::makeRoom(DecisionContext &context, const Candidate &candidate, bool forUrgent)
+{
+    const auto &plan = jobPlan(context, *candidate.job);
+    std::optional<RoomPlan> best;
+    auto &hosts = context.table.hosts();
+    const auto &team = candidate.job->team;
+    for (std::size_t n = 0; n < hosts.size(); ++n) {
+        auto &host = hosts[n];
+        const bool usable = host.open && host.startLimit > 0 && (*plan.allowed)[n]
+            && fits(candidate.size.reserve, host.room) && context.table.acceptsBeside(*candidate.job, host);
+        if (!usable) {
+            continue;
+        }
+        auto room = planRoom(context, host, candidate.size.reserve, team, {!forUrgent});
+        if (room && (!best || room->cost < best->cost)) {
+            best = std::move(room);
+        }
+    }
+    if (!best) {
+        return false;
+    }
+    const std::string reason = forUrgent ? "room for urgent task " : "room for a team below its share, task ";
+    for (const auto *victim : best->victims) {
+        context.ledger.evict(*victim, reason + candidate.pending->task.id.str());
+    }
+    keepRoom(context, *best->host, candidate, forUrgent);
+    return true;
+}
+
+void StartPlanner::sweep(const PolicyInput &input)
+{
+    if (m_reported.size() <= 2 * input.pending.size() + sweepSlack) {
+        return;
+    }
+    std::unordered_map<TaskId, std::size_t> kept;
+    for (const auto &pending : input.pending) {
+        const auto it = m_reported.find(pending.task.id);
+        if (it != m_reported.end()) {
+            kept.insert(*it);
+        }
+    }
+    m_reported = std::move(kept);
+}
+
+} // namespace Trefoilhoist::Detail
--- a/src/trefoilhoist/placement/policytypes.h
+++ b/src/trefoilhoist/placement/policytypes.h
@@ -47,6 +47,53 @@
     std::vector<WorkerId> failedOn;
 };
 
+/// How a deployment weighs the measures; read from labels.
+struct PolicyWeights {
+    double tailLatency = 1.0;
+    double throughput = 1.0;
+    double evictions = 1.0;
+
+    bool operator==(const PolicyWeights &) const = default;
+};
+
+/// What operators ask for one service.
+struct ServiceTerms {
+    Labels labels;
+    /// Limit for the p99; zero means that none is stated.
+    Duration latencyTarget{};
+    /// Selector for the work that may run beside it.
+    std::string beside;
+    /// Selector for the work that yields to it first.
+    std::string yields;
+};
+
+/// What operators ask for one batch class; joined with each job's own selectors.
+struct ClassTerms {
+    Labels labels;
+    std::string where;
+    std::string beside;
+    /// Added to the job's rank; higher ranks yield first.
+    int yieldRank = 0;
+};
+
+/// A team's part of the cell.
+struct TeamTerms {
+    /// Entitlement relative to other teams.
+    double weight = 1.0;
+    /// Most of its dominant resource that the team may hold, 0 to 1.
+    double limit = 1.0;
+};
+
+/// The labels and selectors in force, as a policy reads them.
+struct PolicyTerms {
+    PolicyWeights weights;
+    std::map<ServiceId, ServiceTerms> services;
+    std::map<std::string, ClassTerms> classes;
+    std::map<TeamId, TeamTerms> teams;
+    /// Operators' labels of workers; they go before the worker's own.
+    std::map<WorkerId, Labels> workers;
+};
+
 /// Everything a policy decides from; views are valid for the call only.
 struct PolicyInput {
     TimePoint now{};
@@ -54,6 +101,8 @@
     const std::map<JobId, Job> &jobs;
     /// In the order of submission.
     const std::vector<PendingTask> &pending;
+    /// Without terms nothing is labelled, and the weights are those that the policy was made with.
+    const PolicyTerms *terms = nullptr;
 };
 
 /// Start the task there with this much set aside.
