--- a/src/programs/burn/main.cpp
+++ b/src/programs/burn/main.cpp
@@ -51,7 +51,10 @@
     tl::expected<HttpResponse, CallError> answer = tl::unexpected(CallError{});
     const auto endpoint = endpointFromText(entry);
     spawn(context.get_executor(), "burn", [&]() -> awaitable<void> {
-        answer = co_await client.call(endpoint, HttpRequest{"GET", "/-/burn", {}, {}}, HttpCallOptions{});
+        HttpRequest request;
+        request.target = "/-/burn";
+        HttpCallOptions options;
+        answer = co_await client.call(endpoint, std::move(request), std::move(options));
     });
     context.run();
     if (!answer) {
--- a/src/programs/entry/entry.cpp
+++ b/src/programs/entry/entry.cpp
@@ -1,5 +1,6 @@
 #include "entry.h"
 
+#include "trefoilhoist/config/contracts.h"
 #include "trefoilhoist/store/consulstoreclient.h"
 
 #include <glog/logging.h>
@@ -9,6 +10,7 @@
 namespace {
 
 constexpr Duration idlePollInterval = milliseconds(10);
+constexpr Duration contractPollInterval = milliseconds(250);
 
 // Unique for each start of each entry, so that no answer of an earlier life is taken for one of this life.
 std::string correlationPrefix(const EntrySettings &settings, std::int64_t incarnation)
@@ -60,6 +62,10 @@
         return peerCall(std::move(envelope));
     })
 {
+    if (m_store) {
+        m_jobs.emplace(runtime.executor(), *m_store, m_settings.cell, m_settings.id.str());
+        m_surface.setJobHandler([this](HttpRequest request) { return m_jobs->handle(std::move(request)); });
+    }
 }
 
 void Entry::start()
@@ -73,6 +79,7 @@
         m_runtime.failStart("/listen", port.error());
     }
     spawn(m_runtime.executor(), "minion feed", [this] { return m_feed.loop(); });
+    spawn(m_runtime.executor(), "contracts", [this] { return contractLoop(); });
     m_exchange.start();
     if (m_store) {
         m_configAgent->startWatching(m_runtime.executor());
@@ -87,6 +94,21 @@
     co_return m_exchange.handle(envelope);
 }
 
+awaitable<void> Entry::contractLoop()
+{
+    std::uint64_t applied = 0;
+    while (true) {
+        const auto generation = m_config.generation();
+        if (generation != applied) {
+            for (const auto &service : m_config.all(ObjectKind::Service)) {
+                m_burn.setContract(contractFromLabels(service));
+            }
+            applied = generation;
+        }
+        co_await sleepFor(contractPollInterval);
+    }
+}
+
 awaitable<void> Entry::waitUntilIdle()
 {
     const auto end = m_runtime.clock().now() + m_settings.stop.drain;
--- a/src/programs/entry/entry.h
+++ b/src/programs/entry/entry.h
@@ -8,6 +8,7 @@
 
 #include "trefoilhoist/config/configagent.h"
 #include "trefoilhoist/net/program.h"
+#include "trefoilhoist/placement/jobintake.h"
 #include "trefoilhoist/store/storeclient.h"
 #include "trefoilhoist/wire/peerserver.h"
 
@@ -30,6 +31,7 @@
 private:
     awaitable<std::optional<Wire::Envelope>> peerCall(Wire::Envelope envelope);
     awaitable<void> waitUntilIdle();
+    awaitable<void> contractLoop();
 
     Runtime &m_runtime;
     EntrySettings m_settings;
@@ -44,6 +46,7 @@
     MinionFeed m_feed;
     PeerExchange m_exchange;
     EntryServer m_surface;
+    std::optional<JobIntake> m_jobs;
     HttpServer m_http;
     PeerServer m_peerServer;
 };
--- a/tools/load/loadrun.cpp
+++ b/tools/load/loadrun.cpp
@@ -139,8 +139,9 @@
             HttpCallOptions options;
             options.timeout = healthPeriod;
             options.freshConnection = true;
-            const auto answer
-                = co_await client.call(plan.targets[index], HttpRequest{"GET", "/-/health", {}, {}}, options);
+            HttpRequest request;
+            request.target = "/-/health";
+            const auto answer = co_await client.call(plan.targets[index], std::move(request), options);
             {
                 std::lock_guard lock(mutex);
                 if (answer && answer->status == 200) {
