--- /dev/null
+++ b/tests/integration/commandline.cpp
@@ -0,0 +1,184 @@
+#include "harness/process.h"
+
+#include "trefoilhoist/net/asio.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <gtest/gtest.h>
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+
+using namespace Trefoilhoist;
+using namespace Trefoilhoist::Testing;
+
+namespace {
+
+// A long-running program with the least settings that it takes; PORT stands for the port it listens on.
+struct Program {
+    std::string name;
+    std::string settings;
+    // The JSON pointer of its listen address.
+    std::string listenPlace;
+};
+
+std::vector<Program> programs()
+{
+    return {
+        {"trefoilhoist-entry",
+         R"({"id": "e1", "listen": "127.0.0.1:PORT", "peerListen": "127.0.0.1:0", "zone": "a", "stop": {"graceMs": 0}})",
+         "/listen"},
+        {"trefoilhoist-placer",
+         R"({"id": "p1", "listen": "127.0.0.1:PORT", "zone": "a", "store": ["127.0.0.1:1"], "cell": "c1"})",
+         "/listen"},
+        {"standin-store", R"({"listen": "127.0.0.1:PORT"})", "/listen"},
+        {"standin-minion",
+         R"({"id": "m1", "listen": "127.0.0.1:PORT", "zone": "a", "service": "s", "entries": [], "leaveGraceMs": 0})",
+         "/listen"},
+        {"standin-worker",
+         R"({"id": "w1", "listen": "127.0.0.1:PORT", "zone": "a", "rack": "r1", "milliCpu": 1000, "memoryMb": 1000, "placers": []})",
+         "/listen"},
+        {"standin-faultproxy", R"({"control": "127.0.0.1:PORT", "links": {}})", "/control"},
+    };
+}
+
+std::string withPort(std::string settings, int port)
+{
+    const auto at = settings.find("PORT");
+    return settings.replace(at, 4, std::to_string(port));
+}
+
+class SettingsFile
+{
+public:
+    explicit SettingsFile(const std::string &text)
+        : m_path(std::filesystem::temp_directory_path()
+                 / ("trefoilhoist-settings-" + std::to_string(::getpid()) + ".json"))
+    {
+        std::ofstream(m_path) << text;
+    }
+    ~SettingsFile()
+    {
+        std::filesystem::remove(m_path);
+    }
+    [[nodiscard]] std::string path() const
+    {
+        return m_path.string();
+    }
+
+private:
+    std::filesystem::path m_path;
+};
+
+class ProgramTest : public testing::TestWithParam<Program>
+{
+protected:
+    // Runs the program with this settings text; expects exit code 2 and both texts in the message.
+    void expectRefused(const std::string &settings, const std::string &place, const std::string &reason)
+    {
+        const SettingsFile file(settings);
+        const auto finished = runToEnd(GetParam().name, {"--settings", file.path()});
+        EXPECT_EQ(finished.code, 2);
+        EXPECT_NE(finished.errors.find(file.path()), std::string::npos) << finished.errors;
+        EXPECT_NE(finished.errors.find(place), std::string::npos) << finished.errors;
+        EXPECT_NE(finished.errors.find(reason), std::string::npos) << finished.errors;
+    }
+
+    [[nodiscard]] std::string settings(int port = 0) const
+    {
+        return withPort(GetParam().settings, port);
+    }
+};
+
+} // namespace
+
+TEST_P(ProgramTest, unknownKey_stopsAtOnceWithItsName)
+{
+    auto text = settings();
+    text.insert(1, R"("colour": 1, )");
+    expectRefused(text, "/", "colour");
+}
+
+TEST_P(ProgramTest, wrongType_stopsAtOnceWithItsPlace)
+{
+    auto text = settings();
+    text.insert(1, R"("threads": "many", )");
+    expectRefused(text, "/threads", "type");
+}
+
+TEST_P(ProgramTest, portInUse_stopsAtOnceWithItsPlace)
+{
+    Asio::io_context context;
+    Asio::ip::tcp::acceptor taken(context, {Asio::ip::make_address("127.0.0.1"), 0});
+    expectRefused(settings(taken.local_endpoint().port()), GetParam().listenPlace, "in use");
+}
+
+TEST_P(ProgramTest, missingFile_stopsAtOnceWithItsName)
+{
+    const auto finished = runToEnd(GetParam().name, {"--settings", "no-such-file.json"});
+    EXPECT_EQ(finished.code, 2);
+    EXPECT_NE(finished.errors.find("no-such-file.json: /: cannot open"), std::string::npos) << finished.errors;
+}
+
+TEST_P(ProgramTest, goodSettings_passTheCheckAlone)
+{
+    const SettingsFile file(settings());
+    EXPECT_EQ(runToEnd(GetParam().name, {"--settings", file.path(), "--check"}).code, 0);
+}
+
+TEST_P(ProgramTest, terminateSignal_endsItWithCodeZero)
+{
+    auto process = Process::start(GetParam().name, settings());
+    process->waitReady();
+    process->signal(SIGTERM);
+    EXPECT_EQ(process->wait(), 0) << process->errors();
+}
+
+INSTANTIATE_TEST_SUITE_P(All, ProgramTest, testing::ValuesIn(programs()), [](const auto &it) {
+    auto name = it.param.name;
+    std::replace(name.begin(), name.end(), '-', '_');
+    return name;
+});
+
+namespace {
+
+class ToolTest : public testing::TestWithParam<std::string>
+{
+};
+
+} // namespace
+
+TEST_P(ToolTest, helpAndVersion_endWithCodeZero)
+{
+    EXPECT_EQ(runToEnd(GetParam(), {"--help"}).code, 0);
+    const auto version = runToEnd(GetParam(), {"--version"});
+    EXPECT_EQ(version.code, 0);
+    EXPECT_NE(version.output.find(TREFOILHOIST_VERSION), std::string::npos);
+}
+
+TEST_P(ToolTest, unknownOption_endsWithCodeTwoAndItsName)
+{
+    const auto finished = runToEnd(GetParam(), {"--colour"});
+    EXPECT_EQ(finished.code, 2);
+    EXPECT_NE(finished.errors.find("colour"), std::string::npos) << finished.errors;
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         ToolTest,
+                         testing::Values("trefoilhoist-entry",
+                                         "trefoilhoist-placer",
+                                         "trefoilhoist-ctl",
+                                         "trefoilhoist-burn",
+                                         "trefoilhoist-load",
+                                         "standin-store",
+                                         "standin-minion",
+                                         "standin-worker",
+                                         "standin-faultproxy"),
+                         [](const auto &it) {
+                             auto name = it.param;
+                             std::replace(name.begin(), name.end(), '-', '_');
+                             return name;
+                         });
