--- /dev/null
+++ b/src/programs/ctl/ctlinforce.cpp
@@ -0,0 +1,165 @@
+#include "ctlinforce.h"
+
+#include "trefoilhoist/net/program.h"
+
+#include <algorithm>
+
+namespace Trefoilhoist::Ctl {
+
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+constexpr milliseconds waitPollInterval(100);
+
+// How many segments a process lacks, and in how many it is ahead of the store's answer.
+struct Lag {
+    int behind = 0;
+    int ahead = 0;
+};
+
+Lag lagOf(const std::vector<std::int64_t> &versions, const std::vector<std::int64_t> &accepted)
+{
+    Lag lag;
+    for (std::size_t i = 0; i < accepted.size(); ++i) {
+        lag.behind += versions[i] < accepted[i] ? 1 : 0;
+        lag.ahead += versions[i] > accepted[i] ? 1 : 0;
+    }
+    return lag;
+}
+
+std::int64_t changesOf(const std::vector<std::int64_t> &versions)
+{
+    std::int64_t sum = 0;
+    for (const auto version : versions) {
+        sum += version;
+    }
+    return sum;
+}
+
+bool hasAll(const std::vector<std::int64_t> &versions, const std::map<int, std::int64_t> &wanted)
+{
+    return std::all_of(wanted.begin(), wanted.end(), [&](const auto &item) {
+        return versions[static_cast<std::size_t>(item.first)] >= item.second;
+    });
+}
+
+Json pendingRecords(const StoredSegments &segments, const std::vector<std::int64_t> &versions, const Endpoint &process)
+{
+    Json rows = Json::array();
+    for (std::size_t i = 0; i < segments.size(); ++i) {
+        for (const auto &record : segments[i].history) {
+            if (record.version > versions[i]) {
+                Json row{{"process", process.str()}};
+                row.update(recordJson(record));
+                rows.push_back(std::move(row));
+            }
+        }
+    }
+    return rows;
+}
+
+const char *stateOf(const Lag &lag)
+{
+    if (lag.behind > 0) {
+        return "behind";
+    }
+    // A process ahead has heard of a change that the store's answer did not show yet.
+    return lag.ahead > 0 ? "ahead" : "in force";
+}
+
+Json statusRow(const std::string &process, const char *state, const std::vector<std::int64_t> &versions)
+{
+    return {{"process", process},
+            {"state", state},
+            {"changes", versions.empty() ? Json() : Json(changesOf(versions))}};
+}
+
+} // namespace
+
+awaitable<Report> waitForVersions(Session &session, std::map<int, std::int64_t> wanted)
+{
+    const auto &processes = session.options().processes;
+    const auto start = std::chrono::steady_clock::now();
+    std::vector<bool> done(processes.size(), false);
+    std::string trouble;
+    while (true) {
+        for (std::size_t i = 0; i < processes.size(); ++i) {
+            if (done[i]) {
+                continue;
+            }
+            const auto versions = co_await session.versionsOf(processes[i]);
+            done[i] = versions && hasAll(*versions, wanted);
+            trouble = done[i] ? trouble : (versions ? processes[i].str() + " is behind" : versions.error());
+        }
+        const auto inForce = std::count(done.begin(), done.end(), true);
+        const auto elapsed = std::chrono::steady_clock::now() - start;
+        const bool all = inForce == static_cast<std::ptrdiff_t>(processes.size());
+        if (all || elapsed >= session.options().limit) {
+            Json json{{"inForce", inForce},
+                      {"processes", processes.size()},
+                      {"waitedMs", duration_cast<milliseconds>(elapsed).count()}};
+            co_return Report{all ? exitOk : exitUnsettled, json, all ? std::string() : trouble};
+        }
+        co_await sleepFor(waitPollInterval);
+    }
+}
+
+awaitable<Report> pendingChanges(Session &session, const StoredSegments &segments)
+{
+    auto report = rowsReport();
+    for (const auto &process : session.options().processes) {
+        const auto versions = co_await session.versionsOf(process);
+        if (!versions) {
+            report.code = exitFailed;
+            report.problem += (report.problem.empty() ? "" : "; ") + versions.error();
+            continue;
+        }
+        for (auto &row : pendingRecords(segments, *versions, process)) {
+            report.json.push_back(std::move(row));
+        }
+    }
+    co_return report;
+}
+
+awaitable<Report> statusCommand(Session &session)
+{
+    const auto segments = co_await session.segments();
+    auto report = rowsReport();
+    report.problem = segments ? std::string() : segments.error();
+    std::vector<std::int64_t> accepted;
+    if (segments) {
+        accepted = versionsOf(*segments);
+        report.json.push_back(statusRow("store", "accepted", accepted));
+    }
+    for (const auto &process : session.options().processes) {
+        const auto versions = co_await session.versionsOf(process);
+        if (!versions) {
+            report.json.push_back(statusRow(process.str(), "unreachable", {}));
+            report.code = exitFailed;
+            continue;
+        }
+        const char *state = segments ? stateOf(lagOf(*versions, accepted)) : "store unknown";
+        report.json.push_back(statusRow(process.str(), state, *versions));
+    }
+    report.code = segments ? report.code : exitFailed;
+    co_return report;
+}
+
+awaitable<Report> waitCommand(Session &session)
+{
+    if (session.options().processes.empty()) {
+        co_return problemReport(exitBadSettings, "wait needs the processes, for example --process 127.0.0.1:8080");
+    }
+    const auto segments = co_await session.segments();
+    if (!segments) {
+        co_return problemReport(exitFailed, segments.error());
+    }
+    std::map<int, std::int64_t> wanted;
+    for (int i = 0; i < configSegmentCount; ++i) {
+        wanted[i] = (*segments)[static_cast<std::size_t>(i)].version;
+    }
+    co_return co_await waitForVersions(session, std::move(wanted));
+}
+
+} // namespace Trefoilhoist::Ctl
--- a/src/programs/ctl/ctloptions.cpp
+++ b/src/programs/ctl/ctloptions.cpp
@@ -38,6 +38,8 @@
     TCLAP::ValueArg<std::int64_t> seen("", "seen", "Version the change is based on", false, -1, "version", line);
     TCLAP::ValueArg<double> limit("t", "timeout", "Seconds to wait for an outcome", false, 15, "seconds", line);
     TCLAP::SwitchArg json("j", "json", "Prints JSON", line);
+    TCLAP::SwitchArg wait("", "wait", "Waits until the change is in force in all processes", line);
+    TCLAP::SwitchArg force("", "force", "Writes a selector that no known worker matches", line);
     TCLAP::UnlabeledMultiArg<std::string> words(
         "command", "get, label, select, diff, history, status, wait, jobs, owners, keys", true, "command", line);
     line.setExceptionHandling(false);
@@ -53,6 +55,8 @@
     }
     options.limit = Duration(static_cast<std::int64_t>(limit.getValue() * 1e6));
     options.json = json.getValue();
+    options.wait = wait.getValue();
+    options.force = force.getValue();
     options.command = words.getValue().front();
     options.arguments.assign(words.getValue().begin() + 1, words.getValue().end());
     return options;
--- a/src/programs/ctl/ctloptions.h
+++ b/src/programs/ctl/ctloptions.h
@@ -21,6 +21,10 @@
     std::optional<std::int64_t> seenVersion;
     Duration limit = seconds(15);
     bool json = false;
+    /// After an accepted change, waits until it is in force in all processes.
+    bool wait = false;
+    /// Writes a selector that no known worker matches.
+    bool force = false;
     std::string command;
     std::vector<std::string> arguments;
 };
--- a/src/trefoilhoist/store/storewatch.h
+++ b/src/trefoilhoist/store/storewatch.h
@@ -10,8 +10,8 @@
 
 /// Times of a watch.
 struct StoreWatchTimes {
-    /// How long the store waits for a change.
-    Duration wait = seconds(30);
+    /// How long the store waits for a change. A half-open connection is noticed this long plus a timeout later.
+    Duration wait = seconds(5);
     /// Between two watches that both brought news: bounds the calls of a busy watch.
     Duration gap = milliseconds(100);
     Duration firstBackoff = milliseconds(100);
