--- a/src/programs/entry/entry.cpp
+++ b/src/programs/entry/entry.cpp
@@ -100,8 +100,8 @@
     while (true) {
         const auto generation = m_config.generation();
         if (generation != applied) {
-            for (const auto &service : m_config.all(ObjectKind::Service)) {
-                m_burn.setContract(contractFromLabels(service));
+            for (const auto &contract : contractsFrom(m_config)) {
+                m_burn.setContract(contract);
             }
             applied = generation;
         }
--- a/src/trefoilhoist/config/contracts.cpp
+++ b/src/trefoilhoist/config/contracts.cpp
@@ -7,42 +7,35 @@
 
 namespace {
 
-constexpr double defaultLatencyTargetMs = 500;
-constexpr double usPerMs = 1000;
+constexpr double microsecondsPerMillisecond = 1000;
 
-std::optional<double> numberLabel(const ConfigObject &object, const char *key)
+std::optional<double> numberOf(const Labels &labels, const std::string &key)
 {
-    const auto it = object.labels.find(key);
-    if (it == object.labels.end()) {
+    const auto it = labels.find(key);
+    if (it == labels.end()) {
         return std::nullopt;
     }
-    const auto &text = it->second;
-    double value = 0;
-    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (ec != std::errc() || end != text.data() + text.size()) {
-        return std::nullopt;
-    }
-    return value;
-}
-
-double shareLabel(const ConfigObject &object, const char *key, double fallback)
-{
-    const auto value = numberLabel(object, key);
-    return value && *value > 0 && *value < 1 ? *value : fallback;
+    double number = 0;
+    const char *last = it->second.data() + it->second.size();
+    const auto [end, ec] = std::from_chars(it->second.data(), last, number);
+    return ec == std::errc() && end == last && number >= 0 ? std::optional(number) : std::nullopt;
 }
 
 } // namespace
 
-Contract contractFromLabels(const ConfigObject &service)
+std::vector<Contract> contractsFrom(const ConfigTable &config)
 {
-    Contract contract;
-    contract.service = ServiceId(service.name);
-    const double targetMs = numberLabel(service, "latency-target-ms").value_or(defaultLatencyTargetMs);
-    contract.latencyTarget
-        = Duration(static_cast<std::int64_t>((targetMs > 0 ? targetMs : defaultLatencyTargetMs) * usPerMs));
-    contract.latencyObjective = shareLabel(service, "latency-objective", contract.latencyObjective);
-    contract.answerObjective = shareLabel(service, "answer-objective", contract.answerObjective);
-    return contract;
+    std::vector<Contract> contracts;
+    for (const auto &object : config.all(ObjectKind::Service)) {
+        Contract contract;
+        contract.service = ServiceId(object.name);
+        const auto target = numberOf(object.labels, "latency-target-ms").value_or(0);
+        contract.latencyTarget = Duration(static_cast<std::int64_t>(target * microsecondsPerMillisecond));
+        contract.latencyObjective = numberOf(object.labels, "latency-objective").value_or(contract.latencyObjective);
+        contract.answerObjective = numberOf(object.labels, "answer-objective").value_or(contract.answerObjective);
+        contracts.push_back(std::move(contract));
+    }
+    return contracts;
 }
 
 } // namespace Trefoilhoist
--- a/src/trefoilhoist/config/contracts.h
+++ b/src/trefoilhoist/config/contracts.h
@@ -3,10 +3,12 @@
 #include "trefoilhoist/config/configtable.h"
 #include "trefoilhoist/world/world.h"
 
+#include <vector>
+
 namespace Trefoilhoist {
 
-/// A service's contract from its labels latency-target-ms, latency-objective and answer-objective. A label that
-/// is absent or can't be read keeps the default.
-[[nodiscard]] Contract contractFromLabels(const ConfigObject &service);
+/// What each labelled service promises: `latency-target-ms`, `latency-objective`, `answer-objective`. A label that
+/// is missing or unreadable leaves the contract's default.
+[[nodiscard]] std::vector<Contract> contractsFrom(const ConfigTable &config);
 
 } // namespace Trefoilhoist
