--- a/src/programs/entry/peerexchange.cpp
+++ b/src/programs/entry/peerexchange.cpp
@@ -99,19 +99,11 @@
     return m_peers;
 }
 
-void PeerExchange::heardFrom(const std::string &peer)
-{
-    m_membership.ownerHeard(EntryId(peer), m_clock.now());
-}
-
 void PeerExchange::pushToAll(Wire::MessageKind kind, const std::string &payload)
 {
     for (const auto &peer : m_peers) {
         spawn(m_executor, "peer message", [this, peer, kind, payload]() -> awaitable<void> {
-            const auto answer = co_await peer->call(kind, payload, peerTimeout);
-            if (answer) {
-                heardFrom(answer->sender);
-            }
+            (void)co_await peer->call(kind, payload, peerTimeout);
         });
     }
 }
@@ -142,7 +134,6 @@
     while (true) {
         const auto answer = co_await peer->call(Wire::MessageKind::MembershipDigestKind, digestMessage(), peerTimeout);
         if (answer) {
-            heardFrom(answer->sender);
             if (const auto delta = Wire::decode<Wire::MembershipDelta>(answer->payload)) {
                 m_membership.apply(delta->minions, m_clock.now());
             }
@@ -180,6 +171,7 @@
 {
     Wire::MembershipDelta delta;
     if (const auto digest = Wire::decode<Wire::MembershipDigest>(envelope.payload)) {
+        m_membership.ownerHeard(EntryId(envelope.sender), digest->buckets, m_clock.now());
         delta.minions = m_membership.recordsIn(m_membership.differingBuckets(digest->buckets), m_clock.now());
         pullConfig(envelope.sender, digest->configVersions);
         if (digest->draining) {
@@ -218,7 +210,6 @@
 
 std::optional<Wire::Envelope> PeerExchange::handle(const Wire::Envelope &envelope)
 {
-    heardFrom(envelope.sender);
     switch (envelope.kind) {
     case Wire::MessageKind::MembershipDigestKind:
         return answerDigest(envelope);
--- a/src/programs/entry/peerexchange.h
+++ b/src/programs/entry/peerexchange.h
@@ -68,7 +68,6 @@
     awaitable<void> pushLoop();
     awaitable<void> digestLoop(std::shared_ptr<Peer> peer);
     void pushToAll(Wire::MessageKind kind, const std::string &payload);
-    void heardFrom(const std::string &peer);
     [[nodiscard]] std::string loadReport() const;
     [[nodiscard]] std::string digestMessage() const;
     [[nodiscard]] Wire::Envelope answerDigest(const Wire::Envelope &envelope);
