--- a/src/trefoilhoist/routing/internal/minionload.h
+++ b/src/trefoilhoist/routing/internal/minionload.h
@@ -23,6 +23,9 @@
     int peers = 0;
     /// Slots that are this entry's own when slots are shared out evenly.
     int share = 0;
+    /// Slots that this entry uses by experience: grows with answers while all of it is used, shrinks with refusals,
+    /// never below the share.
+    double limit = 0;
     int connectionLimit = 0;
     /// No work before this time: it refused, or no connection could be made.
     TimePoint pausedUntil{};
--- a/src/trefoilhoist/routing/internal/policy.cpp
+++ b/src/trefoilhoist/routing/internal/policy.cpp
@@ -93,9 +93,7 @@
 
 bool FairShare::hasRoom(const MinionLoad &load)
 {
-    const bool ownShare = load.own < load.share;
-    const bool borrowed = load.total() + 1 < load.minion.slots;
-    return load.own < load.minion.slots && (ownShare || borrowed);
+    return load.own < load.minion.slots && load.own < static_cast<int>(load.limit);
 }
 
 int FairShare::score(const MinionLoad &load)
--- a/src/trefoilhoist/routing/internal/policy.h
+++ b/src/trefoilhoist/routing/internal/policy.h
@@ -24,7 +24,7 @@
     [[nodiscard]] static MinionLoad *pick(const MinionList &list, std::mt19937_64 &random);
 };
 
-/// Uses this entry's even share of each minion's slots first and borrows what the peers leave free, but the last.
+/// Uses this entry's even share of each minion's slots first and borrows as many more as its refusals teach it.
 struct FairShare {
     [[nodiscard]] static bool hasRoom(const MinionLoad &load);
     [[nodiscard]] static int score(const MinionLoad &load);
--- a/src/trefoilhoist/routing/internal/servicepool.cpp
+++ b/src/trefoilhoist/routing/internal/servicepool.cpp
@@ -12,8 +12,13 @@
 
 /// Zone-local minions are preferred until this share of their slots is taken.
 constexpr double localShare = 0.75;
+/// A caller with this many times the requests in flight of the average of the others is over its share.
+constexpr int overShareFactor = 2;
 /// Slots that callers over their share leave to the others.
 constexpr double reservedShare = 0.1;
+/// Slots by which a minion's limit grows with an answer and shrinks with a refusal.
+constexpr double limitIncrease = 0.03;
+constexpr double limitDecrease = 1;
 constexpr Duration minPause = milliseconds(1);
 constexpr Duration maxRefusedPause = milliseconds(50);
 constexpr Duration unreachablePause = milliseconds(50);
@@ -73,6 +78,7 @@
     auto &found = m_loads[minion.id];
     if (!found) {
         found = std::make_unique<MinionLoad>();
+        found->limit = 1;
     }
     MinionLoad &load = *found;
     const bool restarted = load.listed && load.minion.incarnation != minion.incarnation;
@@ -150,10 +156,15 @@
 
 void ServicePool::enqueue(const RouteRequest &request, CallerLoad &caller, TimePoint now, Actions &actions)
 {
-    if (isTooLate(request, now, expectedWait(caller))) {
+    const auto wait = expectedWait(caller);
+    if (isTooLate(request, now, wait)) {
         refuse(request, "the deadline can't be met", actions);
         return;
     }
+    if (wait > fromMicros(m_settings.maxQueueWait * m_meanUs)) {
+        refuse(request, "all slots are taken", actions);
+        return;
+    }
     if (m_queue.size() >= m_settings.maxQueued) {
         const auto *const longest = m_queue.longest();
         if (longest == nullptr || longest->waiting.size() <= caller.waiting.size() + 1) {
@@ -217,6 +228,7 @@
     }
     const Attempt attempt = it->second;
     m_attempts.erase(it);
+    learnLimit(*attempt.load, result.end);
     --attempt.load->own;
     --attempt.caller->inFlight;
     --m_inFlight;
@@ -228,6 +240,16 @@
     return true;
 }
 
+void ServicePool::learnLimit(MinionLoad &load, AttemptEnd end)
+{
+    if (end == AttemptEnd::Refused) {
+        load.limit -= limitDecrease;
+    } else if (end == AttemptEnd::Answered && load.own >= static_cast<int>(load.limit)) {
+        load.limit += limitIncrease;
+    }
+    load.limit = std::clamp<double>(load.limit, load.share, load.minion.slots);
+}
+
 void ServicePool::recordLatency(const AttemptResult &result, TimePoint now)
 {
     if (result.end != AttemptEnd::Answered && result.end != AttemptEnd::Lost) {
@@ -307,6 +329,8 @@
         m_paused.erase(m_paused.begin());
         if (it != m_loads.end() && it->second->pausedUntil <= now) {
             it->second->pausedUntil = TimePoint{};
+            // An entry without a share of its own tries again, or it could never use the minion.
+            it->second->limit = std::max(it->second->limit, 1.0);
             reindex(*it->second);
         }
     }
@@ -392,9 +416,9 @@
 
 bool ServicePool::isOverShare(const CallerLoad &caller) const
 {
-    const auto callers = static_cast<int>(m_queue.activeCallers());
-    const int share = std::max(1, m_totalSlots / std::max(1, m_entries.entries * callers));
-    return callers > 1 && caller.inFlight >= share;
+    const auto others = static_cast<int>(m_queue.activeCallers()) - 1;
+    const int allowed = overShareFactor * (m_inFlight - caller.inFlight + others);
+    return others > 0 && caller.inFlight * others > allowed;
 }
 
 bool ServicePool::mayGo(const CallerLoad &caller) const
@@ -432,8 +456,12 @@
 
 void ServicePool::setEntries(EntryShare entries)
 {
+    const bool moreEntries = entries.entries > m_entries.entries;
     m_entries = entries;
     for (const auto &[id, load] : m_loads) {
+        if (moreEntries) {
+            load->limit = 1;
+        }
         setShare(*load);
         reindex(*load);
     }
@@ -445,6 +473,7 @@
     const auto offset = static_cast<int>(std::hash<MinionId>{}(load.minion.id) % static_cast<std::size_t>(n));
     const int extra = (m_entries.rank + offset) % n < load.minion.slots % n ? 1 : 0;
     load.share = load.minion.slots / n + extra;
+    load.limit = std::clamp<double>(load.limit, load.share, load.minion.slots);
     load.connectionLimit = std::max(1, load.minion.connections / n);
 }
 
--- a/src/trefoilhoist/routing/internal/servicepool.h
+++ b/src/trefoilhoist/routing/internal/servicepool.h
@@ -80,6 +80,7 @@
     void noticeRefusal(MinionLoad &load, const AttemptResult &result, TimePoint now);
     void pause(MinionLoad &load, Duration duration, TimePoint now);
     void resumePaused(TimePoint now);
+    void learnLimit(MinionLoad &load, AttemptEnd end);
     void recordLatency(const AttemptResult &result, TimePoint now);
 
     void setShare(MinionLoad &load) const;
--- a/src/trefoilhoist/routing/router.h
+++ b/src/trefoilhoist/routing/router.h
@@ -97,12 +97,14 @@
 
 /// Limits and times of routing.
 struct RouterSettings {
-    RoutingPolicy policy = RoutingPolicy::PowerOfTwo;
+    RoutingPolicy policy = RoutingPolicy::FairShare;
     /// This entry; orders the entries that share a minion's slots.
     EntryId self;
     ZoneId zone;
     /// Requests waiting per service.
     int maxQueued = 256;
+    /// A request that would wait longer for a slot, in mean latencies of its service, is refused at once.
+    double maxQueueWait = 1.5;
     /// Retries allowed as a share of first attempts.
     double retryBudget = 0.1;
     /// Largest share of a service's minions that are ejected at once.
--- a/tests/random/membership.cpp
+++ b/tests/random/membership.cpp
@@ -112,6 +112,7 @@
     void start(int n)
     {
         m_tables[n] = std::make_unique<MembershipTable>(entryId(n), shortTimes(), m_switches);
+        m_tables[n]->expire(m_now);
         m_ranks[n].clear();
         m_frozenUntil[n] = TimePoint{};
         // A new process has new sockets: what waited for the old one is lost.
--- a/tests/unit/router.cpp
+++ b/tests/unit/router.cpp
@@ -151,7 +151,9 @@
 
 TEST_F(RouterLimitsTest, peerLoad_countsAgainstTheSlotsUntilItIsOld)
 {
-    start({minionOf(1, 4)});
+    RouterSettings settings;
+    settings.policy = RoutingPolicy::PowerOfTwo;
+    start({minionOf(1, 4)}, settings);
     m_router->setPeerLoad(EntryId("entry-b"), {{MinionId("m1"), 3}}, m_now);
     EXPECT_EQ(fill(4).size(), 1U);
     m_now += seconds(4);
@@ -160,7 +162,9 @@
 
 TEST_F(RouterLimitsTest, gonePeer_holdsNoSlots)
 {
-    start({minionOf(1, 4)});
+    RouterSettings settings;
+    settings.policy = RoutingPolicy::PowerOfTwo;
+    start({minionOf(1, 4)}, settings);
     m_router->setPeerLoad(EntryId("entry-b"), {{MinionId("m1"), 4}}, m_now);
     EXPECT_EQ(fill(1).size(), 0U);
     m_router->forgetPeer(EntryId("entry-b"));
@@ -213,7 +217,9 @@
 
 TEST_F(RouterLimitsTest, deadlineThatCannotBeMet_isRefusedBeforeWaiting)
 {
-    start({minionOf(1, 1)});
+    RouterSettings settings;
+    settings.maxQueueWait = 100;
+    start({minionOf(1, 1)}, settings);
     serve(50, [](const MinionId &) { return std::pair(AttemptEnd::Answered, Duration(milliseconds(100))); });
     fill(5);
     EXPECT_EQ(only<Refuse>(admit("buyer", milliseconds(300))).size(), 1U);
@@ -246,7 +252,9 @@
 
 TEST_F(RouterLimitsTest, callerOverItsShare_leavesSlotsToOthers)
 {
-    start({minionOf(1, 10), minionOf(2, 10)});
+    RouterSettings settings;
+    settings.policy = RoutingPolicy::LeastInFlight;
+    start({minionOf(1, 10), minionOf(2, 10)}, settings);
     fill(1, "small");
     EXPECT_EQ(fill(30, "big").size(), 17U);
     EXPECT_EQ(fill(2, "small").size(), 2U);
@@ -263,6 +271,41 @@
     EXPECT_EQ(fill(10).size(), 10U);
 }
 
+TEST_F(RouterLimitsTest, sharedSlots_areBorrowedByAnswersAndGivenBackByRefusals)
+{
+    RouterSettings settings;
+    settings.retryBudget = 1;
+    start({minionOf(1, 8)}, settings);
+    for (const char *peer : {"entry-b", "entry-c", "entry-d"}) {
+        m_router->setPeerLoad(EntryId(peer), {}, m_now);
+    }
+    auto sent = fill(8);
+    const auto share = sent.size();
+    EXPECT_LT(share, 8U);
+    for (int n = 0; n < 400; ++n) {
+        (void)finish(sent.front());
+        sent.erase(sent.begin());
+        m_now += milliseconds(1);
+        const auto more = fill(8 - static_cast<int>(sent.size()));
+        sent.insert(sent.end(), more.begin(), more.end());
+    }
+    EXPECT_GT(m_router->inFlight().at(MinionId("m1")), static_cast<int>(share));
+    for (const auto &refused : sent) {
+        (void)finish(refused, AttemptEnd::Refused, milliseconds(1));
+    }
+    m_now += seconds(1);
+    EXPECT_LE(fill(8).size(), 2U);
+}
+
+TEST_F(RouterLimitsTest, waitLongerThanTheQueueAllows_isRefusedAtOnce)
+{
+    start({minionOf(1, 1)});
+    serve(50, answered);
+    EXPECT_EQ(fill(1).size(), 1U);
+    EXPECT_EQ(only<Enqueued>(admit()).size(), 1U);
+    EXPECT_EQ(only<Refuse>(admit()).size(), 1U);
+}
+
 using RouterEvidenceTest = RouterTest;
 
 TEST_F(RouterEvidenceTest, leavingMinion_getsNothingUntilItStartsAgain)
--- /dev/null
+++ b/tools/routing-trial/main.cpp
@@ -0,0 +1,97 @@
+#include "report.h"
+
+#include <tclap/CmdLine.h>
+
+#include <fstream>
+#include <iostream>
+
+namespace {
+
+using namespace Trefoilhoist;
+using namespace Trefoilhoist::Tools;
+
+constexpr std::array<RoutingPolicy, 3> policies{
+    RoutingPolicy::LeastInFlight, RoutingPolicy::PowerOfTwo, RoutingPolicy::FairShare};
+constexpr std::array<double, 4> loads{0.5, 0.8, 0.95, 1.2};
+constexpr std::array<TrialFault, 4> faults{
+    TrialFault::None, TrialFault::SlowMinion, TrialFault::EntryKilled, TrialFault::ZoneCut};
+
+struct Options {
+    std::uint64_t seed = 1;
+    int seeds = 5;
+    int threads = 4;
+    int lengthSeconds = 6;
+    bool hedging = false;
+    bool slopes = false;
+    std::string json;
+};
+
+Options parseOptions(int argc, char **argv)
+{
+    TCLAP::CmdLine command("Compares routing policies over fakes of minions", ' ', TREFOILHOIST_VERSION);
+    TCLAP::ValueArg<std::uint64_t> seed("r", "seed", "First seed", false, 1, "number", command);
+    TCLAP::ValueArg<int> seeds("n", "seeds", "Trials per row", false, 5, "number", command);
+    TCLAP::ValueArg<int> threads("t", "threads", "Threads", false, 4, "number", command);
+    TCLAP::ValueArg<int> length("l", "seconds", "Length of a trial in its own time", false, 6, "seconds", command);
+    TCLAP::SwitchArg hedging("g", "hedging", "Compare with and without hedging instead", command);
+    TCLAP::ValueArg<std::string> json("j", "json", "Write every result to this file", false, "", "file", command);
+    command.setExceptionHandling(false);
+    command.parse(argc, argv);
+    return {seed.getValue(),
+            seeds.getValue(),
+            threads.getValue(),
+            length.getValue(),
+            hedging.getValue(),
+            false,
+            json.getValue()};
+}
+
+std::vector<ComparisonRow> rowsOf(const Options &options)
+{
+    std::vector<ComparisonRow> rows;
+    for (const auto fault : faults) {
+        for (const auto load : loads) {
+            ComparisonRow row;
+            row.settings.fault = fault;
+            row.settings.load = load;
+            row.settings.length = seconds(options.lengthSeconds);
+            if (options.hedging) {
+                rows.push_back(row);
+                row.settings.hedging = true;
+                rows.push_back(row);
+                continue;
+            }
+            for (const auto policy : policies) {
+                row.settings.router.policy = policy;
+                rows.push_back(row);
+            }
+        }
+    }
+    return rows;
+}
+
+void compare(const Options &options)
+{
+    auto rows = rowsOf(options);
+    runRows(rows, options.seed, options.seeds, options.threads);
+    std::cout << tableOf(rows);
+    if (!options.json.empty()) {
+        std::ofstream(options.json) << jsonOf(rows).dump(1) << '\n';
+    }
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    try {
+        compare(parseOptions(argc, argv));
+        return 0;
+    } catch (const TCLAP::ArgException &e) {
+        std::cerr << "trefoilhoist-routing-trial: " << e.error() << " " << e.argId() << '\n';
+        return 2;
+    } catch (const std::exception &e) {
+        std::cerr << "trefoilhoist-routing-trial: " << e.what() << '\n';
+        return 1;
+    }
+}
