--- a/src/programs/entry/peerexchange.cpp
+++ b/src/programs/entry/peerexchange.cpp
@@ -103,7 +103,7 @@
 {
     for (const auto &peer : m_peers) {
         spawn(m_executor, "peer message", [this, peer, kind, payload]() -> awaitable<void> {
-            co_await peer->call(kind, payload, peerTimeout);
+            (void)co_await peer->call(kind, payload, peerTimeout);
         });
     }
 }
--- a/tests/unit/tablethreads.cpp
+++ b/tests/unit/tablethreads.cpp
@@ -48,6 +48,13 @@
     return minion;
 }
 
+std::string segmentAt(std::int64_t version)
+{
+    ConfigSegment segment;
+    segment.version = version;
+    return segment.text();
+}
+
 TimePoint at(int round)
 {
     return TimePoint(milliseconds(1000 + round));
@@ -117,7 +124,7 @@
     Clock clock;
     MetricsRegistry metrics(clock);
     BurnTable burn;
-    runTogether({[&](int i) { (void)config.apply(i % configSegmentCount, i + 1, "{}"); },
+    runTogether({[&](int i) { (void)config.apply(i % configSegmentCount, i + 1, segmentAt(i + 1)); },
                  [&](int) { (void)config.versions(); },
                  [&](int) { (void)config.all(ObjectKind::Service); },
                  [&](int i) {
