--- a/src/programs/ctl/ctlchanges.cpp
+++ b/src/programs/ctl/ctlchanges.cpp
@@ -23,7 +23,9 @@
 
     [[nodiscard]] Json base(const char *outcome) const
     {
-        return {{"outcome", outcome}, {"object", objectText(request.edit.kind, request.edit.name)}, {"writeId", request.writeId}};
+        return {{"outcome", outcome},
+                {"object", objectText(request.edit.kind, request.edit.name)},
+                {"writeId", request.writeId}};
     }
     Report operator()(const ChangeAccepted &accepted) const
     {
@@ -130,7 +132,9 @@
             co_return problemReport(exitBadSettings, inText(value ? key + "=" + *value : key, *problem));
         }
     }
-    co_return co_await change(session, {object->kind, object->name, std::move(*edits), {}});
+    // Named, as this compiler destroys a braced argument of co_await twice.
+    ConfigEdit edit{object->kind, object->name, std::move(*edits), {}};
+    co_return co_await change(session, std::move(edit));
 }
 
 awaitable<Report> selectCommand(Session &session)
@@ -160,7 +164,8 @@
             co_return problemReport(exitBadSettings, inText(text, {1, reason + "; --force writes it all the same"}));
         }
     }
-    co_return co_await change(session, {object->kind, object->name, {}, std::move(edits)});
+    ConfigEdit edit{object->kind, object->name, {}, std::move(edits)};
+    co_return co_await change(session, std::move(edit));
 }
 
 } // namespace Trefoilhoist::Ctl
--- a/src/programs/ctl/ctlinforce.cpp
+++ b/src/programs/ctl/ctlinforce.cpp
@@ -70,9 +70,15 @@
 
 Json statusRow(const std::string &process, const char *state, const std::vector<std::int64_t> &versions)
 {
-    return {{"process", process},
-            {"state", state},
-            {"changes", versions.empty() ? Json() : Json(changesOf(versions))}};
+    return {{"process", process}, {"state", state}, {"changes", versions.empty() ? Json() : Json(changesOf(versions))}};
+}
+
+Report waitReport(std::ptrdiff_t inForce, std::size_t processes, std::chrono::nanoseconds elapsed)
+{
+    const bool all = inForce == static_cast<std::ptrdiff_t>(processes);
+    const Json json{
+        {"inForce", inForce}, {"processes", processes}, {"waitedMs", duration_cast<milliseconds>(elapsed).count()}};
+    return {all ? exitOk : exitUnsettled, json, {}};
 }
 
 } // namespace
@@ -96,10 +102,9 @@
         const auto elapsed = std::chrono::steady_clock::now() - start;
         const bool all = inForce == static_cast<std::ptrdiff_t>(processes.size());
         if (all || elapsed >= session.options().limit) {
-            Json json{{"inForce", inForce},
-                      {"processes", processes.size()},
-                      {"waitedMs", duration_cast<milliseconds>(elapsed).count()}};
-            co_return Report{all ? exitOk : exitUnsettled, json, all ? std::string() : trouble};
+            auto report = waitReport(inForce, processes.size(), elapsed);
+            report.problem = all ? std::string() : trouble;
+            co_return report;
         }
         co_await sleepFor(waitPollInterval);
     }
--- a/src/programs/ctl/ctlsession.cpp
+++ b/src/programs/ctl/ctlsession.cpp
@@ -83,7 +83,7 @@
         co_return tl::unexpected(json.error());
     }
     const bool readable = json->is_object() && json->contains("versions") && json->at("versions").is_array()
-                          && json->at("versions").size() == configSegmentCount;
+        && json->at("versions").size() == configSegmentCount;
     if (!readable) {
         co_return tl::unexpected(process.str() + " told no versions");
     }
--- a/src/programs/ctl/ctlviews.cpp
+++ b/src/programs/ctl/ctlviews.cpp
@@ -61,8 +61,8 @@
 {
     if (!segment.history.empty() && segment.history.front().version > version + 1) {
         return problemReport(exitFailed,
-                             "the history reaches back to version "
-                                 + std::to_string(segment.history.front().version) + " only");
+                             "the history reaches back to version " + std::to_string(segment.history.front().version)
+                                 + " only");
     }
     std::map<std::string, Json> rows;
     for (const auto &record : segment.history) {
@@ -133,7 +133,7 @@
     }
     const auto object = parseObjectName(arguments.front());
     const bool versioned = arguments.size() == 2 && !arguments[1].empty()
-                           && arguments[1].find_first_not_of("0123456789") == std::string::npos;
+        && arguments[1].find_first_not_of("0123456789") == std::string::npos;
     if (!object || !versioned) {
         co_return problemReport(exitBadSettings, object ? "usage: diff [KIND/NAME VERSION]" : object.error());
     }
@@ -165,8 +165,12 @@
     if (!best) {
         co_return problemReport(exitFailed, trouble);
     }
-    const auto json = Json::parse(best->dump());
-    co_return Report{exitOk, json.contains("tasks") ? json.at("tasks") : json, {}};
+    auto report = rowsReport();
+    report.json = Json::parse(best->dump());
+    if (report.json.contains("tasks")) {
+        report.json = Json(report.json.at("tasks"));
+    }
+    co_return report;
 }
 
 awaitable<Report> ownersCommand(Session &session)
@@ -203,10 +207,8 @@
                                {"meaning", row.meaning}});
     }
     for (const auto &row : selectorKeys()) {
-        report.json.push_back({{"kind", objectKindName(row.kind)},
-                               {"key", row.key},
-                               {"value", "selector"},
-                               {"meaning", row.meaning}});
+        report.json.push_back(
+            {{"kind", objectKindName(row.kind)}, {"key", row.key}, {"value", "selector"}, {"meaning", row.meaning}});
     }
     co_return report;
 }
--- a/src/trefoilhoist/config/labelkeys.cpp
+++ b/src/trefoilhoist/config/labelkeys.cpp
@@ -163,7 +163,8 @@
     for (const auto &known : labelKeys()) {
         const bool close = known.key.size() > 2 * slipDistance && editDistance(key, known.key) <= slipDistance;
         if (known.kind == kind && close) {
-            return LabelProblem{1, "no label \"" + std::string(key) + "\"; did you mean \"" + std::string(known.key) + "\"?"};
+            return LabelProblem{
+                1, "no label \"" + std::string(key) + "\"; did you mean \"" + std::string(known.key) + "\"?"};
         }
     }
     auto problem = checkWord(value, "the value");
@@ -179,8 +180,8 @@
         return row.kind == kind && row.key == key;
     });
     if (!known) {
-        return LabelProblem{
-            1, "a " + std::string(objectKindName(kind)) + " has no selector \"" + std::string(key) + "\""};
+        return LabelProblem{1,
+                            "a " + std::string(objectKindName(kind)) + " has no selector \"" + std::string(key) + "\""};
     }
     const auto selector = Selector::parse(text);
     if (!selector) {
--- a/src/trefoilhoist/store/consulstoreclient.cpp
+++ b/src/trefoilhoist/store/consulstoreclient.cpp
@@ -166,7 +166,7 @@
 
 awaitable<StoreResult<std::optional<StoreEntry>>> ConsulStoreClient::get(std::string key)
 {
-    const auto listing = listingOf(co_await State::call(m_state, "GET", keyTarget(key), {}, {}));
+    const auto listing = listingOf(co_await State::call(m_state, "GET", keyTarget(key), std::string(), Duration{}));
     if (!listing) {
         co_return tl::unexpected(listing.error());
     }
@@ -178,27 +178,28 @@
 
 awaitable<StoreResult<StoreListing>> ConsulStoreClient::list(std::string prefix)
 {
-    co_return listingOf(co_await State::call(m_state, "GET", keyTarget(prefix) + "?recurse", {}, {}));
+    co_return listingOf(
+        co_await State::call(m_state, "GET", keyTarget(prefix) + "?recurse", std::string(), Duration{}));
 }
 
 awaitable<StoreResult<StoreListing>> ConsulStoreClient::watch(std::string prefix, std::uint64_t index, Duration wait)
 {
     const auto target = keyTarget(prefix) + "?recurse&index=" + std::to_string(index)
         + "&wait=" + std::to_string(duration_cast<milliseconds>(wait).count()) + "ms";
-    co_return listingOf(co_await State::call(m_state, "GET", target, {}, wait));
+    co_return listingOf(co_await State::call(m_state, "GET", target, std::string(), wait));
 }
 
 awaitable<StoreResult<bool>>
 ConsulStoreClient::compareAndSet(std::string key, std::string value, std::uint64_t modifyIndex)
 {
     const auto target = keyTarget(key) + "?cas=" + std::to_string(modifyIndex);
-    co_return truthOf(co_await State::call(m_state, "PUT", target, std::move(value), {}));
+    co_return truthOf(co_await State::call(m_state, "PUT", target, std::move(value), Duration{}));
 }
 
 awaitable<StoreResult<bool>> ConsulStoreClient::compareAndDelete(std::string key, std::uint64_t modifyIndex)
 {
     const auto target = keyTarget(key) + "?cas=" + std::to_string(modifyIndex);
-    co_return truthOf(co_await State::call(m_state, "DELETE", target, {}, {}));
+    co_return truthOf(co_await State::call(m_state, "DELETE", target, std::string(), Duration{}));
 }
 
 awaitable<StoreResult<std::string>> ConsulStoreClient::createSession(Duration ttl)
@@ -207,7 +208,7 @@
     // The holder's local bound ends before the session does, so the lock needs no delay.
     const nlohmann::json body{
         {"Name", m_state->options.caller}, {"TTL", ms}, {"LockDelay", "0s"}, {"Behavior", "release"}};
-    const auto answer = co_await State::call(m_state, "PUT", sessionPath + "create", body.dump(), {});
+    const auto answer = co_await State::call(m_state, "PUT", sessionPath + "create", body.dump(), Duration{});
     if (!answer) {
         co_return tl::unexpected(answer.error());
     }
@@ -220,7 +221,8 @@
 
 awaitable<StoreResult<bool>> ConsulStoreClient::renewSession(std::string session)
 {
-    const auto answer = co_await State::call(m_state, "PUT", sessionPath + "renew/" + urlEncode(session), {}, {});
+    const auto answer
+        = co_await State::call(m_state, "PUT", sessionPath + "renew/" + urlEncode(session), std::string(), Duration{});
     if (!answer) {
         co_return tl::unexpected(answer.error());
     }
@@ -229,19 +231,20 @@
 
 awaitable<StoreResult<bool>> ConsulStoreClient::destroySession(std::string session)
 {
-    co_return truthOf(co_await State::call(m_state, "PUT", sessionPath + "destroy/" + urlEncode(session), {}, {}));
+    co_return truthOf(
+        co_await State::call(m_state, "PUT", sessionPath + "destroy/" + urlEncode(session), std::string(), Duration{}));
 }
 
 awaitable<StoreResult<bool>> ConsulStoreClient::acquire(std::string key, std::string value, std::string session)
 {
     const auto target = keyTarget(key) + "?acquire=" + urlEncode(session);
-    co_return truthOf(co_await State::call(m_state, "PUT", target, std::move(value), {}));
+    co_return truthOf(co_await State::call(m_state, "PUT", target, std::move(value), Duration{}));
 }
 
 awaitable<StoreResult<bool>> ConsulStoreClient::release(std::string key, std::string session)
 {
     const auto target = keyTarget(key) + "?release=" + urlEncode(session);
-    co_return truthOf(co_await State::call(m_state, "PUT", target, {}, {}));
+    co_return truthOf(co_await State::call(m_state, "PUT", target, std::string(), Duration{}));
 }
 
 } // namespace Trefoilhoist
--- a/src/trefoilhoist/store/meteredstoreclient.cpp
+++ b/src/trefoilhoist/store/meteredstoreclient.cpp
@@ -28,7 +28,10 @@
     std::mt19937_64 random;
     std::atomic<int> waitingWatches = 0;
 
-    State(std::shared_ptr<StoreClient> client, const StoreBudget &given, const Clock &runtime, MetricsRegistry &registry)
+    State(std::shared_ptr<StoreClient> client,
+          const StoreBudget &given,
+          const Clock &runtime,
+          MetricsRegistry &registry)
         : inner(std::move(client))
         , budget(given)
         , clock(runtime)
@@ -68,9 +71,8 @@
 
     // Calls until there is an effect, an unknown effect, or no time left.
     template <typename Value>
-    static awaitable<StoreResult<Value>> repeat(std::shared_ptr<State> state,
-                                                CallKind kind,
-                                                std::function<awaitable<StoreResult<Value>>()> call)
+    static awaitable<StoreResult<Value>>
+    repeat(std::shared_ptr<State> state, CallKind kind, std::function<awaitable<StoreResult<Value>>()> call)
     {
         const char *name = kind == CallKind::Read ? "read" : "write";
         const auto end = state->clock.now() + state->budget.deadline;
@@ -173,8 +175,7 @@
 
 awaitable<StoreResult<bool>> MeteredStoreClient::acquire(std::string key, std::string value, std::string session)
 {
-    return State::once(
-        m_state, "lease", m_state->inner->acquire(std::move(key), std::move(value), std::move(session)));
+    return State::once(m_state, "lease", m_state->inner->acquire(std::move(key), std::move(value), std::move(session)));
 }
 
 awaitable<StoreResult<bool>> MeteredStoreClient::release(std::string key, std::string session)
--- a/src/trefoilhoist/store/meteredstoreclient.h
+++ b/src/trefoilhoist/store/meteredstoreclient.h
@@ -41,8 +41,7 @@
     awaitable<StoreResult<std::optional<StoreEntry>>> get(std::string key) override;
     awaitable<StoreResult<StoreListing>> list(std::string prefix) override;
     awaitable<StoreResult<StoreListing>> watch(std::string prefix, std::uint64_t index, Duration wait) override;
-    awaitable<StoreResult<bool>>
-    compareAndSet(std::string key, std::string value, std::uint64_t modifyIndex) override;
+    awaitable<StoreResult<bool>> compareAndSet(std::string key, std::string value, std::uint64_t modifyIndex) override;
     awaitable<StoreResult<bool>> compareAndDelete(std::string key, std::uint64_t modifyIndex) override;
     awaitable<StoreResult<std::string>> createSession(Duration ttl) override;
     awaitable<StoreResult<bool>> renewSession(std::string session) override;
--- a/tests/harness/site.cpp
+++ b/tests/harness/site.cpp
@@ -113,7 +113,9 @@
 
 void Site::startStore()
 {
-    m_store.process = Process::start("standin-store", Json{{"listen", m_store.http.str()}}.dump());
+    Json settings{{"listen", m_store.http.str()}};
+    settings.merge_patch(m_plan.storeSettings);
+    m_store.process = Process::start("standin-store", settings.dump());
     m_store.process->waitReady();
 }
 
--- a/tests/harness/site.h
+++ b/tests/harness/site.h
@@ -26,7 +26,8 @@
     std::string service = "lending";
     int slots = 8;
     double medianServiceMs = 2;
-    /// Merged into each entry's and each minion's settings.
+    /// Merged into the store's, each entry's and each minion's settings.
+    nlohmann::json storeSettings = nlohmann::json::object();
     nlohmann::json entrySettings = nlohmann::json::object();
     nlohmann::json minionSettings = nlohmann::json::object();
 };
