--- a/src/trefoilhoist/placement/cellownertasks.cpp
+++ b/src/trefoilhoist/placement/cellownertasks.cpp
@@ -153,8 +153,8 @@
         || !usable(now, *link)) {
         return;
     }
-    const bool sane = fits({}, action.reserve);
-    if (!sane || !fits(reservedOn(view->second) + action.reserve, view->second.worker.capacity)) {
+    const bool room = fits(reservedOn(view->second) + action.reserve, view->second.worker.capacity);
+    if (!fits({}, action.reserve) || (m_settings.safety.checkCapacity && !room)) {
         return;
     }
     entry->unplaceable.clear();
@@ -182,7 +182,10 @@
     link.places.insert(entry.task.id);
     link.starting.insert(entry.task.id);
     view.running.push_back({entry.task.id, entry.task.job, run, reserve, {}, now, 1.0});
-    TREFOILHOIST_INVARIANT(fits(reservedOn(view), view.worker.capacity), "P1 a worker is given no more than it has");
+    if (m_settings.safety.assertInvariants) {
+        TREFOILHOIST_INVARIANT(fits(reservedOn(view), view.worker.capacity),
+                               "P1 a worker is given no more than it has");
+    }
     urge(now, link);
 }
 
@@ -210,7 +213,7 @@
 {
     entry.worker = WorkerId();
     m_dirty = true;
-    if (entry.uncertain && !m_unheard.empty()) {
+    if (entry.uncertain && takingOver()) {
         m_tasks.move(now, entry, TaskState::Uncertain);
         return;
     }
@@ -341,10 +344,23 @@
         }
         unplace(*link, event.task);
         urge(now, *link);
+    } else if (link != nullptr && link->adopted) {
+        // It had ended here too, and its record was under way.
+        link->durable.insert({event.task, entry->run});
+        urge(now, *link);
     }
     finishTask(now, event.task);
 }
 
+void CellOwner::settle(TimePoint /*now*/, const CheckpointElsewhere &event)
+{
+    auto *entry = m_tasks.find(event.task);
+    if (entry != nullptr && entry->state == TaskState::Uncertain && entry->run < event.record.run) {
+        entry->run = event.record.run;
+        entry->checkpoint = event.record.checkpoint;
+    }
+}
+
 void CellOwner::settle(TimePoint /*now*/, const JobRemoved &event)
 {
     m_segmentJobs[event.segment].erase(event.job);
