--- a/src/programs/placer/placer.cpp
+++ b/src/programs/placer/placer.cpp
@@ -1,6 +1,7 @@
 #include "placer.h"
 
 #include "placerstatus.h"
+#include "trefoilhoist/placement/configureddecider.h"
 #include "trefoilhoist/store/keys.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -47,7 +48,8 @@
     , m_client(runtime.executor())
     , m_owner(
           m_settings.owner,
-          policyDecider(PlacementPolicy(m_settings.policy, m_settings.weights, m_settings.seed)),
+          configuredDecider(
+              PlacementPolicy(m_settings.policy, m_settings.weights, m_settings.seed), m_config, m_settings.weights),
           [this](const Worker &worker) { return labelsOf(worker); },
           [this](const Job &job) { return configuredJob(job); })
 {
--- a/src/trefoilhoist/placement/policies/hosttable.cpp
+++ b/src/trefoilhoist/placement/policies/hosttable.cpp
@@ -18,14 +18,9 @@
             std::max<std::int64_t>(value.accelerators, 0)};
 }
 
-Labels labelsOf(const Worker &worker, const PolicyTerms &terms)
+Labels labelsOf(const Worker &worker)
 {
-    Labels labels;
-    const auto it = terms.workers.find(worker.id);
-    if (it != terms.workers.end()) {
-        labels = it->second;
-    }
-    labels.insert(worker.labels.begin(), worker.labels.end());
+    auto labels = worker.labels;
     labels.try_emplace("worker", worker.id.str());
     labels.try_emplace("rack", worker.rack.str());
     labels.try_emplace("zone", worker.zone.str());
@@ -76,7 +71,7 @@
     m_labels.resize(input.workers.size());
     std::size_t n = 0;
     for (const auto &[id, view] : input.workers) {
-        auto labels = labelsOf(view.worker, *m_terms);
+        auto labels = labelsOf(view.worker);
         if (m_hosts[n].id != id || m_labels[n] != labels) {
             changed = true;
             m_labels[n] = std::move(labels);
@@ -113,8 +108,7 @@
             continue;
         }
         host.jobs.push_back(found);
-        const auto *terms = classTerms(*found);
-        host.restrictsNeighbours |= !found->beside.empty() || (terms != nullptr && !terms->beside.empty());
+        host.restrictsNeighbours |= !found->beside.empty();
         countJob(*found, host);
     }
     for (const auto &service : host.view->services) {
@@ -149,12 +143,6 @@
     return it == m_input->jobs.end() ? nullptr : &it->second;
 }
 
-const ClassTerms *HostTable::classTerms(const Job &job) const
-{
-    const auto it = m_terms->classes.find(job.batchClass);
-    return it == m_terms->classes.end() ? nullptr : &it->second;
-}
-
 bool HostTable::matches(const std::string &text, const Labels &labels)
 {
     if (text.empty()) {
@@ -166,48 +154,31 @@
 
 const std::vector<bool> &HostTable::allowed(const Job &job)
 {
-    const auto *terms = classTerms(job);
-    const auto classWhere = terms == nullptr ? std::string() : terms->where;
-    auto key = job.where + '\n' + classWhere;
-    const auto it = m_allowed.find(key);
+    const auto it = m_allowed.find(job.where);
     if (it != m_allowed.end()) {
         return it->second;
     }
     std::vector<bool> answers(m_hosts.size());
     for (std::size_t n = 0; n < m_hosts.size(); ++n) {
-        answers[n] = matches(job.where, m_labels[n]) && matches(classWhere, m_labels[n]);
+        answers[n] = matches(job.where, m_labels[n]);
     }
-    return m_allowed.emplace(std::move(key), std::move(answers)).first->second;
+    return m_allowed.emplace(job.where, std::move(answers)).first->second;
 }
 
 std::string HostTable::selectorProblem(const Job &job)
 {
-    const auto *terms = classTerms(job);
     for (const auto *text : {&job.where, &job.beside}) {
         const auto &problem = m_selectors.read(*text).problem;
         if (!problem.empty()) {
             return problem;
         }
     }
-    if (terms == nullptr) {
-        return {};
-    }
-    for (const auto *text : {&terms->where, &terms->beside}) {
-        const auto &problem = m_selectors.read(*text).problem;
-        if (!problem.empty()) {
-            return "class " + job.batchClass + ": " + problem;
-        }
-    }
     return {};
 }
 
-Labels HostTable::jobLabels(const Job &job) const
+Labels HostTable::jobLabels(const Job &job)
 {
     auto labels = job.labels;
-    const auto *terms = classTerms(job);
-    if (terms != nullptr) {
-        labels.insert(terms->labels.begin(), terms->labels.end());
-    }
     labels["kind"] = "batch";
     labels["class"] = job.batchClass;
     labels["team"] = job.team.str();
@@ -232,16 +203,12 @@
     if (it != m_terms->services.end() && !matches(it->second.beside, labels)) {
         return false;
     }
-    const auto *terms = classTerms(job);
-    const auto theirs = serviceLabels(service);
-    return matches(job.beside, theirs) && (terms == nullptr || matches(terms->beside, theirs));
+    return job.beside.empty() || matches(job.beside, serviceLabels(service));
 }
 
 bool HostTable::acceptsBeside(const Job &job, const Host &host)
 {
-    const auto *terms = classTerms(job);
-    const bool restricts = !job.beside.empty() || (terms != nullptr && !terms->beside.empty());
-    if (!restricts && !host.restrictsNeighbours) {
+    if (job.beside.empty() && !host.restrictsNeighbours) {
         return true;
     }
     const auto labels = jobLabels(job);
@@ -250,20 +217,9 @@
             return false;
         }
     }
-    for (const auto *other : host.jobs) {
-        if (other == &job) {
-            continue;
-        }
-        const auto *otherTerms = classTerms(*other);
-        const auto theirs = jobLabels(*other);
-        const bool accepted = matches(job.beside, theirs) && matches(other->beside, labels)
-            && (terms == nullptr || matches(terms->beside, theirs))
-            && (otherTerms == nullptr || matches(otherTerms->beside, labels));
-        if (!accepted) {
-            return false;
-        }
-    }
-    return true;
+    return std::all_of(host.jobs.begin(), host.jobs.end(), [&](const Job *other) {
+        return other == &job || (matches(job.beside, jobLabels(*other)) && matches(other->beside, labels));
+    });
 }
 
 int HostTable::countInRack(const Job &job, const Host &host) const
@@ -284,8 +240,8 @@
 
 int HostTable::yieldRank(const Job &job) const
 {
-    const auto *terms = classTerms(job);
-    return job.yieldRank + (terms == nullptr ? 0 : terms->yieldRank);
+    const auto it = m_terms->classes.find(job.batchClass);
+    return job.yieldRank + (it == m_terms->classes.end() ? 0 : it->second.yieldRank);
 }
 
 bool HostTable::yieldsFirst(const ServiceId &service, const Job &job)
@@ -300,8 +256,7 @@
     host.free -= reserve;
     --host.startLimit;
     host.jobs.push_back(&job);
-    const auto *terms = classTerms(job);
-    host.restrictsNeighbours |= !job.beside.empty() || (terms != nullptr && !terms->beside.empty());
+    host.restrictsNeighbours |= !job.beside.empty();
     countJob(job, host);
 }
 
--- a/src/trefoilhoist/placement/policies/hosttable.h
+++ b/src/trefoilhoist/placement/policies/hosttable.h
@@ -87,9 +87,8 @@
     int groupIndex(std::unordered_map<std::string, int> &indices, const std::string &name);
     void countJob(const Job &job, const Host &host);
     [[nodiscard]] bool matches(const std::string &text, const Labels &labels);
-    [[nodiscard]] Labels jobLabels(const Job &job) const;
+    [[nodiscard]] static Labels jobLabels(const Job &job);
     [[nodiscard]] Labels serviceLabels(const ServiceId &service) const;
-    [[nodiscard]] const ClassTerms *classTerms(const Job &job) const;
     [[nodiscard]] bool serviceAccepts(const ServiceId &service, const Job &job, const Labels &labels);
 
     const PolicyInput *m_input = nullptr;
--- a/src/trefoilhoist/placement/policies/startplanner.cpp
+++ b/src/trefoilhoist/placement/policies/startplanner.cpp
@@ -15,7 +15,9 @@
 constexpr double probePreference = 5;
 /// A task whose neighbours are never accepted is reported after this.
 constexpr Duration reportNeighboursAfter = seconds(60);
-constexpr std::size_t sweepSlack = 256;
+/// The owner shows long queues in parts: a task unseen for this long is gone.
+constexpr Duration forgetHoldAfter = seconds(3);
+constexpr std::size_t sweepSlack = 16'384;
 
 std::string text(const Resources &size)
 {
@@ -65,20 +67,18 @@
     if (m_holds.empty()) {
         return;
     }
-    for (auto &[task, hold] : m_holds) {
-        hold.wanted = false;
-    }
     for (const auto &pending : context.table.input().pending) {
         const auto it = m_holds.find(pending.task.id);
         if (it != m_holds.end()) {
-            it->second.wanted = true;
+            it->second.seenAt = context.now;
         }
     }
     std::erase_if(m_holds, [&](const auto &entry) {
         const auto &hold = entry.second;
         const auto *host = context.table.find(hold.worker);
         const bool late = hold.urgent && context.now - hold.since > m_settings.urgentHoldFor;
-        return !hold.wanted || late || host == nullptr || !host->open || host->startLimit <= 0;
+        const bool gone = context.now - hold.seenAt > forgetHoldAfter;
+        return gone || late || host == nullptr || !host->open || host->startLimit <= 0;
     });
     for (const auto &[task, hold] : m_holds) {
         context.table.find(hold.worker)->held += hold.need;
@@ -380,7 +380,7 @@
 void StartPlanner::keepRoom(DecisionContext &context, Host &host, const Candidate &candidate, bool urgent)
 {
     host.held += candidate.size.reserve;
-    m_holds[candidate.pending->task.id] = {host.id, candidate.size.reserve, context.now, urgent, true};
+    m_holds[candidate.pending->task.id] = {host.id, candidate.size.reserve, context.now, context.now, urgent};
 }
 
 bool StartPlanner::makeRoom(DecisionContext &context, const Candidate &candidate, bool forUrgent)
--- a/src/trefoilhoist/placement/policies/startplanner.h
+++ b/src/trefoilhoist/placement/policies/startplanner.h
@@ -69,8 +69,9 @@
         WorkerId worker;
         Resources need;
         TimePoint since{};
+        /// When the task was last seen to wait.
+        TimePoint seenAt{};
         bool urgent = false;
-        bool wanted = false;
     };
     enum class Outcome { Placed, NoRoom, Refused, Skipped };
 
--- a/src/trefoilhoist/placement/policytypes.h
+++ b/src/trefoilhoist/placement/policytypes.h
@@ -67,11 +67,9 @@
     std::string yields;
 };
 
-/// What operators ask for one batch class; joined with each job's own selectors.
+/// What operators ask for one batch class. Its labels, `where` and `beside` are joined to each job before a
+/// policy sees it.
 struct ClassTerms {
-    Labels labels;
-    std::string where;
-    std::string beside;
     /// Added to the job's rank; higher ranks yield first.
     int yieldRank = 0;
 };
@@ -90,8 +88,6 @@
     std::map<ServiceId, ServiceTerms> services;
     std::map<std::string, ClassTerms> classes;
     std::map<TeamId, TeamTerms> teams;
-    /// Operators' labels of workers; they go before the worker's own.
-    std::map<WorkerId, Labels> workers;
 };
 
 /// Everything a policy decides from; views are valid for the call only.
