--- a/src/trefoilhoist/placement/policies/bestfit.cpp
+++ b/src/trefoilhoist/placement/policies/bestfit.cpp
@@ -4,8 +4,6 @@
 
 namespace {
 
-constexpr double crowdingWeight = 0.3;
-
 void addPart(std::int64_t free, std::int64_t room, double &sum, int &count)
 {
     if (room > 0) {
--- a/src/trefoilhoist/placement/policies/bestfit.h
+++ b/src/trefoilhoist/placement/policies/bestfit.h
@@ -6,6 +6,9 @@
 
 namespace Trefoilhoist::Detail {
 
+/// What crowding counts beside free room left.
+constexpr double crowdingWeight = 3.0;
+
 /// Free room left on the host after the task, as a part of its room; the mean over the resources it has.
 [[nodiscard]] double leftover(const Host &host, const Resources &reserve);
 /// Crowding of the job's tasks in the host's rack and availability zone, 0 to 1.
--- a/src/trefoilhoist/placement/policies/healthledger.cpp
+++ b/src/trefoilhoist/placement/policies/healthledger.cpp
@@ -232,7 +232,8 @@
             return !suspectsWorker(worker, pending.task.job);
         }));
         const bool unproven = record.finishedOn.empty() && trusted >= m_settings.jobWorkers;
-        if (unproven || (pending.failures >= m_settings.taskFailures && trusted >= m_settings.jobWorkers)) {
+        const bool hopeless = pending.failures >= m_settings.mostTaskFailures;
+        if (hopeless || unproven || (pending.failures >= m_settings.taskFailures && trusted >= m_settings.jobWorkers)) {
             record.failed = true;
             record.reason = "task " + pending.task.id.str() + " failed " + std::to_string(pending.failures)
                 + " times, on " + std::to_string(trusted) + " workers that finish other work";
@@ -334,6 +335,12 @@
     return it != m_jobs.end() && it->second.failed;
 }
 
+bool HealthLedger::triedInVain(const JobId &job, const WorkerId &worker) const
+{
+    const auto it = m_jobs.find(job);
+    return it != m_jobs.end() && it->second.finishedOn.empty() && it->second.failures.contains(worker);
+}
+
 bool HealthLedger::isProven(const JobId &job) const
 {
     const auto it = m_jobs.find(job);
--- a/src/trefoilhoist/placement/policies/healthledger.h
+++ b/src/trefoilhoist/placement/policies/healthledger.h
@@ -26,6 +26,8 @@
         int jobWorkers = 3;
         /// Failures of one task on trusted workers that fail its job, though other tasks of it finish.
         int taskFailures = 6;
+        /// Failures of one task that fail its job whatever the workers.
+        int mostTaskFailures = 15;
         /// Time to the first probe of a quarantined worker; doubles with each probe that fails.
         Duration firstProbe = seconds(30);
         Duration longestProbe = seconds(600);
@@ -58,6 +60,8 @@
     /// Tasks of the job that may run at once.
     [[nodiscard]] int tasksAllowed(const JobId &job) const;
     [[nodiscard]] bool isFailed(const JobId &job) const;
+    /// Whether the job, which never finished anything, failed on the worker: a further try there tells nothing.
+    [[nodiscard]] bool triedInVain(const JobId &job, const WorkerId &worker) const;
     /// Whether a task of the job ever finished, or ran long.
     [[nodiscard]] bool isProven(const JobId &job) const;
     /// Whether the task still waits after a failure.
--- a/src/trefoilhoist/placement/policies/interferenceaware.cpp
+++ b/src/trefoilhoist/placement/policies/interferenceaware.cpp
@@ -19,7 +19,6 @@
 /// Refusals ease until the task has waited this long.
 constexpr Duration longestRefusal = seconds(300);
 constexpr double harmSteepness = 4.0;
-constexpr double crowdingWeight = 0.3;
 /// No task starts beside a service for whose sake one was just evicted.
 constexpr Duration afterEviction = seconds(20);
 
--- a/src/trefoilhoist/placement/policies/sizeestimator.cpp
+++ b/src/trefoilhoist/placement/policies/sizeestimator.cpp
@@ -10,7 +10,7 @@
 /// Observations after which older ones fade.
 constexpr double memory = 60;
 /// Spread assumed before any observation, as a logarithm, and how many observations it counts for.
-constexpr double priorDeviation = 0.5;
+constexpr double priorDeviation = 0.3;
 constexpr double priorCount = 2;
 /// An estimate stays within this factor of the declaration.
 constexpr double widestFactor = 20;
--- a/src/trefoilhoist/placement/policies/startplanner.cpp
+++ b/src/trefoilhoist/placement/policies/startplanner.cpp
@@ -11,12 +11,16 @@
 
 /// Added to the score of a worker that the task failed on before.
 constexpr double failedBeforePenalty = 10;
+/// An unproven job waits this long for another worker than those that it failed on.
+constexpr Duration tryAgainAfter = seconds(30);
 /// Moves the score of a worker that is due a probe.
 constexpr double probePreference = 5;
 /// A task whose neighbours are never accepted is reported after this.
 constexpr Duration reportNeighboursAfter = seconds(60);
 /// The owner shows long queues in parts: a task unseen for this long is gone.
 constexpr Duration forgetHoldAfter = seconds(3);
+/// Waiting tasks looked at for kept room.
+constexpr std::size_t maxBlocked = 64;
 constexpr std::size_t sweepSlack = 16'384;
 
 std::string text(const Resources &size)
@@ -55,10 +59,13 @@
 void StartPlanner::plan(DecisionContext &context, const Score &score, const Placed &placed)
 {
     m_plans.clear();
+    m_blocked.clear();
+    m_starts = 0;
     refreshHolds(context);
     buildQueues(context);
     planUrgent(context, score, placed);
     planNormal(context, score, placed);
+    holdForOvertaken(context);
     sweep(context.table.input());
 }
 
@@ -269,6 +276,7 @@
     context.shares.add(*candidate.job, plan.size.reserve);
     context.health.started(host->id, context.now);
     context.ledger.add(StartTask{task.id, host->id, plan.size.reserve});
+    ++m_starts;
     placed(candidate, *host);
     return Outcome::Placed;
 }
@@ -300,7 +308,11 @@
         if (!value) {
             continue;
         }
-        if (failedThere(*candidate.pending, host.id)) {
+        const bool inVain = context.health.triedInVain(candidate.job->id, host.id);
+        if (inVain && candidate.waited < tryAgainAfter) {
+            continue;
+        }
+        if (inVain || failedThere(*candidate.pending, host.id)) {
             *value += failedBeforePenalty;
         }
         if (context.health.isQuarantined(host.id)) {
@@ -348,8 +360,18 @@
     if (starved && makeRoom(context, candidate, false)) {
         return;
     }
-    if (candidate.waited >= m_settings.holdAfter) {
-        holdRoom(context, candidate);
+    if (candidate.waited >= m_settings.holdAfter && m_blocked.size() < maxBlocked) {
+        m_blocked.push_back({candidate, m_starts});
+    }
+}
+
+void StartPlanner::holdForOvertaken(DecisionContext &context)
+{
+    for (const auto &blocked : m_blocked) {
+        // A task of the usual size gets the next room anyway; one that smaller ones overtake never would.
+        if (m_starts > blocked.startsBefore && mayHold(context)) {
+            holdRoom(context, blocked.candidate);
+        }
     }
 }
 
--- a/src/trefoilhoist/placement/policies/startplanner.h
+++ b/src/trefoilhoist/placement/policies/startplanner.h
@@ -73,6 +73,11 @@
         TimePoint seenAt{};
         bool urgent = false;
     };
+    /// A task without room, and how many tasks had started in this decision before.
+    struct Blocked {
+        Candidate candidate;
+        int startsBefore = 0;
+    };
     enum class Outcome { Placed, NoRoom, Refused, Skipped };
 
     void refreshHolds(DecisionContext &context);
@@ -89,6 +94,8 @@
     [[nodiscard]] std::string sizeProblem(DecisionContext &context, JobPlan &plan, const Candidate &candidate);
     void report(DecisionContext &context, const TaskId &task, const std::string &reason);
     void waitForRoom(DecisionContext &context, const Candidate &candidate);
+    /// Keeps room for tasks that others overtook in this decision.
+    void holdForOvertaken(DecisionContext &context);
     void holdRoom(DecisionContext &context, const Candidate &candidate);
     /// Evicts what yields most cheaply so that the task fits, and keeps the room for it.
     bool makeRoom(DecisionContext &context, const Candidate &candidate, bool forUrgent);
@@ -101,6 +108,8 @@
     std::uint64_t m_scanStart;
     std::vector<TeamQueue> m_queues;
     std::unordered_map<const Job *, JobPlan> m_plans;
+    std::vector<Blocked> m_blocked;
+    int m_starts = 0;
     std::map<TaskId, Hold> m_holds;
     std::unordered_map<TaskId, std::size_t> m_reported;
 };
--- a/tests/unit/policy.cpp
+++ b/tests/unit/policy.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <functional>
 
 using namespace Trefoilhoist;
 
@@ -242,3 +243,350 @@
     EXPECT_EQ(reports.size(), 100U);
     EXPECT_NE(reports[0].reason.find("80000 milliCpu"), std::string::npos) << reports[0].reason;
 }
+
+TEST_P(EachPolicy, tasksOfOneJob_areSpreadOverRacksAndZones)
+{
+    if (GetParam() == PolicyKind::RandomFit) {
+        GTEST_SKIP() << "random fit doesn't spread";
+    }
+    for (int n = 0; n < 8; ++n) {
+        addWorker(
+            "w" + std::to_string(n), {16'000, 16'000, 0}, "r" + std::to_string(n / 2), "z" + std::to_string(n / 4));
+    }
+    addJob("job", {2'000, 2'000, 0}, 8);
+    std::map<RackId, int> racks;
+    std::map<ZoneId, int> zones;
+    for (const auto &started : only<StartTask>(decide(m_policy))) {
+        ++racks[m_workers.at(started.worker).worker.rack];
+        ++zones[m_workers.at(started.worker).worker.zone];
+    }
+    ASSERT_EQ(racks.size(), 4U);
+    for (const auto &[rack, count] : racks) {
+        EXPECT_LE(count, 3) << rack;
+    }
+    EXPECT_LE(zones[ZoneId("z0")], 5);
+    EXPECT_LE(zones[ZoneId("z1")], 5);
+}
+
+namespace {
+
+/// A site over time: each task runs `runFor`, but fails after a second where the test says so.
+class PolicyOverTime : public PolicyTest
+{
+protected:
+    void passSecond(PlacementPolicy &policy)
+    {
+        m_now += seconds(1);
+        std::vector<std::pair<TaskId, RunEnd>> ended;
+        for (const auto &[id, view] : m_workers) {
+            for (const auto &running : view.running) {
+                const auto ranFor = m_now - running.startedAt;
+                if (m_fails(id, running.job) && ranFor >= seconds(1)) {
+                    ended.emplace_back(running.task, RunEnd::Failed);
+                } else if (ranFor >= m_runFor) {
+                    ended.emplace_back(running.task, RunEnd::Finished);
+                }
+            }
+        }
+        for (const auto &[task, how] : ended) {
+            WorkerId worker;
+            running(task, &worker);
+            m_failures[task] += how == RunEnd::Failed ? 1 : 0;
+            end(policy, task, how, m_failures[task]);
+            if (how == RunEnd::Failed) {
+                m_failedOn[task].push_back(worker);
+                m_pending.back().failedOn = m_failedOn[task];
+            }
+        }
+        for (const auto &action : decideAndAct(policy)) {
+            if (const auto *started = std::get_if<StartTask>(&action)) {
+                ++m_starts[started->worker];
+                ++m_jobStarts[m_jobs.at(jobOf(started->task)).id];
+            } else if (const auto *quarantined = std::get_if<QuarantineWorker>(&action)) {
+                m_quarantined.push_back(quarantined->worker);
+            } else if (const auto *failed = std::get_if<FailJob>(&action)) {
+                m_failedJobs.push_back(failed->job);
+                std::erase_if(m_pending, [&](const auto &pending) { return pending.task.job == failed->job; });
+            }
+        }
+    }
+
+    static JobId jobOf(const TaskId &task)
+    {
+        return JobId(task.str().substr(0, task.str().find('-')));
+    }
+
+    // Six workers for four tasks each, and ten jobs of twenty tasks.
+    void makeBusySite()
+    {
+        for (int n = 0; n < 6; ++n) {
+            addWorker("w" + std::to_string(n), {8'000, 8'000, 0}, "r" + std::to_string(n / 2));
+        }
+        for (int n = 0; n < 10; ++n) {
+            addJob("j" + std::to_string(n), {2'000, 2'000, 0}, 20);
+        }
+    }
+
+    Duration m_runFor = seconds(10);
+    std::function<bool(const WorkerId &, const JobId &)> m_fails = [](const auto &, const auto &) {
+        return false;
+    };
+    std::map<WorkerId, int> m_starts;
+    std::map<JobId, int> m_jobStarts;
+    std::map<TaskId, int> m_failures;
+    std::map<TaskId, std::vector<WorkerId>> m_failedOn;
+    std::vector<WorkerId> m_quarantined;
+    std::vector<JobId> m_failedJobs;
+};
+
+} // namespace
+
+TEST_F(PolicyOverTime, workerThatFailsEverything_isQuarantinedProbedAndTakenBack)
+{
+    makeBusySite();
+    const WorkerId bad("w3");
+    m_fails = [&](const auto &worker, const auto &) {
+        return worker == bad;
+    };
+    PlacementPolicy policy(PolicyKind::BestFit, PolicyWeights{}, 1);
+    for (int n = 0; n < 25; ++n) {
+        passSecond(policy);
+    }
+    EXPECT_EQ(m_quarantined, std::vector<WorkerId>{bad});
+    EXPECT_LE(m_starts[bad], 8) << "a few starts tell";
+    EXPECT_TRUE(m_failedJobs.empty());
+    const int before = m_starts[bad];
+    for (int n = 0; n < 20; ++n) {
+        passSecond(policy);
+    }
+    EXPECT_GT(m_starts[bad], before) << "never probed";
+    EXPECT_LE(m_starts[bad], before + 1) << "probed with more than one task";
+    addJob("more", {2'000, 2'000, 0}, 200);
+    m_fails = [](const auto &, const auto &) {
+        return false;
+    };
+    const int probed = m_starts[bad];
+    for (int n = 0; n < 300 && !m_pending.empty(); ++n) {
+        passSecond(policy);
+    }
+    EXPECT_GT(m_starts[bad], probed + 1) << "not taken back";
+    EXPECT_TRUE(m_pending.empty());
+}
+
+TEST_F(PolicyOverTime, withoutHealthLedger_badWorkerSwallowsStarts)
+{
+    makeBusySite();
+    const WorkerId bad("w3");
+    m_fails = [&](const auto &worker, const auto &) {
+        return worker == bad;
+    };
+    PolicySettings settings;
+    settings.health.enabled = false;
+    PlacementPolicy policy(PolicyKind::BestFit, PolicyWeights{}, 1, settings);
+    for (int n = 0; n < 25; ++n) {
+        passSecond(policy);
+    }
+    EXPECT_TRUE(m_quarantined.empty());
+    EXPECT_GT(m_starts[bad], 40);
+}
+
+TEST_F(PolicyOverTime, jobThatFailsEverywhere_isFailedWithinFewStarts)
+{
+    makeBusySite();
+    addJob("bad", {1'000, 1'000, 0}, 50);
+    std::rotate(m_pending.begin(), m_pending.end() - 50, m_pending.end());
+    m_fails = [](const auto &, const auto &job) {
+        return job == JobId("bad");
+    };
+    PlacementPolicy policy(PolicyKind::BestFit, PolicyWeights{}, 1);
+    for (int n = 0; n < 90; ++n) {
+        passSecond(policy);
+    }
+    EXPECT_EQ(m_failedJobs, std::vector<JobId>{JobId("bad")});
+    // The first decision knows nothing yet and fills the site.
+    EXPECT_LE(m_jobStarts[JobId("bad")], 48 + 6);
+    EXPECT_TRUE(m_quarantined.empty()) << m_quarantined.front();
+}
+
+TEST_F(PolicyOverTime, declaredSizesTenTimesOff_areCorrectedFromUsage)
+{
+    for (const auto &[declared, used] : std::vector<std::pair<Resources, Resources>>{
+             {{4'000, 4'000, 0}, {400, 400, 0}}, {{400, 400, 0}, {4'000, 4'000, 0}}}) {
+        m_workers.clear();
+        m_jobs.clear();
+        m_pending.clear();
+        addWorker("only", {16'000, 16'000, 0});
+        addJob("job", declared, 200);
+        PlacementPolicy policy(PolicyKind::BestFit, PolicyWeights{}, 1);
+        std::size_t most = 0;
+        for (int n = 0; n < 60; ++n) {
+            passSecond(policy);
+            Resources reserved;
+            for (auto &running : m_workers.begin()->second.running) {
+                running.used = used;
+                running.used.milliCpu
+                    = static_cast<std::int64_t>(static_cast<double>(used.milliCpu) * running.throttle);
+                reserved += running.reserved;
+                policy.learn(UsageSample{m_now, running.task, running.job, WorkerId("only"), running.used});
+            }
+            ASSERT_TRUE(fits(reserved, {16'000, 16'000, 0}));
+            most = n < 40 ? 0 : std::max(most, m_workers.begin()->second.running.size());
+        }
+        const bool tooLarge = declared.milliCpu > used.milliCpu;
+        EXPECT_GE(most, tooLarge ? 20U : 3U);
+        EXPECT_LE(most, tooLarge ? 40U : 4U);
+    }
+}
+
+TEST_F(PolicyOverTime, memoryOveruseOnFullWorker_evictsTheWorst)
+{
+    auto &view = addWorker("only", {16'000, 16'000, 0});
+    view.serviceReserved = {2'000, 2'000, 0};
+    addJob("modest", {1'000, 6'000, 0});
+    addJob("greedy", {1'000, 6'000, 0}).batchClass = "greedy";
+    PlacementPolicy policy(PolicyKind::BestFit, PolicyWeights{}, 1);
+    passSecond(policy);
+    ASSERT_EQ(view.running.size(), 2U);
+    running(TaskId("modest-0"))->used = {1'000, 5'000, 0};
+    running(TaskId("greedy-0"))->used = {1'000, 12'000, 0};
+    m_now += seconds(1);
+    const auto evictions = only<EvictTask>(decide(policy));
+    ASSERT_EQ(evictions.size(), 1U);
+    EXPECT_EQ(evictions[0].task, TaskId("greedy-0"));
+}
+
+TEST_F(PolicyOverTime, processorOveruseOnFullWorker_isThrottledToReservation)
+{
+    auto &view = addWorker("only", {16'000, 16'000, 0});
+    view.serviceReserved = {8'000, 1'000, 0};
+    addJob("modest", {4'000, 1'000, 0});
+    addJob("greedy", {4'000, 1'000, 0});
+    PlacementPolicy policy(PolicyKind::BestFit, PolicyWeights{}, 1);
+    passSecond(policy);
+    running(TaskId("modest-0"))->used = {3'000, 1'000, 0};
+    running(TaskId("greedy-0"))->used = {10'000, 1'000, 0};
+    m_now += seconds(1);
+    const auto throttles = only<ThrottleTask>(decide(policy));
+    ASSERT_EQ(throttles.size(), 1U);
+    EXPECT_EQ(throttles[0].task, TaskId("greedy-0"));
+    EXPECT_NEAR(throttles[0].share, 0.4, 0.01);
+}
+
+TEST_F(PolicyOverTime, teams_shareByDominantResourceAndWeight)
+{
+    for (int n = 0; n < 4; ++n) {
+        addWorker("w" + std::to_string(n), {30'000, 60'000, 0});
+    }
+    // One team's tasks are wide in processors, the other's in memory.
+    addJob("wide", {2'000, 1'000, 0}, 200).team = TeamId("a");
+    addJob("deep", {500, 4'000, 0}, 200).team = TeamId("b");
+    m_terms.teams[TeamId("a")].weight = 1;
+    m_terms.teams[TeamId("b")].weight = 2;
+    m_terms.teams[TeamId("c")].limit = 0.1;
+    addJob("capped", {500, 500, 0}, 200).team = TeamId("c");
+    PlacementPolicy policy(PolicyKind::BestFit, PolicyWeights{}, 1);
+    passSecond(policy);
+    std::map<TeamId, Resources> held;
+    for (const auto &[id, view] : m_workers) {
+        for (const auto &running : view.running) {
+            held[m_jobs.at(running.job).team] += running.reserved;
+        }
+    }
+    const double a = static_cast<double>(held[TeamId("a")].milliCpu) / 120'000;
+    const double b = static_cast<double>(held[TeamId("b")].memoryMb) / 240'000;
+    EXPECT_NEAR(b / a, 2.0, 0.3);
+    EXPECT_LE(held[TeamId("c")].milliCpu, 12'000);
+    EXPECT_GT(held[TeamId("c")].milliCpu, 9'000);
+}
+
+TEST_F(PolicyOverTime, urgentTaskOnFullSite_startsWithinTheTarget)
+{
+    constexpr Duration urgentTarget = milliseconds(3300);
+    m_runFor = seconds(1000);
+    makeBusySite();
+    PlacementPolicy policy(PolicyKind::BestFit, PolicyWeights{}, 1);
+    passSecond(policy);
+    m_jobs.at(JobId("j1")).yieldRank = 5;
+    auto &urgent = addJob("urgent", {3'000, 3'000, 0});
+    urgent.urgent = true;
+    urgent.team = TeamId("other");
+    const auto submitted = m_now;
+    std::vector<EvictTask> evictions;
+    while (running(TaskId("urgent-0")) == nullptr && m_now - submitted < seconds(30)) {
+        m_now += milliseconds(100);
+        const auto actions = decide(policy);
+        for (const auto &evicted : only<EvictTask>(actions)) {
+            evictions.push_back(evicted);
+        }
+        for (const auto &started : only<StartTask>(actions)) {
+            start(started);
+        }
+        // A checkpoint takes two seconds.
+        for (const auto &evicted : std::vector<EvictTask>(evictions)) {
+            if (m_now - submitted >= seconds(2) && running(evicted.task) != nullptr) {
+                end(policy, evicted.task, RunEnd::Evicted);
+            }
+        }
+    }
+    EXPECT_LE(m_now - submitted, urgentTarget);
+    ASSERT_EQ(evictions.size(), 2U) << "no more than the room it needs";
+    for (const auto &evicted : evictions) {
+        EXPECT_EQ(jobOf(evicted.task), JobId("j1")) << "the highest rank yields first";
+    }
+}
+
+TEST_F(PolicyOverTime, urgentFloodOfOneTeam_leavesOthersTheirShare)
+{
+    makeBusySite();
+    for (int n = 0; n < 20; ++n) {
+        auto &job = addJob("u" + std::to_string(n), {2'000, 2'000, 0}, 20);
+        job.urgent = true;
+        job.team = TeamId("loud");
+    }
+    PlacementPolicy policy(PolicyKind::BestFit, PolicyWeights{}, 1);
+    int quiet = 0;
+    for (int n = 0; n < 60; ++n) {
+        passSecond(policy);
+        for (const auto &[id, view] : m_workers) {
+            for (const auto &running : view.running) {
+                quiet += m_jobs.at(running.job).urgent ? 0 : 1;
+            }
+        }
+    }
+    // 24 places over 60 s, half of them due to the other team.
+    EXPECT_GE(quiet, 24 * 60 / 2 * 0.8);
+}
+
+TEST_F(PolicyOverTime, wideTaskAmongSmallOnes_getsRoomKept)
+{
+    for (const bool holds : {true, false}) {
+        m_workers.clear();
+        m_jobs.clear();
+        m_pending.clear();
+        addWorker("w0", {8'000, 8'000, 0});
+        addWorker("w1", {8'000, 8'000, 0});
+        for (int n = 0; n < 60; ++n) {
+            addJob("s" + std::to_string(n), {2'000, 2'000, 0}, 20);
+        }
+        PolicySettings settings;
+        settings.planner.holds = holds;
+        PlacementPolicy policy(PolicyKind::BestFit, PolicyWeights{}, 1, settings);
+        // Ends are spread over time, so that room comes in small pieces.
+        m_runFor = seconds(7);
+        passSecond(policy);
+        m_runFor = seconds(11);
+        for (int n = 0; n < 4; ++n) {
+            passSecond(policy);
+            m_workers.at(WorkerId("w0")).running[static_cast<std::size_t>(n)].startedAt = m_now - seconds(n * 3);
+            m_workers.at(WorkerId("w1")).running[static_cast<std::size_t>(n)].startedAt = m_now - seconds(n * 2);
+        }
+        addJob("wide", {8'000, 8'000, 0});
+        std::rotate(m_pending.begin(), m_pending.end() - 1, m_pending.end());
+        bool started = false;
+        for (int n = 0; n < 90; ++n) {
+            passSecond(policy);
+            started |= running(TaskId("wide-0")) != nullptr;
+        }
+        EXPECT_EQ(started, holds);
+    }
+}
