Add claims: a request with an Idempotency-Key runs at most once

Holders are the first four entries by the settings in rendezvous order; a claim needs a majority, so it doesn't depend on which entries each believes alive. A claim is never taken over: an unknown outcome ends as may-have-run. A restarted holder vouches for nothing until it has its claims back from intact peers or the retention has passed; repeats need a vouched majority. The HTTP client resets a connection whose exchange failed, so that unsent bytes can't arrive later.

--- a/src/programs/entry/entry.cpp
+++ b/src/programs/entry/entry.cpp
@@ -52,7 +52,8 @@
                  m_router,
                  *m_configAgent,
                  m_metrics)
-    , m_surface(m_settings, {runtime.clock(), m_membership, m_requests, m_feed, m_config, m_burn, m_metrics})
+    , m_claims(runtime.executor(), m_settings, runtime.incarnation(), runtime.clock(), m_exchange.peers(), m_metrics)
+    , m_surface(m_settings, {runtime.clock(), m_membership, m_requests, m_claims, m_feed, m_config, m_burn, m_metrics})
     , m_http(runtime.executor(),
              m_settings.http,
              [this](HttpRequest request) { return m_surface.handle(std::move(request)); })
@@ -74,6 +75,7 @@
     }
     spawn(m_runtime.executor(), "minion feed", [this] { return m_feed.loop(); });
     m_exchange.start();
+    m_claims.start();
     if (m_store) {
         m_configAgent->startWatching(m_runtime.executor());
     }
@@ -84,13 +86,14 @@
 
 awaitable<std::optional<Wire::Envelope>> Entry::peerCall(Wire::Envelope envelope)
 {
-    co_return m_exchange.handle(envelope);
+    auto reply = m_exchange.handle(envelope);
+    co_return reply ? std::move(reply) : m_claims.handle(envelope);
 }
 
 awaitable<void> Entry::waitUntilIdle()
 {
     const auto end = m_runtime.clock().now() + m_settings.stop.drain;
-    while (m_http.inFlight() > 0 && m_runtime.clock().now() < end) {
+    while ((m_http.inFlight() > 0 || m_claims.unacknowledged() > 0) && m_runtime.clock().now() < end) {
         co_await sleepFor(idlePollInterval);
     }
 }
--- a/src/programs/entry/entry.h
+++ b/src/programs/entry/entry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "claimservice.h"
 #include "entryserver.h"
 #include "entrysettings.h"
 #include "minionfeed.h"
@@ -43,6 +44,7 @@
     RequestExecutor m_requests;
     MinionFeed m_feed;
     PeerExchange m_exchange;
+    ClaimService m_claims;
     EntryServer m_surface;
     HttpServer m_http;
     PeerServer m_peerServer;
--- a/src/programs/entry/entryserver.cpp
+++ b/src/programs/entry/entryserver.cpp
@@ -4,61 +4,53 @@
 
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
+#include <xxhash.h>
 
 #include <algorithm>
 #include <array>
-#include <charconv>
-#include <optional>
+
+// GCC 12 takes the frame's own operator delete for a mismatch when it inlines a coroutine (GCC bug 109224).
+#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
 
 namespace Trefoilhoist {
 
 namespace {
 
-constexpr std::string_view servicesPrefix = "/services/";
 constexpr std::string_view ownPrefix = "/-/";
 /// Label of a service whose every method may run more than once without harm.
 constexpr std::string_view idempotentLabel = "idempotent";
 constexpr int statusBadRequest = 400;
 constexpr int statusNotFound = 404;
 constexpr int statusUnready = 503;
+constexpr int statusAnswerDropped = 409;
+constexpr int statusOtherRequest = 422;
 constexpr int firstServerError = 500;
 
-/// Fields that belong to one connection (RFC 9110, 7.6.1); they are not forwarded.
-constexpr std::array<std::string_view, 9> hopByHopFields{"Connection",
-                                                         "Keep-Alive",
-                                                         "Proxy-Connection",
-                                                         "TE",
-                                                         "Trailer",
-                                                         "Transfer-Encoding",
-                                                         "Upgrade",
-                                                         "Expect",
-                                                         "Content-Length"};
 constexpr std::array<std::string_view, 3> safeMethods{"GET", "HEAD", "OPTIONS"};
 
 HttpResponse refuse(int status, const std::string &reason)
 {
-    auto response = textResponse(status, reason + "\n");
-    response.headers.set(verdictHeader, std::string(verdictName(Verdict::NotRun)));
-    return response;
+    return refusedRequest({status, reason});
 }
 
-HttpHeaders forwardedHeaders(HttpHeaders headers)
+// Two requests with one key must be the same request.
+std::string fingerprintOf(const HttpRequest &request)
 {
-    for (const auto name : hopByHopFields) {
-        headers.erase(name);
-    }
-    return headers;
+    const auto text = request.method + "\n" + request.target + "\n" + request.body;
+    const auto hash = XXH3_128bits(text.data(), text.size());
+    return std::to_string(hash.high64) + "-" + std::to_string(hash.low64);
 }
 
-// Nothing for a text that is not a whole positive number.
-std::optional<std::int64_t> positiveNumber(const std::string &text)
+ServiceOutcome replayOf(const ClaimedAnswer &answer)
 {
-    std::int64_t value = 0;
-    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (ec != std::errc() || end != text.data() + text.size() || value <= 0) {
-        return std::nullopt;
-    }
-    return value;
+    if (answer.dropped) {
+        auto response = textResponse(statusAnswerDropped, "the request has run; its answer is no longer kept\n");
+        response.headers.set(verdictHeader, std::string(verdictName(Verdict::Ran)));
+        return {Verdict::Ran, std::move(response), {}};
+    }
+    auto response = answer.response;
+    response.headers.set(replayedHeader, "true");
+    return {Verdict::Ran, std::move(response), {}};
 }
 
 } // namespace
@@ -97,39 +89,51 @@
 awaitable<HttpResponse> EntryServer::serviceCall(HttpRequest request)
 {
     const auto start = m_parts.clock.now();
-    const auto rest = request.target.substr(servicesPrefix.size());
-    const auto nameEnd = rest.find_first_of("/?");
-    ServiceRequest call;
-    call.service = ServiceId(urlDecode(rest.substr(0, nameEnd)));
-    if (call.service.empty()) {
-        co_return refuse(statusNotFound, "the path names no service");
-    }
-    call.caller = CallerId(request.headers.get(callerHeader));
-    call.idempotent = idempotent(call.service, request.method);
-
-    auto deadline = m_settings.requests.defaultDeadline;
-    if (request.headers.has(deadlineHeader)) {
-        const auto given = positiveNumber(request.headers.get(deadlineHeader));
-        if (!given) {
-            co_return refuse(statusBadRequest, std::string(deadlineHeader) + " is not a positive number");
-        }
-        const auto longest = duration_cast<milliseconds>(m_settings.requests.maxDeadline).count();
-        deadline = milliseconds(std::min(*given, longest));
+    auto parsed = callerRequestOf(std::move(request), m_settings.requests, start);
+    if (!parsed) {
+        co_return refusedRequest(parsed.error());
     }
-    call.deadline = start + deadline;
+    parsed->call.idempotent = idempotent(parsed->call.service, parsed->call.forward.method);
+    m_parts.feed.refresh();
+    auto outcome = co_await outcomeOf(*parsed);
+    recordOutcome(parsed->call, outcome, start);
+    co_return std::move(outcome.response);
+}
 
-    call.forward.method = std::move(request.method);
-    call.forward.target = nameEnd == std::string::npos ? "/" : rest.substr(nameEnd);
-    if (call.forward.target.front() != '/') {
-        call.forward.target.insert(0, "/");
+awaitable<ServiceOutcome> EntryServer::outcomeOf(const CallerRequest &request)
+{
+    if (request.call.idempotent) {
+        co_return co_await m_parts.requests.run(request.call);
     }
-    call.forward.headers = forwardedHeaders(std::move(request.headers));
-    call.forward.body = std::move(request.body);
+    if (!request.key.empty()) {
+        co_return co_await claimedCall(request.call, request.key, request.attempt);
+    }
+    if (request.attempt > 1) {
+        const auto verdict = Verdict::MayHaveRun;
+        co_return ServiceOutcome{
+            verdict, verdictResponse(verdict, "a repeated request needs an Idempotency-Key", {}), {}};
+    }
+    co_return co_await m_parts.requests.run(request.call);
+}
 
-    m_parts.feed.refresh();
-    auto outcome = co_await m_parts.requests.run(call);
-    recordOutcome(call, outcome, start);
-    co_return std::move(outcome.response);
+awaitable<ServiceOutcome> EntryServer::claimedCall(const ServiceRequest &request, std::string key, int attempt)
+{
+    const auto claimed = co_await m_parts.claims.acquire(
+        {request.caller, request.service, std::move(key)}, fingerprintOf(request.forward), attempt, request.deadline);
+    if (const auto *replay = std::get_if<ClaimReplay>(&claimed)) {
+        co_return replayOf(*replay->answer);
+    }
+    if (const auto *denied = std::get_if<ClaimDenied>(&claimed)) {
+        auto response = verdictResponse(denied->verdict, denied->reason, seconds(1));
+        if (denied->otherRequest) {
+            response.status = statusOtherRequest;
+        }
+        co_return ServiceOutcome{denied->verdict, std::move(response), {}};
+    }
+    const auto &hold = std::get<ClaimHold>(claimed);
+    auto outcome = co_await m_parts.requests.run(request);
+    m_parts.claims.finish(hold.claim, outcome.verdict, outcome.response);
+    co_return outcome;
 }
 
 void EntryServer::recordOutcome(const ServiceRequest &request, const ServiceOutcome &outcome, TimePoint start)
--- a/src/programs/entry/entryserver.h
+++ b/src/programs/entry/entryserver.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "callerrequest.h"
+#include "claimservice.h"
 #include "entrysettings.h"
 #include "minionfeed.h"
 #include "requestexecutor.h"
@@ -20,6 +22,7 @@
     const Clock &clock;
     MembershipTable &membership;
     RequestExecutor &requests;
+    ClaimService &claims;
     MinionFeed &feed;
     const ConfigTable &config;
     BurnTable &burn;
@@ -46,6 +49,9 @@
 
 private:
     awaitable<HttpResponse> serviceCall(HttpRequest request);
+    awaitable<ServiceOutcome> outcomeOf(const CallerRequest &request);
+    /// Runs a request at most once over all its attempts.
+    awaitable<ServiceOutcome> claimedCall(const ServiceRequest &request, std::string key, int attempt);
     awaitable<HttpResponse> ownCall(HttpRequest request);
     [[nodiscard]] HttpResponse announce(const HttpRequest &request);
     [[nodiscard]] HttpResponse health() const;
--- a/src/programs/entry/entrysettings.cpp
+++ b/src/programs/entry/entrysettings.cpp
@@ -61,6 +61,19 @@
     to.zone = out.zone;
 }
 
+void readClaims(const Json &claims, EntrySettings &out)
+{
+    auto &to = out.claims;
+    to.retention = millisecondsOf(claims, "retentionMs", to.retention);
+    to.collectTimeout = millisecondsOf(claims, "collectTimeoutMs", to.collectTimeout);
+    to.maxClaims = claims.value("maxClaims", to.maxClaims);
+    to.maxAnswerBytes = claims.value("maxAnswerBytes", to.maxAnswerBytes);
+    to.maxTotalAnswerBytes = claims.value("maxTotalAnswerBytes", to.maxTotalAnswerBytes);
+    if (to.retention < 2 * (out.requests.maxDeadline + to.collectTimeout)) {
+        throw std::invalid_argument("/claims/retentionMs: less than twice limits.maxDeadlineMs");
+    }
+}
+
 const char *const schemaText = R"({
   "type": "object",
   "additionalProperties": false,
@@ -110,6 +123,17 @@
         "livenessMs": {"type": "integer", "minimum": 1}
       }
     },
+    "claims": {
+      "type": "object",
+      "additionalProperties": false,
+      "properties": {
+        "retentionMs": {"type": "integer", "minimum": 1},
+        "collectTimeoutMs": {"type": "integer", "minimum": 1},
+        "maxClaims": {"type": "integer", "minimum": 1},
+        "maxAnswerBytes": {"type": "integer", "minimum": 0},
+        "maxTotalAnswerBytes": {"type": "integer", "minimum": 0}
+      }
+    },
     "stop": {
       "type": "object",
       "additionalProperties": false,
@@ -153,6 +177,7 @@
     const auto membership = settings.value("membership", Json::object());
     out.membership.heartbeat = millisecondsOf(membership, "heartbeatMs", out.membership.heartbeat);
     out.membership.liveness = millisecondsOf(membership, "livenessMs", out.membership.liveness);
+    readClaims(settings.value("claims", Json::object()), out);
     const auto stop = settings.value("stop", Json::object());
     out.stop.grace = millisecondsOf(stop, "graceMs", out.stop.grace);
     out.stop.drain = millisecondsOf(stop, "drainMs", out.stop.drain);
--- a/src/programs/entry/entrysettings.h
+++ b/src/programs/entry/entrysettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "trefoilhoist/claims/claim.h"
 #include "trefoilhoist/membership/membershiptable.h"
 #include "trefoilhoist/net/httpserver.h"
 #include "trefoilhoist/routing/router.h"
@@ -54,6 +55,7 @@
     RouterSettings routing;
     MembershipTimes membership;
     StopTimes stop;
+    ClaimSettings claims;
 };
 
 /// JSON schema of the settings file.
--- /dev/null
+++ b/src/trefoilhoist/claims/claimrecovery.cpp
@@ -0,0 +1,40 @@
+#include "trefoilhoist/claims/claimrecovery.h"
+
+#include <algorithm>
+
+namespace Trefoilhoist {
+
+namespace {
+
+/// Clocks of two hosts run apart by far less.
+constexpr int settleFactor = 2;
+
+} // namespace
+
+ClaimRecovery::ClaimRecovery(std::size_t peers, TimePoint start, ClaimSettings settings, ClaimSwitches switches)
+    : m_start(start), m_settings(settings), m_switches(switches), m_fetched(peers, false)
+{
+}
+
+bool ClaimRecovery::mayFetch(TimePoint now) const
+{
+    return !m_switches.settle || now - m_start >= settleFactor * m_settings.collectTimeout;
+}
+
+void ClaimRecovery::fetched(std::size_t peer, bool intact)
+{
+    if (intact) {
+        m_fetched.at(peer) = true;
+    }
+}
+
+bool ClaimRecovery::intact(TimePoint now) const
+{
+    if (now - m_start >= m_settings.retention) {
+        return true;
+    }
+    // Without peers nobody else ever had the claims.
+    return !m_fetched.empty() && std::all_of(m_fetched.begin(), m_fetched.end(), [](bool done) { return done; });
+}
+
+} // namespace Trefoilhoist
--- a/src/trefoilhoist/net/httpclient.cpp
+++ b/src/trefoilhoist/net/httpclient.cpp
@@ -103,6 +103,14 @@
         co_return response;
     }
 
+    // Closes without waiting: bytes that have not left yet must not arrive later.
+    void abort()
+    {
+        boost::system::error_code ec;
+        m_stream.socket().set_option(Asio::socket_base::linger(true, 0), ec);
+        m_stream.close();
+    }
+
     [[nodiscard]] bool reusable() const
     {
         return m_reusable;
@@ -193,6 +201,9 @@
             }
         }
         auto result = co_await connection->exchange(endpoint, std::move(request), options);
+        if (!result) {
+            connection->abort();
+        }
         if (connection->reusable() && !options.freshConnection) {
             pool->put(endpoint, connection);
         }
--- a/src/trefoilhoist/net/httpmessage.h
+++ b/src/trefoilhoist/net/httpmessage.h
@@ -65,6 +65,8 @@
 inline constexpr std::string_view minionHeader = "Trefoilhoist-Minion";
 /// On a minion's refusal: it is leaving and refuses all that follows.
 inline constexpr std::string_view leavingHeader = "Trefoilhoist-Leaving";
+/// On an answer that was kept from an earlier attempt.
+inline constexpr std::string_view replayedHeader = "Trefoilhoist-Replayed";
 inline constexpr std::string_view idempotencyHeader = "Idempotency-Key";
 inline constexpr std::string_view retryAfterHeader = "Retry-After";
 
--- /dev/null
+++ b/tests/random/claims.cpp
@@ -0,0 +1,506 @@
+#include "trefoilhoist/claims/claimholders.h"
+#include "trefoilhoist/claims/claimrecovery.h"
+#include "trefoilhoist/claims/claimround.h"
+#include "trefoilhoist/claims/claimtable.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <cstdlib>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <queue>
+#include <random>
+#include <set>
+
+using namespace Trefoilhoist;
+
+namespace {
+
+// Times of the simulated site. Callers give up repeating well within the retention.
+constexpr Duration retention = seconds(120);
+constexpr Duration requestDeadline = seconds(3);
+constexpr Duration callerPatience = seconds(4);
+constexpr Duration faultsEnd = seconds(40);
+constexpr int keysPerRun = 30;
+constexpr int maxCallerAttempts = 6;
+constexpr std::uint64_t seedsPerSwitch = 200;
+
+ClaimSettings simulatedSettings()
+{
+    ClaimSettings settings;
+    settings.retention = retention;
+    return settings;
+}
+
+struct Findings {
+    /// Keys that ran more than once.
+    int doubled = 0;
+    /// Attempts that ran although their caller was told "not run".
+    int falseNotRun = 0;
+    /// Replays that are not the answer of the run.
+    int wrongReplays = 0;
+    int ran = 0;
+    int replayed = 0;
+    int mayHaveRun = 0;
+    int notRun = 0;
+
+    [[nodiscard]] int broken() const
+    {
+        return doubled + falseNotRun + wrongReplays;
+    }
+};
+
+// Entries with real claim tables, rounds and recoveries; the network, the minions and the callers are simulated.
+class ClaimWorld
+{
+public:
+    ClaimWorld(std::uint64_t seed, ClaimSwitches switches) : m_random(seed), m_switches(switches)
+    {
+        m_lossShare = pick(0, 2) * 0.05;
+        const int count = pick(2, 5);
+        m_entries.resize(static_cast<std::size_t>(count));
+        for (int i = 0; i < count; ++i) {
+            m_ids.emplace_back("e" + std::to_string(i));
+            start(i);
+            // The site has run for longer than the retention.
+            m_entries[static_cast<std::size_t>(i)].table->setIntact();
+        }
+    }
+
+    Findings run()
+    {
+        for (int k = 0; k < keysPerRun; ++k) {
+            at(milliseconds(pick(0, 40'000)), [this, k] { callerSends(k, 1, 0); });
+        }
+        for (std::size_t i = 0; i < m_entries.size(); ++i) {
+            scheduleFault(static_cast<int>(i));
+        }
+        while (!m_events.empty()) {
+            auto event = m_events.top();
+            m_events.pop();
+            m_now = event.time;
+            event.action();
+        }
+        for (const auto &[key, runs] : m_runs) {
+            m_findings.doubled += runs.size() > 1 ? 1 : 0;
+            for (const auto &run : runs) {
+                m_findings.falseNotRun += m_refused.contains(run) ? 1 : 0;
+            }
+        }
+        return m_findings;
+    }
+
+private:
+    struct Event {
+        TimePoint time;
+        std::uint64_t order = 0;
+        std::function<void()> action;
+
+        bool operator<(const Event &other) const
+        {
+            return std::tie(other.time, other.order) < std::tie(time, order);
+        }
+    };
+    struct Entry {
+        std::unique_ptr<ClaimTable> table;
+        std::unique_ptr<ClaimRecovery> recovery;
+        int life = 0;
+        bool up = true;
+        TimePoint frozenUntil{};
+    };
+    // One request at one entry.
+    struct Course {
+        int key = 0;
+        int attempt = 1;
+        int number = 0;
+        int entry = 0;
+        int life = 0;
+        TimePoint deadline{};
+        bool answered = false;
+    };
+    struct Collect {
+        std::shared_ptr<Course> course;
+        ClaimTry claim;
+        std::vector<int> holders;
+        std::unique_ptr<ClaimRound> round;
+        bool done = false;
+    };
+
+    int pick(int low, int high)
+    {
+        return std::uniform_int_distribution<int>(low, high)(m_random);
+    }
+    bool chance(double share)
+    {
+        return std::uniform_real_distribution<double>(0, 1)(m_random) < share;
+    }
+    void at(Duration after, std::function<void()> action)
+    {
+        m_events.push({m_now + after, ++m_order, std::move(action)});
+    }
+
+    // Runs the action in that life of the entry: later when it is frozen, never when it has died.
+    void onEntry(int index, int life, Duration after, std::function<void()> action)
+    {
+        at(after, [this, index, life, action = std::move(action)] {
+            auto &entry = m_entries[static_cast<std::size_t>(index)];
+            if (!entry.up || entry.life != life) {
+                return;
+            }
+            if (m_now < entry.frozenUntil) {
+                onEntry(index, life, entry.frozenUntil - m_now + microseconds(pick(0, 1000)), action);
+                return;
+            }
+            action();
+        });
+    }
+
+    Duration networkDelay()
+    {
+        return chance(0.06) ? Duration(milliseconds(pick(100, 2500))) : microseconds(pick(100, 3000));
+    }
+
+    // A message to whichever life the entry has when it arrives. Lost, late and duplicated ones occur.
+    void send(int to, const std::function<void(Entry &)> &action)
+    {
+        const int copies = chance(m_lossShare) ? 0 : chance(0.05) ? 2 : 1;
+        for (int i = 0; i < copies; ++i) {
+            at(networkDelay(), [this, to, action] {
+                auto &entry = m_entries[static_cast<std::size_t>(to)];
+                if (entry.up) {
+                    onEntry(to, entry.life, Duration{}, [this, to, action] {
+                        action(m_entries[static_cast<std::size_t>(to)]);
+                    });
+                }
+            });
+        }
+    }
+
+    void start(int index)
+    {
+        auto &entry = m_entries[static_cast<std::size_t>(index)];
+        entry.table = std::make_unique<ClaimTable>(simulatedSettings(), m_switches);
+        entry.recovery = std::make_unique<ClaimRecovery>(m_entries.size() - 1, m_now, simulatedSettings(), m_switches);
+        entry.up = true;
+        ++entry.life;
+        if (entry.life > 1) {
+            onEntry(index, entry.life, milliseconds(50), [this, index, life = entry.life] { recover(index, life); });
+        }
+    }
+
+    void recover(int index, int life)
+    {
+        auto &entry = m_entries[static_cast<std::size_t>(index)];
+        if (entry.recovery->intact(m_now)) {
+            entry.table->setIntact();
+            return;
+        }
+        std::size_t slot = 0;
+        for (int peer = 0; entry.recovery->mayFetch(m_now) && peer < static_cast<int>(m_entries.size()); ++peer) {
+            if (peer != index) {
+                fetch(index, life, peer, slot++);
+            }
+        }
+        onEntry(index, life, milliseconds(500), [this, index, life] { recover(index, life); });
+    }
+
+    void fetch(int index, int life, int peer, std::size_t slot)
+    {
+        send(peer, [this, index, life, slot](Entry &from) {
+            const auto page = from.table->page("", std::size_t{1} << 20U, m_now);
+            onEntry(index, life, networkDelay(), [this, index, slot, page] {
+                auto &entry = m_entries[static_cast<std::size_t>(index)];
+                entry.table->absorb(page.claims, m_now);
+                entry.recovery->fetched(slot, page.intact);
+            });
+        });
+    }
+
+    void scheduleFault(int index)
+    {
+        at(milliseconds(pick(500, 15'000)), [this, index] {
+            auto &entry = m_entries[static_cast<std::size_t>(index)];
+            if (m_now > TimePoint(faultsEnd)) {
+                return;
+            }
+            if (chance(0.5)) {
+                entry.up = false;
+                at(milliseconds(pick(10, 3000)), [this, index] { start(index); });
+            } else {
+                entry.frozenUntil = m_now + milliseconds(pick(100, 8000));
+            }
+            scheduleFault(index);
+        });
+    }
+
+    void callerSends(int key, int attempt, int sent)
+    {
+        if (sent >= maxCallerAttempts) {
+            return;
+        }
+        auto course = std::make_shared<Course>();
+        course->key = key;
+        course->attempt = attempt;
+        course->number = ++m_lastNumber;
+        course->entry = pick(0, static_cast<int>(m_entries.size()) - 1);
+        send(course->entry, [this, course](Entry &entry) {
+            // The platform's balancer opens one connection: a second copy of the bytes is not a second request.
+            if (course->life == 0) {
+                course->life = entry.life;
+                course->deadline = m_now + requestDeadline;
+                collect(course);
+            }
+        });
+        at(callerPatience, [this, course, sent] {
+            if (!course->answered) {
+                course->answered = true;
+                callerSends(course->key, course->attempt + 1, sent + 1);
+            }
+        });
+        m_sent[course->number] = sent;
+    }
+
+    void answerCaller(const std::shared_ptr<Course> &course, Verdict verdict)
+    {
+        if (course->answered) {
+            return;
+        }
+        course->answered = true;
+        const int sent = m_sent[course->number];
+        if (verdict == Verdict::Ran) {
+            ++m_findings.ran;
+            if (chance(0.3)) {
+                at(milliseconds(pick(1, 500)),
+                   [this, course] { callerSends(course->key, course->attempt + 1, maxCallerAttempts - 1); });
+            }
+            return;
+        }
+        int next = course->attempt + 1;
+        if (verdict == Verdict::NotRun) {
+            ++m_findings.notRun;
+            m_refused.insert(course->number);
+            next = chance(0.5) ? course->attempt : next;
+        } else {
+            ++m_findings.mayHaveRun;
+        }
+        at(milliseconds(pick(1, 800)), [this, course, next, sent] { callerSends(course->key, next, sent + 1); });
+    }
+
+    void collect(const std::shared_ptr<Course> &course)
+    {
+        auto work = std::make_shared<Collect>();
+        work->course = course;
+        work->claim.key = {CallerId("kitchen"), ServiceId("lending"), "k" + std::to_string(course->key)};
+        work->claim.token = "t" + std::to_string(++m_lastToken);
+        work->claim.fingerprint = "f";
+        work->claim.attempt = course->attempt;
+        for (const auto &id : claimHolders(work->claim.key, m_ids)) {
+            work->holders.push_back(std::stoi(id.str().substr(1)));
+        }
+        work->round = std::make_unique<ClaimRound>(
+            course->attempt, work->holders.size(), m_now, simulatedSettings(), m_switches);
+        for (std::size_t i = 0; i < work->holders.size(); ++i) {
+            ask(work, i);
+        }
+        onEntry(course->entry, course->life, simulatedSettings().collectTimeout, [this, work] {
+            work->round->tick(m_now);
+            step(work);
+        });
+    }
+
+    void ask(const std::shared_ptr<Collect> &work, std::size_t holder)
+    {
+        const auto reply = [this, work, holder](Entry &entry) {
+            const auto answer = entry.table->claim(work->claim, m_now);
+            onEntry(work->course->entry, work->course->life, networkDelay(), [this, work, holder, answer] {
+                work->round->answered(holder, answer, m_now);
+                step(work);
+            });
+        };
+        send(work->holders[holder], reply);
+    }
+
+    void step(const std::shared_ptr<Collect> &work)
+    {
+        const auto &decision = work->round->decision();
+        if (work->done || std::holds_alternative<ClaimWait>(decision)) {
+            return;
+        }
+        work->done = true;
+        const auto &course = work->course;
+        if (std::holds_alternative<ClaimHeld>(decision)) {
+            // The entry may be frozen or die between the claim and the dispatch.
+            onEntry(course->entry, course->life, microseconds(pick(0, 20'000)), [this, work] { dispatch(work); });
+            return;
+        }
+        finish(work, Verdict::NotRun, false, {});
+        if (const auto *replay = std::get_if<ClaimReplay>(&decision)) {
+            ++m_findings.replayed;
+            const auto &runs = m_runs[course->key];
+            const bool own = std::any_of(runs.begin(), runs.end(), [&](int run) {
+                return replay->answer->response.body == std::to_string(run);
+            });
+            m_findings.wrongReplays += own ? 0 : 1;
+            answerCaller(course, Verdict::Ran);
+        } else if (const auto *denied = std::get_if<ClaimDenied>(&decision)) {
+            answerCaller(course, denied->verdict);
+        } else if (m_now < course->deadline) {
+            onEntry(course->entry, course->life, milliseconds(pick(20, 200)), [this, course] { collect(course); });
+        } else {
+            answerCaller(course, Verdict::MayHaveRun);
+        }
+    }
+
+    void dispatch(const std::shared_ptr<Collect> &work)
+    {
+        const auto &course = work->course;
+        if (m_now >= course->deadline || chance(0.2)) {
+            finish(work, Verdict::NotRun, true, {});
+            answerCaller(course, Verdict::NotRun);
+            return;
+        }
+        const bool lost = chance(0.15);
+        if (!lost || chance(0.5)) {
+            m_runs[course->key].push_back(course->number);
+        }
+        onEntry(course->entry, course->life, milliseconds(pick(1, 300)), [this, work, course, lost] {
+            HttpResponse response;
+            response.body = std::to_string(course->number);
+            finish(work, lost ? Verdict::MayHaveRun : Verdict::Ran, false, response);
+            answerCaller(course, lost ? Verdict::MayHaveRun : Verdict::Ran);
+        });
+    }
+
+    void finish(const std::shared_ptr<Collect> &work, Verdict verdict, bool proven, const HttpResponse &response)
+    {
+        const ClaimEnd end{work->claim, verdict, proven, response};
+        for (const int holder : work->holders) {
+            send(holder, [this, end](Entry &entry) { entry.table->finish(end, m_now); });
+        }
+    }
+
+    std::mt19937_64 m_random;
+    ClaimSwitches m_switches;
+    double m_lossShare = 0;
+    TimePoint m_now{};
+    std::uint64_t m_order = 0;
+    std::priority_queue<Event> m_events;
+    std::vector<Entry> m_entries;
+    std::vector<EntryId> m_ids;
+    std::map<int, std::vector<int>> m_runs;
+    std::set<int> m_refused;
+    std::map<int, int> m_sent;
+    int m_lastToken = 0;
+    int m_lastNumber = 0;
+    Findings m_findings;
+};
+
+std::uint64_t numberFromEnvironment(const char *name, std::uint64_t fallback)
+{
+    const char *text = std::getenv(name);
+    return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
+}
+
+// Sums the findings of many seeds; prints the first broken one.
+Findings runSeeds(std::uint64_t first, std::uint64_t count, ClaimSwitches switches, bool stopWhenBroken)
+{
+    Findings total;
+    for (std::uint64_t seed = first; seed < first + count; ++seed) {
+        const auto found = ClaimWorld(seed, switches).run();
+        if (found.broken() > 0 && total.broken() == 0) {
+            std::cout << "first broken seed " << seed << "\n";
+        }
+        total.doubled += found.doubled;
+        total.falseNotRun += found.falseNotRun;
+        total.wrongReplays += found.wrongReplays;
+        total.ran += found.ran;
+        total.replayed += found.replayed;
+        total.mayHaveRun += found.mayHaveRun;
+        total.notRun += found.notRun;
+        if (stopWhenBroken && total.broken() > 0) {
+            break;
+        }
+    }
+    return total;
+}
+
+std::vector<EntryId> majorityOf(const std::vector<EntryId> &holders, std::uint64_t choice)
+{
+    auto picked = holders;
+    std::mt19937_64 random(choice);
+    std::shuffle(picked.begin(), picked.end(), random);
+    picked.resize(claimQuorum(picked.size()));
+    return picked;
+}
+
+bool shareOne(const std::vector<EntryId> &left, const std::vector<EntryId> &right)
+{
+    return std::any_of(left.begin(), left.end(), [&](const EntryId &entry) {
+        return std::find(right.begin(), right.end(), entry) != right.end();
+    });
+}
+
+} // namespace
+
+TEST(Claims_lossDelayRestartFreeze_runAtMostOnce, holdsForEverySeed)
+{
+    const auto first = numberFromEnvironment("TREFOILHOIST_SEED", 1);
+    const auto count = numberFromEnvironment("TREFOILHOIST_SEEDS", 100);
+    std::cout << "seeds " << first << " to " << first + count - 1 << "\n";
+    const auto found = runSeeds(first, count, {}, false);
+    std::cout << "ran=" << found.ran << " replayed=" << found.replayed << " mayHaveRun=" << found.mayHaveRun
+              << " notRun=" << found.notRun << "\n";
+    EXPECT_EQ(found.doubled, 0);
+    EXPECT_EQ(found.falseNotRun, 0);
+    EXPECT_EQ(found.wrongReplays, 0);
+    EXPECT_GT(found.ran, 0);
+    EXPECT_GT(found.replayed, 0);
+}
+
+// A mechanism and a seed near which its absence shows.
+struct ClaimSwitchCase {
+    const char *name;
+    bool ClaimSwitches::*mechanism;
+    std::uint64_t firstSeed;
+};
+
+class ClaimSwitchTest : public testing::TestWithParam<ClaimSwitchCase>
+{
+};
+
+TEST_P(ClaimSwitchTest, mechanismOff_requests_runTwice)
+{
+    ClaimSwitches switches;
+    switches.*(GetParam().mechanism) = false;
+    EXPECT_GT(runSeeds(GetParam().firstSeed, seedsPerSwitch, switches, true).broken(), 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(Claims,
+                         ClaimSwitchTest,
+                         testing::Values(ClaimSwitchCase{"majority", &ClaimSwitches::majority, 1},
+                                         ClaimSwitchCase{"vouching", &ClaimSwitches::vouching, 1},
+                                         ClaimSwitchCase{"settle", &ClaimSwitches::settle, 1300},
+                                         ClaimSwitchCase{"collectTimeout", &ClaimSwitches::collectTimeout, 170},
+                                         ClaimSwitchCase{"provenOnly", &ClaimSwitches::provenOnly, 35},
+                                         ClaimSwitchCase{"neverTakeOver", &ClaimSwitches::neverTakeOver, 1}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
+TEST(ClaimHolders_listsThatDifferByOneEntry, anyTwoMajoritiesShareAHolder)
+{
+    EXPECT_TRUE(rc::check("lists that differ by one entry share a holder", [] {
+        const auto size = *rc::gen::inRange(1, 40);
+        std::vector<EntryId> list;
+        for (int i = 0; i < size; ++i) {
+            list.emplace_back("e" + std::to_string(i));
+        }
+        auto longer = list;
+        longer.emplace_back("new-" + std::to_string(*rc::gen::arbitrary<std::uint32_t>()));
+        const ClaimKey key{CallerId("c"), ServiceId("s"), std::to_string(*rc::gen::arbitrary<std::uint64_t>())};
+        const auto left = claimHolders(key, list);
+        const auto right = claimHolders(key, longer);
+        RC_ASSERT(shareOne(majorityOf(left, *rc::gen::arbitrary<std::uint64_t>()),
+                           majorityOf(right, *rc::gen::arbitrary<std::uint64_t>())));
+    }));
+}
