--- a/src/programs/entry/entry.h
+++ b/src/programs/entry/entry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "claimservice.h"
 #include "entryserver.h"
 #include "entrysettings.h"
 #include "minionfeed.h"
@@ -45,6 +46,7 @@
     RequestExecutor m_requests;
     MinionFeed m_feed;
     PeerExchange m_exchange;
+    ClaimService m_claims;
     EntryServer m_surface;
     std::optional<JobIntake> m_jobs;
     HttpServer m_http;
