--- a/src/trefoilhoist/placement/cellowner.cpp
+++ b/src/trefoilhoist/placement/cellowner.cpp
@@ -55,7 +55,9 @@
     reset();
     m_epoch = event.epoch;
     m_heldUntil = event.heldUntil;
-    m_store.emplace(CellStore::Settings{m_settings.cell, m_epoch, m_settings.safety.fenceRecords, m_settings.editInterval}, event.contents);
+    m_store.emplace(
+        CellStore::Settings{m_settings.cell, m_epoch, m_settings.safety.fenceRecords, m_settings.editInterval},
+        event.contents);
     m_jobIndexes = event.contents.jobIndexes;
     const auto bound = now + m_settings.outageGrace + m_settings.lease + m_settings.margin;
     for (const auto &worker : event.contents.roster) {
@@ -295,6 +297,8 @@
         return;
     }
     link.lapsed = true;
+    // The orders are forgotten with the runs, so the worker has to tell its whole state again.
+    link.since = 0;
     if (!link.places.empty()) {
         LOG(WARNING) << "event=worker_lapsed worker=" << link.announced.worker.id << " tasks=" << link.places.size();
     }
