--- a/src/trefoilhoist/config/configagent.h
+++ b/src/trefoilhoist/config/configagent.h
@@ -4,6 +4,7 @@
 #include "trefoilhoist/config/configtable.h"
 #include "trefoilhoist/net/asio.h"
 #include "trefoilhoist/store/storeclient.h"
+#include "trefoilhoist/store/storewatch.h"
 #include "trefoilhoist/wire/peerclient.h"
 
 #include <atomic>
@@ -17,8 +18,7 @@
 
 /// How a process follows the configuration.
 struct ConfigAgentOptions {
-    /// How long one watch of the store waits for a change.
-    Duration watchWait = seconds(30);
+    StoreWatchTimes watch;
     Duration peerTimeout = seconds(2);
     /// For the jitter between tries.
     std::uint64_t seed = 1;
@@ -62,6 +62,7 @@
     ConfigTable &m_table;
     std::shared_ptr<StoreClient> m_store;
     ConfigAgentOptions m_options;
+    Clock m_clock;
     std::atomic<bool> m_stopped = false;
 };
 
--- a/src/trefoilhoist/world/world.h
+++ b/src/trefoilhoist/world/world.h
@@ -64,7 +64,7 @@
 /// What a service promises its callers; read from labels.
 struct Contract {
     ServiceId service;
-    Duration latencyTarget{};
+    Duration latencyTarget = milliseconds(500);
     /// Share of requests answered within the target, 0 to 1.
     double latencyObjective = 0.99;
     /// Share of requests answered at all, 0 to 1.
