--- a/tests/unit/tablethreads.cpp
+++ b/tests/unit/tablethreads.cpp
@@ -1,3 +1,4 @@
+#include "trefoilhoist/config/configsegment.h"
 #include "trefoilhoist/config/configtable.h"
 #include "trefoilhoist/internal/rankedmutex.h"
 #include "trefoilhoist/membership/membershiptable.h"
