--- a/tests/random/confighistory.cpp
+++ b/tests/random/confighistory.cpp
@@ -138,16 +138,16 @@
     }
 
     void nextChange(int author, int left);
-    void drive(std::shared_ptr<Change> change,
-               std::shared_ptr<ConfigChange> machine,
+    void drive(const std::shared_ptr<Change> &change,
+               const std::shared_ptr<ConfigChange> &machine,
                ChangeAction action,
-               std::function<void()> then);
+               const std::function<void()> &then);
     template <typename Value>
     void call(std::function<Value()> effect, bool write, std::function<void(StoreResult<Value>)> answer);
     std::optional<StoreEntry> readKey(const std::string &key);
     bool writeKey(int segment, const WriteSegment &write);
     void follow(Process &process, int life);
-    void awaitChange(WatchCall call, TimePoint end, std::function<void(StoreResult<StoreListing>)> answer);
+    void awaitChange(WatchCall watch, TimePoint end, const std::function<void(StoreResult<StoreListing>)> &answer);
     StoreListing listing();
     void gossip(Process &process);
     void observe(Process &process);
@@ -191,10 +191,10 @@
     });
 }
 
-void ConfigHistory::drive(std::shared_ptr<Change> change,
-                          std::shared_ptr<ConfigChange> machine,
+void ConfigHistory::drive(const std::shared_ptr<Change> &change,
+                          const std::shared_ptr<ConfigChange> &machine,
                           ChangeAction action,
-                          std::function<void()> then)
+                          const std::function<void()> &then)
 {
     if (m_events.now() > change->start + operatorLimit && !std::holds_alternative<ChangeOutcome>(action)) {
         action = machine->giveUp("the time is over");
@@ -206,7 +206,7 @@
         return;
     }
     const int segment = configSegmentOf(change->request.edit.kind, change->request.edit.name);
-    const auto again = [this, change, machine, then](ChangeAction next, bool failed) {
+    const auto again = [this, change, machine, then](const ChangeAction &next, bool failed) {
         m_events.after(failed ? milliseconds(pick(20, 200)) : milliseconds(0),
                        [this, change, machine, next, then] { drive(change, machine, next, then); });
     };
@@ -299,7 +299,9 @@
     });
 }
 
-void ConfigHistory::awaitChange(WatchCall watch, TimePoint end, std::function<void(StoreResult<StoreListing>)> answer)
+void ConfigHistory::awaitChange(WatchCall watch,
+                                TimePoint end,
+                                const std::function<void(StoreResult<StoreListing>)> &answer)
 {
     if (m_out || (faulty() && chance(2))) {
         m_events.after(callTimeout, [answer] {
