--- a/src/programs/entry/entry.cpp
+++ b/src/programs/entry/entry.cpp
@@ -1,5 +1,6 @@
 #include "entry.h"
 
+#include "trefoilhoist/config/contracts.h"
 #include "trefoilhoist/store/consulstoreclient.h"
 
 #include <glog/logging.h>
@@ -9,6 +10,7 @@
 namespace {
 
 constexpr Duration idlePollInterval = milliseconds(10);
+constexpr Duration contractPollInterval = milliseconds(250);
 
 // Unique for each start of each entry, so that no answer of an earlier life is taken for one of this life.
 std::string correlationPrefix(const EntrySettings &settings, std::int64_t incarnation)
@@ -52,7 +54,8 @@
                  m_router,
                  *m_configAgent,
                  m_metrics)
-    , m_surface(m_settings, {runtime.clock(), m_membership, m_requests, m_feed, m_config, m_burn, m_metrics})
+    , m_claims(runtime.executor(), m_settings, runtime.incarnation(), runtime.clock(), m_exchange.peers(), m_metrics)
+    , m_surface(m_settings, {runtime.clock(), m_membership, m_requests, m_claims, m_feed, m_config, m_burn, m_metrics})
     , m_http(runtime.executor(),
              m_settings.http,
              [this](HttpRequest request) { return m_surface.handle(std::move(request)); })
@@ -60,6 +63,10 @@
         return peerCall(std::move(envelope));
     })
 {
+    if (m_store) {
+        m_jobs.emplace(runtime.executor(), *m_store, m_settings.cell, m_settings.id.str());
+        m_surface.setJobHandler([this](HttpRequest request) { return m_jobs->handle(std::move(request)); });
+    }
 }
 
 void Entry::start()
@@ -73,7 +80,9 @@
         m_runtime.failStart("/listen", port.error());
     }
     spawn(m_runtime.executor(), "minion feed", [this] { return m_feed.loop(); });
+    spawn(m_runtime.executor(), "contracts", [this] { return contractLoop(); });
     m_exchange.start();
+    m_claims.start();
     if (m_store) {
         m_configAgent->startWatching(m_runtime.executor());
     }
@@ -84,13 +93,29 @@
 
 awaitable<std::optional<Wire::Envelope>> Entry::peerCall(Wire::Envelope envelope)
 {
-    co_return m_exchange.handle(envelope);
+    auto reply = m_exchange.handle(envelope);
+    co_return reply ? std::move(reply) : m_claims.handle(envelope);
+}
+
+awaitable<void> Entry::contractLoop()
+{
+    std::uint64_t applied = 0;
+    while (true) {
+        const auto generation = m_config.generation();
+        if (generation != applied) {
+            for (const auto &contract : contractsFrom(m_config)) {
+                m_burn.setContract(contract);
+            }
+            applied = generation;
+        }
+        co_await sleepFor(contractPollInterval);
+    }
 }
 
 awaitable<void> Entry::waitUntilIdle()
 {
     const auto end = m_runtime.clock().now() + m_settings.stop.drain;
-    while (m_http.inFlight() > 0 && m_runtime.clock().now() < end) {
+    while ((m_http.inFlight() > 0 || m_claims.unacknowledged() > 0) && m_runtime.clock().now() < end) {
         co_await sleepFor(idlePollInterval);
     }
 }
--- a/src/trefoilhoist/metrics/burntable.cpp
+++ b/src/trefoilhoist/metrics/burntable.cpp
@@ -14,7 +14,6 @@
 constexpr std::size_t coarseSlices = 86400 / coarseSliceSeconds;
 // Callers and minions counted one by one; the rest share one row.
 constexpr std::size_t maxRows = 500;
-constexpr Duration defaultLatencyTarget = milliseconds(500);
 
 const std::string otherRow = "(other)";
 
@@ -96,7 +95,6 @@
     auto [it, inserted] = m_services.try_emplace(service);
     if (inserted) {
         it->second.contract.service = service;
-        it->second.contract.latencyTarget = defaultLatencyTarget;
     }
     return it->second;
 }
--- a/src/trefoilhoist/placement/policies/startplanner.cpp
+++ b/src/trefoilhoist/placement/policies/startplanner.cpp
@@ -11,11 +11,17 @@
 
 /// Added to the score of a worker that the task failed on before.
 constexpr double failedBeforePenalty = 10;
+/// An unproven job waits this long for another worker than those that it failed on.
+constexpr Duration tryAgainAfter = seconds(30);
 /// Moves the score of a worker that is due a probe.
 constexpr double probePreference = 5;
 /// A task whose neighbours are never accepted is reported after this.
 constexpr Duration reportNeighboursAfter = seconds(60);
-constexpr std::size_t sweepSlack = 256;
+/// The owner shows long queues in parts: a task unseen for this long is gone.
+constexpr Duration forgetHoldAfter = seconds(3);
+/// Waiting tasks looked at for kept room.
+constexpr std::size_t maxBlocked = 64;
+constexpr std::size_t sweepSlack = 16'384;
 
 std::string text(const Resources &size)
 {
@@ -53,10 +59,13 @@
 void StartPlanner::plan(DecisionContext &context, const Score &score, const Placed &placed)
 {
     m_plans.clear();
+    m_blocked.clear();
+    m_starts = 0;
     refreshHolds(context);
     buildQueues(context);
     planUrgent(context, score, placed);
     planNormal(context, score, placed);
+    holdForOvertaken(context);
     sweep(context.table.input());
 }
 
@@ -65,20 +74,18 @@
     if (m_holds.empty()) {
         return;
     }
-    for (auto &[task, hold] : m_holds) {
-        hold.wanted = false;
-    }
     for (const auto &pending : context.table.input().pending) {
         const auto it = m_holds.find(pending.task.id);
         if (it != m_holds.end()) {
-            it->second.wanted = true;
+            it->second.seenAt = context.now;
         }
     }
     std::erase_if(m_holds, [&](const auto &entry) {
         const auto &hold = entry.second;
         const auto *host = context.table.find(hold.worker);
         const bool late = hold.urgent && context.now - hold.since > m_settings.urgentHoldFor;
-        return !hold.wanted || late || host == nullptr || !host->open || host->startLimit <= 0;
+        const bool gone = context.now - hold.seenAt > forgetHoldAfter;
+        return gone || late || host == nullptr || !host->open || host->startLimit <= 0;
     });
     for (const auto &[task, hold] : m_holds) {
         context.table.find(hold.worker)->held += hold.need;
@@ -269,6 +276,7 @@
     context.shares.add(*candidate.job, plan.size.reserve);
     context.health.started(host->id, context.now);
     context.ledger.add(StartTask{task.id, host->id, plan.size.reserve});
+    ++m_starts;
     placed(candidate, *host);
     return Outcome::Placed;
 }
@@ -300,7 +308,11 @@
         if (!value) {
             continue;
         }
-        if (failedThere(*candidate.pending, host.id)) {
+        const bool inVain = context.health.triedInVain(candidate.job->id, host.id);
+        if (inVain && candidate.waited < tryAgainAfter) {
+            continue;
+        }
+        if (inVain || failedThere(*candidate.pending, host.id)) {
             *value += failedBeforePenalty;
         }
         if (context.health.isQuarantined(host.id)) {
@@ -348,8 +360,18 @@
     if (starved && makeRoom(context, candidate, false)) {
         return;
     }
-    if (candidate.waited >= m_settings.holdAfter) {
-        holdRoom(context, candidate);
+    if (candidate.waited >= m_settings.holdAfter && m_blocked.size() < maxBlocked) {
+        m_blocked.push_back({candidate, m_starts});
+    }
+}
+
+void StartPlanner::holdForOvertaken(DecisionContext &context)
+{
+    for (const auto &blocked : m_blocked) {
+        // A task of the usual size gets the next room anyway; one that smaller ones overtake never would.
+        if (m_starts > blocked.startsBefore && mayHold(context)) {
+            holdRoom(context, blocked.candidate);
+        }
     }
 }
 
@@ -380,7 +402,7 @@
 void StartPlanner::keepRoom(DecisionContext &context, Host &host, const Candidate &candidate, bool urgent)
 {
     host.held += candidate.size.reserve;
-    m_holds[candidate.pending->task.id] = {host.id, candidate.size.reserve, context.now, urgent, true};
+    m_holds[candidate.pending->task.id] = {host.id, candidate.size.reserve, context.now, context.now, urgent};
 }
 
 bool StartPlanner::makeRoom(DecisionContext &context, const Candidate &candidate, bool forUrgent)
