--- a/src/programs/entry/entry.cpp
+++ b/src/programs/entry/entry.cpp
@@ -2,6 +2,7 @@
 
 #include "trefoilhoist/config/contracts.h"
 #include "trefoilhoist/store/consulstoreclient.h"
+#include "trefoilhoist/store/meteredstoreclient.h"
 
 #include <glog/logging.h>
 
@@ -18,7 +19,7 @@
     return settings.id.str() + "-" + std::to_string(incarnation) + "-";
 }
 
-std::shared_ptr<StoreClient> storeFrom(Runtime &runtime, const EntrySettings &settings)
+std::shared_ptr<StoreClient> storeFrom(Runtime &runtime, const EntrySettings &settings, MetricsRegistry &metrics)
 {
     if (!settings.store) {
         return nullptr;
@@ -26,7 +27,11 @@
     ConsulStoreOptions options;
     options.addresses = {*settings.store};
     options.caller = "entry/" + settings.id.str();
-    return std::make_shared<ConsulStoreClient>(runtime.executor(), options);
+    StoreBudget budget;
+    budget.role = "entry";
+    budget.seed = static_cast<std::uint64_t>(runtime.incarnation());
+    return std::make_shared<MeteredStoreClient>(
+        std::make_shared<ConsulStoreClient>(runtime.executor(), options), budget, runtime.clock(), metrics);
 }
 
 } // namespace
@@ -35,8 +40,8 @@
     : m_runtime(runtime)
     , m_settings(std::move(settings))
     , m_metrics(runtime.clock())
-    , m_store(storeFrom(runtime, m_settings))
-    , m_configAgent(std::make_shared<ConfigAgent>(m_config, m_store, ConfigAgentOptions{}))
+    , m_store(storeFrom(runtime, m_settings, m_metrics))
+    , m_configAgent(std::make_shared<ConfigAgent>(m_config, m_store, configAgentOptions(m_settings.id.str())))
     , m_membership(m_settings.id, m_settings.membership)
     , m_router(m_settings.routing)
     , m_requests(runtime.executor(),
--- a/src/programs/placer/placer.cpp
+++ b/src/programs/placer/placer.cpp
@@ -42,7 +42,7 @@
                                                  nlohmann::json{{"owner", m_settings.id}}.dump(),
                                                  runtime.clock(),
                                                  m_settings.lease))
-    , m_agent(std::make_shared<ConfigAgent>(m_config, m_store, ConfigAgentOptions{}))
+    , m_agent(std::make_shared<ConfigAgent>(m_config, m_store, configAgentOptions(m_settings.id)))
     , m_metrics(runtime.clock())
     , m_server(runtime.executor(), HttpLimits{}, [this](HttpRequest request) { return answer(std::move(request)); })
     , m_client(runtime.executor())
--- a/src/trefoilhoist/config/configagent.cpp
+++ b/src/trefoilhoist/config/configagent.cpp
@@ -6,6 +6,7 @@
 
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
+#include <xxhash.h>
 
 #include <charconv>
 
@@ -37,6 +38,13 @@
 
 } // namespace
 
+ConfigAgentOptions configAgentOptions(const std::string &processId)
+{
+    ConfigAgentOptions options;
+    options.seed = XXH64(processId.data(), processId.size(), 0);
+    return options;
+}
+
 ConfigAgent::ConfigAgent(ConfigTable &table, std::shared_ptr<StoreClient> store, ConfigAgentOptions options)
     : m_table(table), m_store(std::move(store)), m_options(options)
 {
--- a/src/trefoilhoist/config/configagent.h
+++ b/src/trefoilhoist/config/configagent.h
@@ -24,6 +24,9 @@
     std::uint64_t seed = 1;
 };
 
+/// The usual options, with a jitter that differs between processes.
+[[nodiscard]] ConfigAgentOptions configAgentOptions(const std::string &processId);
+
 /// Brings the configuration into force in this process: from the store by one watch, from peers by digests, and
 /// hands it to peers. Thread-safe; shared with the coroutines that it starts.
 ///
--- a/tests/unit/tablethreads.cpp
+++ b/tests/unit/tablethreads.cpp
@@ -1,3 +1,4 @@
+#include "trefoilhoist/config/configsegment.h"
 #include "trefoilhoist/config/configtable.h"
 #include "trefoilhoist/internal/rankedmutex.h"
 #include "trefoilhoist/membership/membershiptable.h"
@@ -51,7 +52,8 @@
 std::string segmentAt(std::int64_t version)
 {
     ConfigSegment segment;
-    segment.version = version;
+    segment.version = version - 1;
+    segment.apply(ConfigRecord{});
     return segment.text();
 }
 
