--- a/tests/unit/tablethreads.cpp
+++ b/tests/unit/tablethreads.cpp
@@ -52,7 +52,8 @@
 std::string segmentAt(std::int64_t version)
 {
     ConfigSegment segment;
-    segment.version = version;
+    segment.version = version - 1;
+    segment.apply(ConfigRecord{});
     return segment.text();
 }
 
