--- a/src/trefoilhoist/routing/internal/peerloads.cpp
+++ b/src/trefoilhoist/routing/internal/peerloads.cpp
@@ -7,11 +7,15 @@
 std::vector<MinionId> PeerLoads::set(const EntryId &peer, const std::map<MinionId, int> &inFlight, TimePoint now)
 {
     auto changed = forget(peer);
+    auto &report = m_reports[peer];
+    report.at = now;
     for (const auto &[id, count] : inFlight) {
-        m_sums[id] += count;
-        changed.push_back(id);
+        if (count > 0) {
+            report.inFlight[id] = count;
+            m_sums[id] += count;
+            changed.push_back(id);
+        }
     }
-    m_reports[peer] = Report{inFlight, now};
     return changed;
 }
 
--- a/tests/random/router.cpp
+++ b/tests/random/router.cpp
@@ -238,7 +238,7 @@
 
 TEST(RouterTrial, callerAtTenTimesItsShare_movesTheOthersByAtMostATenth)
 {
-    for (const double load : {0.3, 0.5}) {
+    for (const double load : {0.5, 0.7}) {
         auto settings = trial(load);
         const auto [alone, aloneRefused] = others(settings);
         settings.bigCaller = 10;
@@ -279,6 +279,7 @@
     const auto with = runTrial(settings);
     settings.router.switches.ejection = false;
     const auto without = runTrial(settings);
-    std::cout << "p99 " << with.p99Ms << " ms with ejection, " << without.p99Ms << " ms without\n";
-    EXPECT_LT(with.p99Ms, without.p99Ms * 0.8);
+    std::cout << "p99.9 " << with.p999Ms << " ms with ejection, " << without.p999Ms << " ms without; lost " << with.lost
+              << " and " << without.lost << '\n';
+    EXPECT_LT(with.p999Ms, without.p999Ms * 0.8);
 }
--- a/tests/unit/router.cpp
+++ b/tests/unit/router.cpp
@@ -171,6 +171,16 @@
     EXPECT_EQ(only<Dispatch>(m_router->tick(m_now)).size(), 1U);
 }
 
+TEST_F(RouterLimitsTest, peersThatReportNothingOrLess_areForgottenSafely)
+{
+    start({minionOf(1, 4)});
+    m_router->setPeerLoad(EntryId("entry-b"), {{MinionId("m1"), 0}}, m_now);
+    m_router->setPeerLoad(EntryId("entry-c"), {{MinionId("m1"), -5}}, m_now);
+    m_router->forgetPeer(EntryId("entry-b"));
+    m_router->forgetPeer(EntryId("entry-c"));
+    EXPECT_EQ(fill(4).size(), 4U);
+}
+
 TEST_F(RouterLimitsTest, connections_areSharedOutBetweenTheEntries)
 {
     start({minionOf(1)});
--- a/tools/routing-trial/main.cpp
+++ b/tools/routing-trial/main.cpp
@@ -1,4 +1,5 @@
 #include "report.h"
+#include "slopes.h"
 
 #include <tclap/CmdLine.h>
 
@@ -12,6 +13,7 @@
 
 constexpr std::array<RoutingPolicy, 3> policies{
     RoutingPolicy::LeastInFlight, RoutingPolicy::PowerOfTwo, RoutingPolicy::FairShare};
+constexpr std::array<int, 5> slopeSizes{11, 100, 1000, 3000, 10'000};
 constexpr std::array<double, 4> loads{0.5, 0.8, 0.95, 1.2};
 constexpr std::array<TrialFault, 4> faults{
     TrialFault::None, TrialFault::SlowMinion, TrialFault::EntryKilled, TrialFault::ZoneCut};
@@ -34,6 +36,7 @@
     TCLAP::ValueArg<int> threads("t", "threads", "Threads", false, 4, "number", command);
     TCLAP::ValueArg<int> length("l", "seconds", "Length of a trial in its own time", false, 6, "seconds", command);
     TCLAP::SwitchArg hedging("g", "hedging", "Compare with and without hedging instead", command);
+    TCLAP::SwitchArg slopes("s", "slopes", "Measure memory and processor time by the number of minions", command);
     TCLAP::ValueArg<std::string> json("j", "json", "Write every result to this file", false, "", "file", command);
     command.setExceptionHandling(false);
     command.parse(argc, argv);
@@ -42,7 +45,7 @@
             threads.getValue(),
             length.getValue(),
             hedging.getValue(),
-            false,
+            slopes.getValue(),
             json.getValue()};
 }
 
@@ -70,6 +73,15 @@
     return rows;
 }
 
+void measureSlopes()
+{
+    std::vector<SlopePoint> points;
+    for (const int minions : slopeSizes) {
+        points.push_back(measureSlope(minions));
+    }
+    std::cout << slopeTable(points);
+}
+
 void compare(const Options &options)
 {
     auto rows = rowsOf(options);
@@ -85,7 +97,12 @@
 int main(int argc, char **argv)
 {
     try {
-        compare(parseOptions(argc, argv));
+        const auto options = parseOptions(argc, argv);
+        if (options.slopes) {
+            measureSlopes();
+        } else {
+            compare(options);
+        }
         return 0;
     } catch (const TCLAP::ArgException &e) {
         std::cerr << "trefoilhoist-routing-trial: " << e.error() << " " << e.argId() << '\n';
