--- a/src/trefoilhoist/routing/internal/servicepool.cpp
+++ b/src/trefoilhoist/routing/internal/servicepool.cpp
@@ -15,7 +15,7 @@
 /// A caller with this many times the requests in flight of the average of the others is over its share.
 constexpr int overShareFactor = 2;
 /// Slots that callers over their share leave to the others.
-constexpr double reservedShare = 0.1;
+constexpr double reservedShare = 0.15;
 /// Slots by which a minion's limit grows with an answer and shrinks with a refusal.
 constexpr double limitIncrease = 0.03;
 constexpr double limitDecrease = 1;
