--- a/src/trefoilhoist/membership/membershiptable.cpp
+++ b/src/trefoilhoist/membership/membershiptable.cpp
@@ -40,7 +40,6 @@
         std::int64_t heardSequence = 0;
         TimePoint heardAt{};
         TimePoint goneAt{};
-        TimePoint takenAt{};
     };
     using KnownMap = std::map<std::string, Known>;
 
@@ -133,6 +132,8 @@
     [[nodiscard]] bool isSilent(const Known &entry, TimePoint now) const;
     [[nodiscard]] bool doubtsSelf(TimePoint now);
     [[nodiscard]] bool isLapsed(const Known &entry, TimePoint now) const;
+    [[nodiscard]] bool isOrphan(const Known &entry, TimePoint now) const;
+    void bury(Known &entry, TimePoint now);
     void markGone(Known &entry, TimePoint now);
 };
 
@@ -161,7 +162,7 @@
     }
     const bool changes = isNew || !isMine(entry) || !sameContent(entry.record, record);
     entry.heardSequence = record.sequence;
-    entry.heardAt = entry.takenAt = now;
+    entry.heardAt = now;
     if (changes) {
         publish(entry, record);
     }
@@ -173,7 +174,6 @@
     entry.heardSequence = record.sequence;
     entry.goneAt = now - milliseconds(record.ageMs);
     entry.heardAt = entry.goneAt - hiddenAge(now);
-    entry.takenAt = now;
     replace(entry, record);
 }
 
@@ -201,7 +201,6 @@
     entry.heardSequence = record.sequence;
     entry.goneAt = now - milliseconds(record.ageMs);
     entry.heardAt = entry.goneAt - hiddenAge(now);
-    entry.takenAt = now;
     if (record.owner == self.str()) {
         // News of an earlier life of this entry: the minion gets the time to be heard again.
         entry.heardAt = now;
@@ -257,10 +256,21 @@
     if (entry.record.gone) {
         return ageOf(entry, now) > times.tombstone || !switches.keepTombstones;
     }
-    if (isMine(entry)) {
-        return false;
-    }
-    return entry.record.leaving ? now - entry.takenAt > times.tombstone : ageOf(entry, now) > times.orphan;
+    return isOrphan(entry, now) && !entry.record.leaving;
+}
+
+bool MembershipTable::State::isOrphan(const Known &entry, TimePoint now) const
+{
+    return !entry.record.gone && !isMine(entry) && ageOf(entry, now) > times.orphan;
+}
+
+// A leaving minion whose owner fell silent: stays known, out of the digest, as long as a tombstone.
+void MembershipTable::State::bury(Known &entry, TimePoint now)
+{
+    auto record = entry.record;
+    record.gone = true;
+    entry.goneAt = now;
+    replace(entry, std::move(record));
 }
 
 void MembershipTable::State::markGone(Known &entry, TimePoint now)
@@ -336,6 +346,8 @@
         auto &entry = it->second;
         if (m_state->isSilent(entry, now) && (!keep || entry.record.leaving)) {
             m_state->markGone(entry, now);
+        } else if (entry.record.leaving && m_state->isOrphan(entry, now)) {
+            m_state->bury(entry, now);
         }
         it = m_state->isLapsed(entry, now) ? m_state->erase(it) : std::next(it);
     }
