--- a/tests/random/router.cpp
+++ b/tests/random/router.cpp
@@ -1,4 +1,4 @@
-#include "trial.h"
+#include "routingtrial.h"
 
 #include <gtest/gtest.h>
 
--- a/tools/routing-trial/report.cpp
+++ b/tools/routing-trial/comparison.cpp
@@ -1,4 +1,4 @@
-#include "report.h"
+#include "comparison.h"
 
 #include <algorithm>
 #include <atomic>
--- a/tools/routing-trial/report.h
+++ b/tools/routing-trial/comparison.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "trial.h"
+#include "routingtrial.h"
 
 #include <nlohmann/json.hpp>
 
--- a/tools/routing-trial/main.cpp
+++ b/tools/routing-trial/main.cpp
@@ -1,4 +1,4 @@
-#include "report.h"
+#include "comparison.h"
 #include "slopes.h"
 
 #include <tclap/CmdLine.h>
