--- a/src/trefoilhoist/net/program.cpp
+++ b/src/trefoilhoist/net/program.cpp
@@ -54,11 +54,12 @@
     std::int64_t incarnation = wallMilliseconds();
     Clock clock;
     Asio::io_context context;
+    // Taken from the start, so that a signal before run() is not lost.
+    Asio::signal_set signals{context, SIGTERM, SIGINT};
     std::function<awaitable<void>()> stop;
 
     awaitable<void> waitForSignal()
     {
-        Asio::signal_set signals(context, SIGTERM, SIGINT);
         boost::system::error_code ec;
         const int signal = co_await signals.async_wait(Asio::redirect_error(Asio::use_awaitable, ec));
         LOG(INFO) << "event=stop_started program=" << program << " signal=" << signal;
--- a/tests/integration/commandline.cpp
+++ b/tests/integration/commandline.cpp
@@ -25,6 +25,11 @@
     std::string listenPlace;
 };
 
+void PrintTo(const Program &program, std::ostream *out)
+{
+    *out << program.name;
+}
+
 std::vector<Program> programs()
 {
     return {
