Scan the membership table twice a heartbeat, ejected minions once a millisecond

With a third of 10,000 minions ejected every request walked all of them for a due probe. A deadline test now also shows that without deadlines a request that is too late is sent.

--- a/src/trefoilhoist/membership/membershiptable.cpp
+++ b/src/trefoilhoist/membership/membershiptable.cpp
@@ -53,6 +53,7 @@
     std::array<std::uint64_t, bucketCount> buckets{};
     std::uint64_t generation = 0;
     TimePoint lastSeen{};
+    TimePoint lastScan{};
     TimePoint graceUntil{};
     Duration lastPause{};
     TimePoint doubtSince{};
@@ -341,6 +342,10 @@
 {
     std::lock_guard lock(m_mutex);
     m_state->noticePause(now);
+    if (now - m_state->lastScan < m_state->times.heartbeat / 2) {
+        return;
+    }
+    m_state->lastScan = now;
     const bool keep = now < m_state->graceUntil || m_state->doubtsSelf(now);
     for (auto it = m_state->known.begin(); it != m_state->known.end();) {
         auto &entry = it->second;
--- a/src/trefoilhoist/membership/membershiptable.h
+++ b/src/trefoilhoist/membership/membershiptable.h
@@ -66,7 +66,8 @@
     /// The minion refused a request because it is leaving. The incarnation is the one the request went to.
     void refusedAsLeaving(const MinionId &minion, std::int64_t incarnation, TimePoint now);
 
-    /// Marks minions that their owner no longer hears as gone, and forgets old tombstones.
+    /// Marks minions that their owner no longer hears as gone, and forgets old tombstones. Looks at the table twice a
+    /// heartbeat at most, so it may be called often; a gap between calls is taken for a pause of the process.
     void expire(TimePoint now);
 
     /// Records changed since the last call, to push to every peer.
--- a/src/trefoilhoist/routing/internal/servicepool.cpp
+++ b/src/trefoilhoist/routing/internal/servicepool.cpp
@@ -27,6 +27,8 @@
 constexpr Duration callerIdle = seconds(1);
 /// A probe waits this long for an idempotent request before any request will do.
 constexpr Duration probePatience = seconds(5);
+/// With many ejected minions not every request looks for a due probe.
+constexpr Duration probeScanInterval = milliseconds(1);
 constexpr Duration noMinionRetry = seconds(1);
 constexpr Duration minRetryAfter = milliseconds(50);
 constexpr Duration maxRetryAfter = seconds(10);
@@ -403,7 +405,7 @@
 
 MinionLoad *ServicePool::takeProbe(const RouteRequest &request, TimePoint now)
 {
-    if (request.attempt > 1) {
+    if (request.attempt > 1 || now < m_nextProbeScan) {
         return nullptr;
     }
     const auto it = std::find_if(m_ejected.begin(), m_ejected.end(), [&](const MinionLoad *load) {
@@ -411,7 +413,11 @@
         return suits && load->health.isProbeDue(now) && load->own < load->minion.slots
             && load->leftIncarnation != load->minion.incarnation;
     });
-    return it == m_ejected.end() ? nullptr : *it;
+    if (it == m_ejected.end()) {
+        m_nextProbeScan = now + probeScanInterval;
+        return nullptr;
+    }
+    return *it;
 }
 
 bool ServicePool::isOverShare(const CallerLoad &caller) const
--- a/src/trefoilhoist/routing/internal/servicepool.h
+++ b/src/trefoilhoist/routing/internal/servicepool.h
@@ -97,6 +97,7 @@
     MinionList m_room;
     MinionList m_localRoom;
     MinionList m_ejected;
+    TimePoint m_nextProbeScan{};
     std::multimap<TimePoint, MinionId> m_paused;
     int m_listed = 0;
     int m_totalSlots = 0;
--- a/tests/random/membership.cpp
+++ b/tests/random/membership.cpp
@@ -119,12 +119,12 @@
         std::erase_if(m_queue, [n](const Message &message) { return message.to == n; });
     }
 
-    bool isUp(int n) const
+    [[nodiscard]] bool isUp(int n) const
     {
         return m_now >= m_frozenUntil[n];
     }
 
-    bool isCut(int one, int two) const
+    [[nodiscard]] bool isCut(int one, int two) const
     {
         return m_cuts.contains({std::min(one, two), std::max(one, two)});
     }
--- a/tests/unit/router.cpp
+++ b/tests/unit/router.cpp
@@ -217,12 +217,16 @@
 
 TEST_F(RouterLimitsTest, waitingRequest_withoutTimeLeft_isRefusedAndNeverSent)
 {
-    start({minionOf(1, 1)});
-    const auto sent = fill(1);
-    admit("buyer", milliseconds(100));
-    m_now += milliseconds(200);
-    EXPECT_EQ(only<Refuse>(m_router->tick(m_now)).size(), 1U);
-    EXPECT_TRUE(only<Dispatch>(finish(sent.front())).empty());
+    for (const bool deadlines : {true, false}) {
+        RouterSettings settings;
+        settings.switches.deadlines = deadlines;
+        start({minionOf(1, 1)}, settings);
+        const auto sent = fill(1);
+        admit("buyer", milliseconds(100));
+        m_now += milliseconds(200);
+        EXPECT_EQ(only<Refuse>(m_router->tick(m_now)).size(), deadlines ? 1U : 0U);
+        EXPECT_EQ(only<Dispatch>(finish(sent.front())).size(), deadlines ? 0U : 1U);
+    }
 }
 
 TEST_F(RouterLimitsTest, deadlineThatCannotBeMet_isRefusedBeforeWaiting)
--- a/tools/routing-trial/comparison.cpp
+++ b/tools/routing-trial/comparison.cpp
@@ -52,6 +52,7 @@
     const auto total = rows.size() * static_cast<std::size_t>(seeds);
     std::atomic<std::size_t> next = 0;
     std::vector<std::thread> pool;
+    pool.reserve(static_cast<std::size_t>(threads));
     for (int n = 0; n < threads; ++n) {
         pool.emplace_back([&] {
             for (auto at = next++; at < total; at = next++) {
--- a/tools/routing-trial/main.cpp
+++ b/tools/routing-trial/main.cpp
@@ -76,6 +76,7 @@
 void measureSlopes()
 {
     std::vector<SlopePoint> points;
+    points.reserve(slopeSizes.size());
     for (const int minions : slopeSizes) {
         points.push_back(measureSlope(minions));
     }
