--- a/src/trefoilhoist/membership/membershiptable.cpp
+++ b/src/trefoilhoist/membership/membershiptable.cpp
@@ -40,6 +40,9 @@
         std::int64_t heardSequence = 0;
         TimePoint heardAt{};
         TimePoint goneAt{};
+        /// Forgotten with its silent owner, and kept only so that older news doesn't list it again. Peers don't hear of
+        /// it.
+        bool buried = false;
     };
     using KnownMap = std::map<std::string, Known>;
 
@@ -97,6 +100,7 @@
         }
         entry.record = std::move(record);
         entry.record.ageMs = 0;
+        entry.buried = false;
         bucket ^= hashOf(entry.record);
     }
 
@@ -135,6 +139,7 @@
     [[nodiscard]] bool isLapsed(const Known &entry, TimePoint now) const;
     [[nodiscard]] bool isOrphan(const Known &entry, TimePoint now) const;
     void bury(Known &entry, TimePoint now);
+    [[nodiscard]] bool isNews(const Wire::MinionRecord &record, const Known &entry) const;
     void markGone(Known &entry, TimePoint now);
 };
 
@@ -189,7 +194,7 @@
         return true;
     }
     Known &entry = it->second;
-    if (switches.orderNews && !isNewer(record, entry.record)) {
+    if (!isNews(record, entry)) {
         return false;
     }
     if (switches.orderNews && isMine(entry) && !entry.record.gone && isNewer(latest(entry), record)) {
@@ -251,13 +256,10 @@
     return now - doubtSince < times.doubt;
 }
 
-// True for a record that may be forgotten: a tombstone, or a minion whose owner fell silent.
+// True for a tombstone that may be forgotten.
 bool MembershipTable::State::isLapsed(const Known &entry, TimePoint now) const
 {
-    if (entry.record.gone) {
-        return ageOf(entry, now) > times.tombstone || !switches.keepTombstones;
-    }
-    return isOrphan(entry, now) && !entry.record.leaving;
+    return entry.record.gone && (ageOf(entry, now) > times.tombstone || !switches.keepTombstones);
 }
 
 bool MembershipTable::State::isOrphan(const Known &entry, TimePoint now) const
@@ -265,13 +267,27 @@
     return !entry.record.gone && !isMine(entry) && ageOf(entry, now) > times.orphan;
 }
 
-// A leaving minion whose owner fell silent: stays known, out of the digest, as long as a tombstone.
 void MembershipTable::State::bury(Known &entry, TimePoint now)
 {
     auto record = entry.record;
     record.gone = true;
     entry.goneAt = now;
     replace(entry, std::move(record));
+    entry.buried = true;
+}
+
+// True when the news is newer than the record. A buried minion comes back by what was known of it before, too.
+bool MembershipTable::State::isNews(const Wire::MinionRecord &record, const Known &entry) const
+{
+    if (!switches.orderNews) {
+        return true;
+    }
+    if (!entry.buried) {
+        return isNewer(record, entry.record);
+    }
+    auto known = entry.record;
+    known.gone = false;
+    return !isNewer(known, record);
 }
 
 void MembershipTable::State::markGone(Known &entry, TimePoint now)
@@ -351,7 +367,7 @@
         auto &entry = it->second;
         if (m_state->isSilent(entry, now) && (!keep || entry.record.leaving)) {
             m_state->markGone(entry, now);
-        } else if (entry.record.leaving && m_state->isOrphan(entry, now)) {
+        } else if (m_state->isOrphan(entry, now)) {
             m_state->bury(entry, now);
         }
         it = m_state->isLapsed(entry, now) ? m_state->erase(it) : std::next(it);
@@ -400,7 +416,7 @@
     const std::set<std::int32_t> wanted(buckets.begin(), buckets.end());
     std::vector<Wire::MinionRecord> found;
     for (const auto &[id, entry] : m_state->known) {
-        if (wanted.contains(static_cast<std::int32_t>(bucketOf(id)))) {
+        if (!entry.buried && wanted.contains(static_cast<std::int32_t>(bucketOf(id)))) {
             found.push_back(m_state->exported(entry, now));
         }
     }
@@ -437,7 +453,9 @@
     std::lock_guard lock(m_mutex);
     std::vector<Wire::MinionRecord> all;
     for (const auto &[id, entry] : m_state->known) {
-        all.push_back(m_state->exported(entry, now));
+        if (!entry.buried) {
+            all.push_back(m_state->exported(entry, now));
+        }
     }
     return all;
 }
