--- a/tests/harness/site.cpp
+++ b/tests/harness/site.cpp
@@ -274,7 +274,7 @@
 
 Json Site::executions(int index)
 {
-    const auto result = call(minionAddress(index), HttpRequest{"GET", "/-/executions", {}, {}});
+    const auto result = call(minionAddress(index), HttpRequest{"GET", "/-/executions", {}, {}}, seconds(2));
     return result ? Json::parse(result->body, nullptr, false) : Json::object();
 }
 
--- a/tests/integration/request.cpp
+++ b/tests/integration/request.cpp
@@ -99,27 +99,35 @@
     EXPECT_GT(own, 0);
 }
 
-TEST_F(RequestTest, minion_killedOrFrozen_costsNoSafeRequest)
+TEST_F(RequestTest, minion_killedOrFrozen_ordersGetHonestVerdicts)
 {
     SitePlan plan;
     plan.entries = 2;
     plan.minions = 3;
     auto &site = start(plan);
+    std::map<std::string, std::string> verdicts;
+    int answered = 0;
     for (const int signal : {SIGKILL, SIGSTOP}) {
         site.minion(signal == SIGKILL ? 0 : 1).signal(signal);
-        int refused = 0;
         for (int i = 0; i < 40; ++i) {
-            auto request = site.serviceRequest("POST", "s" + std::to_string(signal) + "-" + std::to_string(i));
-            request.headers.set(deadlineHeader, "1000");
-            const auto verdict = verdictOf(site.call(site.entryAddress(i % 2), request));
-            const int runs = site.executionsOf("s" + std::to_string(signal) + "-" + std::to_string(i));
-            refused += verdict == "ran" ? 0 : 1;
-            EXPECT_TRUE(verdict != "not-run" || runs == 0);
-            EXPECT_LE(runs, 1);
+            const auto id = std::to_string(signal) + "-" + std::to_string(i);
+            auto request = site.serviceRequest("POST", id);
+            request.headers.set(deadlineHeader, "300");
+            verdicts[id] = verdictOf(site.call(site.entryAddress(i % 2), request));
+            answered += verdicts[id] == "ran" ? 1 : 0;
         }
-        EXPECT_LT(refused, 20);
     }
+    // A frozen minion runs what it was sent when it wakes.
     site.minion(1).signal(SIGCONT);
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    for (const auto &[id, verdict] : verdicts) {
+        EXPECT_TRUE(verdict == "ran" || verdict == "not-run" || verdict == "may-have-run") << verdict;
+        const int runs = site.executionsOf(id);
+        EXPECT_LE(runs, 1) << id;
+        EXPECT_TRUE(verdict != "not-run" || runs == 0) << id;
+    }
+    // Two minions of three were away in turn; evidence takes work off them.
+    EXPECT_GT(answered, 50);
 }
 
 TEST_F(RequestTest, store_out_changesNothingForCallers)
