--- a/tests/harness/placementworld.cpp
+++ b/tests/harness/placementworld.cpp
@@ -679,7 +679,7 @@
             task.declared = {500 + static_cast<std::int64_t>(m_random() % 2500),
                              200 + static_cast<std::int64_t>(m_random() % 2500),
                              chance(0.1) ? 1 : 0};
-            task.declaredRunTime = between(milliseconds(200), m_plan.longCuts ? seconds(40) : seconds(5));
+            task.declaredRunTime = between(milliseconds(200), m_plan.splitOwners ? seconds(40) : seconds(5));
             job.tasks.push_back(task);
         }
         m_jobs[job.id] = job;
@@ -742,12 +742,31 @@
 
 void PlacementWorld::scheduleFaults()
 {
+    if (m_plan.splitOwners) {
+        at(m_plan.faultTime / 4, [this] { splitOwners(); });
+        return;
+    }
     const int faults = 12 + static_cast<int>(m_random() % 20);
     for (int i = 0; i < faults; ++i) {
         at(between(seconds(1), m_plan.faultTime), [this] { randomFault(); });
     }
 }
 
+void PlacementWorld::splitOwners()
+{
+    for (auto &node : m_nodes) {
+        if (node.owner->owning()) {
+            // It must not hear of the next epoch from a worker that both reach.
+            node.storeCut = true;
+            node.cutWorkers.insert(m_plan.workers - 1);
+            continue;
+        }
+        for (int i = 0; i + 1 < m_plan.workers; ++i) {
+            node.cutWorkers.insert(i);
+        }
+    }
+}
+
 void PlacementWorld::randomFault()
 {
     if (!m_faulty) {
@@ -756,13 +775,8 @@
     auto &host = m_hosts[m_random() % m_hosts.size()];
     auto &node = m_nodes[m_random() % m_nodes.size()];
     const auto hostIndex = static_cast<int>(&host - m_hosts.data());
-    const auto lasting = m_plan.longCuts ? between(seconds(12), seconds(30))
-        : chance(0.5)                    ? between(milliseconds(100), seconds(3))
-                                         : between(seconds(2), seconds(14));
+    const auto lasting = chance(0.5) ? between(milliseconds(100), seconds(3)) : between(seconds(2), seconds(14));
     const auto kind = m_random() % 8;
-    if (m_plan.longCuts && kind != 4 && kind != 6) {
-        return;
-    }
     if (m_plan.steadyWorkers && kind < 6 && kind != 2) {
         return;
     }
--- a/tests/harness/placementworld.h
+++ b/tests/harness/placementworld.h
@@ -27,8 +27,8 @@
     bool cancels = true;
     /// Only owners are killed, messages lost and the store fails: no worker's lease lapses, so no work is lost.
     bool steadyWorkers = false;
-    /// Cuts between an owner and a worker, and an owner and the store, last long.
-    bool longCuts = false;
+    /// One long fault alone: the owner loses the store, the next owner can't reach the workers.
+    bool splitOwners = false;
     OwnerSafety ownerSafety;
     WorkerSafety workerSafety;
 };
@@ -150,6 +150,7 @@
 
     void scheduleFaults();
     void randomFault();
+    void splitOwners();
     void heal();
     [[nodiscard]] bool allDone();
     void checkEnd();
--- a/tests/random/placement.cpp
+++ b/tests/random/placement.cpp
@@ -189,10 +189,21 @@
 {
     WorldPlan plan;
     plan.ownerSafety.boundOutage = false;
-    plan.longCuts = true;
+    plan.splitOwners = true;
     expectCaught(plan, "P2");
 }
 
+TEST_F(Placement, splitOwners_everyPromiseHolds)
+{
+    WorldPlan plan;
+    plan.splitOwners = true;
+    Totals totals;
+    runWorlds(plan, 20, 5, totals);
+    for (const auto &it : totals.failures) {
+        ADD_FAILURE() << it;
+    }
+}
+
 TEST_F(Placement, ownerWithoutRoster_isCaught)
 {
     WorldPlan plan;
