--- a/src/trefoilhoist/placement/policies/interferenceaware.h
+++ b/src/trefoilhoist/placement/policies/interferenceaware.h
@@ -27,13 +27,13 @@
         /// An eviction needs a level this far above the throttle level.
         double evictMargin = 0.15;
         /// Shares are raised again this far below the throttle level.
-        double raiseMargin = 0.3;
+        double raiseMargin = 0.2;
         /// Deviations of uncertainty that count against a task, for a deployment that weighs only the tail.
         double pessimism = 1.5;
         /// A step down waits this long for the last one to show.
         Duration settle = seconds(6);
         /// A step up waits this long after any step.
-        Duration raiseAfter = seconds(15);
+        Duration raiseAfter = seconds(8);
         /// Time over which a service sample was taken.
         Duration sampleWindow = seconds(5);
         /// A service without a target may grow this much over its own level.
--- a/tools/placement-trial/main.cpp
+++ b/tools/placement-trial/main.cpp
@@ -1,3 +1,4 @@
+#include "slopes.h"
 #include "trialworld.h"
 
 #include <tclap/CmdLine.h>
@@ -258,7 +259,12 @@
         TCLAP::ValueArg<std::string> only("", "policy", "Only this policy", false, "", "name", command);
         TCLAP::MultiArg<std::string> set(
             "", "set", "Changes a setting of interference-aware", false, "name=value", command);
+        TCLAP::SwitchArg slopes("", "slopes", "Print what decisions cost by size instead", command);
         command.parse(argc, argv);
+        if (slopes.getValue()) {
+            printSlopes();
+            return 0;
+        }
         TrialPlan plan;
         plan.first = seed.getValue();
         plan.count = std::max(seeds.getValue(), 1);
