--- a/src/programs/entry/entry.h
+++ b/src/programs/entry/entry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "claimservice.h"
 #include "entryserver.h"
 #include "entrysettings.h"
 #include "minionfeed.h"
@@ -8,6 +9,7 @@
 
 #include "trefoilhoist/config/configagent.h"
 #include "trefoilhoist/net/program.h"
+#include "trefoilhoist/placement/jobintake.h"
 #include "trefoilhoist/store/storeclient.h"
 #include "trefoilhoist/wire/peerserver.h"
 
@@ -30,6 +32,7 @@
 private:
     awaitable<std::optional<Wire::Envelope>> peerCall(Wire::Envelope envelope);
     awaitable<void> waitUntilIdle();
+    awaitable<void> contractLoop();
 
     Runtime &m_runtime;
     EntrySettings m_settings;
@@ -43,7 +46,9 @@
     RequestExecutor m_requests;
     MinionFeed m_feed;
     PeerExchange m_exchange;
+    ClaimService m_claims;
     EntryServer m_surface;
+    std::optional<JobIntake> m_jobs;
     HttpServer m_http;
     PeerServer m_peerServer;
 };
