--- a/src/trefoilhoist/placement/policies/interferenceaware.cpp
+++ b/src/trefoilhoist/placement/policies/interferenceaware.cpp
@@ -62,6 +62,7 @@
 void InterferenceAware::updateLoads(DecisionContext &context, const Host &host, Site &site)
 {
     site.loads.clear();
+    site.current.clear();
     const auto capacity = static_cast<double>(std::max<std::int64_t>(host.view->worker.capacity.milliCpu, 1));
     for (const auto &running : host.view->running) {
         const auto *job = context.table.job(running.job);
@@ -141,9 +142,21 @@
     return predicted;
 }
 
+const std::vector<std::optional<Prediction>> &
+InterferenceAware::currentLevels(DecisionContext &context, const Host &host, Site &site)
+{
+    if (site.current.empty()) {
+        for (const auto &service : host.view->services) {
+            site.current.push_back(level(context, service, host.id, site.loads));
+        }
+    }
+    return site.current;
+}
+
 void InterferenceAware::adjust(DecisionContext &context)
 {
-    const auto levels = levelsOf(context.weights);
+    m_levels = levelsOf(context.weights);
+    const auto levels = m_levels;
     for (const auto &host : context.table.hosts()) {
         auto &site = m_sites[host.id];
         updateLoads(context, host, site);
@@ -292,6 +305,7 @@
         }
         context.ledger.allowShare(running, cause, next);
         site.loads = std::move(loads);
+        site.current.clear();
         // One task at a time, so that a wrong step shows whose it was.
         return;
     }
@@ -300,14 +314,15 @@
 void InterferenceAware::placed(DecisionContext &, const Candidate &candidate, const Host &host)
 {
     const auto capacity = static_cast<double>(std::max<std::int64_t>(host.view->worker.capacity.milliCpu, 1));
-    addLoad(
-        m_sites[host.id].loads, m_model.classIndex(candidate.job->batchClass), candidate.size.meanMilliCpu / capacity);
+    auto &site = m_sites[host.id];
+    site.current.clear();
+    addLoad(site.loads, m_model.classIndex(candidate.job->batchClass), candidate.size.meanMilliCpu / capacity);
 }
 
 std::optional<double> InterferenceAware::score(DecisionContext &context, const Candidate &candidate, const Host &host)
 {
     const auto &weights = context.weights;
-    const auto levels = levelsOf(weights);
+    const auto &levels = m_levels;
     const double sum = std::max(weights.tailLatency + weights.throughput + weights.evictions, 1e-9);
     const double fit
         = leftover(host, candidate.size.reserve) + crowdingWeight * crowding(context.table, *candidate.job, host);
@@ -327,8 +342,10 @@
     const bool shielded
         = site.evictedAt != TimePoint{} && context.now - site.evictedAt < afterEviction && !candidate.urgent;
     double harmed = 0;
-    for (const auto &service : host.view->services) {
-        const auto before = level(context, service, host.id, site.loads);
+    const auto &current = currentLevels(context, host, site);
+    for (std::size_t n = 0; n < current.size(); ++n) {
+        const auto &service = host.view->services[n];
+        const auto &before = current[n];
         const auto after = level(context, service, host.id, loads);
         if (!before || !after) {
             continue;
--- a/src/trefoilhoist/placement/policies/interferenceaware.h
+++ b/src/trefoilhoist/placement/policies/interferenceaware.h
@@ -61,6 +61,8 @@
     };
     struct Site {
         Loads loads;
+        /// The levels of the worker's services with these loads, by their order there; empty when out of date.
+        std::vector<std::optional<Prediction>> current;
         std::deque<LoadAt> history;
         /// When work was last evicted from here for a service's sake.
         TimePoint evictedAt{};
@@ -85,6 +87,7 @@
         bool urgent = false;
     };
 
+    const std::vector<std::optional<Prediction>> &currentLevels(DecisionContext &context, const Host &host, Site &site);
     [[nodiscard]] Levels levelsOf(const PolicyWeights &weights) const;
     void updateLoads(DecisionContext &context, const Host &host, Site &site);
     void remember(Site &site, TimePoint now);
@@ -110,6 +113,8 @@
 
     Settings m_settings;
     InterferenceModel m_model;
+    /// Of the decision under way.
+    Levels m_levels;
     std::unordered_map<WorkerId, Site> m_sites;
 };
 
