--- a/src/programs/entry/peerexchange.cpp
+++ b/src/programs/entry/peerexchange.cpp
@@ -102,7 +102,7 @@
 void PeerExchange::pushToAll(Wire::MessageKind kind, const std::string &payload)
 {
     for (const auto &peer : m_peers) {
-        spawn(m_executor, "peer message", [this, peer, kind, payload]() -> awaitable<void> {
+        spawn(m_executor, "peer message", [peer, kind, payload]() -> awaitable<void> {
             (void)co_await peer->call(kind, payload, peerTimeout);
         });
     }
--- a/src/trefoilhoist/claims/claim.h
+++ b/src/trefoilhoist/claims/claim.h
@@ -5,7 +5,6 @@
 #include "trefoilhoist/world/clock.h"
 #include "trefoilhoist/world/id.h"
 
-#include <compare>
 #include <cstddef>
 #include <memory>
 #include <string>
@@ -20,7 +19,6 @@
     ServiceId service;
     std::string key;
 
-    auto operator<=>(const ClaimKey &) const = default;
     /// One text for hashing and for the order of pages.
     [[nodiscard]] std::string str() const;
 };
