--- a/tests/unit/policy.cpp
+++ b/tests/unit/policy.cpp
@@ -538,6 +538,21 @@
     }
 }
 
+TEST_F(PolicyOverTime, withoutPreemption_urgentTaskOnFullSiteWaits)
+{
+    m_runFor = seconds(1000);
+    makeBusySite();
+    PolicySettings settings;
+    settings.planner.preempts = false;
+    PlacementPolicy policy(PolicyKind::BestFit, PolicyWeights{}, 1, settings);
+    passSecond(policy);
+    addJob("urgent", {3'000, 3'000, 0}).urgent = true;
+    for (int n = 0; n < 30; ++n) {
+        passSecond(policy);
+    }
+    EXPECT_EQ(running(TaskId("urgent-0")), nullptr);
+}
+
 TEST_F(PolicyOverTime, urgentFloodOfOneTeam_leavesOthersTheirShare)
 {
     makeBusySite();
--- a/tools/placement-trial/main.cpp
+++ b/tools/placement-trial/main.cpp
@@ -57,6 +57,14 @@
      [](const auto &result) {
          return result.urgentWorst;
      }},
+    {"urgent starts",
+     [](const auto &result) {
+         return result.urgentStarts;
+     }},
+    {"urgent after 3.3 s",
+     [](const auto &result) {
+         return result.urgentLate;
+     }},
     {"out of memory",
      [](const auto &result) {
          return result.outOfMemory;
--- a/tools/placement-trial/trialworld.cpp
+++ b/tools/placement-trial/trialworld.cpp
@@ -24,6 +24,7 @@
 constexpr double z99 = 2.326;
 constexpr int drawsPerStep = 8;
 constexpr int teams = 4;
+constexpr double urgentTargetSeconds = 3.3;
 constexpr double binsPerFactorOfTen = 100;
 
 double secondsOf(Duration value)
@@ -658,6 +659,8 @@
     auto waits = m_urgentWaits;
     std::sort(waits.begin(), waits.end());
     result.urgentStarts = static_cast<int>(waits.size());
+    result.urgentLate = static_cast<int>(
+        std::count_if(waits.begin(), waits.end(), [](double wait) { return wait > urgentTargetSeconds; }));
     if (!waits.empty()) {
         result.urgentP50 = waits[waits.size() / 2];
         result.urgentWorst = waits.back();
--- a/tools/placement-trial/trialworld.h
+++ b/tools/placement-trial/trialworld.h
@@ -47,6 +47,8 @@
     /// The slowest start of urgent work, in seconds.
     double urgentWorst = 0;
     int urgentStarts = 0;
+    /// Urgent starts after more than 3.3 s.
+    int urgentLate = 0;
     int outOfMemory = 0;
     int failedRuns = 0;
     int throttles = 0;
