--- a/tools/placement-trial/slopes.cpp
+++ b/tools/placement-trial/slopes.cpp
@@ -87,6 +87,35 @@
     return times[times.size() / 2];
 }
 
+/// Microseconds of taking in `cancelled` ends of running tasks, with the decision that follows.
+double cancelMicroseconds(int workers, int cancelled)
+{
+    std::vector<double> times;
+    for (int n = 0; n < repeats; ++n) {
+        Site site;
+        addWorkers(site, workers);
+        PlacementPolicy policy(PolicyKind::InterferenceAware, PolicyWeights{}, 1);
+        (void)policy.decide({site.now, site.workers, site.jobs, site.pending, &site.terms});
+        std::vector<RunEnded> ends;
+        for (auto &[id, view] : site.workers) {
+            while (!view.running.empty() && static_cast<int>(ends.size()) < cancelled) {
+                const auto &running = view.running.back();
+                ends.push_back({site.now, running.task, running.job, id, RunEnd::Cancelled, seconds(1)});
+                view.running.pop_back();
+            }
+        }
+        const auto before = std::chrono::steady_clock::now();
+        for (const auto &ended : ends) {
+            policy.learn(ended);
+        }
+        (void)policy.decide({site.now + seconds(1), site.workers, site.jobs, site.pending, &site.terms});
+        const auto after = std::chrono::steady_clock::now();
+        times.push_back(std::chrono::duration<double, std::micro>(after - before).count());
+    }
+    std::sort(times.begin(), times.end());
+    return times[times.size() / 2];
+}
+
 } // namespace
 
 void printSlopes()
@@ -114,6 +143,16 @@
             }
         }
     }
+    std::printf("\n| workers | cancelled of running | events and next decision (us) |\n| --- | --- | --- |\n");
+    for (const int workers : {100, 300}) {
+        for (const int cancelled : {0, 200, 1000, 2000}) {
+            std::printf("| %d | %d of %d | %.0f |\n",
+                        workers,
+                        cancelled,
+                        workers * runningPerWorker,
+                        cancelMicroseconds(workers, cancelled));
+        }
+    }
 }
 
 } // namespace Trefoilhoist::Trial
