--- a/src/trefoilhoist/net/program.cpp
+++ b/src/trefoilhoist/net/program.cpp
@@ -31,17 +31,22 @@
 struct Options {
     std::string settingsFile;
     bool checkOnly = false;
+    bool schemaOnly = false;
 };
 
 Options parseOptions(int argc, char **argv, const ProgramInfo &info)
 {
     TCLAP::CmdLine command(info.description, ' ', TREFOILHOIST_VERSION);
     TCLAP::ValueArg<std::string> settings(
-        "s", "settings", "Settings file: JSON with comments", true, "", "file", command);
+        "s", "settings", "Settings file: JSON with comments", false, "", "file", command);
     TCLAP::SwitchArg check("c", "check", "Check the settings file and exit", command);
+    TCLAP::SwitchArg schema("", "schema", "Print the settings' JSON schema and exit", command);
     command.setExceptionHandling(false);
     command.parse(argc, argv);
-    return {settings.getValue(), check.getValue()};
+    if (!settings.isSet() && !schema.getValue()) {
+        throw TCLAP::CmdLineParseException("Required argument missing: settings", "--settings");
+    }
+    return {settings.getValue(), check.getValue(), schema.getValue()};
 }
 
 } // namespace
@@ -143,7 +148,10 @@
     } catch (const TCLAP::ExitException &e) {
         return e.getExitStatus();
     }
-
+    if (options.schemaOnly) {
+        std::cout << info.schema << '\n';
+        return exitOk;
+    }
     auto settings = loadSettings(options.settingsFile, info.schema);
     if (!settings) {
         std::cerr << info.name << ": " << settings.error().str() << '\n';
