--- a/tests/random/confighistory.cpp
+++ b/tests/random/confighistory.cpp
@@ -32,6 +32,8 @@
     ConfigChangeGuards guards;
     /// Changes by nobody, to push write ids out of the history.
     bool crowd = false;
+    /// Processes hear from peers; otherwise only by their own watch.
+    bool peers = true;
 };
 
 // An operator's change with the times of its call and its outcome.
@@ -92,6 +94,9 @@
     int unsettled = 0;
     int goneBack = 0;
 
+    /// Processes that lack the newest version of a segment at the end.
+    [[nodiscard]] int behindAtEnd() const;
+
     // Counts what broke, without failing: for runs with a mechanism switched off.
     void count();
 
@@ -338,7 +343,7 @@
         if (faulty() && chance(3)) {
             process.restart();
             follow(process, process.life);
-        } else if (process.agent->behind(peer.agent->versions())) {
+        } else if (m_settings.peers && process.agent->behind(peer.agent->versions())) {
             // The peer's answer is on its way for a while; it may be old when it comes.
             const auto segments = peer.agent->segmentsNewerThan(process.agent->versions());
             m_events.after(delay(), [this, &process, segments] {
@@ -448,6 +453,16 @@
     }
 }
 
+int ConfigHistory::behindAtEnd() const
+{
+    return static_cast<int>(std::count_if(m_processes.begin(), m_processes.end(), [&](const auto &process) {
+        const auto versions = process->table->versions();
+        return std::any_of(m_effects.begin(), m_effects.end(), [&](const auto &item) {
+            return versions[static_cast<std::size_t>(item.first)] < item.second.back().segment.version;
+        });
+    }));
+}
+
 void ConfigHistory::checkProcesses() const
 {
     EXPECT_EQ(goneBack, 0);
@@ -528,3 +543,12 @@
     settings.guards.refuseConflicts = false;
     EXPECT_GT(runMany(settings).overwritten, 0);
 }
+
+TEST(ConfigHistory_withoutPeers, leavesProcessesWithoutAWatchBehind)
+{
+    HistorySettings settings;
+    settings.peers = false;
+    ConfigHistory history(1, settings);
+    history.run();
+    EXPECT_EQ(history.behindAtEnd(), processCount - 2);
+}
