Refuse by the latency estimate only where a request would wait

Now a free slot is refused only past the deadline, the mean counts answers only and starts as their plain average.

--- a/src/trefoilhoist/routing/internal/servicepool.cpp
+++ b/src/trefoilhoist/routing/internal/servicepool.cpp
@@ -257,9 +257,12 @@
     if (result.end != AttemptEnd::Answered && result.end != AttemptEnd::Lost) {
         return;
     }
-    const auto us = static_cast<double>(result.latency.count());
-    m_meanUs = m_meanUs == 0 ? us : m_meanUs + (us - m_meanUs) * meanSmoothing;
     m_latencies.record(result.latency, now);
+    if (result.end == AttemptEnd::Answered) {
+        const auto us = static_cast<double>(result.latency.count());
+        ++m_answers;
+        m_meanUs += (us - m_meanUs) * std::max(meanSmoothing, 1.0 / static_cast<double>(m_answers));
+    }
 }
 
 void ServicePool::judge(const Attempt &attempt, const AttemptResult &result, TimePoint now)
@@ -448,7 +451,8 @@
     if (!m_settings.switches.deadlines) {
         return false;
     }
-    return now + wait + fromMicros(m_meanUs / 2) >= request.deadline;
+    // With a free slot only the deadline itself counts: refusing by an estimate would keep the estimate for ever.
+    return now + (wait == Duration{} ? wait : wait + fromMicros(m_meanUs / 2)) >= request.deadline;
 }
 
 void ServicePool::setPeers(const MinionId &minion, int peers)
--- a/src/trefoilhoist/routing/internal/servicepool.h
+++ b/src/trefoilhoist/routing/internal/servicepool.h
@@ -107,7 +107,9 @@
     RetryBudget m_budget;
     Attempts m_attempts;
     LatencyWindow m_latencies;
+    /// Mean latency of answers, the latest weighing most.
     double m_meanUs = 0;
+    std::uint64_t m_answers = 0;
 };
 
 } // namespace Trefoilhoist::Detail
--- a/tests/unit/router.cpp
+++ b/tests/unit/router.cpp
@@ -240,6 +240,15 @@
     EXPECT_EQ(only<Enqueued>(admit("buyer", milliseconds(2000))).size(), 1U);
 }
 
+TEST_F(RouterLimitsTest, lostFirstAttempt_doesNotShutTheServiceForShorterDeadlines)
+{
+    start({minionOf(1), minionOf(2)});
+    (void)finish(fill(1).front(), AttemptEnd::Lost, seconds(2));
+    (void)finish(fill(1).front(), AttemptEnd::Answered, seconds(2));
+    m_now += seconds(1);
+    EXPECT_EQ(only<Dispatch>(admit("buyer", milliseconds(500))).size(), 1U);
+}
+
 TEST_F(RouterLimitsTest, abandonedRequest_isNeverSent)
 {
     start({minionOf(1, 1)});
