--- a/src/programs/placer/main.cpp
+++ b/src/programs/placer/main.cpp
@@ -31,7 +31,9 @@
   }
 })";
 
-constexpr int defaultLeaseMs = 5000;
+// Above the store lease, so that running tasks outlive their owner's sudden death.
+constexpr int defaultLeaseMs = 8000;
+constexpr int defaultStoreLeaseMs = 5000;
 constexpr int syncsPerLease = 5;
 constexpr int renewalsPerStoreLease = 3;
 /// A sync that takes longer than this share of the lease is repeated.
@@ -74,7 +76,7 @@
         = millis("checkpointTimeoutMs", duration_cast<milliseconds>(owner.checkpointTimeout).count());
     settings.syncTimeout = owner.lease / syncTimeoutsPerLease;
     settings.heartbeat = millis("heartbeatMs", 1000);
-    settings.lease.ttl = millis("storeLeaseMs", duration_cast<milliseconds>(settings.lease.ttl).count());
+    settings.lease.ttl = millis("storeLeaseMs", defaultStoreLeaseMs);
     settings.lease.renewEvery = settings.lease.ttl / renewalsPerStoreLease;
     const auto kind = policyKindFromName(json.value("policy", "interference-aware"));
     settings.policy = kind.value_or(PolicyKind::InterferenceAware);
--- a/src/trefoilhoist/config/labelkeys.cpp
+++ b/src/trefoilhoist/config/labelkeys.cpp
@@ -121,6 +121,7 @@
         {ObjectKind::Service, "tail-latency-weight", LabelType::Number, "how much tail latency counts in placement"},
         {ObjectKind::Service, "idempotent", LabelType::Boolean, "whether every request may run more than once"},
         {ObjectKind::BatchClass, "yield-rank", LabelType::Integer, "tasks of the higher rank yield first"},
+        {ObjectKind::Worker, "drain", LabelType::Boolean, "true: nothing is started, and what runs is moved"},
         {ObjectKind::BatchClass, "throughput-weight", LabelType::Number, "how much finished work counts in placement"},
         {ObjectKind::BatchClass, "evictions-weight", LabelType::Number, "how much evictions count in placement"},
         {ObjectKind::Team, "share", LabelType::Number, "the team's weight in the fair share of the workers"},
--- a/tests/harness/batchsite.h
+++ b/tests/harness/batchsite.h
@@ -42,6 +42,8 @@
     /// Writes a job of `tasks` tasks that run `runTimeMs` each into the store, as an entry does.
     void submit(const std::string &job, int tasks, int runTimeMs, int milliCpu = 1000);
     void cancel(const std::string &job);
+    /// Sets labels of a worker as operators do.
+    void labelWorker(int worker, const std::string &label);
 
     /// The index of the placer that owns the cell, or -1.
     [[nodiscard]] int owner();
--- a/tools/placement-slopes/main.cpp
+++ b/tools/placement-slopes/main.cpp
@@ -17,7 +17,7 @@
 using namespace Trefoilhoist;
 
 constexpr int tasksPerWorker = 28;
-constexpr int milliCpuPerTask = 1000;
+constexpr std::int64_t milliCpuPerTask = 1000;
 constexpr Duration step = milliseconds(20);
 constexpr Duration steadyTime = seconds(20);
 /// Head of an HTTP request or answer between placer and worker, in bytes.
