--- a/src/trefoilhoist/placement/policies/interferenceaware.h
+++ b/src/trefoilhoist/placement/policies/interferenceaware.h
@@ -27,13 +27,13 @@
         /// An eviction needs a level this far above the throttle level.
         double evictMargin = 0.15;
         /// Shares are raised again this far below the throttle level.
-        double raiseMargin = 0.3;
+        double raiseMargin = 0.2;
         /// Deviations of uncertainty that count against a task, for a deployment that weighs only the tail.
         double pessimism = 1.5;
         /// A step down waits this long for the last one to show.
         Duration settle = seconds(6);
         /// A step up waits this long after any step.
-        Duration raiseAfter = seconds(15);
+        Duration raiseAfter = seconds(8);
         /// Time over which a service sample was taken.
         Duration sampleWindow = seconds(5);
         /// A service without a target may grow this much over its own level.
@@ -61,6 +61,8 @@
     };
     struct Site {
         Loads loads;
+        /// The levels of the worker's services with these loads, by their order there; empty when out of date.
+        std::vector<std::optional<Prediction>> current;
         std::deque<LoadAt> history;
         /// When work was last evicted from here for a service's sake.
         TimePoint evictedAt{};
@@ -85,6 +87,7 @@
         bool urgent = false;
     };
 
+    const std::vector<std::optional<Prediction>> &currentLevels(DecisionContext &context, const Host &host, Site &site);
     [[nodiscard]] Levels levelsOf(const PolicyWeights &weights) const;
     void updateLoads(DecisionContext &context, const Host &host, Site &site);
     void remember(Site &site, TimePoint now);
@@ -110,6 +113,8 @@
 
     Settings m_settings;
     InterferenceModel m_model;
+    /// Of the decision under way.
+    Levels m_levels;
     std::unordered_map<WorkerId, Site> m_sites;
 };
 
--- a/tools/placement-trial/main.cpp
+++ b/tools/placement-trial/main.cpp
@@ -1,3 +1,4 @@
+#include "slopes.h"
 #include "trialworld.h"
 
 #include <tclap/CmdLine.h>
@@ -56,6 +57,14 @@
      [](const auto &result) {
          return result.urgentWorst;
      }},
+    {"urgent starts",
+     [](const auto &result) {
+         return result.urgentStarts;
+     }},
+    {"urgent after 3.3 s",
+     [](const auto &result) {
+         return result.urgentLate;
+     }},
     {"out of memory",
      [](const auto &result) {
          return result.outOfMemory;
@@ -258,7 +267,12 @@
         TCLAP::ValueArg<std::string> only("", "policy", "Only this policy", false, "", "name", command);
         TCLAP::MultiArg<std::string> set(
             "", "set", "Changes a setting of interference-aware", false, "name=value", command);
+        TCLAP::SwitchArg slopes("", "slopes", "Print what decisions cost by size instead", command);
         command.parse(argc, argv);
+        if (slopes.getValue()) {
+            printSlopes();
+            return 0;
+        }
         TrialPlan plan;
         plan.first = seed.getValue();
         plan.count = std::max(seeds.getValue(), 1);
