--- a/tools/load/main.cpp
+++ b/tools/load/main.cpp
@@ -1,3 +1,4 @@
+#include "announcerun.h"
 #include "loadrun.h"
 
 #include "trefoilhoist/net/program.h"
@@ -6,6 +7,7 @@
 #include <tclap/CmdLine.h>
 
 #include <fstream>
+#include <functional>
 #include <iostream>
 #include <thread>
 
@@ -15,6 +17,7 @@
 
 struct Options {
     Tools::LoadPlan plan;
+    Tools::AnnouncePlan announce;
     std::string jsonFile;
     int threads = 2;
 };
@@ -35,6 +38,10 @@
     TCLAP::ValueArg<std::uint64_t> seed("r", "seed", "Seed of the arrivals", false, 1, "number", command);
     TCLAP::ValueArg<int> threads("n", "threads", "Threads", false, 2, "number", command);
     TCLAP::ValueArg<std::string> json("j", "json", "Write the report as JSON to this file", false, "", "file", command);
+    TCLAP::ValueArg<int> announce(
+        "a", "announce", "Announce this many minions that don't exist, and send nothing", false, 0, "number", command);
+    TCLAP::ValueArg<int> heartbeat(
+        "b", "heartbeat-ms", "With --announce: how often each is announced", false, 500, "milliseconds", command);
     TCLAP::SwitchArg direct("x", "direct", "The targets are minions", command);
     command.setExceptionHandling(false);
     command.parse(argc, argv);
@@ -59,28 +66,49 @@
     options.plan.orderShare = orders.getValue();
     options.plan.seed = seed.getValue();
     options.plan.direct = direct.getValue();
+    options.announce = {options.plan.targets,
+                        announce.getValue(),
+                        milliseconds(heartbeat.getValue()),
+                        options.plan.length,
+                        options.plan.service};
     options.jsonFile = json.getValue();
     options.threads = threads.getValue();
     return options;
 }
 
-int runLoad(const Options &options)
+// Runs the body to its end on a pool of threads.
+void runOnPool(Asio::io_context &context, int threads, const std::function<awaitable<void>()> &body)
 {
-    Asio::io_context context;
-    Tools::LoadReport report;
-    Tools::LoadRun run(context.get_executor(), options.plan);
-    spawn(context.get_executor(), "load", [&]() -> awaitable<void> {
-        report = co_await run.run();
+    spawn(context.get_executor(), "load", [&context, body]() -> awaitable<void> {
+        co_await body();
         context.stop();
     });
     std::vector<std::thread> pool;
-    pool.reserve(static_cast<std::size_t>(options.threads));
-    for (int i = 0; i < options.threads; ++i) {
-        pool.emplace_back([&] { context.run(); });
+    pool.reserve(static_cast<std::size_t>(threads));
+    for (int i = 0; i < threads; ++i) {
+        pool.emplace_back([&context] { context.run(); });
     }
     for (auto &thread : pool) {
         thread.join();
     }
+}
+
+int runAnnounce(const Options &options)
+{
+    Asio::io_context context;
+    Tools::AnnounceCounts counts;
+    Tools::AnnounceRun run(context.get_executor(), options.announce);
+    runOnPool(context, options.threads, [&]() -> awaitable<void> { counts = co_await run.run(); });
+    std::cout << "announcements sent=" << counts.sent << " accepted=" << counts.accepted << '\n';
+    return counts.sent > 0 && counts.sent == counts.accepted ? exitOk : exitFailed;
+}
+
+int runLoad(const Options &options)
+{
+    Asio::io_context context;
+    Tools::LoadReport report;
+    Tools::LoadRun run(context.get_executor(), options.plan);
+    runOnPool(context, options.threads, [&]() -> awaitable<void> { report = co_await run.run(); });
     std::cout << report.text();
     if (!options.jsonFile.empty()) {
         std::ofstream(options.jsonFile) << report.json() << '\n';
@@ -94,7 +122,8 @@
 int main(int argc, char **argv)
 {
     try {
-        return runLoad(parseOptions(argc, argv));
+        const auto options = parseOptions(argc, argv);
+        return options.announce.minions > 0 ? runAnnounce(options) : runLoad(options);
     } catch (const TCLAP::ArgException &e) {
         std::cerr << "trefoilhoist-load: " << e.argId() << ": " << e.error() << '\n';
         return exitBadSettings;
