Keep the edits alive while diff reads them

diff OBJECT VERSION ended with a segmentation fault: the loop ran over items() of a temporary. The test of racing operators asks for a diff now; it failed first.

--- a/src/programs/ctl/ctlviews.cpp
+++ b/src/programs/ctl/ctlviews.cpp
@@ -69,7 +69,8 @@
         if (record.version <= version || !sameObject(record, object)) {
             continue;
         }
-        for (const auto &[key, value] : editsJson(record.edit).items()) {
+        const auto edits = editsJson(record.edit);
+        for (const auto &[key, value] : edits.items()) {
             rows[key] = {{"key", key}, {"value", value}, {"version", record.version}, {"author", record.author}};
         }
     }
--- a/tests/integration/config.cpp
+++ b/tests/integration/config.cpp
@@ -130,6 +130,10 @@
     const auto other = Json::parse(late.output).at("other");
     EXPECT_EQ(other.at("author"), "ala");
     EXPECT_EQ(other.at("change").at("tier"), "gold");
+    const auto diff = Json::parse(ctl({"diff", "service/counter", "1"}).output);
+    ASSERT_EQ(diff.size(), 1U);
+    EXPECT_EQ(diff.at(0).at("key"), "owner");
+    EXPECT_EQ(diff.at(0).at("author"), "ewa");
     const auto object = Json::parse(ctl({"get", "service/counter"}).output).at(0);
     EXPECT_EQ(object.at("labels"), (Json{{"tier", "gold"}, {"owner", "ewa"}}));
 }
