--- a/tests/integration/requestclaims.cpp
+++ b/tests/integration/requestclaims.cpp
@@ -12,10 +12,11 @@
 class ClaimedRequestTest : public testing::Test
 {
 protected:
-    void start(double serviceMs)
+    void start(double serviceMs, const nlohmann::json &entrySettings = nlohmann::json::object())
     {
         SitePlan plan;
         plan.entries = 3;
+        plan.entrySettings = entrySettings;
         plan.medianServiceMs = serviceMs;
         plan.minionSettings = {{"sigma", 0.0}};
         m_site = std::make_unique<Site>(plan);
@@ -121,3 +122,29 @@
     EXPECT_EQ(verdictOf(order(0, "r1", 2, 2000).get()), "may-have-run");
     EXPECT_EQ(m_site->executionsOf("r1"), 1);
 }
+
+TEST_F(ClaimedRequestTest, entry_restarted_getsItsClaimsBackFromIntactPeers)
+{
+    start(2, {{"limits", {{"maxDeadlineMs", 1000}}}, {"claims", {{"retentionMs", 8000}}}});
+    const auto intact = [&](int entry) {
+        return m_site->metric(entry, "trefoilhoist_claims_intact") == 1;
+    };
+    // A site that starts as a whole vouches for nothing until the retention has passed.
+    EXPECT_EQ(verdictOf(order(0, "unknown", 2, 500).get()), "may-have-run");
+    EXPECT_EQ(m_site->executionsOf("unknown"), 0);
+    ASSERT_TRUE(eventually([&] { return intact(0) && intact(1) && intact(2); }));
+    EXPECT_EQ(verdictOf(order(0, "late", 2, 500).get()), "ran");
+
+    const auto first = order(0, "r1", 1, 1000).get();
+    ASSERT_EQ(verdictOf(first), "ran");
+    m_site->entry(0).signal(SIGKILL);
+    m_site->entry(0).wait();
+    m_site->restartEntry(0);
+    ASSERT_TRUE(eventually([&] { return intact(0); }, 6000));
+    // Only the restarted one and one that may not have been asked are left.
+    m_site->entry(1).signal(SIGKILL);
+    const auto again = order(0, "r1", 2, 1000).get();
+    EXPECT_EQ(verdictOf(again), "ran");
+    EXPECT_EQ(again ? again->body : "", first->body);
+    EXPECT_EQ(m_site->executionsOf("r1"), 1);
+}
