--- a/src/trefoilhoist/placement/jobstore.cpp
+++ b/src/trefoilhoist/placement/jobstore.cpp
@@ -1,5 +1,6 @@
 #include "trefoilhoist/placement/jobstore.h"
 
+#include "trefoilhoist/config/selector.h"
 #include "trefoilhoist/placement/internal/json.h"
 #include "trefoilhoist/store/keys.h"
 
@@ -33,6 +34,18 @@
     }
 }
 
+void checkSelector(const std::string &place, const std::string &selector)
+{
+    const auto parsed = Selector::parse(selector);
+    if (!parsed) {
+        throw std::invalid_argument(place + ", column " + std::to_string(parsed.error().column) + ": "
+                                    + parsed.error().reason);
+    }
+    if (const auto reason = parsed->contradiction(); !reason.empty()) {
+        throw std::invalid_argument(place + " can never match: " + reason);
+    }
+}
+
 Task taskFromJson(const Json &json, const JobId &job)
 {
     Task task;
@@ -181,7 +194,10 @@
 tl::expected<Job, std::string> jobFromRequest(const std::string &text)
 {
     try {
-        return jobFromJson(Json::parse(text));
+        auto job = jobFromJson(Json::parse(text));
+        checkSelector("/where", job.where);
+        checkSelector("/beside", job.beside);
+        return job;
     } catch (const std::exception &e) {
         return tl::unexpected(std::string(e.what()));
     }
