--- a/tests/random/claims.cpp
+++ b/tests/random/claims.cpp
@@ -492,6 +492,7 @@
     EXPECT_TRUE(rc::check("lists that differ by one entry share a holder", [] {
         const auto size = *rc::gen::inRange(1, 40);
         std::vector<EntryId> list;
+        list.reserve(static_cast<std::size_t>(size));
         for (int i = 0; i < size; ++i) {
             list.emplace_back("e" + std::to_string(i));
         }
