--- a/src/trefoilhoist/placement/cellownertasks.cpp
+++ b/src/trefoilhoist/placement/cellownertasks.cpp
@@ -352,10 +352,22 @@
     finishTask(now, event.task);
 }
 
-void CellOwner::settle(TimePoint /*now*/, const CheckpointElsewhere &event)
+void CellOwner::settle(TimePoint now, const CheckpointElsewhere &event)
 {
     auto *entry = m_tasks.find(event.task);
-    if (entry != nullptr && entry->state == TaskState::Uncertain && entry->run < event.record.run) {
+    if (entry == nullptr || entry->run >= event.record.run) {
+        return;
+    }
+    if (entry->state == TaskState::RecordingCheckpoint) {
+        // An older run's checkpoint was under way; the later one stands in the store already.
+        auto *link = linkOf(entry->worker);
+        if (link != nullptr && link->adopted) {
+            link->durable.insert({event.task, entry->run});
+            urge(now, *link);
+        }
+        requeue(now, *entry);
+    }
+    if (entry->state == TaskState::Uncertain) {
         entry->run = event.record.run;
         entry->checkpoint = event.record.checkpoint;
     }
--- a/tests/random/placement.cpp
+++ b/tests/random/placement.cpp
@@ -116,6 +116,18 @@
     EXPECT_GT(sum.lostWrites, totals.worlds);
 }
 
+TEST_F(Placement, earlierFinding_everyPromiseHolds)
+{
+    // A later checkpoint of an earlier owner came in while an older one was being recorded.
+    WorldPlan plan;
+    plan.seed = 21647;
+    Totals totals;
+    runWorlds(plan, 1, 5, totals);
+    for (const auto &it : totals.failures) {
+        ADD_FAILURE() << it;
+    }
+}
+
 TEST_F(Placement, steadyWorkers_finishEachTaskOnce)
 {
     WorldPlan plan;
