--- a/tests/unit/tablethreads.cpp
+++ b/tests/unit/tablethreads.cpp
@@ -82,11 +82,7 @@
 TEST(SharedTables_router, usedByManyThreads_freesEverySlot)
 {
     Router router({});
-    std::vector<Minion> minions;
-    for (int i = 0; i < 4; ++i) {
-        minions.push_back(minionNumber(i));
-    }
-    (void)router.setMinions(minions, at(0));
+    (void)router.setMinions({minionNumber(0), minionNumber(1), minionNumber(2), minionNumber(3)}, at(0));
     std::atomic<RequestNumber> number = 0;
     const auto work = [&](int i) {
         RouteRequest request;
