Hedge idempotent requests; tell membership of a minion that refuses as leaving

Cause: an idempotent attempt waited for its whole deadline, so a frozen minion cost each read sent to it its answer; and a refusal as leaving reached the router alone, so peers learned of it only from the minion. Ruled out: a shorter timeout for each attempt, which gives up answers that are merely late. Before: Hedging.switchedOff shows reads without an answer beside one frozen minion of three. Conclusion: on by default, routing.hedging switches it off.

--- a/src/programs/entry/entry.cpp
+++ b/src/programs/entry/entry.cpp
@@ -68,6 +68,9 @@
         return peerCall(std::move(envelope));
     })
 {
+    m_requests.setLeavingHandler([this](const Minion &minion) {
+        m_membership.refusedAsLeaving(minion.id, minion.incarnation, m_runtime.clock().now());
+    });
     if (m_store) {
         m_jobs.emplace(runtime.executor(), *m_store, m_settings.cell, m_settings.id.str());
         m_surface.setJobHandler([this](HttpRequest request) { return m_jobs->handle(std::move(request)); });
--- a/src/programs/entry/entrysettings.cpp
+++ b/src/programs/entry/entrysettings.cpp
@@ -58,6 +58,7 @@
     to.retryBudget = routing.value("retryBudget", to.retryBudget);
     to.maxEjected = routing.value("maxEjected", to.maxEjected);
     to.seed = routing.value("seed", to.seed);
+    out.requests.hedging = routing.value("hedging", out.requests.hedging);
     to.zone = out.zone;
 }
 
@@ -112,6 +113,7 @@
         "maxQueued": {"type": "integer", "minimum": 0},
         "retryBudget": {"type": "number", "minimum": 0, "maximum": 1},
         "maxEjected": {"type": "number", "minimum": 0, "maximum": 1},
+        "hedging": {"type": "boolean"},
         "seed": {"type": "integer", "minimum": 0}
       }
     },
--- a/src/programs/entry/entrysettings.h
+++ b/src/programs/entry/entrysettings.h
@@ -30,6 +30,8 @@
     std::size_t maxAnswerBytes = std::size_t{4} << 20U;
     /// First attempt and retries together.
     int maxAttempts = 4;
+    /// A second attempt of an idempotent request that waits unusually long, from the retry budget.
+    bool hedging = true;
 };
 
 /// Times of the graceful stop.
--- a/src/programs/entry/requestexecutor.cpp
+++ b/src/programs/entry/requestexecutor.cpp
@@ -26,6 +26,8 @@
 constexpr int statusMayHaveRun = 502;
 constexpr int firstServerError = 500;
 constexpr Duration defaultRetryAfter = seconds(1);
+// An attempt ends by itself at the deadline; its own end comes a little later.
+constexpr Duration endMargin = milliseconds(100);
 
 RequestNumber requestOf(const RouteAction &action)
 {
@@ -68,6 +70,36 @@
     explicit Waiter(const Asio::any_io_executor &executor) : timer(executor) { }
 };
 
+// The attempts of one dispatch: the first, and perhaps a hedge. Members are used on the strand of the request.
+struct RequestExecutor::Flight {
+    Asio::steady_timer timer;
+    std::shared_ptr<const ServiceRequest> request;
+    int open = 0;
+    /// The first whole answer, or else how the attempts ended; Lost stays over all others but an answer.
+    AttemptOutcome outcome;
+
+    Flight(const Asio::any_io_executor &executor, std::shared_ptr<const ServiceRequest> whole)
+        : timer(executor), request(std::move(whole))
+    {
+    }
+
+    [[nodiscard]] bool answered() const
+    {
+        return outcome.end == AttemptEnd::Answered || outcome.end == AttemptEnd::ServerError;
+    }
+
+    void ended(AttemptOutcome attempt)
+    {
+        --open;
+        if (!answered() && outcome.end != AttemptEnd::Lost) {
+            outcome = std::move(attempt);
+        } else if (!answered() && (attempt.end == AttemptEnd::Answered || attempt.end == AttemptEnd::ServerError)) {
+            outcome = std::move(attempt);
+        }
+        timer.cancel();
+    }
+};
+
 struct RequestExecutor::State {
     EntrySettings settings;
     std::string correlationPrefix;
@@ -78,6 +110,7 @@
     std::atomic<RequestNumber> lastNumber = 0;
     std::mutex mutex;
     std::unordered_map<RequestNumber, std::shared_ptr<Waiter>> waiting;
+    std::function<void(const Minion &)> leavingHandler;
 
     State(const Asio::any_io_executor &executor,
           const EntrySettings &entrySettings,
@@ -165,16 +198,15 @@
     co_return *waiter->action;
 }
 
-awaitable<AttemptEnd> RequestExecutor::attempt(const ServiceRequest &request,
-                                               const Dispatch &dispatch,
-                                               HttpResponse &response,
-                                               std::string &reason)
+awaitable<AttemptOutcome> RequestExecutor::attempt(const ServiceRequest &request, const Dispatch &dispatch)
 {
+    AttemptOutcome outcome;
+    outcome.minion = dispatch.minion.id;
     const auto start = m_state->clock.now();
     const auto left = request.deadline - start;
     if (left <= Duration{}) {
-        reason = "the deadline passed before the request was sent";
-        co_return AttemptEnd::Refused;
+        outcome.reason = "the deadline passed before the request was sent";
+        co_return outcome;
     }
     HttpCallOptions options;
     options.timeout = left;
@@ -187,26 +219,90 @@
 
     auto result = co_await m_state->client.call(dispatch.minion.endpoint, std::move(forward), options);
     if (!result) {
-        reason = result.error().reason;
-        co_return result.error().verdict == Verdict::NotRun ? AttemptEnd::Unreachable : AttemptEnd::Lost;
+        outcome.reason = result.error().reason;
+        outcome.end = result.error().verdict == Verdict::NotRun ? AttemptEnd::Unreachable : AttemptEnd::Lost;
+        co_return outcome;
     }
     TREFOILHOIST_INVARIANT(result->headers.get(correlationHeader) == options.correlation, "P4 own whole answer");
     if (refusedByMinion(*result)) {
-        reason = "refused by minion " + dispatch.minion.id.str();
-        co_return result->headers.has(leavingHeader) ? AttemptEnd::Leaving : AttemptEnd::Refused;
+        outcome.reason = "refused by minion " + dispatch.minion.id.str();
+        outcome.end = result->headers.has(leavingHeader) ? AttemptEnd::Leaving : AttemptEnd::Refused;
+        co_return outcome;
     }
-    response = forwarded(std::move(*result), dispatch.minion.id);
-    co_return response.status >= firstServerError ? AttemptEnd::ServerError : AttemptEnd::Answered;
+    outcome.response = forwarded(std::move(*result), dispatch.minion.id);
+    outcome.end = outcome.response.status >= firstServerError ? AttemptEnd::ServerError : AttemptEnd::Answered;
+    co_return outcome;
 }
 
-awaitable<ServiceOutcome> RequestExecutor::run(ServiceRequest request)
+awaitable<AttemptOutcome> RequestExecutor::attemptAndRelease(const ServiceRequest &request, Dispatch dispatch)
 {
-    RequestCourse course({request.idempotent, request.deadline, m_state->settings.requests.maxAttempts});
+    const auto start = m_state->clock.now();
+    auto outcome = co_await attempt(request, dispatch);
+    const auto now = m_state->clock.now();
+    if (outcome.end == AttemptEnd::Leaving && m_state->leavingHandler) {
+        m_state->leavingHandler(dispatch.minion);
+    }
+    perform(m_state->router.finished({dispatch.request, dispatch.minion.id, outcome.end, now - start}, now));
+    co_return outcome;
+}
+
+void RequestExecutor::launch(const std::shared_ptr<Flight> &flight, const Dispatch &dispatch)
+{
+    ++flight->open;
+    spawnOn(flight->timer.get_executor(), "attempt", [this, flight, dispatch]() -> awaitable<void> {
+        auto outcome = co_await attemptAndRelease(*flight->request, dispatch);
+        flight->ended(std::move(outcome));
+    });
+}
+
+awaitable<void> RequestExecutor::hedge(std::shared_ptr<Flight> flight, RouteRequest routed)
+{
+    const auto now = m_state->clock.now();
+    if (!m_state->router.takeRetry(routed.service, now)) {
+        co_return;
+    }
+    routed.number = m_state->lastNumber.fetch_add(1) + 1;
+    routed.hedge = true;
+    const auto action = co_await route(routed);
+    const auto *dispatch = std::get_if<Dispatch>(&action);
+    m_state->metrics.counter("trefoilhoist_hedges_total", {{"sent", dispatch != nullptr ? "yes" : "no"}}).add();
+    if (dispatch != nullptr) {
+        launch(flight, *dispatch);
+    }
+}
+
+awaitable<AttemptOutcome>
+RequestExecutor::hedgedAttempt(std::shared_ptr<const ServiceRequest> request, RouteRequest routed, Dispatch dispatch)
+{
+    const auto delay = m_state->router.hedgeDelay(routed.service, m_state->clock.now());
+    if (!routed.idempotent || !m_state->settings.requests.hedging || !delay) {
+        co_return co_await attemptAndRelease(*request, dispatch);
+    }
+    auto flight = std::make_shared<Flight>(co_await Asio::this_coro::executor, request);
+    launch(flight, dispatch);
+    boost::system::error_code ec;
+    flight->timer.expires_after(*delay);
+    co_await flight->timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ec));
+    if (!ec && flight->open > 0) {
+        routed.tried.push_back(dispatch.minion.id);
+        co_await hedge(flight, routed);
+    }
+    while (flight->open > 0 && !flight->answered()) {
+        flight->timer.expires_after(std::max(Duration{}, routed.deadline - m_state->clock.now()) + endMargin);
+        co_await flight->timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ec));
+    }
+    co_return flight->outcome;
+}
+
+awaitable<ServiceOutcome> RequestExecutor::run(ServiceRequest whole)
+{
+    const auto request = std::make_shared<const ServiceRequest>(std::move(whole));
+    RequestCourse course({request->idempotent, request->deadline, m_state->settings.requests.maxAttempts});
     RouteRequest routed;
-    routed.caller = request.caller;
-    routed.service = request.service;
-    routed.deadline = request.deadline;
-    routed.idempotent = request.idempotent;
+    routed.caller = request->caller;
+    routed.service = request->service;
+    routed.deadline = request->deadline;
+    routed.idempotent = request->idempotent;
     std::string reason;
     MinionId last;
     while (true) {
@@ -219,18 +315,15 @@
         }
 
         const auto &dispatch = std::get<Dispatch>(action);
-        last = dispatch.minion.id;
-        course.dispatched(last);
-        HttpResponse response;
-        const auto start = m_state->clock.now();
-        const auto end = co_await attempt(request, dispatch, response, reason);
+        course.dispatched(dispatch.minion.id);
+        auto outcome = co_await hedgedAttempt(request, routed, dispatch);
+        last = outcome.minion;
+        reason = outcome.reason;
         const auto now = m_state->clock.now();
-        perform(m_state->router.finished({dispatch.request, dispatch.minion.id, end, now - start}, now));
-
-        const auto step
-            = course.attemptEnded(end, reason, now, [&] { return m_state->router.takeRetry(request.service, now); });
+        const auto step = course.attemptEnded(
+            outcome.end, reason, now, [&] { return m_state->router.takeRetry(request->service, now); });
         if (std::holds_alternative<ForwardAnswer>(step)) {
-            co_return ServiceOutcome{Verdict::Ran, std::move(response), last};
+            co_return ServiceOutcome{Verdict::Ran, std::move(outcome.response), last};
         }
         if (const auto *stop = std::get_if<GiveUp>(&step)) {
             co_return ServiceOutcome{
@@ -240,4 +333,9 @@
     }
 }
 
+void RequestExecutor::setLeavingHandler(std::function<void(const Minion &)> handler)
+{
+    m_state->leavingHandler = std::move(handler);
+}
+
 } // namespace Trefoilhoist
--- a/src/programs/entry/requestexecutor.h
+++ b/src/programs/entry/requestexecutor.h
@@ -34,6 +34,14 @@
     MinionId minion;
 };
 
+/// How one attempt ended; `response` is whole when the end is an answer.
+struct AttemptOutcome {
+    AttemptEnd end = AttemptEnd::Refused;
+    MinionId minion;
+    HttpResponse response;
+    std::string reason;
+};
+
 /// An answer without a minion's answer: 503, 502 or 504 with the verdict's header.
 [[nodiscard]] HttpResponse verdictResponse(Verdict verdict, const std::string &reason, Duration retryAfter);
 
@@ -55,16 +63,24 @@
     /// Runs one request to its end. The calling coroutine runs on a strand.
     awaitable<ServiceOutcome> run(ServiceRequest request);
 
+    /// Called with a minion that refused a request because it is leaving. Set before the first request.
+    void setLeavingHandler(std::function<void(const Minion &)> handler);
+
     /// Hands routing actions to the requests that wait for them.
     void perform(std::vector<RouteAction> actions);
 
 private:
     struct Waiter;
+    struct Flight;
     struct State;
 
     awaitable<RouteAction> route(const RouteRequest &request);
-    awaitable<AttemptEnd>
-    attempt(const ServiceRequest &request, const Dispatch &dispatch, HttpResponse &response, std::string &reason);
+    awaitable<AttemptOutcome> attempt(const ServiceRequest &request, const Dispatch &dispatch);
+    awaitable<AttemptOutcome> attemptAndRelease(const ServiceRequest &request, Dispatch dispatch);
+    awaitable<AttemptOutcome>
+    hedgedAttempt(std::shared_ptr<const ServiceRequest> request, RouteRequest routed, Dispatch dispatch);
+    awaitable<void> hedge(std::shared_ptr<Flight> flight, RouteRequest routed);
+    void launch(const std::shared_ptr<Flight> &flight, const Dispatch &dispatch);
 
     std::unique_ptr<State> m_state;
 };
--- a/standins/minion/minionserver.cpp
+++ b/standins/minion/minionserver.cpp
@@ -56,6 +56,7 @@
     while (m_runtime.clock().now() < end) {
         co_await sleepFor(milliseconds(20));
     }
+    m_refusing = true;
     m_server.drain();
     while (m_inFlight > 0 || m_server.inFlight() > 0) {
         co_await sleepFor(milliseconds(10));
@@ -70,7 +71,10 @@
     }
     const int inFlight = ++m_inFlight;
     HttpResponse response;
-    if (inFlight > m_settings.minion.slots) {
+    if (m_refusing) {
+        response = refuse(request, "leaving");
+        response.headers.set(leavingHeader, "yes");
+    } else if (inFlight > m_settings.minion.slots) {
         response = refuse(request, "no free slot");
     } else {
         {
--- a/standins/minion/minionserver.h
+++ b/standins/minion/minionserver.h
@@ -60,6 +60,8 @@
     HttpServer m_server;
     HttpClient m_client;
     std::atomic<bool> m_leaving = false;
+    /// The grace is over: new requests are refused.
+    std::atomic<bool> m_refusing = false;
     std::atomic<int> m_inFlight = 0;
     std::atomic<std::int64_t> m_sequence = 0;
     std::mutex m_mutex;
--- /dev/null
+++ b/tests/integration/requesthedge.cpp
@@ -0,0 +1,55 @@
+#include "harness/site.h"
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+
+using namespace Trefoilhoist;
+using namespace Trefoilhoist::Testing;
+
+namespace {
+
+constexpr int warmingRequests = 200;
+constexpr int measuredRequests = 30;
+
+// Answers out of `measuredRequests` reads, one after the other, while one of three minions is frozen.
+int answersBesideAFrozenMinion(bool hedging, double &hedges)
+{
+    SitePlan plan;
+    plan.entries = 1;
+    plan.minions = 3;
+    plan.entrySettings = {{"routing", {{"hedging", hedging}}}};
+    Site site(plan);
+    const auto read = [&](const std::string &id) {
+        auto request = site.serviceRequest("GET", id);
+        request.headers.set(deadlineHeader, "1000");
+        const auto result = site.call(site.entryAddress(0), request);
+        return result && result->headers.get(verdictHeader) == "ran";
+    };
+    for (int i = 0; i < warmingRequests; ++i) {
+        EXPECT_TRUE(read("w" + std::to_string(i)));
+    }
+    site.minion(0).signal(SIGSTOP);
+    int answered = 0;
+    for (int i = 0; i < measuredRequests; ++i) {
+        answered += read("h" + std::to_string(i)) ? 1 : 0;
+    }
+    hedges = site.metric(0, "trefoilhoist_hedges_total{sent=\"yes\"}");
+    return answered;
+}
+
+} // namespace
+
+TEST(Hedging_minionFrozen_readsAreAnsweredElsewhere, withHedging)
+{
+    double hedges = 0;
+    EXPECT_EQ(answersBesideAFrozenMinion(true, hedges), measuredRequests);
+    EXPECT_GT(hedges, 0);
+}
+
+TEST(Hedging_minionFrozen_readsAreAnsweredElsewhere, switchedOff_someEndWithoutAnAnswer)
+{
+    double hedges = 0;
+    EXPECT_LT(answersBesideAFrozenMinion(false, hedges), measuredRequests);
+    EXPECT_LE(hedges, 0);
+}
