Label idempotent routes and hedging, meter the placer's store calls, keep idle connections to a minion's limit

Cause: idempotency could be labelled for whole services only; the placer's calls were in no budget; an entry kept any number of idle connections to a minion. Ruled out: repeats of the placer's calls in the client, since the owner must check that it still owns the cell.

--- a/src/programs/entry/entryserver.cpp
+++ b/src/programs/entry/entryserver.cpp
@@ -1,5 +1,7 @@
 #include "entryserver.h"
 
+#include "trefoilhoist/config/routes.h"
+
 #include "announcement.h"
 
 #include <glog/logging.h>
@@ -19,6 +21,10 @@
 constexpr std::string_view ownPrefix = "/-/";
 /// Label of a service whose every method may run more than once without harm.
 constexpr std::string_view idempotentLabel = "idempotent";
+/// Label of a service with the routes that may run more than once without harm.
+constexpr std::string_view idempotentRoutesLabel = "idempotent-routes";
+/// Label of a service that wants no second attempt beside a slow one: "false".
+constexpr std::string_view hedgingLabel = "hedging";
 constexpr int statusBadRequest = 400;
 constexpr int statusNotFound = 404;
 constexpr int statusUnready = 503;
@@ -78,12 +84,20 @@
     co_return refuse(statusNotFound, "no such path");
 }
 
-bool EntryServer::idempotent(const ServiceId &service, const std::string &method) const
+bool EntryServer::idempotent(const ServiceRequest &call) const
 {
+    const auto &method = call.forward.method;
     if (std::find(safeMethods.begin(), safeMethods.end(), method) != safeMethods.end()) {
         return true;
     }
-    return m_parts.config.label(ObjectKind::Service, service.str(), idempotentLabel, "false") == "true";
+    const auto &service = call.service.str();
+    if (m_parts.config.label(ObjectKind::Service, service, idempotentLabel, "false") == "true") {
+        return true;
+    }
+    const auto routes = parseRoutes(m_parts.config.label(ObjectKind::Service, service, idempotentRoutesLabel, ""));
+    return routes && std::any_of(routes->begin(), routes->end(), [&](const RoutePattern &route) {
+               return route.matches(method, call.forward.path());
+           });
 }
 
 awaitable<HttpResponse> EntryServer::serviceCall(HttpRequest request)
@@ -93,7 +107,9 @@
     if (!parsed) {
         co_return refusedRequest(parsed.error());
     }
-    parsed->call.idempotent = idempotent(parsed->call.service, parsed->call.forward.method);
+    parsed->call.idempotent = idempotent(parsed->call);
+    parsed->call.hedging
+        = m_parts.config.label(ObjectKind::Service, parsed->call.service.str(), hedgingLabel, "true") == "true";
     m_parts.feed.refresh();
     auto outcome = co_await outcomeOf(*parsed);
     recordOutcome(parsed->call, outcome, start);
--- a/src/programs/entry/entryserver.h
+++ b/src/programs/entry/entryserver.h
@@ -57,7 +57,7 @@
     [[nodiscard]] HttpResponse health() const;
     [[nodiscard]] HttpResponse configVersions() const;
     [[nodiscard]] HttpResponse metricsPage() const;
-    [[nodiscard]] bool idempotent(const ServiceId &service, const std::string &method) const;
+    [[nodiscard]] bool idempotent(const ServiceRequest &call) const;
     void recordOutcome(const ServiceRequest &request, const ServiceOutcome &outcome, TimePoint start);
 
     EntrySettings m_settings;
--- a/src/programs/entry/requestexecutor.cpp
+++ b/src/programs/entry/requestexecutor.cpp
@@ -212,6 +212,7 @@
     options.timeout = left;
     options.connectTimeout = m_state->settings.requests.connectTimeout;
     options.maxBodyBytes = m_state->settings.requests.maxAnswerBytes;
+    options.maxIdle = m_state->router.connectionLimit(dispatch.minion.id);
     options.correlation = m_state->correlationPrefix + std::to_string(dispatch.request) + "-"
         + std::to_string(m_state->lastNumber.fetch_add(1));
     auto forward = request.forward;
@@ -275,7 +276,7 @@
 RequestExecutor::hedgedAttempt(std::shared_ptr<const ServiceRequest> request, RouteRequest routed, Dispatch dispatch)
 {
     const auto delay = m_state->router.hedgeDelay(routed.service, m_state->clock.now());
-    if (!routed.idempotent || !m_state->settings.requests.hedging || !delay) {
+    if (!routed.idempotent || !request->hedging || !m_state->settings.requests.hedging || !delay) {
         co_return co_await attemptAndRelease(*request, dispatch);
     }
     auto flight = std::make_shared<Flight>(co_await Asio::this_coro::executor, request);
--- a/src/programs/entry/requestexecutor.h
+++ b/src/programs/entry/requestexecutor.h
@@ -23,6 +23,8 @@
     /// As the minion gets it: target without the service's prefix.
     HttpRequest forward;
     bool idempotent = false;
+    /// A second attempt may run beside a slow one.
+    bool hedging = true;
     TimePoint deadline{};
 };
 
--- a/src/programs/placer/placer.cpp
+++ b/src/programs/placer/placer.cpp
@@ -3,6 +3,7 @@
 #include "placerstatus.h"
 #include "trefoilhoist/placement/configureddecider.h"
 #include "trefoilhoist/store/keys.h"
+#include "trefoilhoist/store/meteredstoreclient.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/strand.hpp>
@@ -25,6 +26,18 @@
 /// The answer to a sync with a few hundred runs stays below this.
 constexpr std::size_t maxAnswerBytes = std::size_t{2} << 20U;
 
+// The owner repeats what had no effect itself, when it still owns the cell: the client must not.
+std::shared_ptr<StoreClient> storeFrom(Runtime &runtime, const PlacerSettings &settings, MetricsRegistry &metrics)
+{
+    StoreBudget budget;
+    budget.role = "placer";
+    budget.writesPerSecond = 40;
+    budget.burst = 200;
+    budget.deadline = Duration{};
+    return std::make_shared<MeteredStoreClient>(
+        std::make_shared<ConsulStoreClient>(runtime.executor(), settings.store), budget, runtime.clock(), metrics);
+}
+
 std::string joined(const std::string &left, const std::string &right)
 {
     return left.empty() || right.empty() ? left + right : left + ", " + right;
@@ -36,14 +49,14 @@
     : m_runtime(runtime)
     , m_settings(std::move(settings))
     , m_strand(Asio::make_strand(runtime.executor()))
-    , m_store(std::make_shared<ConsulStoreClient>(runtime.executor(), m_settings.store))
+    , m_metrics(runtime.clock())
+    , m_store(storeFrom(runtime, m_settings, m_metrics))
     , m_lease(std::make_shared<StoreLeaseKeeper>(m_store,
                                                  StoreKeys::cellLease(m_settings.owner.cell),
                                                  nlohmann::json{{"owner", m_settings.id}}.dump(),
                                                  runtime.clock(),
                                                  m_settings.lease))
     , m_agent(std::make_shared<ConfigAgent>(m_config, m_store, configAgentOptions(m_settings.id)))
-    , m_metrics(runtime.clock())
     , m_server(runtime.executor(), HttpLimits{}, [this](HttpRequest request) { return answer(std::move(request)); })
     , m_client(runtime.executor())
     , m_owner(
--- a/src/programs/placer/placer.h
+++ b/src/programs/placer/placer.h
@@ -68,11 +68,11 @@
     Runtime &m_runtime;
     PlacerSettings m_settings;
     Asio::any_io_executor m_strand;
-    std::shared_ptr<ConsulStoreClient> m_store;
+    MetricsRegistry m_metrics;
+    std::shared_ptr<StoreClient> m_store;
     std::shared_ptr<StoreLeaseKeeper> m_lease;
     ConfigTable m_config;
     std::shared_ptr<ConfigAgent> m_agent;
-    MetricsRegistry m_metrics;
     HttpServer m_server;
     HttpClient m_client;
     CellOwner m_owner;
--- a/src/trefoilhoist/config/labelkeys.cpp
+++ b/src/trefoilhoist/config/labelkeys.cpp
@@ -1,5 +1,6 @@
 #include "trefoilhoist/config/labelkeys.h"
 
+#include "trefoilhoist/config/routes.h"
 #include "trefoilhoist/config/selector.h"
 
 #include <algorithm>
@@ -79,6 +80,12 @@
     return number < 0 ? std::optional(LabelProblem{1, "the value is below 0"}) : std::nullopt;
 }
 
+std::optional<LabelProblem> checkRoutes(std::string_view value)
+{
+    const auto routes = parseRoutes(value);
+    return routes ? std::nullopt : std::optional(LabelProblem{routes.error().column, routes.error().reason});
+}
+
 std::optional<LabelProblem> checkValue(LabelType type, std::string_view value)
 {
     switch (type) {
@@ -88,6 +95,8 @@
         return checkNumber(value, HUGE_VAL);
     case LabelType::Share:
         return checkNumber(value, 1);
+    case LabelType::Routes:
+        return checkRoutes(value);
     case LabelType::Boolean:
         break;
     }
@@ -108,6 +117,8 @@
         return "0 to 1";
     case LabelType::Boolean:
         return "true or false";
+    case LabelType::Routes:
+        return "routes";
     }
     return {};
 }
@@ -120,6 +131,8 @@
         {ObjectKind::Service, "answer-objective", LabelType::Share, "share of requests that get an answer"},
         {ObjectKind::Service, "tail-latency-weight", LabelType::Number, "how much tail latency counts in placement"},
         {ObjectKind::Service, "idempotent", LabelType::Boolean, "whether every request may run more than once"},
+        {ObjectKind::Service, "idempotent-routes", LabelType::Routes, "requests that may run more than once"},
+        {ObjectKind::Service, "hedging", LabelType::Boolean, "false: no second attempt beside a slow one"},
         {ObjectKind::BatchClass, "yield-rank", LabelType::Integer, "tasks of the higher rank yield first"},
         {ObjectKind::Worker, "drain", LabelType::Boolean, "true: nothing is started, and what runs is moved"},
         {ObjectKind::BatchClass, "throughput-weight", LabelType::Number, "how much finished work counts in placement"},
--- a/src/trefoilhoist/config/labelkeys.h
+++ b/src/trefoilhoist/config/labelkeys.h
@@ -20,6 +20,8 @@
     Share,
     /// "true" or "false".
     Boolean,
+    /// Routes separated by commas, for example "PUT:/lots,POST:/quotes".
+    Routes,
 };
 
 [[nodiscard]] std::string_view labelTypeName(LabelType type);
--- a/src/trefoilhoist/net/httpclient.cpp
+++ b/src/trefoilhoist/net/httpclient.cpp
@@ -180,10 +180,13 @@
         return nullptr;
     }
 
-    void put(const Endpoint &endpoint, std::shared_ptr<Connection> connection)
+    void put(const Endpoint &endpoint, std::shared_ptr<Connection> connection, int maxIdle)
     {
         std::lock_guard lock(mutex);
-        idle[endpoint].push_back(std::move(connection));
+        auto &kept = idle[endpoint];
+        if (static_cast<int>(kept.size()) < maxIdle) {
+            kept.push_back(std::move(connection));
+        }
     }
 
     static awaitable<CallResult> callOn(std::shared_ptr<Pool> pool,
@@ -205,7 +208,7 @@
             connection->abort();
         }
         if (connection->reusable() && !options.freshConnection) {
-            pool->put(endpoint, connection);
+            pool->put(endpoint, connection, options.maxIdle);
         }
         co_return result;
     }
--- a/src/trefoilhoist/net/httpclient.h
+++ b/src/trefoilhoist/net/httpclient.h
@@ -22,6 +22,8 @@
     std::size_t maxBodyBytes = std::size_t{4} << 20U;
     /// When set, sent as Trefoilhoist-Correlation, and an answer with another value is an error.
     std::string correlation;
+    /// Connections kept idle to one endpoint; more are closed after their answer.
+    int maxIdle = 64;
     /// Opens a fresh connection and closes it after the answer.
     bool freshConnection = false;
 };
--- a/src/trefoilhoist/store/meteredstoreclient.cpp
+++ b/src/trefoilhoist/store/meteredstoreclient.cpp
@@ -78,7 +78,7 @@
         const auto end = state->clock.now() + state->budget.deadline;
         auto backoff = state->freshBackoff();
         while (true) {
-            const auto wait = state->reserve(kind, end - state->clock.now());
+            const auto wait = state->reserve(kind, std::max(Duration{}, end - state->clock.now()));
             if (!wait) {
                 state->count(name, "over_budget");
                 co_return tl::unexpected(StoreError{StoreFailure::NotDone, "the role's call budget is used up"});
--- a/tests/integration/requesthedge.cpp
+++ b/tests/integration/requesthedge.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <csignal>
+#include <string>
 
 using namespace Trefoilhoist;
 using namespace Trefoilhoist::Testing;
@@ -53,3 +54,29 @@
     EXPECT_LT(answersBesideAFrozenMinion(false, hedges), measuredRequests);
     EXPECT_LE(hedges, 0);
 }
+
+TEST(IdempotentRoutes_label, letsARepeatWithoutKeyRun)
+{
+    SitePlan plan;
+    plan.entries = 1;
+    plan.store = true;
+    Site site(plan);
+    const auto repeat = [&](const std::string &path) {
+        auto request = site.serviceRequest("PUT", "repeat");
+        request.target = "/services/lending" + path;
+        request.headers.set(attemptHeader, "2");
+        const auto result = site.call(site.entryAddress(0), request);
+        return result ? result->headers.get(verdictHeader) : result.error().reason;
+    };
+    EXPECT_EQ(repeat("/lots/7"), "may-have-run");
+    const auto labelled
+        = runToEnd("trefoilhoist-ctl",
+                   {"--store", site.storeAddress().str(), "label", "service/lending", "idempotent-routes=PUT:/lots"});
+    ASSERT_EQ(labelled.code, 0) << labelled.errors;
+    EXPECT_TRUE(eventually([&] { return repeat("/lots/7") == "ran"; }));
+    EXPECT_EQ(repeat("/lotsOfThem"), "may-have-run");
+    const auto refused
+        = runToEnd("trefoilhoist-ctl",
+                   {"--store", site.storeAddress().str(), "label", "service/lending", "idempotent-routes=PUT"});
+    EXPECT_EQ(refused.code, 2);
+}
--- a/tests/unit/config.cpp
+++ b/tests/unit/config.cpp
@@ -1,5 +1,6 @@
 #include "trefoilhoist/config/configsegment.h"
 #include "trefoilhoist/config/configtable.h"
+#include "trefoilhoist/config/routes.h"
 #include "trefoilhoist/config/selector.h"
 #include "trefoilhoist/store/base64.h"
 
@@ -165,3 +166,35 @@
     EXPECT_EQ(read->history.size(), configHistoryLength);
     EXPECT_EQ(read->history.front().version, 100 - static_cast<std::int64_t>(configHistoryLength) + 1);
 }
+
+TEST(Routes_texts, areReadOrRefusedWithTheirColumn)
+{
+    struct Case {
+        const char *text;
+        std::size_t routes;
+        std::size_t column;
+    };
+    for (const Case &it : {Case{"PUT:/lots", 1, 0},
+                           Case{"PUT:/lots,POST:/quotes/", 2, 0},
+                           Case{"", 0, 1},
+                           Case{"put:/lots", 0, 1},
+                           Case{"PUT:/lots,POST", 0, 11},
+                           Case{"PUT:lots", 0, 5},
+                           Case{"PUT:/a?b", 0, 5}}) {
+        const auto routes = parseRoutes(it.text);
+        EXPECT_EQ(routes ? routes->size() : 0, it.routes) << it.text;
+        EXPECT_EQ(routes ? 0 : routes.error().column, it.column) << it.text;
+    }
+}
+
+TEST(Routes_paths, matchAtWholeSegments)
+{
+    const auto routes = parseRoutes("PUT:/lots,POST:/quotes/");
+    ASSERT_TRUE(routes);
+    EXPECT_TRUE(routes->at(0).matches("PUT", "/lots"));
+    EXPECT_TRUE(routes->at(0).matches("PUT", "/lots/7"));
+    EXPECT_FALSE(routes->at(0).matches("PUT", "/lotsOfThem"));
+    EXPECT_FALSE(routes->at(0).matches("POST", "/lots"));
+    EXPECT_TRUE(routes->at(1).matches("POST", "/quotes/1"));
+    EXPECT_FALSE(routes->at(1).matches("POST", "/quotes"));
+}
--- a/tests/unit/store.cpp
+++ b/tests/unit/store.cpp
@@ -128,6 +128,16 @@
     EXPECT_EQ(counted("over_budget"), 1U);
 }
 
+TEST_F(MeteredStoreTest, callWithoutTimeToWait_isMadeOnceWithinTheBudget)
+{
+    m_budget = {"test", 40, 40, 20, Duration{}, 1};
+    m_store->writes = {failed(StoreFailure::NotDone), true};
+    const auto result = write();
+    ASSERT_FALSE(result);
+    EXPECT_EQ(m_store->calls, 1);
+    EXPECT_EQ(counted("over_budget"), 0U);
+}
+
 TEST(CallBudget_anyTimesOfCalls, keepToRateAndBurst)
 {
     CallBudget budget(10, 3);
--- a/tools/load/loadrun.cpp
+++ b/tools/load/loadrun.cpp
@@ -102,8 +102,15 @@
     for (const auto &[caller, counts] : callers) {
         byCaller[caller.str()] = countsJson(counts);
     }
-    return nlohmann::json{
-        {"callers", byCaller}, {"total", countsJson(total())}, {"orders", orders}, {"elapsedSeconds", elapsedSeconds}}
+    auto failed = nlohmann::json::array();
+    for (const auto &failure : failures) {
+        failed.push_back({{"sentAtMs", failure.sentAtMs}, {"verdict", failure.verdict}});
+    }
+    return nlohmann::json{{"callers", byCaller},
+                          {"total", countsJson(total())},
+                          {"orders", orders},
+                          {"failures", failed},
+                          {"elapsedSeconds", elapsedSeconds}}
         .dump();
 }
 
@@ -114,6 +121,7 @@
     Clock clock;
     std::mutex mutex;
     LoadReport report;
+    TimePoint startedAt{};
     std::set<std::size_t> unhealthy;
     std::size_t nextTarget = 0;
     std::atomic<int> open = 0;
@@ -217,6 +225,10 @@
         auto &counts = report.callers[shot.caller];
         ++counts.sent;
         const auto verdict = verdictOf(answer);
+        if (verdict != Verdict::Ran) {
+            const auto sentAt = duration_cast<milliseconds>(clock.now() - latency - startedAt).count();
+            report.failures.push_back({sentAt, std::string(verdictName(verdict))});
+        }
         if (shot.order) {
             report.orders[shot.requestId] = std::string(verdictName(verdict));
         }
@@ -254,6 +266,7 @@
 {
     auto state = m_state;
     const auto started = state->clock.now();
+    state->startedAt = started;
     std::uint64_t seed = state->plan.seed;
     int watchers = 0;
     if (state->plan.followHealth && !state->plan.direct) {
--- a/tools/load/loadrun.h
+++ b/tools/load/loadrun.h
@@ -46,8 +46,16 @@
     [[nodiscard]] std::int64_t quantileUs(double share) const;
 };
 
+/// A request that got no answer of its own, or a late one.
+struct LoadFailure {
+    /// Milliseconds after the start of the run at which the request was sent.
+    std::int64_t sentAtMs = 0;
+    std::string verdict;
+};
+
 /// The result of a run.
 struct LoadReport {
+    std::vector<LoadFailure> failures;
     std::map<CallerId, LoadCounts> callers;
     /// Request ids of non-idempotent requests and the verdict that their caller got.
     std::map<std::string, std::string> orders;
