--- a/src/trefoilhoist/net/httpserver.cpp
+++ b/src/trefoilhoist/net/httpserver.cpp
@@ -1,4 +1,5 @@
 #include "trefoilhoist/net/httpserver.h"
+#include "trefoilhoist/net/internal/acceptor.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -244,26 +245,10 @@
 
 tl::expected<std::uint16_t, std::string> HttpServer::listen(const Endpoint &endpoint)
 {
-    boost::system::error_code ec;
-    const auto address = Asio::ip::make_address(endpoint.host, ec);
-    if (ec) {
-        return tl::unexpected("\"" + endpoint.host + "\" is not an IP number");
+    auto port = Detail::openAcceptor(m_state->acceptor, endpoint);
+    if (port) {
+        spawnOn(m_state->acceptor.get_executor(), "http accept", [state = m_state] { return acceptLoop(state); });
     }
-    auto &acceptor = m_state->acceptor;
-    const Tcp::endpoint at(address, endpoint.port);
-    acceptor.open(at.protocol(), ec);
-    if (!ec) {
-        acceptor.set_option(Tcp::acceptor::reuse_address(true), ec);
-        acceptor.bind(at, ec);
-    }
-    if (!ec) {
-        acceptor.listen(Asio::socket_base::max_listen_connections, ec);
-    }
-    if (ec) {
-        return tl::unexpected("cannot listen on " + endpoint.str() + ": " + ec.message());
-    }
-    const auto port = acceptor.local_endpoint().port();
-    spawnOn(acceptor.get_executor(), "http accept", [state = m_state] { return acceptLoop(state); });
     return port;
 }
 
--- a/standins/faultproxy/faultlink.cpp
+++ b/standins/faultproxy/faultlink.cpp
@@ -1,5 +1,6 @@
 #include "faultlink.h"
 
+#include "trefoilhoist/net/internal/acceptor.h"
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -211,22 +212,12 @@
 
 tl::expected<Endpoint, std::string> FaultLink::start()
 {
-    boost::system::error_code ec;
-    auto &acceptor = m_state->acceptor;
-    const Tcp::endpoint at(Asio::ip::make_address(m_state->listen.host, ec), m_state->listen.port);
-    if (!ec) {
-        acceptor.open(at.protocol(), ec);
-        acceptor.set_option(Tcp::acceptor::reuse_address(true), ec);
-        acceptor.bind(at, ec);
+    const auto port = Detail::openAcceptor(m_state->acceptor, m_state->listen);
+    if (!port) {
+        return tl::unexpected(port.error());
     }
-    if (!ec) {
-        acceptor.listen(Asio::socket_base::max_listen_connections, ec);
-    }
-    if (ec) {
-        return tl::unexpected("cannot listen on " + m_state->listen.str() + ": " + ec.message());
-    }
-    spawnOn(acceptor.get_executor(), "fault accept", [state = m_state] { return state->acceptLoop(); });
-    return Endpoint{m_state->listen.host, acceptor.local_endpoint().port()};
+    spawnOn(m_state->acceptor.get_executor(), "fault accept", [state = m_state] { return state->acceptLoop(); });
+    return Endpoint{m_state->listen.host, *port};
 }
 
 void FaultLink::setFaults(const LinkFaults &faults)
