--- a/src/programs/entry/requestexecutor.cpp
+++ b/src/programs/entry/requestexecutor.cpp
@@ -91,9 +91,8 @@
     void ended(AttemptOutcome attempt)
     {
         --open;
-        if (!answered() && outcome.end != AttemptEnd::Lost) {
-            outcome = std::move(attempt);
-        } else if (!answered() && (attempt.end == AttemptEnd::Answered || attempt.end == AttemptEnd::ServerError)) {
+        const bool whole = attempt.end == AttemptEnd::Answered || attempt.end == AttemptEnd::ServerError;
+        if (!answered() && (whole || outcome.end != AttemptEnd::Lost)) {
             outcome = std::move(attempt);
         }
         timer.cancel();
