--- a/src/programs/burn/main.cpp
+++ b/src/programs/burn/main.cpp
@@ -1,7 +1,7 @@
 #include "burnrender.h"
 
 #include "trefoilhoist/net/httpclient.h"
-#include "trefoilhoist/net/program.h"
+#include "trefoilhoist/net/tool.h"
 
 #include <tclap/CmdLine.h>
 
@@ -34,8 +34,7 @@
     TCLAP::ValueArg<std::string> svg("g", "svg", "Write a picture to this file", false, "", "file", command);
     TCLAP::SwitchArg json("j", "json", "Print JSON", command);
     TCLAP::SwitchArg fail("x", "fail-on-fast-burn", "Exit with 3 when a budget burns fast", command);
-    command.setExceptionHandling(false);
-    command.parse(argc, argv);
+    parseCommandLine(command, argc, argv);
     if (entries.getValue().empty() && snapshots.getValue().empty()) {
         throw std::invalid_argument("name at least one --entry or --snapshot");
     }
@@ -110,18 +109,5 @@
 
 int main(int argc, char **argv)
 {
-    try {
-        return runBurn(parseOptions(argc, argv));
-    } catch (const TCLAP::ArgException &e) {
-        std::cerr << "trefoilhoist-burn: " << e.argId() << ": " << e.error() << '\n';
-        return exitBadSettings;
-    } catch (const TCLAP::ExitException &e) {
-        return e.getExitStatus();
-    } catch (const std::invalid_argument &e) {
-        std::cerr << "trefoilhoist-burn: " << e.what() << '\n';
-        return exitBadSettings;
-    } catch (const std::exception &e) {
-        std::cerr << "trefoilhoist-burn: " << e.what() << '\n';
-        return exitFailed;
-    }
+    return runTool("trefoilhoist-burn", [&] { return runBurn(parseOptions(argc, argv)); });
 }
--- a/src/programs/ctl/ctloptions.cpp
+++ b/src/programs/ctl/ctloptions.cpp
@@ -2,6 +2,8 @@
 
 #include "trefoilhoist/net/program.h"
 
+#include "trefoilhoist/net/tool.h"
+
 #include <tclap/CmdLine.h>
 
 #include <cstdlib>
@@ -42,8 +44,7 @@
     TCLAP::SwitchArg force("", "force", "Writes a selector that no known worker matches", line);
     TCLAP::UnlabeledMultiArg<std::string> words(
         "command", "get, label, select, diff, history, status, wait, jobs, owners, keys", true, "command", line);
-    line.setExceptionHandling(false);
-    line.parse(argc, argv);
+    parseCommandLine(line, argc, argv);
 
     Options options;
     options.stores = endpointsOf(store.getValue());
--- a/src/programs/ctl/main.cpp
+++ b/src/programs/ctl/main.cpp
@@ -1,9 +1,8 @@
 #include "ctlcommands.h"
-#include "trefoilhoist/net/program.h"
+#include "trefoilhoist/net/tool.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <glog/logging.h>
-#include <tclap/ArgException.h>
 
 #include <iostream>
 #include <optional>
@@ -34,16 +33,5 @@
     FLAGS_logtostderr = true;
     FLAGS_minloglevel = google::GLOG_ERROR;
     google::InitGoogleLogging(argv[0]);
-    try {
-        const int code = run(Ctl::parseOptions(argc, argv));
-        std::cout.flush();
-        return code;
-    } catch (const TCLAP::ArgException &e) {
-        std::cerr << "trefoilhoist-ctl: " << e.argId() << ": " << e.error() << '\n';
-    } catch (const TCLAP::ExitException &e) {
-        return e.getExitStatus();
-    } catch (const std::invalid_argument &e) {
-        std::cerr << "trefoilhoist-ctl: " << e.what() << '\n';
-    }
-    return exitBadSettings;
+    return runTool("trefoilhoist-ctl", [&] { return run(Ctl::parseOptions(argc, argv)); });
 }
--- a/src/programs/entry/entrysettings.cpp
+++ b/src/programs/entry/entrysettings.cpp
@@ -80,68 +80,73 @@
   "additionalProperties": false,
   "required": ["listen", "peerListen", "id", "zone"],
   "properties": {
-    "listen": {"type": "string"},
-    "peerListen": {"type": "string"},
-    "id": {"type": "string", "minLength": 1},
-    "zone": {"type": "string", "minLength": 1},
-    "peers": {"type": "array", "items": {"type": "string"}},
-    "store": {"type": "string"},
-    "cell": {"type": "string", "minLength": 1},
-    "placers": {"type": "array", "items": {"type": "string"}},
-    "threads": {"type": "integer", "minimum": 1, "maximum": 64},
+    "listen": {"description": "where callers, minions and operators reach this entry", "type": "string"},
+    "peerListen": {"description": "where other entries reach this entry", "type": "string"},
+    "id": {"description": "name of this entry; no two have the same", "type": "string", "minLength": 1},
+    "zone": {"description": "availability zone of this entry", "type": "string", "minLength": 1},
+    "peers": {"description": "peerListen addresses of the other entries", "type": "array", "items": {"type": "string"}},
+    "store": {"description": "address of the store; without one, jobs are refused and the configuration comes from peers", "type": "string"},
+    "cell": {"description": "cell that jobs go to", "type": "string", "minLength": 1},
+    "placers": {"description": "addresses of the placers", "type": "array", "items": {"type": "string"}},
+    "threads": {"description": "threads of the pool", "type": "integer", "minimum": 1, "maximum": 64},
     "limits": {
+      "description": "bounds on requests",
       "type": "object",
       "additionalProperties": false,
       "properties": {
-        "maxBodyBytes": {"type": "integer", "minimum": 1},
-        "maxHeaderBytes": {"type": "integer", "minimum": 256},
-        "requestTimeoutMs": {"type": "integer", "minimum": 1},
-        "idleTimeoutMs": {"type": "integer", "minimum": 1},
-        "maxConnections": {"type": "integer", "minimum": 1},
-        "defaultDeadlineMs": {"type": "integer", "minimum": 1},
-        "maxDeadlineMs": {"type": "integer", "minimum": 1},
-        "connectTimeoutMs": {"type": "integer", "minimum": 1},
-        "maxAnswerBytes": {"type": "integer", "minimum": 1},
-        "maxAttempts": {"type": "integer", "minimum": 1}
+        "maxBodyBytes": {"description": "largest request body", "type": "integer", "minimum": 1},
+        "maxHeaderBytes": {"description": "largest request header", "type": "integer", "minimum": 256},
+        "requestTimeoutMs": {"description": "time for a request to arrive whole", "type": "integer", "minimum": 1},
+        "idleTimeoutMs": {"description": "an idle connection is closed after this", "type": "integer", "minimum": 1},
+        "maxConnections": {"description": "connections of callers at once", "type": "integer", "minimum": 1},
+        "defaultDeadlineMs": {"description": "deadline of a request that names none", "type": "integer", "minimum": 1},
+        "maxDeadlineMs": {"description": "longest deadline that a request may name", "type": "integer", "minimum": 1},
+        "connectTimeoutMs": {"description": "time to connect to a minion", "type": "integer", "minimum": 1},
+        "maxAnswerBytes": {"description": "largest answer of a minion", "type": "integer", "minimum": 1},
+        "maxAttempts": {"description": "first attempt and retries together", "type": "integer", "minimum": 1}
       }
     },
     "routing": {
+      "description": "how requests are routed",
       "type": "object",
       "additionalProperties": false,
       "properties": {
-        "policy": {"enum": ["least-in-flight", "power-of-two", "fair-share"]},
-        "maxQueued": {"type": "integer", "minimum": 0},
-        "retryBudget": {"type": "number", "minimum": 0, "maximum": 1},
-        "maxEjected": {"type": "number", "minimum": 0, "maximum": 1},
-        "hedging": {"type": "boolean"},
-        "seed": {"type": "integer", "minimum": 0}
+        "policy": {"description": "how requests are spread over minions", "type": "string", "enum": ["least-in-flight", "power-of-two", "fair-share"]},
+        "maxQueued": {"description": "requests waiting per service", "type": "integer", "minimum": 0},
+        "retryBudget": {"description": "retries and hedges as a share of first attempts", "type": "number", "minimum": 0, "maximum": 1},
+        "maxEjected": {"description": "largest share of the minions of a service that is ejected at once", "type": "number", "minimum": 0, "maximum": 1},
+        "hedging": {"description": "a second attempt of an idempotent request that waits unusually long", "type": "boolean"},
+        "seed": {"description": "seed of random choices", "type": "integer", "minimum": 0}
       }
     },
     "membership": {
+      "description": "times of the membership protocol",
       "type": "object",
       "additionalProperties": false,
       "properties": {
-        "heartbeatMs": {"type": "integer", "minimum": 1},
-        "livenessMs": {"type": "integer", "minimum": 1}
+        "heartbeatMs": {"description": "how often minions are told to announce themselves", "type": "integer", "minimum": 1},
+        "livenessMs": {"description": "a minion unheard for this long is gone", "type": "integer", "minimum": 1}
       }
     },
     "claims": {
+      "description": "bounds on at-most-once claims",
       "type": "object",
       "additionalProperties": false,
       "properties": {
-        "retentionMs": {"type": "integer", "minimum": 1},
-        "collectTimeoutMs": {"type": "integer", "minimum": 1},
-        "maxClaims": {"type": "integer", "minimum": 1},
-        "maxAnswerBytes": {"type": "integer", "minimum": 0},
-        "maxTotalAnswerBytes": {"type": "integer", "minimum": 0}
+        "retentionMs": {"description": "how long a key is remembered after its last change", "type": "integer", "minimum": 1},
+        "collectTimeoutMs": {"description": "time for the holders of a key to grant it", "type": "integer", "minimum": 1},
+        "maxClaims": {"description": "keys remembered at once", "type": "integer", "minimum": 1},
+        "maxAnswerBytes": {"description": "largest answer kept for a replay", "type": "integer", "minimum": 0},
+        "maxTotalAnswerBytes": {"description": "all kept answers together", "type": "integer", "minimum": 0}
       }
     },
     "stop": {
+      "description": "the graceful stop",
       "type": "object",
       "additionalProperties": false,
       "properties": {
-        "graceMs": {"type": "integer", "minimum": 0},
-        "drainMs": {"type": "integer", "minimum": 0}
+        "graceMs": {"description": "how long a stopping entry still takes requests while health says unready", "type": "integer", "minimum": 0},
+        "drainMs": {"description": "how long requests in flight may take to finish after the grace", "type": "integer", "minimum": 0}
       }
     }
   }
--- a/src/programs/placer/main.cpp
+++ b/src/programs/placer/main.cpp
@@ -8,26 +8,26 @@
   "type": "object", "additionalProperties": false,
   "required": ["id", "listen", "store", "cell"],
   "properties": {
-    "id": {"type": "string", "minLength": 1},
-    "listen": {"type": "string"},
-    "zone": {"type": "string"},
-    "store": {"type": "array", "minItems": 1, "items": {"type": "string"}},
-    "storeTimeoutMs": {"type": "integer", "minimum": 1},
-    "cell": {"type": "string", "minLength": 1},
-    "threads": {"type": "integer", "minimum": 1},
-    "leaseMs": {"type": "integer", "minimum": 100},
-    "syncMs": {"type": "integer", "minimum": 10},
-    "outageGraceMs": {"type": "integer", "minimum": 0},
-    "keepEndedMs": {"type": "integer", "minimum": 0},
-    "checkpointTimeoutMs": {"type": "integer", "minimum": 1},
-    "storeLeaseMs": {"type": "integer", "minimum": 1000},
-    "heartbeatMs": {"type": "integer", "minimum": 10},
-    "policy": {"type": "string", "enum": ["random-fit", "best-fit", "interference-aware"]},
-    "weights": {"type": "object", "additionalProperties": false, "properties": {
-      "tailLatency": {"type": "number", "minimum": 0},
-      "throughput": {"type": "number", "minimum": 0},
-      "evictions": {"type": "number", "minimum": 0}}},
-    "seed": {"type": "integer", "minimum": 0}
+    "id": {"description": "name of this placer", "type": "string", "minLength": 1},
+    "listen": {"description": "where workers and operators reach this placer", "type": "string"},
+    "zone": {"description": "availability zone of this placer, for its log", "type": "string"},
+    "store": {"description": "addresses of the store", "type": "array", "minItems": 1, "items": {"type": "string"}},
+    "storeTimeoutMs": {"description": "time for one call to the store", "type": "integer", "minimum": 1},
+    "cell": {"description": "cell that this placer may own", "type": "string", "minLength": 1},
+    "threads": {"description": "threads of the pool", "type": "integer", "minimum": 1},
+    "leaseMs": {"description": "lease of a worker; the same on all placers of a cell", "type": "integer", "minimum": 100},
+    "syncMs": {"description": "time between two syncs with a worker", "type": "integer", "minimum": 10},
+    "outageGraceMs": {"description": "how long running tasks are renewed without the store; the same on all placers of a cell", "type": "integer", "minimum": 0},
+    "keepEndedMs": {"description": "how long an ended job is remembered", "type": "integer", "minimum": 0},
+    "checkpointTimeoutMs": {"description": "time for a checkpoint before a task is stopped without one", "type": "integer", "minimum": 1},
+    "storeLeaseMs": {"description": "lease of the cell's owner in the store", "type": "integer", "minimum": 1000},
+    "heartbeatMs": {"description": "how often workers are told to announce themselves", "type": "integer", "minimum": 10},
+    "policy": {"description": "policy of placement", "type": "string", "enum": ["random-fit", "best-fit", "interference-aware"]},
+    "weights": {"description": "how the measures are weighed where labels say nothing", "type": "object", "additionalProperties": false, "properties": {
+      "tailLatency": {"description": "weight of tail latency", "type": "number", "minimum": 0},
+      "throughput": {"description": "weight of finished batch work", "type": "number", "minimum": 0},
+      "evictions": {"description": "weight of evictions", "type": "number", "minimum": 0}}},
+    "seed": {"description": "seed of random choices", "type": "integer", "minimum": 0}
   }
 })";
 
--- a/src/programs/placer/placer.cpp
+++ b/src/programs/placer/placer.cpp
@@ -74,6 +74,8 @@
     if (!port) {
         return tl::unexpected(port.error());
     }
+    LOG(INFO) << "event=started placer=" << m_settings.id << " cell=" << m_settings.owner.cell
+              << " zone=" << m_settings.zone;
     m_agent->startWatching(m_runtime.executor());
     m_lease->start(m_runtime.executor());
     spawnOn(m_strand, "placer_tick", [this] { return tickLoop(); });
--- a/standins/faultproxy/main.cpp
+++ b/standins/faultproxy/main.cpp
@@ -15,11 +15,11 @@
   "type": "object", "additionalProperties": false,
   "required": ["control", "links"],
   "properties": {
-    "control": {"type": "string"},
-    "threads": {"type": "integer", "minimum": 1},
-    "links": {"type": "object", "additionalProperties": {
+    "control": {"description": "address where faults are switched", "type": "string"},
+    "threads": {"description": "threads of the pool", "type": "integer", "minimum": 1},
+    "links": {"description": "links by name", "type": "object", "additionalProperties": {
       "type": "object", "additionalProperties": false, "required": ["listen", "target"],
-      "properties": {"listen": {"type": "string"}, "target": {"type": "string"}}}}
+      "properties": {"listen": {"type": "string"}, "target": {"description": "where it leads", "type": "string"}}}}
   }
 })";
 
--- a/standins/minion/main.cpp
+++ b/standins/minion/main.cpp
@@ -8,21 +8,21 @@
   "type": "object", "additionalProperties": false,
   "required": ["id", "listen", "zone", "service", "entries"],
   "properties": {
-    "id": {"type": "string", "minLength": 1},
-    "listen": {"type": "string"},
-    "advertise": {"type": "string"},
-    "zone": {"type": "string"},
-    "service": {"type": "string"},
-    "labels": {"type": "object", "additionalProperties": {"type": "string"}},
-    "slots": {"type": "integer", "minimum": 1},
-    "connections": {"type": "integer", "minimum": 1},
-    "entries": {"type": "array", "items": {"type": "string"}},
-    "medianServiceMs": {"type": "number", "minimum": 0.001},
-    "sigma": {"type": "number", "minimum": 0},
-    "heartbeatMs": {"type": "integer", "minimum": 1},
-    "leaveGraceMs": {"type": "integer", "minimum": 0},
-    "threads": {"type": "integer", "minimum": 1},
-    "seed": {"type": "integer", "minimum": 0}
+    "id": {"description": "name of the minion", "type": "string", "minLength": 1},
+    "listen": {"description": "address of the minion", "type": "string"},
+    "advertise": {"description": "address to announce when it differs, for example behind the fault proxy", "type": "string"},
+    "zone": {"description": "availability zone", "type": "string"},
+    "service": {"description": "service that it is an instance of", "type": "string"},
+    "labels": {"description": "labels to announce", "type": "object", "additionalProperties": {"type": "string"}},
+    "slots": {"description": "requests served at once", "type": "integer", "minimum": 1},
+    "connections": {"description": "connections taken at once", "type": "integer", "minimum": 1},
+    "entries": {"description": "entries to announce to", "type": "array", "items": {"type": "string"}},
+    "medianServiceMs": {"description": "median service time", "type": "number", "minimum": 0.001},
+    "sigma": {"description": "spread of the log-normal service time", "type": "number", "minimum": 0},
+    "heartbeatMs": {"description": "time between announcements", "type": "integer", "minimum": 1},
+    "leaveGraceMs": {"description": "how long a stopping minion still serves", "type": "integer", "minimum": 0},
+    "threads": {"description": "threads of the pool", "type": "integer", "minimum": 1},
+    "seed": {"description": "seed of service times", "type": "integer", "minimum": 0}
   }
 })";
 
--- a/standins/store/main.cpp
+++ b/standins/store/main.cpp
@@ -15,10 +15,10 @@
     "additionalProperties": false,
     "required": ["listen"],
     "properties": {
-        "listen": {"type": "string"},
-        "threads": {"type": "integer", "minimum": 1},
-        "seed": {"type": "integer", "minimum": 0},
-        "dataFile": {"type": "string"}
+        "listen": {"description": "address of the store", "type": "string"},
+        "threads": {"description": "threads of the pool", "type": "integer", "minimum": 1},
+        "seed": {"description": "seed of the faults", "type": "integer", "minimum": 0},
+        "dataFile": {"description": "file that keeps the data over a kill", "type": "string"}
     }
 })";
 
--- a/tools/load/main.cpp
+++ b/tools/load/main.cpp
@@ -1,7 +1,7 @@
 #include "announcerun.h"
 #include "loadrun.h"
 
-#include "trefoilhoist/net/program.h"
+#include "trefoilhoist/net/tool.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <tclap/CmdLine.h>
@@ -43,8 +43,7 @@
     TCLAP::ValueArg<int> heartbeat(
         "b", "heartbeat-ms", "With --announce: how often each is announced", false, 500, "milliseconds", command);
     TCLAP::SwitchArg direct("x", "direct", "The targets are minions", command);
-    command.setExceptionHandling(false);
-    command.parse(argc, argv);
+    parseCommandLine(command, argc, argv);
 
     Options options;
     for (const auto &target : targets.getValue()) {
@@ -121,16 +120,8 @@
 
 int main(int argc, char **argv)
 {
-    try {
+    return runTool("trefoilhoist-load", [&] {
         const auto options = parseOptions(argc, argv);
         return options.announce.minions > 0 ? runAnnounce(options) : runLoad(options);
-    } catch (const TCLAP::ArgException &e) {
-        std::cerr << "trefoilhoist-load: " << e.argId() << ": " << e.error() << '\n';
-        return exitBadSettings;
-    } catch (const TCLAP::ExitException &e) {
-        return e.getExitStatus();
-    } catch (const std::exception &e) {
-        std::cerr << "trefoilhoist-load: " << e.what() << '\n';
-        return exitBadSettings;
-    }
+    });
 }
--- a/tools/placement-slopes/main.cpp
+++ b/tools/placement-slopes/main.cpp
@@ -1,3 +1,4 @@
+#include "trefoilhoist/net/tool.h"
 #include "trefoilhoist/placement/cellowner.h"
 #include "trefoilhoist/placement/workeragent.h"
 
@@ -220,16 +221,18 @@
 
 int main(int argc, char **argv)
 {
-    TCLAP::CmdLine command("Measures a cell owner over workers in one process", ' ', TREFOILHOIST_VERSION);
-    TCLAP::SwitchArg slopes("", "slopes", "Three sizes up to 1,000 workers", command);
-    TCLAP::ValueArg<int> workers("w", "workers", "Workers of one measurement", false, 100, "number", command);
-    command.parse(argc, argv);
-    if (!slopes.getValue()) {
-        measure(workers.getValue());
-        return 0;
-    }
-    for (const int size : {100, 300, 1000}) {
-        measure(size);
-    }
-    return 0;
+    return runTool("trefoilhoist-placement-slopes", [&] {
+        TCLAP::CmdLine command("Measures a cell owner over workers in one process", ' ', TREFOILHOIST_VERSION);
+        TCLAP::SwitchArg slopes("", "slopes", "Three sizes up to 1,000 workers", command);
+        TCLAP::ValueArg<int> workers("w", "workers", "Workers of one measurement", false, 100, "number", command);
+        parseCommandLine(command, argc, argv);
+        if (!slopes.getValue()) {
+            measure(workers.getValue());
+            return exitOk;
+        }
+        for (const int size : {100, 300, 1000}) {
+            measure(size);
+        }
+        return exitOk;
+    });
 }
--- a/tools/placement-trial/main.cpp
+++ b/tools/placement-trial/main.cpp
@@ -1,4 +1,5 @@
 #include "slopes.h"
+#include "trefoilhoist/net/tool.h"
 #include "trialworld.h"
 
 #include <tclap/CmdLine.h>
@@ -251,52 +252,49 @@
     }
 }
 
+int runTrial(int argc, char **argv)
+{
+    TCLAP::CmdLine command(
+        "Compares placement policies on seeded traces of both deployments", ' ', TREFOILHOIST_VERSION);
+    TCLAP::ValueArg<std::uint64_t> seed("", "seed", "First seed", false, 1, "number", command);
+    TCLAP::ValueArg<int> seeds("", "seeds", "Number of seeds", false, 20, "number", command);
+    TCLAP::ValueArg<int> threads("", "threads", "Threads", false, 4, "number", command);
+    TCLAP::ValueArg<double> demand("", "demand", "Batch demand as a part of the room", false, 0.75, "part", command);
+    TCLAP::ValueArg<int> length("", "seconds", "Length of a trace", false, 1200, "seconds", command);
+    TCLAP::ValueArg<std::string> only("", "policy", "Only this policy", false, "", "name", command);
+    TCLAP::MultiArg<std::string> set(
+        "", "set", "Changes a setting of interference-aware", false, "name=value", command);
+    TCLAP::SwitchArg slopes("", "slopes", "Print what decisions cost by size instead", command);
+    parseCommandLine(command, argc, argv);
+    if (slopes.getValue()) {
+        printSlopes();
+        return 0;
+    }
+    TrialPlan plan;
+    plan.first = seed.getValue();
+    plan.count = std::max(seeds.getValue(), 1);
+    plan.threads = std::max(threads.getValue(), 1);
+    if (const auto kind = policyKindFromName(only.getValue())) {
+        plan.kinds = {*kind};
+    } else if (!only.getValue().empty()) {
+        throw std::invalid_argument("no policy is named \"" + only.getValue() + "\"");
+    }
+    for (const auto &text : set.getValue()) {
+        if (!change(plan.settings.interference, text)) {
+            throw std::invalid_argument("no setting in \"" + text + "\"");
+        }
+    }
+    for (auto shape : {formownia(), steppeOrchid()}) {
+        shape.demand = demand.getValue();
+        shape.length = seconds(length.getValue());
+        compare(shape, plan);
+    }
+    return exitOk;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
 {
-    try {
-        TCLAP::CmdLine command(
-            "Compares placement policies on seeded traces of both deployments", ' ', TREFOILHOIST_VERSION);
-        TCLAP::ValueArg<std::uint64_t> seed("", "seed", "First seed", false, 1, "number", command);
-        TCLAP::ValueArg<int> seeds("", "seeds", "Number of seeds", false, 20, "number", command);
-        TCLAP::ValueArg<int> threads("", "threads", "Threads", false, 4, "number", command);
-        TCLAP::ValueArg<double> demand(
-            "", "demand", "Batch demand as a part of the room", false, 0.75, "part", command);
-        TCLAP::ValueArg<int> length("", "seconds", "Length of a trace", false, 1200, "seconds", command);
-        TCLAP::ValueArg<std::string> only("", "policy", "Only this policy", false, "", "name", command);
-        TCLAP::MultiArg<std::string> set(
-            "", "set", "Changes a setting of interference-aware", false, "name=value", command);
-        TCLAP::SwitchArg slopes("", "slopes", "Print what decisions cost by size instead", command);
-        command.parse(argc, argv);
-        if (slopes.getValue()) {
-            printSlopes();
-            return 0;
-        }
-        TrialPlan plan;
-        plan.first = seed.getValue();
-        plan.count = std::max(seeds.getValue(), 1);
-        plan.threads = std::max(threads.getValue(), 1);
-        if (const auto kind = policyKindFromName(only.getValue())) {
-            plan.kinds = {*kind};
-        } else if (!only.getValue().empty()) {
-            std::cerr << "error: no policy is named " << only.getValue() << '\n';
-            return 1;
-        }
-        for (const auto &text : set.getValue()) {
-            if (!change(plan.settings.interference, text)) {
-                std::cerr << "error: no setting in " << text << '\n';
-                return 1;
-            }
-        }
-        for (auto shape : {formownia(), steppeOrchid()}) {
-            shape.demand = demand.getValue();
-            shape.length = seconds(length.getValue());
-            compare(shape, plan);
-        }
-    } catch (const TCLAP::ArgException &error) {
-        std::cerr << "error: " << error.error() << " for " << error.argId() << '\n';
-        return 1;
-    }
-    return 0;
+    return runTool("trefoilhoist-placement-trial", [&] { return runTrial(argc, argv); });
 }
--- a/tools/placement-trial/trialworld.h
+++ b/tools/placement-trial/trialworld.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "latencyhistogram.h"
+
 #include "tools/placement-trial/trialshape.h"
 #include "trefoilhoist/placement/policies/policysettings.h"
 #include "trefoilhoist/placement/policy.h"
@@ -14,21 +16,6 @@
 
 namespace Trefoilhoist::Trial {
 
-/// Latencies by logarithmic bins.
-class LatencyHistogram
-{
-public:
-    void add(double ms, double weight);
-    /// The latency below which `part` of the weight lies, in milliseconds.
-    [[nodiscard]] double quantile(double part) const;
-    [[nodiscard]] double shareAbove(double ms) const;
-
-private:
-    [[nodiscard]] static std::size_t binOf(double ms);
-    std::map<std::size_t, double> m_bins;
-    double m_total = 0;
-};
-
 /// What one run of one policy came to.
 struct TrialResult {
     /// Of the first service, in milliseconds.
--- a/tools/routing-trial/main.cpp
+++ b/tools/routing-trial/main.cpp
@@ -1,5 +1,6 @@
 #include "comparison.h"
 #include "slopes.h"
+#include "trefoilhoist/net/tool.h"
 
 #include <tclap/CmdLine.h>
 
@@ -38,8 +39,7 @@
     TCLAP::SwitchArg hedging("g", "hedging", "Compare with and without hedging instead", command);
     TCLAP::SwitchArg slopes("s", "slopes", "Measure memory and processor time by the number of minions", command);
     TCLAP::ValueArg<std::string> json("j", "json", "Write every result to this file", false, "", "file", command);
-    command.setExceptionHandling(false);
-    command.parse(argc, argv);
+    parseCommandLine(command, argc, argv);
     return {seed.getValue(),
             seeds.getValue(),
             threads.getValue(),
@@ -97,19 +97,13 @@
 
 int main(int argc, char **argv)
 {
-    try {
+    return runTool("trefoilhoist-routing-trial", [&] {
         const auto options = parseOptions(argc, argv);
         if (options.slopes) {
             measureSlopes();
         } else {
             compare(options);
         }
-        return 0;
-    } catch (const TCLAP::ArgException &e) {
-        std::cerr << "trefoilhoist-routing-trial: " << e.error() << " " << e.argId() << '\n';
-        return 2;
-    } catch (const std::exception &e) {
-        std::cerr << "trefoilhoist-routing-trial: " << e.what() << '\n';
-        return 1;
-    }
+        return exitOk;
+    });
 }
