--- a/src/programs/ctl/ctloptions.cpp
+++ b/src/programs/ctl/ctloptions.cpp
@@ -1,7 +1,5 @@
 #include "ctloptions.h"
 
-#include "trefoilhoist/net/program.h"
-
 #include "trefoilhoist/net/tool.h"
 
 #include <tclap/CmdLine.h>
--- a/src/programs/entry/requestexecutor.cpp
+++ b/src/programs/entry/requestexecutor.cpp
@@ -257,6 +257,7 @@
 
 awaitable<void> RequestExecutor::hedge(std::shared_ptr<Flight> flight, RouteRequest routed)
 {
+    TREFOILHOIST_INVARIANT(flight->request->idempotent, "P6 at most once");
     const auto now = m_state->clock.now();
     if (!m_state->router.takeRetry(routed.service, now)) {
         co_return;
