--- a/tests/harness/batchsite.cpp
+++ b/tests/harness/batchsite.cpp
@@ -203,10 +203,18 @@
     return call(m_placers.at(static_cast<std::size_t>(placer)).address, "GET", path, "");
 }
 
+Finished BatchSite::ctl(std::vector<std::string> arguments) const
+{
+    arguments.insert(arguments.begin(), {"--store", m_store.address.str()});
+    for (const auto &placer : m_placers) {
+        arguments.insert(arguments.begin(), {"--process", placer.address.str()});
+    }
+    return runToEnd("trefoilhoist-ctl", arguments);
+}
+
 void BatchSite::labelWorker(int worker, const std::string &label)
 {
-    const auto finished = Testing::runToEnd(
-        "trefoilhoist-ctl", {"--store", m_store.address.str(), "label", "worker/w" + std::to_string(worker), label});
+    const auto finished = ctl({"label", "worker/w" + std::to_string(worker), label});
     EXPECT_EQ(finished.code, 0) << finished.output << finished.errors;
 }
 
--- a/tests/harness/batchsite.h
+++ b/tests/harness/batchsite.h
@@ -45,6 +45,9 @@
     /// Sets labels of a worker as operators do.
     void labelWorker(int worker, const std::string &label);
 
+    /// Runs trefoilhoist-ctl against the store and all placers.
+    [[nodiscard]] Finished ctl(std::vector<std::string> arguments) const;
+
     /// The index of the placer that owns the cell, or -1.
     [[nodiscard]] int owner();
     [[nodiscard]] nlohmann::json get(int placer, const std::string &path);
--- a/tests/integration/requeststop.cpp
+++ b/tests/integration/requeststop.cpp
@@ -42,6 +42,22 @@
     EXPECT_EQ(site.entry(0).wait(), 0);
 }
 
+// With neither grace nor drain the same stop cuts the request: the drain is what keeps the promise.
+TEST(Entry_stoppedWithoutDrain, cutsTheRequestInFlight)
+{
+    SitePlan plan;
+    plan.entries = 1;
+    plan.minions = 1;
+    plan.medianServiceMs = 1500;
+    plan.minionSettings = {{"sigma", 0.0}};
+    plan.entrySettings = {{"stop", {{"graceMs", 0}, {"drainMs", 0}}}};
+    Site site(plan);
+    auto early = site.callLater(site.entryAddress(0), site.serviceRequest("POST", "early"));
+    ASSERT_TRUE(eventually([&] { return site.executionsOf("early") == 1; }));
+    site.entry(0).signal(SIGTERM);
+    EXPECT_NE(verdictOf(early.get()), "ran");
+}
+
 TEST(Entries_restartedInTurnUnderLoad, failNoRequest)
 {
     SitePlan plan;
--- a/tests/unit/foundation.cpp
+++ b/tests/unit/foundation.cpp
@@ -121,6 +121,24 @@
     }
 }
 
+// Without the correlation the client can't tell whose answer it is: the check is what keeps the promise.
+TEST_F(NetTest, httpCall_answerOfAnotherRequestUnchecked_isTaken)
+{
+    HttpServer server(m_context.get_executor(), {}, [](HttpRequest) -> awaitable<HttpResponse> {
+        auto response = textResponse(200, "other");
+        response.headers.set(correlationHeader, "someone-else");
+        co_return response;
+    });
+    const auto port = server.listen({"127.0.0.1", 0});
+    ASSERT_TRUE(port);
+    HttpClient client(m_context.get_executor());
+    const auto result = await<tl::expected<HttpResponse, CallError>>([&] {
+        return client.call({"127.0.0.1", *port}, HttpRequest{}, HttpCallOptions{});
+    });
+    ASSERT_TRUE(result);
+    EXPECT_EQ(result->body, "other");
+}
+
 TEST_F(NetTest, httpCall_answerOfAnotherRequest_isAnError)
 {
     HttpServer server(m_context.get_executor(), {}, [](HttpRequest) -> awaitable<HttpResponse> {
