--- a/tools/scripts/sitetools.py
+++ b/tools/scripts/sitetools.py
@@ -13,6 +13,7 @@
 DEFAULT_BIN = os.path.join(ROOT, "build", "bin")
 READY_LIMIT_S = 30
 LOG_LINES = 8
+TICKS = os.sysconf("SC_CLK_TCK")
 
 
 def readSite(path):
@@ -148,3 +149,9 @@
         return 0
     known = json.loads(body)
     return len(known["minions"] if isinstance(known, dict) else known)
+
+
+def processorSeconds(pid):
+    with open(f"/proc/{pid}/stat", encoding="ascii") as file:
+        fields = file.read().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS
