Refuse an address that can't be read in one place, for every program

The entry's own catch was a special case on top of runProgram, which now does it for all; two net tests share one server.

--- a/src/trefoilhoist/net/program.cpp
+++ b/src/trefoilhoist/net/program.cpp
@@ -171,6 +171,10 @@
     } catch (const StartError &e) {
         std::cerr << info.name << ": " << e.what() << '\n';
         return exitBadSettings;
+    } catch (const std::invalid_argument &e) {
+        // A value that the schema can't judge, for example an address without a port.
+        std::cerr << info.name << ": " << SettingsError{options.settingsFile, "/", e.what()}.str() << '\n';
+        return exitBadSettings;
     }
     const int code = runtime->run();
     std::cout.flush();
--- a/tests/integration/commandline.cpp
+++ b/tests/integration/commandline.cpp
@@ -121,6 +121,14 @@
     expectRefused(settings(taken.local_endpoint().port()), GetParam().listenPlace, "in use");
 }
 
+TEST_P(ProgramTest, addressWithoutPort_stopsAtOnceWithTheAddress)
+{
+    auto text = GetParam().settings;
+    const std::string address = "127.0.0.1:PORT";
+    text.replace(text.find(address), address.size(), "nowhere");
+    expectRefused(text, "/", "nowhere");
+}
+
 TEST_P(ProgramTest, missingFile_stopsAtOnceWithItsName)
 {
     const auto finished = runToEnd(GetParam().name, {"--settings", "no-such-file.json"});
--- a/tests/unit/foundation.cpp
+++ b/tests/unit/foundation.cpp
@@ -50,6 +50,23 @@
         return future.get();
     }
 
+    // Calls a server whose every answer carries another request's correlation.
+    tl::expected<HttpResponse, CallError> callForeignServer(const std::string &correlation)
+    {
+        HttpServer server(m_context.get_executor(), {}, [](HttpRequest) -> awaitable<HttpResponse> {
+            auto response = textResponse(200, "other");
+            response.headers.set(correlationHeader, "someone-else");
+            co_return response;
+        });
+        const auto port = server.listen({"127.0.0.1", 0}).value();
+        HttpClient client(m_context.get_executor());
+        return await<tl::expected<HttpResponse, CallError>>([&] {
+            HttpCallOptions options;
+            options.correlation = correlation;
+            return client.call({"127.0.0.1", port}, HttpRequest{}, options);
+        });
+    }
+
     Asio::io_context m_context;
     std::thread m_thread;
 };
@@ -124,36 +141,14 @@
 // Without the correlation the client can't tell whose answer it is: the check is what keeps the promise.
 TEST_F(NetTest, httpCall_answerOfAnotherRequestUnchecked_isTaken)
 {
-    HttpServer server(m_context.get_executor(), {}, [](HttpRequest) -> awaitable<HttpResponse> {
-        auto response = textResponse(200, "other");
-        response.headers.set(correlationHeader, "someone-else");
-        co_return response;
-    });
-    const auto port = server.listen({"127.0.0.1", 0});
-    ASSERT_TRUE(port);
-    HttpClient client(m_context.get_executor());
-    const auto result = await<tl::expected<HttpResponse, CallError>>([&] {
-        return client.call({"127.0.0.1", *port}, HttpRequest{}, HttpCallOptions{});
-    });
+    const auto result = callForeignServer({});
     ASSERT_TRUE(result);
     EXPECT_EQ(result->body, "other");
 }
 
 TEST_F(NetTest, httpCall_answerOfAnotherRequest_isAnError)
 {
-    HttpServer server(m_context.get_executor(), {}, [](HttpRequest) -> awaitable<HttpResponse> {
-        auto response = textResponse(200, "other");
-        response.headers.set(correlationHeader, "someone-else");
-        co_return response;
-    });
-    const auto port = server.listen({"127.0.0.1", 0});
-    ASSERT_TRUE(port);
-    HttpClient client(m_context.get_executor());
-    const auto result = await<tl::expected<HttpResponse, CallError>>([&] {
-        HttpCallOptions options;
-        options.correlation = "mine";
-        return client.call({"127.0.0.1", *port}, HttpRequest{}, options);
-    });
+    const auto result = callForeignServer("mine");
     ASSERT_FALSE(result);
     EXPECT_EQ(result.error().verdict, Verdict::MayHaveRun);
 }
