--- a/idl/gen/messages_types.cpp
+++ b/idl/gen/messages_types.cpp
@@ -28,7 +28,13 @@
   JobForwardKind,
   JobReplyKind,
   ClaimPageRequestKind,
-  ClaimPageKind
+  ClaimPageKind,
+  SubmitJobKind,
+  JobQueryKind,
+  CancelJobKind,
+  QueueQueryKind,
+  WorkerReportKind,
+  WorkerOrdersKind
 };
 const char* _kMessageKindNames[] = {
   "HelloKind",
@@ -45,9 +51,15 @@
   "JobForwardKind",
   "JobReplyKind",
   "ClaimPageRequestKind",
-  "ClaimPageKind"
+  "ClaimPageKind",
+  "SubmitJobKind",
+  "JobQueryKind",
+  "CancelJobKind",
+  "QueueQueryKind",
+  "WorkerReportKind",
+  "WorkerOrdersKind"
 };
-const std::map<int, const char*> _MessageKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(15, _kMessageKindValues, _kMessageKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _MessageKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(21, _kMessageKindValues, _kMessageKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const MessageKind val) {
   std::map<int, const char*>::const_iterator it = _MessageKind_VALUES_TO_NAMES.find(val);
@@ -3979,4 +3991,4659 @@
   out << ")";
 }
 
+
+QueuePolicy::~QueuePolicy() noexcept {
+}
+
+
+void QueuePolicy::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void QueuePolicy::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void QueuePolicy::__set_priority(const int32_t val) {
+  this->priority = val;
+}
+
+void QueuePolicy::__set_maxAttempts(const int32_t val) {
+  this->maxAttempts = val;
+}
+
+void QueuePolicy::__set_stretch(const double val) {
+  this->stretch = val;
+}
+
+void QueuePolicy::__set_targetLatencyMs(const int64_t val) {
+  this->targetLatencyMs = val;
+}
+
+void QueuePolicy::__set_needsPermit(const bool val) {
+  this->needsPermit = val;
+}
+std::ostream& operator<<(std::ostream& out, const QueuePolicy& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QueuePolicy::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->maxAttempts);
+          this->__isset.maxAttempts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->stretch);
+          this->__isset.stretch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->targetLatencyMs);
+          this->__isset.targetLatencyMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->needsPermit);
+          this->__isset.needsPermit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t QueuePolicy::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QueuePolicy");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->priority);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("maxAttempts", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->maxAttempts);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("stretch", ::apache::thrift::protocol::T_DOUBLE, 5);
+  xfer += oprot->writeDouble(this->stretch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("targetLatencyMs", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->targetLatencyMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("needsPermit", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->needsPermit);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QueuePolicy &a, QueuePolicy &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.serviceName, b.serviceName);
+  swap(a.priority, b.priority);
+  swap(a.maxAttempts, b.maxAttempts);
+  swap(a.stretch, b.stretch);
+  swap(a.targetLatencyMs, b.targetLatencyMs);
+  swap(a.needsPermit, b.needsPermit);
+  swap(a.__isset, b.__isset);
+}
+
+QueuePolicy::QueuePolicy(const QueuePolicy& other165) {
+  name = other165.name;
+  serviceName = other165.serviceName;
+  priority = other165.priority;
+  maxAttempts = other165.maxAttempts;
+  stretch = other165.stretch;
+  targetLatencyMs = other165.targetLatencyMs;
+  needsPermit = other165.needsPermit;
+  __isset = other165.__isset;
+}
+QueuePolicy::QueuePolicy(QueuePolicy&& other166) noexcept {
+  name = std::move(other166.name);
+  serviceName = std::move(other166.serviceName);
+  priority = other166.priority;
+  maxAttempts = other166.maxAttempts;
+  stretch = other166.stretch;
+  targetLatencyMs = other166.targetLatencyMs;
+  needsPermit = other166.needsPermit;
+  __isset = other166.__isset;
+}
+QueuePolicy& QueuePolicy::operator=(const QueuePolicy& other167) {
+  name = other167.name;
+  serviceName = other167.serviceName;
+  priority = other167.priority;
+  maxAttempts = other167.maxAttempts;
+  stretch = other167.stretch;
+  targetLatencyMs = other167.targetLatencyMs;
+  needsPermit = other167.needsPermit;
+  __isset = other167.__isset;
+  return *this;
+}
+QueuePolicy& QueuePolicy::operator=(QueuePolicy&& other168) noexcept {
+  name = std::move(other168.name);
+  serviceName = std::move(other168.serviceName);
+  priority = other168.priority;
+  maxAttempts = other168.maxAttempts;
+  stretch = other168.stretch;
+  targetLatencyMs = other168.targetLatencyMs;
+  needsPermit = other168.needsPermit;
+  __isset = other168.__isset;
+  return *this;
+}
+void QueuePolicy::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QueuePolicy(";
+  out << "name=" << to_string(name);
+  out << ", " << "serviceName=" << to_string(serviceName);
+  out << ", " << "priority=" << to_string(priority);
+  out << ", " << "maxAttempts=" << to_string(maxAttempts);
+  out << ", " << "stretch=" << to_string(stretch);
+  out << ", " << "targetLatencyMs=" << to_string(targetLatencyMs);
+  out << ", " << "needsPermit=" << to_string(needsPermit);
+  out << ")";
+}
+
+
+StepSpec::~StepSpec() noexcept {
+}
+
+
+void StepSpec::__set_count(const int32_t val) {
+  this->count = val;
+}
+
+void StepSpec::__set_cpuMilli(const int32_t val) {
+  this->cpuMilli = val;
+}
+
+void StepSpec::__set_memoryMb(const int32_t val) {
+  this->memoryMb = val;
+}
+
+void StepSpec::__set_accelerators(const int32_t val) {
+  this->accelerators = val;
+}
+
+void StepSpec::__set_estimatedMs(const int64_t val) {
+  this->estimatedMs = val;
+}
+
+void StepSpec::__set_after(const std::vector<int32_t> & val) {
+  this->after = val;
+}
+
+void StepSpec::__set_checkpoints(const bool val) {
+  this->checkpoints = val;
+}
+
+void StepSpec::__set_gang(const bool val) {
+  this->gang = val;
+}
+
+void StepSpec::__set_gangOnOneRack(const bool val) {
+  this->gangOnOneRack = val;
+}
+
+void StepSpec::__set_requiredLabel(const std::string& val) {
+  this->requiredLabel = val;
+}
+
+void StepSpec::__set_dataRack(const std::string& val) {
+  this->dataRack = val;
+}
+
+void StepSpec::__set_maxPerWorker(const int32_t val) {
+  this->maxPerWorker = val;
+}
+
+void StepSpec::__set_duplicatesAllowed(const bool val) {
+  this->duplicatesAllowed = val;
+}
+
+void StepSpec::__set_longRunning(const bool val) {
+  this->longRunning = val;
+}
+
+void StepSpec::__set_image(const std::string& val) {
+  this->image = val;
+}
+
+void StepSpec::__set_tailTargetMs(const int64_t val) {
+  this->tailTargetMs = val;
+}
+
+void StepSpec::__set_usesIdleCpu(const bool val) {
+  this->usesIdleCpu = val;
+}
+
+void StepSpec::__set_maxUnavailable(const int32_t val) {
+  this->maxUnavailable = val;
+}
+std::ostream& operator<<(std::ostream& out, const StepSpec& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StepSpec::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->count);
+          this->__isset.count = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->cpuMilli);
+          this->__isset.cpuMilli = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->memoryMb);
+          this->__isset.memoryMb = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->accelerators);
+          this->__isset.accelerators = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->estimatedMs);
+          this->__isset.estimatedMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->after.clear();
+            uint32_t _size169;
+            ::apache::thrift::protocol::TType _etype172;
+            xfer += iprot->readListBegin(_etype172, _size169);
+            this->after.resize(_size169);
+            uint32_t _i173;
+            for (_i173 = 0; _i173 < _size169; ++_i173)
+            {
+              xfer += iprot->readI32(this->after[_i173]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.after = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->checkpoints);
+          this->__isset.checkpoints = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->gang);
+          this->__isset.gang = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->gangOnOneRack);
+          this->__isset.gangOnOneRack = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->requiredLabel);
+          this->__isset.requiredLabel = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->dataRack);
+          this->__isset.dataRack = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->maxPerWorker);
+          this->__isset.maxPerWorker = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->duplicatesAllowed);
+          this->__isset.duplicatesAllowed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->longRunning);
+          this->__isset.longRunning = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->image);
+          this->__isset.image = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->tailTargetMs);
+          this->__isset.tailTargetMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->usesIdleCpu);
+          this->__isset.usesIdleCpu = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->maxUnavailable);
+          this->__isset.maxUnavailable = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StepSpec::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StepSpec");
+
+  xfer += oprot->writeFieldBegin("count", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->count);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cpuMilli", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->cpuMilli);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("memoryMb", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->memoryMb);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("accelerators", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->accelerators);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("estimatedMs", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->estimatedMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("after", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->after.size()));
+    std::vector<int32_t> ::const_iterator _iter174;
+    for (_iter174 = this->after.begin(); _iter174 != this->after.end(); ++_iter174)
+    {
+      xfer += oprot->writeI32((*_iter174));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("checkpoints", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->checkpoints);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("gang", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->gang);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("gangOnOneRack", ::apache::thrift::protocol::T_BOOL, 9);
+  xfer += oprot->writeBool(this->gangOnOneRack);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requiredLabel", ::apache::thrift::protocol::T_STRING, 10);
+  xfer += oprot->writeString(this->requiredLabel);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("dataRack", ::apache::thrift::protocol::T_STRING, 11);
+  xfer += oprot->writeString(this->dataRack);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("maxPerWorker", ::apache::thrift::protocol::T_I32, 12);
+  xfer += oprot->writeI32(this->maxPerWorker);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("duplicatesAllowed", ::apache::thrift::protocol::T_BOOL, 13);
+  xfer += oprot->writeBool(this->duplicatesAllowed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("longRunning", ::apache::thrift::protocol::T_BOOL, 14);
+  xfer += oprot->writeBool(this->longRunning);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("image", ::apache::thrift::protocol::T_STRING, 15);
+  xfer += oprot->writeString(this->image);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tailTargetMs", ::apache::thrift::protocol::T_I64, 16);
+  xfer += oprot->writeI64(this->tailTargetMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("usesIdleCpu", ::apache::thrift::protocol::T_BOOL, 17);
+  xfer += oprot->writeBool(this->usesIdleCpu);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("maxUnavailable", ::apache::thrift::protocol::T_I32, 18);
+  xfer += oprot->writeI32(this->maxUnavailable);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StepSpec &a, StepSpec &b) {
+  using ::std::swap;
+  swap(a.count, b.count);
+  swap(a.cpuMilli, b.cpuMilli);
+  swap(a.memoryMb, b.memoryMb);
+  swap(a.accelerators, b.accelerators);
+  swap(a.estimatedMs, b.estimatedMs);
+  swap(a.after, b.after);
+  swap(a.checkpoints, b.checkpoints);
+  swap(a.gang, b.gang);
+  swap(a.gangOnOneRack, b.gangOnOneRack);
+  swap(a.requiredLabel, b.requiredLabel);
+  swap(a.dataRack, b.dataRack);
+  swap(a.maxPerWorker, b.maxPerWorker);
+  swap(a.duplicatesAllowed, b.duplicatesAllowed);
+  swap(a.longRunning, b.longRunning);
+  swap(a.image, b.image);
+  swap(a.tailTargetMs, b.tailTargetMs);
+  swap(a.usesIdleCpu, b.usesIdleCpu);
+  swap(a.maxUnavailable, b.maxUnavailable);
+  swap(a.__isset, b.__isset);
+}
+
+StepSpec::StepSpec(const StepSpec& other175) {
+  count = other175.count;
+  cpuMilli = other175.cpuMilli;
+  memoryMb = other175.memoryMb;
+  accelerators = other175.accelerators;
+  estimatedMs = other175.estimatedMs;
+  after = other175.after;
+  checkpoints = other175.checkpoints;
+  gang = other175.gang;
+  gangOnOneRack = other175.gangOnOneRack;
+  requiredLabel = other175.requiredLabel;
+  dataRack = other175.dataRack;
+  maxPerWorker = other175.maxPerWorker;
+  duplicatesAllowed = other175.duplicatesAllowed;
+  longRunning = other175.longRunning;
+  image = other175.image;
+  tailTargetMs = other175.tailTargetMs;
+  usesIdleCpu = other175.usesIdleCpu;
+  maxUnavailable = other175.maxUnavailable;
+  __isset = other175.__isset;
+}
+StepSpec::StepSpec(StepSpec&& other176) noexcept {
+  count = other176.count;
+  cpuMilli = other176.cpuMilli;
+  memoryMb = other176.memoryMb;
+  accelerators = other176.accelerators;
+  estimatedMs = other176.estimatedMs;
+  after = std::move(other176.after);
+  checkpoints = other176.checkpoints;
+  gang = other176.gang;
+  gangOnOneRack = other176.gangOnOneRack;
+  requiredLabel = std::move(other176.requiredLabel);
+  dataRack = std::move(other176.dataRack);
+  maxPerWorker = other176.maxPerWorker;
+  duplicatesAllowed = other176.duplicatesAllowed;
+  longRunning = other176.longRunning;
+  image = std::move(other176.image);
+  tailTargetMs = other176.tailTargetMs;
+  usesIdleCpu = other176.usesIdleCpu;
+  maxUnavailable = other176.maxUnavailable;
+  __isset = other176.__isset;
+}
+StepSpec& StepSpec::operator=(const StepSpec& other177) {
+  count = other177.count;
+  cpuMilli = other177.cpuMilli;
+  memoryMb = other177.memoryMb;
+  accelerators = other177.accelerators;
+  estimatedMs = other177.estimatedMs;
+  after = other177.after;
+  checkpoints = other177.checkpoints;
+  gang = other177.gang;
+  gangOnOneRack = other177.gangOnOneRack;
+  requiredLabel = other177.requiredLabel;
+  dataRack = other177.dataRack;
+  maxPerWorker = other177.maxPerWorker;
+  duplicatesAllowed = other177.duplicatesAllowed;
+  longRunning = other177.longRunning;
+  image = other177.image;
+  tailTargetMs = other177.tailTargetMs;
+  usesIdleCpu = other177.usesIdleCpu;
+  maxUnavailable = other177.maxUnavailable;
+  __isset = other177.__isset;
+  return *this;
+}
+StepSpec& StepSpec::operator=(StepSpec&& other178) noexcept {
+  count = other178.count;
+  cpuMilli = other178.cpuMilli;
+  memoryMb = other178.memoryMb;
+  accelerators = other178.accelerators;
+  estimatedMs = other178.estimatedMs;
+  after = std::move(other178.after);
+  checkpoints = other178.checkpoints;
+  gang = other178.gang;
+  gangOnOneRack = other178.gangOnOneRack;
+  requiredLabel = std::move(other178.requiredLabel);
+  dataRack = std::move(other178.dataRack);
+  maxPerWorker = other178.maxPerWorker;
+  duplicatesAllowed = other178.duplicatesAllowed;
+  longRunning = other178.longRunning;
+  image = std::move(other178.image);
+  tailTargetMs = other178.tailTargetMs;
+  usesIdleCpu = other178.usesIdleCpu;
+  maxUnavailable = other178.maxUnavailable;
+  __isset = other178.__isset;
+  return *this;
+}
+void StepSpec::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StepSpec(";
+  out << "count=" << to_string(count);
+  out << ", " << "cpuMilli=" << to_string(cpuMilli);
+  out << ", " << "memoryMb=" << to_string(memoryMb);
+  out << ", " << "accelerators=" << to_string(accelerators);
+  out << ", " << "estimatedMs=" << to_string(estimatedMs);
+  out << ", " << "after=" << to_string(after);
+  out << ", " << "checkpoints=" << to_string(checkpoints);
+  out << ", " << "gang=" << to_string(gang);
+  out << ", " << "gangOnOneRack=" << to_string(gangOnOneRack);
+  out << ", " << "requiredLabel=" << to_string(requiredLabel);
+  out << ", " << "dataRack=" << to_string(dataRack);
+  out << ", " << "maxPerWorker=" << to_string(maxPerWorker);
+  out << ", " << "duplicatesAllowed=" << to_string(duplicatesAllowed);
+  out << ", " << "longRunning=" << to_string(longRunning);
+  out << ", " << "image=" << to_string(image);
+  out << ", " << "tailTargetMs=" << to_string(tailTargetMs);
+  out << ", " << "usesIdleCpu=" << to_string(usesIdleCpu);
+  out << ", " << "maxUnavailable=" << to_string(maxUnavailable);
+  out << ")";
+}
+
+
+JobSpec::~JobSpec() noexcept {
+}
+
+
+void JobSpec::__set_id(const std::string& val) {
+  this->id = val;
+}
+
+void JobSpec::__set_queue(const QueuePolicy& val) {
+  this->queue = val;
+}
+
+void JobSpec::__set_payload(const std::string& val) {
+  this->payload = val;
+}
+
+void JobSpec::__set_steps(const std::vector<StepSpec> & val) {
+  this->steps = val;
+}
+
+void JobSpec::__set_occurrences(const int32_t val) {
+  this->occurrences = val;
+}
+
+void JobSpec::__set_firstDueMs(const int64_t val) {
+  this->firstDueMs = val;
+}
+
+void JobSpec::__set_intervalMs(const int64_t val) {
+  this->intervalMs = val;
+}
+
+void JobSpec::__set_acceptedAtMs(const int64_t val) {
+  this->acceptedAtMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const JobSpec& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t JobSpec::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->queue.read(iprot);
+          this->__isset.queue = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->payload);
+          this->__isset.payload = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->steps.clear();
+            uint32_t _size179;
+            ::apache::thrift::protocol::TType _etype182;
+            xfer += iprot->readListBegin(_etype182, _size179);
+            this->steps.resize(_size179);
+            uint32_t _i183;
+            for (_i183 = 0; _i183 < _size179; ++_i183)
+            {
+              xfer += this->steps[_i183].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.steps = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->occurrences);
+          this->__isset.occurrences = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->firstDueMs);
+          this->__isset.firstDueMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->intervalMs);
+          this->__isset.intervalMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->acceptedAtMs);
+          this->__isset.acceptedAtMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t JobSpec::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("JobSpec");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("queue", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->queue.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("payload", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->payload);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("steps", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->steps.size()));
+    std::vector<StepSpec> ::const_iterator _iter184;
+    for (_iter184 = this->steps.begin(); _iter184 != this->steps.end(); ++_iter184)
+    {
+      xfer += (*_iter184).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("occurrences", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->occurrences);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("firstDueMs", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->firstDueMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("intervalMs", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->intervalMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("acceptedAtMs", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->acceptedAtMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(JobSpec &a, JobSpec &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.queue, b.queue);
+  swap(a.payload, b.payload);
+  swap(a.steps, b.steps);
+  swap(a.occurrences, b.occurrences);
+  swap(a.firstDueMs, b.firstDueMs);
+  swap(a.intervalMs, b.intervalMs);
+  swap(a.acceptedAtMs, b.acceptedAtMs);
+  swap(a.__isset, b.__isset);
+}
+
+JobSpec::JobSpec(const JobSpec& other185) {
+  id = other185.id;
+  queue = other185.queue;
+  payload = other185.payload;
+  steps = other185.steps;
+  occurrences = other185.occurrences;
+  firstDueMs = other185.firstDueMs;
+  intervalMs = other185.intervalMs;
+  acceptedAtMs = other185.acceptedAtMs;
+  __isset = other185.__isset;
+}
+JobSpec::JobSpec(JobSpec&& other186) noexcept {
+  id = std::move(other186.id);
+  queue = std::move(other186.queue);
+  payload = std::move(other186.payload);
+  steps = std::move(other186.steps);
+  occurrences = other186.occurrences;
+  firstDueMs = other186.firstDueMs;
+  intervalMs = other186.intervalMs;
+  acceptedAtMs = other186.acceptedAtMs;
+  __isset = other186.__isset;
+}
+JobSpec& JobSpec::operator=(const JobSpec& other187) {
+  id = other187.id;
+  queue = other187.queue;
+  payload = other187.payload;
+  steps = other187.steps;
+  occurrences = other187.occurrences;
+  firstDueMs = other187.firstDueMs;
+  intervalMs = other187.intervalMs;
+  acceptedAtMs = other187.acceptedAtMs;
+  __isset = other187.__isset;
+  return *this;
+}
+JobSpec& JobSpec::operator=(JobSpec&& other188) noexcept {
+  id = std::move(other188.id);
+  queue = std::move(other188.queue);
+  payload = std::move(other188.payload);
+  steps = std::move(other188.steps);
+  occurrences = other188.occurrences;
+  firstDueMs = other188.firstDueMs;
+  intervalMs = other188.intervalMs;
+  acceptedAtMs = other188.acceptedAtMs;
+  __isset = other188.__isset;
+  return *this;
+}
+void JobSpec::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "JobSpec(";
+  out << "id=" << to_string(id);
+  out << ", " << "queue=" << to_string(queue);
+  out << ", " << "payload=" << to_string(payload);
+  out << ", " << "steps=" << to_string(steps);
+  out << ", " << "occurrences=" << to_string(occurrences);
+  out << ", " << "firstDueMs=" << to_string(firstDueMs);
+  out << ", " << "intervalMs=" << to_string(intervalMs);
+  out << ", " << "acceptedAtMs=" << to_string(acceptedAtMs);
+  out << ")";
+}
+
+
+StepProgress::~StepProgress() noexcept {
+}
+
+
+void StepProgress::__set_finished(const std::string& val) {
+  this->finished = val;
+}
+
+void StepProgress::__set_failures(const std::map<int32_t, std::vector<int64_t> > & val) {
+  this->failures = val;
+}
+std::ostream& operator<<(std::ostream& out, const StepProgress& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StepProgress::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->finished);
+          this->__isset.finished = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->failures.clear();
+            uint32_t _size189;
+            ::apache::thrift::protocol::TType _ktype190;
+            ::apache::thrift::protocol::TType _vtype191;
+            xfer += iprot->readMapBegin(_ktype190, _vtype191, _size189);
+            uint32_t _i193;
+            for (_i193 = 0; _i193 < _size189; ++_i193)
+            {
+              int32_t _key194;
+              xfer += iprot->readI32(_key194);
+              std::vector<int64_t> & _val195 = this->failures[_key194];
+              {
+                _val195.clear();
+                uint32_t _size196;
+                ::apache::thrift::protocol::TType _etype199;
+                xfer += iprot->readListBegin(_etype199, _size196);
+                _val195.resize(_size196);
+                uint32_t _i200;
+                for (_i200 = 0; _i200 < _size196; ++_i200)
+                {
+                  xfer += iprot->readI64(_val195[_i200]);
+                }
+                xfer += iprot->readListEnd();
+              }
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.failures = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StepProgress::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StepProgress");
+
+  xfer += oprot->writeFieldBegin("finished", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeBinary(this->finished);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failures", ::apache::thrift::protocol::T_MAP, 2);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I32, ::apache::thrift::protocol::T_LIST, static_cast<uint32_t>(this->failures.size()));
+    std::map<int32_t, std::vector<int64_t> > ::const_iterator _iter201;
+    for (_iter201 = this->failures.begin(); _iter201 != this->failures.end(); ++_iter201)
+    {
+      xfer += oprot->writeI32(_iter201->first);
+      {
+        xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(_iter201->second.size()));
+        std::vector<int64_t> ::const_iterator _iter202;
+        for (_iter202 = _iter201->second.begin(); _iter202 != _iter201->second.end(); ++_iter202)
+        {
+          xfer += oprot->writeI64((*_iter202));
+        }
+        xfer += oprot->writeListEnd();
+      }
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StepProgress &a, StepProgress &b) {
+  using ::std::swap;
+  swap(a.finished, b.finished);
+  swap(a.failures, b.failures);
+  swap(a.__isset, b.__isset);
+}
+
+StepProgress::StepProgress(const StepProgress& other203) {
+  finished = other203.finished;
+  failures = other203.failures;
+  __isset = other203.__isset;
+}
+StepProgress::StepProgress(StepProgress&& other204) noexcept {
+  finished = std::move(other204.finished);
+  failures = std::move(other204.failures);
+  __isset = other204.__isset;
+}
+StepProgress& StepProgress::operator=(const StepProgress& other205) {
+  finished = other205.finished;
+  failures = other205.failures;
+  __isset = other205.__isset;
+  return *this;
+}
+StepProgress& StepProgress::operator=(StepProgress&& other206) noexcept {
+  finished = std::move(other206.finished);
+  failures = std::move(other206.failures);
+  __isset = other206.__isset;
+  return *this;
+}
+void StepProgress::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StepProgress(";
+  out << "finished=" << to_string(finished);
+  out << ", " << "failures=" << to_string(failures);
+  out << ")";
+}
+
+
+JobProgress::~JobProgress() noexcept {
+}
+
+
+void JobProgress::__set_phase(const int32_t val) {
+  this->phase = val;
+}
+
+void JobProgress::__set_occurrences(const std::map<int32_t, std::vector<StepProgress> > & val) {
+  this->occurrences = val;
+}
+
+void JobProgress::__set_endedAtMs(const int64_t val) {
+  this->endedAtMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const JobProgress& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t JobProgress::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->phase);
+          this->__isset.phase = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->occurrences.clear();
+            uint32_t _size207;
+            ::apache::thrift::protocol::TType _ktype208;
+            ::apache::thrift::protocol::TType _vtype209;
+            xfer += iprot->readMapBegin(_ktype208, _vtype209, _size207);
+            uint32_t _i211;
+            for (_i211 = 0; _i211 < _size207; ++_i211)
+            {
+              int32_t _key212;
+              xfer += iprot->readI32(_key212);
+              std::vector<StepProgress> & _val213 = this->occurrences[_key212];
+              {
+                _val213.clear();
+                uint32_t _size214;
+                ::apache::thrift::protocol::TType _etype217;
+                xfer += iprot->readListBegin(_etype217, _size214);
+                _val213.resize(_size214);
+                uint32_t _i218;
+                for (_i218 = 0; _i218 < _size214; ++_i218)
+                {
+                  xfer += _val213[_i218].read(iprot);
+                }
+                xfer += iprot->readListEnd();
+              }
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.occurrences = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->endedAtMs);
+          this->__isset.endedAtMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t JobProgress::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("JobProgress");
+
+  xfer += oprot->writeFieldBegin("phase", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->phase);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("occurrences", ::apache::thrift::protocol::T_MAP, 2);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I32, ::apache::thrift::protocol::T_LIST, static_cast<uint32_t>(this->occurrences.size()));
+    std::map<int32_t, std::vector<StepProgress> > ::const_iterator _iter219;
+    for (_iter219 = this->occurrences.begin(); _iter219 != this->occurrences.end(); ++_iter219)
+    {
+      xfer += oprot->writeI32(_iter219->first);
+      {
+        xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(_iter219->second.size()));
+        std::vector<StepProgress> ::const_iterator _iter220;
+        for (_iter220 = _iter219->second.begin(); _iter220 != _iter219->second.end(); ++_iter220)
+        {
+          xfer += (*_iter220).write(oprot);
+        }
+        xfer += oprot->writeListEnd();
+      }
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("endedAtMs", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->endedAtMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(JobProgress &a, JobProgress &b) {
+  using ::std::swap;
+  swap(a.phase, b.phase);
+  swap(a.occurrences, b.occurrences);
+  swap(a.endedAtMs, b.endedAtMs);
+  swap(a.__isset, b.__isset);
+}
+
+JobProgress::JobProgress(const JobProgress& other221) {
+  phase = other221.phase;
+  occurrences = other221.occurrences;
+  endedAtMs = other221.endedAtMs;
+  __isset = other221.__isset;
+}
+JobProgress::JobProgress(JobProgress&& other222) noexcept {
+  phase = other222.phase;
+  occurrences = std::move(other222.occurrences);
+  endedAtMs = other222.endedAtMs;
+  __isset = other222.__isset;
+}
+JobProgress& JobProgress::operator=(const JobProgress& other223) {
+  phase = other223.phase;
+  occurrences = other223.occurrences;
+  endedAtMs = other223.endedAtMs;
+  __isset = other223.__isset;
+  return *this;
+}
+JobProgress& JobProgress::operator=(JobProgress&& other224) noexcept {
+  phase = other224.phase;
+  occurrences = std::move(other224.occurrences);
+  endedAtMs = other224.endedAtMs;
+  __isset = other224.__isset;
+  return *this;
+}
+void JobProgress::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "JobProgress(";
+  out << "phase=" << to_string(phase);
+  out << ", " << "occurrences=" << to_string(occurrences);
+  out << ", " << "endedAtMs=" << to_string(endedAtMs);
+  out << ")";
+}
+
+
+TaskRef::~TaskRef() noexcept {
+}
+
+
+void TaskRef::__set_job(const std::string& val) {
+  this->job = val;
+}
+
+void TaskRef::__set_occurrence(const int32_t val) {
+  this->occurrence = val;
+}
+
+void TaskRef::__set_step(const int32_t val) {
+  this->step = val;
+}
+
+void TaskRef::__set_index(const int32_t val) {
+  this->index = val;
+}
+std::ostream& operator<<(std::ostream& out, const TaskRef& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TaskRef::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->job);
+          this->__isset.job = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->occurrence);
+          this->__isset.occurrence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->step);
+          this->__isset.step = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TaskRef::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TaskRef");
+
+  xfer += oprot->writeFieldBegin("job", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->job);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("occurrence", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->occurrence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("step", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->step);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TaskRef &a, TaskRef &b) {
+  using ::std::swap;
+  swap(a.job, b.job);
+  swap(a.occurrence, b.occurrence);
+  swap(a.step, b.step);
+  swap(a.index, b.index);
+  swap(a.__isset, b.__isset);
+}
+
+TaskRef::TaskRef(const TaskRef& other225) {
+  job = other225.job;
+  occurrence = other225.occurrence;
+  step = other225.step;
+  index = other225.index;
+  __isset = other225.__isset;
+}
+TaskRef::TaskRef(TaskRef&& other226) noexcept {
+  job = std::move(other226.job);
+  occurrence = other226.occurrence;
+  step = other226.step;
+  index = other226.index;
+  __isset = other226.__isset;
+}
+TaskRef& TaskRef::operator=(const TaskRef& other227) {
+  job = other227.job;
+  occurrence = other227.occurrence;
+  step = other227.step;
+  index = other227.index;
+  __isset = other227.__isset;
+  return *this;
+}
+TaskRef& TaskRef::operator=(TaskRef&& other228) noexcept {
+  job = std::move(other228.job);
+  occurrence = other228.occurrence;
+  step = other228.step;
+  index = other228.index;
+  __isset = other228.__isset;
+  return *this;
+}
+void TaskRef::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TaskRef(";
+  out << "job=" << to_string(job);
+  out << ", " << "occurrence=" << to_string(occurrence);
+  out << ", " << "step=" << to_string(step);
+  out << ", " << "index=" << to_string(index);
+  out << ")";
+}
+
+
+RunningTask::~RunningTask() noexcept {
+}
+
+
+void RunningTask::__set_task(const TaskRef& val) {
+  this->task = val;
+}
+
+void RunningTask::__set_run(const int64_t val) {
+  this->run = val;
+}
+
+void RunningTask::__set_checkpoint(const std::string& val) {
+  this->checkpoint = val;
+}
+
+void RunningTask::__set_percent(const int32_t val) {
+  this->percent = val;
+}
+
+void RunningTask::__set_usage(const int64_t val) {
+  this->usage = val;
+}
+std::ostream& operator<<(std::ostream& out, const RunningTask& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RunningTask::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->task.read(iprot);
+          this->__isset.task = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->run);
+          this->__isset.run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->checkpoint);
+          this->__isset.checkpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->percent);
+          this->__isset.percent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->usage);
+          this->__isset.usage = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RunningTask::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RunningTask");
+
+  xfer += oprot->writeFieldBegin("task", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->task.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->run);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("checkpoint", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->checkpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("percent", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->percent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("usage", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->usage);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RunningTask &a, RunningTask &b) {
+  using ::std::swap;
+  swap(a.task, b.task);
+  swap(a.run, b.run);
+  swap(a.checkpoint, b.checkpoint);
+  swap(a.percent, b.percent);
+  swap(a.usage, b.usage);
+  swap(a.__isset, b.__isset);
+}
+
+RunningTask::RunningTask(const RunningTask& other229) {
+  task = other229.task;
+  run = other229.run;
+  checkpoint = other229.checkpoint;
+  percent = other229.percent;
+  usage = other229.usage;
+  __isset = other229.__isset;
+}
+RunningTask::RunningTask(RunningTask&& other230) noexcept {
+  task = std::move(other230.task);
+  run = other230.run;
+  checkpoint = std::move(other230.checkpoint);
+  percent = other230.percent;
+  usage = other230.usage;
+  __isset = other230.__isset;
+}
+RunningTask& RunningTask::operator=(const RunningTask& other231) {
+  task = other231.task;
+  run = other231.run;
+  checkpoint = other231.checkpoint;
+  percent = other231.percent;
+  usage = other231.usage;
+  __isset = other231.__isset;
+  return *this;
+}
+RunningTask& RunningTask::operator=(RunningTask&& other232) noexcept {
+  task = std::move(other232.task);
+  run = other232.run;
+  checkpoint = std::move(other232.checkpoint);
+  percent = other232.percent;
+  usage = other232.usage;
+  __isset = other232.__isset;
+  return *this;
+}
+void RunningTask::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RunningTask(";
+  out << "task=" << to_string(task);
+  out << ", " << "run=" << to_string(run);
+  out << ", " << "checkpoint=" << to_string(checkpoint);
+  out << ", " << "percent=" << to_string(percent);
+  out << ", " << "usage=" << to_string(usage);
+  out << ")";
+}
+
+
+EndedTask::~EndedTask() noexcept {
+}
+
+
+void EndedTask::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void EndedTask::__set_task(const TaskRef& val) {
+  this->task = val;
+}
+
+void EndedTask::__set_run(const int64_t val) {
+  this->run = val;
+}
+
+void EndedTask::__set_how(const int32_t val) {
+  this->how = val;
+}
+
+void EndedTask::__set_checkpoint(const std::string& val) {
+  this->checkpoint = val;
+}
+std::ostream& operator<<(std::ostream& out, const EndedTask& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EndedTask::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->task.read(iprot);
+          this->__isset.task = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->run);
+          this->__isset.run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->how);
+          this->__isset.how = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->checkpoint);
+          this->__isset.checkpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EndedTask::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EndedTask");
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("task", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->task.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->run);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("how", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->how);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("checkpoint", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->checkpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EndedTask &a, EndedTask &b) {
+  using ::std::swap;
+  swap(a.number, b.number);
+  swap(a.task, b.task);
+  swap(a.run, b.run);
+  swap(a.how, b.how);
+  swap(a.checkpoint, b.checkpoint);
+  swap(a.__isset, b.__isset);
+}
+
+EndedTask::EndedTask(const EndedTask& other233) {
+  number = other233.number;
+  task = other233.task;
+  run = other233.run;
+  how = other233.how;
+  checkpoint = other233.checkpoint;
+  __isset = other233.__isset;
+}
+EndedTask::EndedTask(EndedTask&& other234) noexcept {
+  number = other234.number;
+  task = std::move(other234.task);
+  run = other234.run;
+  how = other234.how;
+  checkpoint = std::move(other234.checkpoint);
+  __isset = other234.__isset;
+}
+EndedTask& EndedTask::operator=(const EndedTask& other235) {
+  number = other235.number;
+  task = other235.task;
+  run = other235.run;
+  how = other235.how;
+  checkpoint = other235.checkpoint;
+  __isset = other235.__isset;
+  return *this;
+}
+EndedTask& EndedTask::operator=(EndedTask&& other236) noexcept {
+  number = other236.number;
+  task = std::move(other236.task);
+  run = other236.run;
+  how = other236.how;
+  checkpoint = std::move(other236.checkpoint);
+  __isset = other236.__isset;
+  return *this;
+}
+void EndedTask::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EndedTask(";
+  out << "number=" << to_string(number);
+  out << ", " << "task=" << to_string(task);
+  out << ", " << "run=" << to_string(run);
+  out << ", " << "how=" << to_string(how);
+  out << ", " << "checkpoint=" << to_string(checkpoint);
+  out << ")";
+}
+
+
+WorkerDescription::~WorkerDescription() noexcept {
+}
+
+
+void WorkerDescription::__set_id(const std::string& val) {
+  this->id = val;
+}
+
+void WorkerDescription::__set_born(const int64_t val) {
+  this->born = val;
+}
+
+void WorkerDescription::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void WorkerDescription::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void WorkerDescription::__set_cpuMilli(const int32_t val) {
+  this->cpuMilli = val;
+}
+
+void WorkerDescription::__set_memoryMb(const int32_t val) {
+  this->memoryMb = val;
+}
+
+void WorkerDescription::__set_accelerators(const int32_t val) {
+  this->accelerators = val;
+}
+
+void WorkerDescription::__set_labels(const std::vector<std::string> & val) {
+  this->labels = val;
+}
+
+void WorkerDescription::__set_machine(const std::string& val) {
+  this->machine = val;
+}
+
+void WorkerDescription::__set_agentHost(const std::string& val) {
+  this->agentHost = val;
+}
+
+void WorkerDescription::__set_agentPort(const int32_t val) {
+  this->agentPort = val;
+}
+std::ostream& operator<<(std::ostream& out, const WorkerDescription& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WorkerDescription::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->born);
+          this->__isset.born = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->cpuMilli);
+          this->__isset.cpuMilli = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->memoryMb);
+          this->__isset.memoryMb = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->accelerators);
+          this->__isset.accelerators = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->labels.clear();
+            uint32_t _size237;
+            ::apache::thrift::protocol::TType _etype240;
+            xfer += iprot->readListBegin(_etype240, _size237);
+            this->labels.resize(_size237);
+            uint32_t _i241;
+            for (_i241 = 0; _i241 < _size237; ++_i241)
+            {
+              xfer += iprot->readString(this->labels[_i241]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.labels = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->machine);
+          this->__isset.machine = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->agentHost);
+          this->__isset.agentHost = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->agentPort);
+          this->__isset.agentPort = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t WorkerDescription::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WorkerDescription");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("born", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->born);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cpuMilli", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->cpuMilli);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("memoryMb", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->memoryMb);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("accelerators", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->accelerators);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("labels", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->labels.size()));
+    std::vector<std::string> ::const_iterator _iter242;
+    for (_iter242 = this->labels.begin(); _iter242 != this->labels.end(); ++_iter242)
+    {
+      xfer += oprot->writeString((*_iter242));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("machine", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeString(this->machine);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("agentHost", ::apache::thrift::protocol::T_STRING, 10);
+  xfer += oprot->writeString(this->agentHost);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("agentPort", ::apache::thrift::protocol::T_I32, 11);
+  xfer += oprot->writeI32(this->agentPort);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WorkerDescription &a, WorkerDescription &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.born, b.born);
+  swap(a.serviceName, b.serviceName);
+  swap(a.zone, b.zone);
+  swap(a.cpuMilli, b.cpuMilli);
+  swap(a.memoryMb, b.memoryMb);
+  swap(a.accelerators, b.accelerators);
+  swap(a.labels, b.labels);
+  swap(a.machine, b.machine);
+  swap(a.agentHost, b.agentHost);
+  swap(a.agentPort, b.agentPort);
+  swap(a.__isset, b.__isset);
+}
+
+WorkerDescription::WorkerDescription(const WorkerDescription& other243) {
+  id = other243.id;
+  born = other243.born;
+  serviceName = other243.serviceName;
+  zone = other243.zone;
+  cpuMilli = other243.cpuMilli;
+  memoryMb = other243.memoryMb;
+  accelerators = other243.accelerators;
+  labels = other243.labels;
+  machine = other243.machine;
+  agentHost = other243.agentHost;
+  agentPort = other243.agentPort;
+  __isset = other243.__isset;
+}
+WorkerDescription::WorkerDescription(WorkerDescription&& other244) noexcept {
+  id = std::move(other244.id);
+  born = other244.born;
+  serviceName = std::move(other244.serviceName);
+  zone = std::move(other244.zone);
+  cpuMilli = other244.cpuMilli;
+  memoryMb = other244.memoryMb;
+  accelerators = other244.accelerators;
+  labels = std::move(other244.labels);
+  machine = std::move(other244.machine);
+  agentHost = std::move(other244.agentHost);
+  agentPort = other244.agentPort;
+  __isset = other244.__isset;
+}
+WorkerDescription& WorkerDescription::operator=(const WorkerDescription& other245) {
+  id = other245.id;
+  born = other245.born;
+  serviceName = other245.serviceName;
+  zone = other245.zone;
+  cpuMilli = other245.cpuMilli;
+  memoryMb = other245.memoryMb;
+  accelerators = other245.accelerators;
+  labels = other245.labels;
+  machine = other245.machine;
+  agentHost = other245.agentHost;
+  agentPort = other245.agentPort;
+  __isset = other245.__isset;
+  return *this;
+}
+WorkerDescription& WorkerDescription::operator=(WorkerDescription&& other246) noexcept {
+  id = std::move(other246.id);
+  born = other246.born;
+  serviceName = std::move(other246.serviceName);
+  zone = std::move(other246.zone);
+  cpuMilli = other246.cpuMilli;
+  memoryMb = other246.memoryMb;
+  accelerators = other246.accelerators;
+  labels = std::move(other246.labels);
+  machine = std::move(other246.machine);
+  agentHost = std::move(other246.agentHost);
+  agentPort = other246.agentPort;
+  __isset = other246.__isset;
+  return *this;
+}
+void WorkerDescription::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WorkerDescription(";
+  out << "id=" << to_string(id);
+  out << ", " << "born=" << to_string(born);
+  out << ", " << "serviceName=" << to_string(serviceName);
+  out << ", " << "zone=" << to_string(zone);
+  out << ", " << "cpuMilli=" << to_string(cpuMilli);
+  out << ", " << "memoryMb=" << to_string(memoryMb);
+  out << ", " << "accelerators=" << to_string(accelerators);
+  out << ", " << "labels=" << to_string(labels);
+  out << ", " << "machine=" << to_string(machine);
+  out << ", " << "agentHost=" << to_string(agentHost);
+  out << ", " << "agentPort=" << to_string(agentPort);
+  out << ")";
+}
+
+
+WorkerReport::~WorkerReport() noexcept {
+}
+
+
+void WorkerReport::__set_worker(const WorkerDescription& val) {
+  this->worker = val;
+}
+
+void WorkerReport::__set_epoch(const int64_t val) {
+  this->epoch = val;
+}
+
+void WorkerReport::__set_listing(const int64_t val) {
+  this->listing = val;
+}
+
+void WorkerReport::__set_listed(const bool val) {
+  this->listed = val;
+}
+
+void WorkerReport::__set_draining(const bool val) {
+  this->draining = val;
+}
+
+void WorkerReport::__set_gone(const bool val) {
+  this->gone = val;
+}
+
+void WorkerReport::__set_running(const std::vector<RunningTask> & val) {
+  this->running = val;
+}
+
+void WorkerReport::__set_ended(const std::vector<EndedTask> & val) {
+  this->ended = val;
+}
+
+void WorkerReport::__set_reachable(const bool val) {
+  this->reachable = val;
+}
+
+void WorkerReport::__set_wantsRunInfo(const bool val) {
+  this->wantsRunInfo = val;
+}
+std::ostream& operator<<(std::ostream& out, const WorkerReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WorkerReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->worker.read(iprot);
+          this->__isset.worker = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->listing);
+          this->__isset.listing = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->listed);
+          this->__isset.listed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->draining);
+          this->__isset.draining = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->gone);
+          this->__isset.gone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->running.clear();
+            uint32_t _size247;
+            ::apache::thrift::protocol::TType _etype250;
+            xfer += iprot->readListBegin(_etype250, _size247);
+            this->running.resize(_size247);
+            uint32_t _i251;
+            for (_i251 = 0; _i251 < _size247; ++_i251)
+            {
+              xfer += this->running[_i251].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->ended.clear();
+            uint32_t _size252;
+            ::apache::thrift::protocol::TType _etype255;
+            xfer += iprot->readListBegin(_etype255, _size252);
+            this->ended.resize(_size252);
+            uint32_t _i256;
+            for (_i256 = 0; _i256 < _size252; ++_i256)
+            {
+              xfer += this->ended[_i256].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.ended = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->reachable);
+          this->__isset.reachable = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->wantsRunInfo);
+          this->__isset.wantsRunInfo = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t WorkerReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WorkerReport");
+
+  xfer += oprot->writeFieldBegin("worker", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->worker.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("listing", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->listing);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("listed", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->listed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("draining", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->draining);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("gone", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->gone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running.size()));
+    std::vector<RunningTask> ::const_iterator _iter257;
+    for (_iter257 = this->running.begin(); _iter257 != this->running.end(); ++_iter257)
+    {
+      xfer += (*_iter257).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ended.size()));
+    std::vector<EndedTask> ::const_iterator _iter258;
+    for (_iter258 = this->ended.begin(); _iter258 != this->ended.end(); ++_iter258)
+    {
+      xfer += (*_iter258).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reachable", ::apache::thrift::protocol::T_BOOL, 9);
+  xfer += oprot->writeBool(this->reachable);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wantsRunInfo", ::apache::thrift::protocol::T_BOOL, 10);
+  xfer += oprot->writeBool(this->wantsRunInfo);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WorkerReport &a, WorkerReport &b) {
+  using ::std::swap;
+  swap(a.worker, b.worker);
+  swap(a.epoch, b.epoch);
+  swap(a.listing, b.listing);
+  swap(a.listed, b.listed);
+  swap(a.draining, b.draining);
+  swap(a.gone, b.gone);
+  swap(a.running, b.running);
+  swap(a.ended, b.ended);
+  swap(a.reachable, b.reachable);
+  swap(a.wantsRunInfo, b.wantsRunInfo);
+  swap(a.__isset, b.__isset);
+}
+
+WorkerReport::WorkerReport(const WorkerReport& other259) {
+  worker = other259.worker;
+  epoch = other259.epoch;
+  listing = other259.listing;
+  listed = other259.listed;
+  draining = other259.draining;
+  gone = other259.gone;
+  running = other259.running;
+  ended = other259.ended;
+  reachable = other259.reachable;
+  wantsRunInfo = other259.wantsRunInfo;
+  __isset = other259.__isset;
+}
+WorkerReport::WorkerReport(WorkerReport&& other260) noexcept {
+  worker = std::move(other260.worker);
+  epoch = other260.epoch;
+  listing = other260.listing;
+  listed = other260.listed;
+  draining = other260.draining;
+  gone = other260.gone;
+  running = std::move(other260.running);
+  ended = std::move(other260.ended);
+  reachable = other260.reachable;
+  wantsRunInfo = other260.wantsRunInfo;
+  __isset = other260.__isset;
+}
+WorkerReport& WorkerReport::operator=(const WorkerReport& other261) {
+  worker = other261.worker;
+  epoch = other261.epoch;
+  listing = other261.listing;
+  listed = other261.listed;
+  draining = other261.draining;
+  gone = other261.gone;
+  running = other261.running;
+  ended = other261.ended;
+  reachable = other261.reachable;
+  wantsRunInfo = other261.wantsRunInfo;
+  __isset = other261.__isset;
+  return *this;
+}
+WorkerReport& WorkerReport::operator=(WorkerReport&& other262) noexcept {
+  worker = std::move(other262.worker);
+  epoch = other262.epoch;
+  listing = other262.listing;
+  listed = other262.listed;
+  draining = other262.draining;
+  gone = other262.gone;
+  running = std::move(other262.running);
+  ended = std::move(other262.ended);
+  reachable = other262.reachable;
+  wantsRunInfo = other262.wantsRunInfo;
+  __isset = other262.__isset;
+  return *this;
+}
+void WorkerReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WorkerReport(";
+  out << "worker=" << to_string(worker);
+  out << ", " << "epoch=" << to_string(epoch);
+  out << ", " << "listing=" << to_string(listing);
+  out << ", " << "listed=" << to_string(listed);
+  out << ", " << "draining=" << to_string(draining);
+  out << ", " << "gone=" << to_string(gone);
+  out << ", " << "running=" << to_string(running);
+  out << ", " << "ended=" << to_string(ended);
+  out << ", " << "reachable=" << to_string(reachable);
+  out << ", " << "wantsRunInfo=" << to_string(wantsRunInfo);
+  out << ")";
+}
+
+
+RunInfo::~RunInfo() noexcept {
+}
+
+
+void RunInfo::__set_task(const TaskRef& val) {
+  this->task = val;
+}
+
+void RunInfo::__set_run(const int64_t val) {
+  this->run = val;
+}
+
+void RunInfo::__set_image(const std::string& val) {
+  this->image = val;
+}
+
+void RunInfo::__set_tailTargetMs(const int64_t val) {
+  this->tailTargetMs = val;
+}
+
+void RunInfo::__set_usesIdleCpu(const bool val) {
+  this->usesIdleCpu = val;
+}
+std::ostream& operator<<(std::ostream& out, const RunInfo& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RunInfo::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->task.read(iprot);
+          this->__isset.task = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->run);
+          this->__isset.run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->image);
+          this->__isset.image = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->tailTargetMs);
+          this->__isset.tailTargetMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->usesIdleCpu);
+          this->__isset.usesIdleCpu = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RunInfo::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RunInfo");
+
+  xfer += oprot->writeFieldBegin("task", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->task.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->run);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("image", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->image);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tailTargetMs", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->tailTargetMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("usesIdleCpu", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->usesIdleCpu);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RunInfo &a, RunInfo &b) {
+  using ::std::swap;
+  swap(a.task, b.task);
+  swap(a.run, b.run);
+  swap(a.image, b.image);
+  swap(a.tailTargetMs, b.tailTargetMs);
+  swap(a.usesIdleCpu, b.usesIdleCpu);
+  swap(a.__isset, b.__isset);
+}
+
+RunInfo::RunInfo(const RunInfo& other263) {
+  task = other263.task;
+  run = other263.run;
+  image = other263.image;
+  tailTargetMs = other263.tailTargetMs;
+  usesIdleCpu = other263.usesIdleCpu;
+  __isset = other263.__isset;
+}
+RunInfo::RunInfo(RunInfo&& other264) noexcept {
+  task = std::move(other264.task);
+  run = other264.run;
+  image = std::move(other264.image);
+  tailTargetMs = other264.tailTargetMs;
+  usesIdleCpu = other264.usesIdleCpu;
+  __isset = other264.__isset;
+}
+RunInfo& RunInfo::operator=(const RunInfo& other265) {
+  task = other265.task;
+  run = other265.run;
+  image = other265.image;
+  tailTargetMs = other265.tailTargetMs;
+  usesIdleCpu = other265.usesIdleCpu;
+  __isset = other265.__isset;
+  return *this;
+}
+RunInfo& RunInfo::operator=(RunInfo&& other266) noexcept {
+  task = std::move(other266.task);
+  run = other266.run;
+  image = std::move(other266.image);
+  tailTargetMs = other266.tailTargetMs;
+  usesIdleCpu = other266.usesIdleCpu;
+  __isset = other266.__isset;
+  return *this;
+}
+void RunInfo::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RunInfo(";
+  out << "task=" << to_string(task);
+  out << ", " << "run=" << to_string(run);
+  out << ", " << "image=" << to_string(image);
+  out << ", " << "tailTargetMs=" << to_string(tailTargetMs);
+  out << ", " << "usesIdleCpu=" << to_string(usesIdleCpu);
+  out << ")";
+}
+
+
+WorkerReportReply::~WorkerReportReply() noexcept {
+}
+
+
+void WorkerReportReply::__set_epoch(const int64_t val) {
+  this->epoch = val;
+}
+
+void WorkerReportReply::__set_leaseMs(const int64_t val) {
+  this->leaseMs = val;
+}
+
+void WorkerReportReply::__set_recordedEnds(const int64_t val) {
+  this->recordedEnds = val;
+}
+
+void WorkerReportReply::__set_leaseTerm(const int64_t val) {
+  this->leaseTerm = val;
+}
+
+void WorkerReportReply::__set_runs(const std::vector<RunInfo> & val) {
+  this->runs = val;
+}
+std::ostream& operator<<(std::ostream& out, const WorkerReportReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WorkerReportReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->leaseMs);
+          this->__isset.leaseMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->recordedEnds);
+          this->__isset.recordedEnds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->leaseTerm);
+          this->__isset.leaseTerm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->runs.clear();
+            uint32_t _size267;
+            ::apache::thrift::protocol::TType _etype270;
+            xfer += iprot->readListBegin(_etype270, _size267);
+            this->runs.resize(_size267);
+            uint32_t _i271;
+            for (_i271 = 0; _i271 < _size267; ++_i271)
+            {
+              xfer += this->runs[_i271].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.runs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t WorkerReportReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WorkerReportReply");
+
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaseMs", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->leaseMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("recordedEnds", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->recordedEnds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaseTerm", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->leaseTerm);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("runs", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->runs.size()));
+    std::vector<RunInfo> ::const_iterator _iter272;
+    for (_iter272 = this->runs.begin(); _iter272 != this->runs.end(); ++_iter272)
+    {
+      xfer += (*_iter272).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WorkerReportReply &a, WorkerReportReply &b) {
+  using ::std::swap;
+  swap(a.epoch, b.epoch);
+  swap(a.leaseMs, b.leaseMs);
+  swap(a.recordedEnds, b.recordedEnds);
+  swap(a.leaseTerm, b.leaseTerm);
+  swap(a.runs, b.runs);
+  swap(a.__isset, b.__isset);
+}
+
+WorkerReportReply::WorkerReportReply(const WorkerReportReply& other273) {
+  epoch = other273.epoch;
+  leaseMs = other273.leaseMs;
+  recordedEnds = other273.recordedEnds;
+  leaseTerm = other273.leaseTerm;
+  runs = other273.runs;
+  __isset = other273.__isset;
+}
+WorkerReportReply::WorkerReportReply(WorkerReportReply&& other274) noexcept {
+  epoch = other274.epoch;
+  leaseMs = other274.leaseMs;
+  recordedEnds = other274.recordedEnds;
+  leaseTerm = other274.leaseTerm;
+  runs = std::move(other274.runs);
+  __isset = other274.__isset;
+}
+WorkerReportReply& WorkerReportReply::operator=(const WorkerReportReply& other275) {
+  epoch = other275.epoch;
+  leaseMs = other275.leaseMs;
+  recordedEnds = other275.recordedEnds;
+  leaseTerm = other275.leaseTerm;
+  runs = other275.runs;
+  __isset = other275.__isset;
+  return *this;
+}
+WorkerReportReply& WorkerReportReply::operator=(WorkerReportReply&& other276) noexcept {
+  epoch = other276.epoch;
+  leaseMs = other276.leaseMs;
+  recordedEnds = other276.recordedEnds;
+  leaseTerm = other276.leaseTerm;
+  runs = std::move(other276.runs);
+  __isset = other276.__isset;
+  return *this;
+}
+void WorkerReportReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WorkerReportReply(";
+  out << "epoch=" << to_string(epoch);
+  out << ", " << "leaseMs=" << to_string(leaseMs);
+  out << ", " << "recordedEnds=" << to_string(recordedEnds);
+  out << ", " << "leaseTerm=" << to_string(leaseTerm);
+  out << ", " << "runs=" << to_string(runs);
+  out << ")";
+}
+
+
+StartOrder::~StartOrder() noexcept {
+}
+
+
+void StartOrder::__set_task(const TaskRef& val) {
+  this->task = val;
+}
+
+void StartOrder::__set_run(const int64_t val) {
+  this->run = val;
+}
+
+void StartOrder::__set_payload(const std::string& val) {
+  this->payload = val;
+}
+
+void StartOrder::__set_checkpoint(const std::string& val) {
+  this->checkpoint = val;
+}
+
+void StartOrder::__set_info(const RunInfo& val) {
+  this->info = val;
+}
+
+void StartOrder::__set_permit(const std::string& val) {
+  this->permit = val;
+}
+std::ostream& operator<<(std::ostream& out, const StartOrder& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StartOrder::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->task.read(iprot);
+          this->__isset.task = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->run);
+          this->__isset.run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->payload);
+          this->__isset.payload = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->checkpoint);
+          this->__isset.checkpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->info.read(iprot);
+          this->__isset.info = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->permit);
+          this->__isset.permit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StartOrder::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StartOrder");
+
+  xfer += oprot->writeFieldBegin("task", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->task.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->run);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("payload", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->payload);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("checkpoint", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->checkpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("info", ::apache::thrift::protocol::T_STRUCT, 5);
+  xfer += this->info.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("permit", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->permit);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StartOrder &a, StartOrder &b) {
+  using ::std::swap;
+  swap(a.task, b.task);
+  swap(a.run, b.run);
+  swap(a.payload, b.payload);
+  swap(a.checkpoint, b.checkpoint);
+  swap(a.info, b.info);
+  swap(a.permit, b.permit);
+  swap(a.__isset, b.__isset);
+}
+
+StartOrder::StartOrder(const StartOrder& other277) {
+  task = other277.task;
+  run = other277.run;
+  payload = other277.payload;
+  checkpoint = other277.checkpoint;
+  info = other277.info;
+  permit = other277.permit;
+  __isset = other277.__isset;
+}
+StartOrder::StartOrder(StartOrder&& other278) noexcept {
+  task = std::move(other278.task);
+  run = other278.run;
+  payload = std::move(other278.payload);
+  checkpoint = std::move(other278.checkpoint);
+  info = std::move(other278.info);
+  permit = std::move(other278.permit);
+  __isset = other278.__isset;
+}
+StartOrder& StartOrder::operator=(const StartOrder& other279) {
+  task = other279.task;
+  run = other279.run;
+  payload = other279.payload;
+  checkpoint = other279.checkpoint;
+  info = other279.info;
+  permit = other279.permit;
+  __isset = other279.__isset;
+  return *this;
+}
+StartOrder& StartOrder::operator=(StartOrder&& other280) noexcept {
+  task = std::move(other280.task);
+  run = other280.run;
+  payload = std::move(other280.payload);
+  checkpoint = std::move(other280.checkpoint);
+  info = std::move(other280.info);
+  permit = std::move(other280.permit);
+  __isset = other280.__isset;
+  return *this;
+}
+void StartOrder::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StartOrder(";
+  out << "task=" << to_string(task);
+  out << ", " << "run=" << to_string(run);
+  out << ", " << "payload=" << to_string(payload);
+  out << ", " << "checkpoint=" << to_string(checkpoint);
+  out << ", " << "info=" << to_string(info);
+  out << ", " << "permit=" << to_string(permit);
+  out << ")";
+}
+
+
+StopOrder::~StopOrder() noexcept {
+}
+
+
+void StopOrder::__set_task(const TaskRef& val) {
+  this->task = val;
+}
+
+void StopOrder::__set_run(const int64_t val) {
+  this->run = val;
+}
+std::ostream& operator<<(std::ostream& out, const StopOrder& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StopOrder::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->task.read(iprot);
+          this->__isset.task = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->run);
+          this->__isset.run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StopOrder::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StopOrder");
+
+  xfer += oprot->writeFieldBegin("task", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->task.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->run);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StopOrder &a, StopOrder &b) {
+  using ::std::swap;
+  swap(a.task, b.task);
+  swap(a.run, b.run);
+  swap(a.__isset, b.__isset);
+}
+
+StopOrder::StopOrder(const StopOrder& other281) {
+  task = other281.task;
+  run = other281.run;
+  __isset = other281.__isset;
+}
+StopOrder::StopOrder(StopOrder&& other282) noexcept {
+  task = std::move(other282.task);
+  run = other282.run;
+  __isset = other282.__isset;
+}
+StopOrder& StopOrder::operator=(const StopOrder& other283) {
+  task = other283.task;
+  run = other283.run;
+  __isset = other283.__isset;
+  return *this;
+}
+StopOrder& StopOrder::operator=(StopOrder&& other284) noexcept {
+  task = std::move(other284.task);
+  run = other284.run;
+  __isset = other284.__isset;
+  return *this;
+}
+void StopOrder::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StopOrder(";
+  out << "task=" << to_string(task);
+  out << ", " << "run=" << to_string(run);
+  out << ")";
+}
+
+
+WorkerOrders::~WorkerOrders() noexcept {
+}
+
+
+void WorkerOrders::__set_epoch(const int64_t val) {
+  this->epoch = val;
+}
+
+void WorkerOrders::__set_ownerHost(const std::string& val) {
+  this->ownerHost = val;
+}
+
+void WorkerOrders::__set_ownerPort(const int32_t val) {
+  this->ownerPort = val;
+}
+
+void WorkerOrders::__set_worker(const std::string& val) {
+  this->worker = val;
+}
+
+void WorkerOrders::__set_born(const int64_t val) {
+  this->born = val;
+}
+
+void WorkerOrders::__set_starts(const std::vector<StartOrder> & val) {
+  this->starts = val;
+}
+
+void WorkerOrders::__set_stops(const std::vector<StopOrder> & val) {
+  this->stops = val;
+}
+
+void WorkerOrders::__set_leaseTerm(const int64_t val) {
+  this->leaseTerm = val;
+}
+std::ostream& operator<<(std::ostream& out, const WorkerOrders& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WorkerOrders::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->ownerHost);
+          this->__isset.ownerHost = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ownerPort);
+          this->__isset.ownerPort = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->worker);
+          this->__isset.worker = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->born);
+          this->__isset.born = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->starts.clear();
+            uint32_t _size285;
+            ::apache::thrift::protocol::TType _etype288;
+            xfer += iprot->readListBegin(_etype288, _size285);
+            this->starts.resize(_size285);
+            uint32_t _i289;
+            for (_i289 = 0; _i289 < _size285; ++_i289)
+            {
+              xfer += this->starts[_i289].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.starts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->stops.clear();
+            uint32_t _size290;
+            ::apache::thrift::protocol::TType _etype293;
+            xfer += iprot->readListBegin(_etype293, _size290);
+            this->stops.resize(_size290);
+            uint32_t _i294;
+            for (_i294 = 0; _i294 < _size290; ++_i294)
+            {
+              xfer += this->stops[_i294].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.stops = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->leaseTerm);
+          this->__isset.leaseTerm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t WorkerOrders::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WorkerOrders");
+
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ownerHost", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->ownerHost);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ownerPort", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->ownerPort);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("worker", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->worker);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("born", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->born);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("starts", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->starts.size()));
+    std::vector<StartOrder> ::const_iterator _iter295;
+    for (_iter295 = this->starts.begin(); _iter295 != this->starts.end(); ++_iter295)
+    {
+      xfer += (*_iter295).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("stops", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->stops.size()));
+    std::vector<StopOrder> ::const_iterator _iter296;
+    for (_iter296 = this->stops.begin(); _iter296 != this->stops.end(); ++_iter296)
+    {
+      xfer += (*_iter296).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaseTerm", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->leaseTerm);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WorkerOrders &a, WorkerOrders &b) {
+  using ::std::swap;
+  swap(a.epoch, b.epoch);
+  swap(a.ownerHost, b.ownerHost);
+  swap(a.ownerPort, b.ownerPort);
+  swap(a.worker, b.worker);
+  swap(a.born, b.born);
+  swap(a.starts, b.starts);
+  swap(a.stops, b.stops);
+  swap(a.leaseTerm, b.leaseTerm);
+  swap(a.__isset, b.__isset);
+}
+
+WorkerOrders::WorkerOrders(const WorkerOrders& other297) {
+  epoch = other297.epoch;
+  ownerHost = other297.ownerHost;
+  ownerPort = other297.ownerPort;
+  worker = other297.worker;
+  born = other297.born;
+  starts = other297.starts;
+  stops = other297.stops;
+  leaseTerm = other297.leaseTerm;
+  __isset = other297.__isset;
+}
+WorkerOrders::WorkerOrders(WorkerOrders&& other298) noexcept {
+  epoch = other298.epoch;
+  ownerHost = std::move(other298.ownerHost);
+  ownerPort = other298.ownerPort;
+  worker = std::move(other298.worker);
+  born = other298.born;
+  starts = std::move(other298.starts);
+  stops = std::move(other298.stops);
+  leaseTerm = other298.leaseTerm;
+  __isset = other298.__isset;
+}
+WorkerOrders& WorkerOrders::operator=(const WorkerOrders& other299) {
+  epoch = other299.epoch;
+  ownerHost = other299.ownerHost;
+  ownerPort = other299.ownerPort;
+  worker = other299.worker;
+  born = other299.born;
+  starts = other299.starts;
+  stops = other299.stops;
+  leaseTerm = other299.leaseTerm;
+  __isset = other299.__isset;
+  return *this;
+}
+WorkerOrders& WorkerOrders::operator=(WorkerOrders&& other300) noexcept {
+  epoch = other300.epoch;
+  ownerHost = std::move(other300.ownerHost);
+  ownerPort = other300.ownerPort;
+  worker = std::move(other300.worker);
+  born = other300.born;
+  starts = std::move(other300.starts);
+  stops = std::move(other300.stops);
+  leaseTerm = other300.leaseTerm;
+  __isset = other300.__isset;
+  return *this;
+}
+void WorkerOrders::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WorkerOrders(";
+  out << "epoch=" << to_string(epoch);
+  out << ", " << "ownerHost=" << to_string(ownerHost);
+  out << ", " << "ownerPort=" << to_string(ownerPort);
+  out << ", " << "worker=" << to_string(worker);
+  out << ", " << "born=" << to_string(born);
+  out << ", " << "starts=" << to_string(starts);
+  out << ", " << "stops=" << to_string(stops);
+  out << ", " << "leaseTerm=" << to_string(leaseTerm);
+  out << ")";
+}
+
+
+WorkerOrdersReply::~WorkerOrdersReply() noexcept {
+}
+
+
+void WorkerOrdersReply::__set_starts(const std::vector<int32_t> & val) {
+  this->starts = val;
+}
+
+void WorkerOrdersReply::__set_stops(const std::vector<int32_t> & val) {
+  this->stops = val;
+}
+
+void WorkerOrdersReply::__set_listing(const int64_t val) {
+  this->listing = val;
+}
+std::ostream& operator<<(std::ostream& out, const WorkerOrdersReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WorkerOrdersReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->starts.clear();
+            uint32_t _size301;
+            ::apache::thrift::protocol::TType _etype304;
+            xfer += iprot->readListBegin(_etype304, _size301);
+            this->starts.resize(_size301);
+            uint32_t _i305;
+            for (_i305 = 0; _i305 < _size301; ++_i305)
+            {
+              xfer += iprot->readI32(this->starts[_i305]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.starts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->stops.clear();
+            uint32_t _size306;
+            ::apache::thrift::protocol::TType _etype309;
+            xfer += iprot->readListBegin(_etype309, _size306);
+            this->stops.resize(_size306);
+            uint32_t _i310;
+            for (_i310 = 0; _i310 < _size306; ++_i310)
+            {
+              xfer += iprot->readI32(this->stops[_i310]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.stops = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->listing);
+          this->__isset.listing = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t WorkerOrdersReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WorkerOrdersReply");
+
+  xfer += oprot->writeFieldBegin("starts", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->starts.size()));
+    std::vector<int32_t> ::const_iterator _iter311;
+    for (_iter311 = this->starts.begin(); _iter311 != this->starts.end(); ++_iter311)
+    {
+      xfer += oprot->writeI32((*_iter311));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("stops", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->stops.size()));
+    std::vector<int32_t> ::const_iterator _iter312;
+    for (_iter312 = this->stops.begin(); _iter312 != this->stops.end(); ++_iter312)
+    {
+      xfer += oprot->writeI32((*_iter312));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("listing", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->listing);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WorkerOrdersReply &a, WorkerOrdersReply &b) {
+  using ::std::swap;
+  swap(a.starts, b.starts);
+  swap(a.stops, b.stops);
+  swap(a.listing, b.listing);
+  swap(a.__isset, b.__isset);
+}
+
+WorkerOrdersReply::WorkerOrdersReply(const WorkerOrdersReply& other313) {
+  starts = other313.starts;
+  stops = other313.stops;
+  listing = other313.listing;
+  __isset = other313.__isset;
+}
+WorkerOrdersReply::WorkerOrdersReply(WorkerOrdersReply&& other314) noexcept {
+  starts = std::move(other314.starts);
+  stops = std::move(other314.stops);
+  listing = other314.listing;
+  __isset = other314.__isset;
+}
+WorkerOrdersReply& WorkerOrdersReply::operator=(const WorkerOrdersReply& other315) {
+  starts = other315.starts;
+  stops = other315.stops;
+  listing = other315.listing;
+  __isset = other315.__isset;
+  return *this;
+}
+WorkerOrdersReply& WorkerOrdersReply::operator=(WorkerOrdersReply&& other316) noexcept {
+  starts = std::move(other316.starts);
+  stops = std::move(other316.stops);
+  listing = other316.listing;
+  __isset = other316.__isset;
+  return *this;
+}
+void WorkerOrdersReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WorkerOrdersReply(";
+  out << "starts=" << to_string(starts);
+  out << ", " << "stops=" << to_string(stops);
+  out << ", " << "listing=" << to_string(listing);
+  out << ")";
+}
+
+
+SubmitJob::~SubmitJob() noexcept {
+}
+
+
+void SubmitJob::__set_spec(const JobSpec& val) {
+  this->spec = val;
+}
+std::ostream& operator<<(std::ostream& out, const SubmitJob& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SubmitJob::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->spec.read(iprot);
+          this->__isset.spec = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SubmitJob::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SubmitJob");
+
+  xfer += oprot->writeFieldBegin("spec", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->spec.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SubmitJob &a, SubmitJob &b) {
+  using ::std::swap;
+  swap(a.spec, b.spec);
+  swap(a.__isset, b.__isset);
+}
+
+SubmitJob::SubmitJob(const SubmitJob& other317) {
+  spec = other317.spec;
+  __isset = other317.__isset;
+}
+SubmitJob::SubmitJob(SubmitJob&& other318) noexcept {
+  spec = std::move(other318.spec);
+  __isset = other318.__isset;
+}
+SubmitJob& SubmitJob::operator=(const SubmitJob& other319) {
+  spec = other319.spec;
+  __isset = other319.__isset;
+  return *this;
+}
+SubmitJob& SubmitJob::operator=(SubmitJob&& other320) noexcept {
+  spec = std::move(other320.spec);
+  __isset = other320.__isset;
+  return *this;
+}
+void SubmitJob::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SubmitJob(";
+  out << "spec=" << to_string(spec);
+  out << ")";
+}
+
+
+JobQuery::~JobQuery() noexcept {
+}
+
+
+void JobQuery::__set_id(const std::string& val) {
+  this->id = val;
+}
+std::ostream& operator<<(std::ostream& out, const JobQuery& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t JobQuery::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t JobQuery::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("JobQuery");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(JobQuery &a, JobQuery &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.__isset, b.__isset);
+}
+
+JobQuery::JobQuery(const JobQuery& other321) {
+  id = other321.id;
+  __isset = other321.__isset;
+}
+JobQuery::JobQuery(JobQuery&& other322) noexcept {
+  id = std::move(other322.id);
+  __isset = other322.__isset;
+}
+JobQuery& JobQuery::operator=(const JobQuery& other323) {
+  id = other323.id;
+  __isset = other323.__isset;
+  return *this;
+}
+JobQuery& JobQuery::operator=(JobQuery&& other324) noexcept {
+  id = std::move(other324.id);
+  __isset = other324.__isset;
+  return *this;
+}
+void JobQuery::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "JobQuery(";
+  out << "id=" << to_string(id);
+  out << ")";
+}
+
+
+CancelJob::~CancelJob() noexcept {
+}
+
+
+void CancelJob::__set_id(const std::string& val) {
+  this->id = val;
+}
+std::ostream& operator<<(std::ostream& out, const CancelJob& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CancelJob::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CancelJob::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CancelJob");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CancelJob &a, CancelJob &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.__isset, b.__isset);
+}
+
+CancelJob::CancelJob(const CancelJob& other325) {
+  id = other325.id;
+  __isset = other325.__isset;
+}
+CancelJob::CancelJob(CancelJob&& other326) noexcept {
+  id = std::move(other326.id);
+  __isset = other326.__isset;
+}
+CancelJob& CancelJob::operator=(const CancelJob& other327) {
+  id = other327.id;
+  __isset = other327.__isset;
+  return *this;
+}
+CancelJob& CancelJob::operator=(CancelJob&& other328) noexcept {
+  id = std::move(other328.id);
+  __isset = other328.__isset;
+  return *this;
+}
+void CancelJob::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CancelJob(";
+  out << "id=" << to_string(id);
+  out << ")";
+}
+
+
+QueueQuery::~QueueQuery() noexcept {
+}
+
+
+void QueueQuery::__set_queue(const std::string& val) {
+  this->queue = val;
+}
+std::ostream& operator<<(std::ostream& out, const QueueQuery& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QueueQuery::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->queue);
+          this->__isset.queue = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t QueueQuery::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QueueQuery");
+
+  xfer += oprot->writeFieldBegin("queue", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->queue);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QueueQuery &a, QueueQuery &b) {
+  using ::std::swap;
+  swap(a.queue, b.queue);
+  swap(a.__isset, b.__isset);
+}
+
+QueueQuery::QueueQuery(const QueueQuery& other329) {
+  queue = other329.queue;
+  __isset = other329.__isset;
+}
+QueueQuery::QueueQuery(QueueQuery&& other330) noexcept {
+  queue = std::move(other330.queue);
+  __isset = other330.__isset;
+}
+QueueQuery& QueueQuery::operator=(const QueueQuery& other331) {
+  queue = other331.queue;
+  __isset = other331.__isset;
+  return *this;
+}
+QueueQuery& QueueQuery::operator=(QueueQuery&& other332) noexcept {
+  queue = std::move(other332.queue);
+  __isset = other332.__isset;
+  return *this;
+}
+void QueueQuery::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QueueQuery(";
+  out << "queue=" << to_string(queue);
+  out << ")";
+}
+
+
+JobAnswer::~JobAnswer() noexcept {
+}
+
+
+void JobAnswer::__set_outcome(const int32_t val) {
+  this->outcome = val;
+}
+
+void JobAnswer::__set_phase(const int32_t val) {
+  this->phase = val;
+}
+
+void JobAnswer::__set_waiting(const int64_t val) {
+  this->waiting = val;
+}
+
+void JobAnswer::__set_retryAfterMs(const int64_t val) {
+  this->retryAfterMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const JobAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t JobAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->outcome);
+          this->__isset.outcome = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->phase);
+          this->__isset.phase = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->waiting);
+          this->__isset.waiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->retryAfterMs);
+          this->__isset.retryAfterMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t JobAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("JobAnswer");
+
+  xfer += oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->outcome);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("phase", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->phase);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->waiting);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("retryAfterMs", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->retryAfterMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(JobAnswer &a, JobAnswer &b) {
+  using ::std::swap;
+  swap(a.outcome, b.outcome);
+  swap(a.phase, b.phase);
+  swap(a.waiting, b.waiting);
+  swap(a.retryAfterMs, b.retryAfterMs);
+  swap(a.__isset, b.__isset);
+}
+
+JobAnswer::JobAnswer(const JobAnswer& other333) noexcept {
+  outcome = other333.outcome;
+  phase = other333.phase;
+  waiting = other333.waiting;
+  retryAfterMs = other333.retryAfterMs;
+  __isset = other333.__isset;
+}
+JobAnswer::JobAnswer(JobAnswer&& other334) noexcept {
+  outcome = other334.outcome;
+  phase = other334.phase;
+  waiting = other334.waiting;
+  retryAfterMs = other334.retryAfterMs;
+  __isset = other334.__isset;
+}
+JobAnswer& JobAnswer::operator=(const JobAnswer& other335) noexcept {
+  outcome = other335.outcome;
+  phase = other335.phase;
+  waiting = other335.waiting;
+  retryAfterMs = other335.retryAfterMs;
+  __isset = other335.__isset;
+  return *this;
+}
+JobAnswer& JobAnswer::operator=(JobAnswer&& other336) noexcept {
+  outcome = other336.outcome;
+  phase = other336.phase;
+  waiting = other336.waiting;
+  retryAfterMs = other336.retryAfterMs;
+  __isset = other336.__isset;
+  return *this;
+}
+void JobAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "JobAnswer(";
+  out << "outcome=" << to_string(outcome);
+  out << ", " << "phase=" << to_string(phase);
+  out << ", " << "waiting=" << to_string(waiting);
+  out << ", " << "retryAfterMs=" << to_string(retryAfterMs);
+  out << ")";
+}
+
+
+OwnerRecord::~OwnerRecord() noexcept {
+}
+
+
+void OwnerRecord::__set_epoch(const int64_t val) {
+  this->epoch = val;
+}
+
+void OwnerRecord::__set_host(const std::string& val) {
+  this->host = val;
+}
+
+void OwnerRecord::__set_port(const int32_t val) {
+  this->port = val;
+}
+
+void OwnerRecord::__set_name(const std::string& val) {
+  this->name = val;
+}
+std::ostream& operator<<(std::ostream& out, const OwnerRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t OwnerRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->host);
+          this->__isset.host = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->port);
+          this->__isset.port = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t OwnerRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OwnerRecord");
+
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->host);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("port", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->port);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(OwnerRecord &a, OwnerRecord &b) {
+  using ::std::swap;
+  swap(a.epoch, b.epoch);
+  swap(a.host, b.host);
+  swap(a.port, b.port);
+  swap(a.name, b.name);
+  swap(a.__isset, b.__isset);
+}
+
+OwnerRecord::OwnerRecord(const OwnerRecord& other337) {
+  epoch = other337.epoch;
+  host = other337.host;
+  port = other337.port;
+  name = other337.name;
+  __isset = other337.__isset;
+}
+OwnerRecord::OwnerRecord(OwnerRecord&& other338) noexcept {
+  epoch = other338.epoch;
+  host = std::move(other338.host);
+  port = other338.port;
+  name = std::move(other338.name);
+  __isset = other338.__isset;
+}
+OwnerRecord& OwnerRecord::operator=(const OwnerRecord& other339) {
+  epoch = other339.epoch;
+  host = other339.host;
+  port = other339.port;
+  name = other339.name;
+  __isset = other339.__isset;
+  return *this;
+}
+OwnerRecord& OwnerRecord::operator=(OwnerRecord&& other340) noexcept {
+  epoch = other340.epoch;
+  host = std::move(other340.host);
+  port = other340.port;
+  name = std::move(other340.name);
+  __isset = other340.__isset;
+  return *this;
+}
+void OwnerRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "OwnerRecord(";
+  out << "epoch=" << to_string(epoch);
+  out << ", " << "host=" << to_string(host);
+  out << ", " << "port=" << to_string(port);
+  out << ", " << "name=" << to_string(name);
+  out << ")";
+}
+
+
+WorkerRoster::~WorkerRoster() noexcept {
+}
+
+
+void WorkerRoster::__set_workers(const std::vector<WorkerDescription> & val) {
+  this->workers = val;
+}
+std::ostream& operator<<(std::ostream& out, const WorkerRoster& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WorkerRoster::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->workers.clear();
+            uint32_t _size341;
+            ::apache::thrift::protocol::TType _etype344;
+            xfer += iprot->readListBegin(_etype344, _size341);
+            this->workers.resize(_size341);
+            uint32_t _i345;
+            for (_i345 = 0; _i345 < _size341; ++_i345)
+            {
+              xfer += this->workers[_i345].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.workers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t WorkerRoster::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WorkerRoster");
+
+  xfer += oprot->writeFieldBegin("workers", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->workers.size()));
+    std::vector<WorkerDescription> ::const_iterator _iter346;
+    for (_iter346 = this->workers.begin(); _iter346 != this->workers.end(); ++_iter346)
+    {
+      xfer += (*_iter346).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WorkerRoster &a, WorkerRoster &b) {
+  using ::std::swap;
+  swap(a.workers, b.workers);
+  swap(a.__isset, b.__isset);
+}
+
+WorkerRoster::WorkerRoster(const WorkerRoster& other347) {
+  workers = other347.workers;
+  __isset = other347.__isset;
+}
+WorkerRoster::WorkerRoster(WorkerRoster&& other348) noexcept {
+  workers = std::move(other348.workers);
+  __isset = other348.__isset;
+}
+WorkerRoster& WorkerRoster::operator=(const WorkerRoster& other349) {
+  workers = other349.workers;
+  __isset = other349.__isset;
+  return *this;
+}
+WorkerRoster& WorkerRoster::operator=(WorkerRoster&& other350) noexcept {
+  workers = std::move(other350.workers);
+  __isset = other350.__isset;
+  return *this;
+}
+void WorkerRoster::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WorkerRoster(";
+  out << "workers=" << to_string(workers);
+  out << ")";
+}
+
 }} // namespace
--- a/idl/gen/messages_types.h
+++ b/idl/gen/messages_types.h
@@ -36,7 +36,13 @@
   JobForwardKind = 12,
   JobReplyKind = 13,
   ClaimPageRequestKind = 14,
-  ClaimPageKind = 15
+  ClaimPageKind = 15,
+  SubmitJobKind = 20,
+  JobQueryKind = 21,
+  CancelJobKind = 22,
+  QueueQueryKind = 23,
+  WorkerReportKind = 24,
+  WorkerOrdersKind = 25
 };
 
 extern const std::map<int, const char*> _MessageKind_VALUES_TO_NAMES;
@@ -98,6 +104,52 @@
 
 class Ack;
 
+class QueuePolicy;
+
+class StepSpec;
+
+class JobSpec;
+
+class StepProgress;
+
+class JobProgress;
+
+class TaskRef;
+
+class RunningTask;
+
+class EndedTask;
+
+class WorkerDescription;
+
+class WorkerReport;
+
+class RunInfo;
+
+class WorkerReportReply;
+
+class StartOrder;
+
+class StopOrder;
+
+class WorkerOrders;
+
+class WorkerOrdersReply;
+
+class SubmitJob;
+
+class JobQuery;
+
+class CancelJob;
+
+class QueueQuery;
+
+class JobAnswer;
+
+class OwnerRecord;
+
+class WorkerRoster;
+
 typedef struct _Envelope__isset {
   _Envelope__isset() : sender(false), incarnation(false), correlation(false), kind(false), payload(false), reply(false) {}
   bool sender :1;
@@ -1501,6 +1553,1663 @@
 
 std::ostream& operator<<(std::ostream& out, const Ack& obj);
 
+typedef struct _QueuePolicy__isset {
+  _QueuePolicy__isset() : name(false), serviceName(false), priority(false), maxAttempts(false), stretch(false), targetLatencyMs(false), needsPermit(false) {}
+  bool name :1;
+  bool serviceName :1;
+  bool priority :1;
+  bool maxAttempts :1;
+  bool stretch :1;
+  bool targetLatencyMs :1;
+  bool needsPermit :1;
+} _QueuePolicy__isset;
+
+class QueuePolicy : public virtual ::apache::thrift::TBase {
+ public:
+
+  QueuePolicy(const QueuePolicy&);
+  QueuePolicy(QueuePolicy&&) noexcept;
+  QueuePolicy& operator=(const QueuePolicy&);
+  QueuePolicy& operator=(QueuePolicy&&) noexcept;
+  QueuePolicy() noexcept
+              : name(),
+                serviceName(),
+                priority(0),
+                maxAttempts(0),
+                stretch(0),
+                targetLatencyMs(0),
+                needsPermit(0) {
+  }
+
+  virtual ~QueuePolicy() noexcept;
+  std::string name;
+  std::string serviceName;
+  int32_t priority;
+  int32_t maxAttempts;
+  double stretch;
+  int64_t targetLatencyMs;
+  bool needsPermit;
+
+  _QueuePolicy__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_priority(const int32_t val);
+
+  void __set_maxAttempts(const int32_t val);
+
+  void __set_stretch(const double val);
+
+  void __set_targetLatencyMs(const int64_t val);
+
+  void __set_needsPermit(const bool val);
+
+  bool operator == (const QueuePolicy & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(priority == rhs.priority))
+      return false;
+    if (!(maxAttempts == rhs.maxAttempts))
+      return false;
+    if (!(stretch == rhs.stretch))
+      return false;
+    if (!(targetLatencyMs == rhs.targetLatencyMs))
+      return false;
+    if (!(needsPermit == rhs.needsPermit))
+      return false;
+    return true;
+  }
+  bool operator != (const QueuePolicy &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QueuePolicy & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QueuePolicy &a, QueuePolicy &b);
+
+std::ostream& operator<<(std::ostream& out, const QueuePolicy& obj);
+
+typedef struct _StepSpec__isset {
+  _StepSpec__isset() : count(false), cpuMilli(false), memoryMb(false), accelerators(false), estimatedMs(false), after(false), checkpoints(false), gang(false), gangOnOneRack(false), requiredLabel(false), dataRack(false), maxPerWorker(false), duplicatesAllowed(false), longRunning(false), image(false), tailTargetMs(false), usesIdleCpu(false), maxUnavailable(false) {}
+  bool count :1;
+  bool cpuMilli :1;
+  bool memoryMb :1;
+  bool accelerators :1;
+  bool estimatedMs :1;
+  bool after :1;
+  bool checkpoints :1;
+  bool gang :1;
+  bool gangOnOneRack :1;
+  bool requiredLabel :1;
+  bool dataRack :1;
+  bool maxPerWorker :1;
+  bool duplicatesAllowed :1;
+  bool longRunning :1;
+  bool image :1;
+  bool tailTargetMs :1;
+  bool usesIdleCpu :1;
+  bool maxUnavailable :1;
+} _StepSpec__isset;
+
+class StepSpec : public virtual ::apache::thrift::TBase {
+ public:
+
+  StepSpec(const StepSpec&);
+  StepSpec(StepSpec&&) noexcept;
+  StepSpec& operator=(const StepSpec&);
+  StepSpec& operator=(StepSpec&&) noexcept;
+  StepSpec() noexcept
+           : count(0),
+             cpuMilli(0),
+             memoryMb(0),
+             accelerators(0),
+             estimatedMs(0),
+             checkpoints(0),
+             gang(0),
+             gangOnOneRack(0),
+             requiredLabel(),
+             dataRack(),
+             maxPerWorker(0),
+             duplicatesAllowed(0),
+             longRunning(0),
+             image(),
+             tailTargetMs(0),
+             usesIdleCpu(0),
+             maxUnavailable(0) {
+  }
+
+  virtual ~StepSpec() noexcept;
+  int32_t count;
+  int32_t cpuMilli;
+  int32_t memoryMb;
+  int32_t accelerators;
+  int64_t estimatedMs;
+  std::vector<int32_t>  after;
+  bool checkpoints;
+  bool gang;
+  bool gangOnOneRack;
+  std::string requiredLabel;
+  std::string dataRack;
+  int32_t maxPerWorker;
+  bool duplicatesAllowed;
+  bool longRunning;
+  std::string image;
+  int64_t tailTargetMs;
+  bool usesIdleCpu;
+  int32_t maxUnavailable;
+
+  _StepSpec__isset __isset;
+
+  void __set_count(const int32_t val);
+
+  void __set_cpuMilli(const int32_t val);
+
+  void __set_memoryMb(const int32_t val);
+
+  void __set_accelerators(const int32_t val);
+
+  void __set_estimatedMs(const int64_t val);
+
+  void __set_after(const std::vector<int32_t> & val);
+
+  void __set_checkpoints(const bool val);
+
+  void __set_gang(const bool val);
+
+  void __set_gangOnOneRack(const bool val);
+
+  void __set_requiredLabel(const std::string& val);
+
+  void __set_dataRack(const std::string& val);
+
+  void __set_maxPerWorker(const int32_t val);
+
+  void __set_duplicatesAllowed(const bool val);
+
+  void __set_longRunning(const bool val);
+
+  void __set_image(const std::string& val);
+
+  void __set_tailTargetMs(const int64_t val);
+
+  void __set_usesIdleCpu(const bool val);
+
+  void __set_maxUnavailable(const int32_t val);
+
+  bool operator == (const StepSpec & rhs) const
+  {
+    if (!(count == rhs.count))
+      return false;
+    if (!(cpuMilli == rhs.cpuMilli))
+      return false;
+    if (!(memoryMb == rhs.memoryMb))
+      return false;
+    if (!(accelerators == rhs.accelerators))
+      return false;
+    if (!(estimatedMs == rhs.estimatedMs))
+      return false;
+    if (!(after == rhs.after))
+      return false;
+    if (!(checkpoints == rhs.checkpoints))
+      return false;
+    if (!(gang == rhs.gang))
+      return false;
+    if (!(gangOnOneRack == rhs.gangOnOneRack))
+      return false;
+    if (!(requiredLabel == rhs.requiredLabel))
+      return false;
+    if (!(dataRack == rhs.dataRack))
+      return false;
+    if (!(maxPerWorker == rhs.maxPerWorker))
+      return false;
+    if (!(duplicatesAllowed == rhs.duplicatesAllowed))
+      return false;
+    if (!(longRunning == rhs.longRunning))
+      return false;
+    if (!(image == rhs.image))
+      return false;
+    if (!(tailTargetMs == rhs.tailTargetMs))
+      return false;
+    if (!(usesIdleCpu == rhs.usesIdleCpu))
+      return false;
+    if (!(maxUnavailable == rhs.maxUnavailable))
+      return false;
+    return true;
+  }
+  bool operator != (const StepSpec &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StepSpec & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StepSpec &a, StepSpec &b);
+
+std::ostream& operator<<(std::ostream& out, const StepSpec& obj);
+
+typedef struct _JobSpec__isset {
+  _JobSpec__isset() : id(false), queue(false), payload(false), steps(false), occurrences(false), firstDueMs(false), intervalMs(false), acceptedAtMs(false) {}
+  bool id :1;
+  bool queue :1;
+  bool payload :1;
+  bool steps :1;
+  bool occurrences :1;
+  bool firstDueMs :1;
+  bool intervalMs :1;
+  bool acceptedAtMs :1;
+} _JobSpec__isset;
+
+class JobSpec : public virtual ::apache::thrift::TBase {
+ public:
+
+  JobSpec(const JobSpec&);
+  JobSpec(JobSpec&&) noexcept;
+  JobSpec& operator=(const JobSpec&);
+  JobSpec& operator=(JobSpec&&) noexcept;
+  JobSpec() noexcept
+          : id(),
+            payload(),
+            occurrences(0),
+            firstDueMs(0),
+            intervalMs(0),
+            acceptedAtMs(0) {
+  }
+
+  virtual ~JobSpec() noexcept;
+  std::string id;
+  QueuePolicy queue;
+  std::string payload;
+  std::vector<StepSpec>  steps;
+  int32_t occurrences;
+  int64_t firstDueMs;
+  int64_t intervalMs;
+  int64_t acceptedAtMs;
+
+  _JobSpec__isset __isset;
+
+  void __set_id(const std::string& val);
+
+  void __set_queue(const QueuePolicy& val);
+
+  void __set_payload(const std::string& val);
+
+  void __set_steps(const std::vector<StepSpec> & val);
+
+  void __set_occurrences(const int32_t val);
+
+  void __set_firstDueMs(const int64_t val);
+
+  void __set_intervalMs(const int64_t val);
+
+  void __set_acceptedAtMs(const int64_t val);
+
+  bool operator == (const JobSpec & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(queue == rhs.queue))
+      return false;
+    if (!(payload == rhs.payload))
+      return false;
+    if (!(steps == rhs.steps))
+      return false;
+    if (!(occurrences == rhs.occurrences))
+      return false;
+    if (!(firstDueMs == rhs.firstDueMs))
+      return false;
+    if (!(intervalMs == rhs.intervalMs))
+      return false;
+    if (!(acceptedAtMs == rhs.acceptedAtMs))
+      return false;
+    return true;
+  }
+  bool operator != (const JobSpec &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const JobSpec & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(JobSpec &a, JobSpec &b);
+
+std::ostream& operator<<(std::ostream& out, const JobSpec& obj);
+
+typedef struct _StepProgress__isset {
+  _StepProgress__isset() : finished(false), failures(false) {}
+  bool finished :1;
+  bool failures :1;
+} _StepProgress__isset;
+
+class StepProgress : public virtual ::apache::thrift::TBase {
+ public:
+
+  StepProgress(const StepProgress&);
+  StepProgress(StepProgress&&) noexcept;
+  StepProgress& operator=(const StepProgress&);
+  StepProgress& operator=(StepProgress&&) noexcept;
+  StepProgress() noexcept
+               : finished() {
+  }
+
+  virtual ~StepProgress() noexcept;
+  std::string finished;
+  std::map<int32_t, std::vector<int64_t> >  failures;
+
+  _StepProgress__isset __isset;
+
+  void __set_finished(const std::string& val);
+
+  void __set_failures(const std::map<int32_t, std::vector<int64_t> > & val);
+
+  bool operator == (const StepProgress & rhs) const
+  {
+    if (!(finished == rhs.finished))
+      return false;
+    if (!(failures == rhs.failures))
+      return false;
+    return true;
+  }
+  bool operator != (const StepProgress &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StepProgress & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StepProgress &a, StepProgress &b);
+
+std::ostream& operator<<(std::ostream& out, const StepProgress& obj);
+
+typedef struct _JobProgress__isset {
+  _JobProgress__isset() : phase(false), occurrences(false), endedAtMs(false) {}
+  bool phase :1;
+  bool occurrences :1;
+  bool endedAtMs :1;
+} _JobProgress__isset;
+
+class JobProgress : public virtual ::apache::thrift::TBase {
+ public:
+
+  JobProgress(const JobProgress&);
+  JobProgress(JobProgress&&) noexcept;
+  JobProgress& operator=(const JobProgress&);
+  JobProgress& operator=(JobProgress&&) noexcept;
+  JobProgress() noexcept
+              : phase(0),
+                endedAtMs(0) {
+  }
+
+  virtual ~JobProgress() noexcept;
+  int32_t phase;
+  std::map<int32_t, std::vector<StepProgress> >  occurrences;
+  int64_t endedAtMs;
+
+  _JobProgress__isset __isset;
+
+  void __set_phase(const int32_t val);
+
+  void __set_occurrences(const std::map<int32_t, std::vector<StepProgress> > & val);
+
+  void __set_endedAtMs(const int64_t val);
+
+  bool operator == (const JobProgress & rhs) const
+  {
+    if (!(phase == rhs.phase))
+      return false;
+    if (!(occurrences == rhs.occurrences))
+      return false;
+    if (!(endedAtMs == rhs.endedAtMs))
+      return false;
+    return true;
+  }
+  bool operator != (const JobProgress &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const JobProgress & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(JobProgress &a, JobProgress &b);
+
+std::ostream& operator<<(std::ostream& out, const JobProgress& obj);
+
+typedef struct _TaskRef__isset {
+  _TaskRef__isset() : job(false), occurrence(false), step(false), index(false) {}
+  bool job :1;
+  bool occurrence :1;
+  bool step :1;
+  bool index :1;
+} _TaskRef__isset;
+
+class TaskRef : public virtual ::apache::thrift::TBase {
+ public:
+
+  TaskRef(const TaskRef&);
+  TaskRef(TaskRef&&) noexcept;
+  TaskRef& operator=(const TaskRef&);
+  TaskRef& operator=(TaskRef&&) noexcept;
+  TaskRef() noexcept
+          : job(),
+            occurrence(0),
+            step(0),
+            index(0) {
+  }
+
+  virtual ~TaskRef() noexcept;
+  std::string job;
+  int32_t occurrence;
+  int32_t step;
+  int32_t index;
+
+  _TaskRef__isset __isset;
+
+  void __set_job(const std::string& val);
+
+  void __set_occurrence(const int32_t val);
+
+  void __set_step(const int32_t val);
+
+  void __set_index(const int32_t val);
+
+  bool operator == (const TaskRef & rhs) const
+  {
+    if (!(job == rhs.job))
+      return false;
+    if (!(occurrence == rhs.occurrence))
+      return false;
+    if (!(step == rhs.step))
+      return false;
+    if (!(index == rhs.index))
+      return false;
+    return true;
+  }
+  bool operator != (const TaskRef &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TaskRef & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TaskRef &a, TaskRef &b);
+
+std::ostream& operator<<(std::ostream& out, const TaskRef& obj);
+
+typedef struct _RunningTask__isset {
+  _RunningTask__isset() : task(false), run(false), checkpoint(false), percent(false), usage(false) {}
+  bool task :1;
+  bool run :1;
+  bool checkpoint :1;
+  bool percent :1;
+  bool usage :1;
+} _RunningTask__isset;
+
+class RunningTask : public virtual ::apache::thrift::TBase {
+ public:
+
+  RunningTask(const RunningTask&);
+  RunningTask(RunningTask&&) noexcept;
+  RunningTask& operator=(const RunningTask&);
+  RunningTask& operator=(RunningTask&&) noexcept;
+  RunningTask() noexcept
+              : run(0),
+                checkpoint(),
+                percent(0),
+                usage(0) {
+  }
+
+  virtual ~RunningTask() noexcept;
+  TaskRef task;
+  int64_t run;
+  std::string checkpoint;
+  int32_t percent;
+  int64_t usage;
+
+  _RunningTask__isset __isset;
+
+  void __set_task(const TaskRef& val);
+
+  void __set_run(const int64_t val);
+
+  void __set_checkpoint(const std::string& val);
+
+  void __set_percent(const int32_t val);
+
+  void __set_usage(const int64_t val);
+
+  bool operator == (const RunningTask & rhs) const
+  {
+    if (!(task == rhs.task))
+      return false;
+    if (!(run == rhs.run))
+      return false;
+    if (!(checkpoint == rhs.checkpoint))
+      return false;
+    if (!(percent == rhs.percent))
+      return false;
+    if (!(usage == rhs.usage))
+      return false;
+    return true;
+  }
+  bool operator != (const RunningTask &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RunningTask & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RunningTask &a, RunningTask &b);
+
+std::ostream& operator<<(std::ostream& out, const RunningTask& obj);
+
+typedef struct _EndedTask__isset {
+  _EndedTask__isset() : number(false), task(false), run(false), how(false), checkpoint(false) {}
+  bool number :1;
+  bool task :1;
+  bool run :1;
+  bool how :1;
+  bool checkpoint :1;
+} _EndedTask__isset;
+
+class EndedTask : public virtual ::apache::thrift::TBase {
+ public:
+
+  EndedTask(const EndedTask&);
+  EndedTask(EndedTask&&) noexcept;
+  EndedTask& operator=(const EndedTask&);
+  EndedTask& operator=(EndedTask&&) noexcept;
+  EndedTask() noexcept
+            : number(0),
+              run(0),
+              how(0),
+              checkpoint() {
+  }
+
+  virtual ~EndedTask() noexcept;
+  int64_t number;
+  TaskRef task;
+  int64_t run;
+  int32_t how;
+  std::string checkpoint;
+
+  _EndedTask__isset __isset;
+
+  void __set_number(const int64_t val);
+
+  void __set_task(const TaskRef& val);
+
+  void __set_run(const int64_t val);
+
+  void __set_how(const int32_t val);
+
+  void __set_checkpoint(const std::string& val);
+
+  bool operator == (const EndedTask & rhs) const
+  {
+    if (!(number == rhs.number))
+      return false;
+    if (!(task == rhs.task))
+      return false;
+    if (!(run == rhs.run))
+      return false;
+    if (!(how == rhs.how))
+      return false;
+    if (!(checkpoint == rhs.checkpoint))
+      return false;
+    return true;
+  }
+  bool operator != (const EndedTask &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EndedTask & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EndedTask &a, EndedTask &b);
+
+std::ostream& operator<<(std::ostream& out, const EndedTask& obj);
+
+typedef struct _WorkerDescription__isset {
+  _WorkerDescription__isset() : id(false), born(false), serviceName(false), zone(false), cpuMilli(false), memoryMb(false), accelerators(false), labels(false), machine(false), agentHost(false), agentPort(false) {}
+  bool id :1;
+  bool born :1;
+  bool serviceName :1;
+  bool zone :1;
+  bool cpuMilli :1;
+  bool memoryMb :1;
+  bool accelerators :1;
+  bool labels :1;
+  bool machine :1;
+  bool agentHost :1;
+  bool agentPort :1;
+} _WorkerDescription__isset;
+
+class WorkerDescription : public virtual ::apache::thrift::TBase {
+ public:
+
+  WorkerDescription(const WorkerDescription&);
+  WorkerDescription(WorkerDescription&&) noexcept;
+  WorkerDescription& operator=(const WorkerDescription&);
+  WorkerDescription& operator=(WorkerDescription&&) noexcept;
+  WorkerDescription() noexcept
+                    : id(),
+                      born(0),
+                      serviceName(),
+                      zone(),
+                      cpuMilli(0),
+                      memoryMb(0),
+                      accelerators(0),
+                      machine(),
+                      agentHost(),
+                      agentPort(0) {
+  }
+
+  virtual ~WorkerDescription() noexcept;
+  std::string id;
+  int64_t born;
+  std::string serviceName;
+  std::string zone;
+  int32_t cpuMilli;
+  int32_t memoryMb;
+  int32_t accelerators;
+  std::vector<std::string>  labels;
+  std::string machine;
+  std::string agentHost;
+  int32_t agentPort;
+
+  _WorkerDescription__isset __isset;
+
+  void __set_id(const std::string& val);
+
+  void __set_born(const int64_t val);
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_zone(const std::string& val);
+
+  void __set_cpuMilli(const int32_t val);
+
+  void __set_memoryMb(const int32_t val);
+
+  void __set_accelerators(const int32_t val);
+
+  void __set_labels(const std::vector<std::string> & val);
+
+  void __set_machine(const std::string& val);
+
+  void __set_agentHost(const std::string& val);
+
+  void __set_agentPort(const int32_t val);
+
+  bool operator == (const WorkerDescription & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(born == rhs.born))
+      return false;
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(cpuMilli == rhs.cpuMilli))
+      return false;
+    if (!(memoryMb == rhs.memoryMb))
+      return false;
+    if (!(accelerators == rhs.accelerators))
+      return false;
+    if (!(labels == rhs.labels))
+      return false;
+    if (!(machine == rhs.machine))
+      return false;
+    if (!(agentHost == rhs.agentHost))
+      return false;
+    if (!(agentPort == rhs.agentPort))
+      return false;
+    return true;
+  }
+  bool operator != (const WorkerDescription &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WorkerDescription & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WorkerDescription &a, WorkerDescription &b);
+
+std::ostream& operator<<(std::ostream& out, const WorkerDescription& obj);
+
+typedef struct _WorkerReport__isset {
+  _WorkerReport__isset() : worker(false), epoch(false), listing(false), listed(false), draining(false), gone(false), running(false), ended(false), reachable(false), wantsRunInfo(false) {}
+  bool worker :1;
+  bool epoch :1;
+  bool listing :1;
+  bool listed :1;
+  bool draining :1;
+  bool gone :1;
+  bool running :1;
+  bool ended :1;
+  bool reachable :1;
+  bool wantsRunInfo :1;
+} _WorkerReport__isset;
+
+class WorkerReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  WorkerReport(const WorkerReport&);
+  WorkerReport(WorkerReport&&) noexcept;
+  WorkerReport& operator=(const WorkerReport&);
+  WorkerReport& operator=(WorkerReport&&) noexcept;
+  WorkerReport() noexcept
+               : epoch(0),
+                 listing(0),
+                 listed(0),
+                 draining(0),
+                 gone(0),
+                 reachable(0),
+                 wantsRunInfo(0) {
+  }
+
+  virtual ~WorkerReport() noexcept;
+  WorkerDescription worker;
+  int64_t epoch;
+  int64_t listing;
+  bool listed;
+  bool draining;
+  bool gone;
+  std::vector<RunningTask>  running;
+  std::vector<EndedTask>  ended;
+  bool reachable;
+  bool wantsRunInfo;
+
+  _WorkerReport__isset __isset;
+
+  void __set_worker(const WorkerDescription& val);
+
+  void __set_epoch(const int64_t val);
+
+  void __set_listing(const int64_t val);
+
+  void __set_listed(const bool val);
+
+  void __set_draining(const bool val);
+
+  void __set_gone(const bool val);
+
+  void __set_running(const std::vector<RunningTask> & val);
+
+  void __set_ended(const std::vector<EndedTask> & val);
+
+  void __set_reachable(const bool val);
+
+  void __set_wantsRunInfo(const bool val);
+
+  bool operator == (const WorkerReport & rhs) const
+  {
+    if (!(worker == rhs.worker))
+      return false;
+    if (!(epoch == rhs.epoch))
+      return false;
+    if (!(listing == rhs.listing))
+      return false;
+    if (!(listed == rhs.listed))
+      return false;
+    if (!(draining == rhs.draining))
+      return false;
+    if (!(gone == rhs.gone))
+      return false;
+    if (!(running == rhs.running))
+      return false;
+    if (!(ended == rhs.ended))
+      return false;
+    if (!(reachable == rhs.reachable))
+      return false;
+    if (!(wantsRunInfo == rhs.wantsRunInfo))
+      return false;
+    return true;
+  }
+  bool operator != (const WorkerReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WorkerReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WorkerReport &a, WorkerReport &b);
+
+std::ostream& operator<<(std::ostream& out, const WorkerReport& obj);
+
+typedef struct _RunInfo__isset {
+  _RunInfo__isset() : task(false), run(false), image(false), tailTargetMs(false), usesIdleCpu(false) {}
+  bool task :1;
+  bool run :1;
+  bool image :1;
+  bool tailTargetMs :1;
+  bool usesIdleCpu :1;
+} _RunInfo__isset;
+
+class RunInfo : public virtual ::apache::thrift::TBase {
+ public:
+
+  RunInfo(const RunInfo&);
+  RunInfo(RunInfo&&) noexcept;
+  RunInfo& operator=(const RunInfo&);
+  RunInfo& operator=(RunInfo&&) noexcept;
+  RunInfo() noexcept
+          : run(0),
+            image(),
+            tailTargetMs(0),
+            usesIdleCpu(0) {
+  }
+
+  virtual ~RunInfo() noexcept;
+  TaskRef task;
+  int64_t run;
+  std::string image;
+  int64_t tailTargetMs;
+  bool usesIdleCpu;
+
+  _RunInfo__isset __isset;
+
+  void __set_task(const TaskRef& val);
+
+  void __set_run(const int64_t val);
+
+  void __set_image(const std::string& val);
+
+  void __set_tailTargetMs(const int64_t val);
+
+  void __set_usesIdleCpu(const bool val);
+
+  bool operator == (const RunInfo & rhs) const
+  {
+    if (!(task == rhs.task))
+      return false;
+    if (!(run == rhs.run))
+      return false;
+    if (!(image == rhs.image))
+      return false;
+    if (!(tailTargetMs == rhs.tailTargetMs))
+      return false;
+    if (!(usesIdleCpu == rhs.usesIdleCpu))
+      return false;
+    return true;
+  }
+  bool operator != (const RunInfo &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RunInfo & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RunInfo &a, RunInfo &b);
+
+std::ostream& operator<<(std::ostream& out, const RunInfo& obj);
+
+typedef struct _WorkerReportReply__isset {
+  _WorkerReportReply__isset() : epoch(false), leaseMs(false), recordedEnds(false), leaseTerm(false), runs(false) {}
+  bool epoch :1;
+  bool leaseMs :1;
+  bool recordedEnds :1;
+  bool leaseTerm :1;
+  bool runs :1;
+} _WorkerReportReply__isset;
+
+class WorkerReportReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  WorkerReportReply(const WorkerReportReply&);
+  WorkerReportReply(WorkerReportReply&&) noexcept;
+  WorkerReportReply& operator=(const WorkerReportReply&);
+  WorkerReportReply& operator=(WorkerReportReply&&) noexcept;
+  WorkerReportReply() noexcept
+                    : epoch(0),
+                      leaseMs(0),
+                      recordedEnds(0),
+                      leaseTerm(0) {
+  }
+
+  virtual ~WorkerReportReply() noexcept;
+  int64_t epoch;
+  int64_t leaseMs;
+  int64_t recordedEnds;
+  int64_t leaseTerm;
+  std::vector<RunInfo>  runs;
+
+  _WorkerReportReply__isset __isset;
+
+  void __set_epoch(const int64_t val);
+
+  void __set_leaseMs(const int64_t val);
+
+  void __set_recordedEnds(const int64_t val);
+
+  void __set_leaseTerm(const int64_t val);
+
+  void __set_runs(const std::vector<RunInfo> & val);
+
+  bool operator == (const WorkerReportReply & rhs) const
+  {
+    if (!(epoch == rhs.epoch))
+      return false;
+    if (!(leaseMs == rhs.leaseMs))
+      return false;
+    if (!(recordedEnds == rhs.recordedEnds))
+      return false;
+    if (!(leaseTerm == rhs.leaseTerm))
+      return false;
+    if (!(runs == rhs.runs))
+      return false;
+    return true;
+  }
+  bool operator != (const WorkerReportReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WorkerReportReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WorkerReportReply &a, WorkerReportReply &b);
+
+std::ostream& operator<<(std::ostream& out, const WorkerReportReply& obj);
+
+typedef struct _StartOrder__isset {
+  _StartOrder__isset() : task(false), run(false), payload(false), checkpoint(false), info(false), permit(false) {}
+  bool task :1;
+  bool run :1;
+  bool payload :1;
+  bool checkpoint :1;
+  bool info :1;
+  bool permit :1;
+} _StartOrder__isset;
+
+class StartOrder : public virtual ::apache::thrift::TBase {
+ public:
+
+  StartOrder(const StartOrder&);
+  StartOrder(StartOrder&&) noexcept;
+  StartOrder& operator=(const StartOrder&);
+  StartOrder& operator=(StartOrder&&) noexcept;
+  StartOrder() noexcept
+             : run(0),
+               payload(),
+               checkpoint(),
+               permit() {
+  }
+
+  virtual ~StartOrder() noexcept;
+  TaskRef task;
+  int64_t run;
+  std::string payload;
+  std::string checkpoint;
+  RunInfo info;
+  std::string permit;
+
+  _StartOrder__isset __isset;
+
+  void __set_task(const TaskRef& val);
+
+  void __set_run(const int64_t val);
+
+  void __set_payload(const std::string& val);
+
+  void __set_checkpoint(const std::string& val);
+
+  void __set_info(const RunInfo& val);
+
+  void __set_permit(const std::string& val);
+
+  bool operator == (const StartOrder & rhs) const
+  {
+    if (!(task == rhs.task))
+      return false;
+    if (!(run == rhs.run))
+      return false;
+    if (!(payload == rhs.payload))
+      return false;
+    if (!(checkpoint == rhs.checkpoint))
+      return false;
+    if (!(info == rhs.info))
+      return false;
+    if (!(permit == rhs.permit))
+      return false;
+    return true;
+  }
+  bool operator != (const StartOrder &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StartOrder & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StartOrder &a, StartOrder &b);
+
+std::ostream& operator<<(std::ostream& out, const StartOrder& obj);
+
+typedef struct _StopOrder__isset {
+  _StopOrder__isset() : task(false), run(false) {}
+  bool task :1;
+  bool run :1;
+} _StopOrder__isset;
+
+class StopOrder : public virtual ::apache::thrift::TBase {
+ public:
+
+  StopOrder(const StopOrder&);
+  StopOrder(StopOrder&&) noexcept;
+  StopOrder& operator=(const StopOrder&);
+  StopOrder& operator=(StopOrder&&) noexcept;
+  StopOrder() noexcept
+            : run(0) {
+  }
+
+  virtual ~StopOrder() noexcept;
+  TaskRef task;
+  int64_t run;
+
+  _StopOrder__isset __isset;
+
+  void __set_task(const TaskRef& val);
+
+  void __set_run(const int64_t val);
+
+  bool operator == (const StopOrder & rhs) const
+  {
+    if (!(task == rhs.task))
+      return false;
+    if (!(run == rhs.run))
+      return false;
+    return true;
+  }
+  bool operator != (const StopOrder &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StopOrder & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StopOrder &a, StopOrder &b);
+
+std::ostream& operator<<(std::ostream& out, const StopOrder& obj);
+
+typedef struct _WorkerOrders__isset {
+  _WorkerOrders__isset() : epoch(false), ownerHost(false), ownerPort(false), worker(false), born(false), starts(false), stops(false), leaseTerm(false) {}
+  bool epoch :1;
+  bool ownerHost :1;
+  bool ownerPort :1;
+  bool worker :1;
+  bool born :1;
+  bool starts :1;
+  bool stops :1;
+  bool leaseTerm :1;
+} _WorkerOrders__isset;
+
+class WorkerOrders : public virtual ::apache::thrift::TBase {
+ public:
+
+  WorkerOrders(const WorkerOrders&);
+  WorkerOrders(WorkerOrders&&) noexcept;
+  WorkerOrders& operator=(const WorkerOrders&);
+  WorkerOrders& operator=(WorkerOrders&&) noexcept;
+  WorkerOrders() noexcept
+               : epoch(0),
+                 ownerHost(),
+                 ownerPort(0),
+                 worker(),
+                 born(0),
+                 leaseTerm(0) {
+  }
+
+  virtual ~WorkerOrders() noexcept;
+  int64_t epoch;
+  std::string ownerHost;
+  int32_t ownerPort;
+  std::string worker;
+  int64_t born;
+  std::vector<StartOrder>  starts;
+  std::vector<StopOrder>  stops;
+  int64_t leaseTerm;
+
+  _WorkerOrders__isset __isset;
+
+  void __set_epoch(const int64_t val);
+
+  void __set_ownerHost(const std::string& val);
+
+  void __set_ownerPort(const int32_t val);
+
+  void __set_worker(const std::string& val);
+
+  void __set_born(const int64_t val);
+
+  void __set_starts(const std::vector<StartOrder> & val);
+
+  void __set_stops(const std::vector<StopOrder> & val);
+
+  void __set_leaseTerm(const int64_t val);
+
+  bool operator == (const WorkerOrders & rhs) const
+  {
+    if (!(epoch == rhs.epoch))
+      return false;
+    if (!(ownerHost == rhs.ownerHost))
+      return false;
+    if (!(ownerPort == rhs.ownerPort))
+      return false;
+    if (!(worker == rhs.worker))
+      return false;
+    if (!(born == rhs.born))
+      return false;
+    if (!(starts == rhs.starts))
+      return false;
+    if (!(stops == rhs.stops))
+      return false;
+    if (!(leaseTerm == rhs.leaseTerm))
+      return false;
+    return true;
+  }
+  bool operator != (const WorkerOrders &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WorkerOrders & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WorkerOrders &a, WorkerOrders &b);
+
+std::ostream& operator<<(std::ostream& out, const WorkerOrders& obj);
+
+typedef struct _WorkerOrdersReply__isset {
+  _WorkerOrdersReply__isset() : starts(false), stops(false), listing(false) {}
+  bool starts :1;
+  bool stops :1;
+  bool listing :1;
+} _WorkerOrdersReply__isset;
+
+class WorkerOrdersReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  WorkerOrdersReply(const WorkerOrdersReply&);
+  WorkerOrdersReply(WorkerOrdersReply&&) noexcept;
+  WorkerOrdersReply& operator=(const WorkerOrdersReply&);
+  WorkerOrdersReply& operator=(WorkerOrdersReply&&) noexcept;
+  WorkerOrdersReply() noexcept
+                    : listing(0) {
+  }
+
+  virtual ~WorkerOrdersReply() noexcept;
+  std::vector<int32_t>  starts;
+  std::vector<int32_t>  stops;
+  int64_t listing;
+
+  _WorkerOrdersReply__isset __isset;
+
+  void __set_starts(const std::vector<int32_t> & val);
+
+  void __set_stops(const std::vector<int32_t> & val);
+
+  void __set_listing(const int64_t val);
+
+  bool operator == (const WorkerOrdersReply & rhs) const
+  {
+    if (!(starts == rhs.starts))
+      return false;
+    if (!(stops == rhs.stops))
+      return false;
+    if (!(listing == rhs.listing))
+      return false;
+    return true;
+  }
+  bool operator != (const WorkerOrdersReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WorkerOrdersReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WorkerOrdersReply &a, WorkerOrdersReply &b);
+
+std::ostream& operator<<(std::ostream& out, const WorkerOrdersReply& obj);
+
+typedef struct _SubmitJob__isset {
+  _SubmitJob__isset() : spec(false) {}
+  bool spec :1;
+} _SubmitJob__isset;
+
+class SubmitJob : public virtual ::apache::thrift::TBase {
+ public:
+
+  SubmitJob(const SubmitJob&);
+  SubmitJob(SubmitJob&&) noexcept;
+  SubmitJob& operator=(const SubmitJob&);
+  SubmitJob& operator=(SubmitJob&&) noexcept;
+  SubmitJob() noexcept {
+  }
+
+  virtual ~SubmitJob() noexcept;
+  JobSpec spec;
+
+  _SubmitJob__isset __isset;
+
+  void __set_spec(const JobSpec& val);
+
+  bool operator == (const SubmitJob & rhs) const
+  {
+    if (!(spec == rhs.spec))
+      return false;
+    return true;
+  }
+  bool operator != (const SubmitJob &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SubmitJob & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SubmitJob &a, SubmitJob &b);
+
+std::ostream& operator<<(std::ostream& out, const SubmitJob& obj);
+
+typedef struct _JobQuery__isset {
+  _JobQuery__isset() : id(false) {}
+  bool id :1;
+} _JobQuery__isset;
+
+class JobQuery : public virtual ::apache::thrift::TBase {
+ public:
+
+  JobQuery(const JobQuery&);
+  JobQuery(JobQuery&&) noexcept;
+  JobQuery& operator=(const JobQuery&);
+  JobQuery& operator=(JobQuery&&) noexcept;
+  JobQuery() noexcept
+           : id() {
+  }
+
+  virtual ~JobQuery() noexcept;
+  std::string id;
+
+  _JobQuery__isset __isset;
+
+  void __set_id(const std::string& val);
+
+  bool operator == (const JobQuery & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    return true;
+  }
+  bool operator != (const JobQuery &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const JobQuery & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(JobQuery &a, JobQuery &b);
+
+std::ostream& operator<<(std::ostream& out, const JobQuery& obj);
+
+typedef struct _CancelJob__isset {
+  _CancelJob__isset() : id(false) {}
+  bool id :1;
+} _CancelJob__isset;
+
+class CancelJob : public virtual ::apache::thrift::TBase {
+ public:
+
+  CancelJob(const CancelJob&);
+  CancelJob(CancelJob&&) noexcept;
+  CancelJob& operator=(const CancelJob&);
+  CancelJob& operator=(CancelJob&&) noexcept;
+  CancelJob() noexcept
+            : id() {
+  }
+
+  virtual ~CancelJob() noexcept;
+  std::string id;
+
+  _CancelJob__isset __isset;
+
+  void __set_id(const std::string& val);
+
+  bool operator == (const CancelJob & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    return true;
+  }
+  bool operator != (const CancelJob &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CancelJob & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CancelJob &a, CancelJob &b);
+
+std::ostream& operator<<(std::ostream& out, const CancelJob& obj);
+
+typedef struct _QueueQuery__isset {
+  _QueueQuery__isset() : queue(false) {}
+  bool queue :1;
+} _QueueQuery__isset;
+
+class QueueQuery : public virtual ::apache::thrift::TBase {
+ public:
+
+  QueueQuery(const QueueQuery&);
+  QueueQuery(QueueQuery&&) noexcept;
+  QueueQuery& operator=(const QueueQuery&);
+  QueueQuery& operator=(QueueQuery&&) noexcept;
+  QueueQuery() noexcept
+             : queue() {
+  }
+
+  virtual ~QueueQuery() noexcept;
+  std::string queue;
+
+  _QueueQuery__isset __isset;
+
+  void __set_queue(const std::string& val);
+
+  bool operator == (const QueueQuery & rhs) const
+  {
+    if (!(queue == rhs.queue))
+      return false;
+    return true;
+  }
+  bool operator != (const QueueQuery &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QueueQuery & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QueueQuery &a, QueueQuery &b);
+
+std::ostream& operator<<(std::ostream& out, const QueueQuery& obj);
+
+typedef struct _JobAnswer__isset {
+  _JobAnswer__isset() : outcome(false), phase(false), waiting(false), retryAfterMs(false) {}
+  bool outcome :1;
+  bool phase :1;
+  bool waiting :1;
+  bool retryAfterMs :1;
+} _JobAnswer__isset;
+
+class JobAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  JobAnswer(const JobAnswer&) noexcept;
+  JobAnswer(JobAnswer&&) noexcept;
+  JobAnswer& operator=(const JobAnswer&) noexcept;
+  JobAnswer& operator=(JobAnswer&&) noexcept;
+  JobAnswer() noexcept
+            : outcome(0),
+              phase(0),
+              waiting(0),
+              retryAfterMs(0) {
+  }
+
+  virtual ~JobAnswer() noexcept;
+  int32_t outcome;
+  int32_t phase;
+  int64_t waiting;
+  int64_t retryAfterMs;
+
+  _JobAnswer__isset __isset;
+
+  void __set_outcome(const int32_t val);
+
+  void __set_phase(const int32_t val);
+
+  void __set_waiting(const int64_t val);
+
+  void __set_retryAfterMs(const int64_t val);
+
+  bool operator == (const JobAnswer & rhs) const
+  {
+    if (!(outcome == rhs.outcome))
+      return false;
+    if (!(phase == rhs.phase))
+      return false;
+    if (!(waiting == rhs.waiting))
+      return false;
+    if (!(retryAfterMs == rhs.retryAfterMs))
+      return false;
+    return true;
+  }
+  bool operator != (const JobAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const JobAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(JobAnswer &a, JobAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const JobAnswer& obj);
+
+typedef struct _OwnerRecord__isset {
+  _OwnerRecord__isset() : epoch(false), host(false), port(false), name(false) {}
+  bool epoch :1;
+  bool host :1;
+  bool port :1;
+  bool name :1;
+} _OwnerRecord__isset;
+
+class OwnerRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  OwnerRecord(const OwnerRecord&);
+  OwnerRecord(OwnerRecord&&) noexcept;
+  OwnerRecord& operator=(const OwnerRecord&);
+  OwnerRecord& operator=(OwnerRecord&&) noexcept;
+  OwnerRecord() noexcept
+              : epoch(0),
+                host(),
+                port(0),
+                name() {
+  }
+
+  virtual ~OwnerRecord() noexcept;
+  int64_t epoch;
+  std::string host;
+  int32_t port;
+  std::string name;
+
+  _OwnerRecord__isset __isset;
+
+  void __set_epoch(const int64_t val);
+
+  void __set_host(const std::string& val);
+
+  void __set_port(const int32_t val);
+
+  void __set_name(const std::string& val);
+
+  bool operator == (const OwnerRecord & rhs) const
+  {
+    if (!(epoch == rhs.epoch))
+      return false;
+    if (!(host == rhs.host))
+      return false;
+    if (!(port == rhs.port))
+      return false;
+    if (!(name == rhs.name))
+      return false;
+    return true;
+  }
+  bool operator != (const OwnerRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OwnerRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(OwnerRecord &a, OwnerRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const OwnerRecord& obj);
+
+typedef struct _WorkerRoster__isset {
+  _WorkerRoster__isset() : workers(false) {}
+  bool workers :1;
+} _WorkerRoster__isset;
+
+class WorkerRoster : public virtual ::apache::thrift::TBase {
+ public:
+
+  WorkerRoster(const WorkerRoster&);
+  WorkerRoster(WorkerRoster&&) noexcept;
+  WorkerRoster& operator=(const WorkerRoster&);
+  WorkerRoster& operator=(WorkerRoster&&) noexcept;
+  WorkerRoster() noexcept {
+  }
+
+  virtual ~WorkerRoster() noexcept;
+  std::vector<WorkerDescription>  workers;
+
+  _WorkerRoster__isset __isset;
+
+  void __set_workers(const std::vector<WorkerDescription> & val);
+
+  bool operator == (const WorkerRoster & rhs) const
+  {
+    if (!(workers == rhs.workers))
+      return false;
+    return true;
+  }
+  bool operator != (const WorkerRoster &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WorkerRoster & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WorkerRoster &a, WorkerRoster &b);
+
+std::ostream& operator<<(std::ostream& out, const WorkerRoster& obj);
+
 }} // namespace
 
 #endif
--- a/idl/messages.thrift
+++ b/idl/messages.thrift
@@ -18,7 +18,13 @@
   JobForwardKind = 12,
   JobReplyKind = 13,
   ClaimPageRequestKind = 14,
-  ClaimPageKind = 15
+  ClaimPageKind = 15,
+  SubmitJobKind = 20,
+  JobQueryKind = 21,
+  CancelJobKind = 22,
+  QueueQueryKind = 23,
+  WorkerReportKind = 24,
+  WorkerOrdersKind = 25
 }
 
 // One frame. `incarnation` rises with each start of the sender.
@@ -199,3 +205,228 @@
 struct Ack {
   1: bool ok;
 }
+
+// ---- Step jobs: messages between dispatchers and agents, and the records in the store. ----
+
+// What an accepted job's queue asked for when the job was accepted.
+struct QueuePolicy {
+  1: string name;
+  2: string serviceName;
+  // 0 is the most urgent.
+  3: i32 priority;
+  4: i32 maxAttempts;
+  // The objective is this many times the longest chain of work, and targetLatencyMs more.
+  5: double stretch;
+  6: i64 targetLatencyMs;
+  // Each start needs a permit of the advice service.
+  7: bool needsPermit;
+}
+
+// Equal tasks of a job that run side by side.
+struct StepSpec {
+  1: i32 count;
+  2: i32 cpuMilli;
+  3: i32 memoryMb;
+  4: i32 accelerators;
+  5: i64 estimatedMs;
+  // Earlier steps of which all tasks must have finished.
+  6: list<i32> after;
+  7: bool checkpoints;
+  8: bool gang;
+  9: bool gangOnOneRack;
+  10: string requiredLabel;
+  11: string dataRack;
+  // 0: any number of the step's tasks may share a worker.
+  12: i32 maxPerWorker;
+  13: bool duplicatesAllowed;
+  14: bool longRunning;
+  15: string image;
+  // 0: the tasks serve nobody.
+  16: i64 tailTargetMs;
+  // Runs on processors that others leave idle: its cpu is not reserved.
+  17: bool usesIdleCpu;
+  18: i32 maxUnavailable;
+}
+
+struct JobSpec {
+  1: string id;
+  2: QueuePolicy queue;
+  3: string payload;
+  4: list<StepSpec> steps;
+  // 0: the steps run once, now.
+  5: i32 occurrences;
+  // Unix milliseconds.
+  6: i64 firstDueMs;
+  7: i64 intervalMs;
+  8: i64 acceptedAtMs;
+}
+
+struct StepProgress {
+  // One bit a task; the lowest bit of the first byte is task 0.
+  1: binary finished;
+  // The numbers of the runs that failed, by task; a gang counts on task 0.
+  2: map<i32, list<i64>> failures;
+}
+
+// What must outlive every process about a job. `phase` is a JobPhase.
+struct JobProgress {
+  1: i32 phase;
+  // By occurrence; an occurrence whose list is empty has finished.
+  2: map<i32, list<StepProgress>> occurrences;
+  // Unix milliseconds; 0 while the job goes on.
+  3: i64 endedAtMs;
+}
+
+struct TaskRef {
+  1: string job;
+  2: i32 occurrence;
+  3: i32 step;
+  4: i32 index;
+}
+
+struct RunningTask {
+  1: TaskRef task;
+  2: i64 run;
+  3: string checkpoint;
+  4: i32 percent;
+  // Tail latency in milliseconds for a task with a target, otherwise cpu in thousandths of a core.
+  5: i64 usage;
+}
+
+// `how` is an EndKind.
+struct EndedTask {
+  1: i64 number;
+  2: TaskRef task;
+  3: i64 run;
+  4: i32 how;
+  5: string checkpoint;
+}
+
+// A minion as its agent knows it.
+struct WorkerDescription {
+  1: string id;
+  // Unix milliseconds of the start of the minion's process.
+  2: i64 born;
+  3: string serviceName;
+  4: string zone;
+  5: i32 cpuMilli;
+  6: i32 memoryMb;
+  7: i32 accelerators;
+  8: list<string> labels;
+  9: string machine;
+  // Where the agent takes orders.
+  10: string agentHost;
+  11: i32 agentPort;
+}
+
+struct WorkerReport {
+  1: WorkerDescription worker;
+  2: i64 epoch;
+  // Rises with each listing that the agent asked its minion for.
+  3: i64 listing;
+  // False until the minion has answered a listing of this epoch.
+  4: bool listed;
+  5: bool draining;
+  // The minion is known to run nothing any more.
+  6: bool gone;
+  7: list<RunningTask> running;
+  8: list<EndedTask> ended;
+  // The minion answers its agent.
+  9: bool reachable;
+  // The agent does not know what some of the runs are.
+  10: bool wantsRunInfo;
+}
+
+// What an agent needs to know of a run to pace it.
+struct RunInfo {
+  1: TaskRef task;
+  2: i64 run;
+  3: string image;
+  4: i64 tailTargetMs;
+  5: bool usesIdleCpu;
+}
+
+struct WorkerReportReply {
+  // 0: this process owns nothing.
+  1: i64 epoch;
+  // From the sending of the report; 0: no lease.
+  2: i64 leaseMs;
+  // Ends up to this number are recorded.
+  3: i64 recordedEnds;
+  // Rises whenever the owner gave up what it had ordered of this worker.
+  4: i64 leaseTerm;
+  // Every run at the worker, when the report asked for it.
+  5: list<RunInfo> runs;
+}
+
+struct StartOrder {
+  1: TaskRef task;
+  2: i64 run;
+  3: string payload;
+  4: string checkpoint;
+  5: RunInfo info;
+  6: string permit;
+}
+
+struct StopOrder {
+  1: TaskRef task;
+  2: i64 run;
+}
+
+// Orders to one life of one minion. Empty orders announce the owner.
+struct WorkerOrders {
+  1: i64 epoch;
+  2: string ownerHost;
+  3: i32 ownerPort;
+  4: string worker;
+  5: i64 born;
+  6: list<StartOrder> starts;
+  7: list<StopOrder> stops;
+  // Orders of an earlier term are refused.
+  8: i64 leaseTerm;
+}
+
+// Results are OrderResults, in the order of the orders.
+struct WorkerOrdersReply {
+  1: list<i32> starts;
+  2: list<i32> stops;
+  // Listings asked for up to now; a later one shows the effect of these orders.
+  3: i64 listing;
+}
+
+struct SubmitJob {
+  1: JobSpec spec;
+}
+
+struct JobQuery {
+  1: string id;
+}
+
+struct CancelJob {
+  1: string id;
+}
+
+struct QueueQuery {
+  1: string queue;
+}
+
+// `outcome` is a JobOutcome, `phase` a JobPhase.
+struct JobAnswer {
+  1: i32 outcome;
+  2: i32 phase;
+  3: i64 waiting;
+  4: i64 retryAfterMs;
+}
+
+// Who owns the scheduling.
+struct OwnerRecord {
+  1: i64 epoch;
+  2: string host;
+  3: i32 port;
+  4: string name;
+}
+
+// Every worker that the owner may have given orders to.
+struct WorkerRoster {
+  1: list<WorkerDescription> workers;
+}
