--- /dev/null
+++ b/src/programs/agent/agent.cpp
@@ -0,0 +1,262 @@
+#include "agent.h"
+
+#include "trefoilhoist/log/eventlog.h"
+#include "trefoilhoist/wire/message.h"
+
+namespace Trefoilhoist::Agent {
+
+namespace {
+
+using Jobs::OrderResult;
+
+constexpr Duration reportEvery = milliseconds(500);
+constexpr Duration reportTimeout = milliseconds(900);
+constexpr std::int64_t listingsPerMillisecond = 100;
+constexpr Duration ownerRetry = milliseconds(200);
+constexpr const char *newsName = "news";
+constexpr const char *ownerRecordKey = "lead/owner";
+
+} // namespace
+
+AgentServer::AgentServer(Runtime &runtime, AgentSettings settings, Outside outside)
+    : m_runtime(runtime)
+    , m_settings(std::move(settings))
+    , m_outside(std::move(outside))
+    , m_metrics(runtime.clock())
+    , m_heartbeats(runtime.executor(), {}, [this](HttpRequest request) { return serveMinion(std::move(request)); })
+    , m_metricsServer(runtime.executor(), {}, [this](HttpRequest) -> awaitable<HttpResponse> {
+        co_return textResponse(200, m_metrics.exposition());
+    })
+    , m_peers(runtime.executor(), m_settings.name, runtime.incarnation(), [this](Wire::Envelope envelope) {
+        return servePeer(std::move(envelope));
+    })
+{
+}
+
+std::optional<std::string> AgentServer::start()
+{
+    m_startedAt = m_runtime.clock().now();
+    // Listings of this process are later than those of earlier ones.
+    m_listings = m_runtime.incarnation() * listingsPerMillisecond;
+    if (const auto port = m_peers.listen(m_settings.peers); !port) {
+        return port.error();
+    }
+    if (m_settings.metrics.port != 0) {
+        if (const auto port = m_metricsServer.listen(m_settings.metrics); !port) {
+            return port.error();
+        }
+    }
+    if (const auto port = m_heartbeats.listen(m_settings.heartbeats); !port) {
+        return port.error();
+    }
+    spawnOn(m_runtime.executor(), "listings", [this] { return listLoop(); });
+    spawnOn(m_runtime.executor(), "reports", [this] { return reportLoop(); });
+    Event("started").add("name", m_settings.name).add("incarnation", m_runtime.incarnation());
+    return std::nullopt;
+}
+
+awaitable<void> AgentServer::stop()
+{
+    m_stopping = true;
+    Event("stopping").add("name", m_settings.name).add("runs", m_running.size());
+    m_heartbeats.drain();
+    // The minion goes on under the lease that it has; what it last listed is told once more.
+    m_waiters.notifyAll();
+    co_await sleepFor(milliseconds(300));
+    Event("stopped").add("name", m_settings.name);
+    EventLog::instance().flush();
+}
+
+awaitable<HttpResponse> AgentServer::serveMinion(HttpRequest request)
+{
+    auto news = m_outside.readNews(request);
+    if (!news.unreadable.empty()) {
+        Event("heartbeat_unreadable").add("path", request.path()).add("reason", news.unreadable);
+        co_return textResponse(400, news.unreadable + "\n");
+    }
+    if (news.heartbeat) {
+        takeHeartbeat(std::move(*news.heartbeat));
+    } else {
+        takeLeft(news.left);
+    }
+    co_return jsonResponse(200, "{}");
+}
+
+void AgentServer::takeHeartbeat(Jobs::MinionHeartbeat heartbeat)
+{
+    auto &worker = heartbeat.worker;
+    worker.agentHost = m_settings.peers.host;
+    worker.agentPort = m_settings.peers.port;
+    if (worker.id == m_leftId && worker.born <= m_leftBorn) {
+        return;
+    }
+    const bool sameLife = m_minion && m_minion->worker.id == worker.id && m_minion->worker.born == worker.born;
+    if (sameLife) {
+        if (heartbeat.sequence <= m_minion->sequence) {
+            return;
+        }
+        if (heartbeat.draining && !m_minion->draining) {
+            Event("minion_draining").add("worker", worker.id).add("sequence", heartbeat.sequence);
+            m_news = true;
+        }
+        heartbeat.draining = heartbeat.draining || m_minion->draining;
+        m_minion = std::move(heartbeat);
+    } else {
+        if (m_minion && m_minion->worker.born > worker.born) {
+            // A heartbeat of an earlier life that was held up.
+            return;
+        }
+        Event("minion_seen").add("worker", worker.id).add("born", worker.born).add("endpoint", heartbeat.endpoint.str());
+        m_minion = std::move(heartbeat);
+        m_gate.newLife();
+        m_pace.clear();
+        m_running.clear();
+        m_ended.clear();
+        m_reportedEnds = 0;
+        m_refusedConnections = 0;
+        m_reachable = false;
+        m_news = true;
+        // What an earlier process of this agent told the minion may still hold.
+        m_startedAt = m_runtime.clock().now();
+    }
+    m_waiters.notifyAll();
+}
+
+void AgentServer::takeLeft(const std::string &id)
+{
+    if (!m_minion || m_minion->worker.id != id) {
+        return;
+    }
+    Event("minion_left").add("worker", id).add("runs", m_running.size());
+    m_leftId = id;
+    m_leftBorn = m_minion->worker.born;
+    m_minion.reset();
+    m_running.clear();
+    m_ended.clear();
+    m_news = true;
+    m_waiters.notifyAll();
+}
+
+awaitable<std::optional<Wire::Envelope>> AgentServer::servePeer(Wire::Envelope envelope)
+{
+    Wire::Envelope reply;
+    reply.kind = envelope.kind;
+    auto orders = Wire::decode<Wire::WorkerOrders>(envelope.payload);
+    if (envelope.kind != Wire::MessageKind::WorkerOrdersKind || !orders) {
+        Event("peer_message_unreadable").add("kind", static_cast<int>(envelope.kind)).add("from", envelope.sender);
+        co_return std::nullopt;
+    }
+    reply.payload = Wire::encode(co_await carryOut(std::move(*orders)));
+    co_return reply;
+}
+
+void AgentServer::adopt(std::int64_t epoch, const Endpoint &owner)
+{
+    const auto before = m_gate.epoch();
+    if (!m_gate.adopt(epoch)) {
+        return;
+    }
+    if (epoch > before || !m_ownerClient || !(owner == m_owner)) {
+        m_owner = owner;
+        m_ownerClient = std::make_unique<PeerClient>(m_runtime.executor(), m_settings.name, m_runtime.incarnation(), owner);
+        Event("owner_adopted").add("epoch", epoch).add("owner", owner.str());
+        m_news = true;
+        m_waiters.notifyAll();
+    }
+}
+
+awaitable<void> AgentServer::reportLoop()
+{
+    while (true) {
+        if (!m_ownerClient || m_runtime.clock().now() - m_ownerHeardAt > 2 * reportEvery) {
+            co_await findOwner();
+        }
+        if (!m_ownerClient || (!m_minion && m_leftId.empty())) {
+            co_await m_waiters.wait(newsName, ownerRetry);
+            continue;
+        }
+        m_news = false;
+        co_await reportOnce();
+        if (!m_news) {
+            co_await m_waiters.wait(newsName, reportEvery);
+        }
+    }
+}
+
+// Reads who owns the scheduling; an owner may also make itself known by its orders.
+awaitable<void> AgentServer::findOwner()
+{
+    const auto record = co_await m_outside.store->read(ownerRecordKey);
+    if (!record) {
+        Event("owner_unread").add("reason", record.error().reason).add("epoch", m_gate.epoch());
+        co_return;
+    }
+    const auto owner = *record ? Wire::decode<Wire::OwnerRecord>((*record)->value) : std::nullopt;
+    if (owner && owner->epoch >= m_gate.epoch()) {
+        adopt(owner->epoch, {owner->host, static_cast<std::uint16_t>(owner->port)});
+    }
+}
+
+Wire::WorkerReport AgentServer::report() const
+{
+    Wire::WorkerReport report;
+    report.epoch = m_gate.epoch();
+    if (!m_minion) {
+        report.worker.agentHost = m_settings.peers.host;
+        report.worker.agentPort = m_settings.peers.port;
+        report.gone = true;
+        return report;
+    }
+    report.worker = m_minion->worker;
+    report.listing = m_lastListing;
+    report.listed = m_gate.isListed();
+    report.draining = m_minion->draining;
+    report.gone = m_gate.isGone();
+    report.reachable = m_reachable;
+    report.running = m_running;
+    report.ended = m_ended;
+    for (const auto &row : m_running) {
+        report.wantsRunInfo = report.wantsRunInfo || !m_pace.knows({row.task, row.run});
+    }
+    return report;
+}
+
+awaitable<void> AgentServer::reportOnce()
+{
+    const auto sentAt = m_runtime.clock().now();
+    const auto sent = report();
+    const auto epoch = sent.epoch;
+    if (!sent.ended.empty()) {
+        m_reportedEnds = std::max(m_reportedEnds, sent.ended.back().number);
+    }
+    const auto answer = co_await m_ownerClient->call(Wire::MessageKind::WorkerReportKind, Wire::encode(sent), reportTimeout);
+    const auto reply = answer ? Wire::decode<Wire::WorkerReportReply>(answer->payload) : std::nullopt;
+    const bool sameLife = m_minion && m_minion->worker.id == sent.worker.id && m_minion->worker.born == sent.worker.born;
+    if (!reply || reply->epoch != epoch || m_gate.epoch() != epoch) {
+        Event("report_unanswered")
+            .add("epoch", epoch)
+            .add("owner", m_owner.str())
+            .add("reason", answer ? "answered for another epoch" : answer.error().reason);
+        if (reply && reply->epoch > m_gate.epoch()) {
+            adopt(reply->epoch, m_owner);
+        }
+        co_await findOwner();
+        co_await sleepFor(ownerRetry);
+        co_return;
+    }
+    m_ownerHeardAt = m_runtime.clock().now();
+    m_metrics.latency("trefoilhoist_report").record(m_ownerHeardAt - sentAt, m_ownerHeardAt);
+    if (!sameLife) {
+        co_return;
+    }
+    const auto recordedBefore = m_gate.recordedEnds();
+    m_gate.granted(*reply, sentAt);
+    for (const auto &info : reply->runs) {
+        m_pace.describe(info);
+    }
+    if (m_gate.recordedEnds() > recordedBefore) {
+        std::erase_if(m_ended, [&](const auto &it) { return it.number <= m_gate.recordedEnds(); });
+    }
+}
+
+} // namespace Trefoilhoist::Agent
--- /dev/null
+++ b/src/programs/agent/agent.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "trefoilhoist/jobs/minionport.h"
+#include "trefoilhoist/jobs/ordergate.h"
+#include "trefoilhoist/jobs/pacecontrol.h"
+#include "trefoilhoist/metrics/metrics.h"
+#include "trefoilhoist/net/httpserver.h"
+#include "trefoilhoist/net/program.h"
+#include "trefoilhoist/net/waiters.h"
+#include "trefoilhoist/store/recordstore.h"
+#include "trefoilhoist/wire/peerclient.h"
+#include "trefoilhoist/wire/peerserver.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace Trefoilhoist::Agent {
+
+struct AgentSettings {
+    std::string name;
+    /// Where the minion on this machine sends its heartbeats.
+    Endpoint heartbeats;
+    Endpoint peers;
+    Endpoint metrics;
+    /// The longest that a minion holds what runs without being told again.
+    Duration longestHold = seconds(6);
+};
+
+/// A heartbeat, a minion that leaves for good, or what can't be read.
+struct MinionNews {
+    std::optional<Jobs::MinionHeartbeat> heartbeat;
+    std::string left;
+    std::string unreadable;
+};
+
+struct Outside {
+    std::unique_ptr<RecordStore> store;
+    std::unique_ptr<Jobs::MinionPort> minion;
+    std::function<MinionNews(const HttpRequest &)> readNews;
+};
+
+/// Runs beside one minion: keeps its lease under the owner's, carries out the owner's orders, tells what runs and
+/// what ended, and paces tasks on lent processors. Used on one thread.
+class AgentServer
+{
+public:
+    AgentServer(Runtime &runtime, AgentSettings settings, Outside outside);
+
+    std::optional<std::string> start();
+    awaitable<void> stop();
+
+private:
+    awaitable<HttpResponse> serveMinion(HttpRequest request);
+    awaitable<std::optional<Wire::Envelope>> servePeer(Wire::Envelope envelope);
+    void takeHeartbeat(Jobs::MinionHeartbeat heartbeat);
+    void takeLeft(const std::string &id);
+
+    // Orders.
+    awaitable<Wire::WorkerOrdersReply> carryOut(Wire::WorkerOrders orders);
+    awaitable<void> carryOutStarts(std::shared_ptr<Wire::WorkerOrders> orders, std::shared_ptr<Wire::WorkerOrdersReply> reply, std::shared_ptr<std::size_t> next);
+    awaitable<int> startOne(const Wire::WorkerOrders &orders, std::size_t number);
+    void adopt(std::int64_t epoch, const Endpoint &owner);
+
+    // The minion's runs.
+    awaitable<void> listLoop();
+    awaitable<void> listOnce();
+    void takeListing(const Jobs::MinionListing &listing, std::int64_t number, std::int64_t epoch);
+    void listingFailed(const Jobs::MinionError &error);
+    awaitable<void> pace(Jobs::PaceOrder order);
+    [[nodiscard]] Jobs::MinionTarget target() const;
+
+    // The owner.
+    awaitable<void> reportLoop();
+    awaitable<void> reportOnce();
+    awaitable<void> findOwner();
+    [[nodiscard]] Wire::WorkerReport report() const;
+
+    Runtime &m_runtime;
+    AgentSettings m_settings;
+    Outside m_outside;
+    MetricsRegistry m_metrics;
+    HttpServer m_heartbeats;
+    HttpServer m_metricsServer;
+    PeerServer m_peers;
+
+    std::optional<Jobs::MinionHeartbeat> m_minion;
+    /// The last life that said it leaves for good.
+    std::string m_leftId;
+    std::int64_t m_leftBorn = -1;
+    Jobs::OrderGate m_gate;
+    Jobs::PaceControl m_pace;
+    std::int64_t m_orderSets = 0;
+    std::int64_t m_listings = 0;
+    std::int64_t m_lastListing = 0;
+    bool m_reachable = false;
+    int m_refusedConnections = 0;
+    std::int64_t m_reportedEnds = 0;
+    std::vector<Wire::RunningTask> m_running;
+    std::vector<Wire::EndedTask> m_ended;
+
+    Endpoint m_owner;
+    std::unique_ptr<PeerClient> m_ownerClient;
+    TimePoint m_ownerHeardAt;
+    TimePoint m_startedAt;
+    Waiters m_waiters;
+    bool m_news = false;
+    bool m_stopping = false;
+};
+
+} // namespace Trefoilhoist::Agent
--- /dev/null
+++ b/src/programs/agent/minionruns.cpp
@@ -0,0 +1,218 @@
+// The agent's side towards its minion: listings, orders, pace.
+#include "agent.h"
+
+#include "trefoilhoist/log/eventlog.h"
+
+#include <algorithm>
+
+namespace Trefoilhoist::Agent {
+
+namespace {
+
+using Jobs::OrderResult;
+using Jobs::RunKey;
+
+constexpr Duration listingWait = milliseconds(500);
+/// Between listings while ends wait to be recorded: the minion answers at once then.
+constexpr Duration listingGap = milliseconds(40);
+constexpr Duration listingRetry = milliseconds(100);
+/// Refused connections in a row that show the minion's process to be gone.
+constexpr int refusalsToBeGone = 3;
+/// Starts on their way to the minion at one time.
+constexpr int startsAtOnce = 6;
+constexpr const char *newsName = "news";
+
+} // namespace
+
+Jobs::MinionTarget AgentServer::target() const
+{
+    return {m_minion->endpoint, m_minion->worker.id, m_gate.epoch()};
+}
+
+awaitable<void> AgentServer::listLoop()
+{
+    while (true) {
+        if (!m_minion || m_gate.epoch() == 0) {
+            co_await m_waiters.wait("minion", seconds(1));
+            continue;
+        }
+        co_await listOnce();
+    }
+}
+
+awaitable<void> AgentServer::listOnce()
+{
+    const auto now = m_runtime.clock().now();
+    const auto number = ++m_listings;
+    const auto epoch = m_gate.epoch();
+    const auto worker = m_minion->worker;
+    // The first listings under a new owner or lease don't wait: the owner waits for them.
+    const bool wait = m_gate.isListed() && m_reachable && m_gate.holdUntil(now).has_value();
+    const auto listing = co_await m_outside.minion->list(
+        target(), m_gate.recordedEnds(), m_gate.holdUntil(now).value_or(0), wait ? listingWait : Duration{});
+    if (!m_minion || m_minion->worker.id != worker.id || m_minion->worker.born != worker.born) {
+        co_return;
+    }
+    if (!listing) {
+        listingFailed(listing.error());
+        co_await sleepFor(listingRetry);
+        co_return;
+    }
+    if (listing->born != 0 && worker.born != 0 && listing->born != worker.born) {
+        // A new life that has not sent its first heartbeat yet.
+        Event("other_life_listed").add("worker", worker.id).add("born", listing->born);
+        co_await sleepFor(listingRetry);
+        co_return;
+    }
+    takeListing(*listing, number, epoch);
+    const bool endsWait = !m_ended.empty();
+    if (endsWait || !wait) {
+        co_await sleepFor(listingGap);
+    }
+}
+
+void AgentServer::takeListing(const Jobs::MinionListing &listing, std::int64_t number, std::int64_t epoch)
+{
+    const auto now = m_runtime.clock().now();
+    m_gate.noteMinionClock(listing.clockMs, now);
+    if (!m_reachable) {
+        Event("minion_reached").add("worker", m_minion->worker.id).add("listing", number).add("running", listing.running.size());
+    }
+    const bool firstOfEpoch = !m_gate.isListed() || !m_reachable;
+    m_reachable = true;
+    m_refusedConnections = 0;
+    m_gate.listed(epoch);
+    m_lastListing = number;
+    m_running = listing.running;
+    m_ended.clear();
+    for (const auto &it : listing.ended) {
+        if (it.number > m_gate.recordedEnds()) {
+            m_ended.push_back(it);
+        }
+    }
+    const bool newEnds = !m_ended.empty() && m_ended.back().number > m_reportedEnds;
+    for (const auto &order : m_pace.update(m_running, now)) {
+        spawnOn(m_runtime.executor(), "pace", [this, order] { return pace(order); });
+    }
+    if (newEnds || firstOfEpoch) {
+        m_news = true;
+        m_waiters.notify(newsName);
+    }
+}
+
+void AgentServer::listingFailed(const Jobs::MinionError &error)
+{
+    if (m_reachable) {
+        Event("minion_unreached").add("worker", m_minion->worker.id).add("reason", error.reason);
+    }
+    m_reachable = false;
+    m_refusedConnections = error.notRunning ? m_refusedConnections + 1 : 0;
+    const auto now = m_runtime.clock().now();
+    const bool lapsed = now > m_gate.mayRunUntil() && now > m_startedAt + m_settings.longestHold;
+    if (!m_gate.isGone() && (m_refusedConnections >= refusalsToBeGone || lapsed)) {
+        Event("minion_gone").add("worker", m_minion->worker.id).add("reason", lapsed ? "its lease has ended" : "nothing listens");
+        m_gate.gone();
+        m_running.clear();
+        m_news = true;
+        m_waiters.notify(newsName);
+    }
+}
+
+awaitable<void> AgentServer::pace(Jobs::PaceOrder order)
+{
+    if (!m_minion) {
+        co_return;
+    }
+    const bool done = co_await m_outside.minion->pace(target(), order.run.task, order.run.run, order.percent);
+    Event("pace_ordered")
+        .add("job", order.run.task.job)
+        .add("task", Jobs::taskName(order.run.task))
+        .add("percent", order.percent)
+        .add("pressure", m_pace.pressure())
+        .add("done", done);
+    if (!done) {
+        m_pace.failed(order.run);
+    }
+}
+
+awaitable<Wire::WorkerOrdersReply> AgentServer::carryOut(Wire::WorkerOrders orders)
+{
+    if (!orders.ownerHost.empty()) {
+        adopt(orders.epoch, {orders.ownerHost, static_cast<std::uint16_t>(orders.ownerPort)});
+    }
+    auto reply = std::make_shared<Wire::WorkerOrdersReply>();
+    reply->starts.assign(orders.starts.size(), static_cast<int>(OrderResult::Refused));
+    reply->stops.assign(orders.stops.size(), static_cast<int>(OrderResult::Refused));
+    const bool meant = m_minion && m_minion->worker.id == orders.worker && m_minion->worker.born == orders.born;
+    const auto refusal = meant ? m_gate.refusal(orders, m_runtime.clock().now()) : "another life of the minion";
+    if (!refusal.empty()) {
+        if (!orders.starts.empty() || !orders.stops.empty()) {
+            Event("orders_refused").add("worker", orders.worker).add("epoch", orders.epoch).add("reason", refusal);
+        }
+        reply->listing = m_listings;
+        co_return *reply;
+    }
+    for (std::size_t i = 0; i < orders.stops.size(); ++i) {
+        const auto answer = co_await m_outside.minion->stop(target(), orders.stops[i]);
+        reply->stops[i] = static_cast<int>(answer.result);
+        if (!m_minion) {
+            co_return *reply;
+        }
+    }
+    auto shared = std::make_shared<Wire::WorkerOrders>(std::move(orders));
+    auto next = std::make_shared<std::size_t>(0);
+    const int lanes = std::min<int>(startsAtOnce, static_cast<int>(shared->starts.size()));
+    auto done = std::make_shared<int>(0);
+    const std::string waitName = "orders " + std::to_string(++m_orderSets);
+    for (int i = 0; i < lanes; ++i) {
+        spawnOn(m_runtime.executor(), "start lane", [this, shared, reply, next, done, waitName]() -> awaitable<void> {
+            co_await carryOutStarts(shared, reply, next);
+            ++*done;
+            m_waiters.notify(waitName);
+        });
+    }
+    while (*done < lanes) {
+        co_await m_waiters.wait(waitName, seconds(1));
+    }
+    reply->listing = m_listings;
+    co_return *reply;
+}
+
+awaitable<void> AgentServer::carryOutStarts(std::shared_ptr<Wire::WorkerOrders> orders,
+                                            std::shared_ptr<Wire::WorkerOrdersReply> reply,
+                                            std::shared_ptr<std::size_t> next)
+{
+    while (*next < orders->starts.size()) {
+        const auto i = (*next)++;
+        reply->starts[i] = co_await startOne(*orders, i);
+    }
+}
+
+awaitable<int> AgentServer::startOne(const Wire::WorkerOrders &orders, std::size_t number)
+{
+    const auto &order = orders.starts[number];
+    const auto now = m_runtime.clock().now();
+    const bool meant = m_minion && m_minion->worker.id == orders.worker && m_minion->worker.born == orders.born;
+    const auto refusal = meant ? m_gate.refusal(orders, now) : "another life of the minion";
+    const auto until = m_gate.holdUntil(now);
+    if (!refusal.empty() || m_minion->draining || !until) {
+        Event("start_withheld")
+            .add("job", order.task.job)
+            .add("task", Jobs::taskName(order.task))
+            .add("reason", !refusal.empty() ? refusal : "the minion is draining, or its clock is not known");
+        co_return static_cast<int>(OrderResult::Refused);
+    }
+    m_pace.describe(order.info);
+    const auto answer = co_await m_outside.minion->start(target(), order, *until);
+    Event("start_sent")
+        .add("job", order.task.job)
+        .add("task", Jobs::taskName(order.task))
+        .add("run", order.run)
+        .add("epoch", orders.epoch)
+        .add("result", orderResultName(answer.result))
+        .add("reason", answer.reason)
+        .add("tookMs", duration_cast<milliseconds>(m_runtime.clock().now() - now).count());
+    co_return static_cast<int>(answer.result);
+}
+
+} // namespace Trefoilhoist::Agent
--- /dev/null
+++ b/src/programs/dispatcher/dispatcher.cpp
@@ -0,0 +1,372 @@
+#include "dispatcher.h"
+
+#include "trefoilhoist/log/eventlog.h"
+#include "trefoilhoist/wire/message.h"
+
+namespace Trefoilhoist::Dispatcher {
+
+namespace {
+
+using Jobs::CallerVerb;
+using Jobs::JobOutcome;
+
+/// Part of a caller's patience that is used before an answer is given without the owner's word.
+constexpr double patienceShare = 0.8;
+/// Without any owner, callers are told to come back after this.
+constexpr Duration ownerlessWait = milliseconds(400);
+constexpr Duration ownerPoll = milliseconds(25);
+constexpr Duration askTimeout = milliseconds(1200);
+constexpr std::int64_t ownerRetryAfterMs = 1000;
+constexpr Duration configurationWait = milliseconds(1500);
+constexpr Duration configurationRetry = milliseconds(150);
+constexpr Duration stopPoll = milliseconds(50);
+/// After SIGTERM callers may still send on open connections; they are served for at least this long.
+constexpr Duration stopAtLeast = milliseconds(1500);
+
+Wire::JobAnswer plainAnswer(JobOutcome outcome)
+{
+    Wire::JobAnswer answer;
+    answer.outcome = static_cast<int>(outcome);
+    answer.retryAfterMs = ownerRetryAfterMs;
+    return answer;
+}
+
+Wire::OwnerRecord selfRecord(const DispatcherSettings &settings)
+{
+    Wire::OwnerRecord self;
+    self.name = settings.name;
+    self.host = settings.peers.host;
+    self.port = settings.peers.port;
+    return self;
+}
+
+HttpLimits callerLimits()
+{
+    HttpLimits limits;
+    limits.maxConnections = 2000;
+    return limits;
+}
+
+} // namespace
+
+DispatcherServer::DispatcherServer(Runtime &runtime, DispatcherSettings settings, Outside outside)
+    : m_runtime(runtime)
+    , m_settings(std::move(settings))
+    , m_outside(std::move(outside))
+    , m_metrics(runtime.clock())
+    , m_election(*m_outside.store, runtime.clock(), m_settings.election, selfRecord(m_settings))
+    , m_callers(runtime.executor(), callerLimits(), [this](HttpRequest request) { return serveCaller(std::move(request)); })
+    , m_readiness(runtime.executor(), {}, [this](HttpRequest request) { return serveReadiness(std::move(request)); })
+    , m_metricsServer(runtime.executor(), {}, [this](HttpRequest request) { return serveMetrics(std::move(request)); })
+    , m_peers(runtime.executor(), m_settings.name, runtime.incarnation(), [this](Wire::Envelope envelope) {
+        return servePeer(std::move(envelope));
+    })
+{
+}
+
+std::optional<std::string> DispatcherServer::start()
+{
+    if (const auto port = m_peers.listen(m_settings.peers); !port) {
+        return port.error();
+    }
+    if (const auto port = m_readiness.listen(m_settings.readiness); !port) {
+        return port.error();
+    }
+    if (m_settings.metrics.port != 0) {
+        if (const auto port = m_metricsServer.listen(m_settings.metrics); !port) {
+            return port.error();
+        }
+    }
+    if (const auto port = m_callers.listen(m_settings.callers); !port) {
+        return port.error();
+    }
+    spawnOn(m_runtime.executor(), "configuration", [this] { return watchConfiguration(); });
+    spawnOn(m_runtime.executor(), "election", [this] {
+        return m_election.run([this](Jobs::OwnerTerm term) { won(term); }, [this](const std::string &) { lost(); });
+    });
+    Event("started").add("name", m_settings.name).add("incarnation", m_runtime.incarnation());
+    return std::nullopt;
+}
+
+void DispatcherServer::won(Jobs::OwnerTerm term)
+{
+    SessionContext context{m_runtime.executor(),
+                           m_runtime.clock(),
+                           *m_outside.store,
+                           m_metrics,
+                           m_settings.name,
+                           m_runtime.incarnation(),
+                           m_settings.peers,
+                           m_settings.scheduler,
+                           [this] { return m_election.verifiedAt(); },
+                           [this](const std::string &reason) { m_election.deposed(reason); }};
+    m_session = std::make_shared<OwnerSession>(std::move(context), term, m_queues);
+    m_session->start();
+    m_metrics.counter("trefoilhoist_terms_won").add();
+}
+
+void DispatcherServer::lost()
+{
+    if (m_session) {
+        m_session->close();
+        m_session.reset();
+    }
+}
+
+bool DispatcherServer::ready() const
+{
+    return !m_stopping && m_queues.version > 0;
+}
+
+awaitable<HttpResponse> DispatcherServer::serveReadiness(HttpRequest)
+{
+    co_return ready() ? textResponse(200, "ready\n") : textResponse(503, "not ready\n");
+}
+
+awaitable<HttpResponse> DispatcherServer::serveMetrics(HttpRequest)
+{
+    co_return textResponse(200, m_metrics.exposition());
+}
+
+awaitable<HttpResponse> DispatcherServer::serveCaller(HttpRequest request)
+{
+    const auto &callers = *m_outside.callers;
+    const auto receivedAt = m_runtime.clock().now();
+    const auto caller = callers.request(request);
+    if (!caller) {
+        Event("request_unreadable").add("reason", caller.error());
+        co_return callers.unreadable(caller.error());
+    }
+    if (m_queues.version == 0) {
+        co_return callers.answer(caller->verb, plainAnswer(JobOutcome::Refused));
+    }
+    const auto *queue = m_queues.match(caller->host, caller->path);
+    if (queue == nullptr) {
+        Event("queue_unknown").add("host", caller->host).add("path", caller->path).add("configuration", m_queues.version);
+        co_return callers.noSuchQueue();
+    }
+    const std::string id = caller->path.substr(queue->prefix.size());
+    const auto patience = duration_cast<Duration>(caller->patience * patienceShare);
+    auto verb = caller->verb;
+    Wire::JobAnswer answer;
+    if (verb == CallerVerb::Submit) {
+        auto spec = callers.job(id, queue->policy, request.body);
+        if (!spec) {
+            Event("job_unreadable").add("job", id).add("queue", queue->policy.name).add("reason", spec.error());
+            co_return callers.unreadable(spec.error());
+        }
+        request.body.clear();
+        answer = co_await submit(*caller, *queue, id, std::move(*spec));
+    } else if (verb == CallerVerb::CancelJob) {
+        Wire::CancelJob cancel;
+        cancel.id = id;
+        answer = co_await askOwner(Wire::MessageKind::CancelJobKind, Wire::encode(cancel), patience);
+    } else if (id.empty()) {
+        verb = CallerVerb::AskQueue;
+        Wire::QueueQuery query;
+        query.queue = queue->policy.name;
+        answer = co_await askOwner(Wire::MessageKind::QueueQueryKind, Wire::encode(query), patience);
+    } else {
+        Wire::JobQuery query;
+        query.id = id;
+        answer = co_await askOwner(Wire::MessageKind::JobQueryKind, Wire::encode(query), patience);
+    }
+    const auto now = m_runtime.clock().now();
+    m_metrics.latency("trefoilhoist_caller_request").record(now - receivedAt, now);
+    if (answer.outcome != static_cast<int>(JobOutcome::Ok)) {
+        m_metrics.counter("trefoilhoist_caller_not_ok").add();
+        Event("request_not_ok")
+            .add("job", id)
+            .add("verb", static_cast<int>(verb))
+            .add("outcome", answer.outcome)
+            .add("waitedMs", duration_cast<milliseconds>(now - receivedAt).count());
+    }
+    co_return callers.answer(verb, answer);
+}
+
+awaitable<Wire::JobAnswer> DispatcherServer::submit(const Jobs::CallerRequest &caller, const Jobs::QueueRoute &queue, const std::string &id, Wire::JobSpec spec)
+{
+    if (queue.policy.needsPermit) {
+        Event("job_refused").add("job", id).add("reason", "queues with advice are not served yet");
+        co_return plainAnswer(JobOutcome::Refused);
+    }
+    spec.acceptedAtMs = wallMilliseconds();
+    Wire::SubmitJob submit;
+    submit.spec = std::move(spec);
+    const auto patience = duration_cast<Duration>(caller.patience * patienceShare);
+    co_return co_await askOwner(Wire::MessageKind::SubmitJobKind, Wire::encode(submit), patience);
+}
+
+awaitable<Wire::JobAnswer> DispatcherServer::askOwner(Wire::MessageKind kind, std::string payload, Duration patience)
+{
+    const auto &clock = m_runtime.clock();
+    const auto startedAt = clock.now();
+    // A submission that reached an owner without an answer may have been recorded.
+    bool maybeTaken = false;
+    while (clock.now() - startedAt < patience) {
+        const auto left = patience - (clock.now() - startedAt);
+        if (m_session && m_session->ready()) {
+            auto answer = co_await answerHere(kind, payload, left);
+            if (answer.outcome != static_cast<int>(JobOutcome::NotOwner)) {
+                co_return answer;
+            }
+        } else if (!m_session && m_election.owner() && m_election.owner()->name != m_settings.name) {
+            const Endpoint peer{m_election.owner()->host, static_cast<std::uint16_t>(m_election.owner()->port)};
+            const auto reply = co_await clientOf(peer).call(kind, payload, std::min(left, askTimeout));
+            const auto answer = reply ? Wire::decode<Wire::JobAnswer>(reply->payload) : std::nullopt;
+            if (answer && answer->outcome != static_cast<int>(JobOutcome::NotOwner)) {
+                co_return *answer;
+            }
+            if (!answer) {
+                maybeTaken = true;
+            }
+        }
+        if (!maybeTaken && clock.now() - startedAt > ownerlessWait) {
+            break;
+        }
+        co_await sleepFor(ownerPoll);
+    }
+    const bool submission = kind == Wire::MessageKind::SubmitJobKind;
+    co_return plainAnswer(submission && maybeTaken ? JobOutcome::Unsettled : JobOutcome::Refused);
+}
+
+awaitable<Wire::JobAnswer> DispatcherServer::answerHere(Wire::MessageKind kind, std::string payload, Duration patience)
+{
+    const auto session = m_session;
+    if (!session || !session->ready()) {
+        co_return plainAnswer(JobOutcome::NotOwner);
+    }
+    switch (kind) {
+    case Wire::MessageKind::SubmitJobKind:
+        if (auto submit = Wire::decode<Wire::SubmitJob>(payload)) {
+            co_return co_await session->submit(std::move(submit->spec), patience);
+        }
+        break;
+    case Wire::MessageKind::CancelJobKind:
+        if (auto cancel = Wire::decode<Wire::CancelJob>(payload)) {
+            co_return co_await session->cancel(std::move(cancel->id), patience);
+        }
+        break;
+    case Wire::MessageKind::JobQueryKind:
+        if (const auto query = Wire::decode<Wire::JobQuery>(payload)) {
+            co_return session->ask(query->id);
+        }
+        break;
+    case Wire::MessageKind::QueueQueryKind:
+        if (const auto query = Wire::decode<Wire::QueueQuery>(payload)) {
+            co_return session->askQueue(query->queue);
+        }
+        break;
+    default:
+        break;
+    }
+    Event("peer_message_unreadable").add("kind", static_cast<int>(kind)).add("bytes", payload.size());
+    co_return plainAnswer(JobOutcome::Refused);
+}
+
+awaitable<std::optional<Wire::Envelope>> DispatcherServer::servePeer(Wire::Envelope envelope)
+{
+    Wire::Envelope reply;
+    reply.kind = envelope.kind;
+    if (envelope.kind == Wire::MessageKind::WorkerReportKind) {
+        Wire::WorkerReportReply answer;
+        const auto report = Wire::decode<Wire::WorkerReport>(envelope.payload);
+        if (!report) {
+            Event("peer_message_unreadable").add("kind", static_cast<int>(envelope.kind)).add("from", envelope.sender);
+        } else if (m_session && m_session->ready()) {
+            answer = m_session->report(*report);
+        }
+        reply.payload = Wire::encode(answer);
+        co_return reply;
+    }
+    reply.payload = Wire::encode(co_await answerHere(envelope.kind, std::move(envelope.payload), askTimeout));
+    co_return reply;
+}
+
+PeerClient &DispatcherServer::clientOf(const Endpoint &peer)
+{
+    auto &client = m_clients[peer];
+    if (!client) {
+        client = std::make_unique<PeerClient>(m_runtime.executor(), m_settings.name, m_runtime.incarnation(), peer);
+    }
+    return *client;
+}
+
+void DispatcherServer::takeConfiguration(const std::string &value, std::int64_t revision)
+{
+    auto queues = m_outside.configuration->queues(value);
+    if (!queues) {
+        Event("configuration_unreadable").add("revision", revision).add("reason", queues.error());
+        return;
+    }
+    if (queues->version <= m_queues.version) {
+        return;
+    }
+    Event("configuration_taken").add("version", queues->version).add("revision", revision).add("queues", queues->routes.size());
+    m_queues = std::move(*queues);
+    if (m_session) {
+        m_session->setQueues(m_queues);
+    }
+}
+
+awaitable<bool> DispatcherServer::readConfiguration(std::int64_t &revision)
+{
+    const auto page = co_await m_outside.store->list(m_outside.configuration->key(), "");
+    if (!page) {
+        Event("configuration_unread").add("reason", page.error().reason).add("version", m_queues.version);
+        co_return false;
+    }
+    for (const auto &it : page->records) {
+        if (it.key == m_outside.configuration->key()) {
+            takeConfiguration(it.value, it.revision);
+        }
+    }
+    revision = page->revision;
+    co_return true;
+}
+
+awaitable<void> DispatcherServer::watchConfiguration()
+{
+    std::int64_t revision = 0;
+    bool known = false;
+    while (true) {
+        if (!known) {
+            known = co_await readConfiguration(revision);
+            if (!known) {
+                co_await sleepFor(configurationRetry);
+            }
+            continue;
+        }
+        const auto changes = co_await m_outside.store->watch(m_outside.configuration->key(), revision, configurationWait);
+        known = changes.has_value() && !changes->historyLost;
+        if (!known) {
+            if (!changes) {
+                co_await sleepFor(configurationRetry);
+            }
+            continue;
+        }
+        for (const auto &it : changes->changes) {
+            if (!it.removed && it.record.key == m_outside.configuration->key()) {
+                takeConfiguration(it.record.value, it.record.revision);
+            }
+        }
+        revision = std::max(revision, changes->revision);
+    }
+}
+
+awaitable<void> DispatcherServer::stop()
+{
+    m_stopping = true;
+    m_callers.drain();
+    Event("stopping").add("name", m_settings.name).add("inFlight", m_callers.inFlight());
+    co_await m_election.resign();
+    const auto startedAt = m_runtime.clock().now();
+    const auto elapsed = [&] { return m_runtime.clock().now() - startedAt; };
+    while (elapsed() < m_settings.stopWithin && (elapsed() < stopAtLeast || m_callers.inFlight() > 0)) {
+        co_await sleepFor(stopPoll);
+    }
+    Event("stopped").add("inFlight", m_callers.inFlight());
+    EventLog::instance().flush();
+}
+
+} // namespace Trefoilhoist::Dispatcher
--- /dev/null
+++ b/src/programs/dispatcher/dispatcher.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "ownersession.h"
+#include "trefoilhoist/jobs/callertranslator.h"
+#include "trefoilhoist/net/httpserver.h"
+#include "trefoilhoist/net/program.h"
+#include "trefoilhoist/wire/peerserver.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace Trefoilhoist::Dispatcher {
+
+struct DispatcherSettings {
+    std::string name;
+    Endpoint callers;
+    Endpoint readiness;
+    Endpoint peers;
+    Endpoint metrics;
+    Jobs::SchedulerSettings scheduler;
+    Jobs::ElectionTimes election;
+    /// From SIGTERM to the end of the process, at most.
+    Duration stopWithin = seconds(5);
+};
+
+/// What speaks to the outside on the dispatcher's behalf.
+struct Outside {
+    std::unique_ptr<RecordStore> store;
+    std::unique_ptr<Jobs::CallerTranslator> callers;
+    std::unique_ptr<Jobs::ConfigurationTranslator> configuration;
+};
+
+/// One of the processes that callers reach. Any of them takes jobs and questions; the one that owns the scheduling
+/// answers them, the others pass them on. Used on one thread.
+class DispatcherServer
+{
+public:
+    DispatcherServer(Runtime &runtime, DispatcherSettings settings, Outside outside);
+
+    /// Returns what can't be bound, if anything.
+    std::optional<std::string> start();
+    /// Hands the ownership over and finishes the requests in progress.
+    awaitable<void> stop();
+
+private:
+    awaitable<HttpResponse> serveCaller(HttpRequest request);
+    awaitable<HttpResponse> serveReadiness(HttpRequest request);
+    awaitable<HttpResponse> serveMetrics(HttpRequest request);
+    awaitable<std::optional<Wire::Envelope>> servePeer(Wire::Envelope envelope);
+    awaitable<Wire::JobAnswer> submit(const Jobs::CallerRequest &caller, const Jobs::QueueRoute &queue, const std::string &id, Wire::JobSpec spec);
+    /// Asks the owner, here or elsewhere, until the caller's patience ends.
+    awaitable<Wire::JobAnswer> askOwner(Wire::MessageKind kind, std::string payload, Duration patience);
+    awaitable<Wire::JobAnswer> answerHere(Wire::MessageKind kind, std::string payload, Duration patience);
+    awaitable<void> watchConfiguration();
+    awaitable<bool> readConfiguration(std::int64_t &revision);
+    void takeConfiguration(const std::string &value, std::int64_t revision);
+    void won(Jobs::OwnerTerm term);
+    void lost();
+    [[nodiscard]] bool ready() const;
+    PeerClient &clientOf(const Endpoint &peer);
+
+    Runtime &m_runtime;
+    DispatcherSettings m_settings;
+    Outside m_outside;
+    MetricsRegistry m_metrics;
+    Jobs::OwnerElection m_election;
+    Jobs::QueueTable m_queues;
+    std::shared_ptr<OwnerSession> m_session;
+    HttpServer m_callers;
+    HttpServer m_readiness;
+    HttpServer m_metricsServer;
+    PeerServer m_peers;
+    std::map<Endpoint, std::unique_ptr<PeerClient>> m_clients;
+    bool m_stopping = false;
+};
+
+} // namespace Trefoilhoist::Dispatcher
--- /dev/null
+++ b/src/programs/dispatcher/ownersession.cpp
@@ -0,0 +1,453 @@
+#include "ownersession.h"
+
+#include "recordkeys.h"
+#include "trefoilhoist/log/eventlog.h"
+#include "trefoilhoist/store/backoff.h"
+#include "trefoilhoist/wire/message.h"
+
+#include <boost/asio/post.hpp>
+
+namespace Trefoilhoist::Dispatcher {
+
+namespace {
+
+using Jobs::JobOutcome;
+using Jobs::JobPhase;
+
+/// Commits on their way at one time.
+constexpr int recordLoops = 3;
+constexpr Duration tick = milliseconds(50);
+constexpr Duration orderTimeout = milliseconds(1500);
+/// Without the store's word for this long, an unknown job may be another owner's.
+constexpr Duration authorityAge = milliseconds(2500);
+constexpr std::int64_t storeRetryAfterMs = 1000;
+constexpr const char *workToDo = "work";
+
+Wire::JobAnswer answerOf(JobOutcome outcome, std::int64_t retryAfterMs = storeRetryAfterMs)
+{
+    Wire::JobAnswer answer;
+    answer.outcome = static_cast<int>(outcome);
+    answer.retryAfterMs = retryAfterMs;
+    return answer;
+}
+
+} // namespace
+
+OwnerSession::OwnerSession(SessionContext context, Jobs::OwnerTerm term, Jobs::QueueTable queues)
+    : m_context(std::move(context))
+    , m_term(term)
+    , m_scheduler(m_context.scheduler, term.epoch)
+    , m_records(epochRecordKey, term.epochRevision)
+{
+    m_scheduler.setQueues(std::move(queues));
+}
+
+void OwnerSession::start()
+{
+    spawnOn(m_context.executor, "owner session", [self = shared_from_this()]() -> awaitable<void> {
+        Backoff backoff(milliseconds(50), milliseconds(500), static_cast<std::uint64_t>(self->m_context.incarnation));
+        while (!self->m_closed && !co_await self->load()) {
+            co_await sleepFor(backoff.next());
+        }
+        if (self->m_closed) {
+            co_return;
+        }
+        self->m_ready = true;
+        Event("term_ready").add("epoch", self->m_term.epoch).add("activeJobs", self->m_scheduler.activeJobs());
+        for (int i = 0; i < recordLoops; ++i) {
+            spawnOn(self->m_context.executor, "record loop", [self] { return self->recordLoop(); });
+        }
+        spawnOn(self->m_context.executor, "tick loop", [self] { return self->tickLoop(); });
+    });
+}
+
+void OwnerSession::close()
+{
+    m_closed = true;
+    m_ready = false;
+    m_waiters.notifyAll();
+    m_work.notifyAll();
+}
+
+void OwnerSession::setQueues(Jobs::QueueTable queues)
+{
+    m_scheduler.setQueues(std::move(queues));
+}
+
+awaitable<bool> OwnerSession::load()
+{
+    if (!co_await loadJobs()) {
+        co_return false;
+    }
+    co_return co_await loadRoster();
+}
+
+awaitable<bool> OwnerSession::loadJobs()
+{
+    std::map<std::string, Wire::JobSpec> specs;
+    std::map<std::string, Wire::JobProgress> progress;
+    std::string after;
+    for (bool more = true; more && !m_closed;) {
+        const auto page = co_await m_context.store.list(jobPrefix, after);
+        if (!page) {
+            Event("load_failed").add("epoch", m_term.epoch).add("reason", page.error().reason);
+            co_return false;
+        }
+        more = page->more && !page->records.empty();
+        for (const auto &it : page->records) {
+            after = it.key;
+            const auto key = jobRecordFrom(it.key);
+            const auto spec = key.isSpec ? Wire::decode<Wire::JobSpec>(it.value) : std::nullopt;
+            const auto state = key.isSpec ? std::nullopt : Wire::decode<Wire::JobProgress>(it.value);
+            if (!spec && !state) {
+                Event("record_unreadable").add("key", it.key).add("bytes", it.value.size());
+                continue;
+            }
+            m_records.know(it.key, it.revision);
+            if (spec) {
+                specs.emplace(key.job, *spec);
+            } else {
+                progress.emplace(key.job, *state);
+            }
+        }
+    }
+    const auto now = m_context.clock.now();
+    for (auto &[id, spec] : specs) {
+        const auto it = progress.find(id);
+        if (it != progress.end() && isFinal(static_cast<JobPhase>(it->second.phase))) {
+            m_records.remove(specKey(id));
+        }
+        m_scheduler.restoreJob(std::move(spec), it == progress.end() ? std::nullopt : std::optional(it->second), now);
+        progress.erase(id);
+    }
+    for (const auto &[id, state] : progress) {
+        // A final job keeps its progress only.
+        Wire::JobSpec spec;
+        spec.id = id;
+        m_scheduler.restoreJob(std::move(spec), state, now);
+    }
+    co_return true;
+}
+
+awaitable<bool> OwnerSession::loadRoster()
+{
+    const auto record = co_await m_context.store.read(rosterKey);
+    if (!record) {
+        Event("load_failed").add("epoch", m_term.epoch).add("reason", record.error().reason);
+        co_return false;
+    }
+    if (*record) {
+        m_records.know(rosterKey, (*record)->revision);
+        const auto roster = Wire::decode<Wire::WorkerRoster>((*record)->value);
+        if (!roster) {
+            Event("record_unreadable").add("key", rosterKey).add("bytes", (*record)->value.size());
+            co_return false;
+        }
+        m_scheduler.restoreRoster(*roster, m_context.clock.now());
+        greetAgents(*roster);
+    }
+    co_return true;
+}
+
+// Tells every agent of the earlier owner where to report now.
+void OwnerSession::greetAgents(const Wire::WorkerRoster &roster)
+{
+    for (const auto &it : roster.workers) {
+        Wire::WorkerOrders greeting;
+        greeting.epoch = m_term.epoch;
+        greeting.ownerHost = m_context.self.host;
+        greeting.ownerPort = m_context.self.port;
+        const Endpoint agent{it.agentHost, static_cast<std::uint16_t>(it.agentPort)};
+        spawnOn(m_context.executor, "greeting", [self = shared_from_this(), greeting, agent] {
+            return self->send(greeting, agent);
+        });
+    }
+}
+
+bool OwnerSession::verified(Duration within) const
+{
+    return m_context.clock.now() - m_context.verifiedAt() <= within;
+}
+
+awaitable<Wire::JobAnswer> OwnerSession::submit(Wire::JobSpec spec, Duration patience)
+{
+    const auto self = shared_from_this();
+    const auto sentAt = m_context.clock.now();
+    const std::string id = spec.id;
+    const auto intake = m_scheduler.submit(spec, sentAt);
+    if (intake == Jobs::Intake::Known) {
+        Event("job_repeated").add("job", id).add("epoch", m_term.epoch);
+        co_return answerOf(JobOutcome::Ok);
+    }
+    if (intake == Jobs::Intake::New) {
+        m_records.put(specKey(id), Wire::encode(spec), 1);
+        m_work.notify(workToDo);
+    }
+    co_await m_waiters.wait(id, patience);
+    const auto waited = m_context.clock.now() - sentAt;
+    if (m_closed) {
+        co_return answerOf(JobOutcome::Unsettled);
+    }
+    if (m_scheduler.job(id) != nullptr) {
+        m_context.metrics.latency("trefoilhoist_job_record").record(waited, m_context.clock.now());
+        Event("job_accepted")
+            .add("job", id)
+            .add("queue", spec.queue.name)
+            .add("steps", spec.steps.size())
+            .add("epoch", m_term.epoch)
+            .add("recordMs", duration_cast<milliseconds>(waited).count());
+        co_return answerOf(JobOutcome::Ok);
+    }
+    const bool notRun = m_records.withdraw(specKey(id));
+    if (notRun) {
+        m_scheduler.withdraw(id);
+    }
+    Event(notRun ? "job_refused" : "job_unsettled")
+        .add("job", id)
+        .add("epoch", m_term.epoch)
+        .add("reason", "the store did not confirm the record")
+        .add("waitedMs", duration_cast<milliseconds>(waited).count());
+    co_return answerOf(notRun ? JobOutcome::Refused : JobOutcome::Unsettled);
+}
+
+awaitable<Wire::JobAnswer> OwnerSession::cancel(std::string id, Duration patience)
+{
+    const auto self = shared_from_this();
+    const auto *job = m_scheduler.job(id);
+    if (job == nullptr) {
+        co_return answerOf(verified(authorityAge) ? JobOutcome::Unknown : JobOutcome::Refused);
+    }
+    m_scheduler.cancel(id, m_context.clock.now());
+    const auto version = job->version();
+    recordChanges();
+    requestPlan();
+    const auto until = m_context.clock.now() + patience;
+    while (!m_closed && m_scheduler.recordedVersion(id) < version && m_context.clock.now() < until) {
+        co_await m_waiters.wait(id, until - m_context.clock.now());
+    }
+    const bool recorded = !m_closed && m_scheduler.recordedVersion(id) >= version;
+    Event("job_cancelled").add("job", id).add("epoch", m_term.epoch).add("recorded", recorded);
+    co_return answerOf(recorded ? JobOutcome::Ok : JobOutcome::Unsettled);
+}
+
+Wire::JobAnswer OwnerSession::ask(const std::string &id) const
+{
+    const auto *job = m_scheduler.job(id);
+    if (job == nullptr) {
+        return answerOf(verified(authorityAge) ? JobOutcome::Unknown : JobOutcome::Refused);
+    }
+    auto answer = answerOf(JobOutcome::Ok);
+    auto phase = job->phase();
+    if (isFinal(phase) && m_scheduler.recordedVersion(id) < job->version()) {
+        // Not said before it is kept.
+        phase = JobPhase::Running;
+    }
+    answer.phase = static_cast<int>(phase);
+    return answer;
+}
+
+Wire::JobAnswer OwnerSession::askQueue(const std::string &queue) const
+{
+    auto answer = answerOf(JobOutcome::Ok);
+    answer.waiting = m_scheduler.waiting(queue);
+    return answer;
+}
+
+Wire::WorkerReportReply OwnerSession::report(const Wire::WorkerReport &report)
+{
+    if (report.epoch > m_term.epoch) {
+        m_context.deposed("an agent has orders of epoch " + std::to_string(report.epoch));
+        return {};
+    }
+    auto reply = m_scheduler.report(report, verified(m_context.scheduler.ownerGrace), m_context.clock.now());
+    recordChanges();
+    requestPlan();
+    return reply;
+}
+
+// Queues the records of all that changed since the last call.
+void OwnerSession::recordChanges()
+{
+    bool any = false;
+    for (const auto &id : m_scheduler.takeChanged()) {
+        const auto *job = m_scheduler.job(id);
+        if (job == nullptr) {
+            continue;
+        }
+        m_records.put(progressKey(id), Wire::encode(job->progress()), job->version());
+        if (!job->active()) {
+            m_records.remove(specKey(id));
+            Event("job_ended")
+                .add("job", id)
+                .add("phase", phaseName(job->phase()))
+                .add("epoch", m_term.epoch)
+                .add("afterMs", duration_cast<milliseconds>(m_context.clock.now() - job->acceptedAt()).count());
+        }
+        any = true;
+    }
+    if (auto roster = m_scheduler.takeRoster()) {
+        m_records.put(rosterKey, Wire::encode(*roster), static_cast<std::int64_t>(roster->workers.size()));
+        m_roster = std::move(*roster);
+        any = true;
+    }
+    if (any) {
+        m_work.notify(workToDo);
+    }
+}
+
+awaitable<void> OwnerSession::recordLoop()
+{
+    const auto self = shared_from_this();
+    Backoff backoff(milliseconds(40), milliseconds(400), static_cast<std::uint64_t>(m_context.incarnation));
+    while (!m_closed) {
+        auto batch = m_records.take();
+        if (!batch) {
+            co_await m_work.wait(workToDo, seconds(1));
+            continue;
+        }
+        const auto outcome = co_await m_context.store.commit(batch->commit);
+        if (m_closed) {
+            co_return;
+        }
+        if (outcome.has_value() != m_storeReached) {
+            m_storeReached = outcome.has_value();
+            Event(m_storeReached ? "store_regained" : "store_lost").add("by", "records").add("reason", outcome ? "" : outcome.error().reason);
+        }
+        if (outcome) {
+            backoff.reset();
+            settled(m_records.finished(*batch, *outcome));
+            if (m_records.lost()) {
+                m_context.deposed("another epoch is recorded");
+                co_return;
+            }
+            continue;
+        }
+        m_records.failed(*batch, outcome.error().failure);
+        refuseUnrecorded(*batch);
+        co_await sleepFor(backoff.next());
+    }
+}
+
+void OwnerSession::settled(const std::vector<Jobs::SettledRecord> &records)
+{
+    const auto now = m_context.clock.now();
+    for (const auto &it : records) {
+        if (it.key == rosterKey) {
+            m_scheduler.rosterRecorded(m_roster);
+            continue;
+        }
+        const auto key = jobRecordFrom(it.key);
+        if (key.isSpec) {
+            m_scheduler.accept(key.job, now);
+        } else {
+            m_scheduler.recorded(key.job, it.tag);
+        }
+        m_waiters.notify(key.job);
+    }
+    requestPlan();
+}
+
+// Wakes the submissions whose first record has surely not been written, so that they are refused at once.
+void OwnerSession::refuseUnrecorded(const Jobs::RecordBatch &batch)
+{
+    for (const auto &it : batch.keys) {
+        const auto key = jobRecordFrom(it);
+        if (key.isSpec && m_scheduler.job(key.job) == nullptr && m_records.surelyUnwritten(it)) {
+            m_waiters.notify(key.job);
+        }
+    }
+}
+
+void OwnerSession::requestPlan()
+{
+    if (m_planRequested || m_closed) {
+        return;
+    }
+    m_planRequested = true;
+    Asio::post(m_context.executor, [self = shared_from_this()] {
+        self->m_planRequested = false;
+        self->plan();
+    });
+}
+
+void OwnerSession::plan()
+{
+    if (m_closed || !m_ready || !verified(m_context.scheduler.ownerGrace)) {
+        return;
+    }
+    for (auto &[worker, orders] : m_scheduler.plan(m_context.clock.now(), wallMilliseconds())) {
+        const auto &info = m_scheduler.workers().at(worker).info;
+        orders.ownerHost = m_context.self.host;
+        orders.ownerPort = m_context.self.port;
+        const Endpoint agent{info.agentHost, static_cast<std::uint16_t>(info.agentPort)};
+        spawnOn(m_context.executor, "orders", [self = shared_from_this(), orders = std::move(orders), agent] {
+            return self->send(orders, agent);
+        });
+    }
+}
+
+PeerClient &OwnerSession::clientOf(const Endpoint &agent)
+{
+    auto &client = m_agents[agent];
+    if (!client) {
+        client = std::make_unique<PeerClient>(m_context.executor, m_context.name, m_context.incarnation, agent);
+    }
+    return *client;
+}
+
+awaitable<void> OwnerSession::send(Wire::WorkerOrders orders, Endpoint agent)
+{
+    const auto self = shared_from_this();
+    for (const auto &it : orders.starts) {
+        Event("start_ordered")
+            .add("job", it.task.job)
+            .add("task", Jobs::taskName(it.task))
+            .add("run", it.run)
+            .add("worker", orders.worker)
+            .add("epoch", orders.epoch);
+    }
+    for (const auto &it : orders.stops) {
+        Event("stop_ordered").add("job", it.task.job).add("task", Jobs::taskName(it.task)).add("run", it.run).add("worker", orders.worker).add("epoch", orders.epoch);
+    }
+    const auto answer = co_await clientOf(agent).call(Wire::MessageKind::WorkerOrdersKind, Wire::encode(orders), orderTimeout);
+    std::optional<Wire::WorkerOrdersReply> reply;
+    if (answer) {
+        reply = Wire::decode<Wire::WorkerOrdersReply>(answer->payload);
+    }
+    if (!reply) {
+        Event("orders_unanswered")
+            .add("worker", orders.worker)
+            .add("starts", orders.starts.size())
+            .add("stops", orders.stops.size())
+            .add("reason", answer ? "unreadable reply" : answer.error().reason);
+    }
+    if (m_closed) {
+        co_return;
+    }
+    m_scheduler.ordersDone(orders, reply, m_context.clock.now());
+    requestPlan();
+}
+
+// Without its progress, a job whose submission is still recorded would start again.
+void OwnerSession::forgetExpired()
+{
+    for (const auto &id : m_scheduler.expired(wallMilliseconds())) {
+        if (!m_records.holds(specKey(id))) {
+            m_scheduler.forget(id);
+            m_records.remove(progressKey(id));
+        }
+    }
+}
+
+awaitable<void> OwnerSession::tickLoop()
+{
+    const auto self = shared_from_this();
+    while (!m_closed) {
+        co_await sleepFor(tick);
+        forgetExpired();
+        recordChanges();
+        requestPlan();
+    }
+}
+
+} // namespace Trefoilhoist::Dispatcher
--- /dev/null
+++ b/src/programs/dispatcher/ownersession.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "trefoilhoist/jobs/jobscheduler.h"
+#include "trefoilhoist/jobs/ownerelection.h"
+#include "trefoilhoist/jobs/recordqueue.h"
+#include "trefoilhoist/metrics/metrics.h"
+#include "trefoilhoist/net/waiters.h"
+#include "trefoilhoist/wire/peerclient.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Trefoilhoist::Dispatcher {
+
+/// What a session shares with its process.
+struct SessionContext {
+    Asio::any_io_executor executor;
+    const Clock &clock;
+    RecordStore &store;
+    MetricsRegistry &metrics;
+    std::string name;
+    std::int64_t incarnation = 0;
+    /// Where agents and other dispatchers reach this process.
+    Endpoint self;
+    Jobs::SchedulerSettings scheduler;
+    /// When the store last confirmed that this process owns the scheduling.
+    std::function<TimePoint()> verifiedAt;
+    /// Tells that another process owns the scheduling now.
+    std::function<void(std::string reason)> deposed;
+};
+
+/// One term of owning the scheduling: loads what is recorded, takes callers' questions and agents' reports, records
+/// what must last, and sends orders. Used on one thread, through a shared pointer that its coroutines hold.
+class OwnerSession : public std::enable_shared_from_this<OwnerSession>
+{
+public:
+    OwnerSession(SessionContext context, Jobs::OwnerTerm term, Jobs::QueueTable queues);
+
+    void start();
+    /// Ends all coroutines soon; questions in progress are answered as unsettled.
+    void close();
+    /// The records are loaded.
+    [[nodiscard]] bool ready() const { return m_ready; }
+    void setQueues(Jobs::QueueTable queues);
+
+    awaitable<Wire::JobAnswer> submit(Wire::JobSpec spec, Duration patience);
+    awaitable<Wire::JobAnswer> cancel(std::string id, Duration patience);
+    [[nodiscard]] Wire::JobAnswer ask(const std::string &id) const;
+    [[nodiscard]] Wire::JobAnswer askQueue(const std::string &queue) const;
+    Wire::WorkerReportReply report(const Wire::WorkerReport &report);
+
+    [[nodiscard]] const Jobs::JobScheduler &scheduler() const { return m_scheduler; }
+
+private:
+    awaitable<bool> load();
+    awaitable<bool> loadJobs();
+    awaitable<bool> loadRoster();
+    void greetAgents(const Wire::WorkerRoster &roster);
+    awaitable<void> recordLoop();
+    awaitable<void> tickLoop();
+    void settled(const std::vector<Jobs::SettledRecord> &records);
+    void refuseUnrecorded(const Jobs::RecordBatch &batch);
+    void recordChanges();
+    void forgetExpired();
+    void requestPlan();
+    void plan();
+    awaitable<void> send(Wire::WorkerOrders orders, Endpoint agent);
+    PeerClient &clientOf(const Endpoint &agent);
+    [[nodiscard]] bool verified(Duration within) const;
+
+    SessionContext m_context;
+    Jobs::OwnerTerm m_term;
+    Jobs::JobScheduler m_scheduler;
+    Jobs::RecordQueue m_records;
+    // The roster on its way to the store.
+    Wire::WorkerRoster m_roster;
+    Waiters m_waiters;
+    Waiters m_work;
+    std::map<Endpoint, std::unique_ptr<PeerClient>> m_agents;
+    bool m_ready = false;
+    bool m_closed = false;
+    bool m_planRequested = false;
+    bool m_storeReached = true;
+};
+
+} // namespace Trefoilhoist::Dispatcher
--- /dev/null
+++ b/src/programs/dispatcher/recordkeys.cpp
@@ -0,0 +1,34 @@
+#include "recordkeys.h"
+
+namespace Trefoilhoist::Dispatcher {
+
+namespace {
+
+const std::string specSuffix = "/spec";
+const std::string progressSuffix = "/progress";
+
+} // namespace
+
+std::string specKey(const std::string &job)
+{
+    return jobPrefix + job + specSuffix;
+}
+
+std::string progressKey(const std::string &job)
+{
+    return jobPrefix + job + progressSuffix;
+}
+
+JobRecordName jobRecordFrom(const std::string &key)
+{
+    JobRecordName name;
+    if (!key.starts_with(jobPrefix)) {
+        return name;
+    }
+    name.isSpec = key.ends_with(specSuffix);
+    const auto suffix = name.isSpec ? specSuffix.size() : progressSuffix.size();
+    name.job = key.substr(jobPrefix.size(), key.size() - jobPrefix.size() - suffix);
+    return name;
+}
+
+} // namespace Trefoilhoist::Dispatcher
--- /dev/null
+++ b/src/programs/dispatcher/recordkeys.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <string>
+
+namespace Trefoilhoist::Dispatcher {
+
+// Records of the project in the store.
+inline const std::string epochRecordKey = "lead/epoch";
+inline const std::string rosterKey = "workers";
+inline const std::string jobPrefix = "job/";
+
+/// What a job's record key names.
+struct JobRecordName {
+    std::string job;
+    /// The job as submitted; otherwise its progress.
+    bool isSpec = false;
+};
+
+[[nodiscard]] std::string specKey(const std::string &job);
+[[nodiscard]] std::string progressKey(const std::string &job);
+[[nodiscard]] JobRecordName jobRecordFrom(const std::string &key);
+
+} // namespace Trefoilhoist::Dispatcher
--- /dev/null
+++ b/src/trefoilhoist/jobs/job.cpp
@@ -0,0 +1,280 @@
+#include "trefoilhoist/jobs/job.h"
+
+#include <algorithm>
+
+namespace Trefoilhoist::Jobs {
+
+namespace {
+
+constexpr std::size_t bitsPerByte = 8;
+
+std::string bitsOf(const StepState &step)
+{
+    std::string bits((step.tasks.size() + bitsPerByte - 1) / bitsPerByte, '\0');
+    for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+        if (step.tasks[i].done) {
+            bits[i / bitsPerByte] = static_cast<char>(static_cast<unsigned char>(bits[i / bitsPerByte]) | (1U << (i % bitsPerByte)));
+        }
+    }
+    return bits;
+}
+
+bool bitAt(const std::string &bits, std::size_t i)
+{
+    return i / bitsPerByte < bits.size() && ((static_cast<unsigned char>(bits[i / bitsPerByte]) >> (i % bitsPerByte)) & 1U) != 0;
+}
+
+} // namespace
+
+Job::Job(Wire::JobSpec spec, TimePoint acceptedAt) : m_spec(std::move(spec)), m_acceptedAt(acceptedAt)
+{
+    if (m_spec.occurrences == 0) {
+        openOccurrence(0);
+        m_opened = 1;
+    }
+}
+
+bool Job::longRunning() const
+{
+    return std::any_of(m_spec.steps.begin(), m_spec.steps.end(), [](const auto &it) { return it.longRunning; });
+}
+
+void Job::openOccurrence(int number)
+{
+    auto &occurrence = m_occurrences[number];
+    for (const auto &step : m_spec.steps) {
+        StepState state;
+        state.tasks.resize(static_cast<std::size_t>(step.count));
+        state.unfinished = step.count;
+        occurrence.steps.push_back(std::move(state));
+    }
+}
+
+std::optional<std::int64_t> Job::nextDueMs() const
+{
+    if (!active() || m_opened >= m_spec.occurrences) {
+        return std::nullopt;
+    }
+    return m_spec.firstDueMs + m_opened * m_spec.intervalMs;
+}
+
+bool Job::openDue(std::int64_t wallMs)
+{
+    bool opened = false;
+    for (auto due = nextDueMs(); due && *due <= wallMs; due = nextDueMs()) {
+        openOccurrence(m_opened);
+        ++m_opened;
+        opened = true;
+    }
+    return opened;
+}
+
+TaskState *Job::task(const Wire::TaskRef &ref)
+{
+    const auto it = m_occurrences.find(ref.occurrence);
+    if (it == m_occurrences.end() || ref.step < 0 || ref.index < 0
+        || static_cast<std::size_t>(ref.step) >= it->second.steps.size()) {
+        return nullptr;
+    }
+    auto &tasks = it->second.steps[static_cast<std::size_t>(ref.step)].tasks;
+    return static_cast<std::size_t>(ref.index) < tasks.size() ? &tasks[static_cast<std::size_t>(ref.index)] : nullptr;
+}
+
+bool Job::stepReady(const OccurrenceState &occurrence, int step) const
+{
+    const auto &after = m_spec.steps[static_cast<std::size_t>(step)].after;
+    return std::all_of(after.begin(), after.end(), [&](int it) {
+        return occurrence.steps[static_cast<std::size_t>(it)].unfinished == 0;
+    });
+}
+
+void Job::noteStart(const Wire::TaskRef &ref, std::int64_t run, const std::string &worker)
+{
+    auto *state = task(ref);
+    if (state == nullptr) {
+        return;
+    }
+    state->active.push_back({run, worker});
+    state->lastRun = std::max(state->lastRun, run);
+    m_begun = true;
+    if (m_phase == JobPhase::Queued) {
+        m_phase = JobPhase::Running;
+    }
+}
+
+bool Job::dropRun(const Wire::TaskRef &ref, std::int64_t run)
+{
+    auto *state = task(ref);
+    return state != nullptr && std::erase_if(state->active, [&](const auto &it) { return it.run == run; }) > 0;
+}
+
+void Job::touch()
+{
+    ++m_version;
+}
+
+void Job::end(JobPhase phase, std::int64_t wallMs)
+{
+    m_phase = phase;
+    m_endedAtMs = wallMs;
+    touch();
+}
+
+void Job::finishOccurrence(int number, OccurrenceState &occurrence)
+{
+    occurrence.finished = true;
+    ++m_finishedOccurrences;
+    if (m_finishedOccurrences >= std::max(1, m_spec.occurrences)) {
+        end(JobPhase::Completed, wallMilliseconds());
+        return;
+    }
+    // The steps' runs are over; the entry stays, so that the occurrence is not opened again.
+    const bool idle = std::all_of(occurrence.steps.begin(), occurrence.steps.end(), [](const auto &step) {
+        return std::all_of(step.tasks.begin(), step.tasks.end(), [](const auto &it) { return it.active.empty(); });
+    });
+    if (idle) {
+        m_occurrences[number].steps.clear();
+    }
+}
+
+bool Job::finishTask(const Wire::TaskRef &ref)
+{
+    auto *state = task(ref);
+    if (state == nullptr || state->done || step(ref.step).longRunning) {
+        return false;
+    }
+    auto &occurrence = m_occurrences[ref.occurrence];
+    auto &stepState = occurrence.steps[static_cast<std::size_t>(ref.step)];
+    if (step(ref.step).gang) {
+        for (auto &it : stepState.tasks) {
+            it.done = true;
+        }
+        stepState.unfinished = 0;
+    } else {
+        state->done = true;
+        --stepState.unfinished;
+    }
+    touch();
+    const bool finished = std::all_of(
+        occurrence.steps.begin(), occurrence.steps.end(), [](const auto &it) { return it.unfinished == 0; });
+    if (finished && active()) {
+        finishOccurrence(ref.occurrence, occurrence);
+    }
+    return true;
+}
+
+bool Job::failTask(const Wire::TaskRef &ref, std::int64_t run, std::int64_t wallMs)
+{
+    Wire::TaskRef counted = ref;
+    const auto *given = task(ref);
+    if (given == nullptr || step(ref.step).longRunning) {
+        return false;
+    }
+    if (step(ref.step).gang) {
+        counted.index = 0;
+    }
+    auto *state = task(counted);
+    if (state->done || std::find(state->failures.begin(), state->failures.end(), run) != state->failures.end()) {
+        return false;
+    }
+    state->failures.push_back(run);
+    touch();
+    if (active() && static_cast<int>(state->failures.size()) >= m_spec.queue.maxAttempts) {
+        end(JobPhase::Failed, wallMs);
+    }
+    return true;
+}
+
+void Job::cancel(std::int64_t wallMs)
+{
+    if (active()) {
+        end(JobPhase::Cancelled, wallMs);
+    }
+}
+
+Duration Job::chainOf(const OccurrenceState *occurrence) const
+{
+    std::vector<Duration> finishAt(m_spec.steps.size());
+    Duration longest{};
+    for (std::size_t i = 0; i < m_spec.steps.size(); ++i) {
+        Duration start{};
+        for (const int it : m_spec.steps[i].after) {
+            start = std::max(start, finishAt[static_cast<std::size_t>(it)]);
+        }
+        const bool finished = occurrence != nullptr && i < occurrence->steps.size() && occurrence->steps[i].unfinished == 0;
+        finishAt[i] = start + (finished ? Duration{} : Duration(milliseconds(m_spec.steps[i].estimatedMs)));
+        longest = std::max(longest, finishAt[i]);
+    }
+    return longest;
+}
+
+Duration Job::remainingChain(const OccurrenceState &occurrence) const
+{
+    return chainOf(&occurrence);
+}
+
+Duration Job::wholeChain() const
+{
+    return chainOf(nullptr);
+}
+
+Wire::JobProgress Job::progress() const
+{
+    Wire::JobProgress result;
+    result.phase = static_cast<int>(m_phase);
+    result.endedAtMs = m_endedAtMs;
+    if (!active()) {
+        return result;
+    }
+    for (const auto &[number, occurrence] : m_occurrences) {
+        auto &steps = result.occurrences[number];
+        if (occurrence.finished) {
+            continue;
+        }
+        for (const auto &step : occurrence.steps) {
+            Wire::StepProgress recorded;
+            recorded.finished = bitsOf(step);
+            for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+                if (!step.tasks[i].failures.empty()) {
+                    recorded.failures[static_cast<int>(i)] = step.tasks[i].failures;
+                }
+            }
+            steps.push_back(std::move(recorded));
+        }
+    }
+    return result;
+}
+
+void Job::restore(const Wire::JobProgress &progress)
+{
+    m_phase = static_cast<JobPhase>(progress.phase);
+    m_endedAtMs = progress.endedAtMs;
+    m_begun = true;
+    for (const auto &[number, steps] : progress.occurrences) {
+        if (m_occurrences.count(number) == 0) {
+            openOccurrence(number);
+        }
+        m_opened = std::max(m_opened, number + 1);
+        auto &occurrence = m_occurrences[number];
+        if (steps.empty()) {
+            occurrence.finished = true;
+            occurrence.steps.clear();
+            ++m_finishedOccurrences;
+            continue;
+        }
+        for (std::size_t i = 0; i < steps.size() && i < occurrence.steps.size(); ++i) {
+            auto &tasks = occurrence.steps[i].tasks;
+            for (std::size_t k = 0; k < tasks.size(); ++k) {
+                tasks[k].done = bitAt(steps[i].finished, k);
+                const auto failures = steps[i].failures.find(static_cast<int>(k));
+                if (failures != steps[i].failures.end()) {
+                    tasks[k].failures = failures->second;
+                }
+            }
+            occurrence.steps[i].unfinished = static_cast<int>(
+                std::count_if(tasks.begin(), tasks.end(), [](const auto &it) { return !it.done; }));
+        }
+    }
+}
+
+} // namespace Trefoilhoist::Jobs
--- /dev/null
+++ b/src/trefoilhoist/jobs/joblog.cpp
@@ -0,0 +1,65 @@
+#include "trefoilhoist/jobs/joblog.h"
+
+#include "trefoilhoist/log/eventlog.h"
+
+namespace Trefoilhoist::Jobs {
+
+void logWorker(std::string_view event, const Worker &worker, std::int64_t epoch)
+{
+    Event(event)
+        .add("worker", worker.info.id)
+        .add("born", worker.info.born)
+        .add("zone", worker.info.zone)
+        .add("epoch", epoch)
+        .add("term", worker.leaseTerm)
+        .add("runs", worker.runs.size())
+        .add("listing", worker.listing);
+}
+
+void logEnd(const Worker &worker, const Wire::EndedTask &end, std::int64_t epoch, bool jobKnown)
+{
+    Event event("run_ended");
+    event.add("job", end.task.job)
+        .add("task", taskName(end.task))
+        .add("run", end.run)
+        .add("how", endName(static_cast<EndKind>(end.how)))
+        .add("worker", worker.info.id)
+        .add("number", end.number)
+        .add("epoch", epoch)
+        .add("jobKnown", jobKnown);
+    const auto run = worker.runs.find({end.task, end.run});
+    if (run != worker.runs.end()) {
+        event.add("afterMs", duration_cast<milliseconds>(worker.heardAt - run->second.orderedAt).count());
+    }
+}
+
+void logForeign(const Worker &worker, const Wire::RunningTask &row, std::int64_t epoch)
+{
+    Event("run_without_job")
+        .add("job", row.task.job)
+        .add("task", taskName(row.task))
+        .add("run", row.run)
+        .add("worker", worker.info.id)
+        .add("epoch", epoch);
+}
+
+void logRefusedStart(const Worker &worker, const RunKey &key, OrderResult result, std::int64_t epoch)
+{
+    Event("start_refused")
+        .add("job", key.task.job)
+        .add("task", taskName(key.task))
+        .add("run", key.run)
+        .add("worker", worker.info.id)
+        .add("result", orderResultName(result))
+        .add("usedCpuMilli", worker.used.cpuMilli)
+        .add("epoch", epoch);
+}
+
+void logUnreported(const std::set<std::string> &agents, std::int64_t epoch)
+{
+    for (const auto &it : agents) {
+        Event("agent_given_up").add("agent", it).add("epoch", epoch);
+    }
+}
+
+} // namespace Trefoilhoist::Jobs
--- /dev/null
+++ b/src/trefoilhoist/jobs/joblog.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "trefoilhoist/jobs/jobtypes.h"
+#include "trefoilhoist/jobs/worker.h"
+
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace Trefoilhoist::Jobs {
+
+// One line a decision; `epoch` tells which owner's view it is.
+void logWorker(std::string_view event, const Worker &worker, std::int64_t epoch);
+void logEnd(const Worker &worker, const Wire::EndedTask &end, std::int64_t epoch, bool jobKnown);
+void logForeign(const Worker &worker, const Wire::RunningTask &row, std::int64_t epoch);
+void logRefusedStart(const Worker &worker, const RunKey &key, OrderResult result, std::int64_t epoch);
+void logUnreported(const std::set<std::string> &agents, std::int64_t epoch);
+
+} // namespace Trefoilhoist::Jobs
--- /dev/null
+++ b/src/trefoilhoist/jobs/jobplanning.cpp
@@ -0,0 +1,271 @@
+// What the scheduler orders: starts, stops and repeated orders.
+#include "trefoilhoist/jobs/joblog.h"
+#include "trefoilhoist/jobs/jobscheduler.h"
+#include "trefoilhoist/jobs/workerchoice.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace Trefoilhoist::Jobs {
+
+namespace {
+
+/// Runs of one owner's term are numbered within this range.
+constexpr std::int64_t runsPerEpoch = 1000;
+/// After so many orders without an answer a start is given up: stopped, and made elsewhere.
+constexpr int giveUpAfterOrders = 3;
+/// Starts handed to one worker in one plan.
+constexpr std::size_t maxStartsPerPlan = 24;
+
+} // namespace
+
+std::int64_t JobScheduler::nextRun(const TaskState &task) const
+{
+    return std::max(task.lastRun, (m_epoch - 1) * runsPerEpoch) + 1;
+}
+
+std::map<std::string, Wire::WorkerOrders> JobScheduler::plan(TimePoint now, std::int64_t wallMs)
+{
+    m_now = now;
+    std::map<std::string, Wire::WorkerOrders> orders;
+    expireWorkers(now);
+    for (const auto &id : m_active) {
+        const auto due = m_jobs.at(id).job.nextDueMs();
+        if (due && *due <= wallMs - m_settings.dueSlackMs) {
+            m_stale.insert(id);
+        }
+    }
+    for (const auto &id : std::exchange(m_stale, {})) {
+        if (auto *entry = find(id); entry != nullptr && entry->accepted) {
+            refreshPending(*entry, wallMs);
+        }
+    }
+    repeatOrders(orders, now);
+    std::vector<const PendingStep *> steps;
+    for (const auto &[key, step] : m_pending) {
+        steps.push_back(&step);
+    }
+    std::sort(steps.begin(), steps.end(), [&](const auto *a, const auto *b) {
+        const auto rank = [&](const PendingStep &it) {
+            // Long-running tasks serve users now; what can still meet its objective goes before what can't.
+            return std::tuple(!it.longRunning, it.worthlessAfter < now, it.usesIdleCpu, it.latestStart < now, it.latestStart);
+        };
+        return rank(*a) < rank(*b);
+    });
+    std::vector<StepKey> placed;
+    for (const auto *step : steps) {
+        placeStep(*step, orders, now);
+    }
+    std::erase_if(m_pending, [&](const auto &it) {
+        const auto *entry = find(it.second.job);
+        if (entry == nullptr) {
+            return true;
+        }
+        const auto occurrence = entry->job.occurrences().find(it.second.occurrence);
+        if (occurrence == entry->job.occurrences().end() || occurrence->second.finished) {
+            return true;
+        }
+        const auto &tasks = occurrence->second.steps[static_cast<std::size_t>(it.second.step)].tasks;
+        return std::none_of(tasks.begin(), tasks.end(), [](const auto &task) { return !task.done && task.active.empty(); });
+    });
+    return orders;
+}
+
+void JobScheduler::expireWorkers(TimePoint now)
+{
+    for (auto &[id, worker] : m_workers) {
+        if (now > worker.leaseEnds && (worker.listed || !worker.runs.empty())) {
+            logWorker("worker_lease_expired", worker, m_epoch);
+            endLife(worker, now);
+        }
+    }
+    if (!m_unreported.empty() && now > m_unreportedUntil) {
+        logUnreported(m_unreported, m_epoch);
+        m_unreported.clear();
+    }
+}
+
+Wire::WorkerOrders &JobScheduler::ordersFor(std::map<std::string, Wire::WorkerOrders> &orders, const Worker &worker) const
+{
+    auto &result = orders[worker.info.id];
+    result.epoch = m_epoch;
+    result.worker = worker.info.id;
+    result.born = worker.info.born;
+    result.leaseTerm = worker.leaseTerm;
+    return result;
+}
+
+Wire::RunInfo JobScheduler::runInfo(const Entry &entry, const RunKey &key)
+{
+    const auto &step = entry.job.step(key.task.step);
+    Wire::RunInfo info;
+    info.task = key.task;
+    info.run = key.run;
+    info.image = step.image;
+    info.tailTargetMs = step.tailTargetMs;
+    info.usesIdleCpu = step.usesIdleCpu;
+    return info;
+}
+
+Wire::StartOrder JobScheduler::startOrder(const Entry &entry, const RunKey &key, const Run &run) const
+{
+    Wire::StartOrder order;
+    order.task = key.task;
+    order.run = key.run;
+    order.payload = entry.job.spec().payload;
+    order.checkpoint = run.checkpoint;
+    order.info = runInfo(entry, key);
+    return order;
+}
+
+void JobScheduler::repeatOrders(std::map<std::string, Wire::WorkerOrders> &orders, TimePoint now)
+{
+    for (auto &[id, worker] : m_workers) {
+        for (auto &[key, run] : worker.runs) {
+            const bool wanted = run.state == RunState::Stopping || run.state == RunState::Unsettled;
+            if (!wanted || run.inFlight || now < run.nextOrder) {
+                continue;
+            }
+            auto *entry = find(key.task.job);
+            if (run.state == RunState::Unsettled && (run.unanswered >= giveUpAfterOrders || entry == nullptr)) {
+                run.state = RunState::Stopping;
+            }
+            auto &sent = ordersFor(orders, worker);
+            if (run.state == RunState::Stopping) {
+                Wire::StopOrder stop;
+                stop.task = key.task;
+                stop.run = key.run;
+                sent.stops.push_back(stop);
+            } else {
+                sent.starts.push_back(startOrder(*entry, key, run));
+            }
+            run.inFlight = true;
+        }
+    }
+}
+
+bool JobScheduler::startable(const Entry &entry, const Wire::StepSpec &step, const TaskState &task, TimePoint now) const
+{
+    if (task.done || !task.active.empty() || now < task.notBefore) {
+        return false;
+    }
+    return !entry.inherited || m_unreported.empty() || step.duplicatesAllowed;
+}
+
+void JobScheduler::placeStep(const PendingStep &pending, std::map<std::string, Wire::WorkerOrders> &orders, TimePoint now)
+{
+    auto *entry = find(pending.job);
+    if (entry == nullptr || !entry->job.active()) {
+        return;
+    }
+    const auto occurrence = entry->job.occurrences().find(pending.occurrence);
+    if (occurrence == entry->job.occurrences().end() || occurrence->second.steps.empty()) {
+        return;
+    }
+    if (entry->job.step(pending.step).gang) {
+        placeGang(*entry, pending, orders, now);
+        return;
+    }
+    const auto &step = entry->job.step(pending.step);
+    auto &tasks = occurrence->second.steps[static_cast<std::size_t>(pending.step)].tasks;
+    for (std::size_t i = 0; i < tasks.size(); ++i) {
+        if (!startable(*entry, step, tasks[i], now)) {
+            continue;
+        }
+        auto *worker = chooseWorker(*entry, pending, tasks[i], now);
+        if (worker == nullptr) {
+            return;
+        }
+        Wire::TaskRef ref;
+        ref.job = pending.job;
+        ref.occurrence = pending.occurrence;
+        ref.step = pending.step;
+        ref.index = static_cast<int>(i);
+        start(*entry, ref, *worker, orders, nextRun(tasks[i]), now);
+    }
+}
+
+// All members of a gang start together or none does.
+void JobScheduler::placeGang(Entry &entry, const PendingStep &pending, std::map<std::string, Wire::WorkerOrders> &orders, TimePoint now)
+{
+    const auto &step = entry.job.step(pending.step);
+    auto &tasks = entry.job.occurrences()[pending.occurrence].steps[static_cast<std::size_t>(pending.step)].tasks;
+    std::int64_t run = 0;
+    for (const auto &task : tasks) {
+        if (!startable(entry, step, task, now)) {
+            return;
+        }
+        run = std::max(run, nextRun(task));
+    }
+    std::vector<Worker *> chosen;
+    std::vector<RunKey> reserved;
+    for (std::size_t i = 0; i < tasks.size(); ++i) {
+        auto *worker = chooseWorker(entry, pending, tasks[i], now);
+        if (worker == nullptr) {
+            break;
+        }
+        Wire::TaskRef ref;
+        ref.job = pending.job;
+        ref.occurrence = pending.occurrence;
+        ref.step = pending.step;
+        ref.index = static_cast<int>(i);
+        Run hold;
+        hold.demand = demandOf(step);
+        worker->addRun({ref, run}, hold);
+        chosen.push_back(worker);
+        reserved.push_back({ref, run});
+    }
+    for (std::size_t i = 0; i < chosen.size(); ++i) {
+        chosen[i]->removeRun(reserved[i]);
+    }
+    if (chosen.size() < tasks.size()) {
+        return;
+    }
+    // One checkpoint holds for the whole gang.
+    const std::string checkpoint = tasks.front().checkpoint;
+    for (std::size_t i = 0; i < tasks.size(); ++i) {
+        tasks[i].checkpoint = checkpoint;
+        start(entry, reserved[i].task, *chosen[i], orders, run, now);
+    }
+}
+
+Worker *JobScheduler::chooseWorker(const Entry &entry, const PendingStep &pending, const TaskState &task, TimePoint now)
+{
+    const auto &step = entry.job.step(pending.step);
+    const auto *queue = m_queues.byName(entry.job.spec().queue.name);
+    const auto &service = queue == nullptr ? entry.job.spec().queue.serviceName : queue->policy.serviceName;
+    WorkerChoice choice(step, service, task, now);
+    choice.countSiblings(entry.job, pending.occurrence, pending.step);
+    for (auto &[id, worker] : m_workers) {
+        choice.consider(worker);
+    }
+    return choice.best();
+}
+
+void JobScheduler::start(Entry &entry,
+                         const Wire::TaskRef &ref,
+                         Worker &worker,
+                         std::map<std::string, Wire::WorkerOrders> &orders,
+                         std::int64_t run,
+                         TimePoint now)
+{
+    auto &sent = ordersFor(orders, worker);
+    if (sent.starts.size() >= maxStartsPerPlan) {
+        return;
+    }
+    const auto &step = entry.job.step(ref.step);
+    Run fresh;
+    fresh.demand = demandOf(step);
+    fresh.orderedAt = now;
+    fresh.percentChangedAt = now;
+    fresh.inFlight = true;
+    fresh.checkpoint = step.checkpoints ? entry.job.task(ref)->checkpoint : std::string();
+    fresh.image = step.image;
+    const RunKey key{ref, run};
+    const auto &added = worker.addRun(key, std::move(fresh));
+    entry.job.noteStart(ref, run, worker.info.id);
+    sent.starts.push_back(startOrder(entry, key, added));
+}
+
+} // namespace Trefoilhoist::Jobs
--- /dev/null
+++ b/src/trefoilhoist/jobs/jobreports.cpp
@@ -0,0 +1,445 @@
+// What the scheduler learns from the agents: lives, listings, ends.
+#include "trefoilhoist/jobs/joblog.h"
+#include "trefoilhoist/jobs/jobscheduler.h"
+
+#include <algorithm>
+
+namespace Trefoilhoist::Jobs {
+
+Wire::WorkerReportReply JobScheduler::report(const Wire::WorkerReport &report, bool mayGrant, TimePoint now)
+{
+    m_now = now;
+    Wire::WorkerReportReply reply;
+    reply.epoch = m_epoch;
+    if (report.epoch > m_epoch) {
+        return reply;
+    }
+    const bool current = report.epoch == m_epoch && report.listed;
+    if (report.worker.id.empty()) {
+        // The agent's minion has left for good.
+        if (report.gone) {
+            m_unreported.erase(agentName(report.worker));
+        }
+        return reply;
+    }
+    auto *worker = lifeOf(report, now);
+    if (worker == nullptr) {
+        return reply;
+    }
+    worker->draining = report.draining;
+    worker->reachable = report.reachable;
+    worker->heardAt = now;
+    if (current && report.listing > worker->listing) {
+        if (!worker->listed) {
+            worker->listed = true;
+            logWorker("worker_listed", *worker, m_epoch);
+        }
+        worker->listing = report.listing;
+        for (const auto &it : report.ended) {
+            takeEnd(*worker, it, now);
+        }
+        for (const auto &it : report.running) {
+            takeRunning(*worker, it, report.listing, now);
+        }
+        dropMissing(*worker, report, now);
+        m_unreported.erase(agentName(worker->info));
+    }
+    if (report.gone && report.epoch == m_epoch) {
+        m_unreported.erase(agentName(worker->info));
+        endLife(*worker, now);
+    } else if (mayGrant) {
+        reply.leaseMs = duration_cast<milliseconds>(m_settings.workerLease).count();
+        worker->leaseEnds = now + m_settings.workerLease + m_settings.leaseSlack;
+    }
+    reply.recordedEnds = worker->recordedEnds;
+    reply.leaseTerm = worker->leaseTerm;
+    if (report.wantsRunInfo) {
+        for (const auto &[key, run] : worker->runs) {
+            if (const auto *entry = find(key.task.job); entry != nullptr && !run.foreign) {
+                reply.runs.push_back(runInfo(*entry, key));
+            }
+        }
+    }
+    return reply;
+}
+
+// Finds the worker of a report and takes up a new life of its minion; null for news of an earlier life.
+Worker *JobScheduler::lifeOf(const Wire::WorkerReport &report, TimePoint now)
+{
+    const auto name = agentName(report.worker);
+    const auto known = m_workers.find(report.worker.id);
+    if (known != m_workers.end() && known->second.info.born == report.worker.born) {
+        known->second.info = report.worker;
+        return &known->second;
+    }
+    if (known != m_workers.end() && known->second.info.born > report.worker.born) {
+        return nullptr;
+    }
+    std::map<RunKey, Run> mayAppear;
+    for (auto &[id, worker] : m_workers) {
+        // The agent has one minion at a time: an earlier one of the same agent is over.
+        if (id == report.worker.id || agentName(worker.info) == name) {
+            for (const auto &[key, run] : worker.runs) {
+                if (id == report.worker.id && (run.mayAppear || run.inFlight)) {
+                    mayAppear.emplace(key, run);
+                }
+            }
+            endLife(worker, now);
+        }
+    }
+    std::erase_if(m_workers, [&](const auto &it) { return it.second.runs.empty() && agentName(it.second.info) == name; });
+    Worker worker;
+    worker.info = report.worker;
+    worker.enrolled = m_enrolled.count(name) > 0;
+    if (m_roster.count(name) == 0) {
+        m_rosterChanged = true;
+    }
+    m_roster[name] = report.worker;
+    logWorker("worker_joined", worker, m_epoch);
+    auto &kept = m_workers.insert_or_assign(report.worker.id, std::move(worker)).first->second;
+    // An unanswered start may still reach the new life under the old id: it is stopped there before the task moves.
+    for (auto &[key, run] : mayAppear) {
+        auto *entry = find(key.task.job);
+        if (entry == nullptr) {
+            continue;
+        }
+        run.inFlight = false;
+        run.state = RunState::Stopping;
+        run.stopTaken = false;
+        run.mayAppear = true;
+        run.settledByListing = INT64_MAX;
+        run.nextOrder = now;
+        kept.addRun(key, run);
+        entry->job.noteStart(key.task, key.run, report.worker.id);
+        changed(key.task.job);
+    }
+    return &kept;
+}
+
+// Nothing that was ordered of this life can run any more.
+void JobScheduler::endLife(Worker &worker, TimePoint now)
+{
+    if (!worker.runs.empty()) {
+        logWorker("worker_lost", worker, m_epoch);
+    }
+    while (!worker.runs.empty()) {
+        loseRun(worker, worker.runs.begin()->first, now);
+    }
+    if (worker.listed) {
+        ++worker.leaseTerm;
+    }
+    worker.listed = false;
+}
+
+void JobScheduler::loseRun(Worker &worker, const RunKey &key, TimePoint now)
+{
+    const auto it = worker.runs.find(key);
+    if (it == worker.runs.end()) {
+        return;
+    }
+    const std::string checkpoint = it->second.checkpoint;
+    worker.removeRun(key);
+    auto *entry = find(key.task.job);
+    if (entry == nullptr || !entry->job.dropRun(key.task, key.run)) {
+        return;
+    }
+    auto *task = entry->job.task(key.task);
+    if (task != nullptr && !checkpoint.empty()) {
+        task->checkpoint = checkpoint;
+    }
+    m_stale.insert(key.task.job);
+    if (entry->job.step(key.task.step).gang) {
+        breakGang(key.task, key.run, now);
+    }
+}
+
+// Stops the other members of a gang's run.
+void JobScheduler::breakGang(const Wire::TaskRef &task, std::int64_t run, TimePoint now)
+{
+    auto *entry = find(task.job);
+    if (entry == nullptr) {
+        return;
+    }
+    Wire::TaskRef member = task;
+    for (member.index = 0; member.index < entry->job.step(task.step).count; ++member.index) {
+        const auto *state = entry->job.task(member);
+        if (state == nullptr) {
+            return;
+        }
+        for (const auto &active : state->active) {
+            const auto worker = m_workers.find(active.worker);
+            if (active.run == run && worker != m_workers.end()) {
+                wantStop(worker->second, {member, run}, now);
+            }
+        }
+    }
+}
+
+void JobScheduler::wantStop(Worker &worker, const RunKey &key, TimePoint now)
+{
+    const auto it = worker.runs.find(key);
+    if (it != worker.runs.end() && it->second.state != RunState::Stopping) {
+        if (it->second.state != RunState::Running) {
+            it->second.mayAppear = true;
+        }
+        it->second.state = RunState::Stopping;
+        it->second.nextOrder = now;
+    }
+}
+
+void JobScheduler::takeEnd(Worker &worker, const Wire::EndedTask &end, TimePoint now)
+{
+    if (end.number <= worker.lastEnd) {
+        return;
+    }
+    worker.lastEnd = end.number;
+    const RunKey key{end.task, end.run};
+    const auto kind = static_cast<EndKind>(end.how);
+    auto *entry = find(end.task.job);
+    logEnd(worker, end, m_epoch, entry != nullptr);
+    const auto run = worker.runs.find(key);
+    const bool ordered = run != worker.runs.end();
+    if (ordered && kind == EndKind::Done) {
+        worker.health.noteDone(now);
+    }
+    if (ordered && kind == EndKind::Failed) {
+        worker.health.noteFailed(now);
+    }
+    worker.removeRun(key);
+    if (entry == nullptr) {
+        worker.pendingEnds.push_back({end.number, {}, 0});
+        popRecordedEnds(worker);
+        return;
+    }
+    auto &job = entry->job;
+    job.dropRun(end.task, end.run);
+    auto *task = job.task(end.task);
+    bool recordable = false;
+    if (task != nullptr) {
+        task->lastRun = std::max(task->lastRun, end.run);
+        if (!end.checkpoint.empty()) {
+            task->checkpoint = end.checkpoint;
+        }
+        if (kind == EndKind::Failed) {
+            task->failedOn = worker.info.id;
+        }
+    }
+    if (kind == EndKind::Done) {
+        recordable = job.finishTask(end.task);
+    } else if (kind == EndKind::Failed) {
+        recordable = job.failTask(end.task, end.run, wallMilliseconds());
+    }
+    if (recordable) {
+        changed(job.id());
+    }
+    if (!job.active()) {
+        stopRuns(*entry, now);
+    } else if (auto *left = job.task(end.task); left != nullptr) {
+        // Copies of a task that has finished, and the other members of a gang.
+        for (const auto &copy : std::vector<ActiveRun>(left->active)) {
+            const auto other = m_workers.find(copy.worker);
+            if (left->done && other != m_workers.end()) {
+                wantStop(other->second, {end.task, copy.run}, now);
+            }
+        }
+        if (job.step(end.task.step).gang && kind != EndKind::Done) {
+            breakGang(end.task, end.run, now);
+        }
+    }
+    m_stale.insert(job.id());
+    worker.pendingEnds.push_back({end.number, job.id(), job.version()});
+    popRecordedEnds(worker);
+}
+
+void JobScheduler::popRecordedEnds(Worker &worker)
+{
+    while (!worker.pendingEnds.empty()) {
+        const auto &first = worker.pendingEnds.front();
+        const auto *entry = find(first.job);
+        if (entry != nullptr && entry->recordedVersion < first.version) {
+            return;
+        }
+        worker.recordedEnds = first.number;
+        worker.pendingEnds.pop_front();
+    }
+}
+
+void JobScheduler::takeRunning(Worker &worker, const Wire::RunningTask &row, std::int64_t listing, TimePoint now)
+{
+    const RunKey key{row.task, row.run};
+    const auto it = worker.runs.find(key);
+    if (it == worker.runs.end()) {
+        adopt(worker, row, now);
+        return;
+    }
+    auto &run = it->second;
+    if (!row.checkpoint.empty()) {
+        run.checkpoint = row.checkpoint;
+    }
+    run.usage = row.usage;
+    if (row.percent != run.percent) {
+        run.percent = row.percent;
+        run.percentChangedAt = now;
+    }
+    run.mayAppear = false;
+    if (run.state == RunState::Ordered || run.state == RunState::Unsettled) {
+        run.state = RunState::Running;
+    }
+    if (!run.inFlight) {
+        run.settledByListing = std::min(run.settledByListing, listing);
+    }
+}
+
+// Takes up a run that an earlier owner ordered.
+void JobScheduler::adopt(Worker &worker, const Wire::RunningTask &row, TimePoint now)
+{
+    auto *entry = find(row.task.job);
+    auto *task = entry == nullptr ? nullptr : entry->job.task(row.task);
+    Run run;
+    run.state = RunState::Running;
+    run.orderedAt = now;
+    run.percent = row.percent;
+    run.percentChangedAt = now;
+    run.usage = row.usage;
+    run.checkpoint = row.checkpoint;
+    run.nextOrder = now;
+    run.settledByListing = worker.listing;
+    const bool known = task != nullptr && entry->accepted;
+    if (known) {
+        const auto &step = entry->job.step(row.task.step);
+        run.demand = demandOf(step);
+        run.image = step.image;
+        const bool copiesAllowed = step.duplicatesAllowed || step.gang;
+        const bool wanted = entry->job.active() && !task->done && (task->active.empty() || copiesAllowed);
+        entry->job.noteStart(row.task, row.run, worker.info.id);
+        m_stale.insert(row.task.job);
+        worker.addRun({row.task, row.run}, run);
+        if (!wanted) {
+            wantStop(worker, {row.task, row.run}, now);
+        }
+        return;
+    }
+    run.foreign = true;
+    run.state = RunState::Stopping;
+    worker.addRun({row.task, row.run}, run);
+    logForeign(worker, row, m_epoch);
+}
+
+// A listing that began after an order was settled and does not show its run: the run is over, or never was.
+void JobScheduler::dropMissing(Worker &worker, const Wire::WorkerReport &report, TimePoint now)
+{
+    std::set<RunKey> listed;
+    for (const auto &it : report.running) {
+        listed.insert({it.task, it.run});
+    }
+    std::vector<RunKey> missing;
+    for (const auto &[key, run] : worker.runs) {
+        if (run.inFlight || listed.count(key) > 0 || report.listing <= run.settledByListing) {
+            continue;
+        }
+        if (!run.mayAppear || run.stopTaken) {
+            missing.push_back(key);
+        }
+    }
+    for (const auto &key : missing) {
+        loseRun(worker, key, now);
+    }
+}
+
+void JobScheduler::ordersDone(const Wire::WorkerOrders &orders, const std::optional<Wire::WorkerOrdersReply> &reply, TimePoint now)
+{
+    m_now = now;
+    const auto found = m_workers.find(orders.worker);
+    if (found == m_workers.end() || found->second.info.born != orders.born) {
+        return;
+    }
+    auto &worker = found->second;
+    const auto resultAt = [](const std::vector<std::int32_t> &results, std::size_t i) {
+        return i < results.size() ? static_cast<OrderResult>(results[i]) : OrderResult::Unknown;
+    };
+    for (std::size_t i = 0; i < orders.starts.size(); ++i) {
+        const RunKey key{orders.starts[i].task, orders.starts[i].run};
+        const auto it = worker.runs.find(key);
+        if (it == worker.runs.end()) {
+            continue;
+        }
+        startDone(worker, key, reply ? resultAt(reply->starts, i) : OrderResult::Unknown, reply ? reply->listing : 0, now);
+    }
+    for (std::size_t i = 0; i < orders.stops.size(); ++i) {
+        const RunKey key{orders.stops[i].task, orders.stops[i].run};
+        const auto it = worker.runs.find(key);
+        if (it == worker.runs.end()) {
+            continue;
+        }
+        auto &run = it->second;
+        run.inFlight = false;
+        const auto result = reply ? resultAt(reply->stops, i) : OrderResult::Unknown;
+        if (result == OrderResult::Done || result == OrderResult::Superseded) {
+            run.stopTaken = true;
+            run.settledByListing = std::max(reply->listing, std::int64_t{0});
+            // The end is listed within a moment; asked again if it is not.
+            run.nextOrder = now + 4 * m_settings.orderRetry;
+        } else {
+            run.nextOrder = now + m_settings.orderRetry;
+        }
+    }
+}
+
+void JobScheduler::startDone(Worker &worker, const RunKey &key, OrderResult result, std::int64_t listing, TimePoint now)
+{
+    auto &run = worker.runs.at(key);
+    run.inFlight = false;
+    const bool stopping = run.state == RunState::Stopping;
+    switch (result) {
+    case OrderResult::Done:
+        run.mayAppear = false;
+        run.settledByListing = listing;
+        if (!stopping) {
+            run.state = RunState::Running;
+        }
+        break;
+    case OrderResult::Superseded:
+        // The run has ended or was stopped there; its end is listed, unless that was taken note of before.
+        run.mayAppear = false;
+        run.settledByListing = listing;
+        break;
+    case OrderResult::Unknown:
+        run.mayAppear = true;
+        ++run.unanswered;
+        run.nextOrder = now + m_settings.orderRetry;
+        worker.health.noteTrouble(now);
+        if (!stopping) {
+            run.state = RunState::Unsettled;
+        }
+        break;
+    case OrderResult::NoRoom:
+    case OrderResult::Refused:
+    case OrderResult::Invalid:
+        logRefusedStart(worker, key, result, m_epoch);
+        if (result == OrderResult::Refused) {
+            worker.health.noteTrouble(now);
+        }
+        if (run.mayAppear) {
+            // An earlier sending may still be carried out.
+            run.nextOrder = now + m_settings.orderRetry;
+            run.state = stopping ? run.state : RunState::Unsettled;
+            ++run.unanswered;
+        } else {
+            delayTask(key, now);
+            loseRun(worker, key, now);
+        }
+        break;
+    }
+}
+
+// A start that was refused is not tried again at once.
+void JobScheduler::delayTask(const RunKey &key, TimePoint now)
+{
+    auto *entry = find(key.task.job);
+    auto *task = entry == nullptr ? nullptr : entry->job.task(key.task);
+    if (task != nullptr) {
+        task->notBefore = now + m_settings.orderRetry;
+    }
+}
+
+} // namespace Trefoilhoist::Jobs
--- /dev/null
+++ b/src/trefoilhoist/jobs/jobscheduler.cpp
@@ -0,0 +1,258 @@
+#include "trefoilhoist/jobs/jobscheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Trefoilhoist::Jobs {
+
+namespace {
+
+/// After this many times the objective, a finished occurrence is worth nothing.
+constexpr int worthlessObjectives = 3;
+
+} // namespace
+
+std::string agentName(const Wire::WorkerDescription &worker)
+{
+    return worker.agentHost + ":" + std::to_string(worker.agentPort);
+}
+
+JobScheduler::JobScheduler(SchedulerSettings settings, std::int64_t epoch) : m_settings(settings), m_epoch(epoch) { }
+
+JobScheduler::Entry *JobScheduler::find(const std::string &id)
+{
+    const auto it = m_jobs.find(id);
+    return it == m_jobs.end() ? nullptr : &it->second;
+}
+
+void JobScheduler::restoreJob(Wire::JobSpec spec, const std::optional<Wire::JobProgress> &progress, TimePoint now)
+{
+    // How long ago the job was accepted is known by wall clocks only, which may differ by a little.
+    const Duration age = milliseconds(std::max<std::int64_t>(0, wallMilliseconds() - spec.acceptedAtMs));
+    const std::string id = spec.id;
+    Entry entry{Job(std::move(spec), now - age), true, true, 0};
+    if (progress) {
+        entry.job.restore(*progress);
+    }
+    const bool active = entry.job.active();
+    m_jobs.insert_or_assign(id, std::move(entry));
+    if (active) {
+        m_active.insert(id);
+        m_stale.insert(id);
+    }
+}
+
+void JobScheduler::restoreRoster(const Wire::WorkerRoster &roster, TimePoint now)
+{
+    for (const auto &it : roster.workers) {
+        m_roster[agentName(it)] = it;
+        m_enrolled.insert(agentName(it));
+        m_unreported.insert(agentName(it));
+    }
+    m_unreportedUntil = now + m_settings.ownerGrace + m_settings.workerLease + m_settings.leaseSlack;
+}
+
+Intake JobScheduler::submit(const Wire::JobSpec &spec, TimePoint now)
+{
+    if (const auto *known = find(spec.id)) {
+        return known->accepted ? Intake::Known : Intake::Pending;
+    }
+    m_jobs.emplace(spec.id, Entry{Job(spec, now), false, false, 0});
+    return Intake::New;
+}
+
+void JobScheduler::accept(const std::string &id, TimePoint)
+{
+    auto *entry = find(id);
+    if (entry != nullptr && !entry->accepted) {
+        entry->accepted = true;
+        m_active.insert(id);
+        m_stale.insert(id);
+    }
+}
+
+void JobScheduler::withdraw(const std::string &id)
+{
+    const auto *entry = find(id);
+    if (entry != nullptr && !entry->accepted) {
+        m_jobs.erase(id);
+    }
+}
+
+const Job *JobScheduler::job(const std::string &id) const
+{
+    const auto it = m_jobs.find(id);
+    return it == m_jobs.end() || !it->second.accepted ? nullptr : &it->second.job;
+}
+
+void JobScheduler::cancel(const std::string &id, TimePoint now)
+{
+    auto *entry = find(id);
+    if (entry == nullptr || !entry->accepted || !entry->job.active()) {
+        return;
+    }
+    entry->job.cancel(wallMilliseconds());
+    changed(id);
+    stopRuns(*entry, now);
+}
+
+std::int64_t JobScheduler::waiting(const std::string &queue) const
+{
+    return std::count_if(m_active.begin(), m_active.end(), [&](const auto &id) {
+        const auto &job = m_jobs.at(id).job;
+        return job.spec().queue.name == queue && !job.begun();
+    });
+}
+
+void JobScheduler::changed(const std::string &id)
+{
+    m_changed.insert(id);
+    m_stale.insert(id);
+}
+
+std::set<std::string> JobScheduler::takeChanged()
+{
+    return std::exchange(m_changed, {});
+}
+
+void JobScheduler::recorded(const std::string &id, std::int64_t version)
+{
+    auto *entry = find(id);
+    if (entry == nullptr || version <= entry->recordedVersion) {
+        return;
+    }
+    entry->recordedVersion = version;
+    for (auto &[name, worker] : m_workers) {
+        popRecordedEnds(worker);
+    }
+}
+
+std::int64_t JobScheduler::recordedVersion(const std::string &id) const
+{
+    const auto it = m_jobs.find(id);
+    return it == m_jobs.end() ? 0 : it->second.recordedVersion;
+}
+
+std::vector<std::string> JobScheduler::expired(std::int64_t wallMs) const
+{
+    std::vector<std::string> expired;
+    for (const auto &[id, entry] : m_jobs) {
+        const bool settled = entry.recordedVersion >= entry.job.version();
+        if (!entry.job.active() && settled && entry.job.endedAtMs() + m_settings.keepEndedMs < wallMs) {
+            expired.push_back(id);
+        }
+    }
+    return expired;
+}
+
+void JobScheduler::forget(const std::string &id)
+{
+    m_active.erase(id);
+    m_jobs.erase(id);
+}
+
+std::optional<Wire::WorkerRoster> JobScheduler::takeRoster()
+{
+    if (!m_rosterChanged) {
+        return std::nullopt;
+    }
+    m_rosterChanged = false;
+    Wire::WorkerRoster roster;
+    for (const auto &[name, worker] : m_roster) {
+        roster.workers.push_back(worker);
+    }
+    return roster;
+}
+
+void JobScheduler::rosterRecorded(const Wire::WorkerRoster &roster)
+{
+    for (const auto &it : roster.workers) {
+        m_enrolled.insert(agentName(it));
+    }
+    for (auto &[id, worker] : m_workers) {
+        worker.enrolled = m_enrolled.count(agentName(worker.info)) > 0;
+    }
+}
+
+void JobScheduler::stopRuns(Entry &entry, TimePoint now)
+{
+    for (auto &[number, occurrence] : entry.job.occurrences()) {
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+            for (std::size_t index = 0; index < occurrence.steps[step].tasks.size(); ++index) {
+                for (const auto &run : occurrence.steps[step].tasks[index].active) {
+                    Wire::TaskRef ref;
+                    ref.job = entry.job.id();
+                    ref.occurrence = number;
+                    ref.step = static_cast<int>(step);
+                    ref.index = static_cast<int>(index);
+                    const auto worker = m_workers.find(run.worker);
+                    if (worker != m_workers.end()) {
+                        wantStop(worker->second, {ref, run.run}, now);
+                    }
+                }
+            }
+        }
+    }
+}
+
+void JobScheduler::releaseMemory(Entry &entry)
+{
+    if (entry.job.active()) {
+        return;
+    }
+    for (const auto &[number, occurrence] : entry.job.occurrences()) {
+        for (const auto &step : occurrence.steps) {
+            for (const auto &task : step.tasks) {
+                if (!task.active.empty()) {
+                    return;
+                }
+            }
+        }
+    }
+    entry.job.occurrences().clear();
+}
+
+// Writes the job's steps with tasks to start into the table of pending steps.
+void JobScheduler::refreshPending(Entry &entry, std::int64_t wallMs)
+{
+    auto &job = entry.job;
+    const auto &id = job.id();
+    m_pending.erase(m_pending.lower_bound({id, INT32_MIN, INT32_MIN}), m_pending.upper_bound({id, INT32_MAX, INT32_MAX}));
+    if (!job.active()) {
+        m_active.erase(id);
+        releaseMemory(entry);
+        return;
+    }
+    job.openDue(wallMs - m_settings.dueSlackMs);
+    const auto &policy = job.spec().queue;
+    for (const auto &[number, occurrence] : job.occurrences()) {
+        if (occurrence.finished) {
+            continue;
+        }
+        Duration since{};
+        if (job.spec().occurrences > 0) {
+            since = milliseconds(job.spec().firstDueMs + number * job.spec().intervalMs - wallMs);
+        }
+        const auto started = job.spec().occurrences > 0 ? m_now + since : job.acceptedAt();
+        const Duration objective = duration_cast<Duration>(policy.stretch * job.wholeChain()) + milliseconds(policy.targetLatencyMs);
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+            const auto &tasks = occurrence.steps[step].tasks;
+            const bool any = std::any_of(tasks.begin(), tasks.end(), [](const auto &it) { return !it.done && it.active.empty(); });
+            if (!any || !job.stepReady(occurrence, static_cast<int>(step))) {
+                continue;
+            }
+            PendingStep pending;
+            pending.job = id;
+            pending.occurrence = number;
+            pending.step = static_cast<int>(step);
+            pending.latestStart = started + objective - job.remainingChain(occurrence);
+            pending.worthlessAfter = started + worthlessObjectives * objective - job.remainingChain(occurrence);
+            pending.longRunning = job.spec().steps[step].longRunning;
+            pending.usesIdleCpu = job.spec().steps[step].usesIdleCpu;
+            pending.priority = policy.priority;
+            m_pending[{id, number, static_cast<int>(step)}] = std::move(pending);
+        }
+    }
+}
+
+} // namespace Trefoilhoist::Jobs
--- /dev/null
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -0,0 +1,174 @@
+#pragma once
+
+#include "trefoilhoist/jobs/job.h"
+#include "trefoilhoist/jobs/queuetable.h"
+#include "trefoilhoist/jobs/worker.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Trefoilhoist::Jobs {
+
+struct SchedulerSettings {
+    /// What a worker may hold from the sending of one report, and so what it takes until a silent worker's tasks
+    /// start elsewhere.
+    Duration workerLease = seconds(6);
+    /// Covers the drift of clocks over one worker lease.
+    Duration leaseSlack = milliseconds(150);
+    /// An owner that could not reach the store for this long grants nothing any more.
+    Duration ownerGrace = seconds(10);
+    /// Between two orders about a run whose last order got no answer.
+    Duration orderRetry = milliseconds(250);
+    /// A final job is forgotten after this, in milliseconds.
+    std::int64_t keepEndedMs = 150'000;
+    /// An occurrence starts this much after its due time, in milliseconds: clocks differ.
+    std::int64_t dueSlackMs = 20;
+};
+
+/// What the scheduler believes of a submission.
+enum class Intake {
+    /// Known and recorded.
+    Known,
+    /// Known, and being recorded on behalf of an earlier submission.
+    Pending,
+    /// Taken in; to be recorded before anything else.
+    New,
+};
+
+/// The owner's view of all jobs and workers, and what follows from it. One object a term of ownership.
+///
+/// Needs no network and no clock of its own: callers pass the time. A task is started only when none of its
+/// earlier runs can still be carried out; a run takes room until it surely is over. Not thread-safe.
+class JobScheduler
+{
+public:
+    JobScheduler(SchedulerSettings settings, std::int64_t epoch);
+
+    // Taking over from an earlier owner, before anything else.
+    void restoreJob(Wire::JobSpec spec, const std::optional<Wire::JobProgress> &progress, TimePoint now);
+    void restoreRoster(const Wire::WorkerRoster &roster, TimePoint now);
+    /// Every worker of the earlier owner has reported, or can run nothing any more.
+    [[nodiscard]] bool recovered() const { return m_unreported.empty(); }
+
+    [[nodiscard]] std::int64_t epoch() const { return m_epoch; }
+    void setQueues(QueueTable queues) { m_queues = std::move(queues); }
+    [[nodiscard]] const QueueTable &queues() const { return m_queues; }
+
+    // Callers.
+    Intake submit(const Wire::JobSpec &spec, TimePoint now);
+    /// The submission is recorded: the job may run.
+    void accept(const std::string &id, TimePoint now);
+    /// The submission was surely not recorded.
+    void withdraw(const std::string &id);
+    /// Null for an unknown job, and for one that is not recorded.
+    [[nodiscard]] const Job *job(const std::string &id) const;
+    void cancel(const std::string &id, TimePoint now);
+    [[nodiscard]] std::int64_t waiting(const std::string &queue) const;
+    /// Jobs that are neither final nor waiting for their time.
+    [[nodiscard]] std::size_t activeJobs() const { return m_active.size(); }
+
+    // Records.
+    /// Jobs whose progress changed since the last call.
+    std::set<std::string> takeChanged();
+    /// The job's progress of this version is recorded.
+    void recorded(const std::string &id, std::int64_t version);
+    [[nodiscard]] std::int64_t recordedVersion(const std::string &id) const;
+    /// Final jobs that nobody may ask for any more.
+    [[nodiscard]] std::vector<std::string> expired(std::int64_t wallMs) const;
+    void forget(const std::string &id);
+    /// The roster, when it has changed since it was last taken.
+    std::optional<Wire::WorkerRoster> takeRoster();
+    void rosterRecorded(const Wire::WorkerRoster &roster);
+
+    // Workers.
+    /// `mayGrant`: this process may still own the scheduling.
+    Wire::WorkerReportReply report(const Wire::WorkerReport &report, bool mayGrant, TimePoint now);
+    /// `reply` is empty when the orders got no answer.
+    void ordersDone(const Wire::WorkerOrders &orders, const std::optional<Wire::WorkerOrdersReply> &reply, TimePoint now);
+    /// What to send now, by worker id. Owner's address fields are left to the sender.
+    std::map<std::string, Wire::WorkerOrders> plan(TimePoint now, std::int64_t wallMs);
+
+    [[nodiscard]] const std::map<std::string, Worker> &workers() const { return m_workers; }
+
+private:
+    struct Entry {
+        Job job;
+        bool accepted = false;
+        /// Accepted by an earlier owner: its tasks may run at workers that have not reported yet.
+        bool inherited = false;
+        std::int64_t recordedVersion = 0;
+    };
+    /// A step with tasks to start.
+    struct PendingStep {
+        std::string job;
+        int occurrence = 0;
+        int step = 0;
+        /// Later than this, the occurrence can't meet its objective.
+        TimePoint latestStart;
+        /// Later than this, it is worth nothing.
+        TimePoint worthlessAfter;
+        bool longRunning = false;
+        bool usesIdleCpu = false;
+        int priority = 0;
+    };
+    using StepKey = std::tuple<std::string, int, int>;
+
+    // jobscheduler.cpp
+    Entry *find(const std::string &id);
+    void changed(const std::string &id);
+    void refreshPending(Entry &entry, std::int64_t wallMs);
+    void stopRuns(Entry &entry, TimePoint now);
+    void releaseMemory(Entry &entry);
+
+    // jobreports.cpp
+    Worker *lifeOf(const Wire::WorkerReport &report, TimePoint now);
+    void endLife(Worker &worker, TimePoint now);
+    void takeEnd(Worker &worker, const Wire::EndedTask &end, TimePoint now);
+    void takeRunning(Worker &worker, const Wire::RunningTask &row, std::int64_t listing, TimePoint now);
+    void adopt(Worker &worker, const Wire::RunningTask &row, TimePoint now);
+    void dropMissing(Worker &worker, const Wire::WorkerReport &report, TimePoint now);
+    void loseRun(Worker &worker, const RunKey &key, TimePoint now);
+    void popRecordedEnds(Worker &worker);
+    void breakGang(const Wire::TaskRef &task, std::int64_t run, TimePoint now);
+    void wantStop(Worker &worker, const RunKey &key, TimePoint now);
+    void startDone(Worker &worker, const RunKey &key, OrderResult result, std::int64_t listing, TimePoint now);
+    void delayTask(const RunKey &key, TimePoint now);
+
+    // jobplanning.cpp
+    void expireWorkers(TimePoint now);
+    void watchProgress(TimePoint now);
+    void repeatOrders(std::map<std::string, Wire::WorkerOrders> &orders, TimePoint now);
+    void placeStep(const PendingStep &pending, std::map<std::string, Wire::WorkerOrders> &orders, TimePoint now);
+    void placeGang(Entry &entry, const PendingStep &pending, std::map<std::string, Wire::WorkerOrders> &orders, TimePoint now);
+    [[nodiscard]] bool startable(const Entry &entry, const Wire::StepSpec &step, const TaskState &task, TimePoint now) const;
+    [[nodiscard]] Worker *chooseWorker(const Entry &entry, const PendingStep &pending, const TaskState &task, TimePoint now);
+    void start(Entry &entry, const Wire::TaskRef &ref, Worker &worker, std::map<std::string, Wire::WorkerOrders> &orders, std::int64_t run, TimePoint now);
+    Wire::WorkerOrders &ordersFor(std::map<std::string, Wire::WorkerOrders> &orders, const Worker &worker) const;
+    [[nodiscard]] static Wire::RunInfo runInfo(const Entry &entry, const RunKey &key);
+    [[nodiscard]] std::int64_t nextRun(const TaskState &task) const;
+    [[nodiscard]] Wire::StartOrder startOrder(const Entry &entry, const RunKey &key, const Run &run) const;
+
+    SchedulerSettings m_settings;
+    std::int64_t m_epoch = 0;
+    QueueTable m_queues;
+    std::map<std::string, Entry> m_jobs;
+    std::set<std::string> m_active;
+    std::set<std::string> m_changed;
+    std::set<std::string> m_stale;
+    std::map<StepKey, PendingStep> m_pending;
+    std::map<std::string, Worker> m_workers;
+    std::set<std::string> m_unreported;
+    TimePoint m_unreportedUntil;
+    std::map<std::string, Wire::WorkerDescription> m_roster;
+    std::set<std::string> m_enrolled;
+    bool m_rosterChanged = false;
+    TimePoint m_now;
+};
+
+/// Names an agent in the roster: HOST:PORT.
+[[nodiscard]] std::string agentName(const Wire::WorkerDescription &worker);
+
+} // namespace Trefoilhoist::Jobs
--- /dev/null
+++ b/src/trefoilhoist/jobs/ordergate.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "trefoilhoist/jobs/jobtypes.h"
+#include "trefoilhoist/world/clock.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace Trefoilhoist::Jobs {
+
+/// Decides at a worker which owner's orders may pass, and how long the minion may hold what runs.
+///
+/// A lease counts from the sending of the report that it answers. Orders pass only under the lease that their owner
+/// gave, so that orders held up on their way, or given by an earlier owner, do nothing. Not thread-safe.
+class OrderGate
+{
+public:
+    /// A newer owner: nothing of the earlier one passes any more. False for an older epoch.
+    bool adopt(std::int64_t epoch);
+    [[nodiscard]] std::int64_t epoch() const { return m_epoch; }
+
+    /// The minion has answered a listing under this epoch's fencing token.
+    void listed(std::int64_t epoch);
+    [[nodiscard]] bool isListed() const { return m_listed; }
+
+    /// What the owner answered to a report that was sent at `sentAt`.
+    void granted(const Wire::WorkerReportReply &reply, TimePoint sentAt);
+    /// Nothing runs on the minion any more; orders wait for the owner's next term.
+    void gone();
+    [[nodiscard]] bool isGone() const { return m_gone; }
+
+    /// Empty when the orders may pass, otherwise why not.
+    [[nodiscard]] std::string refusal(const Wire::WorkerOrders &orders, TimePoint now) const;
+
+    [[nodiscard]] TimePoint leaseEnds() const { return m_leaseEnds; }
+    [[nodiscard]] std::int64_t recordedEnds() const { return m_recordedEnds; }
+    /// Another life of the minion: its ends are numbered anew.
+    void newLife();
+
+    /// The minion's clock is at least `clockMs` at `now`.
+    void noteMinionClock(std::int64_t clockMs, TimePoint now);
+    /// Until when, on the minion's clock, it may hold what runs; nothing without a lease or a clock. Every use
+    /// of it extends mayRunUntil().
+    [[nodiscard]] std::optional<std::int64_t> holdUntil(TimePoint now);
+    /// From here on nothing that was ordered can run, unless the minion is told to hold again.
+    [[nodiscard]] TimePoint mayRunUntil() const { return m_mayRunUntil; }
+
+private:
+    std::int64_t m_epoch = 0;
+    std::int64_t m_term = 0;
+    std::int64_t m_goneTerm = 0;
+    std::int64_t m_recordedEnds = 0;
+    bool m_listed = false;
+    bool m_gone = false;
+    TimePoint m_leaseEnds;
+    TimePoint m_mayRunUntil;
+    std::int64_t m_clockMs = 0;
+    TimePoint m_clockAt;
+};
+
+} // namespace Trefoilhoist::Jobs
--- /dev/null
+++ b/src/trefoilhoist/jobs/ownerelection.cpp
@@ -0,0 +1,183 @@
+#include "trefoilhoist/jobs/ownerelection.h"
+
+#include "trefoilhoist/log/eventlog.h"
+#include "trefoilhoist/wire/message.h"
+
+namespace Trefoilhoist::Jobs {
+
+namespace {
+
+const std::string prefix = "lead/";
+const std::string ownerKey = "lead/owner";
+const std::string epochKey = "lead/epoch";
+
+} // namespace
+
+OwnerElection::OwnerElection(
+    RecordStore &store, const Clock &clock, ElectionTimes times, Wire::OwnerRecord self)
+    : m_store(store), m_clock(clock), m_times(times), m_self(std::move(self))
+{
+}
+
+awaitable<void> OwnerElection::run(std::function<void(OwnerTerm)> won, std::function<void(std::string)> lost)
+{
+    m_won = std::move(won);
+    m_lost = std::move(lost);
+    while (true) {
+        if (m_owning) {
+            co_await renew();
+            co_await sleepFor(m_times.renewEvery);
+            continue;
+        }
+        const auto seen = co_await look();
+        if (seen.has_value() != m_storeReached) {
+            m_storeReached = seen.has_value();
+            Event(m_storeReached ? "store_regained" : "store_lost").add("by", "election").add("reason", seen ? "" : seen.error().reason);
+        }
+        if (!seen) {
+            co_await sleepFor(m_times.retryEvery);
+        } else if (seen->owner && !ownRecord(*seen->owner)) {
+            co_await follow(*seen);
+        } else if (m_resigned || !co_await stand(*seen)) {
+            co_await sleepFor(m_times.retryEvery);
+        }
+    }
+}
+
+awaitable<StoreResult<OwnerElection::Seen>> OwnerElection::look()
+{
+    const auto page = co_await m_store.list(prefix, "");
+    if (!page) {
+        co_return tl::unexpected(page.error());
+    }
+    Seen seen;
+    seen.revision = page->revision;
+    for (const auto &it : page->records) {
+        if (it.key == ownerKey) {
+            seen.owner = it;
+        } else if (it.key == epochKey) {
+            seen.epoch = it;
+        }
+    }
+    co_return seen;
+}
+
+bool OwnerElection::ownRecord(const StoredRecord &record) const
+{
+    const auto owner = Wire::decode<Wire::OwnerRecord>(record.value);
+    return owner && owner->name == m_self.name;
+}
+
+awaitable<void> OwnerElection::follow(const Seen &seen)
+{
+    const auto owner = Wire::decode<Wire::OwnerRecord>(seen.owner->value);
+    if (owner && (!m_owner || m_owner->epoch != owner->epoch)) {
+        m_owner = *owner;
+        Event("owner_seen").add("owner", owner->name).add("epoch", owner->epoch).add("revision", seen.revision);
+    }
+    const auto changes = co_await m_store.watch(prefix, seen.revision, m_times.watchWait);
+    if (!changes) {
+        co_await sleepFor(m_times.retryEvery);
+    }
+}
+
+// True when the term was won.
+awaitable<bool> OwnerElection::stand(const Seen &seen)
+{
+    std::int64_t epoch = 0;
+    if (seen.epoch) {
+        const auto last = Wire::decode<Wire::OwnerRecord>(seen.epoch->value);
+        epoch = last ? last->epoch : 0;
+    }
+    if (seen.owner && m_lease != 0 && epoch == m_leaseEpoch) {
+        // The answer to an earlier commit was lost; it did take effect.
+        take(epoch, seen.epoch->revision, m_leaseOpenedAt);
+        co_return true;
+    }
+    const auto openedAt = m_clock.now();
+    const auto lease = co_await m_store.openLease(m_times.leaseTtl);
+    if (!lease) {
+        co_return false;
+    }
+    m_lease = *lease;
+    m_leaseOpenedAt = openedAt;
+    m_leaseEpoch = epoch + 1;
+    Wire::OwnerRecord record = m_self;
+    record.epoch = m_leaseEpoch;
+    const auto value = Wire::encode(record);
+    RecordCommit commit;
+    commit.conditions = {{ownerKey, seen.owner ? seen.owner->revision : 0}, {epochKey, seen.epoch ? seen.epoch->revision : 0}};
+    commit.writes = {{ownerKey, value, m_lease}, {epochKey, value, 0}};
+    const auto outcome = co_await m_store.commit(std::move(commit));
+    if (!outcome || !outcome->committed) {
+        co_return false;
+    }
+    take(m_leaseEpoch, outcome->revision, openedAt);
+    co_return true;
+}
+
+void OwnerElection::take(std::int64_t epoch, std::int64_t epochRevision, TimePoint verifiedAt)
+{
+    if (m_resigned) {
+        return;
+    }
+    m_owning = true;
+    m_verifiedAt = verifiedAt;
+    m_owner = m_self;
+    m_owner->epoch = epoch;
+    Event("term_won").add("epoch", epoch).add("revision", epochRevision);
+    m_won({epoch, epochRevision});
+}
+
+awaitable<void> OwnerElection::renew()
+{
+    const auto sentAt = m_clock.now();
+    const auto renewed = co_await m_store.renewLease(m_lease);
+    if (!m_owning) {
+        co_return;
+    }
+    if (renewed.has_value() != m_storeReached) {
+        m_storeReached = renewed.has_value();
+        Event(m_storeReached ? "store_regained" : "store_lost").add("by", "renewal").add("reason", renewed ? "" : renewed.error().reason);
+    }
+    if (renewed && *renewed) {
+        m_verifiedAt = sentAt;
+    } else if (renewed) {
+        lose("the owner's lease has ended");
+    } else if (m_clock.now() - m_verifiedAt > m_times.ownerGrace) {
+        lose("the store was out of reach for too long");
+    }
+}
+
+void OwnerElection::lose(std::string reason)
+{
+    if (!m_owning) {
+        return;
+    }
+    m_owning = false;
+    m_lease = 0;
+    m_owner.reset();
+    Event("term_lost").add("reason", reason);
+    m_lost(std::move(reason));
+}
+
+void OwnerElection::deposed(std::string reason)
+{
+    lose(std::move(reason));
+}
+
+awaitable<void> OwnerElection::resign()
+{
+    m_resigned = true;
+    const auto lease = m_lease;
+    const bool owned = m_owning;
+    lose("stopping");
+    if (owned) {
+        const auto ended = co_await m_store.endLease(lease);
+        if (!ended) {
+            Event("lease_not_ended").add("reason", ended.error().reason);
+        }
+    }
+}
+
+} // namespace Trefoilhoist::Jobs
--- /dev/null
+++ b/src/trefoilhoist/jobs/ownerelection.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "idl/gen/messages_types.h"
+#include "trefoilhoist/store/recordstore.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace Trefoilhoist::Jobs {
+
+struct ElectionTimes {
+    /// The store drops the owner's record this long after its last renewal.
+    Duration leaseTtl = seconds(2);
+    Duration renewEvery = milliseconds(400);
+    /// A wait for changes; short, since a connection may go silent without notice.
+    Duration watchWait = milliseconds(1500);
+    Duration retryEvery = milliseconds(150);
+    /// An owner that could not renew for this long gives up.
+    Duration ownerGrace = seconds(10);
+};
+
+/// A term that was won. Every record of the term is written on condition of `epochRevision`.
+struct OwnerTerm {
+    std::int64_t epoch = 0;
+    std::int64_t epochRevision = 0;
+};
+
+/// Elects one owner at a time through a leased record, and knows who it is.
+///
+/// The lease only decides who tries; what keeps an earlier owner from acting is the epoch, which rises with each
+/// term and on which every record and every order depends. Runs on one thread.
+class OwnerElection
+{
+public:
+    OwnerElection(RecordStore &store, const Clock &clock, ElectionTimes times, Wire::OwnerRecord self);
+
+    /// Follows and stands for election for the process's life; `won` and `lost` alternate.
+    awaitable<void> run(std::function<void(OwnerTerm)> won, std::function<void(std::string reason)> lost);
+
+    /// The owner as last read; empty before the first read.
+    [[nodiscard]] const std::optional<Wire::OwnerRecord> &owner() const { return m_owner; }
+    [[nodiscard]] bool owning() const { return m_owning; }
+    /// The sending of the last renewal that succeeded.
+    [[nodiscard]] TimePoint verifiedAt() const { return m_verifiedAt; }
+    /// Told by a newer owner, or by a conflict over the epoch.
+    void deposed(std::string reason);
+    /// Gives up the term, so that another takes over at once; no new term is sought, but a new owner is still
+    /// followed.
+    awaitable<void> resign();
+
+private:
+    struct Seen {
+        std::optional<StoredRecord> owner;
+        std::optional<StoredRecord> epoch;
+        std::int64_t revision = 0;
+    };
+    awaitable<StoreResult<Seen>> look();
+    awaitable<void> follow(const Seen &seen);
+    awaitable<bool> stand(const Seen &seen);
+    awaitable<void> renew();
+    void lose(std::string reason);
+    void take(std::int64_t epoch, std::int64_t epochRevision, TimePoint verifiedAt);
+    [[nodiscard]] bool ownRecord(const StoredRecord &record) const;
+
+    RecordStore &m_store;
+    const Clock &m_clock;
+    ElectionTimes m_times;
+    Wire::OwnerRecord m_self;
+    std::function<void(OwnerTerm)> m_won;
+    std::function<void(std::string)> m_lost;
+    std::optional<Wire::OwnerRecord> m_owner;
+    std::int64_t m_lease = 0;
+    std::int64_t m_leaseEpoch = 0;
+    TimePoint m_leaseOpenedAt;
+    TimePoint m_verifiedAt;
+    bool m_owning = false;
+    bool m_resigned = false;
+    bool m_storeReached = true;
+};
+
+} // namespace Trefoilhoist::Jobs
--- /dev/null
+++ b/src/trefoilhoist/jobs/queuetable.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "idl/gen/messages_types.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Trefoilhoist::Jobs {
+
+/// A queue as the operators configured it, and how callers address it.
+struct QueueRoute {
+    std::string host;
+    std::string prefix;
+    Wire::QueuePolicy policy;
+    /// Callers wait no longer than this for an answer, in milliseconds; 0: as long as they say.
+    std::int64_t timeoutMs = 0;
+};
+
+/// One version of the operators' queues.
+struct QueueTable {
+    /// 0: none was read yet.
+    std::int64_t version = 0;
+    std::vector<QueueRoute> routes;
+
+    /// The queue with the longest prefix of `path` at `host`; null when there is none.
+    [[nodiscard]] const QueueRoute *match(const std::string &host, const std::string &path) const;
+    /// Null for a name that is not configured.
+    [[nodiscard]] const QueueRoute *byName(const std::string &name) const;
+};
+
+} // namespace Trefoilhoist::Jobs
--- /dev/null
+++ b/src/trefoilhoist/jobs/workerchoice.cpp
@@ -0,0 +1,107 @@
+#include "trefoilhoist/jobs/workerchoice.h"
+
+#include <algorithm>
+
+namespace Trefoilhoist::Jobs {
+
+namespace {
+
+/// A worker that was not heard of for this long gets nothing new.
+constexpr Duration silentAfter = milliseconds(1500);
+/// Nothing is started when the lease has less left than this.
+constexpr Duration leaseLeft = seconds(1);
+
+// Costs, in units of a whole worker's load.
+constexpr double siblingCost = 0.15;
+constexpr double badCost = 2.0;
+constexpr double farFromDataCost = 0.5;
+constexpr double failedThereCost = 1.0;
+constexpr double slowCost = 0.5;
+
+double shareOf(std::int64_t part, std::int64_t whole)
+{
+    return whole <= 0 ? 1.0 : static_cast<double>(part) / static_cast<double>(whole);
+}
+
+} // namespace
+
+WorkerChoice::WorkerChoice(const Wire::StepSpec &step, const std::string &service, const TaskState &task, TimePoint now)
+    : m_step(step), m_service(service), m_task(task), m_now(now), m_demand(demandOf(step))
+{
+}
+
+void WorkerChoice::countSiblings(const Job &job, int occurrence, int step)
+{
+    const auto found = job.occurrences().find(occurrence);
+    if (found == job.occurrences().end()) {
+        return;
+    }
+    for (const auto &task : found->second.steps[static_cast<std::size_t>(step)].tasks) {
+        for (const auto &run : task.active) {
+            ++m_siblings[run.worker];
+            m_someRun = true;
+        }
+    }
+}
+
+int WorkerChoice::siblingsAt(const Worker &worker) const
+{
+    const auto it = m_siblings.find(worker.info.id);
+    return it == m_siblings.end() ? 0 : it->second;
+}
+
+bool WorkerChoice::mayTake(const Worker &worker) const
+{
+    if (!worker.enrolled || !worker.listed || !worker.reachable || worker.draining) {
+        return false;
+    }
+    if (worker.info.serviceName != m_service || m_now - worker.heardAt > silentAfter || worker.leaseEnds - m_now < leaseLeft) {
+        return false;
+    }
+    if (worker.health.quarantined(m_now) || !worker.fits(m_demand)) {
+        return false;
+    }
+    if (!m_step.requiredLabel.empty() && !worker.hasLabel(m_step.requiredLabel)) {
+        return false;
+    }
+    if (m_step.maxPerWorker > 0 && siblingsAt(worker) >= m_step.maxPerWorker) {
+        return false;
+    }
+    // Lent processors are shared thinly only by a step that has nothing running yet.
+    return !m_step.usesIdleCpu || worker.idleCpuMilli() >= m_demand.idleCpuMilli || worker.used.idleCpuMilli == 0 || !m_someRun;
+}
+
+double WorkerChoice::cost(const Worker &worker) const
+{
+    const auto &used = worker.used;
+    double cost = shareOf(used.memoryMb + m_demand.memoryMb, worker.info.memoryMb);
+    if (m_step.usesIdleCpu) {
+        cost = std::max(cost, 1.0 - shareOf(worker.idleCpuMilli() - m_demand.idleCpuMilli, worker.info.cpuMilli));
+    } else {
+        cost = std::max(cost, shareOf(used.cpuMilli + m_demand.cpuMilli, worker.info.cpuMilli));
+    }
+    cost += siblingCost * siblingsAt(worker);
+    cost += badCost * worker.health.badShare(m_now);
+    cost += slowCost * (worker.health.slowness() - 1.0);
+    if (!m_step.dataRack.empty() && !worker.hasLabel(m_step.dataRack)) {
+        cost += farFromDataCost;
+    }
+    if (m_task.failedOn == worker.info.id) {
+        cost += failedThereCost;
+    }
+    return cost;
+}
+
+void WorkerChoice::consider(Worker &worker)
+{
+    if (!mayTake(worker)) {
+        return;
+    }
+    const double value = cost(worker);
+    if (m_best == nullptr || value < m_lowest) {
+        m_best = &worker;
+        m_lowest = value;
+    }
+}
+
+} // namespace Trefoilhoist::Jobs
--- a/src/trefoilhoist/net/httpclient.cpp
+++ b/src/trefoilhoist/net/httpclient.cpp
@@ -66,6 +66,7 @@
         co_await m_stream.async_connect(Tcp::endpoint(address, endpoint.port),
                                         Asio::redirect_error(Asio::use_awaitable, ec));
         if (ec) {
+            m_nothingListens = ec == Asio::error::connection_refused;
             co_return "cannot connect to " + endpoint.str() + ": " + ec.message();
         }
         m_stream.socket().set_option(Tcp::no_delay(true), ec);
@@ -116,6 +117,11 @@
         return m_reusable;
     }
 
+    [[nodiscard]] bool nothingListens() const
+    {
+        return m_nothingListens;
+    }
+
 private:
     static Http::request<Http::string_body>
     beastRequest(const Endpoint &endpoint, HttpRequest request, const HttpCallOptions &options)
@@ -157,6 +163,7 @@
     Beast::tcp_stream m_stream;
     Beast::flat_buffer m_buffer;
     bool m_reusable = false;
+    bool m_nothingListens = false;
 };
 
 } // namespace
@@ -200,7 +207,7 @@
             const auto problem
                 = co_await connection->connect(endpoint, std::min(options.connectTimeout, options.timeout));
             if (!problem.empty()) {
-                co_return failure(Verdict::NotRun, problem);
+                co_return tl::unexpected(CallError{Verdict::NotRun, problem, connection->nothingListens()});
             }
         }
         auto result = co_await connection->exchange(endpoint, std::move(request), options);
--- a/src/trefoilhoist/placement/jobintake.cpp
+++ b/src/trefoilhoist/placement/jobintake.cpp
@@ -22,7 +22,8 @@
 
 TimePoint steadyNow()
 {
-    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+    static const Clock clock;
+    return clock.now();
 }
 
 } // namespace
--- a/src/trefoilhoist/verdict/verdict.h
+++ b/src/trefoilhoist/verdict/verdict.h
@@ -17,6 +17,8 @@
 struct CallError {
     Verdict verdict = Verdict::NotRun;
     std::string reason;
+    /// Nothing listens at the address: the callee's process is not running.
+    bool nothingListens = false;
 };
 
 } // namespace Trefoilhoist
--- a/src/trefoilhoist/world/clock.cpp
+++ b/src/trefoilhoist/world/clock.cpp
@@ -2,6 +2,8 @@
 
 #include "trefoilhoist/internal/invariant.h"
 
+#include <ctime>
+
 namespace Trefoilhoist {
 
 TimePoint Clock::now() const
@@ -10,7 +12,9 @@
     if (m_pausedAt) {
         return *m_pausedAt;
     }
-    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return TimePoint(duration_cast<Duration>(seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 void Clock::pause(TimePoint at)
--- a/src/trefoilhoist/world/clock.h
+++ b/src/trefoilhoist/world/clock.h
@@ -20,7 +20,8 @@
 class Clock
 {
 public:
-    /// The monotonic time, or the paused time.
+    /// The monotonic time, or the paused time. Counts the time that the machine was suspended, so that a lease
+    /// does not outlive it.
     [[nodiscard]] TimePoint now() const;
 
     /// Stops the clock at `at`; from here only advance() moves it.
