--- a/src/trefoilhoist/jobs/ownerelection.cpp
+++ b/src/trefoilhoist/jobs/ownerelection.cpp
@@ -81,6 +81,17 @@
     }
 }
 
+RecordCommit OwnerElection::termCommit(const Seen &seen) const
+{
+    Wire::OwnerRecord record = m_self;
+    record.epoch = m_leaseEpoch;
+    const auto value = Wire::encode(record);
+    RecordCommit commit;
+    commit.conditions = {{ownerKey, seen.owner ? seen.owner->revision : 0}, {epochKey, seen.epoch ? seen.epoch->revision : 0}};
+    commit.writes = {{ownerKey, value, m_lease}, {epochKey, value, 0}};
+    return commit;
+}
+
 // True when the term was won.
 awaitable<bool> OwnerElection::stand(const Seen &seen)
 {
@@ -102,13 +113,7 @@
     m_lease = *lease;
     m_leaseOpenedAt = openedAt;
     m_leaseEpoch = epoch + 1;
-    Wire::OwnerRecord record = m_self;
-    record.epoch = m_leaseEpoch;
-    const auto value = Wire::encode(record);
-    RecordCommit commit;
-    commit.conditions = {{ownerKey, seen.owner ? seen.owner->revision : 0}, {epochKey, seen.epoch ? seen.epoch->revision : 0}};
-    commit.writes = {{ownerKey, value, m_lease}, {epochKey, value, 0}};
-    const auto outcome = co_await m_store.commit(std::move(commit));
+    const auto outcome = co_await m_store.commit(termCommit(seen));
     if (!outcome || !outcome->committed) {
         co_return false;
     }
--- a/src/trefoilhoist/jobs/ownerelection.h
+++ b/src/trefoilhoist/jobs/ownerelection.h
@@ -58,6 +58,7 @@
     awaitable<StoreResult<Seen>> look();
     awaitable<void> follow(const Seen &seen);
     awaitable<bool> stand(const Seen &seen);
+    [[nodiscard]] RecordCommit termCommit(const Seen &seen) const;
     awaitable<void> renew();
     void lose(std::string reason);
     void take(std::int64_t epoch, std::int64_t epochRevision, TimePoint verifiedAt);
