--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -1,8 +1,7 @@
 # Helpers that turn a folder into a target, so that a new source file needs no build change.
 
 add_library(trefoilhoist_options INTERFACE)
-# The compiler takes the frame allocator of Asio's coroutines for a mismatch.
-target_compile_options(trefoilhoist_options INTERFACE -Wall -Wextra -Werror -Wno-mismatched-new-delete)
+target_compile_options(trefoilhoist_options INTERFACE -Wall -Wextra -Werror)
 target_compile_definitions(trefoilhoist_options INTERFACE
     TREFOILHOIST_VERSION="${PROJECT_VERSION}"
     $<$<BOOL:${TREFOILHOIST_CHECK_LOCKS}>:TREFOILHOIST_CHECK_LOCKS>)
--- a/src/programs/dispatcher/dispatcher.cpp
+++ b/src/programs/dispatcher/dispatcher.cpp
@@ -130,71 +130,92 @@
 
 awaitable<HttpResponse> DispatcherServer::serveCaller(HttpRequest request)
 {
-    const auto &callers = *m_outside.callers;
     const auto receivedAt = m_runtime.clock().now();
+    auto read = readCaller(request);
+    if (!read) {
+        co_return std::move(read.error());
+    }
+    const auto answer = co_await askOwner(read->kind, std::move(read->payload), read->patience);
+    co_return finishCaller(*read, answer, receivedAt);
+}
+
+tl::expected<DispatcherServer::OwnerQuestion, HttpResponse> DispatcherServer::readCaller(HttpRequest &request)
+{
+    const auto &callers = *m_outside.callers;
     const auto caller = callers.request(request);
     if (!caller) {
         Event("request_unreadable").add("reason", caller.error());
-        co_return callers.unreadable(caller.error());
+        return tl::unexpected(callers.unreadable(caller.error()));
     }
     if (m_queues.version == 0) {
-        co_return callers.answer(caller->verb, plainAnswer(JobOutcome::Refused));
+        return tl::unexpected(callers.answer(caller->verb, plainAnswer(JobOutcome::Refused)));
     }
     const auto *queue = m_queues.match(caller->host, caller->path);
     if (queue == nullptr) {
         Event("queue_unknown").add("host", caller->host).add("path", caller->path).add("configuration", m_queues.version);
-        co_return callers.noSuchQueue();
+        return tl::unexpected(callers.noSuchQueue());
     }
-    const std::string id = caller->path.substr(queue->prefix.size());
-    const auto patience = duration_cast<Duration>(caller->patience * patienceShare);
-    auto verb = caller->verb;
-    Wire::JobAnswer answer;
-    if (verb == CallerVerb::Submit) {
-        auto spec = callers.job(id, queue->policy, request.body);
-        if (!spec) {
-            Event("job_unreadable").add("job", id).add("queue", queue->policy.name).add("reason", spec.error());
-            co_return callers.unreadable(spec.error());
-        }
-        request.body.clear();
-        answer = co_await submit(*caller, *queue, id, std::move(*spec));
-    } else if (verb == CallerVerb::CancelJob) {
+    OwnerQuestion question;
+    question.verb = caller->verb;
+    question.job = caller->path.substr(queue->prefix.size());
+    question.patience = duration_cast<Duration>(caller->patience * patienceShare);
+    if (question.verb == CallerVerb::Submit) {
+        return submission(std::move(question), *queue, request);
+    }
+    if (question.verb == CallerVerb::CancelJob) {
         Wire::CancelJob cancel;
-        cancel.id = id;
-        answer = co_await askOwner(Wire::MessageKind::CancelJobKind, Wire::encode(cancel), patience);
-    } else if (id.empty()) {
-        verb = CallerVerb::AskQueue;
+        cancel.id = question.job;
+        question.kind = Wire::MessageKind::CancelJobKind;
+        question.payload = Wire::encode(cancel);
+    } else if (question.job.empty()) {
         Wire::QueueQuery query;
         query.queue = queue->policy.name;
-        answer = co_await askOwner(Wire::MessageKind::QueueQueryKind, Wire::encode(query), patience);
+        question.verb = CallerVerb::AskQueue;
+        question.kind = Wire::MessageKind::QueueQueryKind;
+        question.payload = Wire::encode(query);
     } else {
         Wire::JobQuery query;
-        query.id = id;
-        answer = co_await askOwner(Wire::MessageKind::JobQueryKind, Wire::encode(query), patience);
+        query.id = question.job;
+        question.kind = Wire::MessageKind::JobQueryKind;
+        question.payload = Wire::encode(query);
+    }
+    return question;
+}
+
+tl::expected<DispatcherServer::OwnerQuestion, HttpResponse>
+DispatcherServer::submission(OwnerQuestion question, const Jobs::QueueRoute &queue, const HttpRequest &request) const
+{
+    const auto &callers = *m_outside.callers;
+    auto spec = callers.job(question.job, queue.policy, request.body);
+    if (!spec) {
+        Event("job_unreadable").add("job", question.job).add("queue", queue.policy.name).add("reason", spec.error());
+        return tl::unexpected(callers.unreadable(spec.error()));
+    }
+    if (queue.policy.needsPermit) {
+        Event("job_refused").add("job", question.job).add("reason", "queues with advice are not served yet");
+        return tl::unexpected(callers.answer(question.verb, plainAnswer(JobOutcome::Refused)));
     }
+    Wire::SubmitJob submit;
+    submit.spec = std::move(*spec);
+    submit.spec.acceptedAtMs = wallMilliseconds();
+    question.kind = Wire::MessageKind::SubmitJobKind;
+    question.payload = Wire::encode(submit);
+    return question;
+}
+
+HttpResponse DispatcherServer::finishCaller(const OwnerQuestion &question, const Wire::JobAnswer &answer, TimePoint receivedAt)
+{
     const auto now = m_runtime.clock().now();
     m_metrics.latency("trefoilhoist_caller_request").record(now - receivedAt, now);
     if (answer.outcome != static_cast<int>(JobOutcome::Ok)) {
         m_metrics.counter("trefoilhoist_caller_not_ok").add();
         Event("request_not_ok")
-            .add("job", id)
-            .add("verb", static_cast<int>(verb))
+            .add("job", question.job)
+            .add("verb", static_cast<int>(question.verb))
             .add("outcome", answer.outcome)
             .add("waitedMs", duration_cast<milliseconds>(now - receivedAt).count());
     }
-    co_return callers.answer(verb, answer);
-}
-
-awaitable<Wire::JobAnswer> DispatcherServer::submit(const Jobs::CallerRequest &caller, const Jobs::QueueRoute &queue, const std::string &id, Wire::JobSpec spec)
-{
-    if (queue.policy.needsPermit) {
-        Event("job_refused").add("job", id).add("reason", "queues with advice are not served yet");
-        co_return plainAnswer(JobOutcome::Refused);
-    }
-    spec.acceptedAtMs = wallMilliseconds();
-    Wire::SubmitJob submit;
-    submit.spec = std::move(spec);
-    const auto patience = duration_cast<Duration>(caller.patience * patienceShare);
-    co_return co_await askOwner(Wire::MessageKind::SubmitJobKind, Wire::encode(submit), patience);
+    return m_outside.callers->answer(question.verb, answer);
 }
 
 awaitable<Wire::JobAnswer> DispatcherServer::askOwner(Wire::MessageKind kind, std::string payload, Duration patience)
--- a/src/programs/dispatcher/dispatcher.h
+++ b/src/programs/dispatcher/dispatcher.h
@@ -44,11 +44,22 @@
     awaitable<void> stop();
 
 private:
+    struct OwnerQuestion {
+        Jobs::CallerVerb verb = Jobs::CallerVerb::AskJob;
+        std::string job;
+        Wire::MessageKind kind = Wire::MessageKind::JobQueryKind;
+        std::string payload;
+        Duration patience{};
+    };
     awaitable<HttpResponse> serveCaller(HttpRequest request);
     awaitable<HttpResponse> serveReadiness(HttpRequest request);
     awaitable<HttpResponse> serveMetrics(HttpRequest request);
     awaitable<std::optional<Wire::Envelope>> servePeer(Wire::Envelope envelope);
-    awaitable<Wire::JobAnswer> submit(const Jobs::CallerRequest &caller, const Jobs::QueueRoute &queue, const std::string &id, Wire::JobSpec spec);
+    /// What a caller asks, as it goes to the owner; or the answer that needs no owner.
+    tl::expected<OwnerQuestion, HttpResponse> readCaller(HttpRequest &request);
+    [[nodiscard]] tl::expected<OwnerQuestion, HttpResponse>
+    submission(OwnerQuestion question, const Jobs::QueueRoute &queue, const HttpRequest &request) const;
+    HttpResponse finishCaller(const OwnerQuestion &question, const Wire::JobAnswer &answer, TimePoint receivedAt);
     /// Asks the owner, here or elsewhere, until the caller's patience ends.
     awaitable<Wire::JobAnswer> askOwner(Wire::MessageKind kind, std::string payload, Duration patience);
     awaitable<Wire::JobAnswer> answerHere(Wire::MessageKind kind, std::string payload, Duration patience);
--- a/src/programs/dispatcher/ownersession.cpp
+++ b/src/programs/dispatcher/ownersession.cpp
@@ -76,57 +76,72 @@
 
 awaitable<bool> OwnerSession::load()
 {
-    if (!co_await loadJobs()) {
+    const bool jobs = co_await loadJobs();
+    if (!jobs) {
         co_return false;
     }
-    co_return co_await loadRoster();
+    const bool roster = co_await loadRoster();
+    co_return roster;
 }
 
 awaitable<bool> OwnerSession::loadJobs()
 {
-    std::map<std::string, Wire::JobSpec> specs;
-    std::map<std::string, Wire::JobProgress> progress;
-    std::string after;
-    for (bool more = true; more && !m_closed;) {
-        const auto page = co_await m_context.store.list(jobPrefix, after);
+    LoadedJobs loaded;
+    bool more = true;
+    while (more && !m_closed) {
+        const auto page = co_await m_context.store.list(jobPrefix, loaded.lastKey);
         if (!page) {
             Event("load_failed").add("epoch", m_term.epoch).add("reason", page.error().reason);
             co_return false;
         }
+        takePage(*page, loaded);
         more = page->more && !page->records.empty();
-        for (const auto &it : page->records) {
-            after = it.key;
-            const auto key = jobRecordFrom(it.key);
-            const auto spec = key.isSpec ? Wire::decode<Wire::JobSpec>(it.value) : std::nullopt;
-            const auto state = key.isSpec ? std::nullopt : Wire::decode<Wire::JobProgress>(it.value);
-            if (!spec && !state) {
-                Event("record_unreadable").add("key", it.key).add("bytes", it.value.size());
-                continue;
-            }
-            m_records.know(it.key, it.revision);
-            if (spec) {
-                specs.emplace(key.job, *spec);
-            } else {
-                progress.emplace(key.job, *state);
-            }
+    }
+    restoreJobs(loaded);
+    co_return true;
+}
+
+void OwnerSession::takePage(const RecordPage &page, LoadedJobs &loaded)
+{
+    for (const auto &it : page.records) {
+        loaded.lastKey = it.key;
+        const auto key = jobRecordFrom(it.key);
+        const auto spec = key.isSpec ? Wire::decode<Wire::JobSpec>(it.value) : std::nullopt;
+        const auto state = key.isSpec ? std::nullopt : Wire::decode<Wire::JobProgress>(it.value);
+        if (!spec && !state) {
+            Event("record_unreadable").add("key", it.key).add("bytes", it.value.size());
+            continue;
+        }
+        m_records.know(it.key, it.revision);
+        if (spec) {
+            loaded.specs.emplace(key.job, *spec);
+        } else {
+            loaded.progress.emplace(key.job, *state);
         }
     }
+}
+
+void OwnerSession::restoreJobs(LoadedJobs &loaded)
+{
     const auto now = m_context.clock.now();
-    for (auto &[id, spec] : specs) {
-        const auto it = progress.find(id);
-        if (it != progress.end() && isFinal(static_cast<JobPhase>(it->second.phase))) {
+    for (auto &[id, spec] : loaded.specs) {
+        const auto it = loaded.progress.find(id);
+        if (it == loaded.progress.end()) {
+            m_scheduler.restoreJob(std::move(spec), std::nullopt, now);
+            continue;
+        }
+        if (isFinal(static_cast<JobPhase>(it->second.phase))) {
             m_records.remove(specKey(id));
         }
-        m_scheduler.restoreJob(std::move(spec), it == progress.end() ? std::nullopt : std::optional(it->second), now);
-        progress.erase(id);
+        m_scheduler.restoreJob(std::move(spec), it->second, now);
+        loaded.progress.erase(it);
     }
-    for (const auto &[id, state] : progress) {
+    for (const auto &[id, state] : loaded.progress) {
         // A final job keeps its progress only.
         Wire::JobSpec spec;
         spec.id = id;
         m_scheduler.restoreJob(std::move(spec), state, now);
     }
-    co_return true;
 }
 
 awaitable<bool> OwnerSession::loadRoster()
--- a/src/programs/dispatcher/ownersession.h
+++ b/src/programs/dispatcher/ownersession.h
@@ -54,8 +54,16 @@
     [[nodiscard]] const Jobs::JobScheduler &scheduler() const { return m_scheduler; }
 
 private:
+    /// What an earlier owner recorded of jobs, by id.
+    struct LoadedJobs {
+        std::map<std::string, Wire::JobSpec> specs;
+        std::map<std::string, Wire::JobProgress> progress;
+        std::string lastKey;
+    };
     awaitable<bool> load();
     awaitable<bool> loadJobs();
+    void takePage(const RecordPage &page, LoadedJobs &loaded);
+    void restoreJobs(LoadedJobs &loaded);
     awaitable<bool> loadRoster();
     void greetAgents(const Wire::WorkerRoster &roster);
     awaitable<void> recordLoop();
