Keep a job's submission until its end is recorded

Ruled out: paging of the load (all pages read), a late write (conditions hold). Now the removal is queued only once the end is recorded; the test fails with the former order.

--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -1,5 +1,6 @@
 #include "agent.h"
 
+#include "trefoilhoist/jobs/recordkeys.h"
 #include "trefoilhoist/log/eventlog.h"
 #include "trefoilhoist/wire/message.h"
 
@@ -14,7 +15,6 @@
 constexpr std::int64_t listingsPerMillisecond = 100;
 constexpr Duration ownerRetry = milliseconds(200);
 constexpr const char *newsName = "news";
-constexpr const char *ownerRecordKey = "lead/owner";
 
 } // namespace
 
@@ -186,7 +186,7 @@
 // Reads who owns the scheduling; an owner may also make itself known by its orders.
 awaitable<void> AgentServer::findOwner()
 {
-    const auto record = co_await m_outside.store->read(ownerRecordKey);
+    const auto record = co_await m_outside.store->read(Jobs::ownerRecordKey);
     if (!record) {
         Event("owner_unread").add("reason", record.error().reason).add("epoch", m_gate.epoch());
         co_return;
--- a/src/programs/dispatcher/ownersession.cpp
+++ b/src/programs/dispatcher/ownersession.cpp
@@ -1,6 +1,6 @@
 #include "ownersession.h"
 
-#include "recordkeys.h"
+#include "trefoilhoist/jobs/recordkeys.h"
 #include "trefoilhoist/log/eventlog.h"
 #include "trefoilhoist/store/backoff.h"
 #include "trefoilhoist/wire/message.h"
@@ -31,13 +31,33 @@
     return answer;
 }
 
+int taskCount(const Wire::JobSpec &spec)
+{
+    int count = 0;
+    for (const auto &it : spec.steps) {
+        count += it.count;
+    }
+    return count;
+}
+
+// Estimated, of one occurrence.
+double coreSeconds(const Wire::JobSpec &spec)
+{
+    constexpr double milliPerUnit = 1e6;
+    double sum = 0;
+    for (const auto &it : spec.steps) {
+        sum += static_cast<double>(it.count) * it.cpuMilli * static_cast<double>(it.estimatedMs) / milliPerUnit;
+    }
+    return sum;
+}
+
 } // namespace
 
 OwnerSession::OwnerSession(SessionContext context, Jobs::OwnerTerm term, Jobs::QueueTable queues)
     : m_context(std::move(context))
     , m_term(term)
     , m_scheduler(m_context.scheduler, term.epoch)
-    , m_records(epochRecordKey, term.epochRevision)
+    , m_records(term.epochRevision)
 {
     m_scheduler.setQueues(std::move(queues));
 }
@@ -89,7 +109,7 @@
     LoadedJobs loaded;
     bool more = true;
     while (more && !m_closed) {
-        const auto page = co_await m_context.store.list(jobPrefix, loaded.lastKey);
+        const auto page = co_await m_context.store.list(Jobs::jobPrefix, loaded.lastKey);
         if (!page) {
             Event("load_failed").add("epoch", m_term.epoch).add("reason", page.error().reason);
             co_return false;
@@ -105,7 +125,7 @@
 {
     for (const auto &it : page.records) {
         loaded.lastKey = it.key;
-        const auto key = jobRecordFrom(it.key);
+        const auto key = Jobs::jobRecordFrom(it.key);
         const auto spec = key.isSpec ? Wire::decode<Wire::JobSpec>(it.value) : std::nullopt;
         const auto state = key.isSpec ? std::nullopt : Wire::decode<Wire::JobProgress>(it.value);
         if (!spec && !state) {
@@ -131,7 +151,7 @@
             continue;
         }
         if (isFinal(static_cast<JobPhase>(it->second.phase))) {
-            m_records.remove(specKey(id));
+            m_records.knowFinal(id);
         }
         m_scheduler.restoreJob(std::move(spec), it->second, now);
         loaded.progress.erase(it);
@@ -146,16 +166,16 @@
 
 awaitable<bool> OwnerSession::loadRoster()
 {
-    const auto record = co_await m_context.store.read(rosterKey);
+    const auto record = co_await m_context.store.read(Jobs::rosterKey);
     if (!record) {
         Event("load_failed").add("epoch", m_term.epoch).add("reason", record.error().reason);
         co_return false;
     }
     if (*record) {
-        m_records.know(rosterKey, (*record)->revision);
+        m_records.know(Jobs::rosterKey, (*record)->revision);
         const auto roster = Wire::decode<Wire::WorkerRoster>((*record)->value);
         if (!roster) {
-            Event("record_unreadable").add("key", rosterKey).add("bytes", (*record)->value.size());
+            Event("record_unreadable").add("key", Jobs::rosterKey).add("bytes", (*record)->value.size());
             co_return false;
         }
         m_scheduler.restoreRoster(*roster, m_context.clock.now());
@@ -195,7 +215,7 @@
         co_return answerOf(JobOutcome::Ok);
     }
     if (intake == Jobs::Intake::New) {
-        m_records.put(specKey(id), Wire::encode(spec), 1);
+        m_records.submit(spec);
         m_work.notify(workToDo);
     }
     co_await m_waiters.wait(id, patience);
@@ -209,11 +229,16 @@
             .add("job", id)
             .add("queue", spec.queue.name)
             .add("steps", spec.steps.size())
+            .add("tasks", taskCount(spec))
+            .add("coreSeconds", coreSeconds(spec))
+            .add("image", spec.steps.front().image)
+            .add("longRunning", spec.steps.front().longRunning)
+            .add("usesIdleCpu", spec.steps.front().usesIdleCpu)
             .add("epoch", m_term.epoch)
             .add("recordMs", duration_cast<milliseconds>(waited).count());
         co_return answerOf(JobOutcome::Ok);
     }
-    const bool notRun = m_records.withdraw(specKey(id));
+    const bool notRun = m_records.withdraw(id);
     if (notRun) {
         m_scheduler.withdraw(id);
     }
@@ -289,9 +314,8 @@
         if (job == nullptr) {
             continue;
         }
-        m_records.put(progressKey(id), Wire::encode(job->progress()), job->version());
+        m_records.putProgress(*job);
         if (!job->active()) {
-            m_records.remove(specKey(id));
             Event("job_ended")
                 .add("job", id)
                 .add("phase", phaseName(job->phase()))
@@ -301,7 +325,7 @@
         any = true;
     }
     if (auto roster = m_scheduler.takeRoster()) {
-        m_records.put(rosterKey, Wire::encode(*roster), static_cast<std::int64_t>(roster->workers.size()));
+        m_records.putRoster(*roster);
         m_roster = std::move(*roster);
         any = true;
     }
@@ -343,21 +367,19 @@
     }
 }
 
-void OwnerSession::settled(const std::vector<Jobs::SettledRecord> &records)
+void OwnerSession::settled(const Jobs::SettledJobs &records)
 {
     const auto now = m_context.clock.now();
-    for (const auto &it : records) {
-        if (it.key == rosterKey) {
-            m_scheduler.rosterRecorded(m_roster);
-            continue;
-        }
-        const auto key = jobRecordFrom(it.key);
-        if (key.isSpec) {
-            m_scheduler.accept(key.job, now);
-        } else {
-            m_scheduler.recorded(key.job, it.tag);
-        }
-        m_waiters.notify(key.job);
+    if (records.roster) {
+        m_scheduler.rosterRecorded(m_roster);
+    }
+    for (const auto &id : records.accepted) {
+        m_scheduler.accept(id, now);
+        m_waiters.notify(id);
+    }
+    for (const auto &[id, version] : records.progress) {
+        m_scheduler.recorded(id, version);
+        m_waiters.notify(id);
     }
     requestPlan();
 }
@@ -366,8 +388,8 @@
 void OwnerSession::refuseUnrecorded(const Jobs::RecordBatch &batch)
 {
     for (const auto &it : batch.keys) {
-        const auto key = jobRecordFrom(it);
-        if (key.isSpec && m_scheduler.job(key.job) == nullptr && m_records.surelyUnwritten(it)) {
+        const auto key = Jobs::jobRecordFrom(it);
+        if (key.isSpec && m_scheduler.job(key.job) == nullptr && m_records.surelyUnsubmitted(key.job)) {
             m_waiters.notify(key.job);
         }
     }
@@ -447,9 +469,8 @@
 void OwnerSession::forgetExpired()
 {
     for (const auto &id : m_scheduler.expired(wallMilliseconds())) {
-        if (!m_records.holds(specKey(id))) {
+        if (m_records.forget(id)) {
             m_scheduler.forget(id);
-            m_records.remove(progressKey(id));
         }
     }
 }
--- a/src/programs/dispatcher/ownersession.h
+++ b/src/programs/dispatcher/ownersession.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "trefoilhoist/jobs/jobrecords.h"
 #include "trefoilhoist/jobs/jobscheduler.h"
 #include "trefoilhoist/jobs/ownerelection.h"
-#include "trefoilhoist/jobs/recordqueue.h"
 #include "trefoilhoist/metrics/metrics.h"
 #include "trefoilhoist/net/waiters.h"
 #include "trefoilhoist/wire/peerclient.h"
@@ -68,7 +68,7 @@
     void greetAgents(const Wire::WorkerRoster &roster);
     awaitable<void> recordLoop();
     awaitable<void> tickLoop();
-    void settled(const std::vector<Jobs::SettledRecord> &records);
+    void settled(const Jobs::SettledJobs &records);
     void refuseUnrecorded(const Jobs::RecordBatch &batch);
     void recordChanges();
     void forgetExpired();
@@ -81,7 +81,7 @@
     SessionContext m_context;
     Jobs::OwnerTerm m_term;
     Jobs::JobScheduler m_scheduler;
-    Jobs::RecordQueue m_records;
+    Jobs::JobRecords m_records;
     // The roster on its way to the store.
     Wire::WorkerRoster m_roster;
     Waiters m_waiters;
--- a/src/trefoilhoist/jobs/ownerelection.cpp
+++ b/src/trefoilhoist/jobs/ownerelection.cpp
@@ -1,18 +1,11 @@
 #include "trefoilhoist/jobs/ownerelection.h"
 
+#include "trefoilhoist/jobs/recordkeys.h"
 #include "trefoilhoist/log/eventlog.h"
 #include "trefoilhoist/wire/message.h"
 
 namespace Trefoilhoist::Jobs {
 
-namespace {
-
-const std::string prefix = "lead/";
-const std::string ownerKey = "lead/owner";
-const std::string epochKey = "lead/epoch";
-
-} // namespace
-
 OwnerElection::OwnerElection(
     RecordStore &store, const Clock &clock, ElectionTimes times, Wire::OwnerRecord self)
     : m_store(store), m_clock(clock), m_times(times), m_self(std::move(self))
@@ -46,16 +39,16 @@
 
 awaitable<StoreResult<OwnerElection::Seen>> OwnerElection::look()
 {
-    const auto page = co_await m_store.list(prefix, "");
+    const auto page = co_await m_store.list(leadPrefix, "");
     if (!page) {
         co_return tl::unexpected(page.error());
     }
     Seen seen;
     seen.revision = page->revision;
     for (const auto &it : page->records) {
-        if (it.key == ownerKey) {
+        if (it.key == ownerRecordKey) {
             seen.owner = it;
-        } else if (it.key == epochKey) {
+        } else if (it.key == epochRecordKey) {
             seen.epoch = it;
         }
     }
@@ -75,7 +68,7 @@
         m_owner = *owner;
         Event("owner_seen").add("owner", owner->name).add("epoch", owner->epoch).add("revision", seen.revision);
     }
-    const auto changes = co_await m_store.watch(prefix, seen.revision, m_times.watchWait);
+    const auto changes = co_await m_store.watch(leadPrefix, seen.revision, m_times.watchWait);
     if (!changes) {
         co_await sleepFor(m_times.retryEvery);
     }
@@ -87,8 +80,8 @@
     record.epoch = m_leaseEpoch;
     const auto value = Wire::encode(record);
     RecordCommit commit;
-    commit.conditions = {{ownerKey, seen.owner ? seen.owner->revision : 0}, {epochKey, seen.epoch ? seen.epoch->revision : 0}};
-    commit.writes = {{ownerKey, value, m_lease}, {epochKey, value, 0}};
+    commit.conditions = {{ownerRecordKey, seen.owner ? seen.owner->revision : 0}, {epochRecordKey, seen.epoch ? seen.epoch->revision : 0}};
+    commit.writes = {{ownerRecordKey, value, m_lease}, {epochRecordKey, value, 0}};
     return commit;
 }
 
--- a/src/programs/dispatcher/recordkeys.cpp
+++ b/src/trefoilhoist/jobs/recordkeys.cpp
@@ -1,6 +1,6 @@
-#include "recordkeys.h"
+#include "trefoilhoist/jobs/recordkeys.h"
 
-namespace Trefoilhoist::Dispatcher {
+namespace Trefoilhoist::Jobs {
 
 namespace {
 
@@ -31,4 +31,4 @@
     return name;
 }
 
-} // namespace Trefoilhoist::Dispatcher
+} // namespace Trefoilhoist::Jobs
--- a/src/programs/dispatcher/recordkeys.h
+++ b/src/trefoilhoist/jobs/recordkeys.h
@@ -2,9 +2,11 @@
 
 #include <string>
 
-namespace Trefoilhoist::Dispatcher {
+namespace Trefoilhoist::Jobs {
 
 // Records of the project in the store.
+inline const std::string leadPrefix = "lead/";
+inline const std::string ownerRecordKey = "lead/owner";
 inline const std::string epochRecordKey = "lead/epoch";
 inline const std::string rosterKey = "workers";
 inline const std::string jobPrefix = "job/";
@@ -20,4 +22,4 @@
 [[nodiscard]] std::string progressKey(const std::string &job);
 [[nodiscard]] JobRecordName jobRecordFrom(const std::string &key);
 
-} // namespace Trefoilhoist::Dispatcher
+} // namespace Trefoilhoist::Jobs
--- a/src/trefoilhoist/jobs/recordqueue.cpp
+++ b/src/trefoilhoist/jobs/recordqueue.cpp
@@ -91,7 +91,7 @@
 
 void RecordQueue::settle(const std::string &key, Entry &entry, std::vector<SettledRecord> &settled)
 {
-    settled.push_back({key, entry.sentTag});
+    settled.push_back({key, entry.sentTag, entry.sent.has_value()});
     entry.uncertain = false;
     if (entry.wanted) {
         m_wanted[++m_lastOrder] = key;
--- a/src/trefoilhoist/jobs/recordqueue.h
+++ b/src/trefoilhoist/jobs/recordqueue.h
@@ -15,6 +15,8 @@
     std::string key;
     /// The tag of the value that is recorded.
     std::int64_t tag = 0;
+    /// False: the record is gone.
+    bool present = true;
 };
 
 /// Some records on their way to the store together.
--- /dev/null
+++ b/tests/unit/jobrecords.cpp
@@ -0,0 +1,171 @@
+#include "trefoilhoist/jobs/jobrecords.h"
+#include "trefoilhoist/jobs/recordkeys.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace Trefoilhoist::Jobs {
+
+namespace {
+
+constexpr std::int64_t epochRevision = 5;
+
+Wire::JobSpec oneTaskJob(const std::string &id)
+{
+    Wire::JobSpec spec;
+    spec.id = id;
+    spec.queue.maxAttempts = 2;
+    Wire::StepSpec step;
+    step.count = 1;
+    spec.steps.push_back(step);
+    return spec;
+}
+
+Wire::TaskRef firstTask(const std::string &job)
+{
+    Wire::TaskRef ref;
+    ref.job = job;
+    return ref;
+}
+
+bool removes(const RecordBatch &batch, const std::string &key)
+{
+    const auto &removals = batch.commit.removals;
+    return std::find(removals.begin(), removals.end(), key) != removals.end();
+}
+
+class JobRecordsTest : public testing::Test
+{
+protected:
+    CommitOutcome committed()
+    {
+        CommitOutcome outcome;
+        outcome.committed = true;
+        outcome.revision = ++m_revision;
+        return outcome;
+    }
+
+    CommitOutcome conflict(std::vector<StoredRecord> current)
+    {
+        CommitOutcome outcome;
+        current.push_back({epochRecordKey, "", epochRevision});
+        outcome.current = std::move(current);
+        return outcome;
+    }
+
+    void commitAll()
+    {
+        while (const auto batch = m_records.take()) {
+            m_records.finished(*batch, committed());
+        }
+    }
+
+    JobRecords m_records{epochRevision};
+    std::int64_t m_revision = 100;
+};
+
+} // namespace
+
+TEST_F(JobRecordsTest, finishedJob_endNotRecordedYet_keepsItsSubmission)
+{
+    const auto spec = oneTaskJob("a");
+    m_records.submit(spec);
+    commitAll();
+    Job job(spec, TimePoint{});
+    job.finishTask(firstTask("a"));
+    m_records.putProgress(job);
+
+    const auto ending = m_records.take();
+    ASSERT_TRUE(ending);
+    EXPECT_FALSE(removes(*ending, specKey("a")));
+    m_records.failed(*ending, StoreFailure::Unknown);
+    const auto again = m_records.take();
+    ASSERT_TRUE(again);
+    EXPECT_FALSE(removes(*again, specKey("a")));
+
+    m_records.finished(*again, committed());
+    const auto after = m_records.take();
+    ASSERT_TRUE(after);
+    EXPECT_TRUE(removes(*after, specKey("a")));
+}
+
+TEST_F(JobRecordsTest, finalJob_submissionStillThere_isNotForgotten)
+{
+    const auto spec = oneTaskJob("a");
+    m_records.submit(spec);
+    commitAll();
+    EXPECT_FALSE(m_records.forget("a"));
+}
+
+TEST_F(JobRecordsTest, unansweredSubmission_madeAgain_isSettledByItsValue)
+{
+    m_records.submit(oneTaskJob("a"));
+    const auto first = m_records.take();
+    m_records.failed(*first, StoreFailure::Unknown);
+    EXPECT_FALSE(m_records.withdraw("a"));
+    const auto second = m_records.take();
+    const auto settled = m_records.finished(*second, conflict({{specKey("a"), first->commit.writes.front().value, 7}}));
+    EXPECT_EQ(settled.accepted, std::vector<std::string>{"a"});
+    EXPECT_FALSE(m_records.lost());
+}
+
+TEST_F(JobRecordsTest, refusedSubmission_neverUnanswered_canBeWithdrawn)
+{
+    m_records.submit(oneTaskJob("a"));
+    const auto batch = m_records.take();
+    EXPECT_FALSE(m_records.withdraw("a"));
+    m_records.failed(*batch, StoreFailure::NotDone);
+    EXPECT_TRUE(m_records.withdraw("a"));
+    EXPECT_FALSE(m_records.take());
+}
+
+TEST_F(JobRecordsTest, conflictOverTheEpoch_anyRecord_losesTheTerm)
+{
+    m_records.submit(oneTaskJob("a"));
+    const auto batch = m_records.take();
+    CommitOutcome outcome;
+    outcome.current.push_back({epochRecordKey, "", epochRevision + 1});
+    m_records.finished(*batch, outcome);
+    EXPECT_TRUE(m_records.lost());
+    EXPECT_FALSE(m_records.take());
+}
+
+TEST_F(JobRecordsTest, lateWriteOfOlderProgress_afterNewerWasSent_isOverwrittenByTheNewer)
+{
+    auto spec = oneTaskJob("a");
+    spec.steps.front().count = 2;
+    m_records.submit(spec);
+    commitAll();
+    Job job(spec, TimePoint{});
+    job.finishTask(firstTask("a"));
+    m_records.putProgress(job);
+    const auto older = m_records.take();
+    m_records.failed(*older, StoreFailure::Unknown);
+    auto second = firstTask("a");
+    second.index = 1;
+    job.finishTask(second);
+    m_records.putProgress(job);
+    const auto newer = m_records.take();
+
+    // The older write took effect first: the newer one's condition fails, and it is sent again on the new revision.
+    const auto settled
+        = m_records.finished(*newer, conflict({{progressKey("a"), older->commit.writes.front().value, 50}}));
+    EXPECT_TRUE(settled.progress.empty());
+    const auto again = m_records.take();
+    ASSERT_TRUE(again);
+    EXPECT_EQ(again->commit.conditions.back().revision, 50);
+    EXPECT_EQ(again->commit.writes.front().value, newer->commit.writes.front().value);
+}
+
+TEST_F(JobRecordsTest, manyRecords_oneCommit_staysWithinTheStoresLimit)
+{
+    for (int i = 0; i < 40; ++i) {
+        m_records.submit(oneTaskJob("job" + std::to_string(i)));
+    }
+    const auto batch = m_records.take();
+    ASSERT_TRUE(batch);
+    EXPECT_LE(batch->commit.conditions.size() + batch->commit.writes.size() + batch->commit.removals.size(), maxCommitEntries);
+}
+
+} // namespace Trefoilhoist::Jobs
