Dismiss agents that left or fell silent; block workers with runs of unknown demand; keep what an earlier owner granted

(3) found by reading: a first report without a grant ended the worker's runs at once. A test for each.

--- a/src/programs/dispatcher/ownersession.cpp
+++ b/src/programs/dispatcher/ownersession.cpp
@@ -299,7 +299,7 @@
         m_context.deposed("an agent has orders of epoch " + std::to_string(report.epoch));
         return {};
     }
-    auto reply = m_scheduler.report(report, verified(m_context.scheduler.ownerGrace), m_context.clock.now());
+    auto reply = m_scheduler.report(report, verified(m_context.scheduler.grantGrace), m_context.clock.now());
     recordChanges();
     requestPlan();
     return reply;
@@ -409,7 +409,7 @@
 
 void OwnerSession::plan()
 {
-    if (m_closed || !m_ready || !verified(m_context.scheduler.ownerGrace)) {
+    if (m_closed || !m_ready) {
         return;
     }
     for (auto &[worker, orders] : m_scheduler.plan(m_context.clock.now(), wallMilliseconds())) {
--- a/src/trefoilhoist/jobs/jobplanning.cpp
+++ b/src/trefoilhoist/jobs/jobplanning.cpp
@@ -77,12 +77,14 @@
     for (auto &[id, worker] : m_workers) {
         if (now > worker.leaseEnds && (worker.listed || !worker.runs.empty())) {
             logWorker("worker_lease_expired", worker, m_epoch);
-            endLife(worker, now);
+            dismissAgent(agentName(worker.info), now);
         }
     }
     if (!m_unreported.empty() && now > m_unreportedUntil) {
         logUnreported(m_unreported, m_epoch);
-        m_unreported.clear();
+        for (const auto &name : std::set<std::string>(m_unreported)) {
+            dismissAgent(name, now);
+        }
     }
 }
 
--- a/src/trefoilhoist/jobs/jobrecords.cpp
+++ b/src/trefoilhoist/jobs/jobrecords.cpp
@@ -44,7 +44,7 @@
 
 void JobRecords::putRoster(const Wire::WorkerRoster &roster)
 {
-    m_queue.put(rosterKey, Wire::encode(roster), 0);
+    m_queue.put(rosterKey, Wire::encode(roster), ++m_rosterVersion);
 }
 
 bool JobRecords::forget(const std::string &job)
@@ -61,7 +61,7 @@
     SettledJobs settled;
     for (const auto &it : m_queue.finished(batch, outcome)) {
         if (it.key == rosterKey) {
-            settled.roster = true;
+            settled.roster = it.tag == m_rosterVersion;
             continue;
         }
         const auto name = jobRecordFrom(it.key);
--- a/src/trefoilhoist/jobs/jobrecords.h
+++ b/src/trefoilhoist/jobs/jobrecords.h
@@ -16,6 +16,7 @@
     std::vector<std::string> accepted;
     /// Versions of progress that are recorded, by job.
     std::map<std::string, std::int64_t> progress;
+    /// The roster as it was put last.
     bool roster = false;
 };
 
@@ -48,6 +49,7 @@
 
 private:
     RecordQueue m_queue;
+    std::int64_t m_rosterVersion = 0;
     /// Final jobs whose last progress is on its way, with its version.
     std::map<std::string, std::int64_t> m_ending;
 };
--- a/src/trefoilhoist/jobs/jobreports.cpp
+++ b/src/trefoilhoist/jobs/jobreports.cpp
@@ -17,8 +17,8 @@
     const bool current = report.epoch == m_epoch && report.listed;
     if (report.worker.id.empty()) {
         // The agent's minion has left for good.
-        if (report.gone) {
-            m_unreported.erase(agentName(report.worker));
+        if (report.gone && report.epoch == m_epoch) {
+            dismissAgent(agentName(report.worker), now);
         }
         return reply;
     }
@@ -63,6 +63,22 @@
     return reply;
 }
 
+// The agent's minion has left, or nothing has been heard of the agent for as long as its minion may hold anything.
+void JobScheduler::dismissAgent(const std::string &name, TimePoint now)
+{
+    m_unreported.erase(name);
+    for (auto &[id, worker] : m_workers) {
+        if (agentName(worker.info) == name) {
+            endLife(worker, now);
+            worker.enrolled = false;
+        }
+    }
+    if (m_roster.erase(name) > 0) {
+        m_enrolled.erase(name);
+        m_rosterChanged = true;
+    }
+}
+
 // Finds the worker of a report and takes up a new life of its minion; null for news of an earlier life.
 Worker *JobScheduler::lifeOf(const Wire::WorkerReport &report, TimePoint now)
 {
@@ -70,6 +86,7 @@
     const auto known = m_workers.find(report.worker.id);
     if (known != m_workers.end() && known->second.info.born == report.worker.born) {
         known->second.info = report.worker;
+        enroll(report.worker);
         return &known->second;
     }
     if (known != m_workers.end() && known->second.info.born > report.worker.born) {
@@ -90,11 +107,10 @@
     std::erase_if(m_workers, [&](const auto &it) { return it.second.runs.empty() && agentName(it.second.info) == name; });
     Worker worker;
     worker.info = report.worker;
+    // What an earlier owner granted is not known.
+    worker.leaseEnds = now + m_settings.grantGrace + m_settings.workerLease + m_settings.leaseSlack;
     worker.enrolled = m_enrolled.count(name) > 0;
-    if (m_roster.count(name) == 0) {
-        m_rosterChanged = true;
-    }
-    m_roster[name] = report.worker;
+    enroll(report.worker);
     logWorker("worker_joined", worker, m_epoch);
     auto &kept = m_workers.insert_or_assign(report.worker.id, std::move(worker)).first->second;
     // An unanswered start may still reach the new life under the old id: it is stopped there before the task moves.
@@ -116,6 +132,13 @@
     return &kept;
 }
 
+// Has the agent recorded, so that a later owner waits for its report.
+void JobScheduler::enroll(const Wire::WorkerDescription &worker)
+{
+    const auto [it, added] = m_roster.emplace(agentName(worker), worker);
+    m_rosterChanged = m_rosterChanged || added;
+}
+
 // Nothing that was ordered of this life can run any more.
 void JobScheduler::endLife(Worker &worker, TimePoint now)
 {
--- a/src/trefoilhoist/jobs/jobscheduler.cpp
+++ b/src/trefoilhoist/jobs/jobscheduler.cpp
@@ -49,7 +49,7 @@
         m_enrolled.insert(agentName(it));
         m_unreported.insert(agentName(it));
     }
-    m_unreportedUntil = now + m_settings.ownerGrace + m_settings.workerLease + m_settings.leaseSlack;
+    m_unreportedUntil = now + m_settings.grantGrace + m_settings.workerLease + m_settings.leaseSlack;
 }
 
 Intake JobScheduler::submit(const Wire::JobSpec &spec, TimePoint now)
@@ -166,6 +166,7 @@
 
 void JobScheduler::rosterRecorded(const Wire::WorkerRoster &roster)
 {
+    m_enrolled.clear();
     for (const auto &it : roster.workers) {
         m_enrolled.insert(agentName(it));
     }
--- a/src/trefoilhoist/jobs/jobscheduler.h
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -18,8 +18,8 @@
     Duration workerLease = seconds(6);
     /// Covers the drift of clocks over one worker lease.
     Duration leaseSlack = milliseconds(150);
-    /// An owner that could not reach the store for this long grants nothing any more.
-    Duration ownerGrace = seconds(10);
+    /// An owner that could not renew its own lease for this long grants nothing any more.
+    Duration grantGrace = seconds(2);
     /// Between two orders about a run whose last order got no answer.
     Duration orderRetry = milliseconds(250);
     /// A final job is forgotten after this, in milliseconds.
@@ -125,6 +125,8 @@
 
     // jobreports.cpp
     Worker *lifeOf(const Wire::WorkerReport &report, TimePoint now);
+    void dismissAgent(const std::string &name, TimePoint now);
+    void enroll(const Wire::WorkerDescription &worker);
     void endLife(Worker &worker, TimePoint now);
     void takeEnd(Worker &worker, const Wire::EndedTask &end, TimePoint now);
     void takeRunning(Worker &worker, const Wire::RunningTask &row, std::int64_t listing, TimePoint now);
--- a/src/trefoilhoist/jobs/worker.cpp
+++ b/src/trefoilhoist/jobs/worker.cpp
@@ -47,7 +47,7 @@
 
 bool Worker::fits(const Demand &demand) const
 {
-    return used.cpuMilli + demand.cpuMilli <= info.cpuMilli && used.memoryMb + demand.memoryMb <= info.memoryMb
+    return foreignRuns == 0 && used.cpuMilli + demand.cpuMilli <= info.cpuMilli && used.memoryMb + demand.memoryMb <= info.memoryMb
         && used.accelerators + demand.accelerators <= info.accelerators;
 }
 
@@ -62,6 +62,7 @@
     const auto [it, added] = runs.emplace(key, std::move(run));
     TREFOILHOIST_INVARIANT(added, "a run is known once");
     used += it->second.demand;
+    foreignRuns += it->second.foreign ? 1 : 0;
     return it->second;
 }
 
@@ -70,6 +71,7 @@
     const auto it = runs.find(key);
     if (it != runs.end()) {
         used -= it->second.demand;
+        foreignRuns -= it->second.foreign ? 1 : 0;
         runs.erase(it);
     }
 }
--- a/src/trefoilhoist/jobs/worker.h
+++ b/src/trefoilhoist/jobs/worker.h
@@ -89,10 +89,12 @@
     std::deque<PendingEnd> pendingEnds;
     std::map<RunKey, Run> runs;
     Demand used;
+    /// Runs whose demand is not known.
+    int foreignRuns = 0;
     WorkerHealth health;
 
     [[nodiscard]] bool hasLabel(const std::string &label) const;
-    /// Reserved room suffices for `demand`.
+    /// Reserved room suffices for `demand`; never while a run of unknown demand is there.
     [[nodiscard]] bool fits(const Demand &demand) const;
     /// Processors that neither reservations nor tasks on idle processors claim; may be negative.
     [[nodiscard]] std::int64_t idleCpuMilli() const;
--- /dev/null
+++ b/tests/unit/jobscheduler.cpp
@@ -0,0 +1,420 @@
+#include "trefoilhoist/jobs/jobscheduler.h"
+
+#include <gtest/gtest.h>
+
+namespace Trefoilhoist::Jobs {
+
+namespace {
+
+constexpr std::int64_t epoch = 2;
+constexpr std::int64_t wallMs = 1'000'000;
+constexpr std::int32_t workerCpuMilli = 4000;
+constexpr std::int32_t workerMemoryMb = 8000;
+
+Wire::StepSpec stepOf(int count, int cpuMilli)
+{
+    Wire::StepSpec step;
+    step.count = count;
+    step.cpuMilli = cpuMilli;
+    step.memoryMb = 100;
+    step.estimatedMs = 500;
+    return step;
+}
+
+Wire::JobSpec jobOf(const std::string &id, std::vector<Wire::StepSpec> steps)
+{
+    Wire::JobSpec spec;
+    spec.id = id;
+    spec.queue.name = "quotes";
+    spec.queue.serviceName = "desk";
+    spec.queue.maxAttempts = 2;
+    spec.queue.stretch = 2;
+    spec.queue.targetLatencyMs = 250;
+    spec.steps = std::move(steps);
+    return spec;
+}
+
+Wire::TaskRef taskOf(const std::string &job, int index = 0, int step = 0)
+{
+    Wire::TaskRef ref;
+    ref.job = job;
+    ref.step = step;
+    ref.index = index;
+    return ref;
+}
+
+using PlannedOrders = std::map<std::string, Wire::WorkerOrders>;
+
+/// Plays the agents: answers orders and reports listings.
+class JobSchedulerTest : public testing::Test
+{
+protected:
+    Wire::WorkerReport reportOf(const std::string &worker)
+    {
+        Wire::WorkerReport report;
+        report.worker.id = worker;
+        report.worker.born = 1;
+        report.worker.serviceName = "desk";
+        report.worker.cpuMilli = workerCpuMilli;
+        report.worker.memoryMb = workerMemoryMb;
+        report.worker.agentHost = worker;
+        report.worker.agentPort = 1;
+        report.epoch = epoch;
+        report.listed = true;
+        report.reachable = true;
+        report.listing = ++m_listing;
+        return report;
+    }
+
+    Wire::WorkerReportReply tell(const Wire::WorkerReport &report)
+    {
+        const auto reply = m_scheduler.report(report, true, m_now);
+        if (const auto roster = m_scheduler.takeRoster()) {
+            m_scheduler.rosterRecorded(*roster);
+        }
+        return reply;
+    }
+
+    void join(const std::string &worker)
+    {
+        tell(reportOf(worker));
+    }
+
+    void accept(const Wire::JobSpec &spec)
+    {
+        m_scheduler.submit(spec, m_now);
+        m_scheduler.accept(spec.id, m_now);
+    }
+
+    PlannedOrders plan()
+    {
+        return m_scheduler.plan(m_now, wallMs);
+    }
+
+    void answer(const Wire::WorkerOrders &orders, OrderResult starts, OrderResult stops = OrderResult::Done)
+    {
+        Wire::WorkerOrdersReply reply;
+        reply.starts.assign(orders.starts.size(), static_cast<int>(starts));
+        reply.stops.assign(orders.stops.size(), static_cast<int>(stops));
+        reply.listing = m_listing;
+        m_scheduler.ordersDone(orders, reply, m_now);
+    }
+
+    static Wire::RunningTask running(const Wire::StartOrder &order)
+    {
+        Wire::RunningTask row;
+        row.task = order.task;
+        row.run = order.run;
+        return row;
+    }
+
+    static Wire::EndedTask ended(std::int64_t number, const Wire::StartOrder &order, EndKind how)
+    {
+        Wire::EndedTask row;
+        row.number = number;
+        row.task = order.task;
+        row.run = order.run;
+        row.how = static_cast<int>(how);
+        return row;
+    }
+
+    static std::size_t starts(const PlannedOrders &orders)
+    {
+        std::size_t n = 0;
+        for (const auto &[worker, it] : orders) {
+            n += it.starts.size();
+        }
+        return n;
+    }
+
+    SchedulerSettings m_settings;
+    JobScheduler m_scheduler{m_settings, epoch};
+    TimePoint m_now{seconds(1000)};
+    std::int64_t m_listing = 0;
+};
+
+} // namespace
+
+TEST_F(JobSchedulerTest, acceptedJob_workerWithRoom_isStarted)
+{
+    join("w1");
+    accept(jobOf("a", {stepOf(2, 1000)}));
+    EXPECT_EQ(starts(plan()), 2U);
+}
+
+TEST_F(JobSchedulerTest, submittedJob_notRecorded_isNotStarted)
+{
+    join("w1");
+    m_scheduler.submit(jobOf("a", {stepOf(1, 1000)}), m_now);
+    EXPECT_EQ(starts(plan()), 0U);
+}
+
+TEST_F(JobSchedulerTest, worker_notInTheRecordedRoster_getsNothing)
+{
+    m_scheduler.report(reportOf("w1"), true, m_now);
+    accept(jobOf("a", {stepOf(1, 1000)}));
+    EXPECT_EQ(starts(plan()), 0U);
+}
+
+TEST_F(JobSchedulerTest, tasks_moreThanTheCapacity_startOnlyAsFarAsTheyFit)
+{
+    join("w1");
+    accept(jobOf("a", {stepOf(9, 1000)}));
+    EXPECT_EQ(starts(plan()), 4U);
+}
+
+TEST_F(JobSchedulerTest, unansweredStart_stillUnsettled_takesRoomAndIsSentAgain)
+{
+    join("w1");
+    accept(jobOf("a", {stepOf(1, 3000)}));
+    const auto first = plan().at("w1");
+    m_scheduler.ordersDone(first, std::nullopt, m_now);
+    accept(jobOf("b", {stepOf(1, 3000)}));
+    m_now += seconds(1);
+    tell(reportOf("w1"));
+    const auto again = plan().at("w1");
+    ASSERT_EQ(again.starts.size(), 1U);
+    EXPECT_EQ(again.starts.front().task.job, "a");
+    EXPECT_EQ(again.starts.front().run, first.starts.front().run);
+}
+
+TEST_F(JobSchedulerTest, runningTask_missingInALaterListing_startsAgainWithAHigherRun)
+{
+    join("w1");
+    accept(jobOf("a", {stepOf(1, 1000)}));
+    const auto orders = plan().at("w1");
+    answer(orders, OrderResult::Done);
+    tell(reportOf("w1"));
+    const auto again = plan().at("w1");
+    ASSERT_EQ(again.starts.size(), 1U);
+    EXPECT_GT(again.starts.front().run, orders.starts.front().run);
+}
+
+TEST_F(JobSchedulerTest, runningTask_listingFromBeforeTheStart_isKept)
+{
+    join("w1");
+    const auto stale = reportOf("w1");
+    accept(jobOf("a", {stepOf(1, 1000)}));
+    answer(plan().at("w1"), OrderResult::Done);
+    tell(stale);
+    EXPECT_EQ(starts(plan()), 0U);
+}
+
+TEST_F(JobSchedulerTest, laterStep_earlierStepUnfinished_waits)
+{
+    join("w1");
+    auto second = stepOf(1, 1000);
+    second.after = {0};
+    accept(jobOf("a", {stepOf(1, 1000), second}));
+    const auto orders = plan().at("w1");
+    ASSERT_EQ(orders.starts.size(), 1U);
+    answer(orders, OrderResult::Done);
+    auto report = reportOf("w1");
+    report.ended = {ended(1, orders.starts.front(), EndKind::Done)};
+    tell(report);
+    const auto next = plan().at("w1");
+    ASSERT_EQ(next.starts.size(), 1U);
+    EXPECT_EQ(next.starts.front().task.step, 1);
+}
+
+TEST_F(JobSchedulerTest, end_jobNotRecordedYet_isNotTakenNoteOf)
+{
+    join("w1");
+    accept(jobOf("a", {stepOf(1, 1000)}));
+    const auto orders = plan().at("w1");
+    answer(orders, OrderResult::Done);
+    auto report = reportOf("w1");
+    report.ended = {ended(1, orders.starts.front(), EndKind::Done)};
+    EXPECT_EQ(tell(report).recordedEnds, 0);
+    m_scheduler.recorded("a", m_scheduler.job("a")->version());
+    EXPECT_EQ(tell(reportOf("w1")).recordedEnds, 1);
+}
+
+TEST_F(JobSchedulerTest, failedEnd_listedAgainByALaterOwner_countsOnce)
+{
+    join("w1");
+    accept(jobOf("a", {stepOf(1, 1000)}));
+    const auto orders = plan().at("w1");
+    answer(orders, OrderResult::Done);
+    auto report = reportOf("w1");
+    report.ended = {ended(1, orders.starts.front(), EndKind::Failed)};
+    tell(report);
+    const auto progress = m_scheduler.job("a")->progress();
+
+    JobScheduler later(m_settings, epoch + 1);
+    later.restoreJob(m_scheduler.job("a")->spec(), progress, m_now);
+    report.epoch = epoch + 1;
+    report.listing = ++m_listing;
+    later.report(report, true, m_now);
+    EXPECT_FALSE(isFinal(later.job("a")->phase()));
+}
+
+TEST_F(JobSchedulerTest, inheritedTask_someAgentHasNotReported_isNotStarted)
+{
+    Wire::WorkerRoster roster;
+    roster.workers = {reportOf("w1").worker, reportOf("w2").worker};
+    m_scheduler.restoreJob(jobOf("a", {stepOf(1, 1000)}), std::nullopt, m_now);
+    m_scheduler.restoreRoster(roster, m_now);
+    join("w1");
+    EXPECT_EQ(starts(plan()), 0U);
+    join("w2");
+    EXPECT_EQ(starts(plan()), 1U);
+}
+
+TEST_F(JobSchedulerTest, inheritedTask_reportedAsRunning_isAdoptedAndNotStarted)
+{
+    Wire::WorkerRoster roster;
+    roster.workers = {reportOf("w1").worker};
+    m_scheduler.restoreJob(jobOf("a", {stepOf(1, 1000)}), std::nullopt, m_now);
+    m_scheduler.restoreRoster(roster, m_now);
+    auto report = reportOf("w1");
+    Wire::RunningTask row;
+    row.task = taskOf("a");
+    row.run = 1;
+    report.running = {row};
+    tell(report);
+    EXPECT_EQ(starts(plan()), 0U);
+    EXPECT_EQ(m_scheduler.workers().at("w1").used.cpuMilli, 1000);
+}
+
+TEST_F(JobSchedulerTest, runOfAForgottenJob_beingStopped_blocksItsWorker)
+{
+    auto report = reportOf("w1");
+    Wire::RunningTask row;
+    row.task = taskOf("gone");
+    row.run = 1;
+    report.running = {row};
+    tell(report);
+    accept(jobOf("a", {stepOf(1, 1000)}));
+    const auto orders = plan().at("w1");
+    EXPECT_EQ(orders.starts.size(), 0U);
+    ASSERT_EQ(orders.stops.size(), 1U);
+    answer(orders, OrderResult::Done);
+    tell(reportOf("w1"));
+    EXPECT_EQ(starts(plan()), 1U);
+}
+
+TEST_F(JobSchedulerTest, agentThatLeft_longRunningTask_movesAtOnceAndLeavesTheRoster)
+{
+    join("w1");
+    auto step = stepOf(1, 1000);
+    step.longRunning = true;
+    accept(jobOf("a", {step}));
+    answer(plan().at("w1"), OrderResult::Done);
+    join("w2");
+    Wire::WorkerReport left;
+    left.epoch = epoch;
+    left.gone = true;
+    left.worker.agentHost = "w1";
+    left.worker.agentPort = 1;
+    m_scheduler.report(left, true, m_now);
+    const auto roster = m_scheduler.takeRoster();
+    ASSERT_TRUE(roster);
+    EXPECT_EQ(roster->workers.size(), 1U);
+    const auto orders = plan();
+    ASSERT_EQ(orders.count("w2"), 1U);
+    EXPECT_EQ(orders.at("w2").starts.size(), 1U);
+}
+
+TEST_F(JobSchedulerTest, silentWorker_leaseEnded_tasksStartElsewhere)
+{
+    join("w1");
+    accept(jobOf("a", {stepOf(1, 1000)}));
+    answer(plan().at("w1"), OrderResult::Done);
+    m_now += m_settings.workerLease - milliseconds(10);
+    join("w2");
+    EXPECT_EQ(starts(plan()), 0U);
+    m_now += milliseconds(10) + 2 * m_settings.leaseSlack;
+    EXPECT_EQ(plan().at("w2").starts.size(), 1U);
+}
+
+TEST_F(JobSchedulerTest, workerOfAnEarlierOwner_firstReportWithoutGrant_keepsItsRuns)
+{
+    m_scheduler.restoreJob(jobOf("a", {stepOf(1, 1000)}), std::nullopt, m_now);
+    auto report = reportOf("w1");
+    Wire::RunningTask row;
+    row.task = taskOf("a");
+    row.run = 1;
+    report.running = {row};
+    m_scheduler.report(report, false, m_now);
+    m_now += milliseconds(100);
+    plan();
+    EXPECT_EQ(m_scheduler.workers().at("w1").runs.size(), 1U);
+}
+
+TEST_F(JobSchedulerTest, unansweredStart_minionBornAgain_isStoppedThereBeforeItMoves)
+{
+    join("w1");
+    accept(jobOf("a", {stepOf(1, 1000)}));
+    m_scheduler.ordersDone(plan().at("w1"), std::nullopt, m_now);
+    auto reborn = reportOf("w1");
+    reborn.worker.born = 2;
+    tell(reborn);
+    const auto orders = plan().at("w1");
+    EXPECT_EQ(orders.starts.size(), 0U);
+    ASSERT_EQ(orders.stops.size(), 1U);
+    answer(orders, OrderResult::Done);
+    auto later = reportOf("w1");
+    later.worker.born = 2;
+    tell(later);
+    EXPECT_EQ(starts(plan()), 1U);
+}
+
+TEST_F(JobSchedulerTest, cancelledJob_runningTasks_areStopped)
+{
+    join("w1");
+    accept(jobOf("a", {stepOf(2, 1000)}));
+    answer(plan().at("w1"), OrderResult::Done);
+    m_scheduler.cancel("a", m_now);
+    EXPECT_EQ(plan().at("w1").stops.size(), 2U);
+    EXPECT_EQ(m_scheduler.job("a")->phase(), JobPhase::Cancelled);
+}
+
+TEST_F(JobSchedulerTest, drainingWorker_newTask_goesElsewhere)
+{
+    join("w1");
+    auto draining = reportOf("w1");
+    draining.draining = true;
+    tell(draining);
+    join("w2");
+    accept(jobOf("a", {stepOf(1, 1000)}));
+    EXPECT_EQ(plan().count("w1"), 0U);
+}
+
+TEST_F(JobSchedulerTest, gang_roomForSomeMembersOnly_startsNone)
+{
+    join("w1");
+    auto step = stepOf(5, 1000);
+    step.gang = true;
+    accept(jobOf("a", {step}));
+    EXPECT_EQ(starts(plan()), 0U);
+    join("w2");
+    EXPECT_EQ(starts(plan()), 5U);
+}
+
+TEST_F(JobSchedulerTest, stepWithALimitPerWorker_manyTasks_keepsToIt)
+{
+    join("w1");
+    join("w2");
+    auto step = stepOf(4, 100);
+    step.maxPerWorker = 1;
+    accept(jobOf("a", {step}));
+    EXPECT_EQ(starts(plan()), 2U);
+}
+
+TEST_F(JobSchedulerTest, task_usedUpItsAttempts_failsItsJob)
+{
+    join("w1");
+    accept(jobOf("a", {stepOf(1, 1000)}));
+    for (int attempt = 1; attempt <= 2; ++attempt) {
+        const auto orders = plan().at("w1");
+        answer(orders, OrderResult::Done);
+        auto report = reportOf("w1");
+        report.ended = {ended(attempt, orders.starts.front(), EndKind::Failed)};
+        tell(report);
+    }
+    EXPECT_EQ(m_scheduler.job("a")->phase(), JobPhase::Failed);
+    EXPECT_EQ(starts(plan()), 0U);
+}
+
+} // namespace Trefoilhoist::Jobs
