--- a/idl/gen/messages_types.cpp
+++ b/idl/gen/messages_types.cpp
@@ -6599,6 +6599,10 @@
 void RunInfo::__set_usesIdleCpu(const bool val) {
   this->usesIdleCpu = val;
 }
+
+void RunInfo::__set_cpuMilli(const int32_t val) {
+  this->cpuMilli = val;
+}
 std::ostream& operator<<(std::ostream& out, const RunInfo& obj)
 {
   obj.printTo(out);
@@ -6667,6 +6671,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->cpuMilli);
+          this->__isset.cpuMilli = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6704,6 +6716,10 @@
   xfer += oprot->writeBool(this->usesIdleCpu);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("cpuMilli", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->cpuMilli);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6716,6 +6732,7 @@
   swap(a.image, b.image);
   swap(a.tailTargetMs, b.tailTargetMs);
   swap(a.usesIdleCpu, b.usesIdleCpu);
+  swap(a.cpuMilli, b.cpuMilli);
   swap(a.__isset, b.__isset);
 }
 
@@ -6725,6 +6742,7 @@
   image = other263.image;
   tailTargetMs = other263.tailTargetMs;
   usesIdleCpu = other263.usesIdleCpu;
+  cpuMilli = other263.cpuMilli;
   __isset = other263.__isset;
 }
 RunInfo::RunInfo(RunInfo&& other264) noexcept {
@@ -6733,6 +6751,7 @@
   image = std::move(other264.image);
   tailTargetMs = other264.tailTargetMs;
   usesIdleCpu = other264.usesIdleCpu;
+  cpuMilli = other264.cpuMilli;
   __isset = other264.__isset;
 }
 RunInfo& RunInfo::operator=(const RunInfo& other265) {
@@ -6741,6 +6760,7 @@
   image = other265.image;
   tailTargetMs = other265.tailTargetMs;
   usesIdleCpu = other265.usesIdleCpu;
+  cpuMilli = other265.cpuMilli;
   __isset = other265.__isset;
   return *this;
 }
@@ -6750,6 +6770,7 @@
   image = std::move(other266.image);
   tailTargetMs = other266.tailTargetMs;
   usesIdleCpu = other266.usesIdleCpu;
+  cpuMilli = other266.cpuMilli;
   __isset = other266.__isset;
   return *this;
 }
@@ -6761,6 +6782,152 @@
   out << ", " << "image=" << to_string(image);
   out << ", " << "tailTargetMs=" << to_string(tailTargetMs);
   out << ", " << "usesIdleCpu=" << to_string(usesIdleCpu);
+  out << ", " << "cpuMilli=" << to_string(cpuMilli);
+  out << ")";
+}
+
+
+ImagePair::~ImagePair() noexcept {
+}
+
+
+void ImagePair::__set_servingImage(const std::string& val) {
+  this->servingImage = val;
+}
+
+void ImagePair::__set_fillingImage(const std::string& val) {
+  this->fillingImage = val;
+}
+
+void ImagePair::__set_effect(const double val) {
+  this->effect = val;
+}
+std::ostream& operator<<(std::ostream& out, const ImagePair& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ImagePair::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->servingImage);
+          this->__isset.servingImage = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->fillingImage);
+          this->__isset.fillingImage = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->effect);
+          this->__isset.effect = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ImagePair::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ImagePair");
+
+  xfer += oprot->writeFieldBegin("servingImage", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->servingImage);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fillingImage", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->fillingImage);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("effect", ::apache::thrift::protocol::T_DOUBLE, 3);
+  xfer += oprot->writeDouble(this->effect);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ImagePair &a, ImagePair &b) {
+  using ::std::swap;
+  swap(a.servingImage, b.servingImage);
+  swap(a.fillingImage, b.fillingImage);
+  swap(a.effect, b.effect);
+  swap(a.__isset, b.__isset);
+}
+
+ImagePair::ImagePair(const ImagePair& other267) {
+  servingImage = other267.servingImage;
+  fillingImage = other267.fillingImage;
+  effect = other267.effect;
+  __isset = other267.__isset;
+}
+ImagePair::ImagePair(ImagePair&& other268) noexcept {
+  servingImage = std::move(other268.servingImage);
+  fillingImage = std::move(other268.fillingImage);
+  effect = other268.effect;
+  __isset = other268.__isset;
+}
+ImagePair& ImagePair::operator=(const ImagePair& other269) {
+  servingImage = other269.servingImage;
+  fillingImage = other269.fillingImage;
+  effect = other269.effect;
+  __isset = other269.__isset;
+  return *this;
+}
+ImagePair& ImagePair::operator=(ImagePair&& other270) noexcept {
+  servingImage = std::move(other270.servingImage);
+  fillingImage = std::move(other270.fillingImage);
+  effect = other270.effect;
+  __isset = other270.__isset;
+  return *this;
+}
+void ImagePair::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ImagePair(";
+  out << "servingImage=" << to_string(servingImage);
+  out << ", " << "fillingImage=" << to_string(fillingImage);
+  out << ", " << "effect=" << to_string(effect);
   out << ")";
 }
 
@@ -6788,6 +6955,10 @@
 void WorkerReportReply::__set_runs(const std::vector<RunInfo> & val) {
   this->runs = val;
 }
+
+void WorkerReportReply::__set_pairs(const std::vector<ImagePair> & val) {
+  this->pairs = val;
+}
 std::ostream& operator<<(std::ostream& out, const WorkerReportReply& obj)
 {
   obj.printTo(out);
@@ -6852,14 +7023,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->runs.clear();
-            uint32_t _size267;
-            ::apache::thrift::protocol::TType _etype270;
-            xfer += iprot->readListBegin(_etype270, _size267);
-            this->runs.resize(_size267);
-            uint32_t _i271;
-            for (_i271 = 0; _i271 < _size267; ++_i271)
+            uint32_t _size271;
+            ::apache::thrift::protocol::TType _etype274;
+            xfer += iprot->readListBegin(_etype274, _size271);
+            this->runs.resize(_size271);
+            uint32_t _i275;
+            for (_i275 = 0; _i275 < _size271; ++_i275)
             {
-              xfer += this->runs[_i271].read(iprot);
+              xfer += this->runs[_i275].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6868,6 +7039,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->pairs.clear();
+            uint32_t _size276;
+            ::apache::thrift::protocol::TType _etype279;
+            xfer += iprot->readListBegin(_etype279, _size276);
+            this->pairs.resize(_size276);
+            uint32_t _i280;
+            for (_i280 = 0; _i280 < _size276; ++_i280)
+            {
+              xfer += this->pairs[_i280].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.pairs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6904,10 +7095,22 @@
   xfer += oprot->writeFieldBegin("runs", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->runs.size()));
-    std::vector<RunInfo> ::const_iterator _iter272;
-    for (_iter272 = this->runs.begin(); _iter272 != this->runs.end(); ++_iter272)
+    std::vector<RunInfo> ::const_iterator _iter281;
+    for (_iter281 = this->runs.begin(); _iter281 != this->runs.end(); ++_iter281)
+    {
+      xfer += (*_iter281).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pairs", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->pairs.size()));
+    std::vector<ImagePair> ::const_iterator _iter282;
+    for (_iter282 = this->pairs.begin(); _iter282 != this->pairs.end(); ++_iter282)
     {
-      xfer += (*_iter272).write(oprot);
+      xfer += (*_iter282).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6925,41 +7128,46 @@
   swap(a.recordedEnds, b.recordedEnds);
   swap(a.leaseTerm, b.leaseTerm);
   swap(a.runs, b.runs);
+  swap(a.pairs, b.pairs);
   swap(a.__isset, b.__isset);
 }
 
-WorkerReportReply::WorkerReportReply(const WorkerReportReply& other273) {
-  epoch = other273.epoch;
-  leaseMs = other273.leaseMs;
-  recordedEnds = other273.recordedEnds;
-  leaseTerm = other273.leaseTerm;
-  runs = other273.runs;
-  __isset = other273.__isset;
-}
-WorkerReportReply::WorkerReportReply(WorkerReportReply&& other274) noexcept {
-  epoch = other274.epoch;
-  leaseMs = other274.leaseMs;
-  recordedEnds = other274.recordedEnds;
-  leaseTerm = other274.leaseTerm;
-  runs = std::move(other274.runs);
-  __isset = other274.__isset;
-}
-WorkerReportReply& WorkerReportReply::operator=(const WorkerReportReply& other275) {
-  epoch = other275.epoch;
-  leaseMs = other275.leaseMs;
-  recordedEnds = other275.recordedEnds;
-  leaseTerm = other275.leaseTerm;
-  runs = other275.runs;
-  __isset = other275.__isset;
+WorkerReportReply::WorkerReportReply(const WorkerReportReply& other283) {
+  epoch = other283.epoch;
+  leaseMs = other283.leaseMs;
+  recordedEnds = other283.recordedEnds;
+  leaseTerm = other283.leaseTerm;
+  runs = other283.runs;
+  pairs = other283.pairs;
+  __isset = other283.__isset;
+}
+WorkerReportReply::WorkerReportReply(WorkerReportReply&& other284) noexcept {
+  epoch = other284.epoch;
+  leaseMs = other284.leaseMs;
+  recordedEnds = other284.recordedEnds;
+  leaseTerm = other284.leaseTerm;
+  runs = std::move(other284.runs);
+  pairs = std::move(other284.pairs);
+  __isset = other284.__isset;
+}
+WorkerReportReply& WorkerReportReply::operator=(const WorkerReportReply& other285) {
+  epoch = other285.epoch;
+  leaseMs = other285.leaseMs;
+  recordedEnds = other285.recordedEnds;
+  leaseTerm = other285.leaseTerm;
+  runs = other285.runs;
+  pairs = other285.pairs;
+  __isset = other285.__isset;
   return *this;
 }
-WorkerReportReply& WorkerReportReply::operator=(WorkerReportReply&& other276) noexcept {
-  epoch = other276.epoch;
-  leaseMs = other276.leaseMs;
-  recordedEnds = other276.recordedEnds;
-  leaseTerm = other276.leaseTerm;
-  runs = std::move(other276.runs);
-  __isset = other276.__isset;
+WorkerReportReply& WorkerReportReply::operator=(WorkerReportReply&& other286) noexcept {
+  epoch = other286.epoch;
+  leaseMs = other286.leaseMs;
+  recordedEnds = other286.recordedEnds;
+  leaseTerm = other286.leaseTerm;
+  runs = std::move(other286.runs);
+  pairs = std::move(other286.pairs);
+  __isset = other286.__isset;
   return *this;
 }
 void WorkerReportReply::printTo(std::ostream& out) const {
@@ -6970,6 +7178,7 @@
   out << ", " << "recordedEnds=" << to_string(recordedEnds);
   out << ", " << "leaseTerm=" << to_string(leaseTerm);
   out << ", " << "runs=" << to_string(runs);
+  out << ", " << "pairs=" << to_string(pairs);
   out << ")";
 }
 
@@ -7134,42 +7343,42 @@
   swap(a.__isset, b.__isset);
 }
 
-StartOrder::StartOrder(const StartOrder& other277) {
-  task = other277.task;
-  run = other277.run;
-  payload = other277.payload;
-  checkpoint = other277.checkpoint;
-  info = other277.info;
-  permit = other277.permit;
-  __isset = other277.__isset;
-}
-StartOrder::StartOrder(StartOrder&& other278) noexcept {
-  task = std::move(other278.task);
-  run = other278.run;
-  payload = std::move(other278.payload);
-  checkpoint = std::move(other278.checkpoint);
-  info = std::move(other278.info);
-  permit = std::move(other278.permit);
-  __isset = other278.__isset;
-}
-StartOrder& StartOrder::operator=(const StartOrder& other279) {
-  task = other279.task;
-  run = other279.run;
-  payload = other279.payload;
-  checkpoint = other279.checkpoint;
-  info = other279.info;
-  permit = other279.permit;
-  __isset = other279.__isset;
+StartOrder::StartOrder(const StartOrder& other287) {
+  task = other287.task;
+  run = other287.run;
+  payload = other287.payload;
+  checkpoint = other287.checkpoint;
+  info = other287.info;
+  permit = other287.permit;
+  __isset = other287.__isset;
+}
+StartOrder::StartOrder(StartOrder&& other288) noexcept {
+  task = std::move(other288.task);
+  run = other288.run;
+  payload = std::move(other288.payload);
+  checkpoint = std::move(other288.checkpoint);
+  info = std::move(other288.info);
+  permit = std::move(other288.permit);
+  __isset = other288.__isset;
+}
+StartOrder& StartOrder::operator=(const StartOrder& other289) {
+  task = other289.task;
+  run = other289.run;
+  payload = other289.payload;
+  checkpoint = other289.checkpoint;
+  info = other289.info;
+  permit = other289.permit;
+  __isset = other289.__isset;
   return *this;
 }
-StartOrder& StartOrder::operator=(StartOrder&& other280) noexcept {
-  task = std::move(other280.task);
-  run = other280.run;
-  payload = std::move(other280.payload);
-  checkpoint = std::move(other280.checkpoint);
-  info = std::move(other280.info);
-  permit = std::move(other280.permit);
-  __isset = other280.__isset;
+StartOrder& StartOrder::operator=(StartOrder&& other290) noexcept {
+  task = std::move(other290.task);
+  run = other290.run;
+  payload = std::move(other290.payload);
+  checkpoint = std::move(other290.checkpoint);
+  info = std::move(other290.info);
+  permit = std::move(other290.permit);
+  __isset = other290.__isset;
   return *this;
 }
 void StartOrder::printTo(std::ostream& out) const {
@@ -7277,26 +7486,26 @@
   swap(a.__isset, b.__isset);
 }
 
-StopOrder::StopOrder(const StopOrder& other281) {
-  task = other281.task;
-  run = other281.run;
-  __isset = other281.__isset;
+StopOrder::StopOrder(const StopOrder& other291) {
+  task = other291.task;
+  run = other291.run;
+  __isset = other291.__isset;
 }
-StopOrder::StopOrder(StopOrder&& other282) noexcept {
-  task = std::move(other282.task);
-  run = other282.run;
-  __isset = other282.__isset;
+StopOrder::StopOrder(StopOrder&& other292) noexcept {
+  task = std::move(other292.task);
+  run = other292.run;
+  __isset = other292.__isset;
 }
-StopOrder& StopOrder::operator=(const StopOrder& other283) {
-  task = other283.task;
-  run = other283.run;
-  __isset = other283.__isset;
+StopOrder& StopOrder::operator=(const StopOrder& other293) {
+  task = other293.task;
+  run = other293.run;
+  __isset = other293.__isset;
   return *this;
 }
-StopOrder& StopOrder::operator=(StopOrder&& other284) noexcept {
-  task = std::move(other284.task);
-  run = other284.run;
-  __isset = other284.__isset;
+StopOrder& StopOrder::operator=(StopOrder&& other294) noexcept {
+  task = std::move(other294.task);
+  run = other294.run;
+  __isset = other294.__isset;
   return *this;
 }
 void StopOrder::printTo(std::ostream& out) const {
@@ -7415,14 +7624,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->starts.clear();
-            uint32_t _size285;
-            ::apache::thrift::protocol::TType _etype288;
-            xfer += iprot->readListBegin(_etype288, _size285);
-            this->starts.resize(_size285);
-            uint32_t _i289;
-            for (_i289 = 0; _i289 < _size285; ++_i289)
+            uint32_t _size295;
+            ::apache::thrift::protocol::TType _etype298;
+            xfer += iprot->readListBegin(_etype298, _size295);
+            this->starts.resize(_size295);
+            uint32_t _i299;
+            for (_i299 = 0; _i299 < _size295; ++_i299)
             {
-              xfer += this->starts[_i289].read(iprot);
+              xfer += this->starts[_i299].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7435,14 +7644,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->stops.clear();
-            uint32_t _size290;
-            ::apache::thrift::protocol::TType _etype293;
-            xfer += iprot->readListBegin(_etype293, _size290);
-            this->stops.resize(_size290);
-            uint32_t _i294;
-            for (_i294 = 0; _i294 < _size290; ++_i294)
+            uint32_t _size300;
+            ::apache::thrift::protocol::TType _etype303;
+            xfer += iprot->readListBegin(_etype303, _size300);
+            this->stops.resize(_size300);
+            uint32_t _i304;
+            for (_i304 = 0; _i304 < _size300; ++_i304)
             {
-              xfer += this->stops[_i294].read(iprot);
+              xfer += this->stops[_i304].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7499,10 +7708,10 @@
   xfer += oprot->writeFieldBegin("starts", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->starts.size()));
-    std::vector<StartOrder> ::const_iterator _iter295;
-    for (_iter295 = this->starts.begin(); _iter295 != this->starts.end(); ++_iter295)
+    std::vector<StartOrder> ::const_iterator _iter305;
+    for (_iter305 = this->starts.begin(); _iter305 != this->starts.end(); ++_iter305)
     {
-      xfer += (*_iter295).write(oprot);
+      xfer += (*_iter305).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7511,10 +7720,10 @@
   xfer += oprot->writeFieldBegin("stops", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->stops.size()));
-    std::vector<StopOrder> ::const_iterator _iter296;
-    for (_iter296 = this->stops.begin(); _iter296 != this->stops.end(); ++_iter296)
+    std::vector<StopOrder> ::const_iterator _iter306;
+    for (_iter306 = this->stops.begin(); _iter306 != this->stops.end(); ++_iter306)
     {
-      xfer += (*_iter296).write(oprot);
+      xfer += (*_iter306).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7542,50 +7751,50 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerOrders::WorkerOrders(const WorkerOrders& other297) {
-  epoch = other297.epoch;
-  ownerHost = other297.ownerHost;
-  ownerPort = other297.ownerPort;
-  worker = other297.worker;
-  born = other297.born;
-  starts = other297.starts;
-  stops = other297.stops;
-  leaseTerm = other297.leaseTerm;
-  __isset = other297.__isset;
-}
-WorkerOrders::WorkerOrders(WorkerOrders&& other298) noexcept {
-  epoch = other298.epoch;
-  ownerHost = std::move(other298.ownerHost);
-  ownerPort = other298.ownerPort;
-  worker = std::move(other298.worker);
-  born = other298.born;
-  starts = std::move(other298.starts);
-  stops = std::move(other298.stops);
-  leaseTerm = other298.leaseTerm;
-  __isset = other298.__isset;
-}
-WorkerOrders& WorkerOrders::operator=(const WorkerOrders& other299) {
-  epoch = other299.epoch;
-  ownerHost = other299.ownerHost;
-  ownerPort = other299.ownerPort;
-  worker = other299.worker;
-  born = other299.born;
-  starts = other299.starts;
-  stops = other299.stops;
-  leaseTerm = other299.leaseTerm;
-  __isset = other299.__isset;
+WorkerOrders::WorkerOrders(const WorkerOrders& other307) {
+  epoch = other307.epoch;
+  ownerHost = other307.ownerHost;
+  ownerPort = other307.ownerPort;
+  worker = other307.worker;
+  born = other307.born;
+  starts = other307.starts;
+  stops = other307.stops;
+  leaseTerm = other307.leaseTerm;
+  __isset = other307.__isset;
+}
+WorkerOrders::WorkerOrders(WorkerOrders&& other308) noexcept {
+  epoch = other308.epoch;
+  ownerHost = std::move(other308.ownerHost);
+  ownerPort = other308.ownerPort;
+  worker = std::move(other308.worker);
+  born = other308.born;
+  starts = std::move(other308.starts);
+  stops = std::move(other308.stops);
+  leaseTerm = other308.leaseTerm;
+  __isset = other308.__isset;
+}
+WorkerOrders& WorkerOrders::operator=(const WorkerOrders& other309) {
+  epoch = other309.epoch;
+  ownerHost = other309.ownerHost;
+  ownerPort = other309.ownerPort;
+  worker = other309.worker;
+  born = other309.born;
+  starts = other309.starts;
+  stops = other309.stops;
+  leaseTerm = other309.leaseTerm;
+  __isset = other309.__isset;
   return *this;
 }
-WorkerOrders& WorkerOrders::operator=(WorkerOrders&& other300) noexcept {
-  epoch = other300.epoch;
-  ownerHost = std::move(other300.ownerHost);
-  ownerPort = other300.ownerPort;
-  worker = std::move(other300.worker);
-  born = other300.born;
-  starts = std::move(other300.starts);
-  stops = std::move(other300.stops);
-  leaseTerm = other300.leaseTerm;
-  __isset = other300.__isset;
+WorkerOrders& WorkerOrders::operator=(WorkerOrders&& other310) noexcept {
+  epoch = other310.epoch;
+  ownerHost = std::move(other310.ownerHost);
+  ownerPort = other310.ownerPort;
+  worker = std::move(other310.worker);
+  born = other310.born;
+  starts = std::move(other310.starts);
+  stops = std::move(other310.stops);
+  leaseTerm = other310.leaseTerm;
+  __isset = other310.__isset;
   return *this;
 }
 void WorkerOrders::printTo(std::ostream& out) const {
@@ -7650,14 +7859,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->starts.clear();
-            uint32_t _size301;
-            ::apache::thrift::protocol::TType _etype304;
-            xfer += iprot->readListBegin(_etype304, _size301);
-            this->starts.resize(_size301);
-            uint32_t _i305;
-            for (_i305 = 0; _i305 < _size301; ++_i305)
+            uint32_t _size311;
+            ::apache::thrift::protocol::TType _etype314;
+            xfer += iprot->readListBegin(_etype314, _size311);
+            this->starts.resize(_size311);
+            uint32_t _i315;
+            for (_i315 = 0; _i315 < _size311; ++_i315)
             {
-              xfer += iprot->readI32(this->starts[_i305]);
+              xfer += iprot->readI32(this->starts[_i315]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7670,14 +7879,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->stops.clear();
-            uint32_t _size306;
-            ::apache::thrift::protocol::TType _etype309;
-            xfer += iprot->readListBegin(_etype309, _size306);
-            this->stops.resize(_size306);
-            uint32_t _i310;
-            for (_i310 = 0; _i310 < _size306; ++_i310)
+            uint32_t _size316;
+            ::apache::thrift::protocol::TType _etype319;
+            xfer += iprot->readListBegin(_etype319, _size316);
+            this->stops.resize(_size316);
+            uint32_t _i320;
+            for (_i320 = 0; _i320 < _size316; ++_i320)
             {
-              xfer += iprot->readI32(this->stops[_i310]);
+              xfer += iprot->readI32(this->stops[_i320]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7714,10 +7923,10 @@
   xfer += oprot->writeFieldBegin("starts", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->starts.size()));
-    std::vector<int32_t> ::const_iterator _iter311;
-    for (_iter311 = this->starts.begin(); _iter311 != this->starts.end(); ++_iter311)
+    std::vector<int32_t> ::const_iterator _iter321;
+    for (_iter321 = this->starts.begin(); _iter321 != this->starts.end(); ++_iter321)
     {
-      xfer += oprot->writeI32((*_iter311));
+      xfer += oprot->writeI32((*_iter321));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7726,10 +7935,10 @@
   xfer += oprot->writeFieldBegin("stops", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->stops.size()));
-    std::vector<int32_t> ::const_iterator _iter312;
-    for (_iter312 = this->stops.begin(); _iter312 != this->stops.end(); ++_iter312)
+    std::vector<int32_t> ::const_iterator _iter322;
+    for (_iter322 = this->stops.begin(); _iter322 != this->stops.end(); ++_iter322)
     {
-      xfer += oprot->writeI32((*_iter312));
+      xfer += oprot->writeI32((*_iter322));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7752,30 +7961,30 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerOrdersReply::WorkerOrdersReply(const WorkerOrdersReply& other313) {
-  starts = other313.starts;
-  stops = other313.stops;
-  listing = other313.listing;
-  __isset = other313.__isset;
+WorkerOrdersReply::WorkerOrdersReply(const WorkerOrdersReply& other323) {
+  starts = other323.starts;
+  stops = other323.stops;
+  listing = other323.listing;
+  __isset = other323.__isset;
 }
-WorkerOrdersReply::WorkerOrdersReply(WorkerOrdersReply&& other314) noexcept {
-  starts = std::move(other314.starts);
-  stops = std::move(other314.stops);
-  listing = other314.listing;
-  __isset = other314.__isset;
+WorkerOrdersReply::WorkerOrdersReply(WorkerOrdersReply&& other324) noexcept {
+  starts = std::move(other324.starts);
+  stops = std::move(other324.stops);
+  listing = other324.listing;
+  __isset = other324.__isset;
 }
-WorkerOrdersReply& WorkerOrdersReply::operator=(const WorkerOrdersReply& other315) {
-  starts = other315.starts;
-  stops = other315.stops;
-  listing = other315.listing;
-  __isset = other315.__isset;
+WorkerOrdersReply& WorkerOrdersReply::operator=(const WorkerOrdersReply& other325) {
+  starts = other325.starts;
+  stops = other325.stops;
+  listing = other325.listing;
+  __isset = other325.__isset;
   return *this;
 }
-WorkerOrdersReply& WorkerOrdersReply::operator=(WorkerOrdersReply&& other316) noexcept {
-  starts = std::move(other316.starts);
-  stops = std::move(other316.stops);
-  listing = other316.listing;
-  __isset = other316.__isset;
+WorkerOrdersReply& WorkerOrdersReply::operator=(WorkerOrdersReply&& other326) noexcept {
+  starts = std::move(other326.starts);
+  stops = std::move(other326.stops);
+  listing = other326.listing;
+  __isset = other326.__isset;
   return *this;
 }
 void WorkerOrdersReply::printTo(std::ostream& out) const {
@@ -7863,22 +8072,22 @@
   swap(a.__isset, b.__isset);
 }
 
-SubmitJob::SubmitJob(const SubmitJob& other317) {
-  spec = other317.spec;
-  __isset = other317.__isset;
+SubmitJob::SubmitJob(const SubmitJob& other327) {
+  spec = other327.spec;
+  __isset = other327.__isset;
 }
-SubmitJob::SubmitJob(SubmitJob&& other318) noexcept {
-  spec = std::move(other318.spec);
-  __isset = other318.__isset;
+SubmitJob::SubmitJob(SubmitJob&& other328) noexcept {
+  spec = std::move(other328.spec);
+  __isset = other328.__isset;
 }
-SubmitJob& SubmitJob::operator=(const SubmitJob& other319) {
-  spec = other319.spec;
-  __isset = other319.__isset;
+SubmitJob& SubmitJob::operator=(const SubmitJob& other329) {
+  spec = other329.spec;
+  __isset = other329.__isset;
   return *this;
 }
-SubmitJob& SubmitJob::operator=(SubmitJob&& other320) noexcept {
-  spec = std::move(other320.spec);
-  __isset = other320.__isset;
+SubmitJob& SubmitJob::operator=(SubmitJob&& other330) noexcept {
+  spec = std::move(other330.spec);
+  __isset = other330.__isset;
   return *this;
 }
 void SubmitJob::printTo(std::ostream& out) const {
@@ -7964,22 +8173,22 @@
   swap(a.__isset, b.__isset);
 }
 
-JobQuery::JobQuery(const JobQuery& other321) {
-  id = other321.id;
-  __isset = other321.__isset;
+JobQuery::JobQuery(const JobQuery& other331) {
+  id = other331.id;
+  __isset = other331.__isset;
 }
-JobQuery::JobQuery(JobQuery&& other322) noexcept {
-  id = std::move(other322.id);
-  __isset = other322.__isset;
+JobQuery::JobQuery(JobQuery&& other332) noexcept {
+  id = std::move(other332.id);
+  __isset = other332.__isset;
 }
-JobQuery& JobQuery::operator=(const JobQuery& other323) {
-  id = other323.id;
-  __isset = other323.__isset;
+JobQuery& JobQuery::operator=(const JobQuery& other333) {
+  id = other333.id;
+  __isset = other333.__isset;
   return *this;
 }
-JobQuery& JobQuery::operator=(JobQuery&& other324) noexcept {
-  id = std::move(other324.id);
-  __isset = other324.__isset;
+JobQuery& JobQuery::operator=(JobQuery&& other334) noexcept {
+  id = std::move(other334.id);
+  __isset = other334.__isset;
   return *this;
 }
 void JobQuery::printTo(std::ostream& out) const {
@@ -8065,22 +8274,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CancelJob::CancelJob(const CancelJob& other325) {
-  id = other325.id;
-  __isset = other325.__isset;
+CancelJob::CancelJob(const CancelJob& other335) {
+  id = other335.id;
+  __isset = other335.__isset;
 }
-CancelJob::CancelJob(CancelJob&& other326) noexcept {
-  id = std::move(other326.id);
-  __isset = other326.__isset;
+CancelJob::CancelJob(CancelJob&& other336) noexcept {
+  id = std::move(other336.id);
+  __isset = other336.__isset;
 }
-CancelJob& CancelJob::operator=(const CancelJob& other327) {
-  id = other327.id;
-  __isset = other327.__isset;
+CancelJob& CancelJob::operator=(const CancelJob& other337) {
+  id = other337.id;
+  __isset = other337.__isset;
   return *this;
 }
-CancelJob& CancelJob::operator=(CancelJob&& other328) noexcept {
-  id = std::move(other328.id);
-  __isset = other328.__isset;
+CancelJob& CancelJob::operator=(CancelJob&& other338) noexcept {
+  id = std::move(other338.id);
+  __isset = other338.__isset;
   return *this;
 }
 void CancelJob::printTo(std::ostream& out) const {
@@ -8166,22 +8375,22 @@
   swap(a.__isset, b.__isset);
 }
 
-QueueQuery::QueueQuery(const QueueQuery& other329) {
-  queue = other329.queue;
-  __isset = other329.__isset;
+QueueQuery::QueueQuery(const QueueQuery& other339) {
+  queue = other339.queue;
+  __isset = other339.__isset;
 }
-QueueQuery::QueueQuery(QueueQuery&& other330) noexcept {
-  queue = std::move(other330.queue);
-  __isset = other330.__isset;
+QueueQuery::QueueQuery(QueueQuery&& other340) noexcept {
+  queue = std::move(other340.queue);
+  __isset = other340.__isset;
 }
-QueueQuery& QueueQuery::operator=(const QueueQuery& other331) {
-  queue = other331.queue;
-  __isset = other331.__isset;
+QueueQuery& QueueQuery::operator=(const QueueQuery& other341) {
+  queue = other341.queue;
+  __isset = other341.__isset;
   return *this;
 }
-QueueQuery& QueueQuery::operator=(QueueQuery&& other332) noexcept {
-  queue = std::move(other332.queue);
-  __isset = other332.__isset;
+QueueQuery& QueueQuery::operator=(QueueQuery&& other342) noexcept {
+  queue = std::move(other342.queue);
+  __isset = other342.__isset;
   return *this;
 }
 void QueueQuery::printTo(std::ostream& out) const {
@@ -8318,34 +8527,34 @@
   swap(a.__isset, b.__isset);
 }
 
-JobAnswer::JobAnswer(const JobAnswer& other333) noexcept {
-  outcome = other333.outcome;
-  phase = other333.phase;
-  waiting = other333.waiting;
-  retryAfterMs = other333.retryAfterMs;
-  __isset = other333.__isset;
-}
-JobAnswer::JobAnswer(JobAnswer&& other334) noexcept {
-  outcome = other334.outcome;
-  phase = other334.phase;
-  waiting = other334.waiting;
-  retryAfterMs = other334.retryAfterMs;
-  __isset = other334.__isset;
-}
-JobAnswer& JobAnswer::operator=(const JobAnswer& other335) noexcept {
-  outcome = other335.outcome;
-  phase = other335.phase;
-  waiting = other335.waiting;
-  retryAfterMs = other335.retryAfterMs;
-  __isset = other335.__isset;
+JobAnswer::JobAnswer(const JobAnswer& other343) noexcept {
+  outcome = other343.outcome;
+  phase = other343.phase;
+  waiting = other343.waiting;
+  retryAfterMs = other343.retryAfterMs;
+  __isset = other343.__isset;
+}
+JobAnswer::JobAnswer(JobAnswer&& other344) noexcept {
+  outcome = other344.outcome;
+  phase = other344.phase;
+  waiting = other344.waiting;
+  retryAfterMs = other344.retryAfterMs;
+  __isset = other344.__isset;
+}
+JobAnswer& JobAnswer::operator=(const JobAnswer& other345) noexcept {
+  outcome = other345.outcome;
+  phase = other345.phase;
+  waiting = other345.waiting;
+  retryAfterMs = other345.retryAfterMs;
+  __isset = other345.__isset;
   return *this;
 }
-JobAnswer& JobAnswer::operator=(JobAnswer&& other336) noexcept {
-  outcome = other336.outcome;
-  phase = other336.phase;
-  waiting = other336.waiting;
-  retryAfterMs = other336.retryAfterMs;
-  __isset = other336.__isset;
+JobAnswer& JobAnswer::operator=(JobAnswer&& other346) noexcept {
+  outcome = other346.outcome;
+  phase = other346.phase;
+  waiting = other346.waiting;
+  retryAfterMs = other346.retryAfterMs;
+  __isset = other346.__isset;
   return *this;
 }
 void JobAnswer::printTo(std::ostream& out) const {
@@ -8485,34 +8694,34 @@
   swap(a.__isset, b.__isset);
 }
 
-OwnerRecord::OwnerRecord(const OwnerRecord& other337) {
-  epoch = other337.epoch;
-  host = other337.host;
-  port = other337.port;
-  name = other337.name;
-  __isset = other337.__isset;
+OwnerRecord::OwnerRecord(const OwnerRecord& other347) {
+  epoch = other347.epoch;
+  host = other347.host;
+  port = other347.port;
+  name = other347.name;
+  __isset = other347.__isset;
 }
-OwnerRecord::OwnerRecord(OwnerRecord&& other338) noexcept {
-  epoch = other338.epoch;
-  host = std::move(other338.host);
-  port = other338.port;
-  name = std::move(other338.name);
-  __isset = other338.__isset;
+OwnerRecord::OwnerRecord(OwnerRecord&& other348) noexcept {
+  epoch = other348.epoch;
+  host = std::move(other348.host);
+  port = other348.port;
+  name = std::move(other348.name);
+  __isset = other348.__isset;
 }
-OwnerRecord& OwnerRecord::operator=(const OwnerRecord& other339) {
-  epoch = other339.epoch;
-  host = other339.host;
-  port = other339.port;
-  name = other339.name;
-  __isset = other339.__isset;
+OwnerRecord& OwnerRecord::operator=(const OwnerRecord& other349) {
+  epoch = other349.epoch;
+  host = other349.host;
+  port = other349.port;
+  name = other349.name;
+  __isset = other349.__isset;
   return *this;
 }
-OwnerRecord& OwnerRecord::operator=(OwnerRecord&& other340) noexcept {
-  epoch = other340.epoch;
-  host = std::move(other340.host);
-  port = other340.port;
-  name = std::move(other340.name);
-  __isset = other340.__isset;
+OwnerRecord& OwnerRecord::operator=(OwnerRecord&& other350) noexcept {
+  epoch = other350.epoch;
+  host = std::move(other350.host);
+  port = other350.port;
+  name = std::move(other350.name);
+  __isset = other350.__isset;
   return *this;
 }
 void OwnerRecord::printTo(std::ostream& out) const {
@@ -8565,14 +8774,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->workers.clear();
-            uint32_t _size341;
-            ::apache::thrift::protocol::TType _etype344;
-            xfer += iprot->readListBegin(_etype344, _size341);
-            this->workers.resize(_size341);
-            uint32_t _i345;
-            for (_i345 = 0; _i345 < _size341; ++_i345)
+            uint32_t _size351;
+            ::apache::thrift::protocol::TType _etype354;
+            xfer += iprot->readListBegin(_etype354, _size351);
+            this->workers.resize(_size351);
+            uint32_t _i355;
+            for (_i355 = 0; _i355 < _size351; ++_i355)
             {
-              xfer += this->workers[_i345].read(iprot);
+              xfer += this->workers[_i355].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8601,10 +8810,10 @@
   xfer += oprot->writeFieldBegin("workers", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->workers.size()));
-    std::vector<WorkerDescription> ::const_iterator _iter346;
-    for (_iter346 = this->workers.begin(); _iter346 != this->workers.end(); ++_iter346)
+    std::vector<WorkerDescription> ::const_iterator _iter356;
+    for (_iter356 = this->workers.begin(); _iter356 != this->workers.end(); ++_iter356)
     {
-      xfer += (*_iter346).write(oprot);
+      xfer += (*_iter356).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8621,22 +8830,22 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerRoster::WorkerRoster(const WorkerRoster& other347) {
-  workers = other347.workers;
-  __isset = other347.__isset;
+WorkerRoster::WorkerRoster(const WorkerRoster& other357) {
+  workers = other357.workers;
+  __isset = other357.__isset;
 }
-WorkerRoster::WorkerRoster(WorkerRoster&& other348) noexcept {
-  workers = std::move(other348.workers);
-  __isset = other348.__isset;
+WorkerRoster::WorkerRoster(WorkerRoster&& other358) noexcept {
+  workers = std::move(other358.workers);
+  __isset = other358.__isset;
 }
-WorkerRoster& WorkerRoster::operator=(const WorkerRoster& other349) {
-  workers = other349.workers;
-  __isset = other349.__isset;
+WorkerRoster& WorkerRoster::operator=(const WorkerRoster& other359) {
+  workers = other359.workers;
+  __isset = other359.__isset;
   return *this;
 }
-WorkerRoster& WorkerRoster::operator=(WorkerRoster&& other350) noexcept {
-  workers = std::move(other350.workers);
-  __isset = other350.__isset;
+WorkerRoster& WorkerRoster::operator=(WorkerRoster&& other360) noexcept {
+  workers = std::move(other360.workers);
+  __isset = other360.__isset;
   return *this;
 }
 void WorkerRoster::printTo(std::ostream& out) const {
--- a/idl/gen/messages_types.h
+++ b/idl/gen/messages_types.h
@@ -126,6 +126,8 @@
 
 class RunInfo;
 
+class ImagePair;
+
 class WorkerReportReply;
 
 class StartOrder;
@@ -2434,12 +2436,13 @@
 std::ostream& operator<<(std::ostream& out, const WorkerReport& obj);
 
 typedef struct _RunInfo__isset {
-  _RunInfo__isset() : task(false), run(false), image(false), tailTargetMs(false), usesIdleCpu(false) {}
+  _RunInfo__isset() : task(false), run(false), image(false), tailTargetMs(false), usesIdleCpu(false), cpuMilli(false) {}
   bool task :1;
   bool run :1;
   bool image :1;
   bool tailTargetMs :1;
   bool usesIdleCpu :1;
+  bool cpuMilli :1;
 } _RunInfo__isset;
 
 class RunInfo : public virtual ::apache::thrift::TBase {
@@ -2453,7 +2456,8 @@
           : run(0),
             image(),
             tailTargetMs(0),
-            usesIdleCpu(0) {
+            usesIdleCpu(0),
+            cpuMilli(0) {
   }
 
   virtual ~RunInfo() noexcept;
@@ -2462,6 +2466,7 @@
   std::string image;
   int64_t tailTargetMs;
   bool usesIdleCpu;
+  int32_t cpuMilli;
 
   _RunInfo__isset __isset;
 
@@ -2475,6 +2480,8 @@
 
   void __set_usesIdleCpu(const bool val);
 
+  void __set_cpuMilli(const int32_t val);
+
   bool operator == (const RunInfo & rhs) const
   {
     if (!(task == rhs.task))
@@ -2487,6 +2494,8 @@
       return false;
     if (!(usesIdleCpu == rhs.usesIdleCpu))
       return false;
+    if (!(cpuMilli == rhs.cpuMilli))
+      return false;
     return true;
   }
   bool operator != (const RunInfo &rhs) const {
@@ -2505,13 +2514,73 @@
 
 std::ostream& operator<<(std::ostream& out, const RunInfo& obj);
 
+typedef struct _ImagePair__isset {
+  _ImagePair__isset() : servingImage(false), fillingImage(false), effect(false) {}
+  bool servingImage :1;
+  bool fillingImage :1;
+  bool effect :1;
+} _ImagePair__isset;
+
+class ImagePair : public virtual ::apache::thrift::TBase {
+ public:
+
+  ImagePair(const ImagePair&);
+  ImagePair(ImagePair&&) noexcept;
+  ImagePair& operator=(const ImagePair&);
+  ImagePair& operator=(ImagePair&&) noexcept;
+  ImagePair() noexcept
+            : servingImage(),
+              fillingImage(),
+              effect(0) {
+  }
+
+  virtual ~ImagePair() noexcept;
+  std::string servingImage;
+  std::string fillingImage;
+  double effect;
+
+  _ImagePair__isset __isset;
+
+  void __set_servingImage(const std::string& val);
+
+  void __set_fillingImage(const std::string& val);
+
+  void __set_effect(const double val);
+
+  bool operator == (const ImagePair & rhs) const
+  {
+    if (!(servingImage == rhs.servingImage))
+      return false;
+    if (!(fillingImage == rhs.fillingImage))
+      return false;
+    if (!(effect == rhs.effect))
+      return false;
+    return true;
+  }
+  bool operator != (const ImagePair &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ImagePair & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ImagePair &a, ImagePair &b);
+
+std::ostream& operator<<(std::ostream& out, const ImagePair& obj);
+
 typedef struct _WorkerReportReply__isset {
-  _WorkerReportReply__isset() : epoch(false), leaseMs(false), recordedEnds(false), leaseTerm(false), runs(false) {}
+  _WorkerReportReply__isset() : epoch(false), leaseMs(false), recordedEnds(false), leaseTerm(false), runs(false), pairs(false) {}
   bool epoch :1;
   bool leaseMs :1;
   bool recordedEnds :1;
   bool leaseTerm :1;
   bool runs :1;
+  bool pairs :1;
 } _WorkerReportReply__isset;
 
 class WorkerReportReply : public virtual ::apache::thrift::TBase {
@@ -2534,6 +2603,7 @@
   int64_t recordedEnds;
   int64_t leaseTerm;
   std::vector<RunInfo>  runs;
+  std::vector<ImagePair>  pairs;
 
   _WorkerReportReply__isset __isset;
 
@@ -2547,6 +2617,8 @@
 
   void __set_runs(const std::vector<RunInfo> & val);
 
+  void __set_pairs(const std::vector<ImagePair> & val);
+
   bool operator == (const WorkerReportReply & rhs) const
   {
     if (!(epoch == rhs.epoch))
@@ -2559,6 +2631,8 @@
       return false;
     if (!(runs == rhs.runs))
       return false;
+    if (!(pairs == rhs.pairs))
+      return false;
     return true;
   }
   bool operator != (const WorkerReportReply &rhs) const {
--- a/idl/messages.thrift
+++ b/idl/messages.thrift
@@ -344,6 +344,16 @@
   3: string image;
   4: i64 tailTargetMs;
   5: bool usesIdleCpu;
+  // What the step asks for, in thousandths of a core.
+  6: i32 cpuMilli;
+}
+
+// How much tasks of one image slow serving tasks of another: the rise of the logarithm of their tail latency when
+// the first use a whole worker's processors.
+struct ImagePair {
+  1: string servingImage;
+  2: string fillingImage;
+  3: double effect;
 }
 
 struct WorkerReportReply {
@@ -357,6 +367,8 @@
   4: i64 leaseTerm;
   // Every run at the worker, when the report asked for it.
   5: list<RunInfo> runs;
+  // What the owner has learned of images since the last reply.
+  6: list<ImagePair> pairs;
 }
 
 struct StartOrder {
--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -110,6 +110,7 @@
         m_minion = std::move(heartbeat);
         m_gate.newLife();
         m_pace.clear();
+        m_pace.setCapacity(m_minion->worker.cpuMilli);
         m_running.clear();
         m_ended.clear();
         m_reportedEnds = 0;
@@ -254,6 +255,9 @@
     for (const auto &info : reply->runs) {
         m_pace.describe(info);
     }
+    for (const auto &pair : reply->pairs) {
+        m_pace.learned(pair);
+    }
     if (m_gate.recordedEnds() > recordedBefore) {
         std::erase_if(m_ended, [&](const auto &it) { return it.number <= m_gate.recordedEnds(); });
     }
--- a/src/programs/agent/minionruns.cpp
+++ b/src/programs/agent/minionruns.cpp
@@ -212,6 +212,9 @@
         .add("result", orderResultName(answer.result))
         .add("reason", answer.reason)
         .add("tookMs", duration_cast<milliseconds>(m_runtime.clock().now() - now).count());
+    if (answer.result != OrderResult::Done && answer.result != OrderResult::Unknown) {
+        m_pace.forget({order.task, order.run});
+    }
     co_return static_cast<int>(answer.result);
 }
 
--- /dev/null
+++ b/src/trefoilhoist/jobs/interferencetable.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "idl/gen/messages_types.h"
+#include "trefoilhoist/world/clock.h"
+
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace Trefoilhoist::Jobs {
+
+/// Shares of a worker's processors that tasks on lent processors use, by image.
+using FillShares = std::map<std::string, double>;
+
+/// How tasks on lent processors slow the serving tasks beside them, by pair of images, learned from how tails change
+/// when the shares of processors change.
+///
+/// The logarithm of a tail rises by effect x share. Slow swings of a serving task's own load cancel out in the
+/// changes from one figure to the next. Not thread-safe.
+class InterferenceTable
+{
+public:
+    /// Two figures in a row of one serving task: the change of its tail's logarithm, and of the shares.
+    void learn(const std::string &servingImage, double tailLogChange, const FillShares &shareChanges, TimePoint now);
+
+    /// Never below 0. For a pair that was not seen: what pairs do on average.
+    [[nodiscard]] double effect(const std::string &servingImage, const std::string &fillingImage) const;
+    /// Sum of effect x share.
+    [[nodiscard]] double rise(const std::string &servingImage, const FillShares &shares) const;
+
+    /// Takes an effect that another process has learned.
+    void set(const Wire::ImagePair &pair);
+    /// Pairs with enough evidence whose effect changed noticeably since they were taken last.
+    std::vector<Wire::ImagePair> takeChanged(std::map<std::pair<std::string, std::string>, double> &told) const;
+
+private:
+    struct Model {
+        /// Sums of products of share changes, and of those with changes of the tail; old ones fade.
+        std::map<std::pair<std::string, std::string>, double> products;
+        std::map<std::string, double> withTail;
+        std::map<std::string, double> effects;
+        TimePoint fadedAt;
+    };
+    static void solve(Model &model);
+
+    std::map<std::string, Model> m_models;
+};
+
+} // namespace Trefoilhoist::Jobs
--- a/src/trefoilhoist/jobs/jobplanning.cpp
+++ b/src/trefoilhoist/jobs/jobplanning.cpp
@@ -107,6 +107,7 @@
     info.image = step.image;
     info.tailTargetMs = step.tailTargetMs;
     info.usesIdleCpu = step.usesIdleCpu;
+    info.cpuMilli = step.cpuMilli;
     return info;
 }
 
@@ -237,7 +238,7 @@
     const auto &step = entry.job.step(pending.step);
     const auto *queue = m_queues.byName(entry.job.spec().queue.name);
     const auto &service = queue == nullptr ? entry.job.spec().queue.serviceName : queue->policy.serviceName;
-    WorkerChoice choice(step, service, task, now);
+    WorkerChoice choice(step, service, task, m_interference, now);
     choice.countSiblings(entry.job, pending.occurrence, pending.step);
     for (auto &[id, worker] : m_workers) {
         choice.consider(worker);
@@ -264,6 +265,7 @@
     fresh.inFlight = true;
     fresh.checkpoint = step.checkpoints ? entry.job.task(ref)->checkpoint : std::string();
     fresh.image = step.image;
+    fresh.tailTargetMs = step.tailTargetMs;
     const RunKey key{ref, run};
     const auto &added = worker.addRun(key, std::move(fresh));
     entry.job.noteStart(ref, run, worker.info.id);
--- a/src/trefoilhoist/jobs/jobreports.cpp
+++ b/src/trefoilhoist/jobs/jobreports.cpp
@@ -3,9 +3,18 @@
 #include "trefoilhoist/jobs/jobscheduler.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Trefoilhoist::Jobs {
 
+namespace {
+
+/// Minions renew their figures about this often.
+constexpr Duration figuresEvery = milliseconds(480);
+constexpr int fullPercent = 100;
+
+} // namespace
+
 Wire::WorkerReportReply JobScheduler::report(const Wire::WorkerReport &report, bool mayGrant, TimePoint now)
 {
     m_now = now;
@@ -42,6 +51,7 @@
             takeRunning(*worker, it, report.listing, now);
         }
         dropMissing(*worker, report, now);
+        learnInterference(*worker, now);
         m_unreported.erase(agentName(worker->info));
     }
     if (report.gone && report.epoch == m_epoch) {
@@ -53,6 +63,7 @@
     }
     reply.recordedEnds = worker->recordedEnds;
     reply.leaseTerm = worker->leaseTerm;
+    reply.pairs = m_interference.takeChanged(worker->toldPairs);
     if (report.wantsRunInfo) {
         for (const auto &[key, run] : worker->runs) {
             if (const auto *entry = find(key.task.job); entry != nullptr && !run.foreign) {
@@ -332,6 +343,7 @@
         const auto &step = entry->job.step(row.task.step);
         run.demand = demandOf(step);
         run.image = step.image;
+        run.tailTargetMs = step.tailTargetMs;
         const bool copiesAllowed = step.duplicatesAllowed || step.gang;
         const bool wanted = entry->job.active() && !task->done && (task->active.empty() || copiesAllowed);
         entry->job.noteStart(row.task, row.run, worker.info.id);
@@ -369,6 +381,36 @@
     }
 }
 
+// Compares a worker's figures with its last ones.
+void JobScheduler::learnInterference(Worker &worker, TimePoint now)
+{
+    if (now - worker.figures.at < figuresEvery) {
+        return;
+    }
+    WorkerFigures figures;
+    figures.at = now;
+    for (const auto &[key, run] : worker.runs) {
+        if (run.demand.idleCpuMilli > 0) {
+            figures.shares[run.image] += static_cast<double>(run.usage) / static_cast<double>(worker.info.cpuMilli);
+        } else if (run.tailTargetMs > 0 && run.percent == fullPercent && run.usage > 0) {
+            figures.tails[key] = std::log(static_cast<double>(run.usage) / static_cast<double>(run.tailTargetMs));
+        }
+    }
+    if (now - worker.figures.at < 2 * figuresEvery) {
+        FillShares changes = figures.shares;
+        for (const auto &[image, share] : worker.figures.shares) {
+            changes[image] -= share;
+        }
+        for (const auto &[key, tail] : figures.tails) {
+            const auto before = worker.figures.tails.find(key);
+            if (before != worker.figures.tails.end()) {
+                m_interference.learn(worker.runs.at(key).image, tail - before->second, changes, now);
+            }
+        }
+    }
+    worker.figures = std::move(figures);
+}
+
 void JobScheduler::ordersDone(const Wire::WorkerOrders &orders, const std::optional<Wire::WorkerOrdersReply> &reply, TimePoint now)
 {
     m_now = now;
--- a/src/trefoilhoist/jobs/jobscheduler.h
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -132,6 +132,7 @@
     void takeRunning(Worker &worker, const Wire::RunningTask &row, std::int64_t listing, TimePoint now);
     void adopt(Worker &worker, const Wire::RunningTask &row, TimePoint now);
     void dropMissing(Worker &worker, const Wire::WorkerReport &report, TimePoint now);
+    void learnInterference(Worker &worker, TimePoint now);
     void loseRun(Worker &worker, const RunKey &key, TimePoint now);
     void popRecordedEnds(Worker &worker);
     void breakGang(const Wire::TaskRef &task, std::int64_t run, TimePoint now);
@@ -162,6 +163,7 @@
     std::set<std::string> m_stale;
     std::map<StepKey, PendingStep> m_pending;
     std::map<std::string, Worker> m_workers;
+    InterferenceTable m_interference;
     std::set<std::string> m_unreported;
     TimePoint m_unreportedUntil;
     std::map<std::string, Wire::WorkerDescription> m_roster;
--- a/src/trefoilhoist/jobs/pacecontrol.h
+++ b/src/trefoilhoist/jobs/pacecontrol.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "trefoilhoist/jobs/interferencetable.h"
 #include "trefoilhoist/jobs/jobtypes.h"
 #include "trefoilhoist/world/clock.h"
 
@@ -14,30 +15,67 @@
     int percent = 100;
 };
 
-/// Slows the tasks on lent processors of one minion before the tail latency of a serving task beside them breaks
-/// its target, and lets them speed up again. Not thread-safe.
+/// Slows the tasks on lent processors of one minion that push a serving task's tail over its target, no others and
+/// no more than needed, and lets them speed up again.
+///
+/// Who pushes whom comes from a table of image pairs; a tail that stays over its target all the same slows all of
+/// them. Not thread-safe.
 class PaceControl
 {
 public:
+    /// `cpuMilli`: the processors of the minion, in thousandths of a core.
+    void setCapacity(std::int64_t cpuMilli) { m_cpuMilli = cpuMilli; }
     void describe(const Wire::RunInfo &info);
+    /// The run was not started.
+    void forget(const RunKey &run) { m_infos.erase(run); }
     [[nodiscard]] bool knows(const RunKey &run) const { return m_infos.count(run) > 0; }
+    void learned(const Wire::ImagePair &pair) { m_table.set(pair); }
 
     /// Takes a listing's figures; returns what is to be ordered now.
     std::vector<PaceOrder> update(const std::vector<Wire::RunningTask> &running, TimePoint now);
     /// An order that failed is given again with the next figures.
     void failed(const RunKey &run);
-    [[nodiscard]] int percent() const { return m_percent; }
     /// The highest share of its target that a serving task's tail reached in the last figures.
     [[nodiscard]] double pressure() const { return m_pressure; }
     void clear();
 
 private:
-    void adjust(double pressure, TimePoint now);
+    struct Filling {
+        RunKey run;
+        std::string image;
+        /// Share of the minion's processors that it would use at full speed.
+        double fullShare = 0;
+        double speed = 1;
+    };
+    struct Serving {
+        std::string image;
+        /// Logarithm of tail over target, without what fills do.
+        double baseline = 0;
+    };
 
-    std::map<RunKey, Wire::RunInfo> m_infos;
+    void readFigures(const std::vector<Wire::RunningTask> &running, TimePoint now);
+    void readServing(const Wire::RunningTask &row, const Wire::RunInfo &info, const FillShares &shares, TimePoint now);
+    void chooseSpeeds();
+    void slowFor(const Serving &serving);
+    std::vector<PaceOrder> orders();
+
+    InterferenceTable m_table;
+    struct Known {
+        Wire::RunInfo info;
+        /// Was listed at least once: it has ended when it no longer is.
+        bool listed = false;
+    };
+    std::map<RunKey, Known> m_infos;
+    /// What was ordered last, in percent; -1: not known to be in force.
     std::map<RunKey, int> m_ordered;
-    int m_percent = 100;
+    std::vector<Filling> m_filling;
+    std::vector<Serving> m_serving;
+    /// Since when a serving task's tail is over its target.
+    std::map<RunKey, TimePoint> m_overSince;
+    std::int64_t m_cpuMilli = 1;
     double m_pressure = 0;
+    /// All fills are held to this share of their speed.
+    double m_ceiling = 1;
     TimePoint m_adjustedAt;
 };
 
--- a/src/trefoilhoist/jobs/worker.h
+++ b/src/trefoilhoist/jobs/worker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "trefoilhoist/jobs/interferencetable.h"
 #include "trefoilhoist/jobs/jobtypes.h"
 #include "trefoilhoist/jobs/workerhealth.h"
 #include "trefoilhoist/world/clock.h"
@@ -60,6 +61,8 @@
     TimePoint percentChangedAt;
     std::int64_t usage = 0;
     std::string image;
+    /// 0: it serves nobody.
+    std::int64_t tailTargetMs = 0;
 };
 
 /// An end that was taken in and waits for its job to be recorded.
@@ -69,6 +72,14 @@
     std::int64_t version = 0;
 };
 
+/// The last figures of a worker's tasks on lent processors and of its serving tasks.
+struct WorkerFigures {
+    TimePoint at;
+    FillShares shares;
+    /// Logarithm of tail over target.
+    std::map<RunKey, double> tails;
+};
+
 /// One life of one minion, as the owner of the scheduling knows it.
 struct Worker {
     Wire::WorkerDescription info;
@@ -92,6 +103,9 @@
     /// Runs whose demand is not known.
     int foreignRuns = 0;
     WorkerHealth health;
+    WorkerFigures figures;
+    /// Effects of image pairs that its agent was told.
+    std::map<std::pair<std::string, std::string>, double> toldPairs;
 
     [[nodiscard]] bool hasLabel(const std::string &label) const;
     /// Reserved room suffices for `demand`; never while a run of unknown demand is there.
--- a/src/trefoilhoist/jobs/workerchoice.cpp
+++ b/src/trefoilhoist/jobs/workerchoice.cpp
@@ -1,6 +1,7 @@
 #include "trefoilhoist/jobs/workerchoice.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Trefoilhoist::Jobs {
 
@@ -17,6 +18,11 @@
 constexpr double farFromDataCost = 0.5;
 constexpr double failedThereCost = 1.0;
 constexpr double slowCost = 0.5;
+constexpr double harmCost = 1.5;
+/// Serving tasks of one image are kept together, so that each kind of filling task finds workers where it does no harm.
+constexpr double otherImagesCost = 0.6;
+/// The share of its target, as a logarithm, above which a tail is in the way.
+const double tailLimitLog = std::log(0.75);
 
 double shareOf(std::int64_t part, std::int64_t whole)
 {
@@ -25,8 +31,8 @@
 
 } // namespace
 
-WorkerChoice::WorkerChoice(const Wire::StepSpec &step, const std::string &service, const TaskState &task, TimePoint now)
-    : m_step(step), m_service(service), m_task(task), m_now(now), m_demand(demandOf(step))
+WorkerChoice::WorkerChoice(const Wire::StepSpec &step, const std::string &service, const TaskState &task, const InterferenceTable &interference, TimePoint now)
+    : m_step(step), m_service(service), m_task(task), m_interference(interference), m_now(now), m_demand(demandOf(step))
 {
 }
 
@@ -80,7 +86,14 @@
     } else {
         cost = std::max(cost, shareOf(used.cpuMilli + m_demand.cpuMilli, worker.info.cpuMilli));
     }
-    cost += siblingCost * siblingsAt(worker);
+    if (m_step.tailTargetMs > 0) {
+        cost += otherImagesCost * otherImages(worker, m_step.image);
+    } else {
+        cost += siblingCost * siblingsAt(worker);
+    }
+    if (m_step.usesIdleCpu) {
+        cost += harmCost * harm(worker);
+    }
     cost += badCost * worker.health.badShare(m_now);
     cost += slowCost * (worker.health.slowness() - 1.0);
     if (!m_step.dataRack.empty() && !worker.hasLabel(m_step.dataRack)) {
@@ -92,6 +105,44 @@
     return cost;
 }
 
+double WorkerChoice::harm(const Worker &worker) const
+{
+    const auto capacity = static_cast<double>(std::max(1, worker.info.cpuMilli));
+    // Fills that were started since the last figures are not in them yet.
+    FillShares unseen;
+    unseen[m_step.image] = static_cast<double>(m_demand.idleCpuMilli) / capacity;
+    for (const auto &[key, run] : worker.runs) {
+        if (run.demand.idleCpuMilli > 0 && run.orderedAt > worker.figures.at) {
+            unseen[run.image] += static_cast<double>(run.demand.idleCpuMilli) / capacity;
+        }
+    }
+    double sum = 0;
+    for (const auto &[key, run] : worker.runs) {
+        if (run.tailTargetMs <= 0) {
+            continue;
+        }
+        const double press = m_interference.effect(run.image, m_step.image) * unseen[m_step.image];
+        const auto tail = worker.figures.tails.find(key);
+        const double now = tail == worker.figures.tails.end() ? tailLimitLog : tail->second;
+        const double excess = now + m_interference.rise(run.image, unseen) - tailLimitLog;
+        sum += std::clamp(excess, 0.0, press);
+    }
+    return sum;
+}
+
+double WorkerChoice::otherImages(const Worker &worker, const std::string &image)
+{
+    int serving = 0;
+    int others = 0;
+    for (const auto &[key, run] : worker.runs) {
+        if (run.tailTargetMs > 0) {
+            ++serving;
+            others += run.image != image ? 1 : 0;
+        }
+    }
+    return serving == 0 ? 0 : static_cast<double>(others) / serving;
+}
+
 void WorkerChoice::consider(Worker &worker)
 {
     if (!mayTake(worker)) {
