Let fills wait for a worker where they do no harm; stop only what presses a tail that stays over its target

Tails follow 1 / (1 - load): the slack (target over tail) falls evenly with the shares, its logarithm does not. Tests: a load of fills beside serving tasks with little slack; pace and table of image pairs.

--- a/src/programs/agent/minionruns.cpp
+++ b/src/programs/agent/minionruns.cpp
@@ -214,6 +214,8 @@
         .add("tookMs", duration_cast<milliseconds>(m_runtime.clock().now() - now).count());
     if (answer.result != OrderResult::Done && answer.result != OrderResult::Unknown) {
         m_pace.forget({order.task, order.run});
+    } else if (const int percent = m_pace.startPercent({order.task, order.run}); percent < 100) {
+        spawnOn(m_runtime.executor(), "pace", [this, order, percent] { return pace({{order.task, order.run}, percent}); });
     }
     co_return static_cast<int>(answer.result);
 }
--- a/src/trefoilhoist/jobs/interferencetable.cpp
+++ b/src/trefoilhoist/jobs/interferencetable.cpp
@@ -22,7 +22,7 @@
 
 } // namespace
 
-void InterferenceTable::learn(const std::string &servingImage, double tailLogChange, const FillShares &shareChanges, TimePoint now)
+void InterferenceTable::learn(const std::string &servingImage, double slackChange, const FillShares &shareChanges, TimePoint now)
 {
     if (shareChanges.empty()) {
         return;
@@ -39,7 +39,7 @@
         }
         model.fadedAt = now;
     }
-    const double change = std::clamp(tailLogChange, -largestChange, largestChange);
+    const double change = std::clamp(-slackChange, -largestChange, largestChange);
     for (const auto &[first, a] : shareChanges) {
         for (const auto &[second, b] : shareChanges) {
             model.products[{first, second}] += a * b;
@@ -79,7 +79,7 @@
     return it == model->second.effects.end() ? unseenEffect : it->second;
 }
 
-double InterferenceTable::rise(const std::string &servingImage, const FillShares &shares) const
+double InterferenceTable::drop(const std::string &servingImage, const FillShares &shares) const
 {
     double sum = 0;
     for (const auto &[image, share] : shares) {
--- a/src/trefoilhoist/jobs/interferencetable.h
+++ b/src/trefoilhoist/jobs/interferencetable.h
@@ -16,18 +16,18 @@
 /// How tasks on lent processors slow the serving tasks beside them, by pair of images, learned from how tails change
 /// when the shares of processors change.
 ///
-/// The logarithm of a tail rises by effect x share. Slow swings of a serving task's own load cancel out in the
+/// The slack of a serving task (its target over its tail latency) drops by effect x share. Slow swings of a serving task's own load cancel out in the
 /// changes from one figure to the next. Not thread-safe.
 class InterferenceTable
 {
 public:
-    /// Two figures in a row of one serving task: the change of its tail's logarithm, and of the shares.
-    void learn(const std::string &servingImage, double tailLogChange, const FillShares &shareChanges, TimePoint now);
+    /// Two figures in a row of one serving task: the change of its slack, and of the shares.
+    void learn(const std::string &servingImage, double slackChange, const FillShares &shareChanges, TimePoint now);
 
     /// Never below 0. For a pair that was not seen: what pairs do on average.
     [[nodiscard]] double effect(const std::string &servingImage, const std::string &fillingImage) const;
     /// Sum of effect x share.
-    [[nodiscard]] double rise(const std::string &servingImage, const FillShares &shares) const;
+    [[nodiscard]] double drop(const std::string &servingImage, const FillShares &shares) const;
 
     /// Takes an effect that another process has learned.
     void set(const Wire::ImagePair &pair);
--- a/src/trefoilhoist/jobs/jobplanning.cpp
+++ b/src/trefoilhoist/jobs/jobplanning.cpp
@@ -17,6 +17,8 @@
 constexpr int giveUpAfterOrders = 3;
 /// Starts handed to one worker in one plan.
 constexpr std::size_t maxStartsPerPlan = 24;
+/// A step with nothing running waits this long for a worker where it does no harm.
+constexpr Duration waitForHarmless = milliseconds(2000);
 
 } // namespace
 
@@ -239,7 +241,8 @@
     const auto *queue = m_queues.byName(entry.job.spec().queue.name);
     const auto &service = queue == nullptr ? entry.job.spec().queue.serviceName : queue->policy.serviceName;
     WorkerChoice choice(step, service, task, m_interference, now);
-    choice.countSiblings(entry.job, pending.occurrence, pending.step);
+    const bool someRun = choice.countSiblings(entry.job, pending.occurrence, pending.step);
+    choice.setOverdue(!someRun && now - pending.since > waitForHarmless);
     for (auto &[id, worker] : m_workers) {
         choice.consider(worker);
     }
--- a/src/trefoilhoist/jobs/jobreports.cpp
+++ b/src/trefoilhoist/jobs/jobreports.cpp
@@ -1,9 +1,9 @@
 // What the scheduler learns from the agents: lives, listings, ends.
 #include "trefoilhoist/jobs/joblog.h"
+#include "trefoilhoist/jobs/pacecontrol.h"
 #include "trefoilhoist/jobs/jobscheduler.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace Trefoilhoist::Jobs {
 
@@ -393,7 +393,7 @@
         if (run.demand.idleCpuMilli > 0) {
             figures.shares[run.image] += static_cast<double>(run.usage) / static_cast<double>(worker.info.cpuMilli);
         } else if (run.tailTargetMs > 0 && run.percent == fullPercent && run.usage > 0) {
-            figures.tails[key] = std::log(static_cast<double>(run.usage) / static_cast<double>(run.tailTargetMs));
+            figures.slacks[key] = slackOf(run.usage, run.tailTargetMs);
         }
     }
     if (now - worker.figures.at < 2 * figuresEvery) {
@@ -401,10 +401,10 @@
         for (const auto &[image, share] : worker.figures.shares) {
             changes[image] -= share;
         }
-        for (const auto &[key, tail] : figures.tails) {
-            const auto before = worker.figures.tails.find(key);
-            if (before != worker.figures.tails.end()) {
-                m_interference.learn(worker.runs.at(key).image, tail - before->second, changes, now);
+        for (const auto &[key, slack] : figures.slacks) {
+            const auto before = worker.figures.slacks.find(key);
+            if (before != worker.figures.slacks.end()) {
+                m_interference.learn(worker.runs.at(key).image, slack - before->second, changes, now);
             }
         }
     }
--- a/src/trefoilhoist/jobs/jobscheduler.cpp
+++ b/src/trefoilhoist/jobs/jobscheduler.cpp
@@ -218,7 +218,11 @@
 {
     auto &job = entry.job;
     const auto &id = job.id();
-    m_pending.erase(m_pending.lower_bound({id, INT32_MIN, INT32_MIN}), m_pending.upper_bound({id, INT32_MAX, INT32_MAX}));
+    std::map<StepKey, PendingStep> before;
+    const auto first = m_pending.lower_bound({id, INT32_MIN, INT32_MIN});
+    const auto last = m_pending.upper_bound({id, INT32_MAX, INT32_MAX});
+    before.insert(first, last);
+    m_pending.erase(first, last);
     if (!job.active()) {
         m_active.erase(id);
         releaseMemory(entry);
@@ -251,6 +255,8 @@
             pending.longRunning = job.spec().steps[step].longRunning;
             pending.usesIdleCpu = job.spec().steps[step].usesIdleCpu;
             pending.priority = policy.priority;
+            const auto known = before.find({id, number, static_cast<int>(step)});
+            pending.since = known == before.end() ? m_now : known->second.since;
             m_pending[{id, number, static_cast<int>(step)}] = std::move(pending);
         }
     }
--- a/src/trefoilhoist/jobs/jobscheduler.h
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -110,6 +110,8 @@
         TimePoint latestStart;
         /// Later than this, it is worth nothing.
         TimePoint worthlessAfter;
+        /// When it was first seen with tasks to start.
+        TimePoint since;
         bool longRunning = false;
         bool usesIdleCpu = false;
         int priority = 0;
--- a/src/trefoilhoist/jobs/pacecontrol.cpp
+++ b/src/trefoilhoist/jobs/pacecontrol.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <set>
 
 namespace Trefoilhoist::Jobs {
@@ -9,22 +10,31 @@
 namespace {
 
 constexpr int fullSpeed = 100;
-constexpr double slowestSpeed = 0.05;
+constexpr double slowestSpeed = 0.2;
 /// Speeds are ordered in steps, so that small changes need no order.
 constexpr int speedStepPercent = 5;
+constexpr int leastPercent = 2;
 /// The share of its target that a tail is kept under.
-const double wantedLog = std::log(0.85);
-/// A tail over its target for this long slows every fill, whoever is to blame.
-constexpr Duration overTooLong = milliseconds(1500);
-constexpr double ceilingDown = 0.5;
-constexpr double ceilingUp = 1.3;
+constexpr double wantedSlack = 0.95;
+/// A tail over its target for this long stops the fills that press it, and after the second time all of them.
+constexpr Duration overTooLong = milliseconds(1400);
+constexpr Duration overFarTooLong = milliseconds(2300);
+constexpr double stoppedSpeed = 0.02;
+constexpr double smallestPress = 1e-6;
 constexpr double speedUpStep = 0.3;
 /// The figures show the last half second: an adjustment is judged by later ones.
 constexpr Duration adjustEvery = milliseconds(450);
-constexpr double smallestRatio = 0.02;
+constexpr double baselineStep = 0.5;
+constexpr double leastEffect = 0.8;
+constexpr double largestSlack = 6;
 
 } // namespace
 
+double slackOf(std::int64_t tailMs, std::int64_t targetMs)
+{
+    return std::min(largestSlack, static_cast<double>(targetMs) / static_cast<double>(std::max<std::int64_t>(1, tailMs)));
+}
+
 void PaceControl::describe(const Wire::RunInfo &info)
 {
     m_infos[{info.task, info.run}].info = info;
@@ -40,7 +50,11 @@
     } else {
         m_overSince.erase(key);
     }
-    m_serving.push_back({info.image, std::log(std::max(ratio, smallestRatio)) - m_table.rise(info.image, shares)});
+    const double baseline = slackOf(row.usage, info.tailTargetMs) + m_table.drop(info.image, shares);
+    const auto it = m_baselines.emplace(key, baseline).first;
+    it->second += baselineStep * (baseline - it->second);
+    const auto over = m_overSince.find(key);
+    m_serving.push_back({info.image, it->second, over == m_overSince.end() ? Duration{} : now - over->second});
 }
 
 void PaceControl::readFigures(const std::vector<Wire::RunningTask> &running, TimePoint now)
@@ -67,10 +81,11 @@
         shares[info.image] += used;
         const double asked = static_cast<double>(info.cpuMilli) / capacity;
         const auto ordered = m_ordered.emplace(key, fullSpeed).first->second;
-        const double speed = std::max(slowestSpeed, (ordered < 0 ? fullSpeed : ordered) / static_cast<double>(fullSpeed));
+        const double speed = std::max(stoppedSpeed, (ordered < 0 ? fullSpeed : ordered) / static_cast<double>(fullSpeed));
         m_filling.push_back({key, info.image, std::min(asked, std::max(used / speed, asked / 2)), speed});
     }
     std::erase_if(m_ordered, [&](const auto &it) { return present.count(it.first) == 0; });
+    std::erase_if(m_baselines, [&](const auto &it) { return present.count(it.first) == 0; });
     std::erase_if(m_overSince, [&](const auto &it) { return present.count(it.first) == 0; });
     std::erase_if(m_infos, [&](const auto &it) { return it.second.listed && present.count(it.first) == 0; });
     for (const auto &row : running) {
@@ -81,14 +96,44 @@
     }
 }
 
-// Slows the fills that press one serving task most, until its tail is expected to be where it is wanted.
-void PaceControl::slowFor(const Serving &serving)
+// By how much a serving task's slack is expected to fall short of what is wanted.
+double PaceControl::excessOf(const Serving &serving) const
 {
-    const auto pressOf = [&](const Filling &it) { return m_table.effect(serving.image, it.image) * it.fullShare; };
-    double excess = serving.baseline - wantedLog;
+    double excess = wantedSlack - serving.baseline;
     for (const auto &it : m_filling) {
-        excess += pressOf(it) * it.speed;
+        excess += m_table.effect(serving.image, it.image) * it.fullShare * it.speed;
+    }
+    return excess;
+}
+
+int PaceControl::startPercent(const RunKey &run)
+{
+    const auto known = m_infos.find(run);
+    if (known == m_infos.end() || !known->second.info.usesIdleCpu) {
+        return fullSpeed;
     }
+    const auto &info = known->second.info;
+    m_filling.push_back({run, info.image, static_cast<double>(info.cpuMilli) / static_cast<double>(m_cpuMilli), 1.0});
+    auto &fresh = m_filling.back();
+    for (const auto &it : m_serving) {
+        const double press = m_table.effect(it.image, info.image) * fresh.fullShare;
+        const double excess = excessOf(it);
+        if (excess > 0 && m_table.effect(it.image, info.image) >= leastEffect) {
+            fresh.speed = std::max(slowestSpeed, fresh.speed - excess / press);
+        }
+    }
+    const int steps = static_cast<int>(std::lround(fresh.speed * fullSpeed / speedStepPercent));
+    const int percent = std::clamp(steps * speedStepPercent, leastPercent, fullSpeed);
+    m_ordered[run] = percent;
+    return percent;
+}
+
+// Slows the fills that press one serving task most, until its slack is expected to suffice.
+void PaceControl::slowFor(const Serving &serving)
+{
+    double excess = serving.overFor > overTooLong ? std::numeric_limits<double>::infinity() : excessOf(serving);
+    const double least = serving.overFor > overFarTooLong ? 0 : leastEffect;
+    const double floor = serving.overFor > overTooLong ? stoppedSpeed : slowestSpeed;
     std::vector<Filling *> byEffect;
     for (auto &it : m_filling) {
         byEffect.push_back(&it);
@@ -97,22 +142,23 @@
         return m_table.effect(serving.image, a->image) > m_table.effect(serving.image, b->image);
     });
     for (auto *it : byEffect) {
-        const double press = pressOf(*it);
-        if (excess <= 0 || press <= 0) {
+        const double effect = m_table.effect(serving.image, it->image);
+        if (excess <= 0 || effect < least) {
             return;
         }
-        const double slower = std::max(slowestSpeed, it->speed - excess / press);
-        excess -= press * std::max(0.0, it->speed - slower);
-        it->speed = std::min(it->speed, slower);
+        const double press = std::max(effect * it->fullShare, smallestPress);
+        const double slower = std::min(it->speed, std::max(floor, it->speed - excess / press));
+        excess -= press * (it->speed - slower);
+        it->speed = slower;
     }
 }
 
 void PaceControl::chooseSpeeds()
 {
     for (auto &it : m_filling) {
-        it.speed = std::min(m_ceiling, it.speed + speedUpStep);
+        it.speed = std::min(1.0, it.speed + speedUpStep);
     }
-    std::sort(m_serving.begin(), m_serving.end(), [](const auto &a, const auto &b) { return a.baseline > b.baseline; });
+    std::sort(m_serving.begin(), m_serving.end(), [](const auto &a, const auto &b) { return a.baseline < b.baseline; });
     for (const auto &it : m_serving) {
         slowFor(it);
     }
@@ -123,7 +169,7 @@
     std::vector<PaceOrder> orders;
     for (const auto &it : m_filling) {
         const int steps = static_cast<int>(std::lround(it.speed * fullSpeed / speedStepPercent));
-        const int percent = std::clamp(steps * speedStepPercent, speedStepPercent, fullSpeed);
+        const int percent = std::clamp(steps * speedStepPercent, leastPercent, fullSpeed);
         auto &ordered = m_ordered[it.run];
         if (ordered != percent) {
             ordered = percent;
@@ -140,9 +186,6 @@
     }
     m_adjustedAt = now;
     readFigures(running, now);
-    const bool over = std::any_of(
-        m_overSince.begin(), m_overSince.end(), [&](const auto &it) { return now - it.second > overTooLong; });
-    m_ceiling = over ? std::max(slowestSpeed, m_ceiling * ceilingDown) : std::min(1.0, m_ceiling * ceilingUp);
     chooseSpeeds();
     return orders();
 }
@@ -161,7 +204,6 @@
     m_ordered.clear();
     m_overSince.clear();
     m_pressure = 0;
-    m_ceiling = 1;
 }
 
 } // namespace Trefoilhoist::Jobs
--- a/src/trefoilhoist/jobs/pacecontrol.h
+++ b/src/trefoilhoist/jobs/pacecontrol.h
@@ -9,6 +9,9 @@
 
 namespace Trefoilhoist::Jobs {
 
+/// A serving task's target over its tail latency: below 1, the target is broken. Falls evenly with the load on it.
+[[nodiscard]] double slackOf(std::int64_t tailMs, std::int64_t targetMs);
+
 /// A run that is to work at another share of its speed.
 struct PaceOrder {
     RunKey run;
@@ -33,6 +36,8 @@
 
     /// Takes a listing's figures; returns what is to be ordered now.
     std::vector<PaceOrder> update(const std::vector<Wire::RunningTask> &running, TimePoint now);
+    /// A run was started just now: the share of its speed, in percent, that does no harm beside what runs.
+    int startPercent(const RunKey &run);
     /// An order that failed is given again with the next figures.
     void failed(const RunKey &run);
     /// The highest share of its target that a serving task's tail reached in the last figures.
@@ -49,13 +54,16 @@
     };
     struct Serving {
         std::string image;
-        /// Logarithm of tail over target, without what fills do.
+        /// Slack that its tail would have without fills.
         double baseline = 0;
+        /// How long its target has been broken without a pause.
+        Duration overFor{};
     };
 
     void readFigures(const std::vector<Wire::RunningTask> &running, TimePoint now);
     void readServing(const Wire::RunningTask &row, const Wire::RunInfo &info, const FillShares &shares, TimePoint now);
     void chooseSpeeds();
+    [[nodiscard]] double excessOf(const Serving &serving) const;
     void slowFor(const Serving &serving);
     std::vector<PaceOrder> orders();
 
@@ -70,12 +78,12 @@
     std::map<RunKey, int> m_ordered;
     std::vector<Filling> m_filling;
     std::vector<Serving> m_serving;
+    /// Smoothed baselines of the serving tasks.
+    std::map<RunKey, double> m_baselines;
     /// Since when a serving task's tail is over its target.
     std::map<RunKey, TimePoint> m_overSince;
     std::int64_t m_cpuMilli = 1;
     double m_pressure = 0;
-    /// All fills are held to this share of their speed.
-    double m_ceiling = 1;
     TimePoint m_adjustedAt;
 };
 
--- a/src/trefoilhoist/jobs/worker.h
+++ b/src/trefoilhoist/jobs/worker.h
@@ -76,8 +76,8 @@
 struct WorkerFigures {
     TimePoint at;
     FillShares shares;
-    /// Logarithm of tail over target.
-    std::map<RunKey, double> tails;
+    /// Of serving tasks; see slackOf().
+    std::map<RunKey, double> slacks;
 };
 
 /// One life of one minion, as the owner of the scheduling knows it.
--- a/src/trefoilhoist/jobs/workerchoice.cpp
+++ b/src/trefoilhoist/jobs/workerchoice.cpp
@@ -1,7 +1,6 @@
 #include "trefoilhoist/jobs/workerchoice.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace Trefoilhoist::Jobs {
 
@@ -18,11 +17,12 @@
 constexpr double farFromDataCost = 0.5;
 constexpr double failedThereCost = 1.0;
 constexpr double slowCost = 0.5;
-constexpr double harmCost = 1.5;
+constexpr double harmCost = 6;
 /// Serving tasks of one image are kept together, so that each kind of filling task finds workers where it does no harm.
 constexpr double otherImagesCost = 0.6;
-/// The share of its target, as a logarithm, above which a tail is in the way.
-const double tailLimitLog = std::log(0.75);
+/// Slack that serving tasks are to keep.
+constexpr double keptSlack = 1.3;
+constexpr double toleratedHarm = 0.05;
 
 double shareOf(std::int64_t part, std::int64_t whole)
 {
@@ -36,18 +36,18 @@
 {
 }
 
-void WorkerChoice::countSiblings(const Job &job, int occurrence, int step)
+bool WorkerChoice::countSiblings(const Job &job, int occurrence, int step)
 {
     const auto found = job.occurrences().find(occurrence);
     if (found == job.occurrences().end()) {
-        return;
+        return false;
     }
     for (const auto &task : found->second.steps[static_cast<std::size_t>(step)].tasks) {
         for (const auto &run : task.active) {
             ++m_siblings[run.worker];
-            m_someRun = true;
         }
     }
+    return !m_siblings.empty();
 }
 
 int WorkerChoice::siblingsAt(const Worker &worker) const
@@ -74,7 +74,7 @@
         return false;
     }
     // Lent processors are shared thinly only by a step that has nothing running yet.
-    return !m_step.usesIdleCpu || worker.idleCpuMilli() >= m_demand.idleCpuMilli || worker.used.idleCpuMilli == 0 || !m_someRun;
+    return !m_step.usesIdleCpu || m_overdue || (worker.idleCpuMilli() >= m_demand.idleCpuMilli && harm(worker) <= toleratedHarm);
 }
 
 double WorkerChoice::cost(const Worker &worker) const
@@ -122,9 +122,9 @@
             continue;
         }
         const double press = m_interference.effect(run.image, m_step.image) * unseen[m_step.image];
-        const auto tail = worker.figures.tails.find(key);
-        const double now = tail == worker.figures.tails.end() ? tailLimitLog : tail->second;
-        const double excess = now + m_interference.rise(run.image, unseen) - tailLimitLog;
+        const auto slack = worker.figures.slacks.find(key);
+        const double now = slack == worker.figures.slacks.end() ? keptSlack : slack->second;
+        const double excess = keptSlack - (now - m_interference.drop(run.image, unseen));
         sum += std::clamp(excess, 0.0, press);
     }
     return sum;
--- a/src/trefoilhoist/jobs/workerchoice.h
+++ b/src/trefoilhoist/jobs/workerchoice.h
@@ -14,8 +14,10 @@
 public:
     WorkerChoice(const Wire::StepSpec &step, const std::string &service, const TaskState &task, const InterferenceTable &interference, TimePoint now);
 
-    /// Counts where the other tasks of the step run.
-    void countSiblings(const Job &job, int occurrence, int step);
+    /// Counts where the other tasks of the step run; false when none does.
+    bool countSiblings(const Job &job, int occurrence, int step);
+    /// The step has waited so long that it goes where it does harm, too.
+    void setOverdue(bool overdue) { m_overdue = overdue; }
     void consider(Worker &worker);
     /// Null when no worker may take the task now.
     [[nodiscard]] Worker *best() const { return m_best; }
@@ -23,7 +25,7 @@
 private:
     [[nodiscard]] bool mayTake(const Worker &worker) const;
     [[nodiscard]] double cost(const Worker &worker) const;
-    /// By how much serving tasks there would be pushed over their targets, in logarithms.
+    /// By how much serving tasks there would be pushed below the slack that they are to keep.
     [[nodiscard]] double harm(const Worker &worker) const;
     /// Share of the serving tasks there that run another image.
     [[nodiscard]] static double otherImages(const Worker &worker, const std::string &image);
@@ -36,7 +38,7 @@
     TimePoint m_now;
     Demand m_demand;
     std::map<std::string, int> m_siblings;
-    bool m_someRun = false;
+    bool m_overdue = false;
     Worker *m_best = nullptr;
     double m_lowest = 0;
 };
--- a/tests/unit/jobscheduler.cpp
+++ b/tests/unit/jobscheduler.cpp
@@ -417,4 +417,87 @@
     EXPECT_EQ(starts(plan()), 0U);
 }
 
+/// A serving task and steps that use idle processors, on two workers.
+class FillingLoadTest : public JobSchedulerTest
+{
+protected:
+    static Wire::StepSpec fillStep(const std::string &image, int count = 1)
+    {
+        auto step = stepOf(count, 400);
+        step.image = image;
+        step.usesIdleCpu = true;
+        return step;
+    }
+
+    /// Starts a serving task on "w1", and lets its slack and the shares beside it be seen.
+    void serveOn(const std::string &worker, std::int64_t tailMs)
+    {
+        join(worker);
+        auto step = stepOf(1, 1000);
+        step.longRunning = true;
+        step.image = "site";
+        step.tailTargetMs = 50;
+        accept(jobOf("serving-" + worker, {step}));
+        const auto orders = plan().at(worker);
+        answer(orders, OrderResult::Done);
+        m_serving = running(orders.starts.front());
+        m_serving.percent = 100;
+        m_serving.usage = tailMs;
+        m_now += milliseconds(600);
+        auto report = reportOf(worker);
+        report.running = {m_serving};
+        tell(report);
+    }
+
+    Wire::RunningTask m_serving;
+};
+
+TEST_F(FillingLoadTest, servingTaskWithLittleSlack_unknownFill_waits)
+{
+    serveOn("w1", 45);
+    accept(jobOf("fill", {fillStep("image")}));
+    EXPECT_EQ(starts(plan()), 0U);
+}
+
+TEST_F(FillingLoadTest, servingTaskWithLittleSlack_fillWaitedTooLong_startsAllTheSame)
+{
+    serveOn("w1", 45);
+    accept(jobOf("fill", {fillStep("image")}));
+    plan();
+    m_now += milliseconds(2100);
+    auto report = reportOf("w1");
+    report.running = {m_serving};
+    tell(report);
+    EXPECT_EQ(starts(plan()), 1U);
+}
+
+TEST_F(FillingLoadTest, workerWithoutServingTasks_fill_goesThere)
+{
+    serveOn("w1", 45);
+    join("w2");
+    accept(jobOf("fill", {fillStep("image", 3)}));
+    const auto orders = plan();
+    EXPECT_EQ(orders.count("w1"), 0U);
+    EXPECT_EQ(starts(orders), 3U);
+}
+
+TEST_F(FillingLoadTest, servingTasksOfTwoImages_freeWorkers_arePartedByImage)
+{
+    join("w1");
+    join("w2");
+    auto step = stepOf(2, 500);
+    step.longRunning = true;
+    step.tailTargetMs = 50;
+    step.image = "quotes";
+    step.maxPerWorker = 1;
+    accept(jobOf("a", {step}));
+    EXPECT_EQ(starts(plan()), 2U);
+    auto single = step;
+    single.maxPerWorker = 0;
+    single.image = "lots";
+    accept(jobOf("b", {single}));
+    const auto orders = plan();
+    EXPECT_EQ(orders.size(), 1U) << "both tasks of an image share a worker rather than mix with both others";
+}
+
 } // namespace Trefoilhoist::Jobs
--- /dev/null
+++ b/tests/unit/pacecontrol.cpp
@@ -0,0 +1,216 @@
+#include "trefoilhoist/jobs/pacecontrol.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace Trefoilhoist::Jobs {
+
+namespace {
+
+constexpr std::int64_t minionCpuMilli = 10'000;
+constexpr std::int64_t targetMs = 50;
+constexpr Duration figuresEvery = milliseconds(500);
+
+/// One minion with a serving task and tasks on lent processors beside it.
+class PaceControlTest : public testing::Test
+{
+protected:
+    PaceControlTest()
+    {
+        m_pace.setCapacity(minionCpuMilli);
+        learn("heavy", 8);
+        learn("light", 0);
+    }
+
+    void learn(const std::string &filling, double effect)
+    {
+        Wire::ImagePair pair;
+        pair.servingImage = "site";
+        pair.fillingImage = filling;
+        pair.effect = effect;
+        m_pace.learned(pair);
+    }
+
+    void add(const std::string &job, const std::string &image, bool serving)
+    {
+        Wire::RunInfo info;
+        info.task.job = job;
+        info.run = 1;
+        info.image = image;
+        info.cpuMilli = 1500;
+        info.usesIdleCpu = !serving;
+        info.tailTargetMs = serving ? targetMs : 0;
+        m_pace.describe(info);
+        Wire::RunningTask row;
+        row.task = info.task;
+        row.run = 1;
+        row.percent = 100;
+        row.usage = serving ? 20 : 1500;
+        m_rows.push_back(row);
+    }
+
+    void setTail(std::int64_t tailMs)
+    {
+        m_rows.front().usage = tailMs;
+    }
+
+    /// Percent by job, of the orders of the next figures.
+    std::map<std::string, int> next()
+    {
+        m_now += figuresEvery;
+        std::map<std::string, int> result;
+        for (const auto &order : m_pace.update(m_rows, m_now)) {
+            result[order.run.task.job] = order.percent;
+        }
+        return result;
+    }
+
+    PaceControl m_pace;
+    std::vector<Wire::RunningTask> m_rows;
+    TimePoint m_now{seconds(100)};
+};
+
+} // namespace
+
+TEST_F(PaceControlTest, tailWellUnderItsTarget_heavyFill_runsAtFullSpeed)
+{
+    add("s", "site", true);
+    add("f", "heavy", false);
+    setTail(10);
+    EXPECT_TRUE(next().empty());
+}
+
+TEST_F(PaceControlTest, tailOverItsTarget_heavyAndLightFill_slowsOnlyTheHeavyOne)
+{
+    add("s", "site", true);
+    add("f", "heavy", false);
+    add("g", "light", false);
+    setTail(60);
+    const auto orders = next();
+    EXPECT_EQ(orders.count("g"), 0U);
+    ASSERT_EQ(orders.count("f"), 1U);
+    EXPECT_LT(orders.at("f"), 100);
+}
+
+TEST_F(PaceControlTest, tailBackUnderItsTarget_slowedFill_speedsUpAgain)
+{
+    add("s", "site", true);
+    add("f", "heavy", false);
+    setTail(70);
+    const int slowed = next().at("f");
+    m_rows.back().usage = 1500 * slowed / 100;
+    setTail(12);
+    int percent = slowed;
+    for (int i = 0; i < 6; ++i) {
+        const auto orders = next();
+        percent = orders.count("f") > 0 ? orders.at("f") : percent;
+    }
+    EXPECT_EQ(percent, 100);
+}
+
+TEST_F(PaceControlTest, tailOverItsTargetForLong_fillsThoughtLight_areStoppedToo)
+{
+    add("s", "site", true);
+    add("g", "light", false);
+    setTail(80);
+    std::map<std::string, int> last;
+    for (int i = 0; i < 7; ++i) {
+        const auto orders = next();
+        last.insert(orders.begin(), orders.end());
+    }
+    ASSERT_EQ(last.count("g"), 1U);
+    EXPECT_LE(last.at("g"), 5);
+}
+
+TEST_F(PaceControlTest, newHeavyFill_littleSlackLeft_startsSlowed)
+{
+    add("s", "site", true);
+    add("f", "heavy", false);
+    setTail(45);
+    next();
+    Wire::RunInfo fresh;
+    fresh.task.job = "n";
+    fresh.run = 1;
+    fresh.image = "heavy";
+    fresh.cpuMilli = 1500;
+    fresh.usesIdleCpu = true;
+    m_pace.describe(fresh);
+    EXPECT_LT(m_pace.startPercent({fresh.task, 1}), 100);
+}
+
+TEST_F(PaceControlTest, orderThatFailed_nextFigures_isGivenAgain)
+{
+    add("s", "site", true);
+    add("f", "heavy", false);
+    setTail(60);
+    const auto first = next();
+    ASSERT_EQ(first.count("f"), 1U);
+    m_pace.failed({m_rows.back().task, 1});
+    EXPECT_EQ(next().count("f"), 1U);
+}
+
+/// Learns from changes of one serving task's slack.
+class InterferenceTableTest : public testing::Test
+{
+protected:
+    void observe(double slackChange, const std::string &image, double shareChange)
+    {
+        m_now += figuresEvery;
+        m_table.learn("site", slackChange, {{image, shareChange}}, m_now);
+    }
+
+    InterferenceTable m_table;
+    TimePoint m_now{seconds(100)};
+};
+
+TEST_F(InterferenceTableTest, heavyAndLightImage_fewChanges_areToldApart)
+{
+    for (int i = 0; i < 8; ++i) {
+        const double sign = i % 2 == 0 ? 1 : -1;
+        observe(-0.6 * sign, "heavy", 0.1 * sign);
+        observe(0.02 * sign, "light", 0.1 * sign);
+    }
+    EXPECT_NEAR(m_table.effect("site", "heavy"), 6, 1);
+    EXPECT_LT(m_table.effect("site", "light"), 0.5);
+}
+
+TEST_F(InterferenceTableTest, twoImagesThatChangeTogether_oneSeenAloneToo_shareTheBlameRightly)
+{
+    for (int i = 0; i < 10; ++i) {
+        const double sign = i % 2 == 0 ? 1 : -1;
+        m_now += figuresEvery;
+        m_table.learn("site", -0.5 * sign, {{"heavy", 0.1 * sign}, {"light", 0.1 * sign}}, m_now);
+        observe(0, "light", 0.1 * sign);
+    }
+    EXPECT_GT(m_table.effect("site", "heavy"), 3.5);
+    EXPECT_LT(m_table.effect("site", "light"), 1);
+}
+
+TEST_F(InterferenceTableTest, effectThatChanged_laterFigures_isLearnedAgain)
+{
+    for (int i = 0; i < 20; ++i) {
+        const double sign = i % 2 == 0 ? 1 : -1;
+        observe(-0.5 * sign, "image", 0.1 * sign);
+    }
+    m_now += seconds(90);
+    for (int i = 0; i < 20; ++i) {
+        const double sign = i % 2 == 0 ? 1 : -1;
+        observe(0, "image", 0.1 * sign);
+    }
+    EXPECT_LT(m_table.effect("site", "image"), 2);
+}
+
+TEST_F(InterferenceTableTest, pairWithLittleEvidence_isNotTold)
+{
+    std::map<std::pair<std::string, std::string>, double> told;
+    observe(-0.1, "image", 0.02);
+    EXPECT_TRUE(m_table.takeChanged(told).empty());
+    for (int i = 0; i < 10; ++i) {
+        observe(-0.5, "image", 0.1);
+    }
+    EXPECT_EQ(m_table.takeChanged(told).size(), 1U);
+    EXPECT_TRUE(m_table.takeChanged(told).empty());
+}
+
+} // namespace Trefoilhoist::Jobs
