--- a/src/programs/dispatcher/ownersession.cpp
+++ b/src/programs/dispatcher/ownersession.cpp
@@ -21,6 +21,8 @@
 /// Without the store's word for this long, an unknown job may be another owner's.
 constexpr Duration authorityAge = milliseconds(2500);
 constexpr std::int64_t storeRetryAfterMs = 1000;
+/// Outages last for seconds: callers have few tries.
+constexpr std::int64_t outageRetryAfterMs = 2000;
 constexpr const char *workToDo = "work";
 
 Wire::JobAnswer answerOf(JobOutcome outcome, std::int64_t retryAfterMs = storeRetryAfterMs)
@@ -214,9 +216,14 @@
         Event("job_repeated").add("job", id).add("epoch", m_term.epoch);
         co_return answerOf(JobOutcome::Ok);
     }
+    if (intake == Jobs::Intake::New && m_store.outOfReach(sentAt)) {
+        m_scheduler.withdraw(id);
+        Event("job_refused").add("job", id).add("epoch", m_term.epoch).add("reason", "the store is out of reach");
+        co_return answerOf(JobOutcome::Refused, outageRetryAfterMs);
+    }
     if (intake == Jobs::Intake::New) {
         m_records.submit(spec);
-        m_work.notify(workToDo);
+        startRecording();
     }
     co_await m_waiters.wait(id, patience);
     const auto waited = m_context.clock.now() - sentAt;
@@ -308,32 +315,40 @@
 // Queues the records of all that changed since the last call.
 void OwnerSession::recordChanges()
 {
-    bool any = false;
+    // What a caller or a worker waits for is recorded at once; the rest is gathered until the next tick.
+    bool urgent = false;
     for (const auto &id : m_scheduler.takeChanged()) {
         const auto *job = m_scheduler.job(id);
         if (job == nullptr) {
             continue;
         }
         m_records.putProgress(*job);
+        m_gathered = true;
         if (!job->active()) {
+            urgent = true;
             Event("job_ended")
                 .add("job", id)
                 .add("phase", phaseName(job->phase()))
                 .add("epoch", m_term.epoch)
                 .add("afterMs", duration_cast<milliseconds>(m_context.clock.now() - job->acceptedAt()).count());
         }
-        any = true;
     }
     if (auto roster = m_scheduler.takeRoster()) {
         m_records.putRoster(*roster);
         m_roster = std::move(*roster);
-        any = true;
+        urgent = true;
     }
-    if (any) {
-        m_work.notify(workToDo);
+    if (urgent) {
+        startRecording();
     }
 }
 
+void OwnerSession::startRecording()
+{
+    m_gathered = false;
+    m_work.notify(workToDo);
+}
+
 awaitable<void> OwnerSession::recordLoop()
 {
     const auto self = shared_from_this();
@@ -344,13 +359,17 @@
             co_await m_work.wait(workToDo, seconds(1));
             continue;
         }
+        const auto sentAt = m_context.clock.now();
+        m_store.sent(sentAt);
         const auto outcome = co_await m_context.store.commit(batch->commit);
         if (m_closed) {
             co_return;
         }
-        if (outcome.has_value() != m_storeReached) {
-            m_storeReached = outcome.has_value();
-            Event(m_storeReached ? "store_regained" : "store_lost").add("by", "records").add("reason", outcome ? "" : outcome.error().reason);
+        if (m_store.answered(sentAt, outcome.has_value(), m_context.clock.now())) {
+            Event(outcome ? "store_regained" : "store_lost")
+                .add("by", "records")
+                .add("epoch", m_term.epoch)
+                .add("reason", outcome ? "" : outcome.error().reason);
         }
         if (outcome) {
             backoff.reset();
@@ -482,6 +501,9 @@
         co_await sleepFor(tick);
         forgetExpired();
         recordChanges();
+        if (m_gathered) {
+            startRecording();
+        }
         requestPlan();
     }
 }
--- a/src/programs/dispatcher/ownersession.h
+++ b/src/programs/dispatcher/ownersession.h
@@ -3,6 +3,7 @@
 #include "trefoilhoist/jobs/jobrecords.h"
 #include "trefoilhoist/jobs/jobscheduler.h"
 #include "trefoilhoist/jobs/ownerelection.h"
+#include "trefoilhoist/jobs/storereach.h"
 #include "trefoilhoist/metrics/metrics.h"
 #include "trefoilhoist/net/waiters.h"
 #include "trefoilhoist/wire/peerclient.h"
@@ -71,6 +72,7 @@
     void settled(const Jobs::SettledJobs &records);
     void refuseUnrecorded(const Jobs::RecordBatch &batch);
     void recordChanges();
+    void startRecording();
     void forgetExpired();
     void requestPlan();
     void plan();
@@ -90,7 +92,9 @@
     bool m_ready = false;
     bool m_closed = false;
     bool m_planRequested = false;
-    bool m_storeReached = true;
+    /// Changes wait for the next tick to be recorded.
+    bool m_gathered = false;
+    Jobs::StoreReach m_store;
 };
 
 } // namespace Trefoilhoist::Dispatcher
