Keep room for long-running tasks that fit nowhere

Ruled out: the roster (worker_lost is logged at once), anti-affinity (other workers were free of the step). A load test of small tasks beside a large long-running one fails without the reservation.

--- a/src/trefoilhoist/jobs/jobplanning.cpp
+++ b/src/trefoilhoist/jobs/jobplanning.cpp
@@ -44,6 +44,9 @@
         }
     }
     repeatOrders(orders, now);
+    for (auto &[id, worker] : m_workers) {
+        worker.reserved = false;
+    }
     std::vector<const PendingStep *> steps;
     for (const auto &[key, step] : m_pending) {
         steps.push_back(&step);
@@ -246,6 +249,10 @@
     for (auto &[id, worker] : m_workers) {
         choice.consider(worker);
     }
+    if (choice.best() == nullptr && choice.closest() != nullptr) {
+        // Short tasks would fill the room again as fast as it gets free.
+        choice.closest()->reserved = true;
+    }
     return choice.best();
 }
 
@@ -269,6 +276,7 @@
     fresh.checkpoint = step.checkpoints ? entry.job.task(ref)->checkpoint : std::string();
     fresh.image = step.image;
     fresh.tailTargetMs = step.tailTargetMs;
+    fresh.longRunning = step.longRunning;
     const RunKey key{ref, run};
     const auto &added = worker.addRun(key, std::move(fresh));
     entry.job.noteStart(ref, run, worker.info.id);
--- a/src/trefoilhoist/jobs/jobreports.cpp
+++ b/src/trefoilhoist/jobs/jobreports.cpp
@@ -344,6 +344,7 @@
         run.demand = demandOf(step);
         run.image = step.image;
         run.tailTargetMs = step.tailTargetMs;
+        run.longRunning = step.longRunning;
         const bool copiesAllowed = step.duplicatesAllowed || step.gang;
         const bool wanted = entry->job.active() && !task->done && (task->active.empty() || copiesAllowed);
         entry->job.noteStart(row.task, row.run, worker.info.id);
--- a/src/trefoilhoist/jobs/worker.cpp
+++ b/src/trefoilhoist/jobs/worker.cpp
@@ -11,6 +11,12 @@
 /// Long-running tasks use about this share of what they reserve; the rest is lent.
 constexpr double usedShareOfReserved = 0.6;
 
+bool within(const Demand &demand, const Wire::WorkerDescription &worker)
+{
+    return demand.cpuMilli <= worker.cpuMilli && demand.memoryMb <= worker.memoryMb
+        && demand.accelerators <= worker.accelerators;
+}
+
 } // namespace
 
 Demand &Demand::operator+=(const Demand &other)
@@ -47,8 +53,23 @@
 
 bool Worker::fits(const Demand &demand) const
 {
-    return foreignRuns == 0 && used.cpuMilli + demand.cpuMilli <= info.cpuMilli && used.memoryMb + demand.memoryMb <= info.memoryMb
-        && used.accelerators + demand.accelerators <= info.accelerators;
+    Demand all = used;
+    all += demand;
+    return foreignRuns == 0 && within(all, info);
+}
+
+std::optional<double> Worker::shortage(const Demand &demand) const
+{
+    Demand beside = usedForLong;
+    beside += demand;
+    if (foreignRuns > 0 || !within(beside, info)) {
+        return std::nullopt;
+    }
+    Demand all = used;
+    all += demand;
+    const double cpu = static_cast<double>(all.cpuMilli - info.cpuMilli) / std::max(1, info.cpuMilli);
+    const double memory = static_cast<double>(all.memoryMb - info.memoryMb) / std::max(1, info.memoryMb);
+    return std::max({0.0, cpu, memory});
 }
 
 std::int64_t Worker::idleCpuMilli() const
@@ -63,6 +84,9 @@
     TREFOILHOIST_INVARIANT(added, "a run is known once");
     used += it->second.demand;
     foreignRuns += it->second.foreign ? 1 : 0;
+    if (it->second.longRunning) {
+        usedForLong += it->second.demand;
+    }
     return it->second;
 }
 
@@ -72,6 +96,9 @@
     if (it != runs.end()) {
         used -= it->second.demand;
         foreignRuns -= it->second.foreign ? 1 : 0;
+        if (it->second.longRunning) {
+            usedForLong -= it->second.demand;
+        }
         runs.erase(it);
     }
 }
--- a/src/trefoilhoist/jobs/worker.h
+++ b/src/trefoilhoist/jobs/worker.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace Trefoilhoist::Jobs {
@@ -40,6 +41,7 @@
 /// One run that a worker may be carrying out; it takes room until it surely is not.
 struct Run {
     RunState state = RunState::Ordered;
+    bool longRunning = false;
     Demand demand;
     TimePoint orderedAt;
     /// The next time that an order about this run is sent, while one is needed.
@@ -100,6 +102,10 @@
     std::deque<PendingEnd> pendingEnds;
     std::map<RunKey, Run> runs;
     Demand used;
+    /// The part of `used` that long-running tasks take.
+    Demand usedForLong;
+    /// Kept free for this plan's long-running tasks that fit nowhere yet.
+    bool reserved = false;
     /// Runs whose demand is not known.
     int foreignRuns = 0;
     WorkerHealth health;
@@ -110,6 +116,9 @@
     [[nodiscard]] bool hasLabel(const std::string &label) const;
     /// Reserved room suffices for `demand`; never while a run of unknown demand is there.
     [[nodiscard]] bool fits(const Demand &demand) const;
+    /// By how much `demand` exceeds the room, as a share of the worker; 0 when it fits. Nothing when it would not
+    /// fit beside the long-running tasks alone.
+    [[nodiscard]] std::optional<double> shortage(const Demand &demand) const;
     /// Processors that neither reservations nor tasks on idle processors claim; may be negative.
     [[nodiscard]] std::int64_t idleCpuMilli() const;
 
--- a/src/trefoilhoist/jobs/workerchoice.cpp
+++ b/src/trefoilhoist/jobs/workerchoice.cpp
@@ -56,7 +56,7 @@
     return it == m_siblings.end() ? 0 : it->second;
 }
 
-bool WorkerChoice::mayTake(const Worker &worker) const
+bool WorkerChoice::eligible(const Worker &worker) const
 {
     if (!worker.enrolled || !worker.listed || !worker.reachable || worker.draining) {
         return false;
@@ -64,13 +64,18 @@
     if (worker.info.serviceName != m_service || m_now - worker.heardAt > silentAfter || worker.leaseEnds - m_now < leaseLeft) {
         return false;
     }
-    if (worker.health.quarantined(m_now) || !worker.fits(m_demand)) {
+    if (worker.health.quarantined(m_now)) {
         return false;
     }
     if (!m_step.requiredLabel.empty() && !worker.hasLabel(m_step.requiredLabel)) {
         return false;
     }
-    if (m_step.maxPerWorker > 0 && siblingsAt(worker) >= m_step.maxPerWorker) {
+    return m_step.maxPerWorker == 0 || siblingsAt(worker) < m_step.maxPerWorker;
+}
+
+bool WorkerChoice::hasRoom(const Worker &worker) const
+{
+    if (!worker.fits(m_demand) || (worker.reserved && !m_step.longRunning)) {
         return false;
     }
     // Lent processors are shared thinly only by a step that has nothing running yet.
@@ -145,7 +150,15 @@
 
 void WorkerChoice::consider(Worker &worker)
 {
-    if (!mayTake(worker)) {
+    if (!eligible(worker)) {
+        return;
+    }
+    if (!hasRoom(worker)) {
+        const auto shortage = m_step.longRunning ? worker.shortage(m_demand) : std::nullopt;
+        if (shortage && (m_closest == nullptr || *shortage < m_leastShortage)) {
+            m_closest = &worker;
+            m_leastShortage = *shortage;
+        }
         return;
     }
     const double value = cost(worker);
--- a/src/trefoilhoist/jobs/workerchoice.h
+++ b/src/trefoilhoist/jobs/workerchoice.h
@@ -21,9 +21,14 @@
     void consider(Worker &worker);
     /// Null when no worker may take the task now.
     [[nodiscard]] Worker *best() const { return m_best; }
+    /// For a long-running task that fits nowhere: the worker that lacks least room for it, once short tasks there
+    /// have ended. Null for other tasks.
+    [[nodiscard]] Worker *closest() const { return m_closest; }
 
 private:
-    [[nodiscard]] bool mayTake(const Worker &worker) const;
+    /// All that must hold but the room.
+    [[nodiscard]] bool eligible(const Worker &worker) const;
+    [[nodiscard]] bool hasRoom(const Worker &worker) const;
     [[nodiscard]] double cost(const Worker &worker) const;
     /// By how much serving tasks there would be pushed below the slack that they are to keep.
     [[nodiscard]] double harm(const Worker &worker) const;
@@ -41,6 +46,8 @@
     bool m_overdue = false;
     Worker *m_best = nullptr;
     double m_lowest = 0;
+    Worker *m_closest = nullptr;
+    double m_leastShortage = 0;
 };
 
 } // namespace Trefoilhoist::Jobs
--- a/tests/unit/jobscheduler.cpp
+++ b/tests/unit/jobscheduler.cpp
@@ -417,6 +417,37 @@
     EXPECT_EQ(starts(plan()), 0U);
 }
 
+TEST_F(JobSchedulerTest, steadySmallTasks_longRunningTaskThatNeedsMostOfAWorker_getsItsRoom)
+{
+    join("w1");
+    accept(jobOf("small", {stepOf(12, 1000)}));
+    auto orders = plan().at("w1");
+    ASSERT_EQ(orders.starts.size(), 4U);
+    answer(orders, OrderResult::Done);
+    auto step = stepOf(1, 3500);
+    step.longRunning = true;
+    accept(jobOf("long", {step}));
+    // Small tasks end one by one; others wait for the same room.
+    std::vector<Wire::StartOrder> left(orders.starts.begin(), orders.starts.end());
+    bool started = false;
+    for (std::int64_t number = 1; !left.empty(); ++number) {
+        auto report = reportOf("w1");
+        report.ended = {ended(number, left.back(), EndKind::Done)};
+        left.pop_back();
+        for (const auto &it : left) {
+            report.running.push_back(running(it));
+        }
+        tell(report);
+        for (const auto &[worker, planned] : plan()) {
+            for (const auto &it : planned.starts) {
+                started = started || it.task.job == "long";
+                EXPECT_EQ(it.task.job, "long");
+            }
+        }
+    }
+    EXPECT_TRUE(started);
+}
+
 /// A serving task and steps that use idle processors, on two workers.
 class FillingLoadTest : public JobSchedulerTest
 {
