--- a/src/trefoilhoist/jobs/joblog.cpp
+++ b/src/trefoilhoist/jobs/joblog.cpp
@@ -55,6 +55,21 @@
         .add("epoch", epoch);
 }
 
+void logWait(const std::string &job, const Wire::StepSpec &step, const std::map<std::string_view, int> &obstacles, Duration waited, std::int64_t epoch)
+{
+    nlohmann::ordered_json counts;
+    for (const auto &[why, n] : obstacles) {
+        counts[std::string(why)] = n;
+    }
+    Event("step_waits")
+        .add("job", job)
+        .add("cpuMilli", step.cpuMilli)
+        .add("memoryMb", step.memoryMb)
+        .add("waitedMs", duration_cast<milliseconds>(waited).count())
+        .add("workers", counts)
+        .add("epoch", epoch);
+}
+
 void logUnreported(const std::set<std::string> &agents, std::int64_t epoch)
 {
     for (const auto &it : agents) {
--- a/src/trefoilhoist/jobs/jobplanning.cpp
+++ b/src/trefoilhoist/jobs/jobplanning.cpp
@@ -18,6 +18,7 @@
 /// Starts handed to one worker in one plan.
 constexpr std::size_t maxStartsPerPlan = 24;
 /// A step with nothing running waits this long for a worker where it does no harm.
+constexpr Duration waitLogged = milliseconds(1000);
 constexpr Duration waitForHarmless = milliseconds(2000);
 
 } // namespace
@@ -253,6 +254,10 @@
         // Short tasks would fill the room again as fast as it gets free.
         choice.closest()->reserved = true;
     }
+    if (choice.best() == nullptr && step.longRunning && now - pending.since > waitLogged && now - m_waitLoggedAt > waitLogged) {
+        m_waitLoggedAt = now;
+        logWait(entry.job.id(), step, choice.obstacles(), now - pending.since, m_epoch);
+    }
     return choice.best();
 }
 
--- a/src/trefoilhoist/jobs/jobscheduler.h
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -172,6 +172,7 @@
     std::set<std::string> m_enrolled;
     bool m_rosterChanged = false;
     TimePoint m_now;
+    TimePoint m_waitLoggedAt;
 };
 
 /// Names an agent in the roster: HOST:PORT.
--- a/src/trefoilhoist/jobs/workerchoice.cpp
+++ b/src/trefoilhoist/jobs/workerchoice.cpp
@@ -56,21 +56,30 @@
     return it == m_siblings.end() ? 0 : it->second;
 }
 
-bool WorkerChoice::eligible(const Worker &worker) const
+std::string_view WorkerChoice::obstacle(const Worker &worker) const
 {
-    if (!worker.enrolled || !worker.listed || !worker.reachable || worker.draining) {
-        return false;
+    if (!worker.enrolled || !worker.listed) {
+        return "not known yet";
     }
-    if (worker.info.serviceName != m_service || m_now - worker.heardAt > silentAfter || worker.leaseEnds - m_now < leaseLeft) {
-        return false;
+    if (!worker.reachable || m_now - worker.heardAt > silentAfter || worker.leaseEnds - m_now < leaseLeft) {
+        return "silent";
+    }
+    if (worker.draining) {
+        return "draining";
+    }
+    if (worker.info.serviceName != m_service) {
+        return "other service";
     }
     if (worker.health.quarantined(m_now)) {
-        return false;
+        return "quarantined";
     }
     if (!m_step.requiredLabel.empty() && !worker.hasLabel(m_step.requiredLabel)) {
-        return false;
+        return "label missing";
+    }
+    if (m_step.maxPerWorker > 0 && siblingsAt(worker) >= m_step.maxPerWorker) {
+        return "too many of the step";
     }
-    return m_step.maxPerWorker == 0 || siblingsAt(worker) < m_step.maxPerWorker;
+    return {};
 }
 
 bool WorkerChoice::hasRoom(const Worker &worker) const
@@ -150,10 +159,13 @@
 
 void WorkerChoice::consider(Worker &worker)
 {
-    if (!eligible(worker)) {
+    const auto why = obstacle(worker);
+    if (!why.empty()) {
+        ++m_obstacles[why];
         return;
     }
     if (!hasRoom(worker)) {
+        ++m_obstacles["no room"];
         const auto shortage = m_step.longRunning ? worker.shortage(m_demand) : std::nullopt;
         if (shortage && (m_closest == nullptr || *shortage < m_leastShortage)) {
             m_closest = &worker;
--- a/src/trefoilhoist/jobs/workerchoice.h
+++ b/src/trefoilhoist/jobs/workerchoice.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <string>
+#include <string_view>
 
 namespace Trefoilhoist::Jobs {
 
@@ -19,6 +20,8 @@
     /// The step has waited so long that it goes where it does harm, too.
     void setOverdue(bool overdue) { m_overdue = overdue; }
     void consider(Worker &worker);
+    /// Workers by what keeps the task from them.
+    [[nodiscard]] const std::map<std::string_view, int> &obstacles() const { return m_obstacles; }
     /// Null when no worker may take the task now.
     [[nodiscard]] Worker *best() const { return m_best; }
     /// For a long-running task that fits nowhere: the worker that lacks least room for it, once short tasks there
@@ -26,8 +29,8 @@
     [[nodiscard]] Worker *closest() const { return m_closest; }
 
 private:
-    /// All that must hold but the room.
-    [[nodiscard]] bool eligible(const Worker &worker) const;
+    /// Why the worker can't take the task, whatever its room; empty when nothing is in the way.
+    [[nodiscard]] std::string_view obstacle(const Worker &worker) const;
     [[nodiscard]] bool hasRoom(const Worker &worker) const;
     [[nodiscard]] double cost(const Worker &worker) const;
     /// By how much serving tasks there would be pushed below the slack that they are to keep.
@@ -48,6 +51,7 @@
     double m_lowest = 0;
     Worker *m_closest = nullptr;
     double m_leastShortage = 0;
+    std::map<std::string_view, int> m_obstacles;
 };
 
 } // namespace Trefoilhoist::Jobs
