--- a/src/trefoilhoist/jobs/jobreports.cpp
+++ b/src/trefoilhoist/jobs/jobreports.cpp
@@ -157,7 +157,9 @@
         logWorker("worker_lost", worker, m_epoch);
     }
     while (!worker.runs.empty()) {
-        loseRun(worker, worker.runs.begin()->first, now);
+        // A copy: losing the run ends the life of its key in the table.
+        const RunKey key = worker.runs.begin()->first;
+        loseRun(worker, key, now);
     }
     if (worker.listed) {
         ++worker.leaseTerm;
