--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-using Jobs::OrderResult;
-
 constexpr Duration reportEvery = milliseconds(500);
 constexpr Duration reportTimeout = milliseconds(900);
 constexpr std::int64_t listingsPerMillisecond = 100;
@@ -24,9 +22,10 @@
     , m_outside(std::move(outside))
     , m_metrics(runtime.clock())
     , m_heartbeats(runtime.executor(), {}, [this](HttpRequest request) { return serveMinion(std::move(request)); })
-    , m_metricsServer(runtime.executor(), {}, [this](HttpRequest) -> awaitable<HttpResponse> {
-        co_return textResponse(200, m_metrics.exposition());
-    })
+    , m_metricsServer(
+          runtime.executor(),
+          {},
+          [this](HttpRequest) -> awaitable<HttpResponse> { co_return textResponse(200, m_metrics.exposition()); })
     , m_peers(runtime.executor(), m_settings.name, runtime.incarnation(), [this](Wire::Envelope envelope) {
         return servePeer(std::move(envelope));
     })
@@ -106,7 +105,10 @@
             // A heartbeat of an earlier life that was held up.
             return;
         }
-        Event("minion_seen").add("worker", worker.id).add("born", worker.born).add("endpoint", heartbeat.endpoint.str());
+        Event("minion_seen")
+            .add("worker", worker.id)
+            .add("born", worker.born)
+            .add("endpoint", heartbeat.endpoint.str());
         m_minion = std::move(heartbeat);
         m_gate.newLife();
         m_pace.clear();
@@ -159,7 +161,8 @@
     }
     if (epoch > before || !m_ownerClient || !(owner == m_owner)) {
         m_owner = owner;
-        m_ownerClient = std::make_unique<PeerClient>(m_runtime.executor(), m_settings.name, m_runtime.incarnation(), owner);
+        m_ownerClient
+            = std::make_unique<PeerClient>(m_runtime.executor(), m_settings.name, m_runtime.incarnation(), owner);
         Event("owner_adopted").add("epoch", epoch).add("owner", owner.str());
         m_news = true;
         m_waiters.notifyAll();
@@ -230,9 +233,11 @@
     if (!sent.ended.empty()) {
         m_reportedEnds = std::max(m_reportedEnds, sent.ended.back().number);
     }
-    const auto answer = co_await m_ownerClient->call(Wire::MessageKind::WorkerReportKind, Wire::encode(sent), reportTimeout);
+    const auto answer
+        = co_await m_ownerClient->call(Wire::MessageKind::WorkerReportKind, Wire::encode(sent), reportTimeout);
     const auto reply = answer ? Wire::decode<Wire::WorkerReportReply>(answer->payload) : std::nullopt;
-    const bool sameLife = m_minion && m_minion->worker.id == sent.worker.id && m_minion->worker.born == sent.worker.born;
+    const bool sameLife
+        = m_minion && m_minion->worker.id == sent.worker.id && m_minion->worker.born == sent.worker.born;
     if (!reply || reply->epoch != epoch || m_gate.epoch() != epoch) {
         Event("report_unanswered")
             .add("epoch", epoch)
--- a/src/programs/agent/agent.h
+++ b/src/programs/agent/agent.h
@@ -59,7 +59,9 @@
 
     // Orders.
     awaitable<Wire::WorkerOrdersReply> carryOut(Wire::WorkerOrders orders);
-    awaitable<void> carryOutStarts(std::shared_ptr<Wire::WorkerOrders> orders, std::shared_ptr<Wire::WorkerOrdersReply> reply, std::shared_ptr<std::size_t> next);
+    awaitable<void> carryOutStarts(std::shared_ptr<Wire::WorkerOrders> orders,
+                                   std::shared_ptr<Wire::WorkerOrdersReply> reply,
+                                   std::shared_ptr<std::size_t> next);
     awaitable<int> startOne(const Wire::WorkerOrders &orders, std::size_t number);
     void adopt(std::int64_t epoch, const Endpoint &owner);
 
--- a/src/programs/agent/minionruns.cpp
+++ b/src/programs/agent/minionruns.cpp
@@ -10,7 +10,6 @@
 namespace {
 
 using Jobs::OrderResult;
-using Jobs::RunKey;
 
 constexpr Duration listingWait = milliseconds(500);
 /// Between listings while ends wait to be recorded: the minion answers at once then.
@@ -76,7 +75,10 @@
     const auto now = m_runtime.clock().now();
     m_gate.noteMinionClock(listing.clockMs, now);
     if (!m_reachable) {
-        Event("minion_reached").add("worker", m_minion->worker.id).add("listing", number).add("running", listing.running.size());
+        Event("minion_reached")
+            .add("worker", m_minion->worker.id)
+            .add("listing", number)
+            .add("running", listing.running.size());
     }
     const bool firstOfEpoch = !m_gate.isListed() || !m_reachable;
     m_reachable = true;
@@ -110,7 +112,9 @@
     const auto now = m_runtime.clock().now();
     const bool lapsed = now > m_gate.mayRunUntil() && now > m_startedAt + m_settings.longestHold;
     if (!m_gate.isGone() && (m_refusedConnections >= refusalsToBeGone || lapsed)) {
-        Event("minion_gone").add("worker", m_minion->worker.id).add("reason", lapsed ? "its lease has ended" : "nothing listens");
+        Event("minion_gone")
+            .add("worker", m_minion->worker.id)
+            .add("reason", lapsed ? "its lease has ended" : "nothing listens");
         m_gate.gone();
         m_running.clear();
         m_news = true;
@@ -215,7 +219,9 @@
     if (answer.result != OrderResult::Done && answer.result != OrderResult::Unknown) {
         m_pace.forget({order.task, order.run});
     } else if (const int percent = m_pace.startPercent({order.task, order.run}); percent < 100) {
-        spawnOn(m_runtime.executor(), "pace", [this, order, percent] { return pace({{order.task, order.run}, percent}); });
+        spawnOn(m_runtime.executor(), "pace", [this, order, percent] {
+            return pace({{order.task, order.run}, percent});
+        });
     }
     co_return static_cast<int>(answer.result);
 }
--- a/src/programs/dispatcher/dispatcher.cpp
+++ b/src/programs/dispatcher/dispatcher.cpp
@@ -55,7 +55,8 @@
     , m_outside(std::move(outside))
     , m_metrics(runtime.clock())
     , m_election(*m_outside.store, runtime.clock(), m_settings.election, selfRecord(m_settings))
-    , m_callers(runtime.executor(), callerLimits(), [this](HttpRequest request) { return serveCaller(std::move(request)); })
+    , m_callers(
+          runtime.executor(), callerLimits(), [this](HttpRequest request) { return serveCaller(std::move(request)); })
     , m_readiness(runtime.executor(), {}, [this](HttpRequest request) { return serveReadiness(std::move(request)); })
     , m_metricsServer(runtime.executor(), {}, [this](HttpRequest request) { return serveMetrics(std::move(request)); })
     , m_peers(runtime.executor(), m_settings.name, runtime.incarnation(), [this](Wire::Envelope envelope) {
@@ -99,7 +100,9 @@
                            m_settings.peers,
                            m_settings.scheduler,
                            [this] { return m_election.verifiedAt(); },
-                           [this](const std::string &reason) { m_election.deposed(reason); }};
+                           [this](const std::string &reason) {
+                               m_election.deposed(reason);
+                           }};
     m_session = std::make_shared<OwnerSession>(std::move(context), term, m_queues);
     m_session->start();
     m_metrics.counter("trefoilhoist_terms_won").add();
@@ -152,7 +155,10 @@
     }
     const auto *queue = m_queues.match(caller->host, caller->path);
     if (queue == nullptr) {
-        Event("queue_unknown").add("host", caller->host).add("path", caller->path).add("configuration", m_queues.version);
+        Event("queue_unknown")
+            .add("host", caller->host)
+            .add("path", caller->path)
+            .add("configuration", m_queues.version);
         return tl::unexpected(callers.noSuchQueue());
     }
     OwnerQuestion question;
@@ -203,7 +209,8 @@
     return question;
 }
 
-HttpResponse DispatcherServer::finishCaller(const OwnerQuestion &question, const Wire::JobAnswer &answer, TimePoint receivedAt)
+HttpResponse
+DispatcherServer::finishCaller(const OwnerQuestion &question, const Wire::JobAnswer &answer, TimePoint receivedAt)
 {
     const auto now = m_runtime.clock().now();
     m_metrics.latency("trefoilhoist_caller_request").record(now - receivedAt, now);
@@ -323,7 +330,10 @@
     if (queues->version <= m_queues.version) {
         return;
     }
-    Event("configuration_taken").add("version", queues->version).add("revision", revision).add("queues", queues->routes.size());
+    Event("configuration_taken")
+        .add("version", queues->version)
+        .add("revision", revision)
+        .add("queues", queues->routes.size());
     m_queues = std::move(*queues);
     if (m_session) {
         m_session->setQueues(m_queues);
@@ -358,7 +368,8 @@
             }
             continue;
         }
-        const auto changes = co_await m_outside.store->watch(m_outside.configuration->key(), revision, configurationWait);
+        const auto changes
+            = co_await m_outside.store->watch(m_outside.configuration->key(), revision, configurationWait);
         known = changes.has_value() && !changes->historyLost;
         if (!known) {
             if (!changes) {
@@ -382,7 +393,9 @@
     Event("stopping").add("name", m_settings.name).add("inFlight", m_callers.inFlight());
     co_await m_election.resign();
     const auto startedAt = m_runtime.clock().now();
-    const auto elapsed = [&] { return m_runtime.clock().now() - startedAt; };
+    const auto elapsed = [&] {
+        return m_runtime.clock().now() - startedAt;
+    };
     while (elapsed() < m_settings.stopWithin && (elapsed() < stopAtLeast || m_callers.inFlight() > 0)) {
         co_await sleepFor(stopPoll);
     }
--- a/src/programs/dispatcher/ownersession.cpp
+++ b/src/programs/dispatcher/ownersession.cpp
@@ -463,9 +463,15 @@
             .add("epoch", orders.epoch);
     }
     for (const auto &it : orders.stops) {
-        Event("stop_ordered").add("job", it.task.job).add("task", Jobs::taskName(it.task)).add("run", it.run).add("worker", orders.worker).add("epoch", orders.epoch);
+        Event("stop_ordered")
+            .add("job", it.task.job)
+            .add("task", Jobs::taskName(it.task))
+            .add("run", it.run)
+            .add("worker", orders.worker)
+            .add("epoch", orders.epoch);
     }
-    const auto answer = co_await clientOf(agent).call(Wire::MessageKind::WorkerOrdersKind, Wire::encode(orders), orderTimeout);
+    const auto answer
+        = co_await clientOf(agent).call(Wire::MessageKind::WorkerOrdersKind, Wire::encode(orders), orderTimeout);
     std::optional<Wire::WorkerOrdersReply> reply;
     if (answer) {
         reply = Wire::decode<Wire::WorkerOrdersReply>(answer->payload);
--- a/src/programs/dispatcher/ownersession.h
+++ b/src/programs/dispatcher/ownersession.h
@@ -43,7 +43,10 @@
     /// Ends all coroutines soon; questions in progress are answered as unsettled.
     void close();
     /// The records are loaded.
-    [[nodiscard]] bool ready() const { return m_ready; }
+    [[nodiscard]] bool ready() const
+    {
+        return m_ready;
+    }
     void setQueues(Jobs::QueueTable queues);
 
     awaitable<Wire::JobAnswer> submit(Wire::JobSpec spec, Duration patience);
@@ -52,7 +55,10 @@
     [[nodiscard]] Wire::JobAnswer askQueue(const std::string &queue) const;
     Wire::WorkerReportReply report(const Wire::WorkerReport &report);
 
-    [[nodiscard]] const Jobs::JobScheduler &scheduler() const { return m_scheduler; }
+    [[nodiscard]] const Jobs::JobScheduler &scheduler() const
+    {
+        return m_scheduler;
+    }
 
 private:
     /// What an earlier owner recorded of jobs, by id.
--- a/src/trefoilhoist/jobs/interferencetable.cpp
+++ b/src/trefoilhoist/jobs/interferencetable.cpp
@@ -22,7 +22,10 @@
 
 } // namespace
 
-void InterferenceTable::learn(const std::string &servingImage, double slackChange, const FillShares &shareChanges, TimePoint now)
+void InterferenceTable::learn(const std::string &servingImage,
+                              double slackChange,
+                              const FillShares &shareChanges,
+                              TimePoint now)
 {
     if (shareChanges.empty()) {
         return;
@@ -56,7 +59,9 @@
         for (const auto &[image, withTail] : model.withTail) {
             double rest = withTail + unseenWeight * unseenEffect;
             double own = unseenWeight;
-            for (auto it = model.products.lower_bound({image, {}}); it != model.products.end() && it->first.first == image; ++it) {
+            for (auto it = model.products.lower_bound({image, {}});
+                 it != model.products.end() && it->first.first == image;
+                 ++it) {
                 if (it->first.second == image) {
                     own += it->second;
                 } else {
@@ -93,7 +98,8 @@
     m_models[pair.servingImage].effects[pair.fillingImage] = pair.effect;
 }
 
-std::vector<Wire::ImagePair> InterferenceTable::takeChanged(std::map<std::pair<std::string, std::string>, double> &told) const
+std::vector<Wire::ImagePair>
+InterferenceTable::takeChanged(std::map<std::pair<std::string, std::string>, double> &told) const
 {
     std::vector<Wire::ImagePair> pairs;
     for (const auto &[serving, model] : m_models) {
--- a/src/trefoilhoist/jobs/interferencetable.h
+++ b/src/trefoilhoist/jobs/interferencetable.h
@@ -16,8 +16,8 @@
 /// How tasks on lent processors slow the serving tasks beside them, by pair of images, learned from how tails change
 /// when the shares of processors change.
 ///
-/// The slack of a serving task (its target over its tail latency) drops by effect x share. Slow swings of a serving task's own load cancel out in the
-/// changes from one figure to the next. Not thread-safe.
+/// The slack of a serving task (its target over its tail latency) drops by effect x share. Slow swings of a serving
+/// task's own load cancel out in the changes from one figure to the next. Not thread-safe.
 class InterferenceTable
 {
 public:
--- a/src/trefoilhoist/jobs/job.cpp
+++ b/src/trefoilhoist/jobs/job.cpp
@@ -13,7 +13,8 @@
     std::string bits((step.tasks.size() + bitsPerByte - 1) / bitsPerByte, '\0');
     for (std::size_t i = 0; i < step.tasks.size(); ++i) {
         if (step.tasks[i].done) {
-            bits[i / bitsPerByte] = static_cast<char>(static_cast<unsigned char>(bits[i / bitsPerByte]) | (1U << (i % bitsPerByte)));
+            bits[i / bitsPerByte]
+                = static_cast<char>(static_cast<unsigned char>(bits[i / bitsPerByte]) | (1U << (i % bitsPerByte)));
         }
     }
     return bits;
@@ -21,7 +22,8 @@
 
 bool bitAt(const std::string &bits, std::size_t i)
 {
-    return i / bitsPerByte < bits.size() && ((static_cast<unsigned char>(bits[i / bitsPerByte]) >> (i % bitsPerByte)) & 1U) != 0;
+    return i / bitsPerByte < bits.size()
+        && ((static_cast<unsigned char>(bits[i / bitsPerByte]) >> (i % bitsPerByte)) & 1U) != 0;
 }
 
 } // namespace
@@ -201,7 +203,8 @@
         for (const int it : m_spec.steps[i].after) {
             start = std::max(start, finishAt[static_cast<std::size_t>(it)]);
         }
-        const bool finished = occurrence != nullptr && i < occurrence->steps.size() && occurrence->steps[i].unfinished == 0;
+        const bool finished
+            = occurrence != nullptr && i < occurrence->steps.size() && occurrence->steps[i].unfinished == 0;
         finishAt[i] = start + (finished ? Duration{} : Duration(milliseconds(m_spec.steps[i].estimatedMs)));
         longest = std::max(longest, finishAt[i]);
     }
@@ -271,8 +274,8 @@
                     tasks[k].failures = failures->second;
                 }
             }
-            occurrence.steps[i].unfinished = static_cast<int>(
-                std::count_if(tasks.begin(), tasks.end(), [](const auto &it) { return !it.done; }));
+            occurrence.steps[i].unfinished
+                = static_cast<int>(std::count_if(tasks.begin(), tasks.end(), [](const auto &it) { return !it.done; }));
         }
     }
 }
--- a/src/trefoilhoist/jobs/job.h
+++ b/src/trefoilhoist/jobs/job.h
@@ -50,14 +50,35 @@
 public:
     explicit Job(Wire::JobSpec spec, TimePoint acceptedAt);
 
-    [[nodiscard]] const Wire::JobSpec &spec() const { return m_spec; }
-    [[nodiscard]] const std::string &id() const { return m_spec.id; }
-    [[nodiscard]] const Wire::StepSpec &step(int number) const { return m_spec.steps.at(static_cast<std::size_t>(number)); }
-    [[nodiscard]] JobPhase phase() const { return m_phase; }
-    [[nodiscard]] TimePoint acceptedAt() const { return m_acceptedAt; }
-    [[nodiscard]] bool active() const { return !isFinal(m_phase); }
+    [[nodiscard]] const Wire::JobSpec &spec() const
+    {
+        return m_spec;
+    }
+    [[nodiscard]] const std::string &id() const
+    {
+        return m_spec.id;
+    }
+    [[nodiscard]] const Wire::StepSpec &step(int number) const
+    {
+        return m_spec.steps.at(static_cast<std::size_t>(number));
+    }
+    [[nodiscard]] JobPhase phase() const
+    {
+        return m_phase;
+    }
+    [[nodiscard]] TimePoint acceptedAt() const
+    {
+        return m_acceptedAt;
+    }
+    [[nodiscard]] bool active() const
+    {
+        return !isFinal(m_phase);
+    }
     /// True once a task has been started by any owner.
-    [[nodiscard]] bool begun() const { return m_begun; }
+    [[nodiscard]] bool begun() const
+    {
+        return m_begun;
+    }
     [[nodiscard]] bool longRunning() const;
 
     /// Opens every occurrence that is due; true when one was opened.
@@ -65,8 +86,14 @@
     /// Unix milliseconds of the next occurrence that is not open yet.
     [[nodiscard]] std::optional<std::int64_t> nextDueMs() const;
 
-    [[nodiscard]] std::map<int, OccurrenceState> &occurrences() { return m_occurrences; }
-    [[nodiscard]] const std::map<int, OccurrenceState> &occurrences() const { return m_occurrences; }
+    [[nodiscard]] std::map<int, OccurrenceState> &occurrences()
+    {
+        return m_occurrences;
+    }
+    [[nodiscard]] const std::map<int, OccurrenceState> &occurrences() const
+    {
+        return m_occurrences;
+    }
     /// Null for a task that the job does not have or that is not open.
     [[nodiscard]] TaskState *task(const Wire::TaskRef &ref);
 
@@ -88,11 +115,17 @@
     [[nodiscard]] Duration wholeChain() const;
 
     /// Rises with each change that must be recorded; 0 for a job as it was accepted.
-    [[nodiscard]] std::int64_t version() const { return m_version; }
+    [[nodiscard]] std::int64_t version() const
+    {
+        return m_version;
+    }
     [[nodiscard]] Wire::JobProgress progress() const;
     /// Takes up what an earlier owner recorded.
     void restore(const Wire::JobProgress &progress);
-    [[nodiscard]] std::int64_t endedAtMs() const { return m_endedAtMs; }
+    [[nodiscard]] std::int64_t endedAtMs() const
+    {
+        return m_endedAtMs;
+    }
 
 private:
     void openOccurrence(int number);
--- a/src/trefoilhoist/jobs/joblog.cpp
+++ b/src/trefoilhoist/jobs/joblog.cpp
@@ -55,7 +55,11 @@
         .add("epoch", epoch);
 }
 
-void logWait(const std::string &job, const Wire::StepSpec &step, const std::map<std::string_view, int> &obstacles, Duration waited, std::int64_t epoch)
+void logWait(const std::string &job,
+             const Wire::StepSpec &step,
+             const std::map<std::string_view, int> &obstacles,
+             Duration waited,
+             std::int64_t epoch)
 {
     nlohmann::ordered_json counts;
     for (const auto &[why, n] : obstacles) {
--- a/src/trefoilhoist/jobs/joblog.h
+++ b/src/trefoilhoist/jobs/joblog.h
@@ -16,7 +16,11 @@
 void logForeign(const Worker &worker, const Wire::RunningTask &row, std::int64_t epoch);
 void logRefusedStart(const Worker &worker, const RunKey &key, OrderResult result, std::int64_t epoch);
 /// A long-running step that no worker takes; `obstacles` counts workers by what is in the way.
-void logWait(const std::string &job, const Wire::StepSpec &step, const std::map<std::string_view, int> &obstacles, Duration waited, std::int64_t epoch);
+void logWait(const std::string &job,
+             const Wire::StepSpec &step,
+             const std::map<std::string_view, int> &obstacles,
+             Duration waited,
+             std::int64_t epoch);
 void logUnreported(const std::set<std::string> &agents, std::int64_t epoch);
 
 } // namespace Trefoilhoist::Jobs
--- /dev/null
+++ b/src/trefoilhoist/jobs/joborders.cpp
@@ -0,0 +1,108 @@
+// What the scheduler learns from the answers to its orders.
+#include "trefoilhoist/jobs/joblog.h"
+#include "trefoilhoist/jobs/jobscheduler.h"
+
+#include <algorithm>
+
+namespace Trefoilhoist::Jobs {
+
+void JobScheduler::ordersDone(const Wire::WorkerOrders &orders,
+                              const std::optional<Wire::WorkerOrdersReply> &reply,
+                              TimePoint now)
+{
+    m_now = now;
+    const auto found = m_workers.find(orders.worker);
+    if (found == m_workers.end() || found->second.info.born != orders.born) {
+        return;
+    }
+    auto &worker = found->second;
+    const auto resultAt = [](const std::vector<std::int32_t> &results, std::size_t i) {
+        return i < results.size() ? static_cast<OrderResult>(results[i]) : OrderResult::Unknown;
+    };
+    for (std::size_t i = 0; i < orders.starts.size(); ++i) {
+        const RunKey key{orders.starts[i].task, orders.starts[i].run};
+        const auto it = worker.runs.find(key);
+        if (it == worker.runs.end()) {
+            continue;
+        }
+        startDone(
+            worker, key, reply ? resultAt(reply->starts, i) : OrderResult::Unknown, reply ? reply->listing : 0, now);
+    }
+    for (std::size_t i = 0; i < orders.stops.size(); ++i) {
+        const RunKey key{orders.stops[i].task, orders.stops[i].run};
+        const auto it = worker.runs.find(key);
+        if (it == worker.runs.end()) {
+            continue;
+        }
+        auto &run = it->second;
+        run.inFlight = false;
+        const auto result = reply ? resultAt(reply->stops, i) : OrderResult::Unknown;
+        if (result == OrderResult::Done || result == OrderResult::Superseded) {
+            run.stopTaken = true;
+            run.settledByListing = std::max(reply->listing, std::int64_t{0});
+            // The end is listed within a moment; asked again if it is not.
+            run.nextOrder = now + 4 * m_settings.orderRetry;
+        } else {
+            run.nextOrder = now + m_settings.orderRetry;
+        }
+    }
+}
+
+void JobScheduler::startDone(Worker &worker, const RunKey &key, OrderResult result, std::int64_t listing, TimePoint now)
+{
+    auto &run = worker.runs.at(key);
+    run.inFlight = false;
+    const bool stopping = run.state == RunState::Stopping;
+    switch (result) {
+    case OrderResult::Done:
+        run.mayAppear = false;
+        run.settledByListing = listing;
+        if (!stopping) {
+            run.state = RunState::Running;
+        }
+        break;
+    case OrderResult::Superseded:
+        // The run has ended or was stopped there; its end is listed, unless that was taken note of before.
+        run.mayAppear = false;
+        run.settledByListing = listing;
+        break;
+    case OrderResult::Unknown:
+        run.mayAppear = true;
+        ++run.unanswered;
+        run.nextOrder = now + m_settings.orderRetry;
+        worker.health.noteTrouble(now);
+        if (!stopping) {
+            run.state = RunState::Unsettled;
+        }
+        break;
+    case OrderResult::NoRoom:
+    case OrderResult::Refused:
+    case OrderResult::Invalid:
+        logRefusedStart(worker, key, result, m_epoch);
+        if (result == OrderResult::Refused) {
+            worker.health.noteTrouble(now);
+        }
+        if (run.mayAppear) {
+            // An earlier sending may still be carried out.
+            run.nextOrder = now + m_settings.orderRetry;
+            run.state = stopping ? run.state : RunState::Unsettled;
+            ++run.unanswered;
+        } else {
+            delayTask(key, now);
+            loseRun(worker, key, now);
+        }
+        break;
+    }
+}
+
+// A start that was refused is not tried again at once.
+void JobScheduler::delayTask(const RunKey &key, TimePoint now)
+{
+    auto *entry = find(key.task.job);
+    auto *task = entry == nullptr ? nullptr : entry->job.task(key.task);
+    if (task != nullptr) {
+        task->notBefore = now + m_settings.orderRetry;
+    }
+}
+
+} // namespace Trefoilhoist::Jobs
--- a/src/trefoilhoist/jobs/jobplanning.cpp
+++ b/src/trefoilhoist/jobs/jobplanning.cpp
@@ -55,7 +55,8 @@
     std::sort(steps.begin(), steps.end(), [&](const auto *a, const auto *b) {
         const auto rank = [&](const PendingStep &it) {
             // Long-running tasks serve users now; what can still meet its objective goes before what can't.
-            return std::tuple(!it.longRunning, it.worthlessAfter < now, it.usesIdleCpu, it.latestStart < now, it.latestStart);
+            return std::tuple(
+                !it.longRunning, it.worthlessAfter < now, it.usesIdleCpu, it.latestStart < now, it.latestStart);
         };
         return rank(*a) < rank(*b);
     });
@@ -73,7 +74,8 @@
             return true;
         }
         const auto &tasks = occurrence->second.steps[static_cast<std::size_t>(it.second.step)].tasks;
-        return std::none_of(tasks.begin(), tasks.end(), [](const auto &task) { return !task.done && task.active.empty(); });
+        return std::none_of(
+            tasks.begin(), tasks.end(), [](const auto &task) { return !task.done && task.active.empty(); });
     });
     return orders;
 }
@@ -94,7 +96,8 @@
     }
 }
 
-Wire::WorkerOrders &JobScheduler::ordersFor(std::map<std::string, Wire::WorkerOrders> &orders, const Worker &worker) const
+Wire::WorkerOrders &JobScheduler::ordersFor(std::map<std::string, Wire::WorkerOrders> &orders,
+                                            const Worker &worker) const
 {
     auto &result = orders[worker.info.id];
     result.epoch = m_epoch;
@@ -162,7 +165,9 @@
     return !entry.inherited || m_unreported.empty() || step.duplicatesAllowed;
 }
 
-void JobScheduler::placeStep(const PendingStep &pending, std::map<std::string, Wire::WorkerOrders> &orders, TimePoint now)
+void JobScheduler::placeStep(const PendingStep &pending,
+                             std::map<std::string, Wire::WorkerOrders> &orders,
+                             TimePoint now)
 {
     auto *entry = find(pending.job);
     if (entry == nullptr || !entry->job.active()) {
@@ -196,7 +201,10 @@
 }
 
 // All members of a gang start together or none does.
-void JobScheduler::placeGang(Entry &entry, const PendingStep &pending, std::map<std::string, Wire::WorkerOrders> &orders, TimePoint now)
+void JobScheduler::placeGang(Entry &entry,
+                             const PendingStep &pending,
+                             std::map<std::string, Wire::WorkerOrders> &orders,
+                             TimePoint now)
 {
     const auto &step = entry.job.step(pending.step);
     auto &tasks = entry.job.occurrences()[pending.occurrence].steps[static_cast<std::size_t>(pending.step)].tasks;
@@ -254,7 +262,8 @@
         // Short tasks would fill the room again as fast as it gets free.
         choice.closest()->reserved = true;
     }
-    if (choice.best() == nullptr && step.longRunning && now - pending.since > waitLogged && now - m_waitLoggedAt > waitLogged) {
+    if (choice.best() == nullptr && step.longRunning && now - pending.since > waitLogged
+        && now - m_waitLoggedAt > waitLogged) {
         m_waitLoggedAt = now;
         logWait(entry.job.id(), step, choice.obstacles(), now - pending.since, m_epoch);
     }
--- a/src/trefoilhoist/jobs/jobrecords.h
+++ b/src/trefoilhoist/jobs/jobrecords.h
@@ -42,10 +42,19 @@
     /// Removes what is left of a final job; false while its submission is still there.
     bool forget(const std::string &job);
 
-    std::optional<RecordBatch> take() { return m_queue.take(); }
+    std::optional<RecordBatch> take()
+    {
+        return m_queue.take();
+    }
     SettledJobs finished(const RecordBatch &batch, const CommitOutcome &outcome);
-    void failed(const RecordBatch &batch, StoreFailure failure) { m_queue.failed(batch, failure); }
-    [[nodiscard]] bool lost() const { return m_queue.lost(); }
+    void failed(const RecordBatch &batch, StoreFailure failure)
+    {
+        m_queue.failed(batch, failure);
+    }
+    [[nodiscard]] bool lost() const
+    {
+        return m_queue.lost();
+    }
 
 private:
     RecordQueue m_queue;
--- a/src/trefoilhoist/jobs/jobreports.cpp
+++ b/src/trefoilhoist/jobs/jobreports.cpp
@@ -1,7 +1,7 @@
 // What the scheduler learns from the agents: lives, listings, ends.
 #include "trefoilhoist/jobs/joblog.h"
-#include "trefoilhoist/jobs/pacecontrol.h"
 #include "trefoilhoist/jobs/jobscheduler.h"
+#include "trefoilhoist/jobs/pacecontrol.h"
 
 #include <algorithm>
 
@@ -115,7 +115,8 @@
             endLife(worker, now);
         }
     }
-    std::erase_if(m_workers, [&](const auto &it) { return it.second.runs.empty() && agentName(it.second.info) == name; });
+    std::erase_if(m_workers,
+                  [&](const auto &it) { return it.second.runs.empty() && agentName(it.second.info) == name; });
     Worker worker;
     worker.info = report.worker;
     // What an earlier owner granted is not known.
@@ -229,29 +230,40 @@
         return;
     }
     worker.lastEnd = end.number;
-    const RunKey key{end.task, end.run};
-    const auto kind = static_cast<EndKind>(end.how);
     auto *entry = find(end.task.job);
     logEnd(worker, end, m_epoch, entry != nullptr);
-    const auto run = worker.runs.find(key);
-    const bool ordered = run != worker.runs.end();
-    if (ordered && kind == EndKind::Done) {
-        worker.health.noteDone(now);
-    }
-    if (ordered && kind == EndKind::Failed) {
-        worker.health.noteFailed(now);
-    }
-    worker.removeRun(key);
+    noteHealth(worker, end, now);
+    worker.removeRun({end.task, end.run});
     if (entry == nullptr) {
         worker.pendingEnds.push_back({end.number, {}, 0});
         popRecordedEnds(worker);
         return;
     }
-    auto &job = entry->job;
+    applyEnd(entry->job, worker, end);
+    stopNeedless(*entry, end, now);
+    m_stale.insert(entry->job.id());
+    worker.pendingEnds.push_back({end.number, entry->job.id(), entry->job.version()});
+    popRecordedEnds(worker);
+}
+
+void JobScheduler::noteHealth(Worker &worker, const Wire::EndedTask &end, TimePoint now)
+{
+    const auto kind = static_cast<EndKind>(end.how);
+    if (worker.runs.count({end.task, end.run}) == 0) {
+        return;
+    }
+    if (kind == EndKind::Done) {
+        worker.health.noteDone(now);
+    } else if (kind == EndKind::Failed) {
+        worker.health.noteFailed(now);
+    }
+}
+
+void JobScheduler::applyEnd(Job &job, const Worker &worker, const Wire::EndedTask &end)
+{
+    const auto kind = static_cast<EndKind>(end.how);
     job.dropRun(end.task, end.run);
-    auto *task = job.task(end.task);
-    bool recordable = false;
-    if (task != nullptr) {
+    if (auto *task = job.task(end.task); task != nullptr) {
         task->lastRun = std::max(task->lastRun, end.run);
         if (!end.checkpoint.empty()) {
             task->checkpoint = end.checkpoint;
@@ -260,31 +272,33 @@
             task->failedOn = worker.info.id;
         }
     }
-    if (kind == EndKind::Done) {
-        recordable = job.finishTask(end.task);
-    } else if (kind == EndKind::Failed) {
-        recordable = job.failTask(end.task, end.run, wallMilliseconds());
-    }
-    if (recordable) {
+    const bool done = kind == EndKind::Done && job.finishTask(end.task);
+    const bool failed = kind == EndKind::Failed && job.failTask(end.task, end.run, wallMilliseconds());
+    if (done || failed) {
         changed(job.id());
     }
-    if (!job.active()) {
-        stopRuns(*entry, now);
-    } else if (auto *left = job.task(end.task); left != nullptr) {
-        // Copies of a task that has finished, and the other members of a gang.
-        for (const auto &copy : std::vector<ActiveRun>(left->active)) {
-            const auto other = m_workers.find(copy.worker);
-            if (left->done && other != m_workers.end()) {
-                wantStop(other->second, {end.task, copy.run}, now);
-            }
-        }
-        if (job.step(end.task.step).gang && kind != EndKind::Done) {
-            breakGang(end.task, end.run, now);
+}
+
+// Stops what an end has made needless: runs of a final job, copies of a finished task, the rest of a broken gang.
+void JobScheduler::stopNeedless(Entry &entry, const Wire::EndedTask &end, TimePoint now)
+{
+    if (!entry.job.active()) {
+        stopRuns(entry, now);
+        return;
+    }
+    const auto *task = entry.job.task(end.task);
+    if (task == nullptr) {
+        return;
+    }
+    for (const auto &copy : std::vector<ActiveRun>(task->active)) {
+        const auto other = m_workers.find(copy.worker);
+        if (task->done && other != m_workers.end()) {
+            wantStop(other->second, {end.task, copy.run}, now);
         }
     }
-    m_stale.insert(job.id());
-    worker.pendingEnds.push_back({end.number, job.id(), job.version()});
-    popRecordedEnds(worker);
+    if (entry.job.step(end.task.step).gang && static_cast<EndKind>(end.how) != EndKind::Done) {
+        breakGang(end.task, end.run, now);
+    }
 }
 
 void JobScheduler::popRecordedEnds(Worker &worker)
@@ -414,100 +428,4 @@
     worker.figures = std::move(figures);
 }
 
-void JobScheduler::ordersDone(const Wire::WorkerOrders &orders, const std::optional<Wire::WorkerOrdersReply> &reply, TimePoint now)
-{
-    m_now = now;
-    const auto found = m_workers.find(orders.worker);
-    if (found == m_workers.end() || found->second.info.born != orders.born) {
-        return;
-    }
-    auto &worker = found->second;
-    const auto resultAt = [](const std::vector<std::int32_t> &results, std::size_t i) {
-        return i < results.size() ? static_cast<OrderResult>(results[i]) : OrderResult::Unknown;
-    };
-    for (std::size_t i = 0; i < orders.starts.size(); ++i) {
-        const RunKey key{orders.starts[i].task, orders.starts[i].run};
-        const auto it = worker.runs.find(key);
-        if (it == worker.runs.end()) {
-            continue;
-        }
-        startDone(worker, key, reply ? resultAt(reply->starts, i) : OrderResult::Unknown, reply ? reply->listing : 0, now);
-    }
-    for (std::size_t i = 0; i < orders.stops.size(); ++i) {
-        const RunKey key{orders.stops[i].task, orders.stops[i].run};
-        const auto it = worker.runs.find(key);
-        if (it == worker.runs.end()) {
-            continue;
-        }
-        auto &run = it->second;
-        run.inFlight = false;
-        const auto result = reply ? resultAt(reply->stops, i) : OrderResult::Unknown;
-        if (result == OrderResult::Done || result == OrderResult::Superseded) {
-            run.stopTaken = true;
-            run.settledByListing = std::max(reply->listing, std::int64_t{0});
-            // The end is listed within a moment; asked again if it is not.
-            run.nextOrder = now + 4 * m_settings.orderRetry;
-        } else {
-            run.nextOrder = now + m_settings.orderRetry;
-        }
-    }
-}
-
-void JobScheduler::startDone(Worker &worker, const RunKey &key, OrderResult result, std::int64_t listing, TimePoint now)
-{
-    auto &run = worker.runs.at(key);
-    run.inFlight = false;
-    const bool stopping = run.state == RunState::Stopping;
-    switch (result) {
-    case OrderResult::Done:
-        run.mayAppear = false;
-        run.settledByListing = listing;
-        if (!stopping) {
-            run.state = RunState::Running;
-        }
-        break;
-    case OrderResult::Superseded:
-        // The run has ended or was stopped there; its end is listed, unless that was taken note of before.
-        run.mayAppear = false;
-        run.settledByListing = listing;
-        break;
-    case OrderResult::Unknown:
-        run.mayAppear = true;
-        ++run.unanswered;
-        run.nextOrder = now + m_settings.orderRetry;
-        worker.health.noteTrouble(now);
-        if (!stopping) {
-            run.state = RunState::Unsettled;
-        }
-        break;
-    case OrderResult::NoRoom:
-    case OrderResult::Refused:
-    case OrderResult::Invalid:
-        logRefusedStart(worker, key, result, m_epoch);
-        if (result == OrderResult::Refused) {
-            worker.health.noteTrouble(now);
-        }
-        if (run.mayAppear) {
-            // An earlier sending may still be carried out.
-            run.nextOrder = now + m_settings.orderRetry;
-            run.state = stopping ? run.state : RunState::Unsettled;
-            ++run.unanswered;
-        } else {
-            delayTask(key, now);
-            loseRun(worker, key, now);
-        }
-        break;
-    }
-}
-
-// A start that was refused is not tried again at once.
-void JobScheduler::delayTask(const RunKey &key, TimePoint now)
-{
-    auto *entry = find(key.task.job);
-    auto *task = entry == nullptr ? nullptr : entry->job.task(key.task);
-    if (task != nullptr) {
-        task->notBefore = now + m_settings.orderRetry;
-    }
-}
-
 } // namespace Trefoilhoist::Jobs
--- a/src/trefoilhoist/jobs/jobscheduler.cpp
+++ b/src/trefoilhoist/jobs/jobscheduler.cpp
@@ -239,10 +239,12 @@
             since = milliseconds(job.spec().firstDueMs + number * job.spec().intervalMs - wallMs);
         }
         const auto started = job.spec().occurrences > 0 ? m_now + since : job.acceptedAt();
-        const Duration objective = duration_cast<Duration>(policy.stretch * job.wholeChain()) + milliseconds(policy.targetLatencyMs);
+        const Duration objective
+            = duration_cast<Duration>(policy.stretch * job.wholeChain()) + milliseconds(policy.targetLatencyMs);
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
             const auto &tasks = occurrence.steps[step].tasks;
-            const bool any = std::any_of(tasks.begin(), tasks.end(), [](const auto &it) { return !it.done && it.active.empty(); });
+            const bool any
+                = std::any_of(tasks.begin(), tasks.end(), [](const auto &it) { return !it.done && it.active.empty(); });
             if (!any || !job.stepReady(occurrence, static_cast<int>(step))) {
                 continue;
             }
--- a/src/trefoilhoist/jobs/jobscheduler.h
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -51,11 +51,23 @@
     void restoreJob(Wire::JobSpec spec, const std::optional<Wire::JobProgress> &progress, TimePoint now);
     void restoreRoster(const Wire::WorkerRoster &roster, TimePoint now);
     /// Every worker of the earlier owner has reported, or can run nothing any more.
-    [[nodiscard]] bool recovered() const { return m_unreported.empty(); }
-
-    [[nodiscard]] std::int64_t epoch() const { return m_epoch; }
-    void setQueues(QueueTable queues) { m_queues = std::move(queues); }
-    [[nodiscard]] const QueueTable &queues() const { return m_queues; }
+    [[nodiscard]] bool recovered() const
+    {
+        return m_unreported.empty();
+    }
+
+    [[nodiscard]] std::int64_t epoch() const
+    {
+        return m_epoch;
+    }
+    void setQueues(QueueTable queues)
+    {
+        m_queues = std::move(queues);
+    }
+    [[nodiscard]] const QueueTable &queues() const
+    {
+        return m_queues;
+    }
 
     // Callers.
     Intake submit(const Wire::JobSpec &spec, TimePoint now);
@@ -68,7 +80,10 @@
     void cancel(const std::string &id, TimePoint now);
     [[nodiscard]] std::int64_t waiting(const std::string &queue) const;
     /// Jobs that are neither final nor waiting for their time.
-    [[nodiscard]] std::size_t activeJobs() const { return m_active.size(); }
+    [[nodiscard]] std::size_t activeJobs() const
+    {
+        return m_active.size();
+    }
 
     // Records.
     /// Jobs whose progress changed since the last call.
@@ -87,11 +102,15 @@
     /// `mayGrant`: this process may still own the scheduling.
     Wire::WorkerReportReply report(const Wire::WorkerReport &report, bool mayGrant, TimePoint now);
     /// `reply` is empty when the orders got no answer.
-    void ordersDone(const Wire::WorkerOrders &orders, const std::optional<Wire::WorkerOrdersReply> &reply, TimePoint now);
+    void
+    ordersDone(const Wire::WorkerOrders &orders, const std::optional<Wire::WorkerOrdersReply> &reply, TimePoint now);
     /// What to send now, by worker id. Owner's address fields are left to the sender.
     std::map<std::string, Wire::WorkerOrders> plan(TimePoint now, std::int64_t wallMs);
 
-    [[nodiscard]] const std::map<std::string, Worker> &workers() const { return m_workers; }
+    [[nodiscard]] const std::map<std::string, Worker> &workers() const
+    {
+        return m_workers;
+    }
 
 private:
     struct Entry {
@@ -131,6 +150,9 @@
     void enroll(const Wire::WorkerDescription &worker);
     void endLife(Worker &worker, TimePoint now);
     void takeEnd(Worker &worker, const Wire::EndedTask &end, TimePoint now);
+    static void noteHealth(Worker &worker, const Wire::EndedTask &end, TimePoint now);
+    void applyEnd(Job &job, const Worker &worker, const Wire::EndedTask &end);
+    void stopNeedless(Entry &entry, const Wire::EndedTask &end, TimePoint now);
     void takeRunning(Worker &worker, const Wire::RunningTask &row, std::int64_t listing, TimePoint now);
     void adopt(Worker &worker, const Wire::RunningTask &row, TimePoint now);
     void dropMissing(Worker &worker, const Wire::WorkerReport &report, TimePoint now);
@@ -139,6 +161,8 @@
     void popRecordedEnds(Worker &worker);
     void breakGang(const Wire::TaskRef &task, std::int64_t run, TimePoint now);
     void wantStop(Worker &worker, const RunKey &key, TimePoint now);
+
+    // joborders.cpp
     void startDone(Worker &worker, const RunKey &key, OrderResult result, std::int64_t listing, TimePoint now);
     void delayTask(const RunKey &key, TimePoint now);
 
@@ -147,10 +171,20 @@
     void watchProgress(TimePoint now);
     void repeatOrders(std::map<std::string, Wire::WorkerOrders> &orders, TimePoint now);
     void placeStep(const PendingStep &pending, std::map<std::string, Wire::WorkerOrders> &orders, TimePoint now);
-    void placeGang(Entry &entry, const PendingStep &pending, std::map<std::string, Wire::WorkerOrders> &orders, TimePoint now);
-    [[nodiscard]] bool startable(const Entry &entry, const Wire::StepSpec &step, const TaskState &task, TimePoint now) const;
-    [[nodiscard]] Worker *chooseWorker(const Entry &entry, const PendingStep &pending, const TaskState &task, TimePoint now);
-    void start(Entry &entry, const Wire::TaskRef &ref, Worker &worker, std::map<std::string, Wire::WorkerOrders> &orders, std::int64_t run, TimePoint now);
+    void placeGang(Entry &entry,
+                   const PendingStep &pending,
+                   std::map<std::string, Wire::WorkerOrders> &orders,
+                   TimePoint now);
+    [[nodiscard]] bool
+    startable(const Entry &entry, const Wire::StepSpec &step, const TaskState &task, TimePoint now) const;
+    [[nodiscard]] Worker *
+    chooseWorker(const Entry &entry, const PendingStep &pending, const TaskState &task, TimePoint now);
+    void start(Entry &entry,
+               const Wire::TaskRef &ref,
+               Worker &worker,
+               std::map<std::string, Wire::WorkerOrders> &orders,
+               std::int64_t run,
+               TimePoint now);
     Wire::WorkerOrders &ordersFor(std::map<std::string, Wire::WorkerOrders> &orders, const Worker &worker) const;
     [[nodiscard]] static Wire::RunInfo runInfo(const Entry &entry, const RunKey &key);
     [[nodiscard]] std::int64_t nextRun(const TaskState &task) const;
--- a/src/trefoilhoist/jobs/ordergate.cpp
+++ b/src/trefoilhoist/jobs/ordergate.cpp
@@ -76,7 +76,8 @@
         return "the minion's runs are not known";
     }
     if (orders.leaseTerm != m_term || m_term <= m_goneTerm) {
-        return "orders of lease term " + std::to_string(orders.leaseTerm) + ", the lease's is " + std::to_string(m_term);
+        return "orders of lease term " + std::to_string(orders.leaseTerm) + ", the lease's is "
+            + std::to_string(m_term);
     }
     if (now >= m_leaseEnds) {
         return "the worker's lease has ended";
--- a/src/trefoilhoist/jobs/ordergate.h
+++ b/src/trefoilhoist/jobs/ordergate.h
@@ -18,23 +18,38 @@
 public:
     /// A newer owner: nothing of the earlier one passes any more. False for an older epoch.
     bool adopt(std::int64_t epoch);
-    [[nodiscard]] std::int64_t epoch() const { return m_epoch; }
+    [[nodiscard]] std::int64_t epoch() const
+    {
+        return m_epoch;
+    }
 
     /// The minion has answered a listing under this epoch's fencing token.
     void listed(std::int64_t epoch);
-    [[nodiscard]] bool isListed() const { return m_listed; }
+    [[nodiscard]] bool isListed() const
+    {
+        return m_listed;
+    }
 
     /// What the owner answered to a report that was sent at `sentAt`.
     void granted(const Wire::WorkerReportReply &reply, TimePoint sentAt);
     /// Nothing runs on the minion any more; orders wait for the owner's next term.
     void gone();
-    [[nodiscard]] bool isGone() const { return m_gone; }
+    [[nodiscard]] bool isGone() const
+    {
+        return m_gone;
+    }
 
     /// Empty when the orders may pass, otherwise why not.
     [[nodiscard]] std::string refusal(const Wire::WorkerOrders &orders, TimePoint now) const;
 
-    [[nodiscard]] TimePoint leaseEnds() const { return m_leaseEnds; }
-    [[nodiscard]] std::int64_t recordedEnds() const { return m_recordedEnds; }
+    [[nodiscard]] TimePoint leaseEnds() const
+    {
+        return m_leaseEnds;
+    }
+    [[nodiscard]] std::int64_t recordedEnds() const
+    {
+        return m_recordedEnds;
+    }
     /// Another life of the minion: its ends are numbered anew.
     void newLife();
 
@@ -44,7 +59,10 @@
     /// of it extends mayRunUntil().
     [[nodiscard]] std::optional<std::int64_t> holdUntil(TimePoint now);
     /// From here on nothing that was ordered can run, unless the minion is told to hold again.
-    [[nodiscard]] TimePoint mayRunUntil() const { return m_mayRunUntil; }
+    [[nodiscard]] TimePoint mayRunUntil() const
+    {
+        return m_mayRunUntil;
+    }
 
 private:
     std::int64_t m_epoch = 0;
--- a/src/trefoilhoist/jobs/ownerelection.cpp
+++ b/src/trefoilhoist/jobs/ownerelection.cpp
@@ -6,8 +6,7 @@
 
 namespace Trefoilhoist::Jobs {
 
-OwnerElection::OwnerElection(
-    RecordStore &store, const Clock &clock, ElectionTimes times, Wire::OwnerRecord self)
+OwnerElection::OwnerElection(RecordStore &store, const Clock &clock, ElectionTimes times, Wire::OwnerRecord self)
     : m_store(store), m_clock(clock), m_times(times), m_self(std::move(self))
 {
 }
@@ -25,13 +24,18 @@
         const auto seen = co_await look();
         if (seen.has_value() != m_storeReached) {
             m_storeReached = seen.has_value();
-            Event(m_storeReached ? "store_regained" : "store_lost").add("by", "election").add("reason", seen ? "" : seen.error().reason);
+            Event(m_storeReached ? "store_regained" : "store_lost")
+                .add("by", "election")
+                .add("reason", seen ? "" : seen.error().reason);
         }
-        if (!seen) {
-            co_await sleepFor(m_times.retryEvery);
-        } else if (seen->owner && !ownRecord(*seen->owner)) {
+        bool settled = false;
+        if (seen && seen->owner && !ownRecord(*seen->owner)) {
             co_await follow(*seen);
-        } else if (m_resigned || !co_await stand(*seen)) {
+            settled = true;
+        } else if (seen && !m_resigned) {
+            settled = co_await stand(*seen);
+        }
+        if (!settled) {
             co_await sleepFor(m_times.retryEvery);
         }
     }
@@ -80,7 +84,8 @@
     record.epoch = m_leaseEpoch;
     const auto value = Wire::encode(record);
     RecordCommit commit;
-    commit.conditions = {{ownerRecordKey, seen.owner ? seen.owner->revision : 0}, {epochRecordKey, seen.epoch ? seen.epoch->revision : 0}};
+    commit.conditions = {{ownerRecordKey, seen.owner ? seen.owner->revision : 0},
+                         {epochRecordKey, seen.epoch ? seen.epoch->revision : 0}};
     commit.writes = {{ownerRecordKey, value, m_lease}, {epochRecordKey, value, 0}};
     return commit;
 }
@@ -136,7 +141,9 @@
     }
     if (renewed.has_value() != m_storeReached) {
         m_storeReached = renewed.has_value();
-        Event(m_storeReached ? "store_regained" : "store_lost").add("by", "renewal").add("reason", renewed ? "" : renewed.error().reason);
+        Event(m_storeReached ? "store_regained" : "store_lost")
+            .add("by", "renewal")
+            .add("reason", renewed ? "" : renewed.error().reason);
     }
     if (renewed && *renewed) {
         m_verifiedAt = sentAt;
--- a/src/trefoilhoist/jobs/ownerelection.h
+++ b/src/trefoilhoist/jobs/ownerelection.h
@@ -39,10 +39,19 @@
     awaitable<void> run(std::function<void(OwnerTerm)> won, std::function<void(std::string reason)> lost);
 
     /// The owner as last read; empty before the first read.
-    [[nodiscard]] const std::optional<Wire::OwnerRecord> &owner() const { return m_owner; }
-    [[nodiscard]] bool owning() const { return m_owning; }
+    [[nodiscard]] const std::optional<Wire::OwnerRecord> &owner() const
+    {
+        return m_owner;
+    }
+    [[nodiscard]] bool owning() const
+    {
+        return m_owning;
+    }
     /// The sending of the last renewal that succeeded.
-    [[nodiscard]] TimePoint verifiedAt() const { return m_verifiedAt; }
+    [[nodiscard]] TimePoint verifiedAt() const
+    {
+        return m_verifiedAt;
+    }
     /// Told by a newer owner, or by a conflict over the epoch.
     void deposed(std::string reason);
     /// Gives up the term, so that another takes over at once; no new term is sought, but a new owner is still
--- a/src/trefoilhoist/jobs/pacecontrol.cpp
+++ b/src/trefoilhoist/jobs/pacecontrol.cpp
@@ -32,7 +32,8 @@
 
 double slackOf(std::int64_t tailMs, std::int64_t targetMs)
 {
-    return std::min(largestSlack, static_cast<double>(targetMs) / static_cast<double>(std::max<std::int64_t>(1, tailMs)));
+    return std::min(largestSlack,
+                    static_cast<double>(targetMs) / static_cast<double>(std::max<std::int64_t>(1, tailMs)));
 }
 
 void PaceControl::describe(const Wire::RunInfo &info)
@@ -40,7 +41,10 @@
     m_infos[{info.task, info.run}].info = info;
 }
 
-void PaceControl::readServing(const Wire::RunningTask &row, const Wire::RunInfo &info, const FillShares &shares, TimePoint now)
+void PaceControl::readServing(const Wire::RunningTask &row,
+                              const Wire::RunInfo &info,
+                              const FillShares &shares,
+                              TimePoint now)
 {
     const RunKey key{row.task, row.run};
     const double ratio = static_cast<double>(row.usage) / static_cast<double>(info.tailTargetMs);
@@ -81,7 +85,8 @@
         shares[info.image] += used;
         const double asked = static_cast<double>(info.cpuMilli) / capacity;
         const auto ordered = m_ordered.emplace(key, fullSpeed).first->second;
-        const double speed = std::max(stoppedSpeed, (ordered < 0 ? fullSpeed : ordered) / static_cast<double>(fullSpeed));
+        const double speed
+            = std::max(stoppedSpeed, (ordered < 0 ? fullSpeed : ordered) / static_cast<double>(fullSpeed));
         m_filling.push_back({key, info.image, std::min(asked, std::max(used / speed, asked / 2)), speed});
     }
     std::erase_if(m_ordered, [&](const auto &it) { return present.count(it.first) == 0; });
--- a/src/trefoilhoist/jobs/pacecontrol.h
+++ b/src/trefoilhoist/jobs/pacecontrol.h
@@ -27,12 +27,24 @@
 {
 public:
     /// `cpuMilli`: the processors of the minion, in thousandths of a core.
-    void setCapacity(std::int64_t cpuMilli) { m_cpuMilli = cpuMilli; }
+    void setCapacity(std::int64_t cpuMilli)
+    {
+        m_cpuMilli = cpuMilli;
+    }
     void describe(const Wire::RunInfo &info);
     /// The run was not started.
-    void forget(const RunKey &run) { m_infos.erase(run); }
-    [[nodiscard]] bool knows(const RunKey &run) const { return m_infos.count(run) > 0; }
-    void learned(const Wire::ImagePair &pair) { m_table.set(pair); }
+    void forget(const RunKey &run)
+    {
+        m_infos.erase(run);
+    }
+    [[nodiscard]] bool knows(const RunKey &run) const
+    {
+        return m_infos.count(run) > 0;
+    }
+    void learned(const Wire::ImagePair &pair)
+    {
+        m_table.set(pair);
+    }
 
     /// Takes a listing's figures; returns what is to be ordered now.
     std::vector<PaceOrder> update(const std::vector<Wire::RunningTask> &running, TimePoint now);
@@ -41,7 +53,10 @@
     /// An order that failed is given again with the next figures.
     void failed(const RunKey &run);
     /// The highest share of its target that a serving task's tail reached in the last figures.
-    [[nodiscard]] double pressure() const { return m_pressure; }
+    [[nodiscard]] double pressure() const
+    {
+        return m_pressure;
+    }
     void clear();
 
 private:
--- a/src/trefoilhoist/jobs/queuetable.cpp
+++ b/src/trefoilhoist/jobs/queuetable.cpp
@@ -6,7 +6,8 @@
 {
     const QueueRoute *best = nullptr;
     for (const auto &it : routes) {
-        if (it.host == host && path.starts_with(it.prefix) && (best == nullptr || it.prefix.size() > best->prefix.size())) {
+        if (it.host == host && path.starts_with(it.prefix)
+            && (best == nullptr || it.prefix.size() > best->prefix.size())) {
             best = &it;
         }
     }
--- a/src/trefoilhoist/jobs/recordqueue.h
+++ b/src/trefoilhoist/jobs/recordqueue.h
@@ -42,18 +42,27 @@
     /// Takes back a first write that has surely not happened; false when it may have.
     bool withdraw(const std::string &key);
     /// The record exists, or may exist.
-    [[nodiscard]] bool holds(const std::string &key) const { return m_entries.count(key) > 0; }
+    [[nodiscard]] bool holds(const std::string &key) const
+    {
+        return m_entries.count(key) > 0;
+    }
     /// No writing of the record has happened, is on its way, or may still happen.
     [[nodiscard]] bool surelyUnwritten(const std::string &key) const;
 
-    [[nodiscard]] bool idle() const { return m_wanted.empty(); }
+    [[nodiscard]] bool idle() const
+    {
+        return m_wanted.empty();
+    }
     /// The oldest wanted records that are not on their way; nothing when there are none.
     std::optional<RecordBatch> take();
     /// What is settled by the outcome. A conflict over the owner's record is told by lost().
     std::vector<SettledRecord> finished(const RecordBatch &batch, const CommitOutcome &outcome);
     void failed(const RecordBatch &batch, StoreFailure failure);
     /// Another owner has written: nothing of this queue can be recorded any more.
-    [[nodiscard]] bool lost() const { return m_lost; }
+    [[nodiscard]] bool lost() const
+    {
+        return m_lost;
+    }
 
 private:
     struct Entry {
--- a/src/trefoilhoist/jobs/storereach.cpp
+++ b/src/trefoilhoist/jobs/storereach.cpp
@@ -30,7 +30,8 @@
 
 bool StoreReach::outOfReach(TimePoint now) const
 {
-    return (!m_reached && now - m_lastAnswer < probeAfter) || (!m_waiting.empty() && now - *m_waiting.begin() > suspectAfter);
+    return (!m_reached && now - m_lastAnswer < probeAfter)
+        || (!m_waiting.empty() && now - *m_waiting.begin() > suspectAfter);
 }
 
 } // namespace Trefoilhoist::Jobs
--- a/src/trefoilhoist/jobs/workerchoice.cpp
+++ b/src/trefoilhoist/jobs/workerchoice.cpp
@@ -31,7 +31,11 @@
 
 } // namespace
 
-WorkerChoice::WorkerChoice(const Wire::StepSpec &step, const std::string &service, const TaskState &task, const InterferenceTable &interference, TimePoint now)
+WorkerChoice::WorkerChoice(const Wire::StepSpec &step,
+                           const std::string &service,
+                           const TaskState &task,
+                           const InterferenceTable &interference,
+                           TimePoint now)
     : m_step(step), m_service(service), m_task(task), m_interference(interference), m_now(now), m_demand(demandOf(step))
 {
 }
@@ -88,7 +92,8 @@
         return false;
     }
     // Lent processors are shared thinly only by a step that has nothing running yet.
-    return !m_step.usesIdleCpu || m_overdue || (worker.idleCpuMilli() >= m_demand.idleCpuMilli && harm(worker) <= toleratedHarm);
+    return !m_step.usesIdleCpu || m_overdue
+        || (worker.idleCpuMilli() >= m_demand.idleCpuMilli && harm(worker) <= toleratedHarm);
 }
 
 double WorkerChoice::cost(const Worker &worker) const
--- a/src/trefoilhoist/jobs/workerchoice.h
+++ b/src/trefoilhoist/jobs/workerchoice.h
@@ -13,20 +13,36 @@
 class WorkerChoice
 {
 public:
-    WorkerChoice(const Wire::StepSpec &step, const std::string &service, const TaskState &task, const InterferenceTable &interference, TimePoint now);
+    WorkerChoice(const Wire::StepSpec &step,
+                 const std::string &service,
+                 const TaskState &task,
+                 const InterferenceTable &interference,
+                 TimePoint now);
 
     /// Counts where the other tasks of the step run; false when none does.
     bool countSiblings(const Job &job, int occurrence, int step);
     /// The step has waited so long that it goes where it does harm, too.
-    void setOverdue(bool overdue) { m_overdue = overdue; }
+    void setOverdue(bool overdue)
+    {
+        m_overdue = overdue;
+    }
     void consider(Worker &worker);
     /// Workers by what keeps the task from them.
-    [[nodiscard]] const std::map<std::string_view, int> &obstacles() const { return m_obstacles; }
+    [[nodiscard]] const std::map<std::string_view, int> &obstacles() const
+    {
+        return m_obstacles;
+    }
     /// Null when no worker may take the task now.
-    [[nodiscard]] Worker *best() const { return m_best; }
+    [[nodiscard]] Worker *best() const
+    {
+        return m_best;
+    }
     /// For a long-running task that fits nowhere: the worker that lacks least room for it, once short tasks there
     /// have ended. Null for other tasks.
-    [[nodiscard]] Worker *closest() const { return m_closest; }
+    [[nodiscard]] Worker *closest() const
+    {
+        return m_closest;
+    }
 
 private:
     /// Why the worker can't take the task, whatever its room; empty when nothing is in the way.
--- a/src/trefoilhoist/jobs/workerhealth.h
+++ b/src/trefoilhoist/jobs/workerhealth.h
@@ -19,7 +19,10 @@
     [[nodiscard]] double badShare(TimePoint now) const;
 
     /// Work on this worker takes this many times as long as elsewhere.
-    [[nodiscard]] double slowness() const { return m_slowness; }
+    [[nodiscard]] double slowness() const
+    {
+        return m_slowness;
+    }
     void noteSpeed(double timesAsLong);
 
 private:
--- a/src/trefoilhoist/log/eventlog.cpp
+++ b/src/trefoilhoist/log/eventlog.cpp
@@ -38,7 +38,8 @@
 void EventLog::captureTo(std::function<void(const std::string &)> sink)
 {
     m_capture = std::move(sink);
-    m_requestFlush = [] {};
+    m_requestFlush = [] {
+    };
 }
 
 void EventLog::write(const nlohmann::ordered_json &event)
@@ -72,7 +73,8 @@
     m_flushRequested = false;
     std::size_t written = 0;
     for (int i = 0; i < chunksPerFlush && written < m_buffer.size() && outputTakesMore(); ++i) {
-        const auto n = ::write(STDOUT_FILENO, m_buffer.data() + written, std::min(chunkBytes, m_buffer.size() - written));
+        const auto n
+            = ::write(STDOUT_FILENO, m_buffer.data() + written, std::min(chunkBytes, m_buffer.size() - written));
         if (n <= 0) {
             break;
         }
--- a/src/trefoilhoist/log/eventlog.h
+++ b/src/trefoilhoist/log/eventlog.h
@@ -20,7 +20,10 @@
     /// `requestFlush` is called when there is something to write and must see to
     /// it that flush() runs soon. Until then events are discarded.
     void open(std::function<void()> requestFlush);
-    [[nodiscard]] bool isOpen() const { return static_cast<bool>(m_requestFlush); }
+    [[nodiscard]] bool isOpen() const
+    {
+        return static_cast<bool>(m_requestFlush);
+    }
 
     void write(const nlohmann::ordered_json &event);
     /// Writes what the output takes now; the rest waits for the next call.
@@ -28,7 +31,10 @@
     /// Takes lines instead of standard output, for tests; nothing is buffered.
     void captureTo(std::function<void(const std::string &)> sink);
 
-    [[nodiscard]] std::uint64_t dropped() const { return m_dropped; }
+    [[nodiscard]] std::uint64_t dropped() const
+    {
+        return m_dropped;
+    }
 
 private:
     void append(const std::string &line);
--- a/tests/unit/jobrecords.cpp
+++ b/tests/unit/jobrecords.cpp
@@ -165,7 +165,8 @@
     }
     const auto batch = m_records.take();
     ASSERT_TRUE(batch);
-    EXPECT_LE(batch->commit.conditions.size() + batch->commit.writes.size() + batch->commit.removals.size(), maxCommitEntries);
+    EXPECT_LE(batch->commit.conditions.size() + batch->commit.writes.size() + batch->commit.removals.size(),
+              maxCommitEntries);
 }
 
 } // namespace Trefoilhoist::Jobs
--- a/tests/unit/jobscheduler.cpp
+++ b/tests/unit/jobscheduler.cpp
@@ -68,7 +68,7 @@
 
     Wire::WorkerReportReply tell(const Wire::WorkerReport &report)
     {
-        const auto reply = m_scheduler.report(report, true, m_now);
+        auto reply = m_scheduler.report(report, true, m_now);
         if (const auto roster = m_scheduler.takeRoster()) {
             m_scheduler.rosterRecorded(*roster);
         }
