--- a/idl/gen/messages_types.cpp
+++ b/idl/gen/messages_types.cpp
@@ -4269,8 +4269,8 @@
   this->requiredLabel = val;
 }
 
-void StepSpec::__set_dataRack(const std::string& val) {
-  this->dataRack = val;
+void StepSpec::__set_inputRack(const std::string& val) {
+  this->inputRack = val;
 }
 
 void StepSpec::__set_maxPerWorker(const int32_t val) {
@@ -4422,8 +4422,8 @@
         break;
       case 11:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->dataRack);
-          this->__isset.dataRack = true;
+          xfer += iprot->readString(this->inputRack);
+          this->__isset.inputRack = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -4549,8 +4549,8 @@
   xfer += oprot->writeString(this->requiredLabel);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("dataRack", ::apache::thrift::protocol::T_STRING, 11);
-  xfer += oprot->writeString(this->dataRack);
+  xfer += oprot->writeFieldBegin("inputRack", ::apache::thrift::protocol::T_STRING, 11);
+  xfer += oprot->writeString(this->inputRack);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("maxPerWorker", ::apache::thrift::protocol::T_I32, 12);
@@ -4598,7 +4598,7 @@
   swap(a.gang, b.gang);
   swap(a.gangOnOneRack, b.gangOnOneRack);
   swap(a.requiredLabel, b.requiredLabel);
-  swap(a.dataRack, b.dataRack);
+  swap(a.inputRack, b.inputRack);
   swap(a.maxPerWorker, b.maxPerWorker);
   swap(a.duplicatesAllowed, b.duplicatesAllowed);
   swap(a.longRunning, b.longRunning);
@@ -4620,7 +4620,7 @@
   gang = other175.gang;
   gangOnOneRack = other175.gangOnOneRack;
   requiredLabel = other175.requiredLabel;
-  dataRack = other175.dataRack;
+  inputRack = other175.inputRack;
   maxPerWorker = other175.maxPerWorker;
   duplicatesAllowed = other175.duplicatesAllowed;
   longRunning = other175.longRunning;
@@ -4641,7 +4641,7 @@
   gang = other176.gang;
   gangOnOneRack = other176.gangOnOneRack;
   requiredLabel = std::move(other176.requiredLabel);
-  dataRack = std::move(other176.dataRack);
+  inputRack = std::move(other176.inputRack);
   maxPerWorker = other176.maxPerWorker;
   duplicatesAllowed = other176.duplicatesAllowed;
   longRunning = other176.longRunning;
@@ -4662,7 +4662,7 @@
   gang = other177.gang;
   gangOnOneRack = other177.gangOnOneRack;
   requiredLabel = other177.requiredLabel;
-  dataRack = other177.dataRack;
+  inputRack = other177.inputRack;
   maxPerWorker = other177.maxPerWorker;
   duplicatesAllowed = other177.duplicatesAllowed;
   longRunning = other177.longRunning;
@@ -4684,7 +4684,7 @@
   gang = other178.gang;
   gangOnOneRack = other178.gangOnOneRack;
   requiredLabel = std::move(other178.requiredLabel);
-  dataRack = std::move(other178.dataRack);
+  inputRack = std::move(other178.inputRack);
   maxPerWorker = other178.maxPerWorker;
   duplicatesAllowed = other178.duplicatesAllowed;
   longRunning = other178.longRunning;
@@ -4708,7 +4708,7 @@
   out << ", " << "gang=" << to_string(gang);
   out << ", " << "gangOnOneRack=" << to_string(gangOnOneRack);
   out << ", " << "requiredLabel=" << to_string(requiredLabel);
-  out << ", " << "dataRack=" << to_string(dataRack);
+  out << ", " << "inputRack=" << to_string(inputRack);
   out << ", " << "maxPerWorker=" << to_string(maxPerWorker);
   out << ", " << "duplicatesAllowed=" << to_string(duplicatesAllowed);
   out << ", " << "longRunning=" << to_string(longRunning);
--- a/idl/gen/messages_types.h
+++ b/idl/gen/messages_types.h
@@ -1643,7 +1643,7 @@
 std::ostream& operator<<(std::ostream& out, const QueuePolicy& obj);
 
 typedef struct _StepSpec__isset {
-  _StepSpec__isset() : count(false), cpuMilli(false), memoryMb(false), accelerators(false), estimatedMs(false), after(false), checkpoints(false), gang(false), gangOnOneRack(false), requiredLabel(false), dataRack(false), maxPerWorker(false), duplicatesAllowed(false), longRunning(false), image(false), tailTargetMs(false), usesIdleCpu(false), maxUnavailable(false) {}
+  _StepSpec__isset() : count(false), cpuMilli(false), memoryMb(false), accelerators(false), estimatedMs(false), after(false), checkpoints(false), gang(false), gangOnOneRack(false), requiredLabel(false), inputRack(false), maxPerWorker(false), duplicatesAllowed(false), longRunning(false), image(false), tailTargetMs(false), usesIdleCpu(false), maxUnavailable(false) {}
   bool count :1;
   bool cpuMilli :1;
   bool memoryMb :1;
@@ -1654,7 +1654,7 @@
   bool gang :1;
   bool gangOnOneRack :1;
   bool requiredLabel :1;
-  bool dataRack :1;
+  bool inputRack :1;
   bool maxPerWorker :1;
   bool duplicatesAllowed :1;
   bool longRunning :1;
@@ -1681,7 +1681,7 @@
              gang(0),
              gangOnOneRack(0),
              requiredLabel(),
-             dataRack(),
+             inputRack(),
              maxPerWorker(0),
              duplicatesAllowed(0),
              longRunning(0),
@@ -1702,7 +1702,7 @@
   bool gang;
   bool gangOnOneRack;
   std::string requiredLabel;
-  std::string dataRack;
+  std::string inputRack;
   int32_t maxPerWorker;
   bool duplicatesAllowed;
   bool longRunning;
@@ -1733,7 +1733,7 @@
 
   void __set_requiredLabel(const std::string& val);
 
-  void __set_dataRack(const std::string& val);
+  void __set_inputRack(const std::string& val);
 
   void __set_maxPerWorker(const int32_t val);
 
@@ -1771,7 +1771,7 @@
       return false;
     if (!(requiredLabel == rhs.requiredLabel))
       return false;
-    if (!(dataRack == rhs.dataRack))
+    if (!(inputRack == rhs.inputRack))
       return false;
     if (!(maxPerWorker == rhs.maxPerWorker))
       return false;
--- a/idl/messages.thrift
+++ b/idl/messages.thrift
@@ -235,7 +235,7 @@
   8: bool gang;
   9: bool gangOnOneRack;
   10: string requiredLabel;
-  11: string dataRack;
+  11: string inputRack;
   // 0: any number of the step's tasks may share a worker.
   12: i32 maxPerWorker;
   13: bool duplicatesAllowed;
--- a/src/trefoilhoist/jobs/workerchoice.cpp
+++ b/src/trefoilhoist/jobs/workerchoice.cpp
@@ -115,7 +115,7 @@
     }
     cost += badCost * worker.health.badShare(m_now);
     cost += slowCost * (worker.health.slowness() - 1.0);
-    if (!m_step.dataRack.empty() && !worker.hasLabel(m_step.dataRack)) {
+    if (!m_step.inputRack.empty() && !worker.hasLabel(m_step.inputRack)) {
         cost += farFromDataCost;
     }
     if (m_task.failedOn == worker.info.id) {
--- /dev/null
+++ b/tests/unit/platform.cpp
@@ -0,0 +1,191 @@
+#include "platform/callers.h"
+#include "platform/decoding.h"
+#include "platform/minionclient.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+namespace Trefoilhoist::Platform {
+
+namespace {
+
+using Jobs::JobOutcome;
+using Jobs::JobPhase;
+
+HttpRequest requestOf(const std::string &method, const std::string &target, std::string body = {})
+{
+    HttpRequest request;
+    request.method = method;
+    request.target = target;
+    request.body = std::move(body);
+    return request;
+}
+
+nlohmann::json heartbeatBody()
+{
+    return {{"service", "desk"},
+            {"address", "10.0.0.9:8080"},
+            {"zone", "a"},
+            {"state", "ready"},
+            {"capacity", {{"cpu", 16000}, {"memoryRequestMb", 32768}, {"gpu", 1}}},
+            {"labels", {"a", "r1-3"}},
+            {"clockMs", 482113},
+            {"born", 17},
+            {"sequence", 4}};
+}
+
+class CallersTest : public testing::Test
+{
+protected:
+    Wire::JobSpec jobOf(const std::string &body)
+    {
+        const auto spec = m_callers.job("5c0e7a21d94b36f8", {}, body);
+        EXPECT_TRUE(spec) << (spec ? "" : spec.error());
+        return spec.value_or(Wire::JobSpec{});
+    }
+
+    std::string refusal(const std::string &id, const std::string &body)
+    {
+        const auto spec = m_callers.job(id, {}, body);
+        EXPECT_FALSE(spec);
+        return spec ? "" : spec.error();
+    }
+
+    Callers m_callers;
+};
+
+} // namespace
+
+TEST_F(CallersTest, jobWithAllFields_isReadIntoTheProductsNames)
+{
+    const auto spec = jobOf(R"({"specification":"text","repetitions":3,"firstRunMs":100,"intervalMs":50,"steps":[
+        {"count":4,"cpu":500,"memoryRequestMb":256,"gpu":1,"estimatedMs":900,"dataRack":"r1-3","requirements":"a"},
+        {"count":2,"after":[0],"checkpointing":true,"gangScheduled":true,"sameRack":true,"antiAffinity":1},
+        {"count":1,"allowDuplicates":true,"longRunning":true,"image":"i","targetMs":50,"fills":true,"mayMiss":2}]})");
+    ASSERT_EQ(spec.steps.size(), 3U);
+    EXPECT_EQ(spec.payload, "text");
+    EXPECT_EQ(spec.occurrences, 3);
+    EXPECT_EQ(spec.steps[0].cpuMilli, 500);
+    EXPECT_EQ(spec.steps[0].accelerators, 1);
+    EXPECT_EQ(spec.steps[0].requiredLabel, "a");
+    EXPECT_EQ(spec.steps[1].after, std::vector<std::int32_t>{0});
+    EXPECT_TRUE(spec.steps[1].gang && spec.steps[1].gangOnOneRack && spec.steps[1].checkpoints);
+    EXPECT_EQ(spec.steps[1].maxPerWorker, 1);
+    EXPECT_TRUE(spec.steps[2].duplicatesAllowed && spec.steps[2].longRunning && spec.steps[2].usesIdleCpu);
+    EXPECT_EQ(spec.steps[2].tailTargetMs, 50);
+    EXPECT_EQ(spec.steps[2].maxUnavailable, 2);
+}
+
+TEST_F(CallersTest, unreadableJobs_areRefusedInPlainWords)
+{
+    const std::string id = "5c0e7a21d94b36f8";
+    EXPECT_EQ(refusal("short", "{}"), "\"short\" is not a job's id: 16 hexadecimal digits");
+    EXPECT_EQ(refusal(id, "{}"), "the job has no steps");
+    EXPECT_EQ(refusal(id, "{"), "the body is not a JSON object with the fields of a job");
+    EXPECT_EQ(refusal(id, R"({"steps":[{"count":0}]})"), "field \"count\" is not within its bounds");
+    EXPECT_EQ(refusal(id, R"({"steps":[{"count":1,"cpu":"x"}]})"), "field \"cpu\" is not a number");
+    EXPECT_EQ(refusal(id, R"({"steps":[{"count":1,"after":[0]}]})"), "step 0 comes after a step that is not before it");
+}
+
+TEST_F(CallersTest, answers_eachOutcome_hasItsStatus)
+{
+    Wire::JobAnswer answer;
+    answer.phase = static_cast<int>(JobPhase::Completed);
+    EXPECT_EQ(m_callers.answer(Jobs::CallerVerb::AskJob, answer).body, R"({"state":"completed"})");
+    answer.waiting = 12;
+    EXPECT_EQ(m_callers.answer(Jobs::CallerVerb::AskQueue, answer).body, R"({"waiting":12})");
+    answer.outcome = static_cast<int>(JobOutcome::Unknown);
+    EXPECT_EQ(m_callers.answer(Jobs::CallerVerb::AskJob, answer).status, 410);
+    answer.outcome = static_cast<int>(JobOutcome::Refused);
+    answer.retryAfterMs = 1200;
+    const auto refused = m_callers.answer(Jobs::CallerVerb::Submit, answer);
+    EXPECT_EQ(refused.status, 503);
+    EXPECT_EQ(refused.headers.get("Retry-After"), "2");
+    answer.outcome = static_cast<int>(JobOutcome::Unsettled);
+    EXPECT_EQ(m_callers.answer(Jobs::CallerVerb::Submit, answer).status, 504);
+}
+
+TEST_F(CallersTest, requestWithItsPatience_isReadWithHostAndPath)
+{
+    auto request = requestOf("POST", "/pule252/5c0e7a21d94b36f8?x=1");
+    request.headers.set("Host", "nony24.example:80");
+    request.headers.set("X-Deadline-Milliseconds", "1500");
+    const auto read = m_callers.request(request);
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->host, "nony24.example");
+    EXPECT_EQ(read->path, "/pule252/5c0e7a21d94b36f8");
+    EXPECT_EQ(read->patience, Duration(milliseconds(1500)));
+    EXPECT_FALSE(m_callers.request(requestOf("PATCH", "/")));
+}
+
+TEST(ConfigurationTest, configurationWithRoutes_isReadIntoQueues)
+{
+    const auto table = Configuration().queues(R"({"version":7,"routes":[
+        {"name":"r","host":"h","prefix":"/p/","service":"s","priority":2,"maxAttempts":3,"stretch":1.5,"targetLatencyMs":250,
+         "advice":{"decisionMs":3}}]})");
+    ASSERT_TRUE(table);
+    EXPECT_EQ(table->version, 7);
+    const auto *queue = table->match("h", "/p/x");
+    ASSERT_NE(queue, nullptr);
+    EXPECT_EQ(queue->policy.serviceName, "s");
+    EXPECT_TRUE(queue->policy.needsPermit);
+    EXPECT_EQ(table->match("h", "/q"), nullptr);
+    EXPECT_FALSE(Configuration().queues("not json"));
+}
+
+TEST(MinionMessageTest, heartbeat_isReadIntoTheProductsNames)
+{
+    const auto message = minionMessageFrom(requestOf("POST", "/instances/i-7/heartbeat", heartbeatBody().dump()));
+    ASSERT_TRUE(message);
+    const auto &heartbeat = std::get<Jobs::MinionHeartbeat>(*message);
+    EXPECT_EQ(heartbeat.worker.id, "i-7");
+    EXPECT_EQ(heartbeat.worker.cpuMilli, 16000);
+    EXPECT_EQ(heartbeat.worker.born, 17);
+    EXPECT_EQ(heartbeat.endpoint.port, 8080);
+    EXPECT_FALSE(heartbeat.draining);
+}
+
+TEST(MinionMessageTest, foreignHeartbeats_nameNoMinion)
+{
+    for (const auto *field : {"service", "state", "address"}) {
+        auto body = heartbeatBody();
+        body.erase(field);
+        EXPECT_FALSE(minionMessageFrom(requestOf("POST", "/instances/i-7/heartbeat", body.dump()))) << field;
+        body[field] = 7;
+        EXPECT_FALSE(minionMessageFrom(requestOf("POST", "/instances/i-7/heartbeat", body.dump()))) << field;
+    }
+    auto body = heartbeatBody();
+    body["state"] = "sleeping";
+    EXPECT_FALSE(minionMessageFrom(requestOf("POST", "/instances/i-7/heartbeat", body.dump())));
+    EXPECT_FALSE(minionMessageFrom(requestOf("POST", "/instances/i-7/heartbeat", "\xff\x00")));
+    EXPECT_FALSE(minionMessageFrom(requestOf("GET", "/elsewhere")));
+}
+
+TEST(MinionMessageTest, leavingMinion_isNamed)
+{
+    const auto message = minionMessageFrom(requestOf("POST", "/instances/i-7/deregister"));
+    ASSERT_TRUE(message);
+    EXPECT_EQ(std::get<MinionLeft>(*message).id, "i-7");
+}
+
+TEST(ListingTest, listing_rowsOfBothKinds_areRead)
+{
+    const auto listing = listingFrom(
+        R"({"clockMs":5,"born":17,"running":[["5c0e7a21d94b36f8.0.1.17",2,"c",41],["5c0e7a21d94b36f8.0.1.18",2,"",100,33]],
+            "ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"lapsed","d"]]})");
+    ASSERT_EQ(listing.running.size(), 2U);
+    EXPECT_EQ(Jobs::taskName(listing.running[0].task), "5c0e7a21d94b36f8.0.1.17");
+    EXPECT_EQ(listing.running[1].usage, 33);
+    ASSERT_EQ(listing.ended.size(), 1U);
+    EXPECT_EQ(static_cast<Jobs::EndKind>(listing.ended[0].how), Jobs::EndKind::Lapsed);
+    EXPECT_EQ(listing.born, 17);
+}
+
+TEST(ListingTest, unreadableRows_areErrorsNotEmptyLists)
+{
+    EXPECT_ANY_THROW(static_cast<void>(listingFrom(R"({"running":[["x",2,"c",41]]})")));
+    EXPECT_ANY_THROW(static_cast<void>(listingFrom(R"({"ended":[[58,"a.0.1.9",1,"vanished",""]]})")));
+    EXPECT_ANY_THROW(static_cast<void>(listingFrom(R"({"running":7})")));
+}
+
+} // namespace Trefoilhoist::Platform
