Let an owner make itself known to the other dispatchers; hold the owner's lease for 1.6 s

Owners now announce themselves to every dispatcher that has recorded itself; a newer epoch deposes at once.

--- a/src/programs/dispatcher/dispatcher.cpp
+++ b/src/programs/dispatcher/dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "dispatcher.h"
 
+#include "trefoilhoist/jobs/recordkeys.h"
 #include "trefoilhoist/log/eventlog.h"
 #include "trefoilhoist/wire/message.h"
 
@@ -19,6 +20,7 @@
 constexpr std::int64_t ownerRetryAfterMs = 1000;
 constexpr Duration configurationWait = milliseconds(1500);
 constexpr Duration configurationRetry = milliseconds(150);
+constexpr Duration registerRetry = milliseconds(500);
 constexpr Duration stopPoll = milliseconds(50);
 /// After SIGTERM callers may still send on open connections; they are served for at least this long.
 constexpr Duration stopAtLeast = milliseconds(1500);
@@ -40,6 +42,14 @@
     return self;
 }
 
+RecordCommit registration(const std::string &key, const std::string &value, const std::optional<StoredRecord> &known)
+{
+    RecordCommit commit;
+    commit.conditions.push_back({key, known ? known->revision : 0});
+    commit.writes.push_back({key, value, 0});
+    return commit;
+}
+
 HttpLimits callerLimits()
 {
     HttpLimits limits;
@@ -85,10 +95,32 @@
     spawnOn(m_runtime.executor(), "election", [this] {
         return m_election.run([this](Jobs::OwnerTerm term) { won(term); }, [this](const std::string &) { lost(); });
     });
+    spawnOn(m_runtime.executor(), "registration", [this] { return registerPeer(); });
     Event("started").add("name", m_settings.name).add("incarnation", m_runtime.incarnation());
     return std::nullopt;
 }
 
+// Records where peers reach this process; the record of a dispatcher that is gone only costs a call now and then.
+awaitable<void> DispatcherServer::registerPeer()
+{
+    const auto key = Jobs::peerPrefix + m_settings.name;
+    const auto value = Wire::encode(selfRecord(m_settings));
+    while (true) {
+        const auto known = co_await m_outside.store->read(key);
+        if (known && *known && (*known)->value == value) {
+            co_return;
+        }
+        if (known) {
+            const auto outcome = co_await m_outside.store->commit(registration(key, value, *known));
+            if (outcome && outcome->committed) {
+                Event("peer_registered").add("key", key);
+                co_return;
+            }
+        }
+        co_await sleepFor(registerRetry);
+    }
+}
+
 void DispatcherServer::won(Jobs::OwnerTerm term)
 {
     SessionContext context{m_runtime.executor(),
@@ -307,6 +339,12 @@
         reply.payload = Wire::encode(answer);
         co_return reply;
     }
+    if (envelope.kind == Wire::MessageKind::HelloKind) {
+        if (const auto owner = Wire::decode<Wire::OwnerRecord>(envelope.payload)) {
+            m_election.heard(*owner);
+        }
+        co_return reply;
+    }
     reply.payload = Wire::encode(co_await answerHere(envelope.kind, std::move(envelope.payload), askTimeout));
     co_return reply;
 }
--- a/src/programs/dispatcher/dispatcher.h
+++ b/src/programs/dispatcher/dispatcher.h
@@ -63,6 +63,7 @@
     /// Asks the owner, here or elsewhere, until the caller's patience ends.
     awaitable<Wire::JobAnswer> askOwner(Wire::MessageKind kind, std::string payload, Duration patience);
     awaitable<Wire::JobAnswer> answerHere(Wire::MessageKind kind, std::string payload, Duration patience);
+    awaitable<void> registerPeer();
     awaitable<void> watchConfiguration();
     awaitable<bool> readConfiguration(std::int64_t &revision);
     void takeConfiguration(const std::string &value, std::int64_t revision);
--- a/src/programs/dispatcher/ownersession.cpp
+++ b/src/programs/dispatcher/ownersession.cpp
@@ -17,6 +17,9 @@
 /// Commits on their way at one time.
 constexpr int recordLoops = 3;
 constexpr Duration tick = milliseconds(50);
+constexpr Duration announceEvery = milliseconds(700);
+/// Dispatchers come and go rarely.
+constexpr Duration peersReadEvery = seconds(5);
 constexpr Duration orderTimeout = milliseconds(1500);
 /// Without the store's word for this long, an unknown job may be another owner's.
 constexpr Duration authorityAge = milliseconds(2500);
@@ -80,6 +83,7 @@
             spawnOn(self->m_context.executor, "record loop", [self] { return self->recordLoop(); });
         }
         spawnOn(self->m_context.executor, "tick loop", [self] { return self->tickLoop(); });
+        spawnOn(self->m_context.executor, "announcements", [self] { return self->announceLoop(); });
     });
 }
 
@@ -201,6 +205,50 @@
     }
 }
 
+// Makes this owner known to the other dispatchers, some of which may not reach the store.
+awaitable<void> OwnerSession::announceLoop()
+{
+    const auto self = shared_from_this();
+    Wire::OwnerRecord record;
+    record.epoch = m_term.epoch;
+    record.name = m_context.name;
+    record.host = m_context.self.host;
+    record.port = m_context.self.port;
+    const auto announcement = Wire::encode(record);
+    TimePoint readAt;
+    std::vector<Endpoint> peers;
+    while (!m_closed) {
+        if (m_context.clock.now() - readAt > peersReadEvery) {
+            const auto page = co_await m_context.store.list(Jobs::peerPrefix, "");
+            if (page) {
+                readAt = m_context.clock.now();
+                peers = peersOf(*page);
+            }
+        }
+        for (const auto &peer : peers) {
+            spawnOn(m_context.executor, "announcement", [self, peer, announcement]() -> awaitable<void> {
+                // A peer that does not answer is told again in a moment.
+                co_await self->clientOf(peer).call(Wire::MessageKind::HelloKind, announcement, announceEvery);
+            });
+        }
+        co_await sleepFor(announceEvery);
+    }
+}
+
+std::vector<Endpoint> OwnerSession::peersOf(const RecordPage &page) const
+{
+    std::vector<Endpoint> peers;
+    for (const auto &it : page.records) {
+        const auto peer = Wire::decode<Wire::OwnerRecord>(it.value);
+        if (!peer) {
+            Event("record_unreadable").add("key", it.key).add("bytes", it.value.size());
+        } else if (peer->name != m_context.name) {
+            peers.push_back({peer->host, static_cast<std::uint16_t>(peer->port)});
+        }
+    }
+    return peers;
+}
+
 bool OwnerSession::verified(Duration within) const
 {
     return m_context.clock.now() - m_context.verifiedAt() <= within;
--- a/src/programs/dispatcher/ownersession.h
+++ b/src/programs/dispatcher/ownersession.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace Trefoilhoist::Dispatcher {
 
@@ -84,6 +85,8 @@
     void plan();
     awaitable<void> send(Wire::WorkerOrders orders, Endpoint agent);
     PeerClient &clientOf(const Endpoint &agent);
+    awaitable<void> announceLoop();
+    [[nodiscard]] std::vector<Endpoint> peersOf(const RecordPage &page) const;
     [[nodiscard]] bool verified(Duration within) const;
 
     SessionContext m_context;
--- a/src/trefoilhoist/jobs/ownerelection.cpp
+++ b/src/trefoilhoist/jobs/ownerelection.cpp
@@ -68,7 +68,7 @@
 awaitable<void> OwnerElection::follow(const Seen &seen)
 {
     const auto owner = Wire::decode<Wire::OwnerRecord>(seen.owner->value);
-    if (owner && (!m_owner || m_owner->epoch != owner->epoch)) {
+    if (owner && (!m_owner || m_owner->epoch < owner->epoch)) {
         m_owner = *owner;
         Event("owner_seen").add("owner", owner->name).add("epoch", owner->epoch).add("revision", seen.revision);
     }
@@ -171,6 +171,16 @@
     lose(std::move(reason));
 }
 
+void OwnerElection::heard(const Wire::OwnerRecord &owner)
+{
+    if (owner.name == m_self.name || (m_owner && m_owner->epoch >= owner.epoch)) {
+        return;
+    }
+    lose("another process owns epoch " + std::to_string(owner.epoch));
+    m_owner = owner;
+    Event("owner_heard").add("owner", owner.name).add("epoch", owner.epoch);
+}
+
 awaitable<void> OwnerElection::resign()
 {
     m_resigned = true;
--- a/src/trefoilhoist/jobs/ownerelection.h
+++ b/src/trefoilhoist/jobs/ownerelection.h
@@ -11,8 +11,8 @@
 
 struct ElectionTimes {
     /// The store drops the owner's record this long after its last renewal.
-    Duration leaseTtl = seconds(2);
-    Duration renewEvery = milliseconds(400);
+    Duration leaseTtl = milliseconds(1600);
+    Duration renewEvery = milliseconds(350);
     /// A wait for changes; short, since a connection may go silent without notice.
     Duration watchWait = milliseconds(1500);
     Duration retryEvery = milliseconds(150);
@@ -52,8 +52,10 @@
     {
         return m_verifiedAt;
     }
-    /// Told by a newer owner, or by a conflict over the epoch.
+    /// Told by a conflict over the epoch, or by orders of a newer owner.
     void deposed(std::string reason);
+    /// An owner made itself known; matters where the store is out of reach.
+    void heard(const Wire::OwnerRecord &owner);
     /// Gives up the term, so that another takes over at once; no new term is sought, but a new owner is still
     /// followed.
     awaitable<void> resign();
--- a/src/trefoilhoist/jobs/recordkeys.h
+++ b/src/trefoilhoist/jobs/recordkeys.h
@@ -8,6 +8,8 @@
 inline const std::string leadPrefix = "lead/";
 inline const std::string ownerRecordKey = "lead/owner";
 inline const std::string epochRecordKey = "lead/epoch";
+/// One record a dispatcher: where its peers reach it.
+inline const std::string peerPrefix = "peer/";
 inline const std::string rosterKey = "workers";
 inline const std::string jobPrefix = "job/";
 
--- /dev/null
+++ b/tests/unit/ownerelection.cpp
@@ -0,0 +1,130 @@
+#include "trefoilhoist/jobs/ownerelection.h"
+
+#include "harness/memoryrecordstore.h"
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+namespace Trefoilhoist::Jobs {
+
+namespace {
+
+/// One process that stands for election.
+struct Candidate {
+    Candidate(Asio::io_context &context, RecordStore &store, const Clock &clock, const std::string &name)
+        : election(store, clock, timesOf(), selfOf(name))
+    {
+        spawnOn(context.get_executor(), "election", [this] {
+            return election.run([this](OwnerTerm term) { won.push_back(term.epoch); },
+                                [this](const std::string &) { ++lost; });
+        });
+    }
+
+    static ElectionTimes timesOf()
+    {
+        ElectionTimes times;
+        times.renewEvery = milliseconds(5);
+        times.watchWait = milliseconds(20);
+        times.retryEvery = milliseconds(5);
+        times.ownerGrace = milliseconds(60);
+        return times;
+    }
+
+    static Wire::OwnerRecord selfOf(const std::string &name)
+    {
+        Wire::OwnerRecord self;
+        self.name = name;
+        return self;
+    }
+
+    OwnerElection election;
+    std::vector<std::int64_t> won;
+    int lost = 0;
+};
+
+class OwnerElectionTest : public testing::Test
+{
+protected:
+    void play(milliseconds time)
+    {
+        m_context.restart();
+        m_context.run_for(time);
+    }
+
+    Asio::io_context m_context;
+    Clock m_clock;
+    MemoryRecordStore m_store;
+};
+
+} // namespace
+
+TEST_F(OwnerElectionTest, twoCandidates_oneWinsAndTheOtherFollowsIt)
+{
+    Candidate first(m_context, m_store, m_clock, "a");
+    Candidate second(m_context, m_store, m_clock, "b");
+    play(milliseconds(60));
+    EXPECT_EQ(first.won.size() + second.won.size(), 1U);
+    const auto &follower = first.won.empty() ? first : second;
+    ASSERT_TRUE(follower.election.owner());
+    EXPECT_EQ(follower.election.owner()->epoch, 1);
+}
+
+TEST_F(OwnerElectionTest, leaseTakenAway_ownerStepsDownAndTheNextEpochIsHigher)
+{
+    Candidate first(m_context, m_store, m_clock, "a");
+    play(milliseconds(30));
+    m_store.endLeases();
+    play(milliseconds(60));
+    EXPECT_EQ(first.lost, 1);
+    EXPECT_EQ(first.won, (std::vector<std::int64_t>{1, 2}));
+}
+
+TEST_F(OwnerElectionTest, commitWithoutAnswer_isFoundOutAndTaken)
+{
+    m_store.loseNextAnswer = true;
+    Candidate first(m_context, m_store, m_clock, "a");
+    play(milliseconds(60));
+    EXPECT_EQ(first.won, std::vector<std::int64_t>{1});
+}
+
+TEST_F(OwnerElectionTest, resigningOwner_handsOverAtOnceAndFollows)
+{
+    Candidate first(m_context, m_store, m_clock, "a");
+    play(milliseconds(30));
+    Candidate second(m_context, m_store, m_clock, "b");
+    play(milliseconds(30));
+    spawnOn(m_context.get_executor(), "resign", [&] { return first.election.resign(); });
+    play(milliseconds(60));
+    EXPECT_EQ(second.won, std::vector<std::int64_t>{2});
+    ASSERT_TRUE(first.election.owner());
+    EXPECT_EQ(first.election.owner()->name, "b");
+}
+
+TEST_F(OwnerElectionTest, storeOutOfReachForLong_ownerGivesUp)
+{
+    Candidate first(m_context, m_store, m_clock, "a");
+    play(milliseconds(30));
+    m_store.down = true;
+    play(milliseconds(120));
+    EXPECT_EQ(first.lost, 1);
+}
+
+TEST_F(OwnerElectionTest, ownerWithoutStore_hearsOfANewerOne_followsIt)
+{
+    Candidate first(m_context, m_store, m_clock, "a");
+    play(milliseconds(30));
+    m_store.down = true;
+    auto newer = Candidate::selfOf("b");
+    newer.epoch = 2;
+    first.election.heard(newer);
+    EXPECT_EQ(first.lost, 1);
+    EXPECT_FALSE(first.election.owning());
+    EXPECT_EQ(first.election.owner()->name, "b");
+    auto older = Candidate::selfOf("c");
+    older.epoch = 1;
+    first.election.heard(older);
+    EXPECT_EQ(first.election.owner()->name, "b");
+}
+
+} // namespace Trefoilhoist::Jobs
