--- a/idl/gen/messages_types.cpp
+++ b/idl/gen/messages_types.cpp
@@ -8587,6 +8587,10 @@
 void OwnerRecord::__set_name(const std::string& val) {
   this->name = val;
 }
+
+void OwnerRecord::__set_strength(const double val) {
+  this->strength = val;
+}
 std::ostream& operator<<(std::ostream& out, const OwnerRecord& obj)
 {
   obj.printTo(out);
@@ -8647,6 +8651,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->strength);
+          this->__isset.strength = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8680,6 +8692,10 @@
   xfer += oprot->writeString(this->name);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("strength", ::apache::thrift::protocol::T_DOUBLE, 5);
+  xfer += oprot->writeDouble(this->strength);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8691,6 +8707,7 @@
   swap(a.host, b.host);
   swap(a.port, b.port);
   swap(a.name, b.name);
+  swap(a.strength, b.strength);
   swap(a.__isset, b.__isset);
 }
 
@@ -8699,6 +8716,7 @@
   host = other347.host;
   port = other347.port;
   name = other347.name;
+  strength = other347.strength;
   __isset = other347.__isset;
 }
 OwnerRecord::OwnerRecord(OwnerRecord&& other348) noexcept {
@@ -8706,6 +8724,7 @@
   host = std::move(other348.host);
   port = other348.port;
   name = std::move(other348.name);
+  strength = other348.strength;
   __isset = other348.__isset;
 }
 OwnerRecord& OwnerRecord::operator=(const OwnerRecord& other349) {
@@ -8713,6 +8732,7 @@
   host = other349.host;
   port = other349.port;
   name = other349.name;
+  strength = other349.strength;
   __isset = other349.__isset;
   return *this;
 }
@@ -8721,6 +8741,7 @@
   host = std::move(other350.host);
   port = other350.port;
   name = std::move(other350.name);
+  strength = other350.strength;
   __isset = other350.__isset;
   return *this;
 }
@@ -8731,6 +8752,7 @@
   out << ", " << "host=" << to_string(host);
   out << ", " << "port=" << to_string(port);
   out << ", " << "name=" << to_string(name);
+  out << ", " << "strength=" << to_string(strength);
   out << ")";
 }
 
--- a/idl/gen/messages_types.h
+++ b/idl/gen/messages_types.h
@@ -3175,11 +3175,12 @@
 std::ostream& operator<<(std::ostream& out, const JobAnswer& obj);
 
 typedef struct _OwnerRecord__isset {
-  _OwnerRecord__isset() : epoch(false), host(false), port(false), name(false) {}
+  _OwnerRecord__isset() : epoch(false), host(false), port(false), name(false), strength(false) {}
   bool epoch :1;
   bool host :1;
   bool port :1;
   bool name :1;
+  bool strength :1;
 } _OwnerRecord__isset;
 
 class OwnerRecord : public virtual ::apache::thrift::TBase {
@@ -3193,7 +3194,8 @@
               : epoch(0),
                 host(),
                 port(0),
-                name() {
+                name(),
+                strength(0) {
   }
 
   virtual ~OwnerRecord() noexcept;
@@ -3201,6 +3203,7 @@
   std::string host;
   int32_t port;
   std::string name;
+  double strength;
 
   _OwnerRecord__isset __isset;
 
@@ -3212,6 +3215,8 @@
 
   void __set_name(const std::string& val);
 
+  void __set_strength(const double val);
+
   bool operator == (const OwnerRecord & rhs) const
   {
     if (!(epoch == rhs.epoch))
@@ -3222,6 +3227,8 @@
       return false;
     if (!(name == rhs.name))
       return false;
+    if (!(strength == rhs.strength))
+      return false;
     return true;
   }
   bool operator != (const OwnerRecord &rhs) const {
--- a/idl/messages.thrift
+++ b/idl/messages.thrift
@@ -436,6 +436,8 @@
   2: string host;
   3: i32 port;
   4: string name;
+  // Of a dispatcher's record: what its host can carry, against others.
+  5: double strength;
 }
 
 // Every worker that the owner may have given orders to.
--- a/src/programs/dispatcher/dispatcher.cpp
+++ b/src/programs/dispatcher/dispatcher.cpp
@@ -39,6 +39,7 @@
     self.name = settings.name;
     self.host = settings.peers.host;
     self.port = settings.peers.port;
+    self.strength = settings.strength;
     return self;
 }
 
--- a/src/programs/dispatcher/dispatcher.h
+++ b/src/programs/dispatcher/dispatcher.h
@@ -18,6 +18,8 @@
     Endpoint readiness;
     Endpoint peers;
     Endpoint metrics;
+    /// What this host can carry, against others: the strongest dispatcher owns the scheduling.
+    double strength = 1;
     Jobs::SchedulerSettings scheduler;
     Jobs::ElectionTimes election;
     /// From SIGTERM to the end of the process, at most.
--- a/src/trefoilhoist/jobs/ownerelection.cpp
+++ b/src/trefoilhoist/jobs/ownerelection.cpp
@@ -15,6 +15,7 @@
 {
     m_won = std::move(won);
     m_lost = std::move(lost);
+    m_startedAt = m_clock.now();
     while (true) {
         if (m_owning) {
             co_await renew();
@@ -32,8 +33,10 @@
         if (seen && seen->owner && !ownRecord(*seen->owner)) {
             co_await follow(*seen);
             settled = true;
+            m_yielded = false;
         } else if (seen && !m_resigned) {
-            settled = co_await stand(*seen);
+            const bool first = co_await yield();
+            settled = !first || co_await stand(*seen);
         }
         if (!settled) {
             co_await sleepFor(m_times.retryEvery);
@@ -78,6 +81,32 @@
     }
 }
 
+awaitable<bool> OwnerElection::yield()
+{
+    if (m_yielded) {
+        co_return true;
+    }
+    const auto up = m_clock.now() - m_startedAt;
+    if (up < m_times.standAfterStart) {
+        co_await sleepFor(m_times.standAfterStart - up);
+    }
+    const auto peers = co_await m_store.list(peerPrefix, "");
+    int stronger = 0;
+    if (peers) {
+        for (const auto &it : peers->records) {
+            const auto peer = Wire::decode<Wire::OwnerRecord>(it.value);
+            stronger += peer && peer->strength > m_self.strength ? 1 : 0;
+        }
+    }
+    if (stronger == 0) {
+        co_return true;
+    }
+    co_await sleepFor(stronger * m_times.waitForStronger);
+    // Looks again before it stands.
+    m_yielded = true;
+    co_return false;
+}
+
 RecordCommit OwnerElection::termCommit(const Seen &seen) const
 {
     Wire::OwnerRecord record = m_self;
--- a/src/trefoilhoist/jobs/ownerelection.h
+++ b/src/trefoilhoist/jobs/ownerelection.h
@@ -16,6 +16,10 @@
     /// A wait for changes; short, since a connection may go silent without notice.
     Duration watchWait = milliseconds(1500);
     Duration retryEvery = milliseconds(150);
+    /// A candidate waits this long for each stronger one that is known.
+    Duration waitForStronger = milliseconds(60);
+    /// A process that has just started lets others record themselves before it stands.
+    Duration standAfterStart = milliseconds(400);
     /// An owner that could not renew for this long gives up.
     Duration ownerGrace = seconds(10);
 };
@@ -69,6 +73,8 @@
     awaitable<StoreResult<Seen>> look();
     awaitable<void> follow(const Seen &seen);
     awaitable<bool> stand(const Seen &seen);
+    /// Lets stronger candidates go first; false when one of them may have won meanwhile.
+    awaitable<bool> yield();
     [[nodiscard]] RecordCommit termCommit(const Seen &seen) const;
     awaitable<void> renew();
     void lose(std::string reason);
@@ -86,6 +92,9 @@
     std::int64_t m_leaseEpoch = 0;
     TimePoint m_leaseOpenedAt;
     TimePoint m_verifiedAt;
+    TimePoint m_startedAt;
+    /// Already waited for stronger candidates in this vacancy.
+    bool m_yielded = false;
     bool m_owning = false;
     bool m_resigned = false;
     bool m_storeReached = true;
--- a/tests/unit/ownerelection.cpp
+++ b/tests/unit/ownerelection.cpp
@@ -1,6 +1,8 @@
 #include "trefoilhoist/jobs/ownerelection.h"
 
 #include "harness/memoryrecordstore.h"
+#include "trefoilhoist/jobs/recordkeys.h"
+#include "trefoilhoist/wire/message.h"
 
 #include <gtest/gtest.h>
 
@@ -28,6 +30,8 @@
         times.watchWait = milliseconds(20);
         times.retryEvery = milliseconds(5);
         times.ownerGrace = milliseconds(60);
+        times.standAfterStart = milliseconds(5);
+        times.waitForStronger = milliseconds(15);
         return times;
     }
 
@@ -127,4 +131,18 @@
     EXPECT_EQ(first.election.owner()->name, "b");
 }
 
+TEST_F(OwnerElectionTest, strongerCandidateKnown_weakerOneLetsItGoFirst)
+{
+    auto strong = Candidate::selfOf("b");
+    strong.strength = 0.5;
+    RecordCommit commit;
+    commit.writes.push_back({peerPrefix + "b", Wire::encode(strong), 0});
+    spawnOn(m_context.get_executor(), "record", [&]() -> awaitable<void> { co_await m_store.commit(commit); });
+    Candidate weak(m_context, m_store, m_clock, "a");
+    play(milliseconds(12));
+    EXPECT_TRUE(weak.won.empty());
+    play(milliseconds(60));
+    EXPECT_EQ(weak.won.size(), 1U) << "the stronger one did not stand";
+}
+
 } // namespace Trefoilhoist::Jobs
