--- a/src/trefoilhoist/jobs/workerchoice.cpp
+++ b/src/trefoilhoist/jobs/workerchoice.cpp
@@ -19,7 +19,7 @@
 constexpr double slowCost = 0.5;
 constexpr double harmCost = 6;
 /// Serving tasks of one image are kept together, so that each kind of filling task finds workers where it does no harm.
-constexpr double otherImagesCost = 0.6;
+constexpr double otherImagesCost = 1.2;
 /// Slack that serving tasks are to keep.
 constexpr double keptSlack = 1.3;
 constexpr double toleratedHarm = 0.05;
