--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -32,21 +32,21 @@
 {
 }
 
-std::optional<std::string> AgentServer::start()
+std::optional<StartProblem> AgentServer::start()
 {
     m_startedAt = m_runtime.clock().now();
     // Listings of this process are later than those of earlier ones.
     m_listings = m_runtime.incarnation() * listingsPerMillisecond;
     if (const auto port = m_peers.listen(m_settings.peers); !port) {
-        return port.error();
+        return StartProblem{"/peers", port.error()};
     }
     if (m_settings.metrics.port != 0) {
         if (const auto port = m_metricsServer.listen(m_settings.metrics); !port) {
-            return port.error();
+            return StartProblem{"/metrics", port.error()};
         }
     }
     if (const auto port = m_heartbeats.listen(m_settings.heartbeats); !port) {
-        return port.error();
+        return StartProblem{"/heartbeats", port.error()};
     }
     spawnOn(m_runtime.executor(), "listings", [this] { return listLoop(); });
     spawnOn(m_runtime.executor(), "reports", [this] { return reportLoop(); });
--- a/src/programs/agent/agent.h
+++ b/src/programs/agent/agent.h
@@ -48,7 +48,7 @@
 public:
     AgentServer(Runtime &runtime, AgentSettings settings, Outside outside);
 
-    std::optional<std::string> start();
+    std::optional<StartProblem> start();
     awaitable<void> stop();
 
 private:
--- a/src/programs/dispatcher/dispatcher.cpp
+++ b/src/programs/dispatcher/dispatcher.cpp
@@ -76,21 +76,21 @@
 {
 }
 
-std::optional<std::string> DispatcherServer::start()
+std::optional<StartProblem> DispatcherServer::start()
 {
     if (const auto port = m_peers.listen(m_settings.peers); !port) {
-        return port.error();
+        return StartProblem{"/peers", port.error()};
     }
     if (const auto port = m_readiness.listen(m_settings.readiness); !port) {
-        return port.error();
+        return StartProblem{"/readiness", port.error()};
     }
     if (m_settings.metrics.port != 0) {
         if (const auto port = m_metricsServer.listen(m_settings.metrics); !port) {
-            return port.error();
+            return StartProblem{"/metrics", port.error()};
         }
     }
     if (const auto port = m_callers.listen(m_settings.callers); !port) {
-        return port.error();
+        return StartProblem{"/callers", port.error()};
     }
     spawnOn(m_runtime.executor(), "configuration", [this] { return watchConfiguration(); });
     spawnOn(m_runtime.executor(), "election", [this] {
--- a/src/programs/dispatcher/dispatcher.h
+++ b/src/programs/dispatcher/dispatcher.h
@@ -41,7 +41,7 @@
     DispatcherServer(Runtime &runtime, DispatcherSettings settings, Outside outside);
 
     /// Returns what can't be bound, if anything.
-    std::optional<std::string> start();
+    std::optional<StartProblem> start();
     /// Hands the ownership over and finishes the requests in progress.
     awaitable<void> stop();
 
--- a/src/trefoilhoist/net/program.cpp
+++ b/src/trefoilhoist/net/program.cpp
@@ -54,6 +54,7 @@
 struct Runtime::State {
     std::string program;
     std::string settingsFile;
+    std::string schema;
     nlohmann::json settings;
     int threads = defaultThreads;
     std::int64_t incarnation = wallMilliseconds();
@@ -61,6 +62,7 @@
     Asio::io_context context;
     // Taken from the start, so that a signal before run() is not lost.
     Asio::signal_set signals{context, SIGTERM, SIGINT};
+    Asio::signal_set reloads{context, SIGHUP};
     std::function<awaitable<void>()> stop;
 
     awaitable<void> waitForSignal()
@@ -74,13 +76,33 @@
         LOG(INFO) << "event=stopped program=" << program;
         context.stop();
     }
+
+    // A changed settings file is checked and takes effect at the next start; the process goes on.
+    awaitable<void> waitForReload()
+    {
+        while (true) {
+            boost::system::error_code ec;
+            co_await reloads.async_wait(Asio::redirect_error(Asio::use_awaitable, ec));
+            if (ec) {
+                co_return;
+            }
+            const auto fresh = loadSettings(settingsFile, schema);
+            if (!fresh) {
+                LOG(ERROR) << "event=reload_refused program=" << program << " reason=\"" << fresh.error().str() << "\"";
+                continue;
+            }
+            LOG(INFO) << "event=reload_checked program=" << program << " changed=" << (*fresh != settings);
+        }
+    }
 };
 
-Runtime::Runtime(std::string program, std::string settingsFile, nlohmann::json settings, int threads)
+Runtime::Runtime(
+    std::string program, std::string settingsFile, std::string schema, nlohmann::json settings, int threads)
     : m_state(std::make_unique<State>())
 {
     m_state->program = std::move(program);
     m_state->settingsFile = std::move(settingsFile);
+    m_state->schema = std::move(schema);
     m_state->settings = std::move(settings);
     m_state->threads = threads;
 }
@@ -125,6 +147,7 @@
 int Runtime::run()
 {
     spawn(executor(), "signals", [this] { return m_state->waitForSignal(); });
+    spawn(executor(), "reloads", [this] { return m_state->waitForReload(); });
     const auto guard = Asio::make_work_guard(m_state->context);
     std::vector<std::thread> pool;
     for (int i = 1; i < m_state->threads; ++i) {
@@ -165,7 +188,7 @@
     startLogging(info.name);
     const int threads = settings->value("threads", defaultThreads);
     // The process ends without running destructors of half-finished coroutines.
-    auto *runtime = new Runtime(info.name, options.settingsFile, std::move(*settings), threads);
+    auto *runtime = new Runtime(info.name, options.settingsFile, info.schema, std::move(*settings), threads);
     try {
         start(*runtime);
     } catch (const StartError &e) {
--- a/src/trefoilhoist/net/program.h
+++ b/src/trefoilhoist/net/program.h
@@ -22,7 +22,8 @@
 class Runtime
 {
 public:
-    Runtime(std::string program, std::string settingsFile, nlohmann::json settings, int threads);
+    /// `schema` is what the settings file is checked against when SIGHUP tells that it changed.
+    Runtime(std::string program, std::string settingsFile, std::string schema, nlohmann::json settings, int threads);
     ~Runtime();
 
     [[nodiscard]] Asio::any_io_executor executor();
@@ -48,6 +49,13 @@
     std::unique_ptr<State> m_state;
 };
 
+/// A setting with which a program can't start.
+struct StartProblem {
+    /// JSON pointer of the setting.
+    std::string place;
+    std::string reason;
+};
+
 /// A program that can't start: the message names file, place and reason.
 class StartError : public std::runtime_error
 {
--- a/tests/integration/commandline.cpp
+++ b/tests/integration/commandline.cpp
@@ -39,6 +39,12 @@
         {"trefoilhoist-placer",
          R"({"id": "p1", "listen": "127.0.0.1:PORT", "zone": "a", "store": ["127.0.0.1:1"], "cell": "c1"})",
          "/listen"},
+        {"trefoilhoist-dispatcher",
+         R"({"id": "d1", "callers": "127.0.0.1:PORT", "readiness": "127.0.0.1:0", "peers": "127.0.0.1:0", "store": "127.0.0.1:1"})",
+         "/callers"},
+        {"trefoilhoist-agent",
+         R"({"id": "a1", "heartbeats": "127.0.0.1:PORT", "peers": "127.0.0.1:0", "store": "127.0.0.1:1"})",
+         "/heartbeats"},
         {"standin-store", R"({"listen": "127.0.0.1:PORT"})", "/listen"},
         {"standin-minion",
          R"({"id": "m1", "listen": "127.0.0.1:PORT", "zone": "a", "service": "s", "entries": [], "leaveGraceMs": 0})",
@@ -150,6 +156,16 @@
     EXPECT_EQ(process->wait(), 0) << process->errors();
 }
 
+TEST_P(ProgramTest, reloadSignal_goesOn)
+{
+    auto process = Process::start(GetParam().name, settings());
+    process->waitReady();
+    process->signal(SIGHUP);
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    process->signal(SIGTERM);
+    EXPECT_EQ(process->wait(), 0) << process->errors();
+}
+
 INSTANTIATE_TEST_SUITE_P(All, ProgramTest, testing::ValuesIn(programs()), [](const auto &it) {
     auto name = it.param.name;
     std::replace(name.begin(), name.end(), '-', '_');
@@ -183,6 +199,8 @@
                          ToolTest,
                          testing::Values("trefoilhoist-entry",
                                          "trefoilhoist-placer",
+                                         "trefoilhoist-dispatcher",
+                                         "trefoilhoist-agent",
                                          "trefoilhoist-ctl",
                                          "trefoilhoist-burn",
                                          "trefoilhoist-load",
