--- /dev/null
+++ b/src/programs/dispatcher/configurationwatch.cpp
@@ -0,0 +1,84 @@
+// How a dispatcher follows the operators' queues.
+#include "dispatcher.h"
+
+#include "trefoilhoist/log/eventlog.h"
+
+#include <algorithm>
+
+namespace Trefoilhoist::Dispatcher {
+
+namespace {
+
+/// Short, since a connection may go silent without notice.
+constexpr Duration configurationWait = milliseconds(1500);
+constexpr Duration configurationRetry = milliseconds(150);
+
+} // namespace
+
+void DispatcherServer::takeConfiguration(const std::string &value, std::int64_t revision)
+{
+    auto queues = m_outside.configuration->queues(value);
+    if (!queues) {
+        Event("configuration_unreadable").add("revision", revision).add("reason", queues.error());
+        return;
+    }
+    if (queues->version <= m_queues.version) {
+        return;
+    }
+    Event("configuration_taken")
+        .add("version", queues->version)
+        .add("revision", revision)
+        .add("queues", queues->routes.size());
+    m_queues = std::move(*queues);
+    if (m_session) {
+        m_session->setQueues(m_queues);
+    }
+}
+
+awaitable<bool> DispatcherServer::readConfiguration(std::int64_t &revision)
+{
+    const auto page = co_await m_outside.store->list(m_outside.configuration->key(), "");
+    if (!page) {
+        Event("configuration_unread").add("reason", page.error().reason).add("version", m_queues.version);
+        co_return false;
+    }
+    for (const auto &it : page->records) {
+        if (it.key == m_outside.configuration->key()) {
+            takeConfiguration(it.value, it.revision);
+        }
+    }
+    revision = page->revision;
+    co_return true;
+}
+
+awaitable<void> DispatcherServer::watchConfiguration()
+{
+    std::int64_t revision = 0;
+    bool known = false;
+    while (true) {
+        if (!known) {
+            known = co_await readConfiguration(revision);
+            if (!known) {
+                co_await sleepFor(configurationRetry);
+            }
+            continue;
+        }
+        const auto changes
+            = co_await m_outside.store->watch(m_outside.configuration->key(), revision, configurationWait);
+        known = changes.has_value() && !changes->historyLost;
+        if (!known) {
+            if (!changes) {
+                co_await sleepFor(configurationRetry);
+            }
+            continue;
+        }
+        for (const auto &it : changes->changes) {
+            if (!it.removed && it.record.key == m_outside.configuration->key()) {
+                takeConfiguration(it.record.value, it.record.revision);
+            }
+        }
+        revision = std::max(revision, changes->revision);
+    }
+}
+
+} // namespace Trefoilhoist::Dispatcher
--- /dev/null
+++ b/src/programs/dispatcher/owneranswers.cpp
@@ -0,0 +1,155 @@
+// What an owner answers to callers and agents.
+#include "ownersession.h"
+
+#include "trefoilhoist/log/eventlog.h"
+
+namespace Trefoilhoist::Dispatcher {
+
+namespace {
+
+using Jobs::JobOutcome;
+using Jobs::JobPhase;
+
+/// Without the store's word for this long, an unknown job may be another owner's.
+constexpr Duration authorityAge = milliseconds(2500);
+constexpr std::int64_t storeRetryAfterMs = 1000;
+/// Outages last for seconds: callers have few tries.
+constexpr std::int64_t outageRetryAfterMs = 2000;
+
+Wire::JobAnswer answerOf(JobOutcome outcome, std::int64_t retryAfterMs = storeRetryAfterMs)
+{
+    Wire::JobAnswer answer;
+    answer.outcome = static_cast<int>(outcome);
+    answer.retryAfterMs = retryAfterMs;
+    return answer;
+}
+
+int taskCount(const Wire::JobSpec &spec)
+{
+    int count = 0;
+    for (const auto &it : spec.steps) {
+        count += it.count;
+    }
+    return count;
+}
+
+// Estimated, of one occurrence.
+double coreSeconds(const Wire::JobSpec &spec)
+{
+    constexpr double milliPerUnit = 1e6;
+    double sum = 0;
+    for (const auto &it : spec.steps) {
+        sum += static_cast<double>(it.count) * it.cpuMilli * static_cast<double>(it.estimatedMs) / milliPerUnit;
+    }
+    return sum;
+}
+
+} // namespace
+
+awaitable<Wire::JobAnswer> OwnerSession::submit(Wire::JobSpec spec, Duration patience)
+{
+    const auto self = shared_from_this();
+    const auto sentAt = m_context.clock.now();
+    const std::string id = spec.id;
+    const auto intake = m_scheduler.submit(spec, sentAt);
+    if (intake == Jobs::Intake::Known) {
+        Event("job_repeated").add("job", id).add("epoch", m_term.epoch);
+        co_return answerOf(JobOutcome::Ok);
+    }
+    if (intake == Jobs::Intake::New && m_store.outOfReach(sentAt)) {
+        m_scheduler.withdraw(id);
+        Event("job_refused").add("job", id).add("epoch", m_term.epoch).add("reason", "the store is out of reach");
+        co_return answerOf(JobOutcome::Refused, outageRetryAfterMs);
+    }
+    if (intake == Jobs::Intake::New) {
+        m_records.submit(spec);
+        startRecording();
+    }
+    co_await m_waiters.wait(id, patience);
+    const auto waited = m_context.clock.now() - sentAt;
+    if (m_closed) {
+        co_return answerOf(JobOutcome::Unsettled);
+    }
+    if (m_scheduler.job(id) != nullptr) {
+        m_context.metrics.latency("trefoilhoist_job_record").record(waited, m_context.clock.now());
+        Event("job_accepted")
+            .add("job", id)
+            .add("queue", spec.queue.name)
+            .add("steps", spec.steps.size())
+            .add("tasks", taskCount(spec))
+            .add("coreSeconds", coreSeconds(spec))
+            .add("image", spec.steps.front().image)
+            .add("longRunning", spec.steps.front().longRunning)
+            .add("usesIdleCpu", spec.steps.front().usesIdleCpu)
+            .add("epoch", m_term.epoch)
+            .add("recordMs", duration_cast<milliseconds>(waited).count());
+        co_return answerOf(JobOutcome::Ok);
+    }
+    const bool notRun = m_records.withdraw(id);
+    if (notRun) {
+        m_scheduler.withdraw(id);
+    }
+    Event(notRun ? "job_refused" : "job_unsettled")
+        .add("job", id)
+        .add("epoch", m_term.epoch)
+        .add("reason", "the store did not confirm the record")
+        .add("waitedMs", duration_cast<milliseconds>(waited).count());
+    co_return answerOf(notRun ? JobOutcome::Refused : JobOutcome::Unsettled);
+}
+
+awaitable<Wire::JobAnswer> OwnerSession::cancel(std::string id, Duration patience)
+{
+    const auto self = shared_from_this();
+    const auto *job = m_scheduler.job(id);
+    if (job == nullptr) {
+        co_return answerOf(verified(authorityAge) ? JobOutcome::Unknown : JobOutcome::Refused);
+    }
+    m_scheduler.cancel(id, m_context.clock.now());
+    const auto version = job->version();
+    recordChanges();
+    requestPlan();
+    const auto until = m_context.clock.now() + patience;
+    while (!m_closed && m_scheduler.recordedVersion(id) < version && m_context.clock.now() < until) {
+        co_await m_waiters.wait(id, until - m_context.clock.now());
+    }
+    const bool recorded = !m_closed && m_scheduler.recordedVersion(id) >= version;
+    Event("job_cancelled").add("job", id).add("epoch", m_term.epoch).add("recorded", recorded);
+    co_return answerOf(recorded ? JobOutcome::Ok : JobOutcome::Unsettled);
+}
+
+Wire::JobAnswer OwnerSession::ask(const std::string &id) const
+{
+    const auto *job = m_scheduler.job(id);
+    if (job == nullptr) {
+        return answerOf(verified(authorityAge) ? JobOutcome::Unknown : JobOutcome::Refused);
+    }
+    auto answer = answerOf(JobOutcome::Ok);
+    auto phase = job->phase();
+    if (isFinal(phase) && m_scheduler.recordedVersion(id) < job->version()) {
+        // Not said before it is kept.
+        phase = JobPhase::Running;
+    }
+    answer.phase = static_cast<int>(phase);
+    return answer;
+}
+
+Wire::JobAnswer OwnerSession::askQueue(const std::string &queue) const
+{
+    auto answer = answerOf(JobOutcome::Ok);
+    answer.waiting = m_scheduler.waiting(queue);
+    return answer;
+}
+
+Wire::WorkerReportReply OwnerSession::report(const Wire::WorkerReport &report)
+{
+    if (report.epoch > m_term.epoch) {
+        m_context.deposed("an agent has orders of epoch " + std::to_string(report.epoch));
+        return {};
+    }
+    auto reply = m_scheduler.report(report, verified(m_context.scheduler.grantGrace), m_context.clock.now());
+    recordChanges();
+    requestPlan();
+    return reply;
+}
+
+} // namespace Trefoilhoist::Dispatcher
--- /dev/null
+++ b/src/programs/dispatcher/ownerload.cpp
@@ -0,0 +1,167 @@
+// How an owner takes up what an earlier one left, and makes itself known.
+#include "ownersession.h"
+
+#include "trefoilhoist/jobs/recordkeys.h"
+#include "trefoilhoist/log/eventlog.h"
+#include "trefoilhoist/wire/message.h"
+
+namespace Trefoilhoist::Dispatcher {
+
+namespace {
+
+constexpr Duration announceEvery = milliseconds(700);
+/// Dispatchers come and go rarely.
+constexpr Duration peersReadEvery = seconds(5);
+
+} // namespace
+
+awaitable<bool> OwnerSession::load()
+{
+    const bool jobs = co_await loadJobs();
+    if (!jobs) {
+        co_return false;
+    }
+    const bool roster = co_await loadRoster();
+    co_return roster;
+}
+
+awaitable<bool> OwnerSession::loadJobs()
+{
+    LoadedJobs loaded;
+    bool more = true;
+    while (more && !m_closed) {
+        const auto page = co_await m_context.store.list(Jobs::jobPrefix, loaded.lastKey);
+        if (!page) {
+            Event("load_failed").add("epoch", m_term.epoch).add("reason", page.error().reason);
+            co_return false;
+        }
+        takePage(*page, loaded);
+        more = page->more && !page->records.empty();
+    }
+    restoreJobs(loaded);
+    co_return true;
+}
+
+void OwnerSession::takePage(const RecordPage &page, LoadedJobs &loaded)
+{
+    for (const auto &it : page.records) {
+        loaded.lastKey = it.key;
+        const auto key = Jobs::jobRecordFrom(it.key);
+        const auto spec = key.isSpec ? Wire::decode<Wire::JobSpec>(it.value) : std::nullopt;
+        const auto state = key.isSpec ? std::nullopt : Wire::decode<Wire::JobProgress>(it.value);
+        if (!spec && !state) {
+            Event("record_unreadable").add("key", it.key).add("bytes", it.value.size());
+            continue;
+        }
+        m_records.know(it.key, it.revision);
+        if (spec) {
+            loaded.specs.emplace(key.job, *spec);
+        } else {
+            loaded.progress.emplace(key.job, *state);
+        }
+    }
+}
+
+void OwnerSession::restoreJobs(LoadedJobs &loaded)
+{
+    const auto now = m_context.clock.now();
+    for (auto &[id, spec] : loaded.specs) {
+        const auto it = loaded.progress.find(id);
+        if (it == loaded.progress.end()) {
+            m_scheduler.restoreJob(std::move(spec), std::nullopt, now);
+            continue;
+        }
+        if (isFinal(static_cast<Jobs::JobPhase>(it->second.phase))) {
+            m_records.knowFinal(id);
+        }
+        m_scheduler.restoreJob(std::move(spec), it->second, now);
+        loaded.progress.erase(it);
+    }
+    for (const auto &[id, state] : loaded.progress) {
+        // A final job keeps its progress only.
+        Wire::JobSpec spec;
+        spec.id = id;
+        m_scheduler.restoreJob(std::move(spec), state, now);
+    }
+}
+
+awaitable<bool> OwnerSession::loadRoster()
+{
+    const auto record = co_await m_context.store.read(Jobs::rosterKey);
+    if (!record) {
+        Event("load_failed").add("epoch", m_term.epoch).add("reason", record.error().reason);
+        co_return false;
+    }
+    if (*record) {
+        m_records.know(Jobs::rosterKey, (*record)->revision);
+        const auto roster = Wire::decode<Wire::WorkerRoster>((*record)->value);
+        if (!roster) {
+            Event("record_unreadable").add("key", Jobs::rosterKey).add("bytes", (*record)->value.size());
+            co_return false;
+        }
+        m_scheduler.restoreRoster(*roster, m_context.clock.now());
+        greetAgents(*roster);
+    }
+    co_return true;
+}
+
+// Tells every agent of the earlier owner where to report now.
+void OwnerSession::greetAgents(const Wire::WorkerRoster &roster)
+{
+    for (const auto &it : roster.workers) {
+        Wire::WorkerOrders greeting;
+        greeting.epoch = m_term.epoch;
+        greeting.ownerHost = m_context.self.host;
+        greeting.ownerPort = m_context.self.port;
+        const Endpoint agent{it.agentHost, static_cast<std::uint16_t>(it.agentPort)};
+        spawnOn(m_context.executor, "greeting", [self = shared_from_this(), greeting, agent] {
+            return self->send(greeting, agent);
+        });
+    }
+}
+
+// Makes this owner known to the other dispatchers, some of which may not reach the store.
+awaitable<void> OwnerSession::announceLoop()
+{
+    const auto self = shared_from_this();
+    Wire::OwnerRecord record;
+    record.epoch = m_term.epoch;
+    record.name = m_context.name;
+    record.host = m_context.self.host;
+    record.port = m_context.self.port;
+    const auto announcement = Wire::encode(record);
+    TimePoint readAt;
+    std::vector<Endpoint> peers;
+    while (!m_closed) {
+        if (m_context.clock.now() - readAt > peersReadEvery) {
+            const auto page = co_await m_context.store.list(Jobs::peerPrefix, "");
+            if (page) {
+                readAt = m_context.clock.now();
+                peers = peersOf(*page);
+            }
+        }
+        for (const auto &peer : peers) {
+            spawnOn(m_context.executor, "announcement", [self, peer, announcement]() -> awaitable<void> {
+                // A peer that does not answer is told again in a moment.
+                co_await self->clientOf(peer).call(Wire::MessageKind::HelloKind, announcement, announceEvery);
+            });
+        }
+        co_await sleepFor(announceEvery);
+    }
+}
+
+std::vector<Endpoint> OwnerSession::peersOf(const RecordPage &page) const
+{
+    std::vector<Endpoint> peers;
+    for (const auto &it : page.records) {
+        const auto peer = Wire::decode<Wire::OwnerRecord>(it.value);
+        if (!peer) {
+            Event("record_unreadable").add("key", it.key).add("bytes", it.value.size());
+        } else if (peer->name != m_context.name) {
+            peers.push_back({peer->host, static_cast<std::uint16_t>(peer->port)});
+        }
+    }
+    return peers;
+}
+
+} // namespace Trefoilhoist::Dispatcher
