--- a/src/programs/dispatcher/ownersession.cpp
+++ b/src/programs/dispatcher/ownersession.cpp
@@ -142,12 +142,11 @@
 
 void OwnerSession::settled(const Jobs::SettledJobs &records)
 {
-    const auto now = m_context.clock.now();
     if (records.roster) {
         m_scheduler.rosterRecorded(m_roster);
     }
     for (const auto &id : records.accepted) {
-        m_scheduler.accept(id, now);
+        m_scheduler.accept(id);
         m_waiters.notify(id);
     }
     for (const auto &[id, version] : records.progress) {
--- a/src/trefoilhoist/jobs/jobplanning.cpp
+++ b/src/trefoilhoist/jobs/jobplanning.cpp
@@ -60,7 +60,6 @@
         };
         return rank(*a) < rank(*b);
     });
-    std::vector<StepKey> placed;
     for (const auto *step : steps) {
         placeStep(*step, orders, now);
     }
--- a/src/trefoilhoist/jobs/jobscheduler.cpp
+++ b/src/trefoilhoist/jobs/jobscheduler.cpp
@@ -61,7 +61,7 @@
     return Intake::New;
 }
 
-void JobScheduler::accept(const std::string &id, TimePoint)
+void JobScheduler::accept(const std::string &id)
 {
     auto *entry = find(id);
     if (entry != nullptr && !entry->accepted) {
@@ -256,7 +256,6 @@
             pending.worthlessAfter = started + worthlessObjectives * objective - job.remainingChain(occurrence);
             pending.longRunning = job.spec().steps[step].longRunning;
             pending.usesIdleCpu = job.spec().steps[step].usesIdleCpu;
-            pending.priority = policy.priority;
             const auto known = before.find({id, number, static_cast<int>(step)});
             pending.since = known == before.end() ? m_now : known->second.since;
             m_pending[{id, number, static_cast<int>(step)}] = std::move(pending);
--- a/src/trefoilhoist/jobs/jobscheduler.h
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -72,7 +72,7 @@
     // Callers.
     Intake submit(const Wire::JobSpec &spec, TimePoint now);
     /// The submission is recorded: the job may run.
-    void accept(const std::string &id, TimePoint now);
+    void accept(const std::string &id);
     /// The submission was surely not recorded.
     void withdraw(const std::string &id);
     /// Null for an unknown job, and for one that is not recorded.
@@ -133,7 +133,6 @@
         TimePoint since;
         bool longRunning = false;
         bool usesIdleCpu = false;
-        int priority = 0;
     };
     using StepKey = std::tuple<std::string, int, int>;
 
--- a/src/trefoilhoist/jobs/queuetable.h
+++ b/src/trefoilhoist/jobs/queuetable.h
@@ -14,8 +14,6 @@
     std::string host;
     std::string prefix;
     Wire::QueuePolicy policy;
-    /// Callers wait no longer than this for an answer, in milliseconds; 0: as long as they say.
-    std::int64_t timeoutMs = 0;
 };
 
 /// One version of the operators' queues.
--- a/src/trefoilhoist/jobs/recordqueue.h
+++ b/src/trefoilhoist/jobs/recordqueue.h
@@ -49,10 +49,6 @@
     /// No writing of the record has happened, is on its way, or may still happen.
     [[nodiscard]] bool surelyUnwritten(const std::string &key) const;
 
-    [[nodiscard]] bool idle() const
-    {
-        return m_wanted.empty();
-    }
     /// The oldest wanted records that are not on their way; nothing when there are none.
     std::optional<RecordBatch> take();
     /// What is settled by the outcome. A conflict over the owner's record is told by lost().
--- a/src/trefoilhoist/jobs/workerchoice.cpp
+++ b/src/trefoilhoist/jobs/workerchoice.cpp
@@ -16,7 +16,6 @@
 constexpr double badCost = 2.0;
 constexpr double farFromDataCost = 0.5;
 constexpr double failedThereCost = 1.0;
-constexpr double slowCost = 0.5;
 constexpr double harmCost = 6;
 /// Serving tasks of one image are kept together, so that each kind of filling task finds workers where it does no harm.
 constexpr double otherImagesCost = 1.2;
@@ -114,7 +113,6 @@
         cost += harmCost * harm(worker);
     }
     cost += badCost * worker.health.badShare(m_now);
-    cost += slowCost * (worker.health.slowness() - 1.0);
     if (!m_step.inputRack.empty() && !worker.hasLabel(m_step.inputRack)) {
         cost += farFromDataCost;
     }
--- a/src/trefoilhoist/jobs/workerhealth.cpp
+++ b/src/trefoilhoist/jobs/workerhealth.cpp
@@ -11,13 +11,12 @@
 /// Bad outcomes, faded, from which a worker can be quarantined.
 constexpr double quarantineBad = 1.6;
 constexpr double quarantineShare = 0.5;
-/// After this, one outcome decides whether the quarantine goes on.
+/// After this, the next bad outcome begins another.
 constexpr Duration quarantineTime = seconds(3);
 /// What a worker without outcomes starts from, each way.
 constexpr double priorGood = 1.0;
 constexpr double priorBad = 0.05;
 constexpr double troubleWeight = 0.5;
-constexpr double speedStep = 0.2;
 
 } // namespace
 
@@ -70,9 +69,4 @@
     return bad / (bad + faded(m_good, now) + priorGood);
 }
 
-void WorkerHealth::noteSpeed(double timesAsLong)
-{
-    m_slowness += speedStep * (timesAsLong - m_slowness);
-}
-
 } // namespace Trefoilhoist::Jobs
--- a/src/trefoilhoist/jobs/workerhealth.h
+++ b/src/trefoilhoist/jobs/workerhealth.h
@@ -13,25 +13,17 @@
     /// A start without an answer, or a refusal.
     void noteTrouble(TimePoint now);
 
-    /// No task goes there now, but for one try at a time after a while.
+    /// No task goes there now: its recent outcomes were bad, and most of all.
     [[nodiscard]] bool quarantined(TimePoint now) const;
-    /// Share of recent outcomes that were bad, from 0 to 1; few outcomes count as half an outcome each way.
+    /// Share of recent outcomes that were bad, from 0 to 1; near 0 for a worker without outcomes.
     [[nodiscard]] double badShare(TimePoint now) const;
 
-    /// Work on this worker takes this many times as long as elsewhere.
-    [[nodiscard]] double slowness() const
-    {
-        return m_slowness;
-    }
-    void noteSpeed(double timesAsLong);
-
 private:
     void fade(TimePoint now);
     [[nodiscard]] double faded(double value, TimePoint now) const;
 
     double m_good = 0;
     double m_bad = 0;
-    double m_slowness = 1.0;
     TimePoint m_fadedAt;
     TimePoint m_quarantinedUntil;
 };
--- a/tests/random/jobscheduler.cpp
+++ b/tests/random/jobscheduler.cpp
@@ -139,7 +139,7 @@
         }
         m_specs[spec.id] = spec;
         m_owner->submit(spec, m_now);
-        m_owner->accept(spec.id, m_now);
+        m_owner->accept(spec.id);
     }
 
     void disturb()
--- a/tests/unit/jobscheduler.cpp
+++ b/tests/unit/jobscheduler.cpp
@@ -83,7 +83,7 @@
     void accept(const Wire::JobSpec &spec)
     {
         m_scheduler.submit(spec, m_now);
-        m_scheduler.accept(spec.id, m_now);
+        m_scheduler.accept(spec.id);
     }
 
     PlannedOrders plan()
--- /dev/null
+++ b/tests/unit/workerhealth.cpp
@@ -0,0 +1,54 @@
+#include "trefoilhoist/jobs/workerhealth.h"
+
+#include <gtest/gtest.h>
+
+namespace Trefoilhoist::Jobs {
+
+class WorkerHealthTest : public testing::Test
+{
+protected:
+    WorkerHealth m_health;
+    TimePoint m_now{seconds(100)};
+};
+
+TEST_F(WorkerHealthTest, workerThatFailsEverything_isQuarantinedAfterAFewRuns)
+{
+    m_health.noteFailed(m_now);
+    EXPECT_FALSE(m_health.quarantined(m_now));
+    m_health.noteFailed(m_now);
+    EXPECT_TRUE(m_health.quarantined(m_now));
+}
+
+TEST_F(WorkerHealthTest, hopelessTasksAmongGoodOnes_workerStaysInUse)
+{
+    for (int i = 0; i < 12; ++i) {
+        m_now += milliseconds(300);
+        m_health.noteDone(m_now);
+        if (i % 3 == 0) {
+            m_health.noteFailed(m_now);
+        }
+    }
+    EXPECT_FALSE(m_health.quarantined(m_now));
+    EXPECT_LT(m_health.badShare(m_now), 0.5);
+}
+
+TEST_F(WorkerHealthTest, quarantinedWorker_aWhileLater_isTriedAndOneSuccessClearsIt)
+{
+    m_health.noteFailed(m_now);
+    m_health.noteFailed(m_now);
+    m_now += seconds(4);
+    EXPECT_FALSE(m_health.quarantined(m_now));
+    m_health.noteFailed(m_now);
+    EXPECT_TRUE(m_health.quarantined(m_now));
+    m_health.noteDone(m_now);
+    EXPECT_FALSE(m_health.quarantined(m_now));
+}
+
+TEST_F(WorkerHealthTest, oldOutcomes_fade)
+{
+    m_health.noteFailed(m_now);
+    const double fresh = m_health.badShare(m_now);
+    EXPECT_LT(m_health.badShare(m_now + seconds(20)), fresh / 3);
+}
+
+} // namespace Trefoilhoist::Jobs
