--- a/src/programs/dispatcher/configurationwatch.cpp
+++ b/src/programs/dispatcher/configurationwatch.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-/// Short, since a connection may go silent without notice.
-constexpr Duration configurationWait = milliseconds(1500);
 constexpr Duration configurationRetry = milliseconds(150);
 
 } // namespace
@@ -63,8 +61,7 @@
             }
             continue;
         }
-        const auto changes
-            = co_await m_outside.store->watch(m_outside.configuration->key(), revision, configurationWait);
+        const auto changes = co_await m_outside.store->watch(m_outside.configuration->key(), revision, watchWait);
         known = changes.has_value() && !changes->historyLost;
         if (!known) {
             if (!changes) {
--- a/src/trefoilhoist/jobs/ownerelection.h
+++ b/src/trefoilhoist/jobs/ownerelection.h
@@ -13,8 +13,7 @@
     /// The store drops the owner's record this long after its last renewal.
     Duration leaseTtl = milliseconds(1600);
     Duration renewEvery = milliseconds(350);
-    /// A wait for changes; short, since a connection may go silent without notice.
-    Duration watchWait = milliseconds(1500);
+    Duration watchWait = Trefoilhoist::watchWait;
     Duration retryEvery = milliseconds(150);
     /// A candidate waits this long for each stronger one that is known.
     Duration waitForStronger = milliseconds(60);
--- a/src/trefoilhoist/store/recordstore.h
+++ b/src/trefoilhoist/store/recordstore.h
@@ -70,6 +70,11 @@
 /// Conditions, writes and removals of one commit.
 inline constexpr std::size_t maxCommitEntries = 32;
 
+/// How long a wait for changes lasts, and how much later its answer may come: a connection may go silent without
+/// notice, and what is waited for must be in force within two seconds.
+inline constexpr Duration watchWait = milliseconds(900);
+inline constexpr Duration watchSlack = milliseconds(500);
+
 /// A store of records with transactions over several keys, leases and watches. Calls never throw.
 class RecordStore
 {
--- a/tests/unit/ownerelection.cpp
+++ b/tests/unit/ownerelection.cpp
@@ -145,4 +145,12 @@
     EXPECT_EQ(weak.won.size(), 1U) << "the stronger one did not stand";
 }
 
+TEST(RecordStoreTest, silentWatch_isNoticedBeforeAConfigurationIsDue)
+{
+    // The shortest time that users give a configuration, less one reading of it.
+    constexpr Duration due = seconds(2);
+    constexpr Duration reading = milliseconds(500);
+    EXPECT_LE(watchWait + watchSlack, due - reading);
+}
+
 } // namespace Trefoilhoist::Jobs
