--- a/src/trefoilhoist/jobs/pacecontrol.cpp
+++ b/src/trefoilhoist/jobs/pacecontrol.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr int fullSpeed = 100;
-constexpr double slowestSpeed = 0.2;
+constexpr double slowestSpeed = 0.05;
 /// Speeds are ordered in steps, so that small changes need no order.
 constexpr int speedStepPercent = 5;
 constexpr int leastPercent = 2;
--- a/tests/unit/pacecontrol.cpp
+++ b/tests/unit/pacecontrol.cpp
@@ -93,6 +93,20 @@
     EXPECT_LT(orders.at("f"), 100);
 }
 
+TEST_F(PaceControlTest, tailFarOverItsTarget_littleOwnSlack_fillsAreNearlyStoppedAtOnce)
+{
+    learn("medium", 2);
+    add("s", "site", true);
+    add("f", "medium", false);
+    add("g", "medium", false);
+    setTail(500);
+    const auto orders = next();
+    ASSERT_EQ(orders.count("f"), 1U);
+    ASSERT_EQ(orders.count("g"), 1U);
+    EXPECT_LE(orders.at("f"), 5);
+    EXPECT_LE(orders.at("g"), 5);
+}
+
 TEST_F(PaceControlTest, tailBackUnderItsTarget_slowedFill_speedsUpAgain)
 {
     add("s", "site", true);
