--- a/idl/gen/messages_types.cpp
+++ b/idl/gen/messages_types.cpp
@@ -5006,6 +5006,10 @@
 void StepProgress::__set_failures(const std::map<int32_t, std::vector<int64_t> > & val) {
   this->failures = val;
 }
+
+void StepProgress::__set_checkpoints(const std::map<int32_t, std::string> & val) {
+  this->checkpoints = val;
+}
 std::ostream& operator<<(std::ostream& out, const StepProgress& obj)
 {
   obj.printTo(out);
@@ -5077,6 +5081,29 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->checkpoints.clear();
+            uint32_t _size201;
+            ::apache::thrift::protocol::TType _ktype202;
+            ::apache::thrift::protocol::TType _vtype203;
+            xfer += iprot->readMapBegin(_ktype202, _vtype203, _size201);
+            uint32_t _i205;
+            for (_i205 = 0; _i205 < _size201; ++_i205)
+            {
+              int32_t _key206;
+              xfer += iprot->readI32(_key206);
+              std::string& _val207 = this->checkpoints[_key206];
+              xfer += iprot->readString(_val207);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.checkpoints = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5101,16 +5128,16 @@
   xfer += oprot->writeFieldBegin("failures", ::apache::thrift::protocol::T_MAP, 2);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I32, ::apache::thrift::protocol::T_LIST, static_cast<uint32_t>(this->failures.size()));
-    std::map<int32_t, std::vector<int64_t> > ::const_iterator _iter201;
-    for (_iter201 = this->failures.begin(); _iter201 != this->failures.end(); ++_iter201)
+    std::map<int32_t, std::vector<int64_t> > ::const_iterator _iter208;
+    for (_iter208 = this->failures.begin(); _iter208 != this->failures.end(); ++_iter208)
     {
-      xfer += oprot->writeI32(_iter201->first);
+      xfer += oprot->writeI32(_iter208->first);
       {
-        xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(_iter201->second.size()));
-        std::vector<int64_t> ::const_iterator _iter202;
-        for (_iter202 = _iter201->second.begin(); _iter202 != _iter201->second.end(); ++_iter202)
+        xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(_iter208->second.size()));
+        std::vector<int64_t> ::const_iterator _iter209;
+        for (_iter209 = _iter208->second.begin(); _iter209 != _iter208->second.end(); ++_iter209)
         {
-          xfer += oprot->writeI64((*_iter202));
+          xfer += oprot->writeI64((*_iter209));
         }
         xfer += oprot->writeListEnd();
       }
@@ -5119,6 +5146,19 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("checkpoints", ::apache::thrift::protocol::T_MAP, 3);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I32, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->checkpoints.size()));
+    std::map<int32_t, std::string> ::const_iterator _iter210;
+    for (_iter210 = this->checkpoints.begin(); _iter210 != this->checkpoints.end(); ++_iter210)
+    {
+      xfer += oprot->writeI32(_iter210->first);
+      xfer += oprot->writeString(_iter210->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5128,29 +5168,34 @@
   using ::std::swap;
   swap(a.finished, b.finished);
   swap(a.failures, b.failures);
+  swap(a.checkpoints, b.checkpoints);
   swap(a.__isset, b.__isset);
 }
 
-StepProgress::StepProgress(const StepProgress& other203) {
-  finished = other203.finished;
-  failures = other203.failures;
-  __isset = other203.__isset;
+StepProgress::StepProgress(const StepProgress& other211) {
+  finished = other211.finished;
+  failures = other211.failures;
+  checkpoints = other211.checkpoints;
+  __isset = other211.__isset;
 }
-StepProgress::StepProgress(StepProgress&& other204) noexcept {
-  finished = std::move(other204.finished);
-  failures = std::move(other204.failures);
-  __isset = other204.__isset;
+StepProgress::StepProgress(StepProgress&& other212) noexcept {
+  finished = std::move(other212.finished);
+  failures = std::move(other212.failures);
+  checkpoints = std::move(other212.checkpoints);
+  __isset = other212.__isset;
 }
-StepProgress& StepProgress::operator=(const StepProgress& other205) {
-  finished = other205.finished;
-  failures = other205.failures;
-  __isset = other205.__isset;
+StepProgress& StepProgress::operator=(const StepProgress& other213) {
+  finished = other213.finished;
+  failures = other213.failures;
+  checkpoints = other213.checkpoints;
+  __isset = other213.__isset;
   return *this;
 }
-StepProgress& StepProgress::operator=(StepProgress&& other206) noexcept {
-  finished = std::move(other206.finished);
-  failures = std::move(other206.failures);
-  __isset = other206.__isset;
+StepProgress& StepProgress::operator=(StepProgress&& other214) noexcept {
+  finished = std::move(other214.finished);
+  failures = std::move(other214.failures);
+  checkpoints = std::move(other214.checkpoints);
+  __isset = other214.__isset;
   return *this;
 }
 void StepProgress::printTo(std::ostream& out) const {
@@ -5158,6 +5203,7 @@
   out << "StepProgress(";
   out << "finished=" << to_string(finished);
   out << ", " << "failures=" << to_string(failures);
+  out << ", " << "checkpoints=" << to_string(checkpoints);
   out << ")";
 }
 
@@ -5217,26 +5263,26 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->occurrences.clear();
-            uint32_t _size207;
-            ::apache::thrift::protocol::TType _ktype208;
-            ::apache::thrift::protocol::TType _vtype209;
-            xfer += iprot->readMapBegin(_ktype208, _vtype209, _size207);
-            uint32_t _i211;
-            for (_i211 = 0; _i211 < _size207; ++_i211)
+            uint32_t _size215;
+            ::apache::thrift::protocol::TType _ktype216;
+            ::apache::thrift::protocol::TType _vtype217;
+            xfer += iprot->readMapBegin(_ktype216, _vtype217, _size215);
+            uint32_t _i219;
+            for (_i219 = 0; _i219 < _size215; ++_i219)
             {
-              int32_t _key212;
-              xfer += iprot->readI32(_key212);
-              std::vector<StepProgress> & _val213 = this->occurrences[_key212];
+              int32_t _key220;
+              xfer += iprot->readI32(_key220);
+              std::vector<StepProgress> & _val221 = this->occurrences[_key220];
               {
-                _val213.clear();
-                uint32_t _size214;
-                ::apache::thrift::protocol::TType _etype217;
-                xfer += iprot->readListBegin(_etype217, _size214);
-                _val213.resize(_size214);
-                uint32_t _i218;
-                for (_i218 = 0; _i218 < _size214; ++_i218)
+                _val221.clear();
+                uint32_t _size222;
+                ::apache::thrift::protocol::TType _etype225;
+                xfer += iprot->readListBegin(_etype225, _size222);
+                _val221.resize(_size222);
+                uint32_t _i226;
+                for (_i226 = 0; _i226 < _size222; ++_i226)
                 {
-                  xfer += _val213[_i218].read(iprot);
+                  xfer += _val221[_i226].read(iprot);
                 }
                 xfer += iprot->readListEnd();
               }
@@ -5280,16 +5326,16 @@
   xfer += oprot->writeFieldBegin("occurrences", ::apache::thrift::protocol::T_MAP, 2);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I32, ::apache::thrift::protocol::T_LIST, static_cast<uint32_t>(this->occurrences.size()));
-    std::map<int32_t, std::vector<StepProgress> > ::const_iterator _iter219;
-    for (_iter219 = this->occurrences.begin(); _iter219 != this->occurrences.end(); ++_iter219)
+    std::map<int32_t, std::vector<StepProgress> > ::const_iterator _iter227;
+    for (_iter227 = this->occurrences.begin(); _iter227 != this->occurrences.end(); ++_iter227)
     {
-      xfer += oprot->writeI32(_iter219->first);
+      xfer += oprot->writeI32(_iter227->first);
       {
-        xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(_iter219->second.size()));
-        std::vector<StepProgress> ::const_iterator _iter220;
-        for (_iter220 = _iter219->second.begin(); _iter220 != _iter219->second.end(); ++_iter220)
+        xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(_iter227->second.size()));
+        std::vector<StepProgress> ::const_iterator _iter228;
+        for (_iter228 = _iter227->second.begin(); _iter228 != _iter227->second.end(); ++_iter228)
         {
-          xfer += (*_iter220).write(oprot);
+          xfer += (*_iter228).write(oprot);
         }
         xfer += oprot->writeListEnd();
       }
@@ -5315,30 +5361,30 @@
   swap(a.__isset, b.__isset);
 }
 
-JobProgress::JobProgress(const JobProgress& other221) {
-  phase = other221.phase;
-  occurrences = other221.occurrences;
-  endedAtMs = other221.endedAtMs;
-  __isset = other221.__isset;
+JobProgress::JobProgress(const JobProgress& other229) {
+  phase = other229.phase;
+  occurrences = other229.occurrences;
+  endedAtMs = other229.endedAtMs;
+  __isset = other229.__isset;
 }
-JobProgress::JobProgress(JobProgress&& other222) noexcept {
-  phase = other222.phase;
-  occurrences = std::move(other222.occurrences);
-  endedAtMs = other222.endedAtMs;
-  __isset = other222.__isset;
+JobProgress::JobProgress(JobProgress&& other230) noexcept {
+  phase = other230.phase;
+  occurrences = std::move(other230.occurrences);
+  endedAtMs = other230.endedAtMs;
+  __isset = other230.__isset;
 }
-JobProgress& JobProgress::operator=(const JobProgress& other223) {
-  phase = other223.phase;
-  occurrences = other223.occurrences;
-  endedAtMs = other223.endedAtMs;
-  __isset = other223.__isset;
+JobProgress& JobProgress::operator=(const JobProgress& other231) {
+  phase = other231.phase;
+  occurrences = other231.occurrences;
+  endedAtMs = other231.endedAtMs;
+  __isset = other231.__isset;
   return *this;
 }
-JobProgress& JobProgress::operator=(JobProgress&& other224) noexcept {
-  phase = other224.phase;
-  occurrences = std::move(other224.occurrences);
-  endedAtMs = other224.endedAtMs;
-  __isset = other224.__isset;
+JobProgress& JobProgress::operator=(JobProgress&& other232) noexcept {
+  phase = other232.phase;
+  occurrences = std::move(other232.occurrences);
+  endedAtMs = other232.endedAtMs;
+  __isset = other232.__isset;
   return *this;
 }
 void JobProgress::printTo(std::ostream& out) const {
@@ -5477,34 +5523,34 @@
   swap(a.__isset, b.__isset);
 }
 
-TaskRef::TaskRef(const TaskRef& other225) {
-  job = other225.job;
-  occurrence = other225.occurrence;
-  step = other225.step;
-  index = other225.index;
-  __isset = other225.__isset;
-}
-TaskRef::TaskRef(TaskRef&& other226) noexcept {
-  job = std::move(other226.job);
-  occurrence = other226.occurrence;
-  step = other226.step;
-  index = other226.index;
-  __isset = other226.__isset;
-}
-TaskRef& TaskRef::operator=(const TaskRef& other227) {
-  job = other227.job;
-  occurrence = other227.occurrence;
-  step = other227.step;
-  index = other227.index;
-  __isset = other227.__isset;
+TaskRef::TaskRef(const TaskRef& other233) {
+  job = other233.job;
+  occurrence = other233.occurrence;
+  step = other233.step;
+  index = other233.index;
+  __isset = other233.__isset;
+}
+TaskRef::TaskRef(TaskRef&& other234) noexcept {
+  job = std::move(other234.job);
+  occurrence = other234.occurrence;
+  step = other234.step;
+  index = other234.index;
+  __isset = other234.__isset;
+}
+TaskRef& TaskRef::operator=(const TaskRef& other235) {
+  job = other235.job;
+  occurrence = other235.occurrence;
+  step = other235.step;
+  index = other235.index;
+  __isset = other235.__isset;
   return *this;
 }
-TaskRef& TaskRef::operator=(TaskRef&& other228) noexcept {
-  job = std::move(other228.job);
-  occurrence = other228.occurrence;
-  step = other228.step;
-  index = other228.index;
-  __isset = other228.__isset;
+TaskRef& TaskRef::operator=(TaskRef&& other236) noexcept {
+  job = std::move(other236.job);
+  occurrence = other236.occurrence;
+  step = other236.step;
+  index = other236.index;
+  __isset = other236.__isset;
   return *this;
 }
 void TaskRef::printTo(std::ostream& out) const {
@@ -5661,38 +5707,38 @@
   swap(a.__isset, b.__isset);
 }
 
-RunningTask::RunningTask(const RunningTask& other229) {
-  task = other229.task;
-  run = other229.run;
-  checkpoint = other229.checkpoint;
-  percent = other229.percent;
-  usage = other229.usage;
-  __isset = other229.__isset;
-}
-RunningTask::RunningTask(RunningTask&& other230) noexcept {
-  task = std::move(other230.task);
-  run = other230.run;
-  checkpoint = std::move(other230.checkpoint);
-  percent = other230.percent;
-  usage = other230.usage;
-  __isset = other230.__isset;
-}
-RunningTask& RunningTask::operator=(const RunningTask& other231) {
-  task = other231.task;
-  run = other231.run;
-  checkpoint = other231.checkpoint;
-  percent = other231.percent;
-  usage = other231.usage;
-  __isset = other231.__isset;
+RunningTask::RunningTask(const RunningTask& other237) {
+  task = other237.task;
+  run = other237.run;
+  checkpoint = other237.checkpoint;
+  percent = other237.percent;
+  usage = other237.usage;
+  __isset = other237.__isset;
+}
+RunningTask::RunningTask(RunningTask&& other238) noexcept {
+  task = std::move(other238.task);
+  run = other238.run;
+  checkpoint = std::move(other238.checkpoint);
+  percent = other238.percent;
+  usage = other238.usage;
+  __isset = other238.__isset;
+}
+RunningTask& RunningTask::operator=(const RunningTask& other239) {
+  task = other239.task;
+  run = other239.run;
+  checkpoint = other239.checkpoint;
+  percent = other239.percent;
+  usage = other239.usage;
+  __isset = other239.__isset;
   return *this;
 }
-RunningTask& RunningTask::operator=(RunningTask&& other232) noexcept {
-  task = std::move(other232.task);
-  run = other232.run;
-  checkpoint = std::move(other232.checkpoint);
-  percent = other232.percent;
-  usage = other232.usage;
-  __isset = other232.__isset;
+RunningTask& RunningTask::operator=(RunningTask&& other240) noexcept {
+  task = std::move(other240.task);
+  run = other240.run;
+  checkpoint = std::move(other240.checkpoint);
+  percent = other240.percent;
+  usage = other240.usage;
+  __isset = other240.__isset;
   return *this;
 }
 void RunningTask::printTo(std::ostream& out) const {
@@ -5850,38 +5896,38 @@
   swap(a.__isset, b.__isset);
 }
 
-EndedTask::EndedTask(const EndedTask& other233) {
-  number = other233.number;
-  task = other233.task;
-  run = other233.run;
-  how = other233.how;
-  checkpoint = other233.checkpoint;
-  __isset = other233.__isset;
-}
-EndedTask::EndedTask(EndedTask&& other234) noexcept {
-  number = other234.number;
-  task = std::move(other234.task);
-  run = other234.run;
-  how = other234.how;
-  checkpoint = std::move(other234.checkpoint);
-  __isset = other234.__isset;
-}
-EndedTask& EndedTask::operator=(const EndedTask& other235) {
-  number = other235.number;
-  task = other235.task;
-  run = other235.run;
-  how = other235.how;
-  checkpoint = other235.checkpoint;
-  __isset = other235.__isset;
+EndedTask::EndedTask(const EndedTask& other241) {
+  number = other241.number;
+  task = other241.task;
+  run = other241.run;
+  how = other241.how;
+  checkpoint = other241.checkpoint;
+  __isset = other241.__isset;
+}
+EndedTask::EndedTask(EndedTask&& other242) noexcept {
+  number = other242.number;
+  task = std::move(other242.task);
+  run = other242.run;
+  how = other242.how;
+  checkpoint = std::move(other242.checkpoint);
+  __isset = other242.__isset;
+}
+EndedTask& EndedTask::operator=(const EndedTask& other243) {
+  number = other243.number;
+  task = other243.task;
+  run = other243.run;
+  how = other243.how;
+  checkpoint = other243.checkpoint;
+  __isset = other243.__isset;
   return *this;
 }
-EndedTask& EndedTask::operator=(EndedTask&& other236) noexcept {
-  number = other236.number;
-  task = std::move(other236.task);
-  run = other236.run;
-  how = other236.how;
-  checkpoint = std::move(other236.checkpoint);
-  __isset = other236.__isset;
+EndedTask& EndedTask::operator=(EndedTask&& other244) noexcept {
+  number = other244.number;
+  task = std::move(other244.task);
+  run = other244.run;
+  how = other244.how;
+  checkpoint = std::move(other244.checkpoint);
+  __isset = other244.__isset;
   return *this;
 }
 void EndedTask::printTo(std::ostream& out) const {
@@ -6031,14 +6077,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->labels.clear();
-            uint32_t _size237;
-            ::apache::thrift::protocol::TType _etype240;
-            xfer += iprot->readListBegin(_etype240, _size237);
-            this->labels.resize(_size237);
-            uint32_t _i241;
-            for (_i241 = 0; _i241 < _size237; ++_i241)
+            uint32_t _size245;
+            ::apache::thrift::protocol::TType _etype248;
+            xfer += iprot->readListBegin(_etype248, _size245);
+            this->labels.resize(_size245);
+            uint32_t _i249;
+            for (_i249 = 0; _i249 < _size245; ++_i249)
             {
-              xfer += iprot->readString(this->labels[_i241]);
+              xfer += iprot->readString(this->labels[_i249]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6119,10 +6165,10 @@
   xfer += oprot->writeFieldBegin("labels", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->labels.size()));
-    std::vector<std::string> ::const_iterator _iter242;
-    for (_iter242 = this->labels.begin(); _iter242 != this->labels.end(); ++_iter242)
+    std::vector<std::string> ::const_iterator _iter250;
+    for (_iter250 = this->labels.begin(); _iter250 != this->labels.end(); ++_iter250)
     {
-      xfer += oprot->writeString((*_iter242));
+      xfer += oprot->writeString((*_iter250));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6161,62 +6207,62 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerDescription::WorkerDescription(const WorkerDescription& other243) {
-  id = other243.id;
-  born = other243.born;
-  serviceName = other243.serviceName;
-  zone = other243.zone;
-  cpuMilli = other243.cpuMilli;
-  memoryMb = other243.memoryMb;
-  accelerators = other243.accelerators;
-  labels = other243.labels;
-  machine = other243.machine;
-  agentHost = other243.agentHost;
-  agentPort = other243.agentPort;
-  __isset = other243.__isset;
-}
-WorkerDescription::WorkerDescription(WorkerDescription&& other244) noexcept {
-  id = std::move(other244.id);
-  born = other244.born;
-  serviceName = std::move(other244.serviceName);
-  zone = std::move(other244.zone);
-  cpuMilli = other244.cpuMilli;
-  memoryMb = other244.memoryMb;
-  accelerators = other244.accelerators;
-  labels = std::move(other244.labels);
-  machine = std::move(other244.machine);
-  agentHost = std::move(other244.agentHost);
-  agentPort = other244.agentPort;
-  __isset = other244.__isset;
-}
-WorkerDescription& WorkerDescription::operator=(const WorkerDescription& other245) {
-  id = other245.id;
-  born = other245.born;
-  serviceName = other245.serviceName;
-  zone = other245.zone;
-  cpuMilli = other245.cpuMilli;
-  memoryMb = other245.memoryMb;
-  accelerators = other245.accelerators;
-  labels = other245.labels;
-  machine = other245.machine;
-  agentHost = other245.agentHost;
-  agentPort = other245.agentPort;
-  __isset = other245.__isset;
+WorkerDescription::WorkerDescription(const WorkerDescription& other251) {
+  id = other251.id;
+  born = other251.born;
+  serviceName = other251.serviceName;
+  zone = other251.zone;
+  cpuMilli = other251.cpuMilli;
+  memoryMb = other251.memoryMb;
+  accelerators = other251.accelerators;
+  labels = other251.labels;
+  machine = other251.machine;
+  agentHost = other251.agentHost;
+  agentPort = other251.agentPort;
+  __isset = other251.__isset;
+}
+WorkerDescription::WorkerDescription(WorkerDescription&& other252) noexcept {
+  id = std::move(other252.id);
+  born = other252.born;
+  serviceName = std::move(other252.serviceName);
+  zone = std::move(other252.zone);
+  cpuMilli = other252.cpuMilli;
+  memoryMb = other252.memoryMb;
+  accelerators = other252.accelerators;
+  labels = std::move(other252.labels);
+  machine = std::move(other252.machine);
+  agentHost = std::move(other252.agentHost);
+  agentPort = other252.agentPort;
+  __isset = other252.__isset;
+}
+WorkerDescription& WorkerDescription::operator=(const WorkerDescription& other253) {
+  id = other253.id;
+  born = other253.born;
+  serviceName = other253.serviceName;
+  zone = other253.zone;
+  cpuMilli = other253.cpuMilli;
+  memoryMb = other253.memoryMb;
+  accelerators = other253.accelerators;
+  labels = other253.labels;
+  machine = other253.machine;
+  agentHost = other253.agentHost;
+  agentPort = other253.agentPort;
+  __isset = other253.__isset;
   return *this;
 }
-WorkerDescription& WorkerDescription::operator=(WorkerDescription&& other246) noexcept {
-  id = std::move(other246.id);
-  born = other246.born;
-  serviceName = std::move(other246.serviceName);
-  zone = std::move(other246.zone);
-  cpuMilli = other246.cpuMilli;
-  memoryMb = other246.memoryMb;
-  accelerators = other246.accelerators;
-  labels = std::move(other246.labels);
-  machine = std::move(other246.machine);
-  agentHost = std::move(other246.agentHost);
-  agentPort = other246.agentPort;
-  __isset = other246.__isset;
+WorkerDescription& WorkerDescription::operator=(WorkerDescription&& other254) noexcept {
+  id = std::move(other254.id);
+  born = other254.born;
+  serviceName = std::move(other254.serviceName);
+  zone = std::move(other254.zone);
+  cpuMilli = other254.cpuMilli;
+  memoryMb = other254.memoryMb;
+  accelerators = other254.accelerators;
+  labels = std::move(other254.labels);
+  machine = std::move(other254.machine);
+  agentHost = std::move(other254.agentHost);
+  agentPort = other254.agentPort;
+  __isset = other254.__isset;
   return *this;
 }
 void WorkerDescription::printTo(std::ostream& out) const {
@@ -6237,6 +6283,151 @@
 }
 
 
+ImagePair::~ImagePair() noexcept {
+}
+
+
+void ImagePair::__set_servingImage(const std::string& val) {
+  this->servingImage = val;
+}
+
+void ImagePair::__set_fillingImage(const std::string& val) {
+  this->fillingImage = val;
+}
+
+void ImagePair::__set_effect(const double val) {
+  this->effect = val;
+}
+std::ostream& operator<<(std::ostream& out, const ImagePair& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ImagePair::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->servingImage);
+          this->__isset.servingImage = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->fillingImage);
+          this->__isset.fillingImage = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->effect);
+          this->__isset.effect = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ImagePair::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ImagePair");
+
+  xfer += oprot->writeFieldBegin("servingImage", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->servingImage);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fillingImage", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->fillingImage);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("effect", ::apache::thrift::protocol::T_DOUBLE, 3);
+  xfer += oprot->writeDouble(this->effect);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ImagePair &a, ImagePair &b) {
+  using ::std::swap;
+  swap(a.servingImage, b.servingImage);
+  swap(a.fillingImage, b.fillingImage);
+  swap(a.effect, b.effect);
+  swap(a.__isset, b.__isset);
+}
+
+ImagePair::ImagePair(const ImagePair& other255) {
+  servingImage = other255.servingImage;
+  fillingImage = other255.fillingImage;
+  effect = other255.effect;
+  __isset = other255.__isset;
+}
+ImagePair::ImagePair(ImagePair&& other256) noexcept {
+  servingImage = std::move(other256.servingImage);
+  fillingImage = std::move(other256.fillingImage);
+  effect = other256.effect;
+  __isset = other256.__isset;
+}
+ImagePair& ImagePair::operator=(const ImagePair& other257) {
+  servingImage = other257.servingImage;
+  fillingImage = other257.fillingImage;
+  effect = other257.effect;
+  __isset = other257.__isset;
+  return *this;
+}
+ImagePair& ImagePair::operator=(ImagePair&& other258) noexcept {
+  servingImage = std::move(other258.servingImage);
+  fillingImage = std::move(other258.fillingImage);
+  effect = other258.effect;
+  __isset = other258.__isset;
+  return *this;
+}
+void ImagePair::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ImagePair(";
+  out << "servingImage=" << to_string(servingImage);
+  out << ", " << "fillingImage=" << to_string(fillingImage);
+  out << ", " << "effect=" << to_string(effect);
+  out << ")";
+}
+
+
 WorkerReport::~WorkerReport() noexcept {
 }
 
@@ -6280,6 +6471,10 @@
 void WorkerReport::__set_wantsRunInfo(const bool val) {
   this->wantsRunInfo = val;
 }
+
+void WorkerReport::__set_pairs(const std::vector<ImagePair> & val) {
+  this->pairs = val;
+}
 std::ostream& operator<<(std::ostream& out, const WorkerReport& obj)
 {
   obj.printTo(out);
@@ -6360,14 +6555,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->running.clear();
-            uint32_t _size247;
-            ::apache::thrift::protocol::TType _etype250;
-            xfer += iprot->readListBegin(_etype250, _size247);
-            this->running.resize(_size247);
-            uint32_t _i251;
-            for (_i251 = 0; _i251 < _size247; ++_i251)
+            uint32_t _size259;
+            ::apache::thrift::protocol::TType _etype262;
+            xfer += iprot->readListBegin(_etype262, _size259);
+            this->running.resize(_size259);
+            uint32_t _i263;
+            for (_i263 = 0; _i263 < _size259; ++_i263)
             {
-              xfer += this->running[_i251].read(iprot);
+              xfer += this->running[_i263].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6380,14 +6575,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ended.clear();
-            uint32_t _size252;
-            ::apache::thrift::protocol::TType _etype255;
-            xfer += iprot->readListBegin(_etype255, _size252);
-            this->ended.resize(_size252);
-            uint32_t _i256;
-            for (_i256 = 0; _i256 < _size252; ++_i256)
+            uint32_t _size264;
+            ::apache::thrift::protocol::TType _etype267;
+            xfer += iprot->readListBegin(_etype267, _size264);
+            this->ended.resize(_size264);
+            uint32_t _i268;
+            for (_i268 = 0; _i268 < _size264; ++_i268)
             {
-              xfer += this->ended[_i256].read(iprot);
+              xfer += this->ended[_i268].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6412,6 +6607,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->pairs.clear();
+            uint32_t _size269;
+            ::apache::thrift::protocol::TType _etype272;
+            xfer += iprot->readListBegin(_etype272, _size269);
+            this->pairs.resize(_size269);
+            uint32_t _i273;
+            for (_i273 = 0; _i273 < _size269; ++_i273)
+            {
+              xfer += this->pairs[_i273].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.pairs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6456,10 +6671,10 @@
   xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running.size()));
-    std::vector<RunningTask> ::const_iterator _iter257;
-    for (_iter257 = this->running.begin(); _iter257 != this->running.end(); ++_iter257)
+    std::vector<RunningTask> ::const_iterator _iter274;
+    for (_iter274 = this->running.begin(); _iter274 != this->running.end(); ++_iter274)
     {
-      xfer += (*_iter257).write(oprot);
+      xfer += (*_iter274).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6468,10 +6683,10 @@
   xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ended.size()));
-    std::vector<EndedTask> ::const_iterator _iter258;
-    for (_iter258 = this->ended.begin(); _iter258 != this->ended.end(); ++_iter258)
+    std::vector<EndedTask> ::const_iterator _iter275;
+    for (_iter275 = this->ended.begin(); _iter275 != this->ended.end(); ++_iter275)
     {
-      xfer += (*_iter258).write(oprot);
+      xfer += (*_iter275).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6485,6 +6700,18 @@
   xfer += oprot->writeBool(this->wantsRunInfo);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("pairs", ::apache::thrift::protocol::T_LIST, 11);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->pairs.size()));
+    std::vector<ImagePair> ::const_iterator _iter276;
+    for (_iter276 = this->pairs.begin(); _iter276 != this->pairs.end(); ++_iter276)
+    {
+      xfer += (*_iter276).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6502,61 +6729,66 @@
   swap(a.ended, b.ended);
   swap(a.reachable, b.reachable);
   swap(a.wantsRunInfo, b.wantsRunInfo);
+  swap(a.pairs, b.pairs);
   swap(a.__isset, b.__isset);
 }
 
-WorkerReport::WorkerReport(const WorkerReport& other259) {
-  worker = other259.worker;
-  epoch = other259.epoch;
-  listing = other259.listing;
-  listed = other259.listed;
-  draining = other259.draining;
-  gone = other259.gone;
-  running = other259.running;
-  ended = other259.ended;
-  reachable = other259.reachable;
-  wantsRunInfo = other259.wantsRunInfo;
-  __isset = other259.__isset;
-}
-WorkerReport::WorkerReport(WorkerReport&& other260) noexcept {
-  worker = std::move(other260.worker);
-  epoch = other260.epoch;
-  listing = other260.listing;
-  listed = other260.listed;
-  draining = other260.draining;
-  gone = other260.gone;
-  running = std::move(other260.running);
-  ended = std::move(other260.ended);
-  reachable = other260.reachable;
-  wantsRunInfo = other260.wantsRunInfo;
-  __isset = other260.__isset;
-}
-WorkerReport& WorkerReport::operator=(const WorkerReport& other261) {
-  worker = other261.worker;
-  epoch = other261.epoch;
-  listing = other261.listing;
-  listed = other261.listed;
-  draining = other261.draining;
-  gone = other261.gone;
-  running = other261.running;
-  ended = other261.ended;
-  reachable = other261.reachable;
-  wantsRunInfo = other261.wantsRunInfo;
-  __isset = other261.__isset;
+WorkerReport::WorkerReport(const WorkerReport& other277) {
+  worker = other277.worker;
+  epoch = other277.epoch;
+  listing = other277.listing;
+  listed = other277.listed;
+  draining = other277.draining;
+  gone = other277.gone;
+  running = other277.running;
+  ended = other277.ended;
+  reachable = other277.reachable;
+  wantsRunInfo = other277.wantsRunInfo;
+  pairs = other277.pairs;
+  __isset = other277.__isset;
+}
+WorkerReport::WorkerReport(WorkerReport&& other278) noexcept {
+  worker = std::move(other278.worker);
+  epoch = other278.epoch;
+  listing = other278.listing;
+  listed = other278.listed;
+  draining = other278.draining;
+  gone = other278.gone;
+  running = std::move(other278.running);
+  ended = std::move(other278.ended);
+  reachable = other278.reachable;
+  wantsRunInfo = other278.wantsRunInfo;
+  pairs = std::move(other278.pairs);
+  __isset = other278.__isset;
+}
+WorkerReport& WorkerReport::operator=(const WorkerReport& other279) {
+  worker = other279.worker;
+  epoch = other279.epoch;
+  listing = other279.listing;
+  listed = other279.listed;
+  draining = other279.draining;
+  gone = other279.gone;
+  running = other279.running;
+  ended = other279.ended;
+  reachable = other279.reachable;
+  wantsRunInfo = other279.wantsRunInfo;
+  pairs = other279.pairs;
+  __isset = other279.__isset;
   return *this;
 }
-WorkerReport& WorkerReport::operator=(WorkerReport&& other262) noexcept {
-  worker = std::move(other262.worker);
-  epoch = other262.epoch;
-  listing = other262.listing;
-  listed = other262.listed;
-  draining = other262.draining;
-  gone = other262.gone;
-  running = std::move(other262.running);
-  ended = std::move(other262.ended);
-  reachable = other262.reachable;
-  wantsRunInfo = other262.wantsRunInfo;
-  __isset = other262.__isset;
+WorkerReport& WorkerReport::operator=(WorkerReport&& other280) noexcept {
+  worker = std::move(other280.worker);
+  epoch = other280.epoch;
+  listing = other280.listing;
+  listed = other280.listed;
+  draining = other280.draining;
+  gone = other280.gone;
+  running = std::move(other280.running);
+  ended = std::move(other280.ended);
+  reachable = other280.reachable;
+  wantsRunInfo = other280.wantsRunInfo;
+  pairs = std::move(other280.pairs);
+  __isset = other280.__isset;
   return *this;
 }
 void WorkerReport::printTo(std::ostream& out) const {
@@ -6572,6 +6804,7 @@
   out << ", " << "ended=" << to_string(ended);
   out << ", " << "reachable=" << to_string(reachable);
   out << ", " << "wantsRunInfo=" << to_string(wantsRunInfo);
+  out << ", " << "pairs=" << to_string(pairs);
   out << ")";
 }
 
@@ -6736,42 +6969,42 @@
   swap(a.__isset, b.__isset);
 }
 
-RunInfo::RunInfo(const RunInfo& other263) {
-  task = other263.task;
-  run = other263.run;
-  image = other263.image;
-  tailTargetMs = other263.tailTargetMs;
-  usesIdleCpu = other263.usesIdleCpu;
-  cpuMilli = other263.cpuMilli;
-  __isset = other263.__isset;
-}
-RunInfo::RunInfo(RunInfo&& other264) noexcept {
-  task = std::move(other264.task);
-  run = other264.run;
-  image = std::move(other264.image);
-  tailTargetMs = other264.tailTargetMs;
-  usesIdleCpu = other264.usesIdleCpu;
-  cpuMilli = other264.cpuMilli;
-  __isset = other264.__isset;
-}
-RunInfo& RunInfo::operator=(const RunInfo& other265) {
-  task = other265.task;
-  run = other265.run;
-  image = other265.image;
-  tailTargetMs = other265.tailTargetMs;
-  usesIdleCpu = other265.usesIdleCpu;
-  cpuMilli = other265.cpuMilli;
-  __isset = other265.__isset;
+RunInfo::RunInfo(const RunInfo& other281) {
+  task = other281.task;
+  run = other281.run;
+  image = other281.image;
+  tailTargetMs = other281.tailTargetMs;
+  usesIdleCpu = other281.usesIdleCpu;
+  cpuMilli = other281.cpuMilli;
+  __isset = other281.__isset;
+}
+RunInfo::RunInfo(RunInfo&& other282) noexcept {
+  task = std::move(other282.task);
+  run = other282.run;
+  image = std::move(other282.image);
+  tailTargetMs = other282.tailTargetMs;
+  usesIdleCpu = other282.usesIdleCpu;
+  cpuMilli = other282.cpuMilli;
+  __isset = other282.__isset;
+}
+RunInfo& RunInfo::operator=(const RunInfo& other283) {
+  task = other283.task;
+  run = other283.run;
+  image = other283.image;
+  tailTargetMs = other283.tailTargetMs;
+  usesIdleCpu = other283.usesIdleCpu;
+  cpuMilli = other283.cpuMilli;
+  __isset = other283.__isset;
   return *this;
 }
-RunInfo& RunInfo::operator=(RunInfo&& other266) noexcept {
-  task = std::move(other266.task);
-  run = other266.run;
-  image = std::move(other266.image);
-  tailTargetMs = other266.tailTargetMs;
-  usesIdleCpu = other266.usesIdleCpu;
-  cpuMilli = other266.cpuMilli;
-  __isset = other266.__isset;
+RunInfo& RunInfo::operator=(RunInfo&& other284) noexcept {
+  task = std::move(other284.task);
+  run = other284.run;
+  image = std::move(other284.image);
+  tailTargetMs = other284.tailTargetMs;
+  usesIdleCpu = other284.usesIdleCpu;
+  cpuMilli = other284.cpuMilli;
+  __isset = other284.__isset;
   return *this;
 }
 void RunInfo::printTo(std::ostream& out) const {
@@ -6787,151 +7020,6 @@
 }
 
 
-ImagePair::~ImagePair() noexcept {
-}
-
-
-void ImagePair::__set_servingImage(const std::string& val) {
-  this->servingImage = val;
-}
-
-void ImagePair::__set_fillingImage(const std::string& val) {
-  this->fillingImage = val;
-}
-
-void ImagePair::__set_effect(const double val) {
-  this->effect = val;
-}
-std::ostream& operator<<(std::ostream& out, const ImagePair& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t ImagePair::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->servingImage);
-          this->__isset.servingImage = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->fillingImage);
-          this->__isset.fillingImage = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
-          xfer += iprot->readDouble(this->effect);
-          this->__isset.effect = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t ImagePair::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ImagePair");
-
-  xfer += oprot->writeFieldBegin("servingImage", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->servingImage);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("fillingImage", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->fillingImage);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("effect", ::apache::thrift::protocol::T_DOUBLE, 3);
-  xfer += oprot->writeDouble(this->effect);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(ImagePair &a, ImagePair &b) {
-  using ::std::swap;
-  swap(a.servingImage, b.servingImage);
-  swap(a.fillingImage, b.fillingImage);
-  swap(a.effect, b.effect);
-  swap(a.__isset, b.__isset);
-}
-
-ImagePair::ImagePair(const ImagePair& other267) {
-  servingImage = other267.servingImage;
-  fillingImage = other267.fillingImage;
-  effect = other267.effect;
-  __isset = other267.__isset;
-}
-ImagePair::ImagePair(ImagePair&& other268) noexcept {
-  servingImage = std::move(other268.servingImage);
-  fillingImage = std::move(other268.fillingImage);
-  effect = other268.effect;
-  __isset = other268.__isset;
-}
-ImagePair& ImagePair::operator=(const ImagePair& other269) {
-  servingImage = other269.servingImage;
-  fillingImage = other269.fillingImage;
-  effect = other269.effect;
-  __isset = other269.__isset;
-  return *this;
-}
-ImagePair& ImagePair::operator=(ImagePair&& other270) noexcept {
-  servingImage = std::move(other270.servingImage);
-  fillingImage = std::move(other270.fillingImage);
-  effect = other270.effect;
-  __isset = other270.__isset;
-  return *this;
-}
-void ImagePair::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "ImagePair(";
-  out << "servingImage=" << to_string(servingImage);
-  out << ", " << "fillingImage=" << to_string(fillingImage);
-  out << ", " << "effect=" << to_string(effect);
-  out << ")";
-}
-
-
 WorkerReportReply::~WorkerReportReply() noexcept {
 }
 
@@ -7023,14 +7111,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->runs.clear();
-            uint32_t _size271;
-            ::apache::thrift::protocol::TType _etype274;
-            xfer += iprot->readListBegin(_etype274, _size271);
-            this->runs.resize(_size271);
-            uint32_t _i275;
-            for (_i275 = 0; _i275 < _size271; ++_i275)
+            uint32_t _size285;
+            ::apache::thrift::protocol::TType _etype288;
+            xfer += iprot->readListBegin(_etype288, _size285);
+            this->runs.resize(_size285);
+            uint32_t _i289;
+            for (_i289 = 0; _i289 < _size285; ++_i289)
             {
-              xfer += this->runs[_i275].read(iprot);
+              xfer += this->runs[_i289].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7043,14 +7131,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->pairs.clear();
-            uint32_t _size276;
-            ::apache::thrift::protocol::TType _etype279;
-            xfer += iprot->readListBegin(_etype279, _size276);
-            this->pairs.resize(_size276);
-            uint32_t _i280;
-            for (_i280 = 0; _i280 < _size276; ++_i280)
+            uint32_t _size290;
+            ::apache::thrift::protocol::TType _etype293;
+            xfer += iprot->readListBegin(_etype293, _size290);
+            this->pairs.resize(_size290);
+            uint32_t _i294;
+            for (_i294 = 0; _i294 < _size290; ++_i294)
             {
-              xfer += this->pairs[_i280].read(iprot);
+              xfer += this->pairs[_i294].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7095,10 +7183,10 @@
   xfer += oprot->writeFieldBegin("runs", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->runs.size()));
-    std::vector<RunInfo> ::const_iterator _iter281;
-    for (_iter281 = this->runs.begin(); _iter281 != this->runs.end(); ++_iter281)
+    std::vector<RunInfo> ::const_iterator _iter295;
+    for (_iter295 = this->runs.begin(); _iter295 != this->runs.end(); ++_iter295)
     {
-      xfer += (*_iter281).write(oprot);
+      xfer += (*_iter295).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7107,10 +7195,10 @@
   xfer += oprot->writeFieldBegin("pairs", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->pairs.size()));
-    std::vector<ImagePair> ::const_iterator _iter282;
-    for (_iter282 = this->pairs.begin(); _iter282 != this->pairs.end(); ++_iter282)
+    std::vector<ImagePair> ::const_iterator _iter296;
+    for (_iter296 = this->pairs.begin(); _iter296 != this->pairs.end(); ++_iter296)
     {
-      xfer += (*_iter282).write(oprot);
+      xfer += (*_iter296).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7132,42 +7220,42 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerReportReply::WorkerReportReply(const WorkerReportReply& other283) {
-  epoch = other283.epoch;
-  leaseMs = other283.leaseMs;
-  recordedEnds = other283.recordedEnds;
-  leaseTerm = other283.leaseTerm;
-  runs = other283.runs;
-  pairs = other283.pairs;
-  __isset = other283.__isset;
-}
-WorkerReportReply::WorkerReportReply(WorkerReportReply&& other284) noexcept {
-  epoch = other284.epoch;
-  leaseMs = other284.leaseMs;
-  recordedEnds = other284.recordedEnds;
-  leaseTerm = other284.leaseTerm;
-  runs = std::move(other284.runs);
-  pairs = std::move(other284.pairs);
-  __isset = other284.__isset;
-}
-WorkerReportReply& WorkerReportReply::operator=(const WorkerReportReply& other285) {
-  epoch = other285.epoch;
-  leaseMs = other285.leaseMs;
-  recordedEnds = other285.recordedEnds;
-  leaseTerm = other285.leaseTerm;
-  runs = other285.runs;
-  pairs = other285.pairs;
-  __isset = other285.__isset;
+WorkerReportReply::WorkerReportReply(const WorkerReportReply& other297) {
+  epoch = other297.epoch;
+  leaseMs = other297.leaseMs;
+  recordedEnds = other297.recordedEnds;
+  leaseTerm = other297.leaseTerm;
+  runs = other297.runs;
+  pairs = other297.pairs;
+  __isset = other297.__isset;
+}
+WorkerReportReply::WorkerReportReply(WorkerReportReply&& other298) noexcept {
+  epoch = other298.epoch;
+  leaseMs = other298.leaseMs;
+  recordedEnds = other298.recordedEnds;
+  leaseTerm = other298.leaseTerm;
+  runs = std::move(other298.runs);
+  pairs = std::move(other298.pairs);
+  __isset = other298.__isset;
+}
+WorkerReportReply& WorkerReportReply::operator=(const WorkerReportReply& other299) {
+  epoch = other299.epoch;
+  leaseMs = other299.leaseMs;
+  recordedEnds = other299.recordedEnds;
+  leaseTerm = other299.leaseTerm;
+  runs = other299.runs;
+  pairs = other299.pairs;
+  __isset = other299.__isset;
   return *this;
 }
-WorkerReportReply& WorkerReportReply::operator=(WorkerReportReply&& other286) noexcept {
-  epoch = other286.epoch;
-  leaseMs = other286.leaseMs;
-  recordedEnds = other286.recordedEnds;
-  leaseTerm = other286.leaseTerm;
-  runs = std::move(other286.runs);
-  pairs = std::move(other286.pairs);
-  __isset = other286.__isset;
+WorkerReportReply& WorkerReportReply::operator=(WorkerReportReply&& other300) noexcept {
+  epoch = other300.epoch;
+  leaseMs = other300.leaseMs;
+  recordedEnds = other300.recordedEnds;
+  leaseTerm = other300.leaseTerm;
+  runs = std::move(other300.runs);
+  pairs = std::move(other300.pairs);
+  __isset = other300.__isset;
   return *this;
 }
 void WorkerReportReply::printTo(std::ostream& out) const {
@@ -7343,42 +7431,42 @@
   swap(a.__isset, b.__isset);
 }
 
-StartOrder::StartOrder(const StartOrder& other287) {
-  task = other287.task;
-  run = other287.run;
-  payload = other287.payload;
-  checkpoint = other287.checkpoint;
-  info = other287.info;
-  permit = other287.permit;
-  __isset = other287.__isset;
-}
-StartOrder::StartOrder(StartOrder&& other288) noexcept {
-  task = std::move(other288.task);
-  run = other288.run;
-  payload = std::move(other288.payload);
-  checkpoint = std::move(other288.checkpoint);
-  info = std::move(other288.info);
-  permit = std::move(other288.permit);
-  __isset = other288.__isset;
-}
-StartOrder& StartOrder::operator=(const StartOrder& other289) {
-  task = other289.task;
-  run = other289.run;
-  payload = other289.payload;
-  checkpoint = other289.checkpoint;
-  info = other289.info;
-  permit = other289.permit;
-  __isset = other289.__isset;
+StartOrder::StartOrder(const StartOrder& other301) {
+  task = other301.task;
+  run = other301.run;
+  payload = other301.payload;
+  checkpoint = other301.checkpoint;
+  info = other301.info;
+  permit = other301.permit;
+  __isset = other301.__isset;
+}
+StartOrder::StartOrder(StartOrder&& other302) noexcept {
+  task = std::move(other302.task);
+  run = other302.run;
+  payload = std::move(other302.payload);
+  checkpoint = std::move(other302.checkpoint);
+  info = std::move(other302.info);
+  permit = std::move(other302.permit);
+  __isset = other302.__isset;
+}
+StartOrder& StartOrder::operator=(const StartOrder& other303) {
+  task = other303.task;
+  run = other303.run;
+  payload = other303.payload;
+  checkpoint = other303.checkpoint;
+  info = other303.info;
+  permit = other303.permit;
+  __isset = other303.__isset;
   return *this;
 }
-StartOrder& StartOrder::operator=(StartOrder&& other290) noexcept {
-  task = std::move(other290.task);
-  run = other290.run;
-  payload = std::move(other290.payload);
-  checkpoint = std::move(other290.checkpoint);
-  info = std::move(other290.info);
-  permit = std::move(other290.permit);
-  __isset = other290.__isset;
+StartOrder& StartOrder::operator=(StartOrder&& other304) noexcept {
+  task = std::move(other304.task);
+  run = other304.run;
+  payload = std::move(other304.payload);
+  checkpoint = std::move(other304.checkpoint);
+  info = std::move(other304.info);
+  permit = std::move(other304.permit);
+  __isset = other304.__isset;
   return *this;
 }
 void StartOrder::printTo(std::ostream& out) const {
@@ -7486,26 +7574,26 @@
   swap(a.__isset, b.__isset);
 }
 
-StopOrder::StopOrder(const StopOrder& other291) {
-  task = other291.task;
-  run = other291.run;
-  __isset = other291.__isset;
+StopOrder::StopOrder(const StopOrder& other305) {
+  task = other305.task;
+  run = other305.run;
+  __isset = other305.__isset;
 }
-StopOrder::StopOrder(StopOrder&& other292) noexcept {
-  task = std::move(other292.task);
-  run = other292.run;
-  __isset = other292.__isset;
+StopOrder::StopOrder(StopOrder&& other306) noexcept {
+  task = std::move(other306.task);
+  run = other306.run;
+  __isset = other306.__isset;
 }
-StopOrder& StopOrder::operator=(const StopOrder& other293) {
-  task = other293.task;
-  run = other293.run;
-  __isset = other293.__isset;
+StopOrder& StopOrder::operator=(const StopOrder& other307) {
+  task = other307.task;
+  run = other307.run;
+  __isset = other307.__isset;
   return *this;
 }
-StopOrder& StopOrder::operator=(StopOrder&& other294) noexcept {
-  task = std::move(other294.task);
-  run = other294.run;
-  __isset = other294.__isset;
+StopOrder& StopOrder::operator=(StopOrder&& other308) noexcept {
+  task = std::move(other308.task);
+  run = other308.run;
+  __isset = other308.__isset;
   return *this;
 }
 void StopOrder::printTo(std::ostream& out) const {
@@ -7624,14 +7712,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->starts.clear();
-            uint32_t _size295;
-            ::apache::thrift::protocol::TType _etype298;
-            xfer += iprot->readListBegin(_etype298, _size295);
-            this->starts.resize(_size295);
-            uint32_t _i299;
-            for (_i299 = 0; _i299 < _size295; ++_i299)
+            uint32_t _size309;
+            ::apache::thrift::protocol::TType _etype312;
+            xfer += iprot->readListBegin(_etype312, _size309);
+            this->starts.resize(_size309);
+            uint32_t _i313;
+            for (_i313 = 0; _i313 < _size309; ++_i313)
             {
-              xfer += this->starts[_i299].read(iprot);
+              xfer += this->starts[_i313].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7644,14 +7732,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->stops.clear();
-            uint32_t _size300;
-            ::apache::thrift::protocol::TType _etype303;
-            xfer += iprot->readListBegin(_etype303, _size300);
-            this->stops.resize(_size300);
-            uint32_t _i304;
-            for (_i304 = 0; _i304 < _size300; ++_i304)
+            uint32_t _size314;
+            ::apache::thrift::protocol::TType _etype317;
+            xfer += iprot->readListBegin(_etype317, _size314);
+            this->stops.resize(_size314);
+            uint32_t _i318;
+            for (_i318 = 0; _i318 < _size314; ++_i318)
             {
-              xfer += this->stops[_i304].read(iprot);
+              xfer += this->stops[_i318].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7708,10 +7796,10 @@
   xfer += oprot->writeFieldBegin("starts", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->starts.size()));
-    std::vector<StartOrder> ::const_iterator _iter305;
-    for (_iter305 = this->starts.begin(); _iter305 != this->starts.end(); ++_iter305)
+    std::vector<StartOrder> ::const_iterator _iter319;
+    for (_iter319 = this->starts.begin(); _iter319 != this->starts.end(); ++_iter319)
     {
-      xfer += (*_iter305).write(oprot);
+      xfer += (*_iter319).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7720,10 +7808,10 @@
   xfer += oprot->writeFieldBegin("stops", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->stops.size()));
-    std::vector<StopOrder> ::const_iterator _iter306;
-    for (_iter306 = this->stops.begin(); _iter306 != this->stops.end(); ++_iter306)
+    std::vector<StopOrder> ::const_iterator _iter320;
+    for (_iter320 = this->stops.begin(); _iter320 != this->stops.end(); ++_iter320)
     {
-      xfer += (*_iter306).write(oprot);
+      xfer += (*_iter320).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7751,50 +7839,50 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerOrders::WorkerOrders(const WorkerOrders& other307) {
-  epoch = other307.epoch;
-  ownerHost = other307.ownerHost;
-  ownerPort = other307.ownerPort;
-  worker = other307.worker;
-  born = other307.born;
-  starts = other307.starts;
-  stops = other307.stops;
-  leaseTerm = other307.leaseTerm;
-  __isset = other307.__isset;
-}
-WorkerOrders::WorkerOrders(WorkerOrders&& other308) noexcept {
-  epoch = other308.epoch;
-  ownerHost = std::move(other308.ownerHost);
-  ownerPort = other308.ownerPort;
-  worker = std::move(other308.worker);
-  born = other308.born;
-  starts = std::move(other308.starts);
-  stops = std::move(other308.stops);
-  leaseTerm = other308.leaseTerm;
-  __isset = other308.__isset;
-}
-WorkerOrders& WorkerOrders::operator=(const WorkerOrders& other309) {
-  epoch = other309.epoch;
-  ownerHost = other309.ownerHost;
-  ownerPort = other309.ownerPort;
-  worker = other309.worker;
-  born = other309.born;
-  starts = other309.starts;
-  stops = other309.stops;
-  leaseTerm = other309.leaseTerm;
-  __isset = other309.__isset;
+WorkerOrders::WorkerOrders(const WorkerOrders& other321) {
+  epoch = other321.epoch;
+  ownerHost = other321.ownerHost;
+  ownerPort = other321.ownerPort;
+  worker = other321.worker;
+  born = other321.born;
+  starts = other321.starts;
+  stops = other321.stops;
+  leaseTerm = other321.leaseTerm;
+  __isset = other321.__isset;
+}
+WorkerOrders::WorkerOrders(WorkerOrders&& other322) noexcept {
+  epoch = other322.epoch;
+  ownerHost = std::move(other322.ownerHost);
+  ownerPort = other322.ownerPort;
+  worker = std::move(other322.worker);
+  born = other322.born;
+  starts = std::move(other322.starts);
+  stops = std::move(other322.stops);
+  leaseTerm = other322.leaseTerm;
+  __isset = other322.__isset;
+}
+WorkerOrders& WorkerOrders::operator=(const WorkerOrders& other323) {
+  epoch = other323.epoch;
+  ownerHost = other323.ownerHost;
+  ownerPort = other323.ownerPort;
+  worker = other323.worker;
+  born = other323.born;
+  starts = other323.starts;
+  stops = other323.stops;
+  leaseTerm = other323.leaseTerm;
+  __isset = other323.__isset;
   return *this;
 }
-WorkerOrders& WorkerOrders::operator=(WorkerOrders&& other310) noexcept {
-  epoch = other310.epoch;
-  ownerHost = std::move(other310.ownerHost);
-  ownerPort = other310.ownerPort;
-  worker = std::move(other310.worker);
-  born = other310.born;
-  starts = std::move(other310.starts);
-  stops = std::move(other310.stops);
-  leaseTerm = other310.leaseTerm;
-  __isset = other310.__isset;
+WorkerOrders& WorkerOrders::operator=(WorkerOrders&& other324) noexcept {
+  epoch = other324.epoch;
+  ownerHost = std::move(other324.ownerHost);
+  ownerPort = other324.ownerPort;
+  worker = std::move(other324.worker);
+  born = other324.born;
+  starts = std::move(other324.starts);
+  stops = std::move(other324.stops);
+  leaseTerm = other324.leaseTerm;
+  __isset = other324.__isset;
   return *this;
 }
 void WorkerOrders::printTo(std::ostream& out) const {
@@ -7859,14 +7947,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->starts.clear();
-            uint32_t _size311;
-            ::apache::thrift::protocol::TType _etype314;
-            xfer += iprot->readListBegin(_etype314, _size311);
-            this->starts.resize(_size311);
-            uint32_t _i315;
-            for (_i315 = 0; _i315 < _size311; ++_i315)
+            uint32_t _size325;
+            ::apache::thrift::protocol::TType _etype328;
+            xfer += iprot->readListBegin(_etype328, _size325);
+            this->starts.resize(_size325);
+            uint32_t _i329;
+            for (_i329 = 0; _i329 < _size325; ++_i329)
             {
-              xfer += iprot->readI32(this->starts[_i315]);
+              xfer += iprot->readI32(this->starts[_i329]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7879,14 +7967,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->stops.clear();
-            uint32_t _size316;
-            ::apache::thrift::protocol::TType _etype319;
-            xfer += iprot->readListBegin(_etype319, _size316);
-            this->stops.resize(_size316);
-            uint32_t _i320;
-            for (_i320 = 0; _i320 < _size316; ++_i320)
+            uint32_t _size330;
+            ::apache::thrift::protocol::TType _etype333;
+            xfer += iprot->readListBegin(_etype333, _size330);
+            this->stops.resize(_size330);
+            uint32_t _i334;
+            for (_i334 = 0; _i334 < _size330; ++_i334)
             {
-              xfer += iprot->readI32(this->stops[_i320]);
+              xfer += iprot->readI32(this->stops[_i334]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7923,10 +8011,10 @@
   xfer += oprot->writeFieldBegin("starts", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->starts.size()));
-    std::vector<int32_t> ::const_iterator _iter321;
-    for (_iter321 = this->starts.begin(); _iter321 != this->starts.end(); ++_iter321)
+    std::vector<int32_t> ::const_iterator _iter335;
+    for (_iter335 = this->starts.begin(); _iter335 != this->starts.end(); ++_iter335)
     {
-      xfer += oprot->writeI32((*_iter321));
+      xfer += oprot->writeI32((*_iter335));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7935,10 +8023,10 @@
   xfer += oprot->writeFieldBegin("stops", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->stops.size()));
-    std::vector<int32_t> ::const_iterator _iter322;
-    for (_iter322 = this->stops.begin(); _iter322 != this->stops.end(); ++_iter322)
+    std::vector<int32_t> ::const_iterator _iter336;
+    for (_iter336 = this->stops.begin(); _iter336 != this->stops.end(); ++_iter336)
     {
-      xfer += oprot->writeI32((*_iter322));
+      xfer += oprot->writeI32((*_iter336));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7961,30 +8049,30 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerOrdersReply::WorkerOrdersReply(const WorkerOrdersReply& other323) {
-  starts = other323.starts;
-  stops = other323.stops;
-  listing = other323.listing;
-  __isset = other323.__isset;
+WorkerOrdersReply::WorkerOrdersReply(const WorkerOrdersReply& other337) {
+  starts = other337.starts;
+  stops = other337.stops;
+  listing = other337.listing;
+  __isset = other337.__isset;
 }
-WorkerOrdersReply::WorkerOrdersReply(WorkerOrdersReply&& other324) noexcept {
-  starts = std::move(other324.starts);
-  stops = std::move(other324.stops);
-  listing = other324.listing;
-  __isset = other324.__isset;
+WorkerOrdersReply::WorkerOrdersReply(WorkerOrdersReply&& other338) noexcept {
+  starts = std::move(other338.starts);
+  stops = std::move(other338.stops);
+  listing = other338.listing;
+  __isset = other338.__isset;
 }
-WorkerOrdersReply& WorkerOrdersReply::operator=(const WorkerOrdersReply& other325) {
-  starts = other325.starts;
-  stops = other325.stops;
-  listing = other325.listing;
-  __isset = other325.__isset;
+WorkerOrdersReply& WorkerOrdersReply::operator=(const WorkerOrdersReply& other339) {
+  starts = other339.starts;
+  stops = other339.stops;
+  listing = other339.listing;
+  __isset = other339.__isset;
   return *this;
 }
-WorkerOrdersReply& WorkerOrdersReply::operator=(WorkerOrdersReply&& other326) noexcept {
-  starts = std::move(other326.starts);
-  stops = std::move(other326.stops);
-  listing = other326.listing;
-  __isset = other326.__isset;
+WorkerOrdersReply& WorkerOrdersReply::operator=(WorkerOrdersReply&& other340) noexcept {
+  starts = std::move(other340.starts);
+  stops = std::move(other340.stops);
+  listing = other340.listing;
+  __isset = other340.__isset;
   return *this;
 }
 void WorkerOrdersReply::printTo(std::ostream& out) const {
@@ -8072,22 +8160,22 @@
   swap(a.__isset, b.__isset);
 }
 
-SubmitJob::SubmitJob(const SubmitJob& other327) {
-  spec = other327.spec;
-  __isset = other327.__isset;
+SubmitJob::SubmitJob(const SubmitJob& other341) {
+  spec = other341.spec;
+  __isset = other341.__isset;
 }
-SubmitJob::SubmitJob(SubmitJob&& other328) noexcept {
-  spec = std::move(other328.spec);
-  __isset = other328.__isset;
+SubmitJob::SubmitJob(SubmitJob&& other342) noexcept {
+  spec = std::move(other342.spec);
+  __isset = other342.__isset;
 }
-SubmitJob& SubmitJob::operator=(const SubmitJob& other329) {
-  spec = other329.spec;
-  __isset = other329.__isset;
+SubmitJob& SubmitJob::operator=(const SubmitJob& other343) {
+  spec = other343.spec;
+  __isset = other343.__isset;
   return *this;
 }
-SubmitJob& SubmitJob::operator=(SubmitJob&& other330) noexcept {
-  spec = std::move(other330.spec);
-  __isset = other330.__isset;
+SubmitJob& SubmitJob::operator=(SubmitJob&& other344) noexcept {
+  spec = std::move(other344.spec);
+  __isset = other344.__isset;
   return *this;
 }
 void SubmitJob::printTo(std::ostream& out) const {
@@ -8173,22 +8261,22 @@
   swap(a.__isset, b.__isset);
 }
 
-JobQuery::JobQuery(const JobQuery& other331) {
-  id = other331.id;
-  __isset = other331.__isset;
+JobQuery::JobQuery(const JobQuery& other345) {
+  id = other345.id;
+  __isset = other345.__isset;
 }
-JobQuery::JobQuery(JobQuery&& other332) noexcept {
-  id = std::move(other332.id);
-  __isset = other332.__isset;
+JobQuery::JobQuery(JobQuery&& other346) noexcept {
+  id = std::move(other346.id);
+  __isset = other346.__isset;
 }
-JobQuery& JobQuery::operator=(const JobQuery& other333) {
-  id = other333.id;
-  __isset = other333.__isset;
+JobQuery& JobQuery::operator=(const JobQuery& other347) {
+  id = other347.id;
+  __isset = other347.__isset;
   return *this;
 }
-JobQuery& JobQuery::operator=(JobQuery&& other334) noexcept {
-  id = std::move(other334.id);
-  __isset = other334.__isset;
+JobQuery& JobQuery::operator=(JobQuery&& other348) noexcept {
+  id = std::move(other348.id);
+  __isset = other348.__isset;
   return *this;
 }
 void JobQuery::printTo(std::ostream& out) const {
@@ -8274,22 +8362,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CancelJob::CancelJob(const CancelJob& other335) {
-  id = other335.id;
-  __isset = other335.__isset;
+CancelJob::CancelJob(const CancelJob& other349) {
+  id = other349.id;
+  __isset = other349.__isset;
 }
-CancelJob::CancelJob(CancelJob&& other336) noexcept {
-  id = std::move(other336.id);
-  __isset = other336.__isset;
+CancelJob::CancelJob(CancelJob&& other350) noexcept {
+  id = std::move(other350.id);
+  __isset = other350.__isset;
 }
-CancelJob& CancelJob::operator=(const CancelJob& other337) {
-  id = other337.id;
-  __isset = other337.__isset;
+CancelJob& CancelJob::operator=(const CancelJob& other351) {
+  id = other351.id;
+  __isset = other351.__isset;
   return *this;
 }
-CancelJob& CancelJob::operator=(CancelJob&& other338) noexcept {
-  id = std::move(other338.id);
-  __isset = other338.__isset;
+CancelJob& CancelJob::operator=(CancelJob&& other352) noexcept {
+  id = std::move(other352.id);
+  __isset = other352.__isset;
   return *this;
 }
 void CancelJob::printTo(std::ostream& out) const {
@@ -8375,22 +8463,22 @@
   swap(a.__isset, b.__isset);
 }
 
-QueueQuery::QueueQuery(const QueueQuery& other339) {
-  queue = other339.queue;
-  __isset = other339.__isset;
+QueueQuery::QueueQuery(const QueueQuery& other353) {
+  queue = other353.queue;
+  __isset = other353.__isset;
 }
-QueueQuery::QueueQuery(QueueQuery&& other340) noexcept {
-  queue = std::move(other340.queue);
-  __isset = other340.__isset;
+QueueQuery::QueueQuery(QueueQuery&& other354) noexcept {
+  queue = std::move(other354.queue);
+  __isset = other354.__isset;
 }
-QueueQuery& QueueQuery::operator=(const QueueQuery& other341) {
-  queue = other341.queue;
-  __isset = other341.__isset;
+QueueQuery& QueueQuery::operator=(const QueueQuery& other355) {
+  queue = other355.queue;
+  __isset = other355.__isset;
   return *this;
 }
-QueueQuery& QueueQuery::operator=(QueueQuery&& other342) noexcept {
-  queue = std::move(other342.queue);
-  __isset = other342.__isset;
+QueueQuery& QueueQuery::operator=(QueueQuery&& other356) noexcept {
+  queue = std::move(other356.queue);
+  __isset = other356.__isset;
   return *this;
 }
 void QueueQuery::printTo(std::ostream& out) const {
@@ -8527,34 +8615,34 @@
   swap(a.__isset, b.__isset);
 }
 
-JobAnswer::JobAnswer(const JobAnswer& other343) noexcept {
-  outcome = other343.outcome;
-  phase = other343.phase;
-  waiting = other343.waiting;
-  retryAfterMs = other343.retryAfterMs;
-  __isset = other343.__isset;
+JobAnswer::JobAnswer(const JobAnswer& other357) noexcept {
+  outcome = other357.outcome;
+  phase = other357.phase;
+  waiting = other357.waiting;
+  retryAfterMs = other357.retryAfterMs;
+  __isset = other357.__isset;
 }
-JobAnswer::JobAnswer(JobAnswer&& other344) noexcept {
-  outcome = other344.outcome;
-  phase = other344.phase;
-  waiting = other344.waiting;
-  retryAfterMs = other344.retryAfterMs;
-  __isset = other344.__isset;
+JobAnswer::JobAnswer(JobAnswer&& other358) noexcept {
+  outcome = other358.outcome;
+  phase = other358.phase;
+  waiting = other358.waiting;
+  retryAfterMs = other358.retryAfterMs;
+  __isset = other358.__isset;
 }
-JobAnswer& JobAnswer::operator=(const JobAnswer& other345) noexcept {
-  outcome = other345.outcome;
-  phase = other345.phase;
-  waiting = other345.waiting;
-  retryAfterMs = other345.retryAfterMs;
-  __isset = other345.__isset;
+JobAnswer& JobAnswer::operator=(const JobAnswer& other359) noexcept {
+  outcome = other359.outcome;
+  phase = other359.phase;
+  waiting = other359.waiting;
+  retryAfterMs = other359.retryAfterMs;
+  __isset = other359.__isset;
   return *this;
 }
-JobAnswer& JobAnswer::operator=(JobAnswer&& other346) noexcept {
-  outcome = other346.outcome;
-  phase = other346.phase;
-  waiting = other346.waiting;
-  retryAfterMs = other346.retryAfterMs;
-  __isset = other346.__isset;
+JobAnswer& JobAnswer::operator=(JobAnswer&& other360) noexcept {
+  outcome = other360.outcome;
+  phase = other360.phase;
+  waiting = other360.waiting;
+  retryAfterMs = other360.retryAfterMs;
+  __isset = other360.__isset;
   return *this;
 }
 void JobAnswer::printTo(std::ostream& out) const {
@@ -8711,38 +8799,38 @@
   swap(a.__isset, b.__isset);
 }
 
-OwnerRecord::OwnerRecord(const OwnerRecord& other347) {
-  epoch = other347.epoch;
-  host = other347.host;
-  port = other347.port;
-  name = other347.name;
-  strength = other347.strength;
-  __isset = other347.__isset;
-}
-OwnerRecord::OwnerRecord(OwnerRecord&& other348) noexcept {
-  epoch = other348.epoch;
-  host = std::move(other348.host);
-  port = other348.port;
-  name = std::move(other348.name);
-  strength = other348.strength;
-  __isset = other348.__isset;
-}
-OwnerRecord& OwnerRecord::operator=(const OwnerRecord& other349) {
-  epoch = other349.epoch;
-  host = other349.host;
-  port = other349.port;
-  name = other349.name;
-  strength = other349.strength;
-  __isset = other349.__isset;
+OwnerRecord::OwnerRecord(const OwnerRecord& other361) {
+  epoch = other361.epoch;
+  host = other361.host;
+  port = other361.port;
+  name = other361.name;
+  strength = other361.strength;
+  __isset = other361.__isset;
+}
+OwnerRecord::OwnerRecord(OwnerRecord&& other362) noexcept {
+  epoch = other362.epoch;
+  host = std::move(other362.host);
+  port = other362.port;
+  name = std::move(other362.name);
+  strength = other362.strength;
+  __isset = other362.__isset;
+}
+OwnerRecord& OwnerRecord::operator=(const OwnerRecord& other363) {
+  epoch = other363.epoch;
+  host = other363.host;
+  port = other363.port;
+  name = other363.name;
+  strength = other363.strength;
+  __isset = other363.__isset;
   return *this;
 }
-OwnerRecord& OwnerRecord::operator=(OwnerRecord&& other350) noexcept {
-  epoch = other350.epoch;
-  host = std::move(other350.host);
-  port = other350.port;
-  name = std::move(other350.name);
-  strength = other350.strength;
-  __isset = other350.__isset;
+OwnerRecord& OwnerRecord::operator=(OwnerRecord&& other364) noexcept {
+  epoch = other364.epoch;
+  host = std::move(other364.host);
+  port = other364.port;
+  name = std::move(other364.name);
+  strength = other364.strength;
+  __isset = other364.__isset;
   return *this;
 }
 void OwnerRecord::printTo(std::ostream& out) const {
@@ -8796,14 +8884,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->workers.clear();
-            uint32_t _size351;
-            ::apache::thrift::protocol::TType _etype354;
-            xfer += iprot->readListBegin(_etype354, _size351);
-            this->workers.resize(_size351);
-            uint32_t _i355;
-            for (_i355 = 0; _i355 < _size351; ++_i355)
+            uint32_t _size365;
+            ::apache::thrift::protocol::TType _etype368;
+            xfer += iprot->readListBegin(_etype368, _size365);
+            this->workers.resize(_size365);
+            uint32_t _i369;
+            for (_i369 = 0; _i369 < _size365; ++_i369)
             {
-              xfer += this->workers[_i355].read(iprot);
+              xfer += this->workers[_i369].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8832,10 +8920,10 @@
   xfer += oprot->writeFieldBegin("workers", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->workers.size()));
-    std::vector<WorkerDescription> ::const_iterator _iter356;
-    for (_iter356 = this->workers.begin(); _iter356 != this->workers.end(); ++_iter356)
+    std::vector<WorkerDescription> ::const_iterator _iter370;
+    for (_iter370 = this->workers.begin(); _iter370 != this->workers.end(); ++_iter370)
     {
-      xfer += (*_iter356).write(oprot);
+      xfer += (*_iter370).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8852,22 +8940,22 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerRoster::WorkerRoster(const WorkerRoster& other357) {
-  workers = other357.workers;
-  __isset = other357.__isset;
+WorkerRoster::WorkerRoster(const WorkerRoster& other371) {
+  workers = other371.workers;
+  __isset = other371.__isset;
 }
-WorkerRoster::WorkerRoster(WorkerRoster&& other358) noexcept {
-  workers = std::move(other358.workers);
-  __isset = other358.__isset;
+WorkerRoster::WorkerRoster(WorkerRoster&& other372) noexcept {
+  workers = std::move(other372.workers);
+  __isset = other372.__isset;
 }
-WorkerRoster& WorkerRoster::operator=(const WorkerRoster& other359) {
-  workers = other359.workers;
-  __isset = other359.__isset;
+WorkerRoster& WorkerRoster::operator=(const WorkerRoster& other373) {
+  workers = other373.workers;
+  __isset = other373.__isset;
   return *this;
 }
-WorkerRoster& WorkerRoster::operator=(WorkerRoster&& other360) noexcept {
-  workers = std::move(other360.workers);
-  __isset = other360.__isset;
+WorkerRoster& WorkerRoster::operator=(WorkerRoster&& other374) noexcept {
+  workers = std::move(other374.workers);
+  __isset = other374.__isset;
   return *this;
 }
 void WorkerRoster::printTo(std::ostream& out) const {
--- a/idl/gen/messages_types.h
+++ b/idl/gen/messages_types.h
@@ -122,12 +122,12 @@
 
 class WorkerDescription;
 
+class ImagePair;
+
 class WorkerReport;
 
 class RunInfo;
 
-class ImagePair;
-
 class WorkerReportReply;
 
 class StartOrder;
@@ -1898,9 +1898,10 @@
 std::ostream& operator<<(std::ostream& out, const JobSpec& obj);
 
 typedef struct _StepProgress__isset {
-  _StepProgress__isset() : finished(false), failures(false) {}
+  _StepProgress__isset() : finished(false), failures(false), checkpoints(false) {}
   bool finished :1;
   bool failures :1;
+  bool checkpoints :1;
 } _StepProgress__isset;
 
 class StepProgress : public virtual ::apache::thrift::TBase {
@@ -1917,6 +1918,7 @@
   virtual ~StepProgress() noexcept;
   std::string finished;
   std::map<int32_t, std::vector<int64_t> >  failures;
+  std::map<int32_t, std::string>  checkpoints;
 
   _StepProgress__isset __isset;
 
@@ -1924,12 +1926,16 @@
 
   void __set_failures(const std::map<int32_t, std::vector<int64_t> > & val);
 
+  void __set_checkpoints(const std::map<int32_t, std::string> & val);
+
   bool operator == (const StepProgress & rhs) const
   {
     if (!(finished == rhs.finished))
       return false;
     if (!(failures == rhs.failures))
       return false;
+    if (!(checkpoints == rhs.checkpoints))
+      return false;
     return true;
   }
   bool operator != (const StepProgress &rhs) const {
@@ -2330,8 +2336,67 @@
 
 std::ostream& operator<<(std::ostream& out, const WorkerDescription& obj);
 
+typedef struct _ImagePair__isset {
+  _ImagePair__isset() : servingImage(false), fillingImage(false), effect(false) {}
+  bool servingImage :1;
+  bool fillingImage :1;
+  bool effect :1;
+} _ImagePair__isset;
+
+class ImagePair : public virtual ::apache::thrift::TBase {
+ public:
+
+  ImagePair(const ImagePair&);
+  ImagePair(ImagePair&&) noexcept;
+  ImagePair& operator=(const ImagePair&);
+  ImagePair& operator=(ImagePair&&) noexcept;
+  ImagePair() noexcept
+            : servingImage(),
+              fillingImage(),
+              effect(0) {
+  }
+
+  virtual ~ImagePair() noexcept;
+  std::string servingImage;
+  std::string fillingImage;
+  double effect;
+
+  _ImagePair__isset __isset;
+
+  void __set_servingImage(const std::string& val);
+
+  void __set_fillingImage(const std::string& val);
+
+  void __set_effect(const double val);
+
+  bool operator == (const ImagePair & rhs) const
+  {
+    if (!(servingImage == rhs.servingImage))
+      return false;
+    if (!(fillingImage == rhs.fillingImage))
+      return false;
+    if (!(effect == rhs.effect))
+      return false;
+    return true;
+  }
+  bool operator != (const ImagePair &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ImagePair & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ImagePair &a, ImagePair &b);
+
+std::ostream& operator<<(std::ostream& out, const ImagePair& obj);
+
 typedef struct _WorkerReport__isset {
-  _WorkerReport__isset() : worker(false), epoch(false), listing(false), listed(false), draining(false), gone(false), running(false), ended(false), reachable(false), wantsRunInfo(false) {}
+  _WorkerReport__isset() : worker(false), epoch(false), listing(false), listed(false), draining(false), gone(false), running(false), ended(false), reachable(false), wantsRunInfo(false), pairs(false) {}
   bool worker :1;
   bool epoch :1;
   bool listing :1;
@@ -2342,6 +2407,7 @@
   bool ended :1;
   bool reachable :1;
   bool wantsRunInfo :1;
+  bool pairs :1;
 } _WorkerReport__isset;
 
 class WorkerReport : public virtual ::apache::thrift::TBase {
@@ -2372,6 +2438,7 @@
   std::vector<EndedTask>  ended;
   bool reachable;
   bool wantsRunInfo;
+  std::vector<ImagePair>  pairs;
 
   _WorkerReport__isset __isset;
 
@@ -2395,6 +2462,8 @@
 
   void __set_wantsRunInfo(const bool val);
 
+  void __set_pairs(const std::vector<ImagePair> & val);
+
   bool operator == (const WorkerReport & rhs) const
   {
     if (!(worker == rhs.worker))
@@ -2417,6 +2486,8 @@
       return false;
     if (!(wantsRunInfo == rhs.wantsRunInfo))
       return false;
+    if (!(pairs == rhs.pairs))
+      return false;
     return true;
   }
   bool operator != (const WorkerReport &rhs) const {
@@ -2514,65 +2585,6 @@
 
 std::ostream& operator<<(std::ostream& out, const RunInfo& obj);
 
-typedef struct _ImagePair__isset {
-  _ImagePair__isset() : servingImage(false), fillingImage(false), effect(false) {}
-  bool servingImage :1;
-  bool fillingImage :1;
-  bool effect :1;
-} _ImagePair__isset;
-
-class ImagePair : public virtual ::apache::thrift::TBase {
- public:
-
-  ImagePair(const ImagePair&);
-  ImagePair(ImagePair&&) noexcept;
-  ImagePair& operator=(const ImagePair&);
-  ImagePair& operator=(ImagePair&&) noexcept;
-  ImagePair() noexcept
-            : servingImage(),
-              fillingImage(),
-              effect(0) {
-  }
-
-  virtual ~ImagePair() noexcept;
-  std::string servingImage;
-  std::string fillingImage;
-  double effect;
-
-  _ImagePair__isset __isset;
-
-  void __set_servingImage(const std::string& val);
-
-  void __set_fillingImage(const std::string& val);
-
-  void __set_effect(const double val);
-
-  bool operator == (const ImagePair & rhs) const
-  {
-    if (!(servingImage == rhs.servingImage))
-      return false;
-    if (!(fillingImage == rhs.fillingImage))
-      return false;
-    if (!(effect == rhs.effect))
-      return false;
-    return true;
-  }
-  bool operator != (const ImagePair &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const ImagePair & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(ImagePair &a, ImagePair &b);
-
-std::ostream& operator<<(std::ostream& out, const ImagePair& obj);
-
 typedef struct _WorkerReportReply__isset {
   _WorkerReportReply__isset() : epoch(false), leaseMs(false), recordedEnds(false), leaseTerm(false), runs(false), pairs(false) {}
   bool epoch :1;
--- a/idl/messages.thrift
+++ b/idl/messages.thrift
@@ -266,6 +266,8 @@
   1: binary finished;
   // The numbers of the runs that failed, by task; a gang counts on task 0.
   2: map<i32, list<i64>> failures;
+  // What unfinished tasks can go on from, by task.
+  3: map<i32, string> checkpoints;
 }
 
 // What must outlive every process about a job. `phase` is a JobPhase.
@@ -319,6 +321,13 @@
   11: i32 agentPort;
 }
 
+// How much the slack of serving tasks of one image drops when tasks of another use a whole worker's processors.
+struct ImagePair {
+  1: string servingImage;
+  2: string fillingImage;
+  3: double effect;
+}
+
 struct WorkerReport {
   1: WorkerDescription worker;
   2: i64 epoch;
@@ -335,6 +344,8 @@
   9: bool reachable;
   // The agent does not know what some of the runs are.
   10: bool wantsRunInfo;
+  // In the first reports of an epoch: what earlier owners have learned of images.
+  11: list<ImagePair> pairs;
 }
 
 // What an agent needs to know of a run to pace it.
@@ -348,14 +359,6 @@
   6: i32 cpuMilli;
 }
 
-// How much tasks of one image slow serving tasks of another: the rise of the logarithm of their tail latency when
-// the first use a whole worker's processors.
-struct ImagePair {
-  1: string servingImage;
-  2: string fillingImage;
-  3: double effect;
-}
-
 struct WorkerReportReply {
   // 0: this process owns nothing.
   1: i64 epoch;
--- a/src/trefoilhoist/jobs/job.cpp
+++ b/src/trefoilhoist/jobs/job.cpp
@@ -187,6 +187,23 @@
     return true;
 }
 
+bool Job::noteCheckpoint(const Wire::TaskRef &ref, const std::string &checkpoint)
+{
+    auto *state = task(ref);
+    if (state == nullptr || state->done || checkpoint.empty() || state->checkpoint == checkpoint) {
+        return false;
+    }
+    state->checkpoint = checkpoint;
+    return true;
+}
+
+void Job::wantCheckpointsRecorded()
+{
+    if (active()) {
+        touch();
+    }
+}
+
 void Job::cancel(std::int64_t wallMs)
 {
     if (active()) {
@@ -238,8 +255,12 @@
             Wire::StepProgress recorded;
             recorded.finished = bitsOf(step);
             for (std::size_t i = 0; i < step.tasks.size(); ++i) {
-                if (!step.tasks[i].failures.empty()) {
-                    recorded.failures[static_cast<int>(i)] = step.tasks[i].failures;
+                const auto &task = step.tasks[i];
+                if (!task.failures.empty()) {
+                    recorded.failures[static_cast<int>(i)] = task.failures;
+                }
+                if (!task.done && !task.checkpoint.empty()) {
+                    recorded.checkpoints[static_cast<int>(i)] = task.checkpoint;
                 }
             }
             steps.push_back(std::move(recorded));
@@ -273,6 +294,10 @@
                 if (failures != steps[i].failures.end()) {
                     tasks[k].failures = failures->second;
                 }
+                const auto checkpoint = steps[i].checkpoints.find(static_cast<int>(k));
+                if (checkpoint != steps[i].checkpoints.end()) {
+                    tasks[k].checkpoint = checkpoint->second;
+                }
             }
             occurrence.steps[i].unfinished
                 = static_cast<int>(std::count_if(tasks.begin(), tasks.end(), [](const auto &it) { return !it.done; }));
--- a/src/trefoilhoist/jobs/job.h
+++ b/src/trefoilhoist/jobs/job.h
@@ -108,6 +108,10 @@
     bool finishTask(const Wire::TaskRef &ref);
     /// Counts a failed run once; fails the job when its attempts are used up. True when something changed.
     bool failTask(const Wire::TaskRef &ref, std::int64_t run, std::int64_t wallMs);
+    /// What the task can go on from; true when that is news. Recorded only with the next version.
+    bool noteCheckpoint(const Wire::TaskRef &ref, const std::string &checkpoint);
+    /// Makes a new version for the checkpoints noted since the last one.
+    void wantCheckpointsRecorded();
     void cancel(std::int64_t wallMs);
 
     /// The estimated time from now to the end of the longest chain of unfinished steps of an occurrence.
--- a/src/trefoilhoist/jobs/jobplanning.cpp
+++ b/src/trefoilhoist/jobs/jobplanning.cpp
@@ -33,6 +33,7 @@
     m_now = now;
     std::map<std::string, Wire::WorkerOrders> orders;
     expireWorkers(now);
+    recordCheckpoints(now);
     for (const auto &id : m_active) {
         const auto due = m_jobs.at(id).job.nextDueMs();
         if (due && *due <= wallMs - m_settings.dueSlackMs) {
--- a/src/trefoilhoist/jobs/jobreports.cpp
+++ b/src/trefoilhoist/jobs/jobreports.cpp
@@ -12,6 +12,8 @@
 /// Minions renew their figures about this often.
 constexpr Duration figuresEvery = milliseconds(480);
 constexpr int fullPercent = 100;
+/// Jobs whose checkpoints are recorded at one time: four commits.
+constexpr std::size_t maxCheckpointRecords = 60;
 
 } // namespace
 
@@ -325,6 +327,7 @@
     auto &run = it->second;
     if (!row.checkpoint.empty()) {
         run.checkpoint = row.checkpoint;
+        noteCheckpoint(row);
     }
     run.usage = row.usage;
     if (row.percent != run.percent) {
@@ -340,6 +343,32 @@
     }
 }
 
+void JobScheduler::noteCheckpoint(const Wire::RunningTask &row)
+{
+    auto *entry = find(row.task.job);
+    if (entry != nullptr && entry->job.step(row.task.step).checkpoints
+        && entry->job.noteCheckpoint(row.task, row.checkpoint)) {
+        m_checkpointed.insert(row.task.job);
+    }
+}
+
+// Checkpoints outlive the loss of every process and minion only in the store; gathered, since there are many.
+void JobScheduler::recordCheckpoints(TimePoint now)
+{
+    if (now - m_checkpointsRecordedAt < m_settings.checkpointRecording || m_checkpointed.empty()) {
+        return;
+    }
+    m_checkpointsRecordedAt = now;
+    for (std::size_t n = 0; n < maxCheckpointRecords && !m_checkpointed.empty(); ++n) {
+        const auto id = m_checkpointed.extract(m_checkpointed.begin()).value();
+        auto *entry = find(id);
+        if (entry != nullptr && entry->accepted && entry->job.active()) {
+            entry->job.wantCheckpointsRecorded();
+            m_changed.insert(id);
+        }
+    }
+}
+
 // Takes up a run that an earlier owner ordered.
 void JobScheduler::adopt(Worker &worker, const Wire::RunningTask &row, TimePoint now)
 {
--- a/src/trefoilhoist/jobs/jobscheduler.h
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -22,6 +22,8 @@
     Duration grantGrace = seconds(2);
     /// Between two orders about a run whose last order got no answer.
     Duration orderRetry = milliseconds(250);
+    /// Between two recordings of checkpoints.
+    Duration checkpointRecording = seconds(1);
     /// A final job is forgotten after this, in milliseconds.
     std::int64_t keepEndedMs = 150'000;
     /// An occurrence starts this much after its due time, in milliseconds: clocks differ.
@@ -158,6 +160,8 @@
     void learnInterference(Worker &worker, TimePoint now);
     void loseRun(Worker &worker, const RunKey &key, TimePoint now);
     void popRecordedEnds(Worker &worker);
+    void noteCheckpoint(const Wire::RunningTask &row);
+    void recordCheckpoints(TimePoint now);
     void breakGang(const Wire::TaskRef &task, std::int64_t run, TimePoint now);
     void wantStop(Worker &worker, const RunKey &key, TimePoint now);
 
@@ -196,6 +200,9 @@
     std::set<std::string> m_active;
     std::set<std::string> m_changed;
     std::set<std::string> m_stale;
+    /// Jobs with checkpoints that are not on their way to the store.
+    std::set<std::string> m_checkpointed;
+    TimePoint m_checkpointsRecordedAt;
     std::map<StepKey, PendingStep> m_pending;
     std::map<std::string, Worker> m_workers;
     InterferenceTable m_interference;
--- a/tests/unit/jobscheduler.cpp
+++ b/tests/unit/jobscheduler.cpp
@@ -249,6 +249,58 @@
     EXPECT_FALSE(isFinal(later.job("a")->phase()));
 }
 
+// All power is lost: no agent and no minion knows the checkpoint any more.
+TEST_F(JobSchedulerTest, checkpointOfARunningTask_laterOwnerWithOnlyTheRecords_startsFromIt)
+{
+    join("w1");
+    auto step = stepOf(1, 1000);
+    step.checkpoints = true;
+    accept(jobOf("a", {step}));
+    const auto orders = plan().at("w1");
+    answer(orders, OrderResult::Done);
+    m_scheduler.takeChanged();
+    auto report = reportOf("w1");
+    report.running = {running(orders.starts.front())};
+    report.running.front().checkpoint = "half";
+    tell(report);
+    m_now += m_settings.checkpointRecording;
+    plan();
+    EXPECT_EQ(m_scheduler.takeChanged(), std::set<std::string>{"a"});
+
+    JobScheduler later(m_settings, epoch + 1);
+    later.restoreJob(m_scheduler.job("a")->spec(), m_scheduler.job("a")->progress(), m_now);
+    report = reportOf("w2");
+    report.epoch = epoch + 1;
+    later.report(report, true, m_now);
+    later.rosterRecorded(later.takeRoster().value());
+    const auto again = later.plan(m_now, wallMs);
+    ASSERT_EQ(again.count("w2"), 1U);
+    EXPECT_EQ(again.at("w2").starts.front().checkpoint, "half");
+}
+
+TEST_F(JobSchedulerTest, manyNewCheckpoints_withinTheRecordingTime_areRecordedOnce)
+{
+    join("w1");
+    auto step = stepOf(1, 1000);
+    step.checkpoints = true;
+    accept(jobOf("a", {step}));
+    const auto orders = plan().at("w1");
+    answer(orders, OrderResult::Done);
+    m_scheduler.takeChanged();
+    std::size_t recordings = 0;
+    for (int i = 0; i < 20; ++i) {
+        m_now += m_settings.checkpointRecording / 10;
+        auto report = reportOf("w1");
+        report.running = {running(orders.starts.front())};
+        report.running.front().checkpoint = std::to_string(i);
+        tell(report);
+        plan();
+        recordings += m_scheduler.takeChanged().size();
+    }
+    EXPECT_LE(recordings, 3U);
+    EXPECT_GE(recordings, 2U);
+}
+
 TEST_F(JobSchedulerTest, inheritedTask_someAgentHasNotReported_isNotStarted)
 {
     Wire::WorkerRoster roster;
