--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -222,6 +222,9 @@
     for (const auto &row : m_running) {
         report.wantsRunInfo = report.wantsRunInfo || !m_pace.knows({row.task, row.run});
     }
+    if (m_pairsToldIn != report.epoch) {
+        report.pairs = m_pace.pairs();
+    }
     return report;
 }
 
@@ -251,6 +254,7 @@
         co_return;
     }
     m_ownerHeardAt = m_runtime.clock().now();
+    m_pairsToldIn = epoch;
     m_metrics.latency("trefoilhoist_report").record(m_ownerHeardAt - sentAt, m_ownerHeardAt);
     if (!sameLife) {
         co_return;
--- a/src/programs/agent/agent.h
+++ b/src/programs/agent/agent.h
@@ -105,6 +105,8 @@
     Endpoint m_owner;
     std::unique_ptr<PeerClient> m_ownerClient;
     TimePoint m_ownerHeardAt;
+    /// The epoch whose owner was told the known pairs of images.
+    std::int64_t m_pairsToldIn = 0;
     TimePoint m_startedAt;
     Waiters m_waiters;
     bool m_news = false;
--- a/src/trefoilhoist/jobs/interferencetable.cpp
+++ b/src/trefoilhoist/jobs/interferencetable.cpp
@@ -10,6 +10,8 @@
 /// What a pair is taken to do before it was seen, and how much evidence that counts as.
 constexpr double unseenEffect = 1.5;
 constexpr double unseenWeight = 0.01;
+/// How much evidence a remembered effect counts as.
+constexpr double rememberedWeight = 0.04;
 /// Evidence from which other processes are told.
 constexpr double toldWeight = 0.02;
 constexpr double toldChange = 0.3;
@@ -57,8 +59,10 @@
 {
     for (int i = 0; i < sweeps; ++i) {
         for (const auto &[image, withTail] : model.withTail) {
-            double rest = withTail + unseenWeight * unseenEffect;
-            double own = unseenWeight;
+            const auto known = model.remembered.find(image);
+            const double prior = known == model.remembered.end() ? unseenWeight : rememberedWeight;
+            double rest = withTail + prior * (known == model.remembered.end() ? unseenEffect : known->second);
+            double own = prior;
             for (auto it = model.products.lower_bound({image, {}});
                  it != model.products.end() && it->first.first == image;
                  ++it) {
@@ -98,6 +102,28 @@
     m_models[pair.servingImage].effects[pair.fillingImage] = pair.effect;
 }
 
+void InterferenceTable::remember(const Wire::ImagePair &pair)
+{
+    auto &model = m_models[pair.servingImage];
+    model.remembered.emplace(pair.fillingImage, pair.effect);
+    model.effects.emplace(pair.fillingImage, pair.effect);
+}
+
+std::vector<Wire::ImagePair> InterferenceTable::pairs() const
+{
+    std::vector<Wire::ImagePair> pairs;
+    for (const auto &[serving, model] : m_models) {
+        for (const auto &[filling, effect] : model.effects) {
+            Wire::ImagePair pair;
+            pair.servingImage = serving;
+            pair.fillingImage = filling;
+            pair.effect = effect;
+            pairs.push_back(std::move(pair));
+        }
+    }
+    return pairs;
+}
+
 std::vector<Wire::ImagePair>
 InterferenceTable::takeChanged(std::map<std::pair<std::string, std::string>, double> &told) const
 {
--- a/src/trefoilhoist/jobs/interferencetable.h
+++ b/src/trefoilhoist/jobs/interferencetable.h
@@ -31,6 +31,10 @@
 
     /// Takes an effect that another process has learned.
     void set(const Wire::ImagePair &pair);
+    /// Takes what an earlier owner had learned, unless the pair has been seen since.
+    void remember(const Wire::ImagePair &pair);
+    /// All effects, to be remembered by another process.
+    [[nodiscard]] std::vector<Wire::ImagePair> pairs() const;
     /// Pairs with enough evidence whose effect changed noticeably since they were taken last.
     std::vector<Wire::ImagePair> takeChanged(std::map<std::pair<std::string, std::string>, double> &told) const;
 
@@ -40,6 +44,8 @@
         std::map<std::pair<std::string, std::string>, double> products;
         std::map<std::string, double> withTail;
         std::map<std::string, double> effects;
+        /// By filling image, what an earlier owner had learned.
+        std::map<std::string, double> remembered;
         TimePoint fadedAt;
     };
     static void solve(Model &model);
--- a/src/trefoilhoist/jobs/jobreports.cpp
+++ b/src/trefoilhoist/jobs/jobreports.cpp
@@ -40,6 +40,9 @@
     worker->draining = report.draining;
     worker->reachable = report.reachable;
     worker->heardAt = now;
+    for (const auto &it : report.pairs) {
+        m_interference.remember(it);
+    }
     if (current && report.listing > worker->listing) {
         if (!worker->listed) {
             worker->listed = true;
--- a/src/trefoilhoist/jobs/pacecontrol.h
+++ b/src/trefoilhoist/jobs/pacecontrol.h
@@ -46,6 +46,12 @@
         m_table.set(pair);
     }
 
+    /// What is known of pairs of images, for an owner that has not seen them.
+    [[nodiscard]] std::vector<Wire::ImagePair> pairs() const
+    {
+        return m_table.pairs();
+    }
+
     /// Takes a listing's figures; returns what is to be ordered now.
     std::vector<PaceOrder> update(const std::vector<Wire::RunningTask> &running, TimePoint now);
     /// A run was started just now: the share of its speed, in percent, that does no harm beside what runs.
--- a/tests/unit/jobscheduler.cpp
+++ b/tests/unit/jobscheduler.cpp
@@ -554,6 +554,24 @@
     EXPECT_EQ(starts(plan()), 1U);
 }
 
+// A takeover in the middle of the day: the new owner has seen no figures yet.
+TEST_F(FillingLoadTest, servingTaskWithSomeSlack_fillThatAnAgentKnowsAsHeavy_waits)
+{
+    serveOn("w1", 30);
+    Wire::ImagePair pair;
+    pair.servingImage = "site";
+    pair.fillingImage = "heavy";
+    pair.effect = 9;
+    auto report = reportOf("w1");
+    report.running = {m_serving};
+    report.pairs = {pair};
+    tell(report);
+    accept(jobOf("heavy", {fillStep("heavy")}));
+    EXPECT_EQ(starts(plan()), 0U);
+    accept(jobOf("unknown", {fillStep("image")}));
+    EXPECT_EQ(starts(plan()), 1U);
+}
+
 TEST_F(FillingLoadTest, workerWithoutServingTasks_fill_goesThere)
 {
     serveOn("w1", 45);
--- a/tests/unit/pacecontrol.cpp
+++ b/tests/unit/pacecontrol.cpp
@@ -215,6 +215,23 @@
     EXPECT_LT(m_table.effect("site", "image"), 2);
 }
 
+TEST_F(InterferenceTableTest, rememberedPair_ownFigures_winInTheEnd)
+{
+    Wire::ImagePair pair;
+    pair.servingImage = "site";
+    pair.fillingImage = "image";
+    pair.effect = 8;
+    m_table.remember(pair);
+    EXPECT_DOUBLE_EQ(m_table.effect("site", "image"), 8);
+    observe(0, "image", 0.1);
+    EXPECT_GT(m_table.effect("site", "image"), 4);
+    for (int i = 0; i < 40; ++i) {
+        observe(0, "image", i % 2 == 0 ? -0.1 : 0.1);
+    }
+    EXPECT_LT(m_table.effect("site", "image"), 1.5);
+    EXPECT_EQ(m_table.pairs().size(), 1U);
+}
+
 TEST_F(InterferenceTableTest, pairWithLittleEvidence_isNotTold)
 {
     std::map<std::pair<std::string, std::string>, double> told;
