--- a/src/trefoilhoist/jobs/pacecontrol.cpp
+++ b/src/trefoilhoist/jobs/pacecontrol.cpp
@@ -28,6 +28,12 @@
 constexpr double leastEffect = 0.8;
 constexpr double largestSlack = 6;
 
+int percentOf(double speed)
+{
+    const int steps = static_cast<int>(std::lround(speed * fullSpeed / speedStepPercent));
+    return std::clamp(steps * speedStepPercent, leastPercent, fullSpeed);
+}
+
 } // namespace
 
 double slackOf(std::int64_t tailMs, std::int64_t targetMs)
@@ -127,8 +133,7 @@
             fresh.speed = std::max(slowestSpeed, fresh.speed - excess / press);
         }
     }
-    const int steps = static_cast<int>(std::lround(fresh.speed * fullSpeed / speedStepPercent));
-    const int percent = std::clamp(steps * speedStepPercent, leastPercent, fullSpeed);
+    const int percent = percentOf(fresh.speed);
     m_ordered[run] = percent;
     return percent;
 }
@@ -173,8 +178,7 @@
 {
     std::vector<PaceOrder> orders;
     for (const auto &it : m_filling) {
-        const int steps = static_cast<int>(std::lround(it.speed * fullSpeed / speedStepPercent));
-        const int percent = std::clamp(steps * speedStepPercent, leastPercent, fullSpeed);
+        const int percent = percentOf(it.speed);
         auto &ordered = m_ordered[it.run];
         if (ordered != percent) {
             ordered = percent;
