Starts that were held up on their way are refused

Cause: an agent judged orders by epoch and lease term only; both were right, the start was 6 s old. Now orders tell after which report of the agent they were given and how long after; the agent knows when it sent that report, so no two clocks are compared, and it refuses starts older than the owner waits for an answer (1.5 s). Stops pass however late. Tests: unit-ordergate failed before.

--- a/idl/gen/messages_types.cpp
+++ b/idl/gen/messages_types.cpp
@@ -6475,6 +6475,10 @@
 void WorkerReport::__set_pairs(const std::vector<ImagePair> & val) {
   this->pairs = val;
 }
+
+void WorkerReport::__set_number(const int64_t val) {
+  this->number = val;
+}
 std::ostream& operator<<(std::ostream& out, const WorkerReport& obj)
 {
   obj.printTo(out);
@@ -6627,6 +6631,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6712,6 +6724,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 12);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6730,6 +6746,7 @@
   swap(a.reachable, b.reachable);
   swap(a.wantsRunInfo, b.wantsRunInfo);
   swap(a.pairs, b.pairs);
+  swap(a.number, b.number);
   swap(a.__isset, b.__isset);
 }
 
@@ -6745,6 +6762,7 @@
   reachable = other277.reachable;
   wantsRunInfo = other277.wantsRunInfo;
   pairs = other277.pairs;
+  number = other277.number;
   __isset = other277.__isset;
 }
 WorkerReport::WorkerReport(WorkerReport&& other278) noexcept {
@@ -6759,6 +6777,7 @@
   reachable = other278.reachable;
   wantsRunInfo = other278.wantsRunInfo;
   pairs = std::move(other278.pairs);
+  number = other278.number;
   __isset = other278.__isset;
 }
 WorkerReport& WorkerReport::operator=(const WorkerReport& other279) {
@@ -6773,6 +6792,7 @@
   reachable = other279.reachable;
   wantsRunInfo = other279.wantsRunInfo;
   pairs = other279.pairs;
+  number = other279.number;
   __isset = other279.__isset;
   return *this;
 }
@@ -6788,6 +6808,7 @@
   reachable = other280.reachable;
   wantsRunInfo = other280.wantsRunInfo;
   pairs = std::move(other280.pairs);
+  number = other280.number;
   __isset = other280.__isset;
   return *this;
 }
@@ -6805,6 +6826,7 @@
   out << ", " << "reachable=" << to_string(reachable);
   out << ", " << "wantsRunInfo=" << to_string(wantsRunInfo);
   out << ", " << "pairs=" << to_string(pairs);
+  out << ", " << "number=" << to_string(number);
   out << ")";
 }
 
@@ -7640,6 +7662,14 @@
 void WorkerOrders::__set_leaseTerm(const int64_t val) {
   this->leaseTerm = val;
 }
+
+void WorkerOrders::__set_afterReport(const int64_t val) {
+  this->afterReport = val;
+}
+
+void WorkerOrders::__set_sinceReportMs(const int64_t val) {
+  this->sinceReportMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const WorkerOrders& obj)
 {
   obj.printTo(out);
@@ -7756,6 +7786,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->afterReport);
+          this->__isset.afterReport = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sinceReportMs);
+          this->__isset.sinceReportMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7821,6 +7867,14 @@
   xfer += oprot->writeI64(this->leaseTerm);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("afterReport", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->afterReport);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sinceReportMs", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->sinceReportMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7836,6 +7890,8 @@
   swap(a.starts, b.starts);
   swap(a.stops, b.stops);
   swap(a.leaseTerm, b.leaseTerm);
+  swap(a.afterReport, b.afterReport);
+  swap(a.sinceReportMs, b.sinceReportMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -7848,6 +7904,8 @@
   starts = other321.starts;
   stops = other321.stops;
   leaseTerm = other321.leaseTerm;
+  afterReport = other321.afterReport;
+  sinceReportMs = other321.sinceReportMs;
   __isset = other321.__isset;
 }
 WorkerOrders::WorkerOrders(WorkerOrders&& other322) noexcept {
@@ -7859,6 +7917,8 @@
   starts = std::move(other322.starts);
   stops = std::move(other322.stops);
   leaseTerm = other322.leaseTerm;
+  afterReport = other322.afterReport;
+  sinceReportMs = other322.sinceReportMs;
   __isset = other322.__isset;
 }
 WorkerOrders& WorkerOrders::operator=(const WorkerOrders& other323) {
@@ -7870,6 +7930,8 @@
   starts = other323.starts;
   stops = other323.stops;
   leaseTerm = other323.leaseTerm;
+  afterReport = other323.afterReport;
+  sinceReportMs = other323.sinceReportMs;
   __isset = other323.__isset;
   return *this;
 }
@@ -7882,6 +7944,8 @@
   starts = std::move(other324.starts);
   stops = std::move(other324.stops);
   leaseTerm = other324.leaseTerm;
+  afterReport = other324.afterReport;
+  sinceReportMs = other324.sinceReportMs;
   __isset = other324.__isset;
   return *this;
 }
@@ -7896,6 +7960,8 @@
   out << ", " << "starts=" << to_string(starts);
   out << ", " << "stops=" << to_string(stops);
   out << ", " << "leaseTerm=" << to_string(leaseTerm);
+  out << ", " << "afterReport=" << to_string(afterReport);
+  out << ", " << "sinceReportMs=" << to_string(sinceReportMs);
   out << ")";
 }
 
--- a/idl/gen/messages_types.h
+++ b/idl/gen/messages_types.h
@@ -2396,7 +2396,7 @@
 std::ostream& operator<<(std::ostream& out, const ImagePair& obj);
 
 typedef struct _WorkerReport__isset {
-  _WorkerReport__isset() : worker(false), epoch(false), listing(false), listed(false), draining(false), gone(false), running(false), ended(false), reachable(false), wantsRunInfo(false), pairs(false) {}
+  _WorkerReport__isset() : worker(false), epoch(false), listing(false), listed(false), draining(false), gone(false), running(false), ended(false), reachable(false), wantsRunInfo(false), pairs(false), number(false) {}
   bool worker :1;
   bool epoch :1;
   bool listing :1;
@@ -2408,6 +2408,7 @@
   bool reachable :1;
   bool wantsRunInfo :1;
   bool pairs :1;
+  bool number :1;
 } _WorkerReport__isset;
 
 class WorkerReport : public virtual ::apache::thrift::TBase {
@@ -2424,7 +2425,8 @@
                  draining(0),
                  gone(0),
                  reachable(0),
-                 wantsRunInfo(0) {
+                 wantsRunInfo(0),
+                 number(0) {
   }
 
   virtual ~WorkerReport() noexcept;
@@ -2439,6 +2441,7 @@
   bool reachable;
   bool wantsRunInfo;
   std::vector<ImagePair>  pairs;
+  int64_t number;
 
   _WorkerReport__isset __isset;
 
@@ -2464,6 +2467,8 @@
 
   void __set_pairs(const std::vector<ImagePair> & val);
 
+  void __set_number(const int64_t val);
+
   bool operator == (const WorkerReport & rhs) const
   {
     if (!(worker == rhs.worker))
@@ -2488,6 +2493,8 @@
       return false;
     if (!(pairs == rhs.pairs))
       return false;
+    if (!(number == rhs.number))
+      return false;
     return true;
   }
   bool operator != (const WorkerReport &rhs) const {
@@ -2793,7 +2800,7 @@
 std::ostream& operator<<(std::ostream& out, const StopOrder& obj);
 
 typedef struct _WorkerOrders__isset {
-  _WorkerOrders__isset() : epoch(false), ownerHost(false), ownerPort(false), worker(false), born(false), starts(false), stops(false), leaseTerm(false) {}
+  _WorkerOrders__isset() : epoch(false), ownerHost(false), ownerPort(false), worker(false), born(false), starts(false), stops(false), leaseTerm(false), afterReport(false), sinceReportMs(false) {}
   bool epoch :1;
   bool ownerHost :1;
   bool ownerPort :1;
@@ -2802,6 +2809,8 @@
   bool starts :1;
   bool stops :1;
   bool leaseTerm :1;
+  bool afterReport :1;
+  bool sinceReportMs :1;
 } _WorkerOrders__isset;
 
 class WorkerOrders : public virtual ::apache::thrift::TBase {
@@ -2817,7 +2826,9 @@
                  ownerPort(0),
                  worker(),
                  born(0),
-                 leaseTerm(0) {
+                 leaseTerm(0),
+                 afterReport(0),
+                 sinceReportMs(0) {
   }
 
   virtual ~WorkerOrders() noexcept;
@@ -2829,6 +2840,8 @@
   std::vector<StartOrder>  starts;
   std::vector<StopOrder>  stops;
   int64_t leaseTerm;
+  int64_t afterReport;
+  int64_t sinceReportMs;
 
   _WorkerOrders__isset __isset;
 
@@ -2848,6 +2861,10 @@
 
   void __set_leaseTerm(const int64_t val);
 
+  void __set_afterReport(const int64_t val);
+
+  void __set_sinceReportMs(const int64_t val);
+
   bool operator == (const WorkerOrders & rhs) const
   {
     if (!(epoch == rhs.epoch))
@@ -2866,6 +2883,10 @@
       return false;
     if (!(leaseTerm == rhs.leaseTerm))
       return false;
+    if (!(afterReport == rhs.afterReport))
+      return false;
+    if (!(sinceReportMs == rhs.sinceReportMs))
+      return false;
     return true;
   }
   bool operator != (const WorkerOrders &rhs) const {
--- a/idl/messages.thrift
+++ b/idl/messages.thrift
@@ -346,6 +346,8 @@
   10: bool wantsRunInfo;
   // In the first reports of an epoch: what earlier owners have learned of images.
   11: list<ImagePair> pairs;
+  // Rises with each report of one process.
+  12: i64 number;
 }
 
 // What an agent needs to know of a run to pace it.
@@ -399,6 +401,9 @@
   7: list<StopOrder> stops;
   // Orders of an earlier term are refused.
   8: i64 leaseTerm;
+  // The last report that the owner had taken, and how long before these orders: tells how old they are on arrival.
+  9: i64 afterReport;
+  10: i64 sinceReportMs;
 }
 
 // Results are OrderResults, in the order of the orders.
--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -37,6 +37,7 @@
     m_startedAt = m_runtime.clock().now();
     // Listings of this process are later than those of earlier ones.
     m_listings = m_runtime.incarnation() * listingsPerMillisecond;
+    m_reports = m_listings;
     if (const auto port = m_peers.listen(m_settings.peers); !port) {
         return StartProblem{"/peers", port.error()};
     }
@@ -231,7 +232,9 @@
 awaitable<void> AgentServer::reportOnce()
 {
     const auto sentAt = m_runtime.clock().now();
-    const auto sent = report();
+    auto sent = report();
+    sent.number = ++m_reports;
+    m_gate.noteReport(sent.number, sentAt);
     const auto epoch = sent.epoch;
     if (!sent.ended.empty()) {
         m_reportedEnds = std::max(m_reportedEnds, sent.ended.back().number);
--- a/src/programs/agent/minionruns.cpp
+++ b/src/programs/agent/minionruns.cpp
@@ -197,7 +197,7 @@
     const auto &order = orders.starts[number];
     const auto now = m_runtime.clock().now();
     const bool meant = m_minion && m_minion->worker.id == orders.worker && m_minion->worker.born == orders.born;
-    const auto refusal = meant ? m_gate.refusal(orders, now) : "another life of the minion";
+    const auto refusal = meant ? m_gate.startRefusal(orders, now) : "another life of the minion";
     const auto until = m_gate.holdUntil(now);
     if (!refusal.empty() || m_minion->draining || !until) {
         Event("start_withheld")
--- a/src/trefoilhoist/jobs/jobplanning.cpp
+++ b/src/trefoilhoist/jobs/jobplanning.cpp
@@ -104,6 +104,8 @@
     result.worker = worker.info.id;
     result.born = worker.info.born;
     result.leaseTerm = worker.leaseTerm;
+    result.afterReport = worker.report;
+    result.sinceReportMs = duration_cast<milliseconds>(m_now - worker.heardAt).count();
     return result;
 }
 
--- a/src/trefoilhoist/jobs/jobscheduler.h
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -145,25 +145,29 @@
     void stopRuns(Entry &entry, TimePoint now);
     void releaseMemory(Entry &entry);
 
-    // jobreports.cpp
+    // workerlives.cpp
     Worker *lifeOf(const Wire::WorkerReport &report, TimePoint now);
     void dismissAgent(const std::string &name, TimePoint now);
     void enroll(const Wire::WorkerDescription &worker);
     void endLife(Worker &worker, TimePoint now);
+    void loseRun(Worker &worker, const RunKey &key, TimePoint now);
+    void breakGang(const Wire::TaskRef &task, std::int64_t run, TimePoint now);
+    void wantStop(Worker &worker, const RunKey &key, TimePoint now);
+
+    // jobreports.cpp
     void takeEnd(Worker &worker, const Wire::EndedTask &end, TimePoint now);
     static void noteHealth(Worker &worker, const Wire::EndedTask &end, TimePoint now);
     void applyEnd(Job &job, const Worker &worker, const Wire::EndedTask &end);
     void stopNeedless(Entry &entry, const Wire::EndedTask &end, TimePoint now);
+    void popRecordedEnds(Worker &worker);
+
+    // joblistings.cpp
     void takeRunning(Worker &worker, const Wire::RunningTask &row, std::int64_t listing, TimePoint now);
     void adopt(Worker &worker, const Wire::RunningTask &row, TimePoint now);
     void dropMissing(Worker &worker, const Wire::WorkerReport &report, TimePoint now);
     void learnInterference(Worker &worker, TimePoint now);
-    void loseRun(Worker &worker, const RunKey &key, TimePoint now);
-    void popRecordedEnds(Worker &worker);
     void noteCheckpoint(const Wire::RunningTask &row);
     void recordCheckpoints(TimePoint now);
-    void breakGang(const Wire::TaskRef &task, std::int64_t run, TimePoint now);
-    void wantStop(Worker &worker, const RunKey &key, TimePoint now);
 
     // joborders.cpp
     void startDone(Worker &worker, const RunKey &key, OrderResult result, std::int64_t listing, TimePoint now);
@@ -171,7 +175,6 @@
 
     // jobplanning.cpp
     void expireWorkers(TimePoint now);
-    void watchProgress(TimePoint now);
     void repeatOrders(std::map<std::string, Wire::WorkerOrders> &orders, TimePoint now);
     void placeStep(const PendingStep &pending, std::map<std::string, Wire::WorkerOrders> &orders, TimePoint now);
     void placeGang(Entry &entry,
--- a/src/trefoilhoist/jobs/ordergate.cpp
+++ b/src/trefoilhoist/jobs/ordergate.cpp
@@ -8,6 +8,10 @@
 
 /// A minion's clock may be this slow.
 constexpr double slowestClock = 0.98;
+/// The owner gives up waiting for an answer after as long.
+constexpr Duration startValid = milliseconds(1500);
+/// Reports whose time of sending is kept; several go out each second.
+constexpr std::size_t keptReports = 64;
 
 } // namespace
 
@@ -85,6 +89,31 @@
     return {};
 }
 
+std::string OrderGate::startRefusal(const Wire::WorkerOrders &orders, TimePoint now) const
+{
+    auto reason = refusal(orders, now);
+    if (!reason.empty()) {
+        return reason;
+    }
+    const auto report = m_reports.find(orders.afterReport);
+    if (report == m_reports.end()) {
+        return "starts given after report " + std::to_string(orders.afterReport) + ", which is not known";
+    }
+    const auto age = now - report->second - milliseconds(orders.sinceReportMs);
+    if (age > startValid) {
+        return "starts held up for " + std::to_string(duration_cast<milliseconds>(age).count()) + " ms";
+    }
+    return {};
+}
+
+void OrderGate::noteReport(std::int64_t number, TimePoint now)
+{
+    m_reports[number] = now;
+    while (m_reports.size() > keptReports) {
+        m_reports.erase(m_reports.begin());
+    }
+}
+
 void OrderGate::noteMinionClock(std::int64_t clockMs, TimePoint now)
 {
     if (clockMs > 0) {
--- a/src/trefoilhoist/jobs/ordergate.h
+++ b/src/trefoilhoist/jobs/ordergate.h
@@ -4,6 +4,7 @@
 #include "trefoilhoist/world/clock.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -42,6 +43,12 @@
     /// Empty when the orders may pass, otherwise why not.
     [[nodiscard]] std::string refusal(const Wire::WorkerOrders &orders, TimePoint now) const;
 
+    /// Also refuses starts that were held up on their way: the owner has long counted them as unanswered, and what
+    /// they depended on may have changed. Stops that come late do no harm.
+    [[nodiscard]] std::string startRefusal(const Wire::WorkerOrders &orders, TimePoint now) const;
+    /// Report `number` is sent now.
+    void noteReport(std::int64_t number, TimePoint now);
+
     [[nodiscard]] TimePoint leaseEnds() const
     {
         return m_leaseEnds;
@@ -75,6 +82,8 @@
     TimePoint m_mayRunUntil;
     std::int64_t m_clockMs = 0;
     TimePoint m_clockAt;
+    /// When the latest reports were sent, by number.
+    std::map<std::int64_t, TimePoint> m_reports;
 };
 
 } // namespace Trefoilhoist::Jobs
--- a/src/trefoilhoist/jobs/worker.h
+++ b/src/trefoilhoist/jobs/worker.h
@@ -96,6 +96,8 @@
     /// Rises whenever what was ordered is given up, so that an order held up on its way is refused.
     std::int64_t leaseTerm = 1;
     TimePoint heardAt;
+    /// Number of the agent's last report.
+    std::int64_t report = 0;
     std::int64_t listing = 0;
     std::int64_t lastEnd = 0;
     std::int64_t recordedEnds = 0;
--- a/tests/random/jobscheduler.cpp
+++ b/tests/random/jobscheduler.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+/// A start that was on its way when the end came is allowed for.
+constexpr Duration longestHeldStart = milliseconds(1500);
 constexpr std::int32_t workerCpuMilli = 4000;
 constexpr int workerCount = 4;
 constexpr int jobCount = 12;
@@ -43,6 +45,7 @@
     std::map<Wire::TaskRef, std::int64_t> barred;
     OrderGate gate;
     std::int64_t listings = 0;
+    std::int64_t reports = 0;
     TimePoint holdUntil;
     TimePoint cutUntil;
     std::vector<HeldOrders> held;
@@ -237,9 +240,14 @@
             node.holdUntil = std::max(node.holdUntil, node.gate.leaseEnds());
         }
         for (const auto &it : node.ended) {
-            const bool noted = it.number <= node.gate.recordedEnds() && node.endedBeforeLapse.count(it.number) == 0;
-            if (noted && static_cast<EndKind>(it.how) == EndKind::Done) {
+            const bool done = static_cast<EndKind>(it.how) == EndKind::Done;
+            if (it.number > node.gate.recordedEnds() || !done) {
+                continue;
+            }
+            if (node.endedBeforeLapse.count(it.number) == 0) {
                 m_noted.insert(it.task);
+            } else {
+                m_notedAfterLapse.emplace(it.task, m_now);
             }
         }
         std::erase_if(node.ended, [&](const auto &it) { return it.number <= node.gate.recordedEnds(); });
@@ -256,6 +264,8 @@
         report.worker.agentHost = node.id;
         report.epoch = node.gate.epoch();
         report.listing = node.listings;
+        report.number = ++node.reports;
+        node.gate.noteReport(report.number, m_now);
         report.listed = node.gate.isListed();
         report.reachable = true;
         report.ended = node.ended;
@@ -313,7 +323,8 @@
             reply.stops.push_back(static_cast<int>(passes ? stop(node, it) : OrderResult::Refused));
         }
         for (const auto &it : orders.starts) {
-            reply.starts.push_back(static_cast<int>(passes ? start(node, it, orders.epoch) : OrderResult::Refused));
+            const bool mayStart = passes && node.gate.startRefusal(orders, m_now).empty();
+            reply.starts.push_back(static_cast<int>(mayStart ? start(node, it, orders.epoch) : OrderResult::Refused));
         }
         reply.listing = node.listings;
         return reply;
@@ -367,6 +378,10 @@
         if (m_noted.count(key.task) > 0) {
             fail(taskName(key.task) + " starts after its end was taken note of");
         }
+        const auto late = m_notedAfterLapse.find(key.task);
+        if (late != m_notedAfterLapse.end() && m_now - late->second > longestHeldStart) {
+            fail(taskName(key.task) + " starts long after its end was taken note of");
+        }
         for (const int earlier : step.after) {
             const auto &spec = m_specs.at(key.task.job);
             for (int i = 0; i < spec.steps[static_cast<std::size_t>(earlier)].count; ++i) {
@@ -411,6 +426,8 @@
     Wire::WorkerRoster m_roster;
     /// Tasks of which a run ended done, and those whose end was taken note of.
     std::set<Wire::TaskRef> m_done;
+    /// Ends that were told only after their minion's lease had run out, and when they were taken note of.
+    std::map<Wire::TaskRef, TimePoint> m_notedAfterLapse;
     std::set<Wire::TaskRef> m_noted;
 };
 
--- a/tests/unit/jobscheduler.cpp
+++ b/tests/unit/jobscheduler.cpp
@@ -178,6 +178,18 @@
     EXPECT_EQ(again.starts.front().run, first.starts.front().run);
 }
 
+TEST_F(JobSchedulerTest, orders_afterAReport_tellHowOldTheyAre)
+{
+    auto report = reportOf("w1");
+    report.number = 9;
+    tell(report);
+    accept(jobOf("a", {stepOf(1, 1000)}));
+    m_now += milliseconds(300);
+    const auto orders = plan().at("w1");
+    EXPECT_EQ(orders.afterReport, 9);
+    EXPECT_EQ(orders.sinceReportMs, 300);
+}
+
 TEST_F(JobSchedulerTest, runningTask_missingInALaterListing_startsAgainWithAHigherRun)
 {
     join("w1");
--- a/tests/unit/ordergate.cpp
+++ b/tests/unit/ordergate.cpp
@@ -46,6 +46,39 @@
     EXPECT_TRUE(passes(3, 1));
 }
 
+TEST_F(OrderGateTest, startsGivenJustNow_pass)
+{
+    grant(1);
+    m_gate.noteReport(7, m_now);
+    m_now += milliseconds(900);
+    auto given = orders(3, 1);
+    given.afterReport = 7;
+    given.sinceReportMs = 400;
+    EXPECT_EQ(m_gate.startRefusal(given, m_now), "");
+}
+
+// A cut shorter than the lease, then the transport delivers what it had kept; the task may have ended elsewhere.
+TEST_F(OrderGateTest, startsHeldUpForSecondsUnderTheSameLease_areRefused)
+{
+    grant(1);
+    m_gate.noteReport(7, m_now);
+    auto given = orders(3, 1);
+    given.afterReport = 7;
+    given.sinceReportMs = 400;
+    m_now += milliseconds(4400);
+    EXPECT_NE(m_gate.startRefusal(given, m_now), "");
+    EXPECT_EQ(m_gate.refusal(given, m_now), "") << "late stops pass";
+}
+
+TEST_F(OrderGateTest, startsAfterAReportOfAnEarlierProcess_areRefused)
+{
+    grant(1);
+    m_gate.noteReport(7, m_now);
+    auto given = orders(3, 1);
+    given.afterReport = 6;
+    EXPECT_NE(m_gate.startRefusal(given, m_now), "");
+}
+
 TEST_F(OrderGateTest, ordersBeforeAnyLease_areRefused)
 {
     EXPECT_FALSE(passes(3, 0));
