--- a/src/trefoilhoist/jobs/jobreports.cpp
+++ b/src/trefoilhoist/jobs/jobreports.cpp
@@ -34,20 +34,7 @@
         m_interference.remember(it);
     }
     if (current && report.listing > worker->listing) {
-        if (!worker->listed) {
-            worker->listed = true;
-            logWorker("worker_listed", *worker, m_epoch);
-        }
-        worker->listing = report.listing;
-        for (const auto &it : report.ended) {
-            takeEnd(*worker, it, now);
-        }
-        for (const auto &it : report.running) {
-            takeRunning(*worker, it, report.listing, now);
-        }
-        dropMissing(*worker, report, now);
-        learnInterference(*worker, now);
-        m_unreported.erase(agentName(worker->info));
+        takeListing(*worker, report, now);
     }
     if (report.gone && report.epoch == m_epoch) {
         m_unreported.erase(agentName(worker->info));
@@ -69,6 +56,24 @@
     return reply;
 }
 
+void JobScheduler::takeListing(Worker &worker, const Wire::WorkerReport &report, TimePoint now)
+{
+    if (!worker.listed) {
+        worker.listed = true;
+        logWorker("worker_listed", worker, m_epoch);
+    }
+    worker.listing = report.listing;
+    for (const auto &it : report.ended) {
+        takeEnd(worker, it, now);
+    }
+    for (const auto &it : report.running) {
+        takeRunning(worker, it, report.listing, now);
+    }
+    dropMissing(worker, report, now);
+    learnInterference(worker, now);
+    m_unreported.erase(agentName(worker.info));
+}
+
 void JobScheduler::takeEnd(Worker &worker, const Wire::EndedTask &end, TimePoint now)
 {
     if (end.number <= worker.lastEnd) {
--- a/src/trefoilhoist/jobs/jobscheduler.h
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -155,6 +155,7 @@
     void wantStop(Worker &worker, const RunKey &key, TimePoint now);
 
     // jobreports.cpp
+    void takeListing(Worker &worker, const Wire::WorkerReport &report, TimePoint now);
     void takeEnd(Worker &worker, const Wire::EndedTask &end, TimePoint now);
     static void noteHealth(Worker &worker, const Wire::EndedTask &end, TimePoint now);
     void applyEnd(Job &job, const Worker &worker, const Wire::EndedTask &end);
