Readers of settings stand outside platform/, one for all programs

platform/settings read endpoints and times of any program's settings and opened the event log; it translated nothing. It is now net/programsettings, and the placer calls it in place of its own copy of endpointAt. No change of behaviour.

--- a/src/programs/placer/main.cpp
+++ b/src/programs/placer/main.cpp
@@ -1,4 +1,5 @@
 #include "placer.h"
+#include "trefoilhoist/net/programsettings.h"
 
 namespace {
 
@@ -39,15 +40,6 @@
 /// A sync that takes longer than this share of the lease is repeated.
 constexpr int syncTimeoutsPerLease = 4;
 
-Endpoint endpointAt(Runtime &runtime, const std::string &place, const std::string &text)
-{
-    try {
-        return endpointFromText(text);
-    } catch (const std::exception &e) {
-        runtime.failStart(place, e.what());
-    }
-}
-
 Placer::PlacerSettings readSettings(Runtime &runtime)
 {
     const auto &json = runtime.settings();
@@ -56,10 +48,10 @@
     };
     Placer::PlacerSettings settings;
     settings.id = json.at("id");
-    settings.listen = endpointAt(runtime, "/listen", json.at("listen"));
+    settings.listen = endpointAt(runtime, "listen");
     settings.zone = ZoneId(json.value("zone", ""));
     for (const auto &it : json.at("store")) {
-        settings.store.addresses.push_back(endpointAt(runtime, "/store", it));
+        settings.store.addresses.push_back(endpointFromSetting(runtime, "/store", it));
     }
     settings.store.caller = "placer/" + settings.id;
     settings.store.timeout = millis("storeTimeoutMs", 2000);
--- a/platform/settings.cpp
+++ b/src/trefoilhoist/net/programsettings.cpp
@@ -1,8 +1,8 @@
-#include "platform/settings.h"
+#include "trefoilhoist/net/programsettings.h"
 
 #include "trefoilhoist/log/eventlog.h"
 
-namespace Trefoilhoist::Platform {
+namespace Trefoilhoist {
 
 namespace {
 
@@ -10,15 +10,20 @@
 
 } // namespace
 
-Endpoint endpointAt(const Runtime &runtime, const std::string &key)
+Endpoint endpointFromSetting(const Runtime &runtime, const std::string &place, const std::string &text)
 {
     try {
-        return endpointFromText(runtime.settings().at(key));
+        return endpointFromText(text);
     } catch (const std::exception &e) {
-        runtime.failStart("/" + key, e.what());
+        runtime.failStart(place, e.what());
     }
 }
 
+Endpoint endpointAt(const Runtime &runtime, const std::string &key)
+{
+    return endpointFromSetting(runtime, "/" + key, runtime.settings().at(key));
+}
+
 Endpoint optionalEndpointAt(const Runtime &runtime, const std::string &key)
 {
     return runtime.settings().value(key, "").empty() ? Endpoint{} : endpointAt(runtime, key);
@@ -39,4 +44,4 @@
     });
 }
 
-} // namespace Trefoilhoist::Platform
+} // namespace Trefoilhoist
--- a/platform/settings.h
+++ b/src/trefoilhoist/net/programsettings.h
@@ -4,14 +4,18 @@
 
 #include <string>
 
-namespace Trefoilhoist::Platform {
+namespace Trefoilhoist {
 
-/// The endpoint at a place of the settings; ends the start with a clear error when it can't be read.
+/// The endpoint that the setting at `place`, a JSON pointer, spells; ends the start with a clear error when it can't be
+/// read.
+[[nodiscard]] Endpoint endpointFromSetting(const Runtime &runtime, const std::string &place, const std::string &text);
+/// The endpoint of a required setting.
 [[nodiscard]] Endpoint endpointAt(const Runtime &runtime, const std::string &key);
+/// Port 0 when the setting is missing or empty.
 [[nodiscard]] Endpoint optionalEndpointAt(const Runtime &runtime, const std::string &key);
 [[nodiscard]] Duration millisAt(const Runtime &runtime, const std::string &key, Duration fallback);
 
 /// Sends the process's events to standard output.
 void openEventLog(Runtime &runtime);
 
-} // namespace Trefoilhoist::Platform
+} // namespace Trefoilhoist
