One table of peer clients, one plain answer to callers

DispatcherServer and OwnerSession each kept a map of clients and a clientOf(), and each built a JobAnswer from an outcome and the same waiting time. OwnerSession::scheduler() was called by nobody. No change of behaviour.

--- a/src/programs/dispatcher/dispatcher.cpp
+++ b/src/programs/dispatcher/dispatcher.cpp
@@ -17,20 +17,11 @@
 constexpr Duration ownerlessWait = milliseconds(400);
 constexpr Duration ownerPoll = milliseconds(25);
 constexpr Duration askTimeout = milliseconds(1200);
-constexpr std::int64_t ownerRetryAfterMs = 1000;
 constexpr Duration registerRetry = milliseconds(500);
 constexpr Duration stopPoll = milliseconds(50);
 /// After SIGTERM callers may still send on open connections; they are served for at least this long.
 constexpr Duration stopAtLeast = milliseconds(1500);
 
-Wire::JobAnswer plainAnswer(JobOutcome outcome)
-{
-    Wire::JobAnswer answer;
-    answer.outcome = static_cast<int>(outcome);
-    answer.retryAfterMs = ownerRetryAfterMs;
-    return answer;
-}
-
 Wire::OwnerRecord selfRecord(const DispatcherSettings &settings)
 {
     Wire::OwnerRecord self;
@@ -68,9 +59,11 @@
           runtime.executor(), callerLimits(), [this](HttpRequest request) { return serveCaller(std::move(request)); })
     , m_readiness(runtime.executor(), {}, [this](HttpRequest request) { return serveReadiness(std::move(request)); })
     , m_metricsServer(runtime.executor(), {}, [this](HttpRequest request) { return serveMetrics(std::move(request)); })
-    , m_peers(runtime.executor(), m_settings.name, runtime.incarnation(), [this](Wire::Envelope envelope) {
-        return servePeer(std::move(envelope));
-    })
+    , m_peers(runtime.executor(),
+              m_settings.name,
+              runtime.incarnation(),
+              [this](Wire::Envelope envelope) { return servePeer(std::move(envelope)); })
+    , m_clients(runtime.executor(), m_settings.name, runtime.incarnation())
 {
 }
 
@@ -182,7 +175,7 @@
         return tl::unexpected(callers.unreadable(caller.error()));
     }
     if (m_queues.version == 0) {
-        return tl::unexpected(callers.answer(caller->verb, plainAnswer(JobOutcome::Refused)));
+        return tl::unexpected(callers.answer(caller->verb, answerOf(JobOutcome::Refused)));
     }
     const auto *queue = m_queues.match(caller->host, caller->path);
     if (queue == nullptr) {
@@ -230,7 +223,7 @@
     }
     if (queue.policy.needsPermit) {
         Event("job_refused").add("job", question.job).add("reason", "queues with advice are not served yet");
-        return tl::unexpected(callers.answer(question.verb, plainAnswer(JobOutcome::Refused)));
+        return tl::unexpected(callers.answer(question.verb, answerOf(JobOutcome::Refused)));
     }
     Wire::SubmitJob submit;
     submit.spec = std::move(*spec);
@@ -271,7 +264,7 @@
             }
         } else if (!m_session && m_election.owner() && m_election.owner()->name != m_settings.name) {
             const Endpoint peer{m_election.owner()->host, static_cast<std::uint16_t>(m_election.owner()->port)};
-            const auto reply = co_await clientOf(peer).call(kind, payload, std::min(left, askTimeout));
+            const auto reply = co_await m_clients.at(peer).call(kind, payload, std::min(left, askTimeout));
             const auto answer = reply ? Wire::decode<Wire::JobAnswer>(reply->payload) : std::nullopt;
             if (answer && answer->outcome != static_cast<int>(JobOutcome::NotOwner)) {
                 co_return *answer;
@@ -286,14 +279,14 @@
         co_await sleepFor(ownerPoll);
     }
     const bool submission = kind == Wire::MessageKind::SubmitJobKind;
-    co_return plainAnswer(submission && maybeTaken ? JobOutcome::Unsettled : JobOutcome::Refused);
+    co_return answerOf(submission && maybeTaken ? JobOutcome::Unsettled : JobOutcome::Refused);
 }
 
 awaitable<Wire::JobAnswer> DispatcherServer::answerHere(Wire::MessageKind kind, std::string payload, Duration patience)
 {
     const auto session = m_session;
     if (!session || !session->ready()) {
-        co_return plainAnswer(JobOutcome::NotOwner);
+        co_return answerOf(JobOutcome::NotOwner);
     }
     switch (kind) {
     case Wire::MessageKind::SubmitJobKind:
@@ -320,7 +313,7 @@
         break;
     }
     Event("peer_message_unreadable").add("kind", static_cast<int>(kind)).add("bytes", payload.size());
-    co_return plainAnswer(JobOutcome::Refused);
+    co_return answerOf(JobOutcome::Refused);
 }
 
 awaitable<std::optional<Wire::Envelope>> DispatcherServer::servePeer(Wire::Envelope envelope)
@@ -348,15 +341,6 @@
     co_return reply;
 }
 
-PeerClient &DispatcherServer::clientOf(const Endpoint &peer)
-{
-    auto &client = m_clients[peer];
-    if (!client) {
-        client = std::make_unique<PeerClient>(m_runtime.executor(), m_settings.name, m_runtime.incarnation(), peer);
-    }
-    return *client;
-}
-
 awaitable<void> DispatcherServer::stop()
 {
     m_stopping = true;
--- a/src/programs/dispatcher/dispatcher.h
+++ b/src/programs/dispatcher/dispatcher.h
@@ -72,7 +72,6 @@
     void won(Jobs::OwnerTerm term);
     void lost();
     [[nodiscard]] bool ready() const;
-    PeerClient &clientOf(const Endpoint &peer);
 
     Runtime &m_runtime;
     DispatcherSettings m_settings;
@@ -85,7 +84,7 @@
     HttpServer m_readiness;
     HttpServer m_metricsServer;
     PeerServer m_peers;
-    std::map<Endpoint, std::unique_ptr<PeerClient>> m_clients;
+    PeerClients m_clients;
     bool m_stopping = false;
 };
 
--- a/src/programs/dispatcher/owneranswers.cpp
+++ b/src/programs/dispatcher/owneranswers.cpp
@@ -12,18 +12,9 @@
 
 /// Without the store's word for this long, an unknown job may be another owner's.
 constexpr Duration authorityAge = milliseconds(2500);
-constexpr std::int64_t storeRetryAfterMs = 1000;
 /// Outages last for seconds: callers have few tries.
 constexpr std::int64_t outageRetryAfterMs = 2000;
 
-Wire::JobAnswer answerOf(JobOutcome outcome, std::int64_t retryAfterMs = storeRetryAfterMs)
-{
-    Wire::JobAnswer answer;
-    answer.outcome = static_cast<int>(outcome);
-    answer.retryAfterMs = retryAfterMs;
-    return answer;
-}
-
 int taskCount(const Wire::JobSpec &spec)
 {
     int count = 0;
@@ -46,6 +37,14 @@
 
 } // namespace
 
+Wire::JobAnswer answerOf(JobOutcome outcome, std::int64_t retryAfterMs)
+{
+    Wire::JobAnswer answer;
+    answer.outcome = static_cast<int>(outcome);
+    answer.retryAfterMs = retryAfterMs;
+    return answer;
+}
+
 awaitable<Wire::JobAnswer> OwnerSession::submit(Wire::JobSpec spec, Duration patience)
 {
     const auto self = shared_from_this();
--- a/src/programs/dispatcher/ownerload.cpp
+++ b/src/programs/dispatcher/ownerload.cpp
@@ -143,7 +143,7 @@
         for (const auto &peer : peers) {
             spawnOn(m_context.executor, "announcement", [self, peer, announcement]() -> awaitable<void> {
                 // A peer that does not answer is told again in a moment.
-                co_await self->clientOf(peer).call(Wire::MessageKind::HelloKind, announcement, announceEvery);
+                co_await self->m_peers.at(peer).call(Wire::MessageKind::HelloKind, announcement, announceEvery);
             });
         }
         co_await sleepFor(announceEvery);
--- a/src/programs/dispatcher/ownersession.cpp
+++ b/src/programs/dispatcher/ownersession.cpp
@@ -24,6 +24,7 @@
     , m_term(term)
     , m_scheduler(m_context.scheduler, term.epoch)
     , m_records(term.epochRevision)
+    , m_peers(m_context.executor, m_context.name, m_context.incarnation)
 {
     m_scheduler.setQueues(std::move(queues));
 }
@@ -195,15 +196,6 @@
     }
 }
 
-PeerClient &OwnerSession::clientOf(const Endpoint &agent)
-{
-    auto &client = m_agents[agent];
-    if (!client) {
-        client = std::make_unique<PeerClient>(m_context.executor, m_context.name, m_context.incarnation, agent);
-    }
-    return *client;
-}
-
 awaitable<void> OwnerSession::send(Wire::WorkerOrders orders, Endpoint agent)
 {
     const auto self = shared_from_this();
@@ -224,7 +216,7 @@
             .add("epoch", orders.epoch);
     }
     const auto answer
-        = co_await clientOf(agent).call(Wire::MessageKind::WorkerOrdersKind, Wire::encode(orders), orderTimeout);
+        = co_await m_peers.at(agent).call(Wire::MessageKind::WorkerOrdersKind, Wire::encode(orders), orderTimeout);
     std::optional<Wire::WorkerOrdersReply> reply;
     if (answer) {
         reply = Wire::decode<Wire::WorkerOrdersReply>(answer->payload);
--- a/src/programs/dispatcher/ownersession.h
+++ b/src/programs/dispatcher/ownersession.h
@@ -6,7 +6,7 @@
 #include "trefoilhoist/jobs/storereach.h"
 #include "trefoilhoist/metrics/metrics.h"
 #include "trefoilhoist/net/waiters.h"
-#include "trefoilhoist/wire/peerclient.h"
+#include "trefoilhoist/wire/peerclients.h"
 
 #include <functional>
 #include <map>
@@ -16,6 +16,10 @@
 
 namespace Trefoilhoist::Dispatcher {
 
+/// Callers who are not told otherwise come back after this.
+inline constexpr std::int64_t usualRetryAfterMs = 1000;
+[[nodiscard]] Wire::JobAnswer answerOf(Jobs::JobOutcome outcome, std::int64_t retryAfterMs = usualRetryAfterMs);
+
 /// What a session shares with its process.
 struct SessionContext {
     Asio::any_io_executor executor;
@@ -56,11 +60,6 @@
     [[nodiscard]] Wire::JobAnswer askQueue(const std::string &queue) const;
     Wire::WorkerReportReply report(const Wire::WorkerReport &report);
 
-    [[nodiscard]] const Jobs::JobScheduler &scheduler() const
-    {
-        return m_scheduler;
-    }
-
 private:
     /// What an earlier owner recorded of jobs, by id.
     struct LoadedJobs {
@@ -84,7 +83,6 @@
     void requestPlan();
     void plan();
     awaitable<void> send(Wire::WorkerOrders orders, Endpoint agent);
-    PeerClient &clientOf(const Endpoint &agent);
     awaitable<void> announceLoop();
     [[nodiscard]] std::vector<Endpoint> peersOf(const RecordPage &page) const;
     [[nodiscard]] bool verified(Duration within) const;
@@ -97,7 +95,7 @@
     Wire::WorkerRoster m_roster;
     Waiters m_waiters;
     Waiters m_work;
-    std::map<Endpoint, std::unique_ptr<PeerClient>> m_agents;
+    PeerClients m_peers;
     bool m_ready = false;
     bool m_closed = false;
     bool m_planRequested = false;
