Siblings and service of a step are looked up once a plan, not for each task; dead state goes

chooseWorker counted the step's runs and searched the queues by name for every task of a step, on the path that runs twenty times a second; both are now found once a step, and the counts follow each start. Stood twice: what a run takes over from its step (runOf), the parts of a task's name (taskRef), the lines about a store lost and regained in OwnerElection. Read by nobody: Run::percentChangedAt, JobScheduler::recovered(), Job::longRunning(), the result of openDue(), MinionError::verdict and otherLife, EventLog::dropped(); the count of dropped lines no longer needs a second count beside it.

--- a/src/trefoilhoist/jobs/job.cpp
+++ b/src/trefoilhoist/jobs/job.cpp
@@ -36,11 +36,6 @@
     }
 }
 
-bool Job::longRunning() const
-{
-    return std::any_of(m_spec.steps.begin(), m_spec.steps.end(), [](const auto &it) { return it.longRunning; });
-}
-
 void Job::openOccurrence(int number)
 {
     auto &occurrence = m_occurrences[number];
@@ -60,15 +55,12 @@
     return m_spec.firstDueMs + m_opened * m_spec.intervalMs;
 }
 
-bool Job::openDue(std::int64_t wallMs)
+void Job::openDue(std::int64_t wallMs)
 {
-    bool opened = false;
     for (auto due = nextDueMs(); due && *due <= wallMs; due = nextDueMs()) {
         openOccurrence(m_opened);
         ++m_opened;
-        opened = true;
     }
-    return opened;
 }
 
 TaskState *Job::task(const Wire::TaskRef &ref)
--- a/src/trefoilhoist/jobs/job.h
+++ b/src/trefoilhoist/jobs/job.h
@@ -79,10 +79,9 @@
     {
         return m_begun;
     }
-    [[nodiscard]] bool longRunning() const;
 
-    /// Opens every occurrence that is due; true when one was opened.
-    bool openDue(std::int64_t wallMs);
+    /// Opens every occurrence that is due.
+    void openDue(std::int64_t wallMs);
     /// Unix milliseconds of the next occurrence that is not open yet.
     [[nodiscard]] std::optional<std::int64_t> nextDueMs() const;
 
--- a/src/trefoilhoist/jobs/joblistings.cpp
+++ b/src/trefoilhoist/jobs/joblistings.cpp
@@ -31,10 +31,7 @@
         noteCheckpoint(row);
     }
     run.usage = row.usage;
-    if (row.percent != run.percent) {
-        run.percent = row.percent;
-        run.percentChangedAt = now;
-    }
+    run.percent = row.percent;
     run.mayAppear = false;
     if (run.state == RunState::Ordered || run.state == RunState::Unsettled) {
         run.state = RunState::Running;
@@ -75,22 +72,16 @@
 {
     auto *entry = find(row.task.job);
     auto *task = entry == nullptr ? nullptr : entry->job.task(row.task);
-    Run run;
+    const bool known = task != nullptr && entry->accepted;
+    Run run = known ? runOf(entry->job.step(row.task.step), now) : Run{};
     run.state = RunState::Running;
-    run.orderedAt = now;
     run.percent = row.percent;
-    run.percentChangedAt = now;
     run.usage = row.usage;
     run.checkpoint = row.checkpoint;
     run.nextOrder = now;
     run.settledByListing = worker.listing;
-    const bool known = task != nullptr && entry->accepted;
     if (known) {
         const auto &step = entry->job.step(row.task.step);
-        run.demand = demandOf(step);
-        run.image = step.image;
-        run.tailTargetMs = step.tailTargetMs;
-        run.longRunning = step.longRunning;
         const bool copiesAllowed = step.duplicatesAllowed || step.gang;
         const bool wanted = entry->job.active() && !task->done && (task->active.empty() || copiesAllowed);
         entry->job.noteStart(row.task, row.run, worker.info.id);
--- a/src/trefoilhoist/jobs/jobplanning.cpp
+++ b/src/trefoilhoist/jobs/jobplanning.cpp
@@ -184,21 +184,22 @@
         return;
     }
     const auto &step = entry->job.step(pending.step);
-    auto &tasks = occurrence->second.steps[static_cast<std::size_t>(pending.step)].tasks;
+    auto &state = occurrence->second.steps[static_cast<std::size_t>(pending.step)];
+    auto &tasks = state.tasks;
+    PlacedStep placed{entry->job, pending, serviceOf(entry->job), countSiblings(state)};
     for (std::size_t i = 0; i < tasks.size(); ++i) {
         if (!startable(*entry, step, tasks[i], now)) {
             continue;
         }
-        auto *worker = chooseWorker(*entry, pending, tasks[i], now);
+        auto *worker = chooseWorker(placed, tasks[i], now);
         if (worker == nullptr) {
             return;
         }
-        Wire::TaskRef ref;
-        ref.job = pending.job;
-        ref.occurrence = pending.occurrence;
-        ref.step = pending.step;
-        ref.index = static_cast<int>(i);
+        const auto ref = taskRef(pending.job, pending.occurrence, static_cast<std::size_t>(pending.step), i);
         start(*entry, ref, *worker, orders, nextRun(tasks[i]), now);
+        if (!tasks[i].active.empty()) {
+            ++placed.siblings[worker->info.id];
+        }
     }
 }
 
@@ -209,7 +210,8 @@
                              TimePoint now)
 {
     const auto &step = entry.job.step(pending.step);
-    auto &tasks = entry.job.occurrences()[pending.occurrence].steps[static_cast<std::size_t>(pending.step)].tasks;
+    auto &state = entry.job.occurrences()[pending.occurrence].steps[static_cast<std::size_t>(pending.step)];
+    auto &tasks = state.tasks;
     std::int64_t run = 0;
     for (const auto &task : tasks) {
         if (!startable(entry, step, task, now)) {
@@ -217,18 +219,15 @@
         }
         run = std::max(run, nextRun(task));
     }
+    const PlacedStep placed{entry.job, pending, serviceOf(entry.job), countSiblings(state)};
     std::vector<Worker *> chosen;
     std::vector<RunKey> reserved;
     for (std::size_t i = 0; i < tasks.size(); ++i) {
-        auto *worker = chooseWorker(entry, pending, tasks[i], now);
+        auto *worker = chooseWorker(placed, tasks[i], now);
         if (worker == nullptr) {
             break;
         }
-        Wire::TaskRef ref;
-        ref.job = pending.job;
-        ref.occurrence = pending.occurrence;
-        ref.step = pending.step;
-        ref.index = static_cast<int>(i);
+        const auto ref = taskRef(pending.job, pending.occurrence, static_cast<std::size_t>(pending.step), i);
         Run hold;
         hold.demand = demandOf(step);
         worker->addRun({ref, run}, hold);
@@ -249,14 +248,19 @@
     }
 }
 
-Worker *JobScheduler::chooseWorker(const Entry &entry, const PendingStep &pending, const TaskState &task, TimePoint now)
+// The configuration in force goes before what it said when the job was submitted.
+const std::string &JobScheduler::serviceOf(const Job &job) const
 {
-    const auto &step = entry.job.step(pending.step);
-    const auto *queue = m_queues.byName(entry.job.spec().queue.name);
-    const auto &service = queue == nullptr ? entry.job.spec().queue.serviceName : queue->policy.serviceName;
-    WorkerChoice choice(step, service, task, m_interference, now);
-    const bool someRun = choice.countSiblings(entry.job, pending.occurrence, pending.step);
-    choice.setOverdue(!someRun && now - pending.since > waitForHarmless);
+    const auto *queue = m_queues.byName(job.spec().queue.name);
+    return queue == nullptr ? job.spec().queue.serviceName : queue->policy.serviceName;
+}
+
+Worker *JobScheduler::chooseWorker(const PlacedStep &placed, const TaskState &task, TimePoint now)
+{
+    const auto &step = placed.job.step(placed.pending.step);
+    const Duration waited = now - placed.pending.since;
+    WorkerChoice choice(step, placed.service, placed.siblings, task, m_interference, now);
+    choice.setOverdue(placed.siblings.empty() && waited > waitForHarmless);
     for (auto &[id, worker] : m_workers) {
         choice.consider(worker);
     }
@@ -264,10 +268,9 @@
         // Short tasks would fill the room again as fast as it gets free.
         choice.closest()->reserved = true;
     }
-    if (choice.best() == nullptr && step.longRunning && now - pending.since > waitLogged
-        && now - m_waitLoggedAt > waitLogged) {
+    if (choice.best() == nullptr && step.longRunning && waited > waitLogged && now - m_waitLoggedAt > waitLogged) {
         m_waitLoggedAt = now;
-        logWait(entry.job.id(), step, choice.obstacles(), now - pending.since, m_epoch);
+        logWait(placed.job.id(), step, choice.obstacles(), waited, m_epoch);
     }
     return choice.best();
 }
@@ -284,15 +287,9 @@
         return;
     }
     const auto &step = entry.job.step(ref.step);
-    Run fresh;
-    fresh.demand = demandOf(step);
-    fresh.orderedAt = now;
-    fresh.percentChangedAt = now;
+    Run fresh = runOf(step, now);
     fresh.inFlight = true;
     fresh.checkpoint = step.checkpoints ? entry.job.task(ref)->checkpoint : std::string();
-    fresh.image = step.image;
-    fresh.tailTargetMs = step.tailTargetMs;
-    fresh.longRunning = step.longRunning;
     const RunKey key{ref, run};
     const auto &added = worker.addRun(key, std::move(fresh));
     entry.job.noteStart(ref, run, worker.info.id);
--- a/src/trefoilhoist/jobs/jobscheduler.cpp
+++ b/src/trefoilhoist/jobs/jobscheduler.cpp
@@ -181,13 +181,9 @@
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
             for (std::size_t index = 0; index < occurrence.steps[step].tasks.size(); ++index) {
                 for (const auto &run : occurrence.steps[step].tasks[index].active) {
-                    Wire::TaskRef ref;
-                    ref.job = entry.job.id();
-                    ref.occurrence = number;
-                    ref.step = static_cast<int>(step);
-                    ref.index = static_cast<int>(index);
                     const auto worker = m_workers.find(run.worker);
                     if (worker != m_workers.end()) {
+                        const auto ref = taskRef(entry.job.id(), number, step, index);
                         wantStop(worker->second, {ref, run.run}, now);
                     }
                 }
--- a/src/trefoilhoist/jobs/jobscheduler.h
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -3,6 +3,7 @@
 #include "trefoilhoist/jobs/job.h"
 #include "trefoilhoist/jobs/queuetable.h"
 #include "trefoilhoist/jobs/worker.h"
+#include "trefoilhoist/jobs/workerchoice.h"
 
 #include <map>
 #include <optional>
@@ -52,11 +53,6 @@
     // Taking over from an earlier owner, before anything else.
     void restoreJob(Wire::JobSpec spec, const std::optional<Wire::JobProgress> &progress, TimePoint now);
     void restoreRoster(const Wire::WorkerRoster &roster, TimePoint now);
-    /// Every worker of the earlier owner has reported, or can run nothing any more.
-    [[nodiscard]] bool recovered() const
-    {
-        return m_unreported.empty();
-    }
 
     [[nodiscard]] std::int64_t epoch() const
     {
@@ -136,6 +132,13 @@
         bool longRunning = false;
         bool usesIdleCpu = false;
     };
+    /// What the choices for all tasks of one step have in common.
+    struct PlacedStep {
+        const Job &job;
+        const PendingStep &pending;
+        const std::string &service;
+        SiblingCounts siblings;
+    };
     using StepKey = std::tuple<std::string, int, int>;
 
     // jobscheduler.cpp
@@ -184,8 +187,8 @@
                    TimePoint now);
     [[nodiscard]] bool
     startable(const Entry &entry, const Wire::StepSpec &step, const TaskState &task, TimePoint now) const;
-    [[nodiscard]] Worker *
-    chooseWorker(const Entry &entry, const PendingStep &pending, const TaskState &task, TimePoint now);
+    [[nodiscard]] const std::string &serviceOf(const Job &job) const;
+    [[nodiscard]] Worker *chooseWorker(const PlacedStep &placed, const TaskState &task, TimePoint now);
     void start(Entry &entry,
                const Wire::TaskRef &ref,
                Worker &worker,
--- a/src/trefoilhoist/jobs/jobtypes.cpp
+++ b/src/trefoilhoist/jobs/jobtypes.cpp
@@ -24,6 +24,16 @@
     return run == other.run && task == other.task;
 }
 
+Wire::TaskRef taskRef(const std::string &job, int occurrence, std::size_t step, std::size_t index)
+{
+    Wire::TaskRef ref;
+    ref.job = job;
+    ref.occurrence = occurrence;
+    ref.step = static_cast<int>(step);
+    ref.index = static_cast<int>(index);
+    return ref;
+}
+
 std::string taskName(const Wire::TaskRef &task)
 {
     return task.job + '.' + std::to_string(task.occurrence) + '.' + std::to_string(task.step) + '.'
--- a/src/trefoilhoist/jobs/jobtypes.h
+++ b/src/trefoilhoist/jobs/jobtypes.h
@@ -94,6 +94,8 @@
     bool operator==(const RunKey &other) const;
 };
 
+[[nodiscard]] Wire::TaskRef taskRef(const std::string &job, int occurrence, std::size_t step, std::size_t index);
+
 /// For logs: JOB.OCCURRENCE.STEP.INDEX.
 [[nodiscard]] std::string taskName(const Wire::TaskRef &task);
 
--- a/src/trefoilhoist/jobs/minionport.h
+++ b/src/trefoilhoist/jobs/minionport.h
@@ -2,7 +2,6 @@
 
 #include "trefoilhoist/jobs/jobtypes.h"
 #include "trefoilhoist/net/asio.h"
-#include "trefoilhoist/verdict/verdict.h"
 #include "trefoilhoist/world/clock.h"
 #include "trefoilhoist/world/world.h"
 
@@ -44,13 +43,9 @@
 };
 
 struct MinionError {
-    /// NotRun: the minion has surely done nothing and will not.
-    Verdict verdict = Verdict::NotRun;
     std::string reason;
     /// Nothing listens at its address.
     bool notRunning = false;
-    /// Another life answered.
-    bool otherLife = false;
 };
 
 /// An order's result, and the minion's clock when it said so (0 when unknown).
--- a/src/trefoilhoist/jobs/ownerelection.cpp
+++ b/src/trefoilhoist/jobs/ownerelection.cpp
@@ -23,12 +23,7 @@
             continue;
         }
         const auto seen = co_await look();
-        if (seen.has_value() != m_storeReached) {
-            m_storeReached = seen.has_value();
-            Event(m_storeReached ? "store_regained" : "store_lost")
-                .add("by", "election")
-                .add("reason", seen ? "" : seen.error().reason);
-        }
+        noteStore("election", seen.has_value(), seen ? "" : seen.error().reason);
         bool settled = false;
         if (seen && seen->owner && !ownRecord(*seen->owner)) {
             co_await follow(*seen);
@@ -44,6 +39,14 @@
     }
 }
 
+void OwnerElection::noteStore(const char *by, bool reached, const std::string &reason)
+{
+    if (reached != m_storeReached) {
+        m_storeReached = reached;
+        Event(reached ? "store_regained" : "store_lost").add("by", by).add("reason", reason);
+    }
+}
+
 awaitable<StoreResult<OwnerElection::Seen>> OwnerElection::look()
 {
     const auto page = co_await m_store.list(leadPrefix, "");
@@ -168,12 +171,7 @@
     if (!m_owning) {
         co_return;
     }
-    if (renewed.has_value() != m_storeReached) {
-        m_storeReached = renewed.has_value();
-        Event(m_storeReached ? "store_regained" : "store_lost")
-            .add("by", "renewal")
-            .add("reason", renewed ? "" : renewed.error().reason);
-    }
+    noteStore("renewal", renewed.has_value(), renewed ? "" : renewed.error().reason);
     if (renewed && *renewed) {
         m_verifiedAt = sentAt;
     } else if (renewed) {
--- a/src/trefoilhoist/jobs/ownerelection.h
+++ b/src/trefoilhoist/jobs/ownerelection.h
@@ -69,6 +69,8 @@
         std::optional<StoredRecord> epoch;
         std::int64_t revision = 0;
     };
+    /// Logs when the store is lost or regained.
+    void noteStore(const char *by, bool reached, const std::string &reason);
     awaitable<StoreResult<Seen>> look();
     awaitable<void> follow(const Seen &seen);
     awaitable<bool> stand(const Seen &seen);
--- a/src/trefoilhoist/jobs/worker.cpp
+++ b/src/trefoilhoist/jobs/worker.cpp
@@ -46,6 +46,17 @@
     return demand;
 }
 
+Run runOf(const Wire::StepSpec &step, TimePoint orderedAt)
+{
+    Run run;
+    run.demand = demandOf(step);
+    run.orderedAt = orderedAt;
+    run.image = step.image;
+    run.tailTargetMs = step.tailTargetMs;
+    run.longRunning = step.longRunning;
+    return run;
+}
+
 bool Worker::hasLabel(const std::string &label) const
 {
     return std::find(info.labels.begin(), info.labels.end(), label) != info.labels.end();
--- a/src/trefoilhoist/jobs/worker.h
+++ b/src/trefoilhoist/jobs/worker.h
@@ -60,13 +60,15 @@
     bool foreign = false;
     std::string checkpoint;
     int percent = -1;
-    TimePoint percentChangedAt;
     std::int64_t usage = 0;
     std::string image;
     /// 0: it serves nobody.
     std::int64_t tailTargetMs = 0;
 };
 
+/// A run of one of the step's tasks, as it stands when it is ordered.
+[[nodiscard]] Run runOf(const Wire::StepSpec &step, TimePoint orderedAt);
+
 /// An end that was taken in and waits for its job to be recorded.
 struct PendingEnd {
     std::int64_t number = 0;
--- a/src/trefoilhoist/jobs/workerchoice.cpp
+++ b/src/trefoilhoist/jobs/workerchoice.cpp
@@ -30,27 +30,31 @@
 
 } // namespace
 
+SiblingCounts countSiblings(const StepState &step)
+{
+    SiblingCounts counts;
+    for (const auto &task : step.tasks) {
+        for (const auto &run : task.active) {
+            ++counts[run.worker];
+        }
+    }
+    return counts;
+}
+
 WorkerChoice::WorkerChoice(const Wire::StepSpec &step,
                            const std::string &service,
+                           const SiblingCounts &siblings,
                            const TaskState &task,
                            const InterferenceTable &interference,
                            TimePoint now)
-    : m_step(step), m_service(service), m_task(task), m_interference(interference), m_now(now), m_demand(demandOf(step))
-{
-}
-
-bool WorkerChoice::countSiblings(const Job &job, int occurrence, int step)
+    : m_step(step)
+    , m_service(service)
+    , m_siblings(siblings)
+    , m_task(task)
+    , m_interference(interference)
+    , m_now(now)
+    , m_demand(demandOf(step))
 {
-    const auto found = job.occurrences().find(occurrence);
-    if (found == job.occurrences().end()) {
-        return false;
-    }
-    for (const auto &task : found->second.steps[static_cast<std::size_t>(step)].tasks) {
-        for (const auto &run : task.active) {
-            ++m_siblings[run.worker];
-        }
-    }
-    return !m_siblings.empty();
 }
 
 int WorkerChoice::siblingsAt(const Worker &worker) const
--- a/src/trefoilhoist/jobs/workerchoice.h
+++ b/src/trefoilhoist/jobs/workerchoice.h
@@ -9,18 +9,21 @@
 
 namespace Trefoilhoist::Jobs {
 
+/// How many tasks of a step run at each worker, by worker id.
+using SiblingCounts = std::map<std::string, int>;
+[[nodiscard]] SiblingCounts countSiblings(const StepState &step);
+
 /// Picks the worker for one task: first what must hold, then the lowest cost.
 class WorkerChoice
 {
 public:
     WorkerChoice(const Wire::StepSpec &step,
                  const std::string &service,
+                 const SiblingCounts &siblings,
                  const TaskState &task,
                  const InterferenceTable &interference,
                  TimePoint now);
 
-    /// Counts where the other tasks of the step run; false when none does.
-    bool countSiblings(const Job &job, int occurrence, int step);
     /// The step has waited so long that it goes where it does harm, too.
     void setOverdue(bool overdue)
     {
@@ -57,11 +60,11 @@
 
     const Wire::StepSpec &m_step;
     const std::string &m_service;
+    const SiblingCounts &m_siblings;
     const TaskState &m_task;
     const InterferenceTable &m_interference;
     TimePoint m_now;
     Demand m_demand;
-    std::map<std::string, int> m_siblings;
     bool m_overdue = false;
     Worker *m_best = nullptr;
     double m_lowest = 0;
--- a/src/trefoilhoist/log/eventlog.cpp
+++ b/src/trefoilhoist/log/eventlog.cpp
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace Trefoilhoist {
 
@@ -81,10 +82,8 @@
         written += static_cast<std::size_t>(n);
     }
     m_buffer.erase(0, written);
-    if (m_dropped > m_droppedLogged && m_buffer.size() < bufferBytes / 2) {
-        const auto lost = m_dropped - m_droppedLogged;
-        m_droppedLogged = m_dropped;
-        Event("log_lines_dropped").add("count", lost);
+    if (m_dropped > 0 && m_buffer.size() < bufferBytes / 2) {
+        Event("log_lines_dropped").add("count", std::exchange(m_dropped, 0));
     }
     if (!m_buffer.empty() && !m_flushRequested) {
         m_flushRequested = true;
--- a/src/trefoilhoist/log/eventlog.h
+++ b/src/trefoilhoist/log/eventlog.h
@@ -31,11 +31,6 @@
     /// Takes lines instead of standard output, for tests; nothing is buffered.
     void captureTo(std::function<void(const std::string &)> sink);
 
-    [[nodiscard]] std::uint64_t dropped() const
-    {
-        return m_dropped;
-    }
-
 private:
     void append(const std::string &line);
 
@@ -43,8 +38,8 @@
     std::function<void(const std::string &)> m_capture;
     std::string m_buffer;
     bool m_flushRequested = false;
+    /// Lines that found no room since the last line about it.
     std::uint64_t m_dropped = 0;
-    std::uint64_t m_droppedLogged = 0;
 };
 
 /// One event, written when it goes out of scope: `Event("job_accepted").add("job", id)`.
