--- a/src/programs/dispatcher/dispatcher.cpp
+++ b/src/programs/dispatcher/dispatcher.cpp
@@ -276,7 +276,8 @@
             if (answer && answer->outcome != static_cast<int>(JobOutcome::NotOwner)) {
                 co_return *answer;
             }
-            if (!answer) {
+            // A call that never left this process, or that the other one refused, has done nothing.
+            if (!answer && (reply || reply.error().verdict == Verdict::MayHaveRun)) {
                 ownerMayHaveActed = true;
             }
         }
--- a/src/programs/dispatcher/ownersession.cpp
+++ b/src/programs/dispatcher/ownersession.cpp
@@ -7,6 +7,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include <utility>
+
 namespace Trefoilhoist::Dispatcher {
 
 namespace {
@@ -17,6 +19,14 @@
 constexpr Duration orderTimeout = milliseconds(1500);
 constexpr const char *recordsPending = "work";
 
+Wire::WorkerOrdersReply refusalOf(const Wire::WorkerOrders &orders)
+{
+    Wire::WorkerOrdersReply reply;
+    reply.starts.assign(orders.starts.size(), static_cast<int>(Jobs::OrderResult::Refused));
+    reply.stops.assign(orders.stops.size(), static_cast<int>(Jobs::OrderResult::Refused));
+    return reply;
+}
+
 } // namespace
 
 OwnerSession::OwnerSession(SessionContext context, Jobs::OwnerTerm term, Jobs::QueueTable queues)
@@ -25,6 +35,7 @@
     , m_scheduler(m_context.scheduler, term.epoch)
     , m_records(term.epochRevision)
     , m_peers(m_context.executor, m_context.name, m_context.incarnation)
+    , m_planTimer(m_context.executor)
 {
     m_scheduler.setQueues(std::move(queues));
 }
@@ -53,6 +64,7 @@
 {
     m_closed = true;
     m_ready = false;
+    m_planTimer.cancel();
     m_waiters.notifyAll();
     m_recordWaiters.notifyAll();
 }
@@ -77,8 +89,7 @@
         if (job == nullptr) {
             continue;
         }
-        m_records.putProgress(*job);
-        m_changesPending = true;
+        m_changedJobs.insert(id);
         if (!job->isActive()) {
             urgent = true;
             Event("job_ended")
@@ -100,7 +111,11 @@
 
 void OwnerSession::startRecording()
 {
-    m_changesPending = false;
+    for (const auto &id : std::exchange(m_changedJobs, {})) {
+        if (const auto *job = m_scheduler.job(id); job != nullptr) {
+            m_records.putProgress(*job);
+        }
+    }
     m_recordWaiters.notify(recordsPending);
 }
 
@@ -174,18 +189,28 @@
         return;
     }
     m_planRequested = true;
-    Asio::post(m_context.executor, [self = shared_from_this()] {
-        self->m_planRequested = false;
-        self->plan();
+    const auto delay = m_planPacer.delay(m_context.clock.now());
+    if (delay <= Duration{}) {
+        Asio::post(m_context.executor, [self = shared_from_this()] { self->plan(); });
+        return;
+    }
+    m_planTimer.expires_after(delay);
+    m_planTimer.async_wait([self = shared_from_this()](boost::system::error_code ec) {
+        if (!ec) {
+            self->plan();
+        }
     });
 }
 
 void OwnerSession::plan()
 {
+    m_planRequested = false;
     if (m_closed || !m_ready) {
         return;
     }
-    for (auto &[worker, orders] : m_scheduler.plan(m_context.clock.now(), wallMilliseconds())) {
+    const auto startedAt = m_context.clock.now();
+    auto planned = m_scheduler.plan(startedAt, wallMilliseconds());
+    for (auto &[worker, orders] : planned) {
         const auto &info = m_scheduler.workers().at(worker).info;
         orders.ownerHost = m_context.self.host;
         orders.ownerPort = m_context.self.port;
@@ -194,6 +219,9 @@
             return self->send(orders, agent);
         });
     }
+    const auto endedAt = m_context.clock.now();
+    m_planPacer.finishPlan(startedAt, endedAt);
+    m_context.metrics.latency("trefoilhoist_plan").record(endedAt - startedAt, endedAt);
 }
 
 awaitable<void> OwnerSession::send(Wire::WorkerOrders orders, Endpoint agent)
@@ -220,8 +248,11 @@
     std::optional<Wire::WorkerOrdersReply> reply;
     if (answer) {
         reply = Wire::decode<Wire::WorkerOrdersReply>(answer->payload);
+    } else if (answer.error().verdict == Verdict::NotRun) {
+        // The orders never left this process, so their tasks may start elsewhere at once.
+        reply = refusalOf(orders);
     }
-    if (!reply) {
+    if (!answer || !reply) {
         Event("orders_unanswered")
             .add("worker", orders.worker)
             .add("starts", orders.starts.size())
@@ -253,7 +284,7 @@
         co_await sleepFor(tickInterval);
         forgetExpired();
         queueChanges();
-        if (m_changesPending) {
+        if (!m_changedJobs.empty()) {
             startRecording();
         }
         requestPlan();
--- a/src/programs/dispatcher/ownersession.h
+++ b/src/programs/dispatcher/ownersession.h
@@ -3,14 +3,18 @@
 #include "trefoilhoist/jobs/jobrecords.h"
 #include "trefoilhoist/jobs/jobscheduler.h"
 #include "trefoilhoist/jobs/ownerelection.h"
+#include "trefoilhoist/jobs/planpacer.h"
 #include "trefoilhoist/jobs/storereachability.h"
 #include "trefoilhoist/metrics/metrics.h"
 #include "trefoilhoist/net/waiters.h"
 #include "trefoilhoist/wire/peerclients.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -99,8 +103,10 @@
     bool m_ready = false;
     bool m_closed = false;
     bool m_planRequested = false;
-    /// Changes are batched and will be recorded at the next tick.
-    bool m_changesPending = false;
+    /// Jobs whose progress is queued for recording at the next tick, so that the changes of many reports take one write.
+    std::set<std::string> m_changedJobs;
+    Asio::steady_timer m_planTimer;
+    Jobs::PlanPacer m_planPacer;
     Jobs::StoreReachability m_storeReachability;
 };
 
--- a/src/trefoilhoist/jobs/interferencetable.cpp
+++ b/src/trefoilhoist/jobs/interferencetable.cpp
@@ -18,76 +18,133 @@
 constexpr double maxEffect = 12.0;
 /// The time in which evidence loses half of its weight.
 constexpr Duration halfLife = seconds(30);
+constexpr double minHalfLivesToDecay = 0.02;
 /// Larger changes of slack come from a restart or a wrong measurement and are clamped.
 constexpr double maxSlackChange = 2.0;
 constexpr int sweeps = 3;
 
 } // namespace
 
-void InterferenceTable::observe(const std::string &servingImage,
-                                double slackChange,
-                                const BestEffortShares &shareChanges,
-                                TimePoint now)
+InterferenceTable::Estimate &InterferenceTable::Model::at(ImageNumber image)
 {
-    if (shareChanges.empty()) {
+    const auto i = static_cast<std::size_t>(image);
+    if (estimates.size() <= i) {
+        estimates.resize(i + 1);
+    }
+    return estimates[i];
+}
+
+const InterferenceTable::Estimate *InterferenceTable::Model::find(ImageNumber image) const
+{
+    const auto i = static_cast<std::size_t>(image);
+    return i < estimates.size() ? &estimates[i] : nullptr;
+}
+
+void InterferenceTable::Model::decay(TimePoint now)
+{
+    const double halfLives
+        = static_cast<double>((now - decayedAt).count()) / static_cast<double>(halfLife.count());
+    if (halfLives <= minHalfLivesToDecay) {
         return;
     }
-    auto &model = m_models[servingImage];
-    const double elapsedHalfLives
-        = static_cast<double>((now - model.decayedAt).count()) / static_cast<double>(halfLife.count());
-    if (elapsedHalfLives > 0.02) {
-        const double keep = std::exp2(-elapsedHalfLives);
-        for (auto &[key, value] : model.shareProducts) {
-            value *= keep;
-        }
-        for (auto &[key, value] : model.slackProducts) {
-            value *= keep;
+    const double keep = std::exp2(-halfLives);
+    for (auto &it : estimates) {
+        for (auto &product : it.shareProducts) {
+            product *= keep;
         }
-        model.decayedAt = now;
-    }
-    const double slackDecrease = std::clamp(-slackChange, -maxSlackChange, maxSlackChange);
-    for (const auto &[first, a] : shareChanges) {
-        for (const auto &[second, b] : shareChanges) {
-            model.shareProducts[{first, second}] += a * b;
+        if (it.slackProducts) {
+            *it.slackProducts *= keep;
         }
-        model.slackProducts[first] += a * slackDecrease;
     }
-    solve(model);
+    decayedAt = now;
 }
 
 // Runs a few sweeps of coordinate descent, starting from the last solution.
-void InterferenceTable::solve(Model &model)
+void InterferenceTable::Model::solve()
 {
     for (int i = 0; i < sweeps; ++i) {
-        for (const auto &[image, slackProducts] : model.slackProducts) {
-            const auto priorEffect = model.priors.find(image);
-            const double prior = priorEffect == model.priors.end() ? defaultWeight : priorWeight;
-            double numerator
-                = slackProducts + prior * (priorEffect == model.priors.end() ? defaultEffect : priorEffect->second);
-            double denominator = prior;
-            for (auto it = model.shareProducts.lower_bound({image, {}});
-                 it != model.shareProducts.end() && it->first.first == image;
-                 ++it) {
-                if (it->first.second == image) {
-                    denominator += it->second;
+        for (std::size_t image = 0; image < estimates.size(); ++image) {
+            auto &it = estimates[image];
+            if (!it.slackProducts) {
+                continue;
+            }
+            const double weight = it.prior ? priorWeight : defaultWeight;
+            double numerator = *it.slackProducts + weight * it.prior.value_or(defaultEffect);
+            double denominator = weight;
+            for (std::size_t other = 0; other < it.shareProducts.size(); ++other) {
+                if (other == image) {
+                    denominator += it.shareProducts[other];
                 } else {
-                    const auto other = model.effects.find(it->first.second);
-                    numerator -= it->second * (other == model.effects.end() ? defaultEffect : other->second);
+                    numerator -= it.shareProducts[other] * estimates[other].effect.value_or(defaultEffect);
                 }
             }
-            model.effects[image] = std::clamp(numerator / denominator, 0.0, maxEffect);
+            it.effect = std::clamp(numerator / denominator, 0.0, maxEffect);
         }
     }
 }
 
-double InterferenceTable::effect(const std::string &servingImage, const std::string &bestEffortImage) const
+ImageNumber InterferenceTable::numberOf(const std::string &image)
 {
-    const auto model = m_models.find(servingImage);
-    if (model == m_models.end()) {
-        return defaultEffect;
+    const auto [it, added] = m_numbers.emplace(image, static_cast<ImageNumber>(m_images.size()));
+    if (added) {
+        m_images.push_back(image);
+        m_models.emplace_back();
     }
-    const auto it = model->second.effects.find(bestEffortImage);
-    return it == model->second.effects.end() ? defaultEffect : it->second;
+    return it->second;
+}
+
+std::optional<ImageNumber> InterferenceTable::findNumber(const std::string &image) const
+{
+    const auto it = m_numbers.find(image);
+    return it == m_numbers.end() ? std::nullopt : std::optional(it->second);
+}
+
+InterferenceTable::Model &InterferenceTable::modelOf(const std::string &servingImage)
+{
+    return m_models[static_cast<std::size_t>(numberOf(servingImage))];
+}
+
+void InterferenceTable::observe(const std::string &servingImage,
+                                double slackChange,
+                                const BestEffortShares &shareChanges,
+                                TimePoint now)
+{
+    if (shareChanges.empty()) {
+        return;
+    }
+    std::vector<std::pair<ImageNumber, double>> changes;
+    for (const auto &[image, change] : shareChanges) {
+        changes.emplace_back(numberOf(image), change);
+    }
+    auto &model = modelOf(servingImage);
+    model.decay(now);
+    const double slackDecrease = std::clamp(-slackChange, -maxSlackChange, maxSlackChange);
+    for (const auto &[image, change] : changes) {
+        // Makes room for all images of the change before any estimate is referred to.
+        model.at(image);
+    }
+    for (const auto &[first, a] : changes) {
+        auto &estimate = model.at(first);
+        estimate.slackProducts = estimate.slackProducts.value_or(0) + a * slackDecrease;
+        estimate.shareProducts.resize(std::max(estimate.shareProducts.size(), model.estimates.size()));
+        for (const auto &[second, b] : changes) {
+            estimate.shareProducts[static_cast<std::size_t>(second)] += a * b;
+        }
+    }
+    model.solve();
+}
+
+double InterferenceTable::effect(ImageNumber servingImage, ImageNumber bestEffortImage) const
+{
+    const auto *estimate = m_models[static_cast<std::size_t>(servingImage)].find(bestEffortImage);
+    return estimate == nullptr ? defaultEffect : estimate->effect.value_or(defaultEffect);
+}
+
+double InterferenceTable::effect(const std::string &servingImage, const std::string &bestEffortImage) const
+{
+    const auto serving = findNumber(servingImage);
+    const auto bestEffort = findNumber(bestEffortImage);
+    return serving && bestEffort ? effect(*serving, *bestEffort) : defaultEffect;
 }
 
 double InterferenceTable::slackDrop(const std::string &servingImage, const BestEffortShares &shares) const
@@ -101,49 +158,57 @@
 
 void InterferenceTable::set(const Wire::ImagePair &pair)
 {
-    m_models[pair.servingImage].effects[pair.fillingImage] = pair.effect;
+    const auto bestEffort = numberOf(pair.fillingImage);
+    modelOf(pair.servingImage).at(bestEffort).effect = pair.effect;
 }
 
 void InterferenceTable::setPrior(const Wire::ImagePair &pair)
 {
-    auto &model = m_models[pair.servingImage];
-    model.priors.emplace(pair.fillingImage, pair.effect);
-    model.effects.emplace(pair.fillingImage, pair.effect);
+    const auto bestEffort = numberOf(pair.fillingImage);
+    auto &estimate = modelOf(pair.servingImage).at(bestEffort);
+    estimate.prior = estimate.prior.value_or(pair.effect);
+    estimate.effect = estimate.effect.value_or(pair.effect);
+}
+
+Wire::ImagePair InterferenceTable::pairOf(std::size_t serving, std::size_t bestEffort, double effect) const
+{
+    Wire::ImagePair pair;
+    pair.servingImage = m_images[serving];
+    pair.fillingImage = m_images[bestEffort];
+    pair.effect = effect;
+    return pair;
 }
 
 std::vector<Wire::ImagePair> InterferenceTable::pairs() const
 {
     std::vector<Wire::ImagePair> pairs;
-    for (const auto &[serving, model] : m_models) {
-        for (const auto &[bestEffort, effect] : model.effects) {
-            Wire::ImagePair pair;
-            pair.servingImage = serving;
-            pair.fillingImage = bestEffort;
-            pair.effect = effect;
-            pairs.push_back(std::move(pair));
+    for (std::size_t serving = 0; serving < m_models.size(); ++serving) {
+        const auto &estimates = m_models[serving].estimates;
+        for (std::size_t i = 0; i < estimates.size(); ++i) {
+            if (estimates[i].effect) {
+                pairs.push_back(pairOf(serving, i, *estimates[i].effect));
+            }
         }
     }
     return pairs;
 }
 
-std::vector<Wire::ImagePair>
-InterferenceTable::takeChanged(std::map<std::pair<std::string, std::string>, double> &reported) const
+std::vector<Wire::ImagePair> InterferenceTable::takeChanged(ReportedEffects &reported) const
 {
     std::vector<Wire::ImagePair> pairs;
-    for (const auto &[serving, model] : m_models) {
-        for (const auto &[bestEffort, effect] : model.effects) {
-            const auto evidence = model.shareProducts.find({bestEffort, bestEffort});
-            const auto last = reported.find({serving, bestEffort});
-            const bool changed = last == reported.end() || std::abs(last->second - effect) >= minReportedChange;
-            if (evidence == model.shareProducts.end() || evidence->second < minReportedWeight || !changed) {
+    for (std::size_t serving = 0; serving < m_models.size(); ++serving) {
+        const auto &estimates = m_models[serving].estimates;
+        for (std::size_t i = 0; i < estimates.size(); ++i) {
+            const auto &it = estimates[i];
+            if (!it.effect || i >= it.shareProducts.size() || it.shareProducts[i] < minReportedWeight) {
                 continue;
             }
-            reported[{serving, bestEffort}] = effect;
-            Wire::ImagePair pair;
-            pair.servingImage = serving;
-            pair.fillingImage = bestEffort;
-            pair.effect = effect;
-            pairs.push_back(std::move(pair));
+            const std::pair key(static_cast<ImageNumber>(serving), static_cast<ImageNumber>(i));
+            const auto last = reported.find(key);
+            if (last == reported.end() || std::abs(last->second - *it.effect) >= minReportedChange) {
+                reported[key] = *it.effect;
+                pairs.push_back(pairOf(serving, i, *it.effect));
+            }
         }
     }
     return pairs;
--- a/src/trefoilhoist/jobs/interferencetable.h
+++ b/src/trefoilhoist/jobs/interferencetable.h
@@ -4,7 +4,9 @@
 #include "trefoilhoist/world/clock.h"
 
 #include <map>
+#include <optional>
 #include <string>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -13,6 +15,12 @@
 /// Shares of a worker's CPU that best-effort tasks use, by image.
 using BestEffortShares = std::map<std::string, double>;
 
+/// Number of an image in one InterferenceTable.
+using ImageNumber = int;
+
+/// Effects as last reported to another process, by the numbers of the serving and the best-effort image.
+using ReportedEffects = std::map<std::pair<ImageNumber, ImageNumber>, double>;
+
 /// Estimates how much best-effort tasks slow the serving tasks beside them, for each pair of images, from how tail
 /// latencies change when the CPU shares of best-effort tasks change.
 ///
@@ -22,6 +30,9 @@
 class InterferenceTable
 {
 public:
+    /// Returns the number of an image, which never changes. Numbers are small and consecutive.
+    ImageNumber numberOf(const std::string &image);
+
     /// Adds evidence from two consecutive measurements of one serving task: the change of its slack and the changes of
     /// the best-effort shares.
     void
@@ -29,6 +40,7 @@
 
     /// Returns the estimated effect, which is never below 0. A pair without evidence has the average effect.
     [[nodiscard]] double effect(const std::string &servingImage, const std::string &bestEffortImage) const;
+    [[nodiscard]] double effect(ImageNumber servingImage, ImageNumber bestEffortImage) const;
     /// Returns the expected drop of slack: the sum of effect x share.
     [[nodiscard]] double slackDrop(const std::string &servingImage, const BestEffortShares &shares) const;
 
@@ -40,22 +52,37 @@
     [[nodiscard]] std::vector<Wire::ImagePair> pairs() const;
     /// Returns the pairs with enough evidence whose effect has changed noticeably from the value in `reported`, and
     /// updates `reported`.
-    std::vector<Wire::ImagePair> takeChanged(std::map<std::pair<std::string, std::string>, double> &reported) const;
+    std::vector<Wire::ImagePair> takeChanged(ReportedEffects &reported) const;
 
 private:
+    /// What is known of one best-effort image beside a serving image.
+    struct Estimate {
+        std::optional<double> effect;
+        /// An earlier owner's estimate.
+        std::optional<double> prior;
+        /// Sum of the products of the share's changes and the drops of slack; set once a change was observed.
+        std::optional<double> slackProducts;
+        /// Sums of the products of the changes of this share and each other one. Older evidence decays exponentially.
+        std::vector<double> shareProducts;
+    };
     struct Model {
-        /// Sums of the products of two share changes, and of a share change with the drop of slack. Older evidence
-        /// decays exponentially.
-        std::map<std::pair<std::string, std::string>, double> shareProducts;
-        std::map<std::string, double> slackProducts;
-        std::map<std::string, double> effects;
-        /// Estimates of an earlier owner, by best-effort image.
-        std::map<std::string, double> priors;
+        /// By the number of the best-effort image.
+        std::vector<Estimate> estimates;
         TimePoint decayedAt;
+
+        Estimate &at(ImageNumber image);
+        [[nodiscard]] const Estimate *find(ImageNumber image) const;
+        void decay(TimePoint now);
+        void solve();
     };
-    static void solve(Model &model);
+    Model &modelOf(const std::string &servingImage);
+    [[nodiscard]] std::optional<ImageNumber> findNumber(const std::string &image) const;
+    [[nodiscard]] Wire::ImagePair pairOf(std::size_t serving, std::size_t bestEffort, double effect) const;
 
-    std::map<std::string, Model> m_models;
+    std::unordered_map<std::string, ImageNumber> m_numbers;
+    std::vector<std::string> m_images;
+    /// By the number of the serving image.
+    std::vector<Model> m_models;
 };
 
 } // namespace Trefoilhoist::Jobs
--- a/src/trefoilhoist/jobs/joblistings.cpp
+++ b/src/trefoilhoist/jobs/joblistings.cpp
@@ -5,6 +5,7 @@
 #include "trefoilhoist/jobs/throttlecontrol.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Trefoilhoist::Jobs {
 
@@ -33,6 +34,7 @@
         run.checkpoint = row.checkpoint;
         updateCheckpoint(row);
     }
+    run.listedIn = listing;
     run.usage = row.usage;
     run.percent = row.percent;
     run.mayStillStart = false;
@@ -77,8 +79,9 @@
     auto *entry = find(row.task.job);
     auto *task = entry == nullptr ? nullptr : entry->job.task(row.task);
     const bool known = task != nullptr && entry->accepted;
-    Run run = known ? runOf(entry->job.step(row.task.step), now) : Run{};
+    Run run = known ? newRun(entry->job.step(row.task.step), now) : Run{};
     run.state = RunState::Running;
+    run.listedIn = worker.lastListing;
     run.percent = row.percent;
     run.usage = row.usage;
     run.checkpoint = row.checkpoint;
@@ -106,13 +109,9 @@
 // ended or were never started.
 void JobScheduler::removeMissingRuns(Worker &worker, const Wire::WorkerReport &report, TimePoint now)
 {
-    std::set<RunKey> listed;
-    for (const auto &it : report.running) {
-        listed.insert({it.task, it.run});
-    }
     std::vector<RunKey> missing;
     for (const auto &[key, run] : worker.runs) {
-        if (run.inFlight || listed.count(key) > 0 || report.listing <= run.lastListingBeforeResolution) {
+        if (run.inFlight || run.listedIn == report.listing || report.listing <= run.lastListingBeforeResolution) {
             continue;
         }
         if (!run.mayStillStart || run.stopAcknowledged) {
@@ -132,24 +131,24 @@
     }
     WorkerMeasurements measurements;
     measurements.at = now;
-    for (const auto &[key, run] : worker.runs) {
-        if (run.demand.idleCpuMilli > 0) {
-            measurements.shares[run.image]
-                += static_cast<double>(run.usage) / static_cast<double>(worker.info.cpuMilli);
-        } else if (run.tailTargetMs > 0 && run.percent == fullPercent && run.usage > 0) {
-            measurements.slacks[key] = latencySlack(run.usage, run.tailTargetMs);
-        }
+    for (const auto *run : worker.bestEffortRuns) {
+        measurements.shares[run->image] += static_cast<double>(run->usage) / static_cast<double>(worker.info.cpuMilli);
     }
-    if (now - worker.measurements.at < 2 * measurementInterval) {
-        BestEffortShares changes = measurements.shares;
-        for (const auto &[image, share] : worker.measurements.shares) {
-            changes[image] -= share;
+    BestEffortShares changes = measurements.shares;
+    for (const auto &[image, share] : worker.measurements.shares) {
+        changes[image] -= share;
+    }
+    const bool consecutive = now - worker.measurements.at < 2 * measurementInterval;
+    for (auto &[key, run] : worker.runs) {
+        if (run.tailTargetMs <= 0) {
+            continue;
+        }
+        const auto before = std::exchange(run.slack, std::nullopt);
+        if (run.percent == fullPercent && run.usage > 0) {
+            run.slack = latencySlack(run.usage, run.tailTargetMs);
         }
-        for (const auto &[key, slack] : measurements.slacks) {
-            const auto before = worker.measurements.slacks.find(key);
-            if (before != worker.measurements.slacks.end()) {
-                m_interference.observe(worker.runs.at(key).image, slack - before->second, changes, now);
-            }
+        if (consecutive && before && run.slack) {
+            m_interference.observe(run.image, *run.slack - *before, changes, now);
         }
     }
     worker.measurements = std::move(measurements);
--- a/src/trefoilhoist/jobs/joborders.cpp
+++ b/src/trefoilhoist/jobs/joborders.cpp
@@ -16,6 +16,7 @@
         return;
     }
     auto &worker = found->second;
+    worker.mayNeedOrders = true;
     const auto resultAt = [](const std::vector<std::int32_t> &results, std::size_t i) {
         return i < results.size() ? static_cast<OrderResult>(results[i]) : OrderResult::Unknown;
     };
--- a/src/trefoilhoist/jobs/jobplanning.cpp
+++ b/src/trefoilhoist/jobs/jobplanning.cpp
@@ -35,12 +35,7 @@
     std::map<std::string, Wire::WorkerOrders> orders;
     expireWorkers(now);
     recordCheckpoints(now);
-    for (const auto &id : m_active) {
-        const auto due = m_jobs.at(id).job.nextDueMs();
-        if (due && *due <= wallMs - m_settings.dueSlackMs) {
-            m_jobsToRefresh.insert(id);
-        }
-    }
+    refreshDueJobs(wallMs);
     for (const auto &id : std::exchange(m_jobsToRefresh, {})) {
         if (auto *entry = find(id); entry != nullptr && entry->accepted) {
             refreshPending(*entry, wallMs);
@@ -50,7 +45,24 @@
     for (auto &[id, worker] : m_workers) {
         worker.reservedForLongRunning = false;
     }
+    m_unplaced.clear();
+    std::vector<StepKey> placed;
+    for (const auto *step : pendingByRank(now)) {
+        placeStep(*step, orders, now);
+        if (!hasTasksToStart(*step)) {
+            placed.emplace_back(step->job, step->occurrence, step->step);
+        }
+    }
+    for (const auto &it : placed) {
+        m_pending.erase(it);
+    }
+    return orders;
+}
+
+std::vector<const JobScheduler::PendingStep *> JobScheduler::pendingByRank(TimePoint now) const
+{
     std::vector<const PendingStep *> steps;
+    steps.reserve(m_pending.size());
     for (const auto &[key, step] : m_pending) {
         steps.push_back(&step);
     }
@@ -63,23 +75,22 @@
         };
         return rank(*a) < rank(*b);
     });
-    for (const auto *step : steps) {
-        placeStep(*step, orders, now);
+    return steps;
+}
+
+bool JobScheduler::hasTasksToStart(const PendingStep &pending)
+{
+    const auto *entry = find(pending.job);
+    if (entry == nullptr) {
+        return false;
     }
-    std::erase_if(m_pending, [&](const auto &it) {
-        const auto *entry = find(it.second.job);
-        if (entry == nullptr) {
-            return true;
-        }
-        const auto occurrence = entry->job.occurrences().find(it.second.occurrence);
-        if (occurrence == entry->job.occurrences().end() || occurrence->second.finished) {
-            return true;
-        }
-        const auto &tasks = occurrence->second.steps[static_cast<std::size_t>(it.second.step)].tasks;
-        return std::none_of(
-            tasks.begin(), tasks.end(), [](const auto &task) { return !task.done && task.activeRuns.empty(); });
-    });
-    return orders;
+    const auto occurrence = entry->job.occurrences().find(pending.occurrence);
+    if (occurrence == entry->job.occurrences().end() || occurrence->second.finished) {
+        return false;
+    }
+    const auto &tasks = occurrence->second.steps[static_cast<std::size_t>(pending.step)].tasks;
+    return std::any_of(
+        tasks.begin(), tasks.end(), [](const auto &task) { return !task.done && task.activeRuns.empty(); });
 }
 
 void JobScheduler::expireWorkers(TimePoint now)
@@ -138,14 +149,20 @@
 void JobScheduler::resendOrders(std::map<std::string, Wire::WorkerOrders> &orders, TimePoint now)
 {
     for (auto &[id, worker] : m_workers) {
+        if (!worker.mayNeedOrders) {
+            continue;
+        }
+        worker.mayNeedOrders = false;
+        // A start that got no answer must not take effect once its worker may take no more.
+        const bool takesStarts = !worker.draining && !worker.zoneDrained;
         for (auto &[key, run] : worker.runs) {
-            const bool needsOrder = run.state == RunState::Stopping || run.state == RunState::Unresolved;
-            if (!needsOrder || run.inFlight || now < run.nextOrderAt) {
+            worker.mayNeedOrders = worker.mayNeedOrders || run.needsOrder();
+            if (!run.needsOrder() || run.inFlight || now < run.nextOrderAt) {
                 continue;
             }
             auto *entry = find(key.task.job);
             if (run.state == RunState::Unresolved
-                && (run.unansweredOrders >= maxUnansweredStarts || entry == nullptr)) {
+                && (run.unansweredOrders >= maxUnansweredStarts || entry == nullptr || !takesStarts)) {
                 run.state = RunState::Stopping;
             }
             auto &workerOrders = ordersFor(orders, worker);
@@ -184,25 +201,40 @@
     }
     if (entry->job.step(pending.step).gang) {
         placeGang(*entry, pending, orders, now);
-        return;
+    } else {
+        placeTasks(*entry, pending, orders, now);
     }
-    const auto &step = entry->job.step(pending.step);
-    auto &state = occurrence->second.steps[static_cast<std::size_t>(pending.step)];
-    auto &tasks = state.tasks;
-    PlacementContext context{entry->job, pending, serviceOf(entry->job), countSiblings(state)};
+}
+
+void JobScheduler::placeTasks(Entry &entry,
+                              const PendingStep &pending,
+                              std::map<std::string, Wire::WorkerOrders> &orders,
+                              TimePoint now)
+{
+    const auto &step = entry.job.step(pending.step);
+    auto &tasks = entry.job.occurrences()[pending.occurrence].steps[static_cast<std::size_t>(pending.step)].tasks;
+    std::optional<WorkerSelector> selector;
     for (std::size_t i = 0; i < tasks.size(); ++i) {
-        if (!canStart(*entry, step, tasks[i], now)) {
+        if (!canStart(entry, step, tasks[i], now)) {
             continue;
         }
-        auto *worker = selectWorker(context, tasks[i], now);
-        if (worker == nullptr) {
-            return;
+        if (!selector) {
+            if (isKnownUnplaceable(entry, pending, now)) {
+                return;
+            }
+            selector.emplace(selectorFor(entry, pending, now));
         }
         const auto ref = taskRef(pending.job, pending.occurrence, static_cast<std::size_t>(pending.step), i);
-        start(*entry, ref, *worker, orders, nextRun(tasks[i]), now);
-        if (!tasks[i].activeRuns.empty()) {
-            ++context.siblings[worker->info.id];
+        auto *worker = selector->select(tasks[i]);
+        while (worker != nullptr && !start(entry, ref, *worker, orders, nextRun(tasks[i]), now)) {
+            selector->exclude(*worker);
+            worker = selector->select(tasks[i]);
+        }
+        if (worker == nullptr) {
+            handleUnplaced(entry, pending, *selector, now);
+            return;
         }
+        selector->startedOn(*worker);
     }
 }
 
@@ -222,20 +254,24 @@
         }
         run = std::max(run, nextRun(task));
     }
-    const PlacementContext context{entry.job, pending, serviceOf(entry.job), countSiblings(state)};
+    auto selector = selectorFor(entry, pending, now);
     std::vector<Worker *> chosen;
     std::vector<RunKey> keys;
+    std::map<const Worker *, std::size_t> members;
     for (std::size_t i = 0; i < tasks.size(); ++i) {
-        auto *worker = selectWorker(context, tasks[i], now);
+        auto *worker = selector.select(tasks[i]);
         if (worker == nullptr) {
+            handleUnplaced(entry, pending, selector, now);
             break;
         }
         const auto ref = taskRef(pending.job, pending.occurrence, static_cast<std::size_t>(pending.step), i);
-        Run placeholder;
-        placeholder.demand = demandOf(step);
-        worker->addRun({ref, run}, placeholder);
+        worker->addRun({ref, run}, newRun(step, now));
         chosen.push_back(worker);
         keys.push_back({ref, run});
+        selector.startedOn(*worker);
+        if (++members[worker] + ordersFor(orders, *worker).starts.size() >= maxStartsPerPlan) {
+            selector.exclude(*worker);
+        }
     }
     for (std::size_t i = 0; i < chosen.size(); ++i) {
         chosen[i]->removeRun(keys[i]);
@@ -258,28 +294,67 @@
     return queue == nullptr ? job.spec().queue.serviceName : queue->policy.serviceName;
 }
 
-Worker *JobScheduler::selectWorker(const PlacementContext &context, const TaskState &task, TimePoint now)
+WorkerSelector JobScheduler::selectorFor(const Entry &entry, const PendingStep &pending, TimePoint now)
 {
-    const auto &step = context.job.step(context.pending.step);
-    const Duration waited = now - context.pending.pendingSince;
-    WorkerSelector selector(step, context.service, context.siblings, task, m_interference, now);
-    selector.setOverdue(context.siblings.empty() && waited > maxWaitForNoInterference);
+    const auto &step = entry.job.step(pending.step);
+    const auto &state
+        = entry.job.occurrences().at(pending.occurrence).steps[static_cast<std::size_t>(pending.step)];
+    auto siblings = countSiblings(state);
+    const bool overdue = siblings.empty() && now - pending.pendingSince > maxWaitForNoInterference;
+    WorkerSelector selector(
+        step, serviceOf(entry.job), std::move(siblings), m_interference.numberOf(step.image), m_interference, now);
+    selector.setOverdue(overdue);
     for (auto &[id, worker] : m_workers) {
         selector.consider(worker);
     }
-    if (selector.best() == nullptr && selector.closestFit() != nullptr) {
+    return selector;
+}
+
+void JobScheduler::handleUnplaced(const Entry &entry,
+                                  const PendingStep &pending,
+                                  const WorkerSelector &selector,
+                                  TimePoint now)
+{
+    const auto &step = entry.job.step(pending.step);
+    const Duration waited = now - pending.pendingSince;
+    if (auto *worker = selector.closestFit(); worker != nullptr) {
         // Otherwise short tasks would occupy the capacity again as soon as it becomes free.
-        selector.closestFit()->reservedForLongRunning = true;
+        worker->reservedForLongRunning = true;
     }
-    if (selector.best() == nullptr && step.longRunning && waited > minWaitToLog
-        && now - m_waitLoggedAt > minWaitToLog) {
+    if (step.longRunning && waited > minWaitToLog && now - m_waitLoggedAt > minWaitToLog) {
         m_waitLoggedAt = now;
-        logStepWaiting(context.job.id(), step, selector.rejections(), waited, m_epoch);
+        logStepWaiting(entry.job.id(), step, selector.rejections(), waited, m_epoch);
+    }
+    if (!step.longRunning && !step.gang && step.maxPerWorker == 0) {
+        m_unplaced.push_back({&serviceOf(entry.job), &step});
     }
-    return selector.best();
 }
 
-void JobScheduler::start(Entry &entry,
+bool JobScheduler::isKnownUnplaceable(const Entry &entry, const PendingStep &pending, TimePoint now) const
+{
+    const bool mayBeOverdue = now - pending.pendingSince > maxWaitForNoInterference;
+    if (m_unplaced.empty() || pending.longRunning || (pending.usesIdleCpu && mayBeOverdue)) {
+        return false;
+    }
+    const auto &step = entry.job.step(pending.step);
+    const auto &service = serviceOf(entry.job);
+    return std::any_of(m_unplaced.begin(), m_unplaced.end(), [&](const auto &it) {
+        const auto &other = *it.step;
+        const bool sameConstraints = *it.service == service && other.requiredLabel == step.requiredLabel
+            && other.usesIdleCpu == step.usesIdleCpu && (!step.usesIdleCpu || other.image == step.image);
+        return sameConstraints && other.cpuMilli <= step.cpuMilli && other.memoryMb <= step.memoryMb
+            && other.accelerators <= step.accelerators;
+    });
+}
+
+Run JobScheduler::newRun(const Wire::StepSpec &step, TimePoint now)
+{
+    Run run = runOf(step, now);
+    run.imageNumber = m_interference.numberOf(step.image);
+    return run;
+}
+
+bool JobScheduler::start(Entry &entry,
                          const Wire::TaskRef &ref,
                          Worker &worker,
                          std::map<std::string, Wire::WorkerOrders> &orders,
@@ -288,16 +363,17 @@
 {
     auto &workerOrders = ordersFor(orders, worker);
     if (workerOrders.starts.size() >= maxStartsPerPlan) {
-        return;
+        return false;
     }
     const auto &step = entry.job.step(ref.step);
-    Run newRun = runOf(step, now);
-    newRun.inFlight = true;
-    newRun.checkpoint = step.checkpoints ? entry.job.task(ref)->checkpoint : std::string();
+    Run added = newRun(step, now);
+    added.inFlight = true;
+    added.checkpoint = step.checkpoints ? entry.job.task(ref)->checkpoint : std::string();
     const RunKey key{ref, run};
-    const auto &added = worker.addRun(key, std::move(newRun));
+    const auto &tracked = worker.addRun(key, std::move(added));
     entry.job.trackRun(ref, run, worker.info.id);
-    workerOrders.starts.push_back(startOrder(entry, key, added));
+    workerOrders.starts.push_back(startOrder(entry, key, tracked));
+    return true;
 }
 
 } // namespace Trefoilhoist::Jobs
--- a/src/trefoilhoist/jobs/jobreports.cpp
+++ b/src/trefoilhoist/jobs/jobreports.cpp
@@ -85,14 +85,18 @@
     observeOutcome(worker, end, now);
     worker.removeRun({end.task, end.run});
     if (entry == nullptr) {
-        worker.pendingEnds.push_back({end.number, {}, 0});
-        acknowledgeRecordedEnds(worker);
+        addPendingEnd(worker, {end.number, {}, 0});
         return;
     }
     applyEndToJob(entry->job, worker, end);
     stopObsoleteRuns(*entry, end, now);
     m_jobsToRefresh.insert(entry->job.id());
-    worker.pendingEnds.push_back({end.number, entry->job.id(), entry->job.version()});
+    addPendingEnd(worker, {end.number, entry->job.id(), entry->job.version()});
+}
+
+void JobScheduler::addPendingEnd(Worker &worker, PendingEnd end)
+{
+    worker.pendingEnds.push_back(std::move(end));
     acknowledgeRecordedEnds(worker);
 }
 
@@ -152,12 +156,30 @@
     }
 }
 
+void JobScheduler::acknowledgeEndsOf(const std::string &job)
+{
+    const auto waiting = m_endsAwaiting.find(job);
+    if (waiting == m_endsAwaiting.end()) {
+        return;
+    }
+    // Taken out first, because workers with later ends of the job are added again.
+    const auto workers = std::move(waiting->second);
+    m_endsAwaiting.erase(waiting);
+    for (const auto &it : workers) {
+        const auto worker = m_workers.find(it);
+        if (worker != m_workers.end()) {
+            acknowledgeRecordedEnds(worker->second);
+        }
+    }
+}
+
 void JobScheduler::acknowledgeRecordedEnds(Worker &worker)
 {
     while (!worker.pendingEnds.empty()) {
         const auto &first = worker.pendingEnds.front();
         const auto *entry = find(first.job);
         if (entry != nullptr && entry->recordedVersion < first.version) {
+            m_endsAwaiting[first.job].insert(worker.info.id);
             return;
         }
         worker.recordedEnds = first.number;
--- a/src/trefoilhoist/jobs/jobscheduler.cpp
+++ b/src/trefoilhoist/jobs/jobscheduler.cpp
@@ -122,9 +122,7 @@
         return;
     }
     entry->recordedVersion = version;
-    for (auto &[name, worker] : m_workers) {
-        acknowledgeRecordedEnds(worker);
-    }
+    acknowledgeEndsOf(id);
 }
 
 std::int64_t JobScheduler::recordedVersion(const std::string &id) const
@@ -149,6 +147,7 @@
 {
     m_active.erase(id);
     m_jobs.erase(id);
+    acknowledgeEndsOf(id);
 }
 
 std::optional<Wire::WorkerRoster> JobScheduler::takeChangedRoster()
@@ -175,6 +174,16 @@
     }
 }
 
+void JobScheduler::setDrainedZones(std::set<std::string> zones)
+{
+    m_drainedZones = std::move(zones);
+    for (auto &[id, worker] : m_workers) {
+        worker.zoneDrained = m_drainedZones.count(worker.info.zone) > 0;
+        // Starts that got no answer must not be sent again.
+        worker.mayNeedOrders = true;
+    }
+}
+
 void JobScheduler::stopRuns(Entry &entry, TimePoint now)
 {
     for (auto &[number, occurrence] : entry.job.occurrences()) {
@@ -209,6 +218,14 @@
     entry.job.occurrences().clear();
 }
 
+void JobScheduler::refreshDueJobs(std::int64_t wallMs)
+{
+    while (!m_dueJobs.empty() && m_dueJobs.begin()->first <= wallMs - m_settings.dueSlackMs) {
+        m_jobsToRefresh.insert(m_dueJobs.begin()->second);
+        m_dueJobs.erase(m_dueJobs.begin());
+    }
+}
+
 // Recomputes which steps of the job have tasks to start.
 void JobScheduler::refreshPending(Entry &entry, std::int64_t wallMs)
 {
@@ -225,6 +242,9 @@
         return;
     }
     job.openDueOccurrences(wallMs - m_settings.dueSlackMs);
+    if (const auto due = job.nextDueMs()) {
+        m_dueJobs.emplace(*due, id);
+    }
     const auto &policy = job.spec().queue;
     for (const auto &[number, occurrence] : job.occurrences()) {
         if (occurrence.finished) {
--- a/src/trefoilhoist/jobs/jobscheduler.h
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -66,6 +66,8 @@
     {
         return m_queues;
     }
+    /// Availability zones that operators have drained: nothing starts on their workers.
+    void setDrainedZones(std::set<std::string> zones);
 
     // Requests from callers.
     SubmissionState submit(const Wire::JobSpec &spec, TimePoint now);
@@ -134,12 +136,10 @@
         bool longRunning = false;
         bool usesIdleCpu = false;
     };
-    /// Inputs of the worker selection that all tasks of a step share.
-    struct PlacementContext {
-        const Job &job;
-        const PendingStep &pending;
-        const std::string &service;
-        SiblingCounts siblings;
+    /// A demand that no worker could take in the current plan, and the constraints under which that was found.
+    struct UnplacedDemand {
+        const std::string *service = nullptr;
+        const Wire::StepSpec *step = nullptr;
     };
     using StepKey = std::tuple<std::string, int, int>;
 
@@ -147,6 +147,7 @@
     Entry *find(const std::string &id);
     void markChanged(const std::string &id);
     void refreshPending(Entry &entry, std::int64_t wallMs);
+    void refreshDueJobs(std::int64_t wallMs);
     void stopRuns(Entry &entry, TimePoint now);
     void releaseMemory(Entry &entry);
 
@@ -165,6 +166,9 @@
     static void observeOutcome(Worker &worker, const Wire::EndedTask &end, TimePoint now);
     void applyEndToJob(Job &job, const Worker &worker, const Wire::EndedTask &end);
     void stopObsoleteRuns(Entry &entry, const Wire::EndedTask &end, TimePoint now);
+    void addPendingEnd(Worker &worker, PendingEnd end);
+    /// Acknowledges the ends that waited for the recording of this job.
+    void acknowledgeEndsOf(const std::string &job);
     void acknowledgeRecordedEnds(Worker &worker);
 
     // joblistings.cpp
@@ -182,7 +186,12 @@
     // jobplanning.cpp
     void expireWorkers(TimePoint now);
     void resendOrders(std::map<std::string, Wire::WorkerOrders> &orders, TimePoint now);
+    [[nodiscard]] std::vector<const PendingStep *> pendingByRank(TimePoint now) const;
     void placeStep(const PendingStep &pending, std::map<std::string, Wire::WorkerOrders> &orders, TimePoint now);
+    void placeTasks(Entry &entry,
+                    const PendingStep &pending,
+                    std::map<std::string, Wire::WorkerOrders> &orders,
+                    TimePoint now);
     void placeGang(Entry &entry,
                    const PendingStep &pending,
                    std::map<std::string, Wire::WorkerOrders> &orders,
@@ -190,8 +199,17 @@
     [[nodiscard]] bool
     canStart(const Entry &entry, const Wire::StepSpec &step, const TaskState &task, TimePoint now) const;
     [[nodiscard]] const std::string &serviceOf(const Job &job) const;
-    [[nodiscard]] Worker *selectWorker(const PlacementContext &context, const TaskState &task, TimePoint now);
-    void start(Entry &entry,
+    /// A selector that has considered all workers for the step's tasks.
+    [[nodiscard]] WorkerSelector selectorFor(const Entry &entry, const PendingStep &pending, TimePoint now);
+    /// Notes in this plan that no worker can take a task of the step.
+    void handleUnplaced(const Entry &entry, const PendingStep &pending, const WorkerSelector &selector, TimePoint now);
+    /// True if an equal or smaller demand found no worker earlier in this plan.
+    [[nodiscard]] bool isKnownUnplaceable(const Entry &entry, const PendingStep &pending, TimePoint now) const;
+    /// True if the pending step still has tasks that may have to be started.
+    [[nodiscard]] bool hasTasksToStart(const PendingStep &pending);
+    [[nodiscard]] Run newRun(const Wire::StepSpec &step, TimePoint now);
+    /// False if the worker takes no more starts in this plan.
+    bool start(Entry &entry,
                const Wire::TaskRef &ref,
                Worker &worker,
                std::map<std::string, Wire::WorkerOrders> &orders,
@@ -214,6 +232,12 @@
     std::set<std::string> m_unrecordedCheckpoints;
     TimePoint m_checkpointsRecordedAt;
     std::map<StepKey, PendingStep> m_pending;
+    /// Due times of the next occurrences of repeated jobs, in Unix milliseconds.
+    std::set<std::pair<std::int64_t, std::string>> m_dueJobs;
+    std::vector<UnplacedDemand> m_unplaced;
+    /// Workers with ends that wait for the recording of a job, by job.
+    std::map<std::string, std::set<std::string>> m_endsAwaiting;
+    std::set<std::string> m_drainedZones;
     std::map<std::string, Worker> m_workers;
     InterferenceTable m_interference;
     /// Agents of the restored roster that have not reported to this owner yet.
--- a/src/trefoilhoist/jobs/worker.cpp
+++ b/src/trefoilhoist/jobs/worker.cpp
@@ -98,6 +98,13 @@
     if (it->second.longRunning) {
         usedByLongRunning += it->second.demand;
     }
+    if (it->second.tailTargetMs > 0) {
+        servingRuns.push_back(&it->second);
+    }
+    if (it->second.demand.idleCpuMilli > 0) {
+        bestEffortRuns.push_back(&it->second);
+    }
+    mayNeedOrders = mayNeedOrders || it->second.needsOrder();
     return it->second;
 }
 
@@ -110,6 +117,8 @@
         if (it->second.longRunning) {
             usedByLongRunning -= it->second.demand;
         }
+        std::erase(servingRuns, &it->second);
+        std::erase(bestEffortRuns, &it->second);
         runs.erase(it);
     }
 }
--- a/src/trefoilhoist/jobs/worker.h
+++ b/src/trefoilhoist/jobs/worker.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Trefoilhoist::Jobs {
 
@@ -63,8 +64,20 @@
     /// Tail latency in milliseconds for a serving task, otherwise the used CPU in thousandths of a core.
     std::int64_t usage = 0;
     std::string image;
+    /// The image's number in the owner's interference table.
+    ImageNumber imageNumber = 0;
     /// 0: not a serving task.
     std::int64_t tailTargetMs = 0;
+    /// Slack of a serving task in the worker's last measurements: its target over its tail latency.
+    std::optional<double> slack;
+    /// Number of the last listing that showed the run.
+    std::int64_t listedIn = 0;
+
+    /// True if another order about the run is needed: a stop, or the start again.
+    [[nodiscard]] bool needsOrder() const
+    {
+        return state == RunState::Stopping || state == RunState::Unresolved;
+    }
 };
 
 /// Creates a run of one of the step's tasks in the state in which it is ordered.
@@ -77,18 +90,26 @@
     std::int64_t version = 0;
 };
 
-/// The last measurements of a worker's best-effort tasks and serving tasks.
+/// The last measurements of a worker's best-effort tasks. Those of its serving tasks are kept with their runs.
 struct WorkerMeasurements {
     TimePoint at;
     /// By image, the share of the worker's CPU that its best-effort tasks use.
     BestEffortShares shares;
-    /// Slack of each serving task: its target over its tail latency.
-    std::map<RunKey, double> slacks;
 };
 
 /// One incarnation of a minion, as the owner of the scheduling knows it.
 struct Worker {
+    Worker() = default;
+    Worker(Worker &&) = default;
+    Worker &operator=(Worker &&) = default;
+    // The lists of serving and best-effort runs refer to entries of `runs`.
+    Worker(const Worker &) = delete;
+    Worker &operator=(const Worker &) = delete;
+    ~Worker() = default;
+
     Wire::WorkerDescription info;
+    /// Operators have drained the worker's availability zone: nothing is started here.
+    bool zoneDrained = false;
     bool draining = false;
     bool reachable = false;
     /// The minion has answered a listing under this owner's epoch.
@@ -109,6 +130,11 @@
     std::int64_t recordedEnds = 0;
     std::deque<PendingEnd> pendingEnds;
     std::map<RunKey, Run> runs;
+    /// The runs that serve users, and those of best-effort tasks.
+    std::vector<const Run *> servingRuns;
+    std::vector<const Run *> bestEffortRuns;
+    /// Some run may need another order.
+    bool mayNeedOrders = false;
     Demand used;
     /// The part of `used` that belongs to long-running tasks.
     Demand usedByLongRunning;
@@ -119,7 +145,7 @@
     WorkerHealth health;
     WorkerMeasurements measurements;
     /// Effects of image pairs as last sent to the worker's agent.
-    std::map<std::pair<std::string, std::string>, double> sentPairs;
+    ReportedEffects sentPairs;
 
     [[nodiscard]] bool hasLabel(const std::string &label) const;
     /// True if `demand` fits beside all runs. Always false beside an orphaned run, whose demand is not known.
--- a/src/trefoilhoist/jobs/workerhealth.cpp
+++ b/src/trefoilhoist/jobs/workerhealth.cpp
@@ -66,8 +66,9 @@
 
 double WorkerHealth::failureRatio(TimePoint now) const
 {
-    const double failures = decayed(m_failures, now) + priorFailures;
-    return failures / (failures + decayed(m_successes, now) + priorSuccesses);
+    const double weight = decayed(1, now);
+    const double failures = weight * m_failures + priorFailures;
+    return failures / (failures + weight * m_successes + priorSuccesses);
 }
 
 } // namespace Trefoilhoist::Jobs
--- a/src/trefoilhoist/jobs/workerincarnations.cpp
+++ b/src/trefoilhoist/jobs/workerincarnations.cpp
@@ -31,6 +31,7 @@
     const auto known = m_workers.find(report.worker.id);
     if (known != m_workers.end() && known->second.info.born == report.worker.born) {
         known->second.info = report.worker;
+        known->second.zoneDrained = m_drainedZones.count(report.worker.zone) > 0;
         addToRoster(report.worker);
         return &known->second;
     }
@@ -56,6 +57,7 @@
     // The lease that an earlier owner granted is not known, so the longest possible one is assumed.
     worker.leaseEnds = now + m_settings.grantGrace + m_settings.workerLease + m_settings.leaseSlack;
     worker.inRecordedRoster = m_recordedRoster.count(name) > 0;
+    worker.zoneDrained = m_drainedZones.count(report.worker.zone) > 0;
     addToRoster(report.worker);
     logWorkerEvent("worker_joined", worker, m_epoch);
     auto &newWorker = m_workers.insert_or_assign(report.worker.id, std::move(worker)).first->second;
@@ -82,8 +84,11 @@
 // Adds the agent to the roster that is recorded, so that a later owner waits for its report.
 void JobScheduler::addToRoster(const Wire::WorkerDescription &worker)
 {
-    const auto [it, added] = m_roster.emplace(agentName(worker), worker);
-    m_rosterChanged = m_rosterChanged || added;
+    auto name = agentName(worker);
+    if (m_roster.count(name) == 0) {
+        m_roster.emplace(std::move(name), worker);
+        m_rosterChanged = true;
+    }
 }
 
 // Called when no run that was ordered from this incarnation can still be executing.
@@ -156,6 +161,7 @@
         }
         it->second.state = RunState::Stopping;
         it->second.nextOrderAt = now;
+        worker.mayNeedOrders = true;
     }
 }
 
--- a/src/trefoilhoist/jobs/workerselector.cpp
+++ b/src/trefoilhoist/jobs/workerselector.cpp
@@ -1,6 +1,8 @@
 #include "trefoilhoist/jobs/workerselector.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace Trefoilhoist::Jobs {
 
@@ -46,14 +48,14 @@
 
 WorkerSelector::WorkerSelector(const Wire::StepSpec &step,
                                const std::string &service,
-                               const SiblingCounts &siblings,
-                               const TaskState &task,
+                               SiblingCounts siblings,
+                               ImageNumber image,
                                const InterferenceTable &interference,
                                TimePoint now)
     : m_step(step)
     , m_service(service)
-    , m_siblings(siblings)
-    , m_task(task)
+    , m_siblings(std::move(siblings))
+    , m_image(image)
     , m_interference(interference)
     , m_now(now)
     , m_demand(demandOf(step))
@@ -62,35 +64,41 @@
 
 int WorkerSelector::siblingsOn(const Worker &worker) const
 {
+    if (m_siblings.empty()) {
+        return 0;
+    }
     const auto it = m_siblings.find(worker.info.id);
     return it == m_siblings.end() ? 0 : it->second;
 }
 
-std::string_view WorkerSelector::rejectionReason(const Worker &worker) const
+Rejection WorkerSelector::rejectionOf(const Worker &worker) const
 {
     if (!worker.inRecordedRoster || !worker.listed) {
-        return "not listed or recorded yet";
+        return Rejection::NotListed;
     }
     if (!worker.reachable || m_now - worker.lastContact > maxReportAge
         || worker.leaseEnds - m_now < minRemainingLease) {
-        return "silent";
+        return Rejection::Silent;
     }
     if (worker.draining) {
-        return "draining";
+        return Rejection::Draining;
+    }
+    if (worker.zoneDrained) {
+        return Rejection::ZoneDrained;
     }
     if (worker.info.serviceName != m_service) {
-        return "other service";
+        return Rejection::OtherService;
     }
     if (worker.health.isQuarantined(m_now)) {
-        return "quarantined";
+        return Rejection::Quarantined;
     }
     if (!m_step.requiredLabel.empty() && !worker.hasLabel(m_step.requiredLabel)) {
-        return "label missing";
+        return Rejection::LabelMissing;
     }
     if (m_step.maxPerWorker > 0 && siblingsOn(worker) >= m_step.maxPerWorker) {
-        return "limit per worker reached";
+        return Rejection::LimitPerWorker;
     }
-    return {};
+    return Rejection::None;
 }
 
 bool WorkerSelector::hasFreeCapacity(const Worker &worker) const
@@ -114,7 +122,7 @@
         cost = std::max(cost, shareOf(used.cpuMilli + m_demand.cpuMilli, worker.info.cpuMilli));
     }
     if (m_step.tailTargetMs > 0) {
-        cost += mixedImagesCost * shareOfOtherImages(worker, m_step.image);
+        cost += mixedImagesCost * shareOfOtherImages(worker);
     } else {
         cost += siblingCost * siblingsOn(worker);
     }
@@ -125,71 +133,151 @@
     if (!m_step.inputRack.empty() && !worker.hasLabel(m_step.inputRack)) {
         cost += remoteDataCost;
     }
-    if (m_task.failedOn == worker.info.id) {
-        cost += sameTaskFailedCost;
-    }
     return cost;
 }
 
 double WorkerSelector::interferenceOn(const Worker &worker) const
 {
-    const auto capacity = static_cast<double>(std::max(1, worker.info.cpuMilli));
-    // Best-effort tasks that were started since the last measurements are not included in them yet.
-    BestEffortShares unmeasured;
-    unmeasured[m_step.image] = static_cast<double>(m_demand.idleCpuMilli) / capacity;
-    for (const auto &[key, run] : worker.runs) {
-        if (run.demand.idleCpuMilli > 0 && run.orderedAt > worker.measurements.at) {
-            unmeasured[run.image] += static_cast<double>(run.demand.idleCpuMilli) / capacity;
-        }
+    if (worker.servingRuns.empty()) {
+        return 0;
     }
+    const auto capacity = static_cast<double>(std::max(1, worker.info.cpuMilli));
+    const double ownShare = static_cast<double>(m_demand.idleCpuMilli) / capacity;
     double sum = 0;
-    for (const auto &[key, run] : worker.runs) {
-        if (run.tailTargetMs <= 0) {
-            continue;
+    for (const auto *serving : worker.servingRuns) {
+        const double ownEffect = m_interference.effect(serving->imageNumber, m_image);
+        double unmeasuredOfImage = ownShare;
+        double slackDrop = ownEffect * ownShare;
+        // Best-effort tasks that were started since the last measurements are not included in them yet.
+        for (const auto *run : worker.bestEffortRuns) {
+            if (run->orderedAt <= worker.measurements.at) {
+                continue;
+            }
+            const double share = static_cast<double>(run->demand.idleCpuMilli) / capacity;
+            slackDrop += m_interference.effect(serving->imageNumber, run->imageNumber) * share;
+            unmeasuredOfImage += run->imageNumber == m_image ? share : 0;
         }
-        const double taskEffect = m_interference.effect(run.image, m_step.image) * unmeasured[m_step.image];
-        const auto slack = worker.measurements.slacks.find(key);
-        const double currentSlack = slack == worker.measurements.slacks.end() ? requiredSlack : slack->second;
-        const double shortfall = requiredSlack - (currentSlack - m_interference.slackDrop(run.image, unmeasured));
-        sum += std::clamp(shortfall, 0.0, taskEffect);
+        const double shortfall = requiredSlack - (serving->slack.value_or(requiredSlack) - slackDrop);
+        sum += std::clamp(shortfall, 0.0, ownEffect * unmeasuredOfImage);
     }
     return sum;
 }
 
-double WorkerSelector::shareOfOtherImages(const Worker &worker, const std::string &image)
+double WorkerSelector::shareOfOtherImages(const Worker &worker) const
 {
-    int serving = 0;
-    int others = 0;
-    for (const auto &[key, run] : worker.runs) {
-        if (run.tailTargetMs > 0) {
-            ++serving;
-            others += run.image != image ? 1 : 0;
-        }
+    if (worker.servingRuns.empty()) {
+        return 0;
     }
-    return serving == 0 ? 0 : static_cast<double>(others) / serving;
+    const auto others = std::count_if(worker.servingRuns.begin(), worker.servingRuns.end(), [&](const auto *it) {
+        return it->imageNumber != m_image;
+    });
+    return static_cast<double>(others) / static_cast<double>(worker.servingRuns.size());
+}
+
+void WorkerSelector::reject(Rejection rejection)
+{
+    ++m_rejections.at(static_cast<std::size_t>(rejection));
 }
 
 void WorkerSelector::consider(Worker &worker)
 {
-    const auto reason = rejectionReason(worker);
-    if (!reason.empty()) {
-        ++m_rejections[reason];
+    m_considered.push_back(&worker);
+    evaluate(worker, m_considered.size());
+}
+
+void WorkerSelector::evaluate(Worker &worker, std::size_t order)
+{
+    const auto rejection = rejectionOf(worker);
+    if (rejection != Rejection::None) {
+        reject(rejection);
         return;
     }
     if (!hasFreeCapacity(worker)) {
-        ++m_rejections["not enough capacity"];
-        const auto shortage = m_step.longRunning ? worker.shortage(m_demand) : std::nullopt;
-        if (shortage && (m_closestFit == nullptr || *shortage < m_leastShortage)) {
-            m_closestFit = &worker;
-            m_leastShortage = *shortage;
+        reject(Rejection::NoCapacity);
+        if (m_step.longRunning) {
+            m_full.push_back(&worker);
         }
         return;
     }
-    const double value = cost(worker);
-    if (m_best == nullptr || value < m_lowestCost) {
-        m_best = &worker;
-        m_lowestCost = value;
+    m_candidates.push_back({cost(worker), order, &worker});
+    std::push_heap(m_candidates.begin(), m_candidates.end());
+}
+
+Worker *WorkerSelector::select(const TaskState &task) const
+{
+    if (m_candidates.empty()) {
+        return nullptr;
+    }
+    const auto &best = m_candidates.front();
+    if (task.failedOn.empty() || task.failedOn != best.worker->info.id || m_candidates.size() == 1) {
+        return best.worker;
+    }
+    // The second lowest cost is one of the two below the front of the heap.
+    const auto &second = *std::max_element(m_candidates.begin() + 1,
+                                           m_candidates.begin() + std::min<std::ptrdiff_t>(3, std::ssize(m_candidates)));
+    return second.cost < best.cost + sameTaskFailedCost ? second.worker : best.worker;
+}
+
+void WorkerSelector::exclude(const Worker &worker)
+{
+    const auto it = std::find_if(
+        m_candidates.begin(), m_candidates.end(), [&](const auto &candidate) { return candidate.worker == &worker; });
+    if (it == m_candidates.end()) {
+        return;
+    }
+    if (it == m_candidates.begin()) {
+        std::pop_heap(m_candidates.begin(), m_candidates.end());
+        m_candidates.pop_back();
+        return;
+    }
+    m_candidates.erase(it);
+    std::make_heap(m_candidates.begin(), m_candidates.end());
+}
+
+void WorkerSelector::startedOn(Worker &worker)
+{
+    ++m_siblings[worker.info.id];
+    if (m_overdue) {
+        // What was allowed to the first task alone no longer holds for any worker.
+        m_overdue = false;
+        m_candidates.clear();
+        m_full.clear();
+        m_rejections = {};
+        for (std::size_t i = 0; i < m_considered.size(); ++i) {
+            evaluate(*m_considered[i], i + 1);
+        }
+        return;
+    }
+    const auto it = std::find_if(
+        m_candidates.begin(), m_candidates.end(), [&](const auto &candidate) { return candidate.worker == &worker; });
+    const auto order = it == m_candidates.end() ? 0 : it->order;
+    exclude(worker);
+    evaluate(worker, order);
+}
+
+std::map<std::string_view, int> WorkerSelector::rejections() const
+{
+    std::map<std::string_view, int> counts;
+    for (std::size_t i = 1; i < m_rejections.size(); ++i) {
+        if (m_rejections[i] > 0) {
+            counts[rejectionNames[i]] = m_rejections[i];
+        }
+    }
+    return counts;
+}
+
+Worker *WorkerSelector::closestFit() const
+{
+    Worker *closest = nullptr;
+    double leastShortage = 0;
+    for (auto *worker : m_full) {
+        const auto shortage = worker->shortage(m_demand);
+        if (shortage && (closest == nullptr || *shortage < leastShortage)) {
+            closest = worker;
+            leastShortage = *shortage;
+        }
     }
+    return closest;
 }
 
 } // namespace Trefoilhoist::Jobs
--- a/src/trefoilhoist/jobs/workerselector.h
+++ b/src/trefoilhoist/jobs/workerselector.h
@@ -3,9 +3,11 @@
 #include "trefoilhoist/jobs/job.h"
 #include "trefoilhoist/jobs/worker.h"
 
+#include <array>
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace Trefoilhoist::Jobs {
 
@@ -13,65 +15,109 @@
 using SiblingCounts = std::map<std::string, int>;
 [[nodiscard]] SiblingCounts countSiblings(const StepState &step);
 
-/// Selects the worker for one task: the one with the lowest cost among those that meet all constraints.
+/// Why a worker can't run a task now.
+enum class Rejection {
+    None,
+    NotListed,
+    Silent,
+    Draining,
+    ZoneDrained,
+    OtherService,
+    Quarantined,
+    LabelMissing,
+    LimitPerWorker,
+    NoCapacity,
+};
+
+inline constexpr std::array<std::string_view, 10> rejectionNames = {"",
+                                                                    "not listed or recorded yet",
+                                                                    "silent",
+                                                                    "draining",
+                                                                    "zone drained",
+                                                                    "other service",
+                                                                    "quarantined",
+                                                                    "label missing",
+                                                                    "limit per worker reached",
+                                                                    "not enough capacity"};
+
+[[nodiscard]] constexpr std::string_view rejectionName(Rejection rejection)
+{
+    return rejectionNames.at(static_cast<std::size_t>(rejection));
+}
+
+/// Selects the workers for the tasks of one step: for each task the worker with the lowest cost among those that meet
+/// all constraints. Each worker is evaluated once, and again after each start on it.
 class WorkerSelector
 {
 public:
+    /// `image` is the number of the step's image in `interference`.
     WorkerSelector(const Wire::StepSpec &step,
                    const std::string &service,
-                   const SiblingCounts &siblings,
-                   const TaskState &task,
+                   SiblingCounts siblings,
+                   ImageNumber image,
                    const InterferenceTable &interference,
                    TimePoint now);
 
     /// Allows workers that lack idle CPU or where the task interferes with serving tasks, because its step has waited
-    /// too long.
+    /// too long. It holds until the first start. Must be called before consider().
     void setOverdue(bool overdue)
     {
         m_overdue = overdue;
     }
     void consider(Worker &worker);
-    /// Number of rejected workers by reason.
-    [[nodiscard]] const std::map<std::string_view, int> &rejections() const
-    {
-        return m_rejections;
-    }
-    /// Null if no worker can run the task now.
-    [[nodiscard]] Worker *best() const
-    {
-        return m_best;
-    }
+    /// The worker for this task; null if no worker can run it now.
+    [[nodiscard]] Worker *select(const TaskState &task) const;
+    /// To be called after a run of the step was added to the worker.
+    void startedOn(Worker &worker);
+    /// Removes a worker that can take no more orders in this plan.
+    void exclude(const Worker &worker);
+
+    /// Number of considered workers by the reason why they were rejected.
+    [[nodiscard]] std::map<std::string_view, int> rejections() const;
     /// For a long-running task that fits on no worker: the worker with the least shortage, among those where it fits
     /// once the short tasks have ended. Null for other tasks.
-    [[nodiscard]] Worker *closestFit() const
-    {
-        return m_closestFit;
-    }
+    [[nodiscard]] Worker *closestFit() const;
 
 private:
-    /// Why the worker can't run the task, apart from its capacity; empty if there is no such reason.
-    [[nodiscard]] std::string_view rejectionReason(const Worker &worker) const;
+    struct Candidate {
+        double cost = 0;
+        /// Position in the order of consideration, which decides between equal costs.
+        std::size_t order = 0;
+        Worker *worker = nullptr;
+
+        /// For a heap with the lowest cost in front.
+        bool operator<(const Candidate &other) const
+        {
+            return cost != other.cost ? cost > other.cost : order > other.order;
+        }
+    };
+
+    /// Why the worker can't run the task, apart from its capacity.
+    [[nodiscard]] Rejection rejectionOf(const Worker &worker) const;
     [[nodiscard]] bool hasFreeCapacity(const Worker &worker) const;
     [[nodiscard]] double cost(const Worker &worker) const;
     /// By how much the task would reduce the slack of the worker's serving tasks below the required slack, in total.
     [[nodiscard]] double interferenceOn(const Worker &worker) const;
     /// Share of the worker's serving tasks that run another image.
-    [[nodiscard]] static double shareOfOtherImages(const Worker &worker, const std::string &image);
+    [[nodiscard]] double shareOfOtherImages(const Worker &worker) const;
     [[nodiscard]] int siblingsOn(const Worker &worker) const;
+    void evaluate(Worker &worker, std::size_t order);
+    void reject(Rejection rejection);
 
     const Wire::StepSpec &m_step;
     const std::string &m_service;
-    const SiblingCounts &m_siblings;
-    const TaskState &m_task;
+    SiblingCounts m_siblings;
+    ImageNumber m_image;
     const InterferenceTable &m_interference;
     TimePoint m_now;
     Demand m_demand;
     bool m_overdue = false;
-    Worker *m_best = nullptr;
-    double m_lowestCost = 0;
-    Worker *m_closestFit = nullptr;
-    double m_leastShortage = 0;
-    std::map<std::string_view, int> m_rejections;
+    /// Workers that can run a task now, as a heap.
+    std::vector<Candidate> m_candidates;
+    /// Workers that lack only capacity.
+    std::vector<Worker *> m_full;
+    std::vector<Worker *> m_considered;
+    std::array<int, rejectionNames.size()> m_rejections{};
 };
 
 } // namespace Trefoilhoist::Jobs
--- a/src/trefoilhoist/wire/peerclient.cpp
+++ b/src/trefoilhoist/wire/peerclient.cpp
@@ -21,15 +21,28 @@
 
 using CallResult = tl::expected<Wire::Envelope, CallError>;
 
+/// A host that is down or cut off does not answer, and the system's own retries of the handshake come seconds apart.
+constexpr Duration connectTimeout = milliseconds(1000);
+
+using SteadyTime = std::chrono::steady_clock::time_point;
+
 // A call that waits for its answer. The timer is the signal: cancelled when there is news.
 struct PendingCall {
     Asio::steady_timer timer;
+    std::int64_t correlation = 0;
     std::optional<Wire::Envelope> reply;
     bool connectionLost = false;
+    /// When its frame was first handed to the connection; nothing while it is queued.
+    std::optional<SteadyTime> sentAt;
 
     PendingCall(const Asio::any_io_executor &executor, Duration timeout) : timer(executor, timeout) { }
 };
 
+struct UnsentFrame {
+    std::string bytes;
+    std::shared_ptr<PendingCall> call;
+};
+
 } // namespace
 
 // All members are used on the strand only.
@@ -44,7 +57,8 @@
     bool writing = false;
     bool stopped = false;
     std::int64_t lastCorrelation = 0;
-    std::deque<std::string> unsent;
+    SteadyTime lastReceivedAt;
+    std::deque<UnsentFrame> unsent;
     std::map<std::int64_t, std::shared_ptr<PendingCall>> pending;
 
     State(const Asio::any_io_executor &executor, std::string name, std::int64_t inc, Endpoint to)
@@ -62,19 +76,35 @@
         envelope.kind = kind;
         envelope.payload = std::move(payload);
         auto waiting = std::make_shared<PendingCall>(state->strand, timeout);
+        waiting->correlation = envelope.correlation;
         state->pending[envelope.correlation] = waiting;
-        state->unsent.push_back(Detail::frameOf(envelope));
+        state->unsent.push_back({Detail::frameOf(envelope), waiting});
         state->flush();
 
         boost::system::error_code ec;
         co_await waiting->timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ec));
-        state->pending.erase(envelope.correlation);
+        state->pending.erase(waiting->correlation);
         if (waiting->reply) {
             co_return std::move(*waiting->reply);
         }
-        // A frame left unsent by a failed connect is dropped, but this call can't tell: it may have arrived.
-        const char *reason = waiting->connectionLost ? "connection lost" : "no answer in time";
-        co_return tl::unexpected(CallError{Verdict::MayHaveRun, state->peer.str() + ": " + reason});
+        co_return tl::unexpected(state->failureOf(*waiting));
+    }
+
+    CallError failureOf(const PendingCall &call)
+    {
+        if (!call.sentAt) {
+            // The frame must not leave after the caller was told that it didn't.
+            std::erase_if(unsent, [&](const auto &it) { return it.call.get() == &call; });
+            return {Verdict::NotRun, peer.str() + ": no connection"};
+        }
+        if (call.connectionLost) {
+            return {Verdict::MayHaveRun, peer.str() + ": connection lost"};
+        }
+        if (lastReceivedAt < *call.sentAt) {
+            // The connection may have gone silent for good without a reset. A new one is the only way to find out.
+            loseConnection();
+        }
+        return {Verdict::MayHaveRun, peer.str() + ": no answer in time"};
     }
 
     void flush()
@@ -98,6 +128,13 @@
         auto fresh = std::make_shared<Tcp::socket>(strand);
         const auto address = Asio::ip::make_address(peer.host, ec);
         if (!ec) {
+            Asio::steady_timer limit(strand, connectTimeout);
+            limit.async_wait([fresh](boost::system::error_code cancelled) {
+                if (!cancelled) {
+                    boost::system::error_code ignored;
+                    fresh->close(ignored);
+                }
+            });
             co_await fresh->async_connect(Tcp::endpoint(address, peer.port),
                                           Asio::redirect_error(Asio::use_awaitable, ec));
         }
@@ -117,9 +154,10 @@
     {
         auto current = socket;
         while (current && connected && socket == current && !unsent.empty()) {
-            std::string frame = std::move(unsent.front());
+            auto frame = std::move(unsent.front());
             unsent.pop_front();
-            if (!co_await Detail::writeFrame(*current, std::move(frame))) {
+            frame.call->sentAt = std::chrono::steady_clock::now();
+            if (!co_await Detail::writeFrame(*current, std::move(frame.bytes))) {
                 break;
             }
         }
@@ -136,6 +174,7 @@
             if (!envelope) {
                 break;
             }
+            lastReceivedAt = std::chrono::steady_clock::now();
             const auto it = pending.find(envelope->correlation);
             if (envelope->reply && it != pending.end()) {
                 it->second->reply = std::move(*envelope);
@@ -153,6 +192,8 @@
         unsent.clear();
         if (socket) {
             boost::system::error_code ec;
+            // Bytes that have not left yet must not arrive later.
+            socket->set_option(Asio::socket_base::linger(true, 0), ec);
             socket->close(ec);
             socket.reset();
         }
@@ -160,6 +201,7 @@
             waiting->connectionLost = true;
             waiting->timer.cancel();
         }
+        pending.clear();
     }
 };
 
--- a/tests/unit/foundation.cpp
+++ b/tests/unit/foundation.cpp
@@ -9,6 +9,8 @@
 #include "trefoilhoist/wire/peerserver.h"
 
 #include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <gtest/gtest.h>
 
 #include <future>
@@ -182,3 +184,36 @@
     EXPECT_EQ(result->payload, "hi received");
     EXPECT_EQ(result->incarnation, 7);
 }
+
+TEST_F(NetTest, peerCall_nobodyListens_isNotRun)
+{
+    PeerClient client(m_context.get_executor(), "a", 1, {"127.0.0.1", 1});
+    const auto result = await<tl::expected<Wire::Envelope, CallError>>(
+        [&] { return client.call(Wire::MessageKind::HelloKind, "hi", seconds(5)); });
+    ASSERT_FALSE(result);
+    EXPECT_EQ(result.error().verdict, Verdict::NotRun);
+}
+
+// A connection that goes silent without a reset, while new connections work.
+TEST_F(NetTest, peerCall_connectionGoneSilent_laterCallUsesANewConnection)
+{
+    Asio::ip::tcp::acceptor acceptor(m_context, {Asio::ip::make_address("127.0.0.1"), 0});
+    std::vector<std::shared_ptr<Asio::ip::tcp::socket>> accepted;
+    spawnOn(m_context.get_executor(), "accept", [&]() -> awaitable<void> {
+        while (true) {
+            auto socket = std::make_shared<Asio::ip::tcp::socket>(m_context);
+            co_await acceptor.async_accept(*socket, Asio::use_awaitable);
+            accepted.push_back(socket);
+        }
+    });
+    PeerClient client(m_context.get_executor(), "a", 1, {"127.0.0.1", acceptor.local_endpoint().port()});
+    const auto call = [&] {
+        return await<tl::expected<Wire::Envelope, CallError>>(
+            [&] { return client.call(Wire::MessageKind::HelloKind, "hi", milliseconds(100)); });
+    };
+    const auto first = call();
+    ASSERT_FALSE(first);
+    EXPECT_EQ(first.error().verdict, Verdict::MayHaveRun);
+    EXPECT_FALSE(call());
+    EXPECT_EQ(accepted.size(), 2U);
+}
--- a/tests/unit/throttlecontrol.cpp
+++ b/tests/unit/throttlecontrol.cpp
@@ -234,7 +234,7 @@
 
 TEST_F(InterferenceTableTest, pairWithLittleEvidence_isNotReported)
 {
-    std::map<std::pair<std::string, std::string>, double> reported;
+    ReportedEffects reported;
     observeChange(-0.1, "image", 0.02);
     EXPECT_TRUE(m_table.takeChanged(reported).empty());
     for (int i = 0; i < 10; ++i) {
