Drain an availability zone on the operators' word; index queues

Each request compared its host and path with every route, each placed step its queue with every name, and each of many versions that a watch brought at once was parsed.

Change: OperatorRecords holds what operators record: the newest configuration, never an earlier one, and the drained zones. Workers of a drained zone get no starts; unanswered starts to such workers, and to workers that leave, are stopped and not sent again. A dispatcher takes part in elections only after its first complete read, so that no new owner starts work in a zone that it does not know to be drained. QueueTable is indexed by host and by name.

Tests: unit operatorrecords and jobscheduler (drained zone, joining worker, unanswered start); the latter fail without the change.

--- a/src/programs/dispatcher/dispatcher.cpp
+++ b/src/programs/dispatcher/dispatcher.cpp
@@ -16,6 +16,7 @@
 /// Without any owner, a request is refused after this time, so that the caller can retry later.
 constexpr Duration noOwnerTimeout = milliseconds(400);
 constexpr Duration ownerPollInterval = milliseconds(25);
+constexpr Duration operatorsPollInterval = milliseconds(25);
 constexpr Duration ownerCallTimeout = milliseconds(1200);
 constexpr Duration registerRetryDelay = milliseconds(500);
 constexpr Duration stopPollInterval = milliseconds(50);
@@ -56,6 +57,7 @@
     , m_adapters(std::move(adapters))
     , m_metrics(runtime.clock())
     , m_election(*m_adapters.store, runtime.clock(), m_settings.election, selfRecord(m_settings))
+    , m_operators(*m_adapters.configuration)
     , m_callers(
           runtime.executor(), callerLimits(), [this](HttpRequest request) { return serveCaller(std::move(request)); })
     , m_readiness(runtime.executor(), {}, [this](HttpRequest request) { return serveReadiness(std::move(request)); })
@@ -84,16 +86,23 @@
     if (const auto port = m_callers.listen(m_settings.callers); !port) {
         return StartProblem{"/callers", port.error()};
     }
-    spawnOn(m_runtime.executor(), "configuration", [this] { return watchConfiguration(); });
-    spawnOn(m_runtime.executor(), "election", [this] {
-        return m_election.run([this](Jobs::OwnerTerm term) { startSession(term); },
-                              [this](const std::string &) { closeSession(); });
-    });
+    spawnOn(m_runtime.executor(), "operators", [this] { return watchOperatorRecords(); });
+    spawnOn(m_runtime.executor(), "election", [this] { return runElection(); });
     spawnOn(m_runtime.executor(), "registration", [this] { return registerPeer(); });
     Event("started").add("name", m_settings.name).add("incarnation", m_runtime.incarnation());
     return std::nullopt;
 }
 
+awaitable<void> DispatcherServer::runElection()
+{
+    // An owner must know which zones are drained before it starts anything.
+    while (!m_operators.isComplete()) {
+        co_await sleepFor(operatorsPollInterval);
+    }
+    co_await m_election.run([this](Jobs::OwnerTerm term) { startSession(term); },
+                            [this](const std::string &) { closeSession(); });
+}
+
 // Records where peers reach this process. The record of a dispatcher that no longer exists only causes an occasional
 // failed call.
 awaitable<void> DispatcherServer::registerPeer()
@@ -130,7 +139,8 @@
                            [this](const std::string &reason) {
                                m_election.onOwnershipLost(reason);
                            }};
-    m_session = std::make_shared<OwnerSession>(std::move(context), term, m_queues);
+    m_session = std::make_shared<OwnerSession>(std::move(context), term);
+    m_session->useOperatorRecords(m_operators);
     m_session->start();
     m_metrics.counter("trefoilhoist_terms_won").add();
 }
@@ -145,7 +155,7 @@
 
 bool DispatcherServer::ready() const
 {
-    return !m_stopping && m_queues.version > 0;
+    return !m_stopping && m_operators.queues().version() > 0;
 }
 
 awaitable<HttpResponse> DispatcherServer::serveReadiness(HttpRequest)
@@ -177,15 +187,15 @@
         Event("request_unreadable").add("reason", caller.error());
         return tl::unexpected(callers.badRequest(caller.error()));
     }
-    if (m_queues.version == 0) {
+    if (m_operators.queues().version() == 0) {
         return tl::unexpected(callers.answer(caller->verb, answerOf(JobOutcome::Refused)));
     }
-    const auto *queue = m_queues.match(caller->host, caller->path);
+    const auto *queue = m_operators.queues().match(caller->host, caller->path);
     if (queue == nullptr) {
         Event("queue_unknown")
             .add("host", caller->host)
             .add("path", caller->path)
-            .add("configuration", m_queues.version);
+            .add("configuration", m_operators.queues().version());
         return tl::unexpected(callers.queueNotFound());
     }
     OwnerRequest ownerRequest;
--- a/src/programs/dispatcher/dispatcher.h
+++ b/src/programs/dispatcher/dispatcher.h
@@ -2,6 +2,7 @@
 
 #include "ownersession.h"
 #include "trefoilhoist/jobs/callertranslator.h"
+#include "trefoilhoist/jobs/operatorrecords.h"
 #include "trefoilhoist/net/httpserver.h"
 #include "trefoilhoist/net/program.h"
 #include "trefoilhoist/wire/peerserver.h"
@@ -69,9 +70,11 @@
     awaitable<Wire::JobAnswer> callOwner(Wire::MessageKind kind, std::string payload, Duration timeout);
     awaitable<Wire::JobAnswer> answerLocally(Wire::MessageKind kind, std::string payload, Duration timeout);
     awaitable<void> registerPeer();
-    awaitable<void> watchConfiguration();
-    awaitable<bool> readConfiguration(std::int64_t &revision);
-    void applyConfiguration(const std::string &value, std::int64_t revision);
+    awaitable<void> watchOperatorRecords();
+    awaitable<bool> readOperatorRecords(std::int64_t &revision);
+    /// Puts changed records of the operators in force.
+    void useOperatorRecords();
+    awaitable<void> runElection();
     void startSession(Jobs::OwnerTerm term);
     void closeSession();
     [[nodiscard]] bool ready() const;
@@ -81,7 +84,7 @@
     Adapters m_adapters;
     MetricsRegistry m_metrics;
     Jobs::OwnerElection m_election;
-    Jobs::QueueTable m_queues;
+    Jobs::OperatorRecords m_operators;
     std::shared_ptr<OwnerSession> m_session;
     HttpServer m_callers;
     HttpServer m_readiness;
--- a/src/programs/dispatcher/ownersession.cpp
+++ b/src/programs/dispatcher/ownersession.cpp
@@ -29,7 +29,7 @@
 
 } // namespace
 
-OwnerSession::OwnerSession(SessionContext context, Jobs::OwnerTerm term, Jobs::QueueTable queues)
+OwnerSession::OwnerSession(SessionContext context, Jobs::OwnerTerm term)
     : m_context(std::move(context))
     , m_term(term)
     , m_scheduler(m_context.scheduler, term.epoch)
@@ -37,7 +37,6 @@
     , m_peers(m_context.executor, m_context.name, m_context.incarnation)
     , m_planTimer(m_context.executor)
 {
-    m_scheduler.setQueues(std::move(queues));
 }
 
 void OwnerSession::start()
@@ -69,9 +68,11 @@
     m_recordWaiters.notifyAll();
 }
 
-void OwnerSession::setQueues(Jobs::QueueTable queues)
+void OwnerSession::useOperatorRecords(const Jobs::OperatorRecords &operators)
 {
-    m_scheduler.setQueues(std::move(queues));
+    m_scheduler.setQueues(operators.queues());
+    m_scheduler.setDrainedZones(operators.drainedZones());
+    requestPlan();
 }
 
 bool OwnerSession::isVerified(Duration within) const
--- a/src/programs/dispatcher/ownersession.h
+++ b/src/programs/dispatcher/ownersession.h
@@ -2,6 +2,7 @@
 
 #include "trefoilhoist/jobs/jobrecords.h"
 #include "trefoilhoist/jobs/jobscheduler.h"
+#include "trefoilhoist/jobs/operatorrecords.h"
 #include "trefoilhoist/jobs/ownerelection.h"
 #include "trefoilhoist/jobs/planpacer.h"
 #include "trefoilhoist/jobs/storereachability.h"
@@ -46,7 +47,7 @@
 class OwnerSession : public std::enable_shared_from_this<OwnerSession>
 {
 public:
-    OwnerSession(SessionContext context, Jobs::OwnerTerm term, Jobs::QueueTable queues);
+    OwnerSession(SessionContext context, Jobs::OwnerTerm term);
 
     void start();
     /// Ends all coroutines soon. Requests in progress get the outcome `Unsettled`.
@@ -56,7 +57,7 @@
     {
         return m_ready;
     }
-    void setQueues(Jobs::QueueTable queues);
+    void useOperatorRecords(const Jobs::OperatorRecords &operators);
 
     awaitable<Wire::JobAnswer> submit(Wire::JobSpec spec, Duration timeout);
     awaitable<Wire::JobAnswer> cancel(std::string id, Duration timeout);
--- a/src/trefoilhoist/jobs/callertranslator.h
+++ b/src/trefoilhoist/jobs/callertranslator.h
@@ -7,6 +7,7 @@
 
 #include <tl/expected.hpp>
 
+#include <optional>
 #include <string>
 
 namespace Trefoilhoist::Jobs {
@@ -39,14 +40,18 @@
     [[nodiscard]] virtual HttpResponse badRequest(const std::string &reason) const = 0;
 };
 
-/// Parses the queues that operators configure from their record in the store.
+/// Names and parses the records that operators write to the store.
 class ConfigurationTranslator
 {
 public:
     virtual ~ConfigurationTranslator() = default;
 
-    /// The key of the record in the store.
-    [[nodiscard]] virtual std::string key() const = 0;
+    /// What the keys of all operators' records begin with.
+    [[nodiscard]] virtual std::string prefix() const = 0;
+    /// The key of the record that configures the queues.
+    [[nodiscard]] virtual std::string configurationKey() const = 0;
+    /// The availability zone that the existence of a record with this key drains; nothing for other keys.
+    [[nodiscard]] virtual std::optional<std::string> drainedZone(const std::string &key) const = 0;
     [[nodiscard]] virtual tl::expected<QueueTable, std::string> queues(const std::string &value) const = 0;
 };
 
--- a/tests/unit/jobscheduler.cpp
+++ b/tests/unit/jobscheduler.cpp
@@ -613,4 +613,55 @@
     EXPECT_EQ(orders.size(), 1U) << "tasks of one image should share a worker without tasks of another image";
 }
 
+TEST_F(JobSchedulerTest, drainedZone_getsNoStartsUntilTheDrainEnds)
+{
+    auto report = reportOf("w1");
+    report.worker.zone = "north";
+    sendReport(report);
+    m_scheduler.setDrainedZones({"north"});
+    accept(jobOf("a", {stepOf(1, 1000)}));
+    EXPECT_EQ(starts(plan()), 0U);
+    m_scheduler.setDrainedZones({});
+    EXPECT_EQ(starts(plan()), 1U);
+}
+
+TEST_F(JobSchedulerTest, workerThatJoins_inADrainedZone_getsNoStarts)
+{
+    m_scheduler.setDrainedZones({"north"});
+    auto report = reportOf("w1");
+    report.worker.zone = "north";
+    sendReport(report);
+    accept(jobOf("a", {stepOf(1, 1000)}));
+    EXPECT_EQ(starts(plan()), 0U);
+}
+
+// A start that got no answer is not sent again once its worker must take no more: it is stopped instead.
+TEST_F(JobSchedulerTest, unansweredStart_zoneDrainedMeanwhile_isStopped)
+{
+    auto report = reportOf("w1");
+    report.worker.zone = "north";
+    sendReport(report);
+    accept(jobOf("a", {stepOf(1, 1000)}));
+    m_scheduler.handleOrderResults(plan().at("w1"), std::nullopt, m_now);
+    m_scheduler.setDrainedZones({"north"});
+    m_now += seconds(1);
+    const auto orders = plan().at("w1");
+    EXPECT_TRUE(orders.starts.empty());
+    EXPECT_EQ(orders.stops.size(), 1U);
+}
+
+TEST_F(JobSchedulerTest, unansweredStart_workerDrainsMeanwhile_isStopped)
+{
+    joinWorker("w1");
+    accept(jobOf("a", {stepOf(1, 1000)}));
+    m_scheduler.handleOrderResults(plan().at("w1"), std::nullopt, m_now);
+    auto report = reportOf("w1");
+    report.draining = true;
+    sendReport(report);
+    m_now += seconds(1);
+    const auto orders = plan().at("w1");
+    EXPECT_TRUE(orders.starts.empty());
+    EXPECT_EQ(orders.stops.size(), 1U);
+}
+
 } // namespace Trefoilhoist::Jobs
--- a/tests/unit/platform.cpp
+++ b/tests/unit/platform.cpp
@@ -124,7 +124,7 @@
         {"name":"r","host":"h","prefix":"/p/","service":"s","priority":2,"maxAttempts":3,"stretch":1.5,"targetLatencyMs":250,
          "advice":{"decisionMs":3}}]})");
     ASSERT_TRUE(table);
-    EXPECT_EQ(table->version, 7);
+    EXPECT_EQ(table->version(), 7);
     const auto *queue = table->match("h", "/p/x");
     ASSERT_NE(queue, nullptr);
     EXPECT_EQ(queue->policy.serviceName, "s");
