Keep a listed run when a repeated start is refused; restart lost work only as verified owner

The randomised history of the scheduler had owners that handle everything at once and that vanish when they are replaced. It now has owners that lag by seconds while they plan on, earlier owners that act on for up to 2.5 s, and runs that outlast a lease.

Change: the answer to a repeated start changes nothing once a listing has shown the run. A task of which a run was given up unheard restarts only while the store has confirmed the ownership within the lease of the owner's record, so that nobody else can have taken over.

--- a/src/programs/dispatcher/dispatcher.cpp
+++ b/src/programs/dispatcher/dispatcher.cpp
@@ -135,6 +135,7 @@
                            m_runtime.incarnation(),
                            m_settings.peers,
                            m_settings.scheduler,
+                           m_settings.election.leaseTtl,
                            [this] { return m_election.verifiedAt(); },
                            [this](const std::string &reason) {
                                m_election.onOwnershipLost(reason);
--- a/src/programs/dispatcher/ownersession.cpp
+++ b/src/programs/dispatcher/ownersession.cpp
@@ -210,7 +210,7 @@
         return;
     }
     const auto startedAt = m_context.clock.now();
-    auto planned = m_scheduler.plan(startedAt, wallMilliseconds());
+    auto planned = m_scheduler.plan(startedAt, wallMilliseconds(), isVerified(m_context.leaseTtl));
     for (auto &[worker, orders] : planned) {
         const auto &info = m_scheduler.workers().at(worker).info;
         orders.ownerHost = m_context.self.host;
--- a/src/programs/dispatcher/ownersession.h
+++ b/src/programs/dispatcher/ownersession.h
@@ -36,6 +36,8 @@
     /// The endpoint at which agents and other dispatchers reach this process.
     Endpoint self;
     Jobs::SchedulerSettings scheduler;
+    /// How long the store keeps the owner's record after a renewal; no other process takes over before.
+    Duration leaseTtl{};
     /// Returns when the store last confirmed that this process owns the scheduling.
     std::function<TimePoint()> verifiedAt;
     /// Called when another process has become the owner of the scheduling.
--- a/src/trefoilhoist/jobs/job.h
+++ b/src/trefoilhoist/jobs/job.h
@@ -28,6 +28,8 @@
     std::string checkpoint;
     /// The task must not start earlier than this.
     TimePoint notBefore;
+    /// A run was given up together with its worker, so that its end, if any, may be known to another owner only.
+    bool lostWithWorker = false;
 };
 
 /// One step of one occurrence.
--- a/src/trefoilhoist/jobs/joborders.cpp
+++ b/src/trefoilhoist/jobs/joborders.cpp
@@ -55,6 +55,12 @@
     auto &run = worker.runs.at(key);
     run.inFlight = false;
     const bool stopping = run.state == RunState::Stopping;
+    if (run.listedIn > 0 && result != OrderResult::Done) {
+        // An earlier order has started the run, so that the answer to a repeated one means nothing: a later listing
+        // shows whether the run still exists.
+        run.lastListingBeforeResolution = std::max(run.listedIn, listing);
+        return;
+    }
     switch (result) {
     case OrderResult::Done:
         run.mayStillStart = false;
--- a/src/trefoilhoist/jobs/jobplanning.cpp
+++ b/src/trefoilhoist/jobs/jobplanning.cpp
@@ -29,9 +29,10 @@
     return std::max(task.lastRun, (m_epoch - 1) * runNumbersPerEpoch) + 1;
 }
 
-std::map<std::string, Wire::WorkerOrders> JobScheduler::plan(TimePoint now, std::int64_t wallMs)
+std::map<std::string, Wire::WorkerOrders> JobScheduler::plan(TimePoint now, std::int64_t wallMs, bool ownershipVerified)
 {
     m_now = now;
+    m_ownershipVerified = ownershipVerified;
     std::map<std::string, Wire::WorkerOrders> orders;
     expireWorkers(now);
     recordCheckpoints(now);
@@ -103,6 +104,7 @@
     }
     if (!m_unreported.empty() && now > m_reportDeadline) {
         logUnreportedAgents(m_unreported, m_epoch);
+        m_agentsGivenUp = true;
         for (const auto &name : std::set<std::string>(m_unreported)) {
             removeAgent(name, now);
         }
@@ -184,6 +186,10 @@
     if (task.done || !task.activeRuns.empty() || now < task.notBefore) {
         return false;
     }
+    const bool mayHaveEndedElsewhere = task.lostWithWorker || (entry.inherited && m_agentsGivenUp);
+    if (mayHaveEndedElsewhere && !m_ownershipVerified && !step.duplicatesAllowed) {
+        return false;
+    }
     return !entry.inherited || m_unreported.empty() || step.duplicatesAllowed;
 }
 
--- a/src/trefoilhoist/jobs/jobscheduler.h
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -106,8 +106,10 @@
     void handleOrderResults(const Wire::WorkerOrders &orders,
                             const std::optional<Wire::WorkerOrdersReply> &reply,
                             TimePoint now);
-    /// The orders to send now, by worker id. The sender fills in the address of the owner.
-    std::map<std::string, Wire::WorkerOrders> plan(TimePoint now, std::int64_t wallMs);
+    /// The orders to send now, by worker id. The sender fills in the address of the owner. `ownershipVerified`: the
+    /// store has confirmed the ownership so lately that no other process can have taken over. Otherwise tasks wait of
+    /// which a run was given up unheard, because another owner may have heard of its end.
+    std::map<std::string, Wire::WorkerOrders> plan(TimePoint now, std::int64_t wallMs, bool ownershipVerified);
 
     [[nodiscard]] const std::map<std::string, Worker> &workers() const
     {
@@ -243,10 +245,13 @@
     /// Agents of the restored roster that have not reported to this owner yet.
     std::set<std::string> m_unreported;
     TimePoint m_reportDeadline;
+    /// Some agents of the restored roster have not reported in time.
+    bool m_agentsGivenUp = false;
     std::map<std::string, Wire::WorkerDescription> m_roster;
     std::set<std::string> m_recordedRoster;
     bool m_rosterChanged = false;
     TimePoint m_now;
+    bool m_ownershipVerified = false;
     TimePoint m_waitLoggedAt;
 };
 
--- a/src/trefoilhoist/jobs/workerincarnations.cpp
+++ b/src/trefoilhoist/jobs/workerincarnations.cpp
@@ -100,6 +100,11 @@
     while (!worker.runs.empty()) {
         // A copy, because handleLostRun() removes the run together with its key.
         const RunKey key = worker.runs.begin()->first;
+        if (auto *entry = find(key.task.job); entry != nullptr) {
+            if (auto *task = entry->job.task(key.task); task != nullptr) {
+                task->lostWithWorker = true;
+            }
+        }
         handleLostRun(worker, key, now);
     }
     if (worker.listed) {
--- a/tests/random/jobscheduler.cpp
+++ b/tests/random/jobscheduler.cpp
@@ -6,6 +6,9 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <deque>
+#include <functional>
+#include <memory>
 #include <random>
 
 namespace Trefoilhoist::Jobs {
@@ -19,6 +22,9 @@
 constexpr int jobCount = 12;
 constexpr int steps = 900;
 constexpr Duration stepTime = milliseconds(50);
+/// An agent gives up a report, and an owner its orders, after this time without an answer.
+constexpr Duration reportTimeout = milliseconds(900);
+constexpr Duration orderTimeout = milliseconds(1500);
 
 /// A run that a simulated minion executes.
 struct MinionRun {
@@ -30,7 +36,33 @@
 struct DelayedOrders {
     Wire::WorkerOrders orders;
     TimePoint at;
-    bool answered = false;
+};
+
+/// How an owner's process keeps up with its work.
+enum class OwnerSpeed {
+    /// Reports and answers are handled in the step in which they arrive.
+    Prompt,
+    /// They wait in a queue, at times for seconds, while plans go on: the host's processor is saturated.
+    Slow,
+};
+
+/// Something that arrived at an owner's process.
+struct InboxItem {
+    TimePoint handledAt;
+    std::function<void()> handle;
+};
+
+/// One process that owns the scheduling, or still believes so.
+struct OwnerProcess {
+    std::unique_ptr<JobScheduler> scheduler;
+    /// When another process took over; nothing while this one is the owner.
+    std::optional<TimePoint> replacedAt;
+    /// After a takeover, this process acts on for so long.
+    Duration actsOnFor{};
+    /// What has arrived but is not handled yet, in the order of arrival.
+    std::deque<InboxItem> inbox;
+    /// How long an arrival waits until it is handled.
+    Duration lag{};
 };
 
 /// A simulated minion, its agent's gate, and the delayed orders to them.
@@ -51,15 +83,17 @@
     TimePoint holdUntil;
     TimePoint cutOffUntil;
     std::vector<DelayedOrders> delayed;
+    /// The report that the agent waits for an answer to was sent at this time.
+    std::optional<TimePoint> reportSentAt;
 };
 
-/// Simulates changes of ownership, workers that are cut off or crash and restart under the same id, orders that are
-/// lost or executed late, and records that become durable late. Each start on a minion is checked against the
-/// scheduler's guarantees.
+/// Simulates changes of ownership after which the earlier owner acts on for a while, owners that are slow to handle what
+/// arrives, workers that are cut off or crash and restart under the same id, orders that are lost or executed late, and
+/// records that become durable late. Each start on a minion is checked against the scheduler's guarantees.
 class SchedulerSimulation
 {
 public:
-    explicit SchedulerSimulation(std::uint64_t seed) : m_random(seed)
+    SchedulerSimulation(std::uint64_t seed, OwnerSpeed speed) : m_random(seed), m_speed(speed)
     {
         for (int i = 0; i < workerCount; ++i) {
             Node node;
@@ -79,6 +113,7 @@
             node.cutOffUntil = m_now;
         }
         m_faultsStopped = true;
+        m_owner->lag = Duration{};
         for (int i = 0; i < steps && !finished(); ++i) {
             advance();
         }
@@ -92,9 +127,10 @@
     {
         return static_cast<int>(m_specs.size()) == jobCount
             && std::all_of(m_specs.begin(), m_specs.end(), [&](const auto &it) {
-                   const auto *job = m_owner->job(it.first);
+                   const auto &scheduler = *m_owner->scheduler;
+                   const auto *job = scheduler.job(it.first);
                    return job != nullptr && job->phase() == JobPhase::Completed
-                       && m_owner->recordedVersion(it.first) >= job->version();
+                       && scheduler.recordedVersion(it.first) >= job->version();
                });
     }
 
@@ -116,16 +152,62 @@
 
     void takeOver()
     {
+        if (m_owner) {
+            m_owner->replacedAt = m_now;
+            m_owner->actsOnFor = milliseconds(randomBelow(2500));
+            m_replaced.push_back(std::move(m_owner));
+        }
         ++m_epoch;
-        m_owner = std::make_unique<JobScheduler>(m_settings, m_epoch);
+        m_owner = std::make_shared<OwnerProcess>();
+        m_owner->scheduler = std::make_unique<JobScheduler>(m_settings, m_epoch);
+        auto &scheduler = *m_owner->scheduler;
         for (const auto &[id, spec] : m_specs) {
             const auto it = m_progress.find(id);
-            m_owner->restoreJob(spec, it == m_progress.end() ? std::nullopt : std::optional(it->second), m_now);
+            scheduler.restoreJob(spec, it == m_progress.end() ? std::nullopt : std::optional(it->second), m_now);
         }
-        m_owner->restoreRoster(m_roster, m_now);
+        scheduler.restoreRoster(m_roster, m_now);
         m_unrecorded.clear();
     }
 
+    /// The process that an agent of this epoch talks to; null if it has gone.
+    std::shared_ptr<OwnerProcess> ownerOf(std::int64_t epoch)
+    {
+        if (m_owner->scheduler->epoch() == epoch) {
+            return m_owner;
+        }
+        const auto it = std::find_if(m_replaced.begin(), m_replaced.end(), [&](const auto &owner) {
+            return owner->scheduler->epoch() == epoch;
+        });
+        return it == m_replaced.end() ? nullptr : *it;
+    }
+
+    [[nodiscard]] bool mayGrant(const OwnerProcess &owner) const
+    {
+        return !owner.replacedAt || m_now - *owner.replacedAt <= m_settings.grantGrace;
+    }
+
+    void arrive(OwnerProcess &owner, std::function<void()> handle)
+    {
+        const auto last = owner.inbox.empty() ? m_now : owner.inbox.back().handledAt;
+        owner.inbox.push_back({std::max(last, m_now + owner.lag), std::move(handle)});
+    }
+
+    /// Lets the process handle what has arrived and waited long enough, and plan.
+    void work(OwnerProcess &owner)
+    {
+        while (!owner.inbox.empty() && m_now >= owner.inbox.front().handledAt) {
+            const auto handle = std::move(owner.inbox.front().handle);
+            owner.inbox.pop_front();
+            handle();
+        }
+        if (m_speed == OwnerSpeed::Slow && chance(0.02)) {
+            owner.lag = m_faultsStopped ? Duration{} : milliseconds(randomBelow(4000));
+        }
+        for (const auto &planned : owner.scheduler->plan(m_now, 0, !owner.replacedAt)) {
+            deliver(owner, nodeOf(planned.first), planned.second);
+        }
+    }
+
     void submit()
     {
         Wire::JobSpec spec;
@@ -144,8 +226,8 @@
             spec.steps.push_back(step);
         }
         m_specs[spec.id] = spec;
-        m_owner->submit(spec, m_now);
-        m_owner->accept(spec.id);
+        m_owner->scheduler->submit(spec, m_now);
+        m_owner->scheduler->accept(spec.id);
     }
 
     void injectFaults()
@@ -193,9 +275,11 @@
                 report(node);
             }
         }
-        for (const auto &planned : m_owner->plan(m_now, 0)) {
-            deliver(nodeOf(planned.first), planned.second);
+        std::erase_if(m_replaced, [&](const auto &it) { return m_now > *it->replacedAt + it->actsOnFor; });
+        for (const auto &it : std::vector(m_replaced)) {
+            work(*it);
         }
+        work(*m_owner);
         recordProgress();
     }
 
@@ -234,8 +318,10 @@
     // hold on its runs.
     void list(Node &node)
     {
-        const auto owner = m_epoch;
-        node.gate.adoptEpoch(owner);
+        // An agent hears of a new owner from its greeting, or when the earlier one no longer answers.
+        if (m_faultsStopped || chance(0.2) || ownerOf(node.gate.epoch()) == nullptr) {
+            node.gate.adoptEpoch(m_epoch);
+        }
         ++node.listings;
         node.fencingToken = std::max(node.fencingToken, node.gate.epoch());
         node.gate.observeMinionClock(m_now.time_since_epoch().count() / 1000 + 1, m_now);
@@ -259,6 +345,13 @@
 
     void report(Node &node)
     {
+        if (node.reportSentAt && m_now - *node.reportSentAt < reportTimeout) {
+            return;
+        }
+        const auto owner = ownerOf(node.gate.epoch());
+        if (owner == nullptr) {
+            return;
+        }
         Wire::WorkerReport report;
         report.worker.id = node.id;
         report.worker.born = node.born;
@@ -279,34 +372,47 @@
             row.run = key.run;
             report.running.push_back(row);
         }
-        const auto reply = m_owner->handleReport(report, true, m_now);
-        if (const auto roster = m_owner->takeChangedRoster()) {
+        node.reportSentAt = m_now;
+        arrive(*owner, [this, &node, process = owner.get(), report, sentAt = m_now] {
+            handleReport(*process, node, report, sentAt);
+        });
+    }
+
+    void handleReport(OwnerProcess &owner, Node &node, const Wire::WorkerReport &report, TimePoint sentAt)
+    {
+        const auto reply = owner.scheduler->handleReport(report, mayGrant(owner), m_now);
+        if (const auto roster = owner.scheduler->takeChangedRoster(); roster && !owner.replacedAt) {
             m_roster = *roster;
-            m_owner->markRosterRecorded(*roster);
+            owner.scheduler->markRosterRecorded(*roster);
+        }
+        const bool stillWaits = node.reportSentAt == sentAt && m_now - sentAt < reportTimeout;
+        if (stillWaits && report.worker.born == node.born && (m_faultsStopped || !chance(0.1))) {
+            node.gate.applyReply(reply, sentAt);
         }
-        if (m_faultsStopped || !chance(0.1)) {
-            node.gate.applyReply(reply, m_now);
+        if (node.reportSentAt == sentAt) {
+            node.reportSentAt.reset();
         }
     }
 
-    void deliver(Node &node, const Wire::WorkerOrders &orders)
+    void deliver(OwnerProcess &owner, Node &node, const Wire::WorkerOrders &orders)
     {
         const bool cut = m_now < node.cutOffUntil;
+        std::optional<Wire::WorkerOrdersReply> reply;
         if (!m_faultsStopped && (cut || chance(0.1))) {
             // The orders are lost, or delayed and executed later.
-            m_owner->handleOrderResults(orders, std::nullopt, m_now);
             if (chance(0.5)) {
-                node.delayed.push_back(
-                    {orders, std::max(m_now, node.cutOffUntil) + milliseconds(randomBelow(6000)), true});
+                node.delayed.push_back({orders, std::max(m_now, node.cutOffUntil) + milliseconds(randomBelow(6000))});
             }
-            return;
-        }
-        const auto reply = execute(node, orders);
-        if (!m_faultsStopped && chance(0.05)) {
-            m_owner->handleOrderResults(orders, std::nullopt, m_now);
         } else {
-            m_owner->handleOrderResults(orders, reply, m_now);
+            reply = execute(node, orders);
+            if (!m_faultsStopped && chance(0.05)) {
+                reply.reset();
+            }
         }
+        arrive(owner, [this, process = &owner, orders, reply, sentAt = m_now] {
+            const bool inTime = m_now - sentAt < orderTimeout;
+            process->scheduler->handleOrderResults(orders, inTime ? reply : std::nullopt, m_now);
+        });
     }
 
     void executeDelayed(Node &node)
@@ -359,7 +465,9 @@
         }
         const auto &step = m_specs.at(order.task.job).steps[static_cast<std::size_t>(order.task.step)];
         checkStart(node, key, step);
-        node.runs[key] = {step.cpuMilli, milliseconds(200 + randomBelow(600))};
+        // Some runs outlast the leases of the workers that are cut off.
+        const Duration duration = milliseconds(chance(0.2) ? 1000 + randomBelow(8000) : 200 + randomBelow(600));
+        node.runs[key] = {step.cpuMilli, duration};
         node.holdUntil = std::max(node.holdUntil, node.gate.leaseExpiry());
         return OrderResult::Done;
     }
@@ -403,14 +511,15 @@
     // Records become durable late and with the latest progress, as RecordQueue writes them.
     void recordProgress()
     {
-        for (const auto &id : m_owner->takeChangedJobs()) {
+        auto &scheduler = *m_owner->scheduler;
+        for (const auto &id : scheduler.takeChangedJobs()) {
             m_unrecorded.insert(id);
         }
         for (const auto &id : std::set<std::string>(m_unrecorded)) {
             if (m_faultsStopped || chance(0.3)) {
-                const auto *job = m_owner->job(id);
+                const auto *job = scheduler.job(id);
                 m_progress[id] = job->progress();
-                m_owner->markProgressRecorded(id, job->version());
+                scheduler.markProgressRecorded(id, job->version());
                 m_unrecorded.erase(id);
             }
         }
@@ -419,7 +528,10 @@
     std::mt19937_64 m_random;
     SchedulerSettings m_settings;
     std::vector<Node> m_nodes;
-    std::unique_ptr<JobScheduler> m_owner;
+    OwnerSpeed m_speed;
+    std::shared_ptr<OwnerProcess> m_owner;
+    /// Earlier owners that do not know yet that they were replaced.
+    std::vector<std::shared_ptr<OwnerProcess>> m_replaced;
     std::int64_t m_epoch = 0;
     TimePoint m_now{seconds(100)};
     bool m_faultsStopped = false;
@@ -440,12 +552,16 @@
 
 } // namespace
 
-TEST(JobSchedulerSimulation, ownersWorkersAndOrdersFail_guaranteesHoldAndAllJobsEnd)
+class JobSchedulerSimulation : public testing::TestWithParam<OwnerSpeed>
+{
+};
+
+TEST_P(JobSchedulerSimulation, ownersWorkersAndOrdersFail_guaranteesHoldAndAllJobsEnd)
 {
     Testing::forEachSeed(
         40,
         [](std::uint64_t seed) {
-            SchedulerSimulation simulation(seed);
+            SchedulerSimulation simulation(seed, GetParam());
             simulation.simulate();
             EXPECT_EQ(simulation.violation(), "") << "seed " << seed;
             EXPECT_TRUE(simulation.finished()) << "seed " << seed;
@@ -453,4 +569,9 @@
         [] { return testing::Test::HasFailure(); });
 }
 
+INSTANTIATE_TEST_SUITE_P(ownerSpeeds,
+                         JobSchedulerSimulation,
+                         testing::Values(OwnerSpeed::Prompt, OwnerSpeed::Slow),
+                         [](const auto &info) { return info.param == OwnerSpeed::Prompt ? "prompt" : "slow"; });
+
 } // namespace Trefoilhoist::Jobs
--- a/tests/unit/jobscheduler.cpp
+++ b/tests/unit/jobscheduler.cpp
@@ -88,7 +88,7 @@
 
     PlannedOrders plan()
     {
-        return m_scheduler.plan(m_now, wallMs);
+        return m_scheduler.plan(m_now, wallMs, m_ownershipVerified);
     }
 
     void answer(const Wire::WorkerOrders &orders, OrderResult starts, OrderResult stops = OrderResult::Done)
@@ -131,6 +131,7 @@
     JobScheduler m_scheduler{m_settings, epoch};
     TimePoint m_now{seconds(1000)};
     std::int64_t m_listingNumber = 0;
+    bool m_ownershipVerified = true;
 };
 
 } // namespace
@@ -285,7 +286,7 @@
     report.epoch = epoch + 1;
     later.handleReport(report, true, m_now);
     later.markRosterRecorded(later.takeChangedRoster().value());
-    const auto again = later.plan(m_now, wallMs);
+    const auto again = later.plan(m_now, wallMs, true);
     ASSERT_EQ(again.count("w2"), 1U);
     EXPECT_EQ(again.at("w2").starts.front().checkpoint, "half");
 }
@@ -664,4 +665,45 @@
     EXPECT_EQ(orders.stops.size(), 1U);
 }
 
+// A slow owner: the first start got its answer too late and was sent again; a report showed the run before the agent's
+// refusal of the repeated start was handled.
+TEST_F(JobSchedulerTest, repeatedStart_refusedAfterTheRunWasListed_runIsKept)
+{
+    joinWorker("w1");
+    joinWorker("w2");
+    accept(jobOf("a", {stepOf(1, 1000)}));
+    const auto first = plan();
+    const auto worker = first.begin()->first;
+    m_scheduler.handleOrderResults(first.at(worker), std::nullopt, m_now);
+    m_now += seconds(1);
+    const auto again = plan().at(worker);
+    auto report = reportOf(worker);
+    report.running = {running(first.at(worker).starts.front())};
+    sendReport(report);
+    answer(again, OrderResult::Refused);
+    EXPECT_EQ(starts(plan()), 0U);
+    EXPECT_EQ(m_scheduler.workers().at(worker).runs.size(), 1U);
+    // The run may end later as usual.
+    report = reportOf(worker);
+    report.ended = {ended(1, first.at(worker).starts.front(), EndKind::Done)};
+    sendReport(report);
+    EXPECT_EQ(m_scheduler.job("a")->phase(), JobPhase::Completed);
+}
+
+// Another process may have taken over and heard of the task's end from the worker that this owner gave up.
+TEST_F(JobSchedulerTest, taskLostWithItsWorker_ownershipNotVerified_waits)
+{
+    joinWorker("w1");
+    accept(jobOf("a", {stepOf(1, 1000)}));
+    answer(plan().at("w1"), OrderResult::Done);
+    m_now += m_settings.workerLease + seconds(1);
+    joinWorker("w2");
+    m_ownershipVerified = false;
+    EXPECT_EQ(starts(plan()), 0U);
+    accept(jobOf("b", {stepOf(1, 1000)}));
+    EXPECT_EQ(starts(plan()), 1U);
+    m_ownershipVerified = true;
+    EXPECT_EQ(starts(plan()), 1U);
+}
+
 } // namespace Trefoilhoist::Jobs
--- a/tools/dispatch-trial/trialfleet.cpp
+++ b/tools/dispatch-trial/trialfleet.cpp
@@ -222,7 +222,7 @@
     double cost = 0;
     {
         const CostScope scope(cost);
-        orders = m_scheduler.plan(m_now, m_now.time_since_epoch().count() / 1000);
+        orders = m_scheduler.plan(m_now, m_now.time_since_epoch().count() / 1000, true);
     }
     m_result.cost.plans += cost;
     m_result.longestPlan = std::max(m_result.longestPlan, cost);
