--- a/src/programs/dispatcher/ownersession.h
+++ b/src/programs/dispatcher/ownersession.h
@@ -106,7 +106,8 @@
     bool m_ready = false;
     bool m_closed = false;
     bool m_planRequested = false;
-    /// Jobs whose progress is queued for recording at the next tick, so that the changes of many reports take one write.
+    /// Jobs whose progress is queued for recording at the next tick, so that the changes of many reports take one
+    /// write.
     std::set<std::string> m_changedJobs;
     Asio::steady_timer m_planTimer;
     Jobs::PlanPacer m_planPacer;
--- a/src/trefoilhoist/jobs/interferencetable.cpp
+++ b/src/trefoilhoist/jobs/interferencetable.cpp
@@ -42,8 +42,7 @@
 
 void InterferenceTable::Model::decay(TimePoint now)
 {
-    const double halfLives
-        = static_cast<double>((now - decayedAt).count()) / static_cast<double>(halfLife.count());
+    const double halfLives = static_cast<double>((now - decayedAt).count()) / static_cast<double>(halfLife.count());
     if (halfLives <= minHalfLivesToDecay) {
         return;
     }
--- a/src/trefoilhoist/jobs/jobplanning.cpp
+++ b/src/trefoilhoist/jobs/jobplanning.cpp
@@ -303,8 +303,7 @@
 WorkerSelector JobScheduler::selectorFor(const Entry &entry, const PendingStep &pending, TimePoint now)
 {
     const auto &step = entry.job.step(pending.step);
-    const auto &state
-        = entry.job.occurrences().at(pending.occurrence).steps[static_cast<std::size_t>(pending.step)];
+    const auto &state = entry.job.occurrences().at(pending.occurrence).steps[static_cast<std::size_t>(pending.step)];
     auto siblings = countSiblings(state);
     const bool overdue = siblings.empty() && now - pending.pendingSince > maxWaitForNoInterference;
     WorkerSelector selector(
--- a/src/trefoilhoist/jobs/workerselector.cpp
+++ b/src/trefoilhoist/jobs/workerselector.cpp
@@ -213,8 +213,8 @@
         return best.worker;
     }
     // The second lowest cost is one of the two below the front of the heap.
-    const auto &second = *std::max_element(m_candidates.begin() + 1,
-                                           m_candidates.begin() + std::min<std::ptrdiff_t>(3, std::ssize(m_candidates)));
+    const auto &second = *std::max_element(
+        m_candidates.begin() + 1, m_candidates.begin() + std::min<std::ptrdiff_t>(3, std::ssize(m_candidates)));
     return second.cost < best.cost + sameTaskFailedCost ? second.worker : best.worker;
 }
 
--- a/tests/random/jobscheduler.cpp
+++ b/tests/random/jobscheduler.cpp
@@ -87,9 +87,9 @@
     std::optional<TimePoint> reportSentAt;
 };
 
-/// Simulates changes of ownership after which the earlier owner acts on for a while, owners that are slow to handle what
-/// arrives, workers that are cut off or crash and restart under the same id, orders that are lost or executed late, and
-/// records that become durable late. Each start on a minion is checked against the scheduler's guarantees.
+/// Simulates changes of ownership after which the earlier owner acts on for a while, owners that are slow to handle
+/// what arrives, workers that are cut off or crash and restart under the same id, orders that are lost or executed
+/// late, and records that become durable late. Each start on a minion is checked against the scheduler's guarantees.
 class SchedulerSimulation
 {
 public:
--- a/tests/unit/operatorrecords.cpp
+++ b/tests/unit/operatorrecords.cpp
@@ -116,7 +116,8 @@
 TEST_F(OperatorRecordsTest, manyVersionsAtOnce_onlyTheNewestIsParsed)
 {
     m_records.replaceAll({});
-    m_records.applyChanges({{configurationOf("5"), false}, {configurationOf("6"), false}, {configurationOf("7"), false}});
+    m_records.applyChanges(
+        {{configurationOf("5"), false}, {configurationOf("6"), false}, {configurationOf("7"), false}});
     EXPECT_EQ(m_records.queues().version(), 7);
     EXPECT_EQ(m_translator.reads(), 1);
 }
--- a/tools/dispatch-trial/main.cpp
+++ b/tools/dispatch-trial/main.cpp
@@ -40,9 +40,8 @@
 int main(int argc, char **argv)
 {
     return runTool("trefoilhoist-dispatch-trial", [&] {
-        TCLAP::CmdLine command("Measures the processor time that a start costs the owner of the scheduling",
-                               ' ',
-                               TREFOILHOIST_VERSION);
+        TCLAP::CmdLine command(
+            "Measures the processor time that a start costs the owner of the scheduling", ' ', TREFOILHOIST_VERSION);
         TCLAP::ValueArg<int> workers("", "workers", "number of workers", false, 240, "count", command);
         TCLAP::ValueArg<double> starts("", "starts", "starts per second", false, 900, "rate", command);
         TCLAP::ValueArg<int> length("", "seconds", "simulated seconds that are measured", false, 10, "s", command);
