Refuse submissions at once while the owner is silent or behind

Cause: with all fronts slow, dispatchers passed submissions on to an owner that did not answer, each waited up to 2.4 s and ended as 504, which the callers of work that must not run twice can't repeat.

Change: a dispatcher notes whether the owner answers (OwnerReachability); while it doesn't, submissions are refused before they are sent. The owner measures how late its periodic work runs (IntakeControl) and refuses new submissions while it is more than 0.5 s behind, with a Retry-After of twice the lag. Queries, cancellations and repeated submissions go on.

--- a/src/programs/dispatcher/dispatcher.cpp
+++ b/src/programs/dispatcher/dispatcher.cpp
@@ -273,6 +273,7 @@
     const auto startedAt = clock.now();
     // An owner that did not answer may have recorded a submission, so its outcome is unresolved.
     bool ownerMayHaveActed = false;
+    const bool isSubmission = kind == Wire::MessageKind::SubmitJobKind;
     while (clock.now() - startedAt < timeout) {
         const auto left = timeout - (clock.now() - startedAt);
         if (m_session && m_session->ready()) {
@@ -281,8 +282,16 @@
                 co_return answer;
             }
         } else if (!m_session && m_election.owner() && m_election.owner()->name != m_settings.name) {
-            const Endpoint peer{m_election.owner()->host, static_cast<std::uint16_t>(m_election.owner()->port)};
+            const auto owner = *m_election.owner();
+            const auto sentAt = clock.now();
+            if (isSubmission && !ownerMayHaveActed && m_ownerReachability.isSilent(owner.epoch, sentAt)) {
+                m_metrics.counter("trefoilhoist_refused_owner_silent").add();
+                co_return answerOf(JobOutcome::Refused);
+            }
+            const Endpoint peer{owner.host, static_cast<std::uint16_t>(owner.port)};
+            m_ownerReachability.addCall(owner.epoch, sentAt);
             const auto reply = co_await m_clients.at(peer).call(kind, payload, std::min(left, ownerCallTimeout));
+            m_ownerReachability.finishCall(owner.epoch, sentAt, reply.has_value(), clock.now());
             const auto answer = reply ? Wire::decode<Wire::JobAnswer>(reply->payload) : std::nullopt;
             if (answer && answer->outcome != static_cast<int>(JobOutcome::NotOwner)) {
                 co_return *answer;
@@ -297,7 +306,6 @@
         }
         co_await sleepFor(ownerPollInterval);
     }
-    const bool isSubmission = kind == Wire::MessageKind::SubmitJobKind;
     co_return answerOf(isSubmission && ownerMayHaveActed ? JobOutcome::Unresolved : JobOutcome::Refused);
 }
 
--- a/src/programs/dispatcher/dispatcher.h
+++ b/src/programs/dispatcher/dispatcher.h
@@ -3,6 +3,7 @@
 #include "ownersession.h"
 #include "trefoilhoist/jobs/callertranslator.h"
 #include "trefoilhoist/jobs/operatorrecords.h"
+#include "trefoilhoist/jobs/ownerreachability.h"
 #include "trefoilhoist/net/httpserver.h"
 #include "trefoilhoist/net/program.h"
 #include "trefoilhoist/wire/peerserver.h"
@@ -91,6 +92,7 @@
     HttpServer m_metricsServer;
     PeerServer m_peers;
     PeerClients m_clients;
+    Jobs::OwnerReachability m_ownerReachability;
     bool m_stopping = false;
 };
 
--- a/src/programs/dispatcher/owneranswers.cpp
+++ b/src/programs/dispatcher/owneranswers.cpp
@@ -61,6 +61,16 @@
         Event("job_refused").add("job", id).add("epoch", m_term.epoch).add("reason", "the store is unreachable");
         co_return answerOf(JobOutcome::Refused, outageRetryAfterMs);
     }
+    const auto retryAfter = m_intake.retryAfter(receivedAt);
+    if (submissionState == Jobs::SubmissionState::New && retryAfter) {
+        m_scheduler.withdraw(id);
+        Event("job_refused")
+            .add("job", id)
+            .add("epoch", m_term.epoch)
+            .add("reason", "the owner is behind with its work")
+            .add("lagMs", duration_cast<milliseconds>(m_intake.lag(receivedAt)).count());
+        co_return answerOf(JobOutcome::Refused, duration_cast<milliseconds>(*retryAfter).count());
+    }
     if (submissionState == Jobs::SubmissionState::New) {
         m_records.submit(spec);
         startRecording();
--- a/src/programs/dispatcher/ownersession.cpp
+++ b/src/programs/dispatcher/ownersession.cpp
@@ -36,6 +36,7 @@
     , m_records(term.epochRevision)
     , m_peers(m_context.executor, m_context.name, m_context.incarnation)
     , m_planTimer(m_context.executor)
+    , m_intake(tickInterval)
 {
 }
 
@@ -283,6 +284,9 @@
     const auto self = shared_from_this();
     while (!m_closed) {
         co_await sleepFor(tickInterval);
+        const auto now = m_context.clock.now();
+        m_intake.tick(now);
+        m_context.metrics.latency("trefoilhoist_owner_lag").record(m_intake.lag(now), now);
         forgetExpired();
         queueChanges();
         if (!m_changedJobs.empty()) {
--- a/src/programs/dispatcher/ownersession.h
+++ b/src/programs/dispatcher/ownersession.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "trefoilhoist/jobs/intakecontrol.h"
 #include "trefoilhoist/jobs/jobrecords.h"
 #include "trefoilhoist/jobs/jobscheduler.h"
 #include "trefoilhoist/jobs/operatorrecords.h"
@@ -111,6 +112,7 @@
     std::set<std::string> m_changedJobs;
     Asio::steady_timer m_planTimer;
     Jobs::PlanPacer m_planPacer;
+    Jobs::IntakeControl m_intake;
     Jobs::StoreReachability m_storeReachability;
 };
 
--- a/tools/dispatch-trial/trialfleet.cpp
+++ b/tools/dispatch-trial/trialfleet.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-using Jobs::RunKey;
-
 constexpr Duration step = milliseconds(5);
 constexpr Duration reportInterval = milliseconds(500);
 /// From the change of a job to the store's answer.
