Publish changed effects of image pairs by revision

Each reply compared all pairs of 45 images with what its agent had been told.

Change: an effect is published once, when it has evidence or has changed noticeably, under a rising revision; an agent is told what was published after the revision that it was told last.

--- a/src/trefoilhoist/jobs/interferencetable.cpp
+++ b/src/trefoilhoist/jobs/interferencetable.cpp
@@ -131,6 +131,23 @@
         }
     }
     model.solve();
+    publishChanges(numberOf(servingImage));
+}
+
+void InterferenceTable::publishChanges(ImageNumber servingImage)
+{
+    auto &estimates = m_models[static_cast<std::size_t>(servingImage)].estimates;
+    for (std::size_t i = 0; i < estimates.size(); ++i) {
+        auto &it = estimates[i];
+        if (!it.effect || i >= it.shareProducts.size() || it.shareProducts[i] < minReportedWeight
+            || (it.published && std::abs(*it.published - *it.effect) < minReportedChange)) {
+            continue;
+        }
+        m_published.erase(it.publishedRevision);
+        it.published = it.effect;
+        it.publishedRevision = ++m_revision;
+        m_published.emplace(it.publishedRevision, std::pair(servingImage, static_cast<ImageNumber>(i)));
+    }
 }
 
 double InterferenceTable::effect(ImageNumber servingImage, ImageNumber bestEffortImage) const
@@ -192,24 +209,15 @@
     return pairs;
 }
 
-std::vector<Wire::ImagePair> InterferenceTable::takeChanged(ReportedEffects &reported) const
+std::vector<Wire::ImagePair> InterferenceTable::takeChanged(std::int64_t &revision) const
 {
     std::vector<Wire::ImagePair> pairs;
-    for (std::size_t serving = 0; serving < m_models.size(); ++serving) {
-        const auto &estimates = m_models[serving].estimates;
-        for (std::size_t i = 0; i < estimates.size(); ++i) {
-            const auto &it = estimates[i];
-            if (!it.effect || i >= it.shareProducts.size() || it.shareProducts[i] < minReportedWeight) {
-                continue;
-            }
-            const std::pair key(static_cast<ImageNumber>(serving), static_cast<ImageNumber>(i));
-            const auto last = reported.find(key);
-            if (last == reported.end() || std::abs(last->second - *it.effect) >= minReportedChange) {
-                reported[key] = *it.effect;
-                pairs.push_back(pairOf(serving, i, *it.effect));
-            }
-        }
+    for (auto it = m_published.upper_bound(revision); it != m_published.end(); ++it) {
+        const auto serving = static_cast<std::size_t>(it->second.first);
+        const auto bestEffort = static_cast<std::size_t>(it->second.second);
+        pairs.push_back(pairOf(serving, bestEffort, *m_models[serving].estimates[bestEffort].published));
     }
+    revision = m_revision;
     return pairs;
 }
 
--- a/src/trefoilhoist/jobs/interferencetable.h
+++ b/src/trefoilhoist/jobs/interferencetable.h
@@ -3,6 +3,7 @@
 #include "idl/gen/messages_types.h"
 #include "trefoilhoist/world/clock.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -18,9 +19,6 @@
 /// Number of an image in one InterferenceTable.
 using ImageNumber = int;
 
-/// Effects as last reported to another process, by the numbers of the serving and the best-effort image.
-using ReportedEffects = std::map<std::pair<ImageNumber, ImageNumber>, double>;
-
 /// Estimates how much best-effort tasks slow the serving tasks beside them, for each pair of images, from how tail
 /// latencies change when the CPU shares of best-effort tasks change.
 ///
@@ -50,9 +48,9 @@
     void setPrior(const Wire::ImagePair &pair);
     /// Returns all effects, for setPrior() in another process.
     [[nodiscard]] std::vector<Wire::ImagePair> pairs() const;
-    /// Returns the pairs with enough evidence whose effect has changed noticeably from the value in `reported`, and
-    /// updates `reported`.
-    std::vector<Wire::ImagePair> takeChanged(ReportedEffects &reported) const;
+    /// Returns the effects that have enough evidence and were published after `revision`, and sets it to the newest. An
+    /// effect is published again when it has changed noticeably.
+    std::vector<Wire::ImagePair> takeChanged(std::int64_t &revision) const;
 
 private:
     /// What is known of one best-effort image beside a serving image.
@@ -64,6 +62,9 @@
         std::optional<double> slackProducts;
         /// Sums of the products of the changes of this share and each other one. Older evidence decays exponentially.
         std::vector<double> shareProducts;
+        /// The effect when it was last published, and the revision of that.
+        std::optional<double> published;
+        std::int64_t publishedRevision = 0;
     };
     struct Model {
         /// By the number of the best-effort image.
@@ -76,6 +77,7 @@
         void solve();
     };
     Model &modelOf(const std::string &servingImage);
+    void publishChanges(ImageNumber servingImage);
     [[nodiscard]] std::optional<ImageNumber> findNumber(const std::string &image) const;
     [[nodiscard]] Wire::ImagePair pairOf(std::size_t serving, std::size_t bestEffort, double effect) const;
 
@@ -83,6 +85,9 @@
     std::vector<std::string> m_images;
     /// By the number of the serving image.
     std::vector<Model> m_models;
+    std::int64_t m_revision = 0;
+    /// The published pairs of a serving and a best-effort image, by revision.
+    std::map<std::int64_t, std::pair<ImageNumber, ImageNumber>> m_published;
 };
 
 } // namespace Trefoilhoist::Jobs
--- a/src/trefoilhoist/jobs/jobreports.cpp
+++ b/src/trefoilhoist/jobs/jobreports.cpp
@@ -45,7 +45,7 @@
     }
     reply.recordedEnds = worker->recordedEnds;
     reply.leaseTerm = worker->leaseTerm;
-    reply.pairs = m_interference.takeChanged(worker->sentPairs);
+    reply.pairs = m_interference.takeChanged(worker->sentPairsRevision);
     if (report.wantsRunInfo) {
         for (const auto &[key, run] : worker->runs) {
             if (const auto *entry = find(key.task.job); entry != nullptr && !run.orphaned) {
--- a/src/trefoilhoist/jobs/worker.h
+++ b/src/trefoilhoist/jobs/worker.h
@@ -144,8 +144,8 @@
     int orphanedRuns = 0;
     WorkerHealth health;
     WorkerMeasurements measurements;
-    /// Effects of image pairs as last sent to the worker's agent.
-    ReportedEffects sentPairs;
+    /// Revision of the effects of image pairs that were last sent to the worker's agent.
+    std::int64_t sentPairsRevision = 0;
 
     [[nodiscard]] bool hasLabel(const std::string &label) const;
     /// True if `demand` fits beside all runs. Always false beside an orphaned run, whose demand is not known.
--- a/tests/unit/throttlecontrol.cpp
+++ b/tests/unit/throttlecontrol.cpp
@@ -234,7 +234,7 @@
 
 TEST_F(InterferenceTableTest, pairWithLittleEvidence_isNotReported)
 {
-    ReportedEffects reported;
+    std::int64_t reported = 0;
     observeChange(-0.1, "image", 0.02);
     EXPECT_TRUE(m_table.takeChanged(reported).empty());
     for (int i = 0; i < 10; ++i) {
@@ -244,4 +244,19 @@
     EXPECT_TRUE(m_table.takeChanged(reported).empty());
 }
 
+TEST_F(InterferenceTableTest, processThatHeardNothingYet_isToldAllPairs)
+{
+    std::int64_t first = 0;
+    for (int i = 0; i < 10; ++i) {
+        observeChange(-0.5, "image", 0.1);
+    }
+    EXPECT_EQ(m_table.takeChanged(first).size(), 1U);
+    for (int i = 0; i < 10; ++i) {
+        observeChange(-0.5, "other", 0.1);
+    }
+    EXPECT_EQ(m_table.takeChanged(first).size(), 1U);
+    std::int64_t second = 0;
+    EXPECT_EQ(m_table.takeChanged(second).size(), 2U);
+}
+
 } // namespace Trefoilhoist::Jobs
