--- a/src/programs/dispatcher/ownersession.h
+++ b/src/programs/dispatcher/ownersession.h
@@ -53,7 +53,7 @@
     OwnerSession(SessionContext context, Jobs::OwnerTerm term);
 
     void start();
-    /// Ends all coroutines soon. Requests in progress get the outcome `Unsettled`.
+    /// Ends all coroutines soon. Requests in progress get the outcome `Unresolved`.
     void close();
     /// True once the records are loaded.
     [[nodiscard]] bool ready() const
--- a/src/trefoilhoist/jobs/jobplanning.cpp
+++ b/src/trefoilhoist/jobs/jobplanning.cpp
@@ -57,6 +57,8 @@
     for (const auto &it : placed) {
         m_pending.erase(it);
     }
+    // A worker that was only looked at, for a gang that found no room, gets no message.
+    std::erase_if(orders, [](const auto &it) { return it.second.starts.empty() && it.second.stops.empty(); });
     return orders;
 }
 
--- a/src/trefoilhoist/world/clock.h
+++ b/src/trefoilhoist/world/clock.h
@@ -38,4 +38,7 @@
 /// Milliseconds since the Unix epoch. Not monotonic: for incarnation numbers, stored and displayed times.
 [[nodiscard]] std::int64_t wallMilliseconds();
 
+/// Processor time that this process has taken, in seconds.
+[[nodiscard]] double processorSeconds();
+
 } // namespace Trefoilhoist
--- a/tests/unit/jobscheduler.cpp
+++ b/tests/unit/jobscheduler.cpp
@@ -706,4 +706,13 @@
     EXPECT_EQ(starts(plan()), 1U);
 }
 
+TEST_F(JobSchedulerTest, gang_thatFindsNoRoom_sendsNothing)
+{
+    joinWorker("w1");
+    auto step = stepOf(5, 1000);
+    step.gang = true;
+    accept(jobOf("a", {step}));
+    EXPECT_TRUE(plan().empty());
+}
+
 } // namespace Trefoilhoist::Jobs
--- a/tools/dispatch-trial/trialfleet.cpp
+++ b/tools/dispatch-trial/trialfleet.cpp
@@ -3,7 +3,6 @@
 #include "trefoilhoist/wire/message.h"
 
 #include <algorithm>
-#include <ctime>
 
 namespace Trefoilhoist::DispatchTrial {
 
@@ -24,13 +23,6 @@
 constexpr int batchTasks = 40;
 constexpr int workersPerRack = 20;
 
-double processorSeconds()
-{
-    timespec spent{};
-    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &spent);
-    return static_cast<double>(spent.tv_sec) + static_cast<double>(spent.tv_nsec) / 1e9;
-}
-
 /// Adds the processor time of its own lifetime to a sum.
 class CostScope
 {
@@ -237,10 +229,10 @@
         m_scheduler.markRosterRecorded(*roster);
     }
     for (const auto &id : m_scheduler.takeChangedJobs()) {
-        m_unrecorded.try_emplace(id, m_now + recordDelay, 0);
+        m_durableAt.try_emplace(id, m_now + recordDelay);
     }
-    for (auto it = m_unrecorded.begin(); it != m_unrecorded.end();) {
-        if (it->second.first > m_now) {
+    for (auto it = m_durableAt.begin(); it != m_durableAt.end();) {
+        if (it->second > m_now) {
             ++it;
             continue;
         }
@@ -250,7 +242,7 @@
             ++m_result.jobsFinished;
             m_jobMsSum += std::chrono::duration<double, std::milli>(m_now - m_submittedAt[it->first]).count();
         }
-        it = m_unrecorded.erase(it);
+        it = m_durableAt.erase(it);
     }
 }
 
--- a/tools/dispatch-trial/trialfleet.h
+++ b/tools/dispatch-trial/trialfleet.h
@@ -100,7 +100,8 @@
     TimePoint m_nextPlan;
     std::int64_t m_lastJob = 0;
     double m_owedStarts = 0;
-    std::map<std::string, std::pair<TimePoint, std::int64_t>> m_unrecorded;
+    /// When the changes of each job become durable.
+    std::map<std::string, TimePoint> m_durableAt;
     std::map<std::string, TimePoint> m_submittedAt;
     double m_jobMsSum = 0;
     TrialResult m_result;
--- a/tools/placement-slopes/main.cpp
+++ b/tools/placement-slopes/main.cpp
@@ -5,7 +5,6 @@
 #include <tclap/CmdLine.h>
 
 #include <chrono>
-#include <ctime>
 #include <fstream>
 #include <iostream>
 #include <map>
@@ -25,13 +24,6 @@
 constexpr std::size_t httpHeadBytes = 160;
 constexpr double usPerSecond = 1e6;
 
-double cpuSeconds()
-{
-    timespec spent{};
-    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &spent);
-    return static_cast<double>(spent.tv_sec) + static_cast<double>(spent.tv_nsec) / 1e9;
-}
-
 std::size_t residentBytes()
 {
     std::ifstream in("/proc/self/statm");
@@ -153,9 +145,9 @@
 
     void handle(const OwnerEvent &event)
     {
-        const auto before = cpuSeconds();
+        const auto before = processorSeconds();
         const auto actions = m_owner.handle(m_now, event);
-        m_ownerCpu += cpuSeconds() - before;
+        m_ownerCpu += processorSeconds() - before;
         for (const auto &action : actions) {
             if (const auto *send = std::get_if<SendSync>(&action)) {
                 sync(*send);
@@ -167,15 +159,15 @@
 
     void sync(const SendSync &send)
     {
-        const auto start = cpuSeconds();
+        const auto start = processorSeconds();
         const auto request = syncRequestToJson(send.request);
-        m_ownerCpu += cpuSeconds() - start;
+        m_ownerCpu += processorSeconds() - start;
         auto &agent = *m_agents.at(send.worker);
         const auto answer = syncAnswerToJson(agent.sync(m_now, syncRequestFromJson(request).value()).first);
         m_bytes += request.size() + answer.size() + 2 * httpHeadBytes;
-        const auto parse = cpuSeconds();
+        const auto parse = processorSeconds();
         auto parsed = syncAnswerFromJson(answer).value();
-        m_ownerCpu += cpuSeconds() - parse;
+        m_ownerCpu += processorSeconds() - parse;
         handle(SyncAnswered{send.worker, send.call, std::move(parsed)});
     }
 
