--- a/src/trefoilhoist/net/tool.cpp
+++ b/src/trefoilhoist/net/tool.cpp
@@ -33,4 +33,12 @@
     }
 }
 
+double processorSeconds()
+{
+    constexpr double nanosecondsPerSecond = 1e9;
+    timespec spent{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &spent);
+    return static_cast<double>(spent.tv_sec) + static_cast<double>(spent.tv_nsec) / nanosecondsPerSecond;
+}
+
 } // namespace Trefoilhoist
--- a/src/trefoilhoist/net/tool.h
+++ b/src/trefoilhoist/net/tool.h
@@ -18,4 +18,7 @@
 /// std::invalid_argument) and 1 for any other exception, each with a message on standard error.
 int runTool(const std::string &name, const std::function<int()> &body);
 
+/// Processor time that this process has taken, in seconds.
+[[nodiscard]] double processorSeconds();
+
 } // namespace Trefoilhoist
--- a/src/trefoilhoist/world/clock.cpp
+++ b/src/trefoilhoist/world/clock.cpp
@@ -36,12 +36,4 @@
         .count();
 }
 
-double processorSeconds()
-{
-    constexpr double nanosecondsPerSecond = 1e9;
-    timespec spent{};
-    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &spent);
-    return static_cast<double>(spent.tv_sec) + static_cast<double>(spent.tv_nsec) / nanosecondsPerSecond;
-}
-
 } // namespace Trefoilhoist
--- a/src/trefoilhoist/world/clock.h
+++ b/src/trefoilhoist/world/clock.h
@@ -38,7 +38,4 @@
 /// Milliseconds since the Unix epoch. Not monotonic: for incarnation numbers, stored and displayed times.
 [[nodiscard]] std::int64_t wallMilliseconds();
 
-/// Processor time that this process has taken, in seconds.
-[[nodiscard]] double processorSeconds();
-
 } // namespace Trefoilhoist
--- a/tools/dispatch-trial/trialfleet.cpp
+++ b/tools/dispatch-trial/trialfleet.cpp
@@ -1,5 +1,6 @@
 #include "trialfleet.h"
 
+#include "trefoilhoist/net/tool.h"
 #include "trefoilhoist/wire/message.h"
 
 #include <algorithm>
