--- a/src/trefoilhoist/jobs/interferencetable.cpp
+++ b/src/trefoilhoist/jobs/interferencetable.cpp
@@ -98,9 +98,9 @@
     return it == m_numbers.end() ? std::nullopt : std::optional(it->second);
 }
 
-InterferenceTable::Model &InterferenceTable::modelOf(const std::string &servingImage)
+InterferenceTable::Model &InterferenceTable::modelOf(ImageNumber servingImage)
 {
-    return m_models[static_cast<std::size_t>(numberOf(servingImage))];
+    return m_models[static_cast<std::size_t>(servingImage)];
 }
 
 void InterferenceTable::observe(const std::string &servingImage,
@@ -115,7 +115,8 @@
     for (const auto &[image, change] : shareChanges) {
         changes.emplace_back(numberOf(image), change);
     }
-    auto &model = modelOf(servingImage);
+    const auto serving = numberOf(servingImage);
+    auto &model = modelOf(serving);
     model.decay(now);
     const double slackDecrease = std::clamp(-slackChange, -maxSlackChange, maxSlackChange);
     for (const auto &[image, change] : changes) {
@@ -131,12 +132,12 @@
         }
     }
     model.solve();
-    publishChanges(numberOf(servingImage));
+    publishChanges(serving);
 }
 
 void InterferenceTable::publishChanges(ImageNumber servingImage)
 {
-    auto &estimates = m_models[static_cast<std::size_t>(servingImage)].estimates;
+    auto &estimates = modelOf(servingImage).estimates;
     for (std::size_t i = 0; i < estimates.size(); ++i) {
         auto &it = estimates[i];
         if (!it.effect || i >= it.shareProducts.size() || it.shareProducts[i] < minReportedWeight
@@ -175,13 +176,13 @@
 void InterferenceTable::set(const Wire::ImagePair &pair)
 {
     const auto bestEffort = numberOf(pair.fillingImage);
-    modelOf(pair.servingImage).at(bestEffort).effect = pair.effect;
+    modelOf(numberOf(pair.servingImage)).at(bestEffort).effect = pair.effect;
 }
 
 void InterferenceTable::setPrior(const Wire::ImagePair &pair)
 {
     const auto bestEffort = numberOf(pair.fillingImage);
-    auto &estimate = modelOf(pair.servingImage).at(bestEffort);
+    auto &estimate = modelOf(numberOf(pair.servingImage)).at(bestEffort);
     estimate.prior = estimate.prior.value_or(pair.effect);
     estimate.effect = estimate.effect.value_or(pair.effect);
 }
--- a/src/trefoilhoist/jobs/interferencetable.h
+++ b/src/trefoilhoist/jobs/interferencetable.h
@@ -76,7 +76,7 @@
         void decay(TimePoint now);
         void solve();
     };
-    Model &modelOf(const std::string &servingImage);
+    [[nodiscard]] Model &modelOf(ImageNumber servingImage);
     void publishChanges(ImageNumber servingImage);
     [[nodiscard]] std::optional<ImageNumber> findNumber(const std::string &image) const;
     [[nodiscard]] Wire::ImagePair pairOf(std::size_t serving, std::size_t bestEffort, double effect) const;
--- a/src/trefoilhoist/jobs/joblistings.cpp
+++ b/src/trefoilhoist/jobs/joblistings.cpp
@@ -134,11 +134,14 @@
     for (const auto *run : worker.bestEffortRuns) {
         measurements.shares[run->image] += static_cast<double>(run->usage) / static_cast<double>(worker.info.cpuMilli);
     }
-    BestEffortShares changes = measurements.shares;
-    for (const auto &[image, share] : worker.measurements.shares) {
-        changes[image] -= share;
-    }
     const bool consecutive = now - worker.measurements.at < 2 * measurementInterval;
+    BestEffortShares changes;
+    if (consecutive) {
+        changes = measurements.shares;
+        for (const auto &[image, share] : worker.measurements.shares) {
+            changes[image] -= share;
+        }
+    }
     for (auto &[key, run] : worker.runs) {
         if (run.tailTargetMs <= 0) {
             continue;
--- a/src/trefoilhoist/jobs/jobscheduler.cpp
+++ b/src/trefoilhoist/jobs/jobscheduler.cpp
@@ -174,11 +174,16 @@
     }
 }
 
+bool JobScheduler::isDrained(const std::string &zone) const
+{
+    return m_drainedZones.count(zone) > 0;
+}
+
 void JobScheduler::setDrainedZones(std::set<std::string> zones)
 {
     m_drainedZones = std::move(zones);
     for (auto &[id, worker] : m_workers) {
-        worker.zoneDrained = m_drainedZones.count(worker.info.zone) > 0;
+        worker.zoneDrained = isDrained(worker.info.zone);
         // Starts that got no answer must not be sent again.
         worker.mayNeedOrders = true;
     }
--- a/src/trefoilhoist/jobs/jobscheduler.h
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -107,8 +107,8 @@
                             const std::optional<Wire::WorkerOrdersReply> &reply,
                             TimePoint now);
     /// The orders to send now, by worker id. The sender fills in the address of the owner. `ownershipVerified`: the
-    /// store has confirmed the ownership so lately that no other process can have taken over. Otherwise tasks wait of
-    /// which a run was given up unheard, because another owner may have heard of its end.
+    /// store has confirmed the ownership so lately that no other process can have taken over. Otherwise a task waits
+    /// if one of its runs was given up without a report of its end, which another owner may have received.
     std::map<std::string, Wire::WorkerOrders> plan(TimePoint now, std::int64_t wallMs, bool ownershipVerified);
 
     [[nodiscard]] const std::map<std::string, Worker> &workers() const
@@ -150,6 +150,7 @@
     void markChanged(const std::string &id);
     void refreshPending(Entry &entry, std::int64_t wallMs);
     void refreshDueJobs(std::int64_t wallMs);
+    [[nodiscard]] bool isDrained(const std::string &zone) const;
     void stopRuns(Entry &entry, TimePoint now);
     void releaseMemory(Entry &entry);
 
--- a/src/trefoilhoist/jobs/workerincarnations.cpp
+++ b/src/trefoilhoist/jobs/workerincarnations.cpp
@@ -31,7 +31,7 @@
     const auto known = m_workers.find(report.worker.id);
     if (known != m_workers.end() && known->second.info.born == report.worker.born) {
         known->second.info = report.worker;
-        known->second.zoneDrained = m_drainedZones.count(report.worker.zone) > 0;
+        known->second.zoneDrained = isDrained(report.worker.zone);
         addToRoster(report.worker);
         return &known->second;
     }
@@ -57,7 +57,7 @@
     // The lease that an earlier owner granted is not known, so the longest possible one is assumed.
     worker.leaseEnds = now + m_settings.grantGrace + m_settings.workerLease + m_settings.leaseSlack;
     worker.inRecordedRoster = m_recordedRoster.count(name) > 0;
-    worker.zoneDrained = m_drainedZones.count(report.worker.zone) > 0;
+    worker.zoneDrained = isDrained(report.worker.zone);
     addToRoster(report.worker);
     logWorkerEvent("worker_joined", worker, m_epoch);
     auto &newWorker = m_workers.insert_or_assign(report.worker.id, std::move(worker)).first->second;
--- a/src/trefoilhoist/jobs/workerselector.cpp
+++ b/src/trefoilhoist/jobs/workerselector.cpp
@@ -218,22 +218,29 @@
     return second.cost < best.cost + sameTaskFailedCost ? second.worker : best.worker;
 }
 
-void WorkerSelector::exclude(const Worker &worker)
+std::vector<WorkerSelector::Candidate>::iterator WorkerSelector::find(const Worker &worker)
 {
-    const auto it = std::find_if(
-        m_candidates.begin(), m_candidates.end(), [&](const auto &candidate) { return candidate.worker == &worker; });
-    if (it == m_candidates.end()) {
-        return;
-    }
-    if (it == m_candidates.begin()) {
+    return std::find_if(m_candidates.begin(), m_candidates.end(), [&](const auto &it) { return it.worker == &worker; });
+}
+
+void WorkerSelector::remove(std::vector<Candidate>::iterator candidate)
+{
+    if (candidate == m_candidates.begin()) {
         std::pop_heap(m_candidates.begin(), m_candidates.end());
         m_candidates.pop_back();
         return;
     }
-    m_candidates.erase(it);
+    m_candidates.erase(candidate);
     std::make_heap(m_candidates.begin(), m_candidates.end());
 }
 
+void WorkerSelector::exclude(const Worker &worker)
+{
+    if (const auto it = find(worker); it != m_candidates.end()) {
+        remove(it);
+    }
+}
+
 void WorkerSelector::startedOn(Worker &worker)
 {
     ++m_siblings[worker.info.id];
@@ -248,11 +255,11 @@
         }
         return;
     }
-    const auto it = std::find_if(
-        m_candidates.begin(), m_candidates.end(), [&](const auto &candidate) { return candidate.worker == &worker; });
-    const auto order = it == m_candidates.end() ? 0 : it->order;
-    exclude(worker);
-    evaluate(worker, order);
+    if (const auto it = find(worker); it != m_candidates.end()) {
+        const auto order = it->order;
+        remove(it);
+        evaluate(worker, order);
+    }
 }
 
 std::map<std::string_view, int> WorkerSelector::rejections() const
--- a/src/trefoilhoist/jobs/workerselector.h
+++ b/src/trefoilhoist/jobs/workerselector.h
@@ -40,11 +40,6 @@
                                                                     "limit per worker reached",
                                                                     "not enough capacity"};
 
-[[nodiscard]] constexpr std::string_view rejectionName(Rejection rejection)
-{
-    return rejectionNames.at(static_cast<std::size_t>(rejection));
-}
-
 /// Selects the workers for the tasks of one step: for each task the worker with the lowest cost among those that meet
 /// all constraints. Each worker is evaluated once, and again after each start on it.
 class WorkerSelector
@@ -102,6 +97,8 @@
     [[nodiscard]] double shareOfOtherImages(const Worker &worker) const;
     [[nodiscard]] int siblingsOn(const Worker &worker) const;
     void evaluate(Worker &worker, std::size_t order);
+    [[nodiscard]] std::vector<Candidate>::iterator find(const Worker &worker);
+    void remove(std::vector<Candidate>::iterator candidate);
     void reject(Rejection rejection);
 
     const Wire::StepSpec &m_step;
