Log which runs are lost with a worker, why, and how long they had run

worker_lost counted the runs but named neither them nor the cause, so that the hypotheses of docs/incidents/deadly-tasks.md could not be told apart from the owner's logs. run_lost has the task, the run, the worker's incarnation, the cause and the age; worker_lost has the cause.

--- a/src/trefoilhoist/jobs/joblog.cpp
+++ b/src/trefoilhoist/jobs/joblog.cpp
@@ -4,10 +4,12 @@
 
 namespace Trefoilhoist::Jobs {
 
-void logWorkerEvent(std::string_view event, const Worker &worker, std::int64_t epoch)
+namespace {
+
+// Adds the fields that identify a worker and the owner's view of it.
+void addWorker(Event &event, const Worker &worker, std::int64_t epoch)
 {
-    Event(event)
-        .add("worker", worker.info.id)
+    event.add("worker", worker.info.id)
         .add("born", worker.info.born)
         .add("zone", worker.info.zone)
         .add("epoch", epoch)
@@ -16,6 +18,36 @@
         .add("listing", worker.lastListing);
 }
 
+} // namespace
+
+void logWorkerEvent(std::string_view name, const Worker &worker, std::int64_t epoch)
+{
+    Event event(name);
+    addWorker(event, worker, epoch);
+}
+
+void logWorkerLost(const Worker &worker, LossCause cause, std::int64_t epoch)
+{
+    Event event("worker_lost");
+    addWorker(event, worker, epoch);
+    event.add("cause", lossCauseName(cause)).add("draining", worker.draining);
+}
+
+void logRunLost(const Worker &worker, const RunKey &key, LossCause cause, TimePoint now, std::int64_t epoch)
+{
+    const auto &run = worker.runs.at(key);
+    Event("run_lost")
+        .add("job", key.task.job)
+        .add("task", taskName(key.task))
+        .add("run", key.run)
+        .add("worker", worker.info.id)
+        .add("born", worker.info.born)
+        .add("cause", lossCauseName(cause))
+        .add("listed", run.listedIn > 0)
+        .add("ageMs", duration_cast<milliseconds>(now - run.orderedAt).count())
+        .add("epoch", epoch);
+}
+
 void logRunEnded(const Worker &worker, const Wire::EndedTask &end, std::int64_t epoch, bool jobKnown)
 {
     Event event("run_ended");
--- a/src/trefoilhoist/jobs/joblog.h
+++ b/src/trefoilhoist/jobs/joblog.h
@@ -14,6 +14,10 @@
 
 /// Logs `event`, which concerns the worker as a whole.
 void logWorkerEvent(std::string_view event, const Worker &worker, std::int64_t epoch);
+/// Logs the end of a worker's incarnation that still had runs.
+void logWorkerLost(const Worker &worker, LossCause cause, std::int64_t epoch);
+/// Logs a run that was given up with its worker.
+void logRunLost(const Worker &worker, const RunKey &key, LossCause cause, TimePoint now, std::int64_t epoch);
 void logRunEnded(const Worker &worker, const Wire::EndedTask &end, std::int64_t epoch, bool jobKnown);
 /// Logs a run that belongs to no known job.
 void logOrphanedRun(const Worker &worker, const Wire::RunningTask &row, std::int64_t epoch);
--- a/src/trefoilhoist/jobs/jobplanning.cpp
+++ b/src/trefoilhoist/jobs/jobplanning.cpp
@@ -101,14 +101,14 @@
     for (auto &[id, worker] : m_workers) {
         if (now > worker.leaseEnds && (worker.listed || !worker.runs.empty())) {
             logWorkerEvent("worker_lease_expired", worker, m_epoch);
-            removeAgent(agentName(worker.info), now);
+            removeAgent(agentName(worker.info), LossCause::LeaseExpired, now);
         }
     }
     if (!m_unreported.empty() && now > m_reportDeadline) {
         logUnreportedAgents(m_unreported, m_epoch);
         m_agentsGivenUp = true;
         for (const auto &name : std::set<std::string>(m_unreported)) {
-            removeAgent(name, now);
+            removeAgent(name, LossCause::LeaseExpired, now);
         }
     }
 }
--- a/src/trefoilhoist/jobs/jobreports.cpp
+++ b/src/trefoilhoist/jobs/jobreports.cpp
@@ -18,7 +18,7 @@
     if (report.worker.id.empty()) {
         // The agent's minion has left permanently.
         if (report.gone && report.epoch == m_epoch) {
-            removeAgent(agentName(report.worker), now);
+            removeAgent(agentName(report.worker), LossCause::Left, now);
         }
         return reply;
     }
@@ -38,7 +38,7 @@
     }
     if (report.gone && report.epoch == m_epoch) {
         m_unreported.erase(agentName(worker->info));
-        endIncarnation(*worker, now);
+        endIncarnation(*worker, LossCause::MinionGone, now);
     } else if (mayGrant) {
         reply.leaseMs = duration_cast<milliseconds>(m_settings.workerLease).count();
         worker->leaseEnds = now + m_settings.workerLease + m_settings.leaseSlack;
--- a/src/trefoilhoist/jobs/jobscheduler.h
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -156,9 +156,9 @@
 
     // workerincarnations.cpp
     Worker *workerForReport(const Wire::WorkerReport &report, TimePoint now);
-    void removeAgent(const std::string &name, TimePoint now);
+    void removeAgent(const std::string &name, LossCause cause, TimePoint now);
     void addToRoster(const Wire::WorkerDescription &worker);
-    void endIncarnation(Worker &worker, TimePoint now);
+    void endIncarnation(Worker &worker, LossCause cause, TimePoint now);
     void handleLostRun(Worker &worker, const RunKey &key, TimePoint now);
     void stopGangRun(const Wire::TaskRef &task, std::int64_t run, TimePoint now);
     void requestStop(Worker &worker, const RunKey &key, TimePoint now);
--- a/src/trefoilhoist/jobs/jobtypes.h
+++ b/src/trefoilhoist/jobs/jobtypes.h
@@ -47,6 +47,26 @@
     return endKindNames.at(static_cast<std::size_t>(kind));
 }
 
+/// Why the owner gave up the runs of an incarnation of a minion.
+enum class LossCause {
+    /// The agent reports that the minion's process has ended, or that its lease has expired.
+    MinionGone = 0,
+    /// Another incarnation of the minion reports.
+    Replaced = 1,
+    /// The agent has not reported for the time of a lease.
+    LeaseExpired = 2,
+    /// The minion has left permanently.
+    Left = 3,
+};
+
+inline constexpr std::array<std::string_view, 4> lossCauseNames
+    = {"minion gone", "replaced by a new incarnation", "lease expired", "minion left"};
+
+[[nodiscard]] constexpr std::string_view lossCauseName(LossCause cause)
+{
+    return lossCauseNames.at(static_cast<std::size_t>(cause));
+}
+
 /// Result of one order at the minion.
 enum class OrderResult {
     /// The run exists there, or the stop was accepted.
--- a/src/trefoilhoist/jobs/workerincarnations.cpp
+++ b/src/trefoilhoist/jobs/workerincarnations.cpp
@@ -8,12 +8,12 @@
 
 // Called when the agent's minion has left, or when the agent has not reported for so long that its minion can no longer
 // hold any run.
-void JobScheduler::removeAgent(const std::string &name, TimePoint now)
+void JobScheduler::removeAgent(const std::string &name, LossCause cause, TimePoint now)
 {
     m_unreported.erase(name);
     for (auto &[id, worker] : m_workers) {
         if (agentName(worker.info) == name) {
-            endIncarnation(worker, now);
+            endIncarnation(worker, cause, now);
             worker.inRecordedRoster = false;
         }
     }
@@ -47,7 +47,7 @@
                     mayStillStart.emplace(key, run);
                 }
             }
-            endIncarnation(worker, now);
+            endIncarnation(worker, LossCause::Replaced, now);
         }
     }
     std::erase_if(m_workers,
@@ -92,14 +92,15 @@
 }
 
 // Called when no run that was ordered from this incarnation can still be executing.
-void JobScheduler::endIncarnation(Worker &worker, TimePoint now)
+void JobScheduler::endIncarnation(Worker &worker, LossCause cause, TimePoint now)
 {
     if (!worker.runs.empty()) {
-        logWorkerEvent("worker_lost", worker, m_epoch);
+        logWorkerLost(worker, cause, m_epoch);
     }
     while (!worker.runs.empty()) {
         // A copy, because handleLostRun() removes the run together with its key.
         const RunKey key = worker.runs.begin()->first;
+        logRunLost(worker, key, cause, now, m_epoch);
         if (auto *entry = find(key.task.job); entry != nullptr) {
             if (auto *task = entry->job.task(key.task); task != nullptr) {
                 task->lostWithWorker = true;
