Follow a minion's capacity while it runs

The agent reports a change at once and logs minion_capacity_changed.

tests/integration/agent.cpp has the agent between a fake minion and a fake owner; also that a crash is reported to the next owner, until one has recorded it.

--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -16,6 +16,11 @@
 constexpr Duration ownerRetryDelay = milliseconds(200);
 constexpr const char *reportSignal = "news";
 
+bool capacityDiffers(const Wire::WorkerDescription &a, const Wire::WorkerDescription &b)
+{
+    return a.cpuMilli != b.cpuMilli || a.memoryMb != b.memoryMb || a.accelerators != b.accelerators;
+}
+
 } // namespace
 
 AgentServer::AgentServer(Runtime &runtime, AgentSettings settings, Adapters adapters)
@@ -102,6 +107,14 @@
             m_reportDue = true;
         }
         heartbeat.draining = heartbeat.draining || m_minion->draining;
+        if (capacityDiffers(worker, m_minion->worker)) {
+            Event("minion_capacity_changed")
+                .add("worker", worker.id)
+                .add("cpuMilli", worker.cpuMilli)
+                .add("memoryMb", worker.memoryMb)
+                .add("accelerators", worker.accelerators);
+            m_reportDue = true;
+        }
         m_minion = std::move(heartbeat);
     } else {
         if (m_minion && m_minion->worker.born > worker.born) {
--- a/src/trefoilhoist/jobs/joblistings.cpp
+++ b/src/trefoilhoist/jobs/joblistings.cpp
@@ -132,10 +132,13 @@
     }
     WorkerMeasurements measurements;
     measurements.at = now;
+    measurements.cpuMilli = worker.info.cpuMilli;
+    const auto capacity = static_cast<double>(std::max(1, worker.info.cpuMilli));
     for (const auto *run : worker.bestEffortRuns) {
-        measurements.shares[run->image] += static_cast<double>(run->usage) / static_cast<double>(worker.info.cpuMilli);
+        measurements.shares[run->image] += static_cast<double>(run->usage) / capacity;
     }
-    const bool consecutive = now - worker.measurements.at < 2 * measurementInterval;
+    const bool sameCapacity = worker.measurements.cpuMilli == measurements.cpuMilli;
+    const bool consecutive = sameCapacity && now - worker.measurements.at < 2 * measurementInterval;
     BestEffortShares changes;
     if (consecutive) {
         changes = measurements.shares;
--- a/src/trefoilhoist/jobs/jobplanning.cpp
+++ b/src/trefoilhoist/jobs/jobplanning.cpp
@@ -158,7 +158,7 @@
         }
         worker.mayNeedOrders = false;
         // A start that got no answer must not take effect once its worker may take no more.
-        const bool takesStarts = !worker.draining && !worker.zoneDrained;
+        const bool takesStarts = !worker.draining && !worker.zoneDrained && !worker.isOvercommitted();
         for (auto &[key, run] : worker.runs) {
             worker.mayNeedOrders = worker.mayNeedOrders || run.needsOrder();
             if (!run.needsOrder() || run.inFlight || now < run.nextOrderAt) {
--- a/src/trefoilhoist/jobs/throttlecontrol.h
+++ b/src/trefoilhoist/jobs/throttlecontrol.h
@@ -4,6 +4,7 @@
 #include "trefoilhoist/jobs/jobtypes.h"
 #include "trefoilhoist/world/clock.h"
 
+#include <algorithm>
 #include <map>
 #include <vector>
 
@@ -30,7 +31,7 @@
     /// `cpuMilli`: the CPU capacity of the minion, in thousandths of a core.
     void setCapacity(std::int64_t cpuMilli)
     {
-        m_cpuMilli = cpuMilli;
+        m_cpuMilli = std::max<std::int64_t>(1, cpuMilli);
     }
     /// Adds a run that the owner has described.
     void addRun(const Wire::RunInfo &info);
--- a/src/trefoilhoist/jobs/worker.cpp
+++ b/src/trefoilhoist/jobs/worker.cpp
@@ -76,6 +76,11 @@
     return orphanedRuns == 0 && fitsWorker(total, info);
 }
 
+bool Worker::isOvercommitted() const
+{
+    return !fitsWorker(used, info);
+}
+
 std::optional<double> Worker::shortage(const Demand &demand) const
 {
     Demand withLongRunning = usedByLongRunning;
--- a/src/trefoilhoist/jobs/worker.h
+++ b/src/trefoilhoist/jobs/worker.h
@@ -106,6 +106,8 @@
 /// The last measurements of a worker's best-effort tasks. Those of its serving tasks are kept with their runs.
 struct WorkerMeasurements {
     TimePoint at;
+    /// The worker's capacity then.
+    std::int32_t cpuMilli = 0;
     /// By image, the share of the worker's CPU that its best-effort tasks use.
     BestEffortShares shares;
 };
@@ -177,6 +179,8 @@
     [[nodiscard]] bool hasLabel(const std::string &label) const;
     /// True if `demand` fits beside all runs. Always false beside an orphaned run, whose demand is not known.
     [[nodiscard]] bool fits(const Demand &demand) const;
+    /// True if the runs here need more than the capacity, which has shrunk since they were ordered.
+    [[nodiscard]] bool isOvercommitted() const;
     /// By how much `demand` exceeds the free capacity, as a share of the worker's capacity; 0 if it fits. Nothing if it
     /// would not fit even beside the long-running tasks alone.
     [[nodiscard]] std::optional<double> shortage(const Demand &demand) const;
--- /dev/null
+++ b/tests/integration/agent.cpp
@@ -0,0 +1,286 @@
+// The agent's process between a minion and the owners of the scheduling, over real connections.
+#include "programs/agent/agent.h"
+
+#include "harness/memoryrecordstore.h"
+#include "trefoilhoist/jobs/recordkeys.h"
+#include "trefoilhoist/net/httpclient.h"
+#include "trefoilhoist/wire/message.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace Trefoilhoist::Agent {
+
+namespace {
+
+constexpr std::int32_t fullCpuMilli = 10'000;
+constexpr std::int32_t shrunkenCpuMilli = 3'000;
+constexpr std::int64_t firstBorn = 1000;
+/// Less than the time between two reports that nothing hastens.
+constexpr Duration promptly = milliseconds(250);
+constexpr Duration longEnough = seconds(5);
+
+/// A minion whose listing and presence tests set.
+struct FakeMinion {
+    bool refusesConnections = false;
+    Jobs::MinionListing listing;
+    std::vector<int> throttles;
+};
+
+class FakeMinionInterface : public Jobs::MinionInterface
+{
+public:
+    explicit FakeMinionInterface(FakeMinion &minion) : m_minion(minion) { }
+
+    awaitable<tl::expected<Jobs::MinionListing, Jobs::MinionError>>
+    list(Jobs::MinionTarget, std::int64_t, std::int64_t, Duration wait) override
+    {
+        co_await sleepFor(std::min(wait, Duration(milliseconds(20))));
+        if (m_minion.refusesConnections) {
+            co_return tl::unexpected(Jobs::MinionError{"connection refused", true});
+        }
+        ++m_minion.listing.clockMs;
+        co_return m_minion.listing;
+    }
+    awaitable<Jobs::OrderAnswer> start(Jobs::MinionTarget, Wire::StartOrder, std::int64_t) override
+    {
+        co_return Jobs::OrderAnswer{Jobs::OrderResult::Done, 0, {}};
+    }
+    awaitable<Jobs::OrderAnswer> stop(Jobs::MinionTarget, Wire::StopOrder) override
+    {
+        co_return Jobs::OrderAnswer{Jobs::OrderResult::Done, 0, {}};
+    }
+    awaitable<bool> throttle(Jobs::MinionTarget, Wire::TaskRef, std::int64_t, int percent) override
+    {
+        m_minion.throttles.push_back(percent);
+        co_return true;
+    }
+
+private:
+    FakeMinion &m_minion;
+};
+
+std::uint16_t unusedPort(const Asio::any_io_executor &executor)
+{
+    const Asio::ip::tcp::acceptor acceptor(executor, {Asio::ip::make_address("127.0.0.1"), 0});
+    return acceptor.local_endpoint().port();
+}
+
+} // namespace
+
+/// An agent, its minion and an owner in one process.
+class AgentTest : public testing::Test
+{
+protected:
+    AgentTest()
+        : m_owner(m_runtime.executor(), "owner", 1, [this](Wire::Envelope envelope) { return answer(envelope); })
+    {
+        m_heartbeat.worker.id = "minion";
+        m_heartbeat.worker.born = firstBorn;
+        m_heartbeat.worker.cpuMilli = fullCpuMilli;
+        m_minion.listing.startedAtMs = firstBorn;
+        m_ownerPort = m_owner.listen({"127.0.0.1", 0}).value();
+        startAgent();
+    }
+
+    /// Lets everything run until the condition holds; false if it doesn't in time.
+    bool runUntil(const std::function<bool()> &condition, Duration limit = longEnough)
+    {
+        auto &context = static_cast<Asio::io_context &>(Asio::query(m_runtime.executor(), Asio::execution::context));
+        const auto end = std::chrono::steady_clock::now() + limit;
+        while (!condition() && std::chrono::steady_clock::now() < end) {
+            context.run_for(milliseconds(5));
+        }
+        return condition();
+    }
+
+    void recordOwner(std::int64_t epoch)
+    {
+        m_epoch = epoch;
+        Wire::OwnerRecord owner;
+        owner.epoch = epoch;
+        owner.host = "127.0.0.1";
+        owner.port = m_ownerPort;
+        RecordCommit commit;
+        commit.writes.push_back({Jobs::ownerRecordKey, Wire::encode(owner), 0});
+        bool done = false;
+        spawnOn(m_runtime.executor(), "record", [&]() -> awaitable<void> {
+            co_await m_store->commit(commit);
+            done = true;
+        });
+        ASSERT_TRUE(runUntil([&] { return done; }));
+    }
+
+    void sendHeartbeat()
+    {
+        ++m_heartbeat.sequence;
+        bool done = false;
+        spawnOn(m_runtime.executor(), "heartbeat", [&]() -> awaitable<void> {
+            HttpRequest request;
+            request.method = "POST";
+            request.target = "/";
+            // This compiler destroys temporary arguments of an awaited call twice.
+            HttpCallOptions options;
+            co_await m_client.call(m_heartbeatEndpoint, std::move(request), std::move(options));
+            done = true;
+        });
+        ASSERT_TRUE(runUntil([&] { return done; }));
+    }
+
+    void addRun(const std::string &job, std::int64_t usage)
+    {
+        Wire::RunningTask row;
+        row.task = Jobs::taskRef(job, 0, 0, 0);
+        row.run = 1;
+        row.percent = 100;
+        row.usage = usage;
+        m_minion.listing.running.push_back(row);
+    }
+
+    void describeRun(const std::string &job, std::int64_t tailTargetMs)
+    {
+        Wire::RunInfo info;
+        info.task = Jobs::taskRef(job, 0, 0, 0);
+        info.run = 1;
+        info.image = job;
+        info.tailTargetMs = tailTargetMs;
+        info.usesIdleCpu = tailTargetMs == 0;
+        info.cpuMilli = 1500;
+        m_reply.runs.push_back(info);
+    }
+
+    /// The minion is listed by the agent and known to the owner.
+    void join()
+    {
+        recordOwner(1);
+        sendHeartbeat();
+        ASSERT_TRUE(runUntil([&] { return m_lastReport.listed && !m_lastReport.running.empty(); }));
+    }
+
+    Runtime m_runtime{"agent", "", "{}", nlohmann::json::object(), 1};
+    FakeMinion m_minion;
+    Jobs::MinionHeartbeat m_heartbeat;
+    HttpClient m_client{m_runtime.executor()};
+    Endpoint m_heartbeatEndpoint;
+    PeerServer m_owner;
+    std::uint16_t m_ownerPort = 0;
+    std::int64_t m_epoch = 1;
+    Wire::WorkerReport m_lastReport;
+    /// What the owner answers, besides epoch and lease.
+    Wire::WorkerReportReply m_reply;
+    RecordStore *m_store = nullptr;
+    std::unique_ptr<AgentServer> m_agent;
+
+private:
+    void startAgent()
+    {
+        auto store = std::make_unique<MemoryRecordStore>();
+        m_store = store.get();
+        Adapters adapters;
+        adapters.store = std::move(store);
+        adapters.minion = std::make_unique<FakeMinionInterface>(m_minion);
+        adapters.parseNotice = [this](const HttpRequest &) {
+            MinionNotice notice;
+            notice.heartbeat = m_heartbeat;
+            return notice;
+        };
+        AgentSettings settings;
+        settings.name = "agent";
+        settings.heartbeats = {"127.0.0.1", unusedPort(m_runtime.executor())};
+        settings.peers = {"127.0.0.1", 0};
+        m_heartbeatEndpoint = settings.heartbeats;
+        m_agent = std::make_unique<AgentServer>(m_runtime, settings, std::move(adapters));
+        ASSERT_FALSE(m_agent->start().has_value());
+    }
+
+    awaitable<std::optional<Wire::Envelope>> answer(Wire::Envelope envelope)
+    {
+        m_lastReport = Wire::decode<Wire::WorkerReport>(envelope.payload).value();
+        auto reply = m_reply;
+        reply.epoch = m_epoch;
+        reply.leaseMs = 6000;
+        reply.leaseTerm = 1;
+        Wire::Envelope result;
+        result.kind = envelope.kind;
+        result.payload = Wire::encode(reply);
+        co_return result;
+    }
+};
+
+// Only the agent knows what ran on a minion that crashed while the owner was replaced.
+TEST_F(AgentTest, minionCrashes_ownerReplacedBeforeTheRecord_nextOwnerHearsOfItToo)
+{
+    addRun("a", 1000);
+    join();
+    m_minion.refusesConnections = true;
+    ASSERT_TRUE(runUntil([&] { return !m_lastReport.crashes.empty(); }));
+    recordOwner(2);
+    m_lastReport = {};
+    ASSERT_TRUE(runUntil([&] { return m_lastReport.epoch == 2 && !m_lastReport.crashes.empty(); }));
+    const auto &crash = m_lastReport.crashes.front();
+    EXPECT_EQ(crash.born, firstBorn);
+    ASSERT_EQ(crash.runs.size(), 1U);
+    EXPECT_EQ(crash.runs.front().task.job, "a");
+    m_reply.recordedCrashes = {firstBorn};
+    EXPECT_TRUE(runUntil([&] { return m_lastReport.crashes.empty(); }));
+}
+
+TEST_F(AgentTest, otherIncarnationReports_earlierOneCountsAsCrashed)
+{
+    addRun("a", 1000);
+    join();
+    m_heartbeat.worker.born = firstBorn + 1;
+    m_heartbeat.sequence = 0;
+    m_minion.listing = {};
+    m_minion.listing.startedAtMs = firstBorn + 1;
+    sendHeartbeat();
+    ASSERT_TRUE(runUntil([&] { return m_lastReport.worker.born == firstBorn + 1; }));
+    ASSERT_EQ(m_lastReport.crashes.size(), 1U);
+    EXPECT_EQ(m_lastReport.crashes.front().born, firstBorn);
+}
+
+TEST_F(AgentTest, drainingMinionEnds_isNoCrash)
+{
+    addRun("a", 1000);
+    join();
+    m_heartbeat.draining = true;
+    sendHeartbeat();
+    m_minion.refusesConnections = true;
+    ASSERT_TRUE(runUntil([&] { return m_lastReport.gone; }));
+    EXPECT_TRUE(m_lastReport.crashes.empty());
+}
+
+// The owner must not start anything on the strength of a capacity that is no longer there.
+TEST_F(AgentTest, capacityShrinks_isReportedAtOnce)
+{
+    addRun("a", 1000);
+    join();
+    m_heartbeat.worker.cpuMilli = shrunkenCpuMilli;
+    sendHeartbeat();
+    EXPECT_TRUE(runUntil([&] { return m_lastReport.worker.cpuMilli == shrunkenCpuMilli; }, promptly));
+}
+
+// The throttling read the capacity once an incarnation, so that it took a best-effort task's share for smaller than it
+// was.
+TEST_F(AgentTest, capacityShrinks_bestEffortTaskBesideAServingOne_isThrottled)
+{
+    addRun("serving", 30);
+    addRun("filling", 1500);
+    describeRun("serving", 50);
+    describeRun("filling", 0);
+    Wire::ImagePair pair;
+    pair.servingImage = "serving";
+    pair.fillingImage = "filling";
+    pair.effect = 8;
+    m_reply.pairs = {pair};
+    join();
+    EXPECT_FALSE(runUntil([&] { return !m_minion.throttles.empty(); }, seconds(2)));
+    m_heartbeat.worker.cpuMilli = shrunkenCpuMilli;
+    sendHeartbeat();
+    EXPECT_TRUE(runUntil([&] { return !m_minion.throttles.empty(); }));
+}
+
+} // namespace Trefoilhoist::Agent
--- a/tests/unit/jobscheduler.cpp
+++ b/tests/unit/jobscheduler.cpp
@@ -457,6 +457,40 @@
     EXPECT_EQ(starts(plan()), 1U);
 }
 
+// The same use is a larger share of a smaller capacity: that is no change of what the tasks do.
+TEST_F(BestEffortLoadTest, capacityShrinks_sameUse_estimateOfTheEffectStays)
+{
+    startServingTask("w1", 20);
+    accept(jobOf("fill", {bestEffortStep("heavy")}));
+    const auto orders = plan().at("w1");
+    answer(orders, OrderResult::Done);
+    auto filling = running(orders.starts.front());
+    filling.percent = 100;
+    std::map<std::string, double> effects;
+    const auto measure = [&](std::int64_t usage, std::int64_t tailMs, std::int32_t cpuMilli) {
+        m_now += milliseconds(500);
+        filling.usage = usage;
+        m_serving.usage = tailMs;
+        auto report = reportOf("w1");
+        report.worker.cpuMilli = cpuMilli;
+        report.running = {m_serving, filling};
+        for (const auto &it : sendReport(report).pairs) {
+            effects[it.fillingImage] = it.effect;
+        }
+    };
+    for (int i = 0; i < 12; ++i) {
+        measure(1500, 25, workerCpuMilli);
+        measure(100, 20, workerCpuMilli);
+    }
+    const double learned = effects.at("heavy");
+    ASSERT_GT(learned, 1);
+    for (int i = 0; i < 6; ++i) {
+        measure(1500, 25, workerCpuMilli);
+        measure(1500, 25, workerCpuMilli / 2);
+    }
+    EXPECT_NEAR(effects.at("heavy"), learned, 0.1 * learned);
+}
+
 TEST_F(BestEffortLoadTest, workerWithoutServingTasks_bestEffortTask_startsThere)
 {
     startServingTask("w1", 45);
@@ -539,6 +573,33 @@
 
 // A slow owner: the first start got its answer too late and was sent again; a report showed the run before the agent's
 // refusal of the repeated start was handled.
+// The repeated order would bring the worker over its capacity, which was enough when the first one was sent.
+TEST_F(JobSchedulerTest, unansweredStart_capacityShrinksMeanwhile_isStopped)
+{
+    joinWorker("w1");
+    accept(jobOf("a", {stepOf(2, 2000)}));
+    m_scheduler.handleOrderResults(plan().at("w1"), std::nullopt, m_now);
+    m_now += seconds(1);
+    auto report = reportOf("w1");
+    report.worker.cpuMilli = workerCpuMilli / 2;
+    sendReport(report);
+    const auto orders = plan().at("w1");
+    EXPECT_EQ(orders.starts.size(), 0U);
+    EXPECT_EQ(orders.stops.size(), 2U);
+}
+
+TEST_F(JobSchedulerTest, capacityShrinksAndGrowsAgain_newTasksFollow)
+{
+    joinWorker("w1");
+    auto report = reportOf("w1");
+    report.worker.cpuMilli = workerCpuMilli / 4;
+    sendReport(report);
+    accept(jobOf("a", {stepOf(4, 1000)}));
+    EXPECT_EQ(starts(plan()), 1U);
+    joinWorker("w1");
+    EXPECT_EQ(starts(plan()), 3U);
+}
+
 TEST_F(JobSchedulerTest, repeatedStart_refusedAfterTheRunWasListed_runIsKept)
 {
     joinWorker("w1");
