Free a worker whose only answer about a task started alone is a listing

A task under which workers have crashed starts alone: its worker is reserved until the start is confirmed. If the answer to the order was lost and a listing showed the run, nothing ended the reservation before the run did, so that a long-running task could have kept a sound machine from all starts. Found by reading the change; the test failed before. The crashes of an agent whose minion has left are forgotten with it.

--- a/src/trefoilhoist/jobs/jobcrashes.cpp
+++ b/src/trefoilhoist/jobs/jobcrashes.cpp
@@ -94,12 +94,13 @@
     });
 }
 
-void JobScheduler::observeSurvival(const RunKey &key, Run &run, TimePoint now)
+void JobScheduler::observeSurvival(Worker &worker, const RunKey &key, Run &run, TimePoint now)
 {
     if (!run.startedAlone || now - run.orderedAt < startObservationTime) {
         return;
     }
     run.startedAlone = false;
+    worker.reservation = {};
     auto *entry = find(key.task.job);
     auto *history = entry == nullptr ? nullptr : entry->job.crashHistory(key.task);
     if (history != nullptr) {
--- a/src/trefoilhoist/jobs/joblistings.cpp
+++ b/src/trefoilhoist/jobs/joblistings.cpp
@@ -38,7 +38,7 @@
     run.usage = row.usage;
     run.percent = row.percent;
     run.mayStillStart = false;
-    observeSurvival(key, run, now);
+    observeSurvival(worker, key, run, now);
     if (run.state == RunState::Ordered || run.state == RunState::Unresolved) {
         run.state = RunState::Running;
     }
--- a/src/trefoilhoist/jobs/jobscheduler.h
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -198,7 +198,7 @@
     /// True if all that is recorded of a crash is in the store.
     [[nodiscard]] bool isCrashRecorded(const Wire::CrashReport &crash) const;
     /// Notes that a task that was started alone has survived the time in which it was observed.
-    void observeSurvival(const RunKey &key, Run &run, TimePoint now);
+    void observeSurvival(Worker &worker, const RunKey &key, Run &run, TimePoint now);
 
     // joborders.cpp
     void handleStartResult(Worker &worker, const RunKey &key, OrderResult result, std::int64_t listing, TimePoint now);
--- a/src/trefoilhoist/jobs/workerincarnations.cpp
+++ b/src/trefoilhoist/jobs/workerincarnations.cpp
@@ -11,6 +11,9 @@
 void JobScheduler::removeAgent(const std::string &name, LossCause cause, TimePoint now)
 {
     m_unreported.erase(name);
+    if (cause == LossCause::Left) {
+        m_attributedCrashes.erase(name);
+    }
     for (auto &[id, worker] : m_workers) {
         if (agentName(worker.info) == name) {
             endIncarnation(worker, cause, now);
--- a/tests/unit/deadlytasks.cpp
+++ b/tests/unit/deadlytasks.cpp
@@ -280,6 +280,26 @@
     EXPECT_EQ(starts(plan()), 1U);
 }
 
+// The listing shows the run, so that the answer to its order is not needed any more.
+TEST_F(DeadlyTaskTest, workerWithATaskStartedAlone_answerLostButRunListed_takesStartsAgain)
+{
+    joinWorkers(1);
+    accept(jobOf("a", {stepOf(1, 100)}));
+    startedOn(taskOf("a"));
+    crash("w0", runsOn("w0"));
+    recordChanges();
+    m_now += roundTime;
+    reportAll();
+    const auto alone = plan().at("w0");
+    m_now += roundTime;
+    auto report = currentReport("w0");
+    report.running = {running(alone.starts.front())};
+    sendReport(report);
+    m_scheduler.handleOrderResults(alone, std::nullopt, m_now);
+    accept(jobOf("b", {stepOf(1, 100)}));
+    EXPECT_EQ(startedOn(taskOf("b")), "w0");
+}
+
 // Only a busy worker is left: it is kept free of other starts until it has settled.
 TEST_F(DeadlyTaskTest, taskWithACrash_allWorkersBusyWithStarts_getsAReservedWorker)
 {
