--- a/src/programs/agent/agent.h
+++ b/src/programs/agent/agent.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "trefoilhoist/jobs/minioninterface.h"
-#include "trefoilhoist/jobs/minionruns.h"
 #include "trefoilhoist/jobs/orderfence.h"
+#include "trefoilhoist/jobs/startedruns.h"
 #include "trefoilhoist/jobs/throttlecontrol.h"
 #include "trefoilhoist/metrics/metrics.h"
 #include "trefoilhoist/net/httpserver.h"
@@ -108,7 +108,7 @@
     std::int64_t m_reports = 0;
     std::vector<Wire::RunningTask> m_running;
     std::vector<Wire::EndedTask> m_ended;
-    Jobs::MinionRuns m_runs;
+    Jobs::StartedRuns m_runs;
     /// When the first of the failed listings since the last successful one ended.
     std::optional<TimePoint> m_unreachableSince;
     /// The crash of the present incarnation is accounted for.
--- a/src/trefoilhoist/jobs/minionruns.cpp
+++ b/src/trefoilhoist/jobs/startedruns.cpp
@@ -1,4 +1,4 @@
-#include "trefoilhoist/jobs/minionruns.h"
+#include "trefoilhoist/jobs/startedruns.h"
 
 #include <set>
 
@@ -11,7 +11,7 @@
 
 } // namespace
 
-void MinionRuns::addStart(const RunKey &run, TimePoint now)
+void StartedRuns::addStart(const RunKey &run, TimePoint now)
 {
     auto &entry = m_runs[run];
     if (!entry.confirmed) {
@@ -20,7 +20,7 @@
     }
 }
 
-void MinionRuns::applyStartResult(const RunKey &run, OrderResult result)
+void StartedRuns::applyStartResult(const RunKey &run, OrderResult result)
 {
     const auto it = m_runs.find(run);
     if (it == m_runs.end() || it->second.confirmed || result == OrderResult::Unknown) {
@@ -33,7 +33,7 @@
     }
 }
 
-void MinionRuns::applyListing(const MinionListing &listing, TimePoint now)
+void StartedRuns::applyListing(const MinionListing &listing, TimePoint now)
 {
     std::set<RunKey> present;
     for (const auto &row : listing.running) {
@@ -50,7 +50,7 @@
     });
 }
 
-std::vector<Wire::LostRun> MinionRuns::runsAt(TimePoint crash) const
+std::vector<Wire::LostRun> StartedRuns::runsAt(TimePoint crash) const
 {
     std::vector<Wire::LostRun> runs;
     for (const auto &[key, entry] : m_runs) {
@@ -66,7 +66,7 @@
     return runs;
 }
 
-void MinionRuns::resetForNewIncarnation(bool sameId)
+void StartedRuns::resetForNewIncarnation(bool sameId)
 {
     std::erase_if(m_runs, [&](const auto &it) { return !sameId || it.second.confirmed; });
 }
--- a/src/trefoilhoist/jobs/minionruns.h
+++ b/src/trefoilhoist/jobs/startedruns.h
@@ -11,7 +11,7 @@
 
 /// The runs that one incarnation of a minion may be executing, and when they started, as its agent knows them. Tells
 /// which runs were there when the minion crashed. Not thread-safe.
-class MinionRuns
+class StartedRuns
 {
 public:
     /// A start order was sent.
--- a/tests/random/jobscheduler.cpp
+++ b/tests/random/jobscheduler.cpp
@@ -1,8 +1,8 @@
 #include "trefoilhoist/jobs/jobscheduler.h"
 
 #include "harness/seeds.h"
-#include "trefoilhoist/jobs/minionruns.h"
 #include "trefoilhoist/jobs/orderfence.h"
+#include "trefoilhoist/jobs/startedruns.h"
 
 #include <gtest/gtest.h>
 
@@ -93,7 +93,7 @@
     std::int64_t fencingToken = 0;
     std::map<Wire::TaskRef, std::int64_t> lastBlockedRun;
     OrderFence gate;
-    MinionRuns accounts;
+    StartedRuns accounts;
     /// Crashes that the agent still reports.
     std::vector<Wire::CrashReport> crashes;
     std::int64_t listings = 0;
--- a/tests/unit/minionruns.cpp
+++ b/tests/unit/startedruns.cpp
@@ -1,10 +1,10 @@
-#include "trefoilhoist/jobs/minionruns.h"
+#include "trefoilhoist/jobs/startedruns.h"
 
 #include <gtest/gtest.h>
 
 namespace Trefoilhoist::Jobs {
 
-class MinionRunsTest : public testing::Test
+class StartedRunsTest : public testing::Test
 {
 protected:
     static RunKey key(std::int64_t run)
@@ -30,11 +30,11 @@
         m_runs.applyListing(listing, m_now);
     }
 
-    MinionRuns m_runs;
+    StartedRuns m_runs;
     TimePoint m_now{seconds(100)};
 };
 
-TEST_F(MinionRunsTest, startedRun_atACrash_hasItsAge)
+TEST_F(StartedRunsTest, startedRun_atACrash_hasItsAge)
 {
     m_runs.addStart(key(1), m_now);
     m_runs.applyStartResult(key(1), OrderResult::Done);
@@ -44,27 +44,27 @@
     EXPECT_EQ(runs[0].ageMs, 12);
 }
 
-TEST_F(MinionRunsTest, startWithoutAnAnswer_mayHaveBeenThereAtTheCrash)
+TEST_F(StartedRunsTest, startWithoutAnAnswer_mayHaveBeenThereAtTheCrash)
 {
     m_runs.addStart(key(1), m_now);
     m_runs.applyStartResult(key(1), OrderResult::Unknown);
     EXPECT_EQ(m_runs.runsAt(m_now + milliseconds(12)).size(), 1U);
 }
 
-TEST_F(MinionRunsTest, refusedStart_wasNotThereAtTheCrash)
+TEST_F(StartedRunsTest, refusedStart_wasNotThereAtTheCrash)
 {
     m_runs.addStart(key(1), m_now);
     m_runs.applyStartResult(key(1), OrderResult::Refused);
     EXPECT_TRUE(m_runs.runsAt(m_now).empty());
 }
 
-TEST_F(MinionRunsTest, startSentAfterTheCrash_wasNotThereBefore)
+TEST_F(StartedRunsTest, startSentAfterTheCrash_wasNotThereBefore)
 {
     m_runs.addStart(key(1), m_now + milliseconds(1));
     EXPECT_TRUE(m_runs.runsAt(m_now).empty());
 }
 
-TEST_F(MinionRunsTest, endedRun_wasNotThereAtTheCrash)
+TEST_F(StartedRunsTest, endedRun_wasNotThereAtTheCrash)
 {
     m_runs.addStart(key(1), m_now);
     m_runs.applyStartResult(key(1), OrderResult::Done);
@@ -74,7 +74,7 @@
     EXPECT_EQ(runs[0].run, 2);
 }
 
-TEST_F(MinionRunsTest, repeatedOrderOfAConfirmedRun_keepsItsAge)
+TEST_F(StartedRunsTest, repeatedOrderOfAConfirmedRun_keepsItsAge)
 {
     m_runs.addStart(key(1), m_now);
     m_runs.applyStartResult(key(1), OrderResult::Done);
@@ -82,7 +82,7 @@
     EXPECT_EQ(m_runs.runsAt(m_now + seconds(2))[0].ageMs, 2000);
 }
 
-TEST_F(MinionRunsTest, newIncarnationOfTheSameId_keepsOnlyStartsWithoutAnAnswer)
+TEST_F(StartedRunsTest, newIncarnationOfTheSameId_keepsOnlyStartsWithoutAnAnswer)
 {
     m_runs.addStart(key(1), m_now);
     m_runs.applyStartResult(key(1), OrderResult::Done);
