Keep tails under their target, not just over it

Change: the aim is a slack of 1.05; a tail counts as over its target until it is measured clearly under it; nothing starts at speed beside a tail that has been over its target for 1.4 s.

--- a/src/trefoilhoist/jobs/throttlecontrol.cpp
+++ b/src/trefoilhoist/jobs/throttlecontrol.cpp
@@ -15,11 +15,13 @@
 constexpr int speedStepPercent = 5;
 constexpr int minPercent = 2;
 /// A run is throttled until the slack of the serving tasks beside it is expected to reach this value.
-constexpr double targetSlack = 0.95;
+constexpr double targetSlack = 1.05;
 /// A tail over its target for longer than the first limit stops the best-effort tasks that interfere with it; longer
 /// than the second limit, it stops all of them.
 constexpr Duration sustainedViolation = milliseconds(1400);
 constexpr Duration prolongedViolation = milliseconds(2300);
+/// A measured tail that is less than this share of its target shows that the target is met. Measurements are noisy.
+constexpr double clearlyMetRatio = 0.93;
 constexpr double stoppedSpeed = 0.02;
 constexpr double minInterference = 1e-6;
 constexpr double speedUpStep = 0.3;
@@ -57,7 +59,7 @@
     m_worstTailRatio = std::max(m_worstTailRatio, ratio);
     if (ratio > 1) {
         m_targetMissedSince.emplace(key, now);
-    } else {
+    } else if (ratio < clearlyMetRatio) {
         m_targetMissedSince.erase(key);
     }
     const double baselineSlack = latencySlack(row.usage, info.tailTargetMs) + m_table.slackDrop(info.image, shares);
@@ -130,7 +132,10 @@
     for (const auto &it : m_serving) {
         const double interference = m_table.effect(it.image, info.image) * started.fullShare;
         const double deficit = slackDeficit(it);
-        if (deficit > 0 && m_table.effect(it.image, info.image) >= significantEffect) {
+        if (it.targetMissedFor > sustainedViolation) {
+            // Tasks that follow each other must not keep the tail over its target.
+            started.speed = stoppedSpeed;
+        } else if (deficit > 0 && m_table.effect(it.image, info.image) >= significantEffect) {
             started.speed = std::max(minSpeed, started.speed - deficit / interference);
         }
     }
