--- a/src/trefoilhoist/jobs/throttlecontrol.cpp
+++ b/src/trefoilhoist/jobs/throttlecontrol.cpp
@@ -15,13 +15,13 @@
 constexpr int speedStepPercent = 5;
 constexpr int minPercent = 2;
 /// A run is throttled until the slack of the serving tasks beside it is expected to reach this value.
-constexpr double targetSlack = 1.05;
+constexpr double targetSlack = 0.95;
 /// A tail over its target for longer than the first limit stops the best-effort tasks that interfere with it; longer
 /// than the second limit, it stops all of them.
 constexpr Duration sustainedViolation = milliseconds(1400);
 constexpr Duration prolongedViolation = milliseconds(2300);
 /// A measured tail that is less than this share of its target shows that the target is met. Measurements are noisy.
-constexpr double clearlyMetRatio = 0.93;
+constexpr double clearlyMetRatio = 0.95;
 constexpr double stoppedSpeed = 0.02;
 constexpr double minInterference = 1e-6;
 constexpr double speedUpStep = 0.3;
