Stop the other runs of a job that is given up for its crashes

A job that failed by a crash kept its other tasks running: long-running ones for good, as nothing else stops them. Found by reading the change; the test failed before (no stop was ordered). Ends that fail a job stop them already.

--- a/src/trefoilhoist/jobs/jobcrashes.cpp
+++ b/src/trefoilhoist/jobs/jobcrashes.cpp
@@ -68,6 +68,9 @@
     m_hasUnrecordedCrash = true;
     logCrashBlame(crash, lost, blame, *entry->job.crashHistory(lost.task), m_epoch);
     markChanged(lost.task.job);
+    if (!entry->job.isActive()) {
+        stopRuns(*entry, m_now);
+    }
 }
 
 void JobScheduler::applyUnreportedCrash(const Worker &worker)
--- a/tests/unit/deadlytasks.cpp
+++ b/tests/unit/deadlytasks.cpp
@@ -160,6 +160,42 @@
     EXPECT_EQ(m_scheduler.job("a")->phase(), JobPhase::Failed);
 }
 
+// The job is over, so what else it runs has no use.
+TEST_F(DeadlyTaskTest, jobThatIsGivenUp_itsOtherTasks_areStopped)
+{
+    joinWorkers(4);
+    auto step = stepOf(2, 100);
+    step.longRunning = true;
+    step.maxPerWorker = 1;
+    accept(jobOf("a", {step}));
+    const auto first = plan();
+    std::string sibling;
+    Wire::RunningTask siblingRow;
+    for (const auto &[worker, orders] : first) {
+        answer(orders, OrderResult::Done);
+        if (orders.starts.front().task == taskOf("a")) {
+            crash(worker, runsOn(worker));
+        } else {
+            sibling = worker;
+            siblingRow = running(orders.starts.front());
+        }
+    }
+    recordChanges();
+    m_now += roundTime;
+    for (const auto &[worker, born] : m_born) {
+        auto report = currentReport(worker);
+        if (worker == sibling) {
+            report.running = {siblingRow};
+        }
+        sendReport(report);
+    }
+    const auto second = startedOn(taskOf("a"));
+    ASSERT_NE(second, "");
+    crash(second, runsOn(second));
+    ASSERT_EQ(m_scheduler.job("a")->phase(), JobPhase::Failed);
+    EXPECT_EQ(plan().at(sibling).stops.size(), 1U);
+}
+
 TEST_F(DeadlyTaskTest, bestEffortTaskThatCrashesEachWorker_isGivenUp)
 {
     joinWorkers(4);
