--- a/tests/integration/agent.cpp
+++ b/tests/integration/agent.cpp
@@ -76,7 +76,8 @@
 {
 protected:
     AgentTest()
-        : m_owner(m_runtime.executor(), "owner", 1, [this](Wire::Envelope envelope) { return answer(envelope); })
+        : m_owner(
+            m_runtime.executor(), "owner", 1, [this](Wire::Envelope envelope) { return answer(std::move(envelope)); })
     {
         m_heartbeat.worker.id = "minion";
         m_heartbeat.worker.born = firstBorn;
