--- a/src/trefoilhoist/jobs/crashhistory.cpp
+++ b/src/trefoilhoist/jobs/crashhistory.cpp
@@ -8,12 +8,12 @@
 
 namespace {
 
-/// Crashes of which the task has a smaller part count only by their blame.
+/// A crash is counted if the task has at least this part in it. Its blame is added in any case.
 constexpr double minPartOfCause = 0.1;
 /// A part from which the task is likelier to be the cause than everything else together.
 constexpr double dominantPart = 0.55;
 
-/// What convicts a task. A machine may fail at any time, so one crash proves nothing.
+/// What makes a task the cause. A machine may fail at any time, so one crash proves nothing.
 struct Evidence {
     std::size_t crashes = 0;
     double blame = 0;
--- a/tests/unit/crashhistory.cpp
+++ b/tests/unit/crashhistory.cpp
@@ -73,7 +73,7 @@
     EXPECT_TRUE(m_history.isCause());
 }
 
-// A machine that crashes again and again must not convict the tasks that start there.
+// A machine that crashes again and again must not be blamed on the tasks that start there.
 TEST_F(CrashHistoryTest, twoClearCrashesOfOneMachine_areNotTheTasksFault)
 {
     add(1, "a", 0.6);
