One place for the CPU by which shares of a worker are computed; small mends of a second read

The comment of Worker::lastStartAt said what it is not, and a constant had a figurative name. Behaviour is unchanged; the units of the scheduler and its random history passed.

--- a/src/trefoilhoist/jobs/crashattribution.cpp
+++ b/src/trefoilhoist/jobs/crashattribution.cpp
@@ -13,15 +13,15 @@
 /// Age at which a run is half as likely to be the cause as one that has just started.
 constexpr Duration startupTime = milliseconds(50);
 /// A run of any age can be the cause.
-constexpr double minYouth = 0.05;
+constexpr double minRecency = 0.05;
 /// Runs that are less likely than the likeliest one by this factor have no part.
 constexpr double minRelativeLikelihood = 0.2;
 
 double likelihoodOf(const CrashSuspect &suspect)
 {
     const auto age = std::max(suspect.age, Duration{});
-    const double youth = static_cast<double>(startupTime.count()) / static_cast<double>((startupTime + age).count());
-    return (unknownTask + suspect.blame) * std::max(youth, minYouth);
+    const double recency = static_cast<double>(startupTime.count()) / static_cast<double>((startupTime + age).count());
+    return (unknownTask + suspect.blame) * std::max(recency, minRecency);
 }
 
 } // namespace
--- a/src/trefoilhoist/jobs/jobcrashes.cpp
+++ b/src/trefoilhoist/jobs/jobcrashes.cpp
@@ -41,7 +41,7 @@
         suspects.push_back({age, history == nullptr ? 0 : history->blameAtAge(age)});
     }
     const auto parts = attributeCrash(suspects);
-    logCrash(crash, static_cast<int>(parts.size()), m_epoch);
+    logCrash(crash, m_epoch);
     for (std::size_t i = 0; i < parts.size(); ++i) {
         if (parts[i] > 0) {
             recordCrash(agent, crash, crash.runs[i], certainty * parts[i]);
--- a/src/trefoilhoist/jobs/joblistings.cpp
+++ b/src/trefoilhoist/jobs/joblistings.cpp
@@ -133,7 +133,7 @@
     WorkerMeasurements measurements;
     measurements.at = now;
     measurements.cpuMilli = worker.info.cpuMilli;
-    const auto capacity = static_cast<double>(std::max(1, worker.info.cpuMilli));
+    const double capacity = worker.cpuCapacity();
     for (const auto *run : worker.bestEffortRuns) {
         measurements.shares[run->image] += static_cast<double>(run->usage) / capacity;
     }
--- a/src/trefoilhoist/jobs/joblog.cpp
+++ b/src/trefoilhoist/jobs/joblog.cpp
@@ -48,9 +48,13 @@
         .add("epoch", epoch);
 }
 
-void logCrash(const Wire::CrashReport &crash, int runs, std::int64_t epoch)
+void logCrash(const Wire::CrashReport &crash, std::int64_t epoch)
 {
-    Event("worker_crashed").add("worker", crash.worker).add("born", crash.born).add("runs", runs).add("epoch", epoch);
+    Event("worker_crashed")
+        .add("worker", crash.worker)
+        .add("born", crash.born)
+        .add("runs", crash.runs.size())
+        .add("epoch", epoch);
 }
 
 void logCrashBlame(const Wire::CrashReport &crash,
--- a/src/trefoilhoist/jobs/joblog.h
+++ b/src/trefoilhoist/jobs/joblog.h
@@ -20,7 +20,7 @@
 /// Logs a run that was given up with its worker.
 void logRunLost(const Worker &worker, const RunKey &key, LossCause cause, TimePoint now, std::int64_t epoch);
 /// Logs the crash of a minion's incarnation, with the number of runs that may have caused it.
-void logCrash(const Wire::CrashReport &crash, int runs, std::int64_t epoch);
+void logCrash(const Wire::CrashReport &crash, std::int64_t epoch);
 /// Logs the part of a run in the cause of a crash, and what is known of its task by now.
 void logCrashBlame(const Wire::CrashReport &crash,
                    const Wire::LostRun &lost,
--- a/src/trefoilhoist/jobs/worker.cpp
+++ b/src/trefoilhoist/jobs/worker.cpp
@@ -90,7 +90,7 @@
     }
     Demand total = used;
     total += demand;
-    const double cpu = static_cast<double>(total.cpuMilli - info.cpuMilli) / std::max(1, info.cpuMilli);
+    const double cpu = static_cast<double>(total.cpuMilli - info.cpuMilli) / cpuCapacity();
     const double memory = static_cast<double>(total.memoryMb - info.memoryMb) / std::max(1, info.memoryMb);
     return std::max({0.0, cpu, memory});
 }
--- a/src/trefoilhoist/jobs/worker.h
+++ b/src/trefoilhoist/jobs/worker.h
@@ -5,6 +5,7 @@
 #include "trefoilhoist/jobs/workerhealth.h"
 #include "trefoilhoist/world/clock.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -164,7 +165,7 @@
     Demand used;
     /// The part of `used` that belongs to long-running tasks.
     Demand usedByLongRunning;
-    /// When the last of its present runs was ordered.
+    /// When a run was last added.
     TimePoint lastStartAt;
     StartReservation reservation;
     /// In the current plan only long-running tasks may start here, because one of them fits on no worker yet.
@@ -186,6 +187,11 @@
     [[nodiscard]] std::optional<double> shortage(const Demand &demand) const;
     /// True if nothing has been started here for so long that a crash would be noticed by now, and no order is open.
     [[nodiscard]] bool isSettled(TimePoint now) const;
+    /// The CPU in thousandths of a core, by which shares of the worker are computed; at least 1.
+    [[nodiscard]] double cpuCapacity() const
+    {
+        return std::max(1, info.cpuMilli);
+    }
     /// CPU expected to be idle, without what best-effort tasks already use; may be negative.
     [[nodiscard]] std::int64_t idleCpuMilli() const;
 
--- a/src/trefoilhoist/jobs/workerselector.cpp
+++ b/src/trefoilhoist/jobs/workerselector.cpp
@@ -148,7 +148,7 @@
     if (worker.servingRuns.empty()) {
         return 0;
     }
-    const auto capacity = static_cast<double>(std::max(1, worker.info.cpuMilli));
+    const double capacity = worker.cpuCapacity();
     const double ownShare = static_cast<double>(m_demand.idleCpuMilli) / capacity;
     double sum = 0;
     for (const auto *serving : worker.servingRuns) {
