Log runs that a listing doesn't show, and which ends are acknowledged to whom

The logs could not tell the hypotheses of docs/incidents/unread-ends.md apart: a run that was dropped because a listing did not show it left no line, and neither did the ends that an agent acknowledges. run_lost now has the cause "not listed"; ends_recorded tells up to which number an agent acknowledges ends of which incarnation; other_life_listed tells what a call that met another incarnation acknowledged and what was listed.

--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -298,6 +298,11 @@
         m_throttle.setPairEffect(pair);
     }
     if (m_fence.recordedEnds() > recordedBefore) {
+        Event("ends_recorded")
+            .add("worker", sent.worker.id)
+            .add("born", sent.worker.born)
+            .add("number", m_fence.recordedEnds())
+            .add("epoch", epoch);
         std::erase_if(m_ended, [&](const auto &it) { return it.number <= m_fence.recordedEnds(); });
     }
 }
--- a/src/programs/agent/minionruns.cpp
+++ b/src/programs/agent/minionruns.cpp
@@ -50,8 +50,9 @@
     const auto worker = m_minion->worker;
     // The first listings under a new owner or lease don't wait for ended tasks, because the owner waits for them.
     const bool wait = m_fence.isListed() && m_reachable && m_fence.extendHold(now).has_value();
+    const auto acknowledged = m_fence.recordedEnds();
     const auto listing = co_await m_adapters.minion->list(
-        target(), m_fence.recordedEnds(), m_fence.extendHold(now).value_or(0), wait ? listingWait : Duration{});
+        target(), acknowledged, m_fence.extendHold(now).value_or(0), wait ? listingWait : Duration{});
     if (!m_minion || m_minion->worker.id != worker.id || m_minion->worker.born != worker.born) {
         co_return;
     }
@@ -62,7 +63,13 @@
     }
     if (listing->startedAtMs != 0 && worker.born != 0 && listing->startedAtMs != worker.born) {
         // A new incarnation that has not sent its first heartbeat yet.
-        Event("other_life_listed").add("worker", worker.id).add("born", listing->startedAtMs);
+        Event("other_life_listed")
+            .add("worker", worker.id)
+            .add("born", listing->startedAtMs)
+            .add("expectedBorn", worker.born)
+            .add("acknowledged", acknowledged)
+            .add("running", listing->running.size())
+            .add("ended", listing->ended.size());
         co_await sleepFor(listingRetryDelay);
         co_return;
     }
--- a/src/trefoilhoist/jobs/joblistings.cpp
+++ b/src/trefoilhoist/jobs/joblistings.cpp
@@ -120,6 +120,7 @@
         }
     }
     for (const auto &key : missing) {
+        logRunLost(worker, key, LossCause::NotListed, now, m_epoch);
         handleLostRun(worker, key, now);
     }
 }
--- a/src/trefoilhoist/jobs/joblog.h
+++ b/src/trefoilhoist/jobs/joblog.h
@@ -17,7 +17,7 @@
 void logWorkerEvent(std::string_view event, const Worker &worker, std::int64_t epoch);
 /// Logs the end of a worker's incarnation that still had runs.
 void logWorkerLost(const Worker &worker, LossCause cause, std::int64_t epoch);
-/// Logs a run that was given up with its worker.
+/// Logs a run that was given up without an end.
 void logRunLost(const Worker &worker, const RunKey &key, LossCause cause, TimePoint now, std::int64_t epoch);
 /// Logs the crash of a minion's incarnation, with the number of runs that may have caused it.
 void logCrash(const Wire::CrashReport &crash, std::int64_t epoch);
--- a/src/trefoilhoist/jobs/jobtypes.h
+++ b/src/trefoilhoist/jobs/jobtypes.h
@@ -48,7 +48,7 @@
     return endKindNames.at(static_cast<std::size_t>(kind));
 }
 
-/// Why the owner gave up the runs of an incarnation of a minion.
+/// Why the owner gave up a run, or all runs of an incarnation of a minion.
 enum class LossCause {
     /// The agent reports that the minion's process has ended, or that its lease has expired.
     MinionGone = 0,
@@ -58,10 +58,12 @@
     LeaseExpired = 2,
     /// The minion has left permanently.
     Left = 3,
+    /// A listing that began after the run's last order was answered doesn't show it.
+    NotListed = 4,
 };
 
-inline constexpr std::array<std::string_view, 4> lossCauseNames
-    = {"minion gone", "replaced by a new incarnation", "lease expired", "minion left"};
+inline constexpr std::array<std::string_view, 5> lossCauseNames
+    = {"minion gone", "replaced by a new incarnation", "lease expired", "minion left", "not listed"};
 
 [[nodiscard]] constexpr std::string_view lossCauseName(LossCause cause)
 {
