--- a/idl/gen/messages_types.cpp
+++ b/idl/gen/messages_types.cpp
@@ -7026,6 +7026,10 @@
 void WorkerReport::__set_crashes(const std::vector<CrashReport> & val) {
   this->crashes = val;
 }
+
+void WorkerReport::__set_lacksEnds(const bool val) {
+  this->lacksEnds = val;
+}
 std::ostream& operator<<(std::ostream& out, const WorkerReport& obj)
 {
   obj.printTo(out);
@@ -7206,6 +7210,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->lacksEnds);
+          this->__isset.lacksEnds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7307,6 +7319,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("lacksEnds", ::apache::thrift::protocol::T_BOOL, 14);
+  xfer += oprot->writeBool(this->lacksEnds);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7327,6 +7343,7 @@
   swap(a.pairs, b.pairs);
   swap(a.number, b.number);
   swap(a.crashes, b.crashes);
+  swap(a.lacksEnds, b.lacksEnds);
   swap(a.__isset, b.__isset);
 }
 
@@ -7344,6 +7361,7 @@
   pairs = other315.pairs;
   number = other315.number;
   crashes = other315.crashes;
+  lacksEnds = other315.lacksEnds;
   __isset = other315.__isset;
 }
 WorkerReport::WorkerReport(WorkerReport&& other316) noexcept {
@@ -7360,6 +7378,7 @@
   pairs = std::move(other316.pairs);
   number = other316.number;
   crashes = std::move(other316.crashes);
+  lacksEnds = other316.lacksEnds;
   __isset = other316.__isset;
 }
 WorkerReport& WorkerReport::operator=(const WorkerReport& other317) {
@@ -7376,6 +7395,7 @@
   pairs = other317.pairs;
   number = other317.number;
   crashes = other317.crashes;
+  lacksEnds = other317.lacksEnds;
   __isset = other317.__isset;
   return *this;
 }
@@ -7393,6 +7413,7 @@
   pairs = std::move(other318.pairs);
   number = other318.number;
   crashes = std::move(other318.crashes);
+  lacksEnds = other318.lacksEnds;
   __isset = other318.__isset;
   return *this;
 }
@@ -7412,6 +7433,7 @@
   out << ", " << "pairs=" << to_string(pairs);
   out << ", " << "number=" << to_string(number);
   out << ", " << "crashes=" << to_string(crashes);
+  out << ", " << "lacksEnds=" << to_string(lacksEnds);
   out << ")";
 }
 
--- a/idl/gen/messages_types.h
+++ b/idl/gen/messages_types.h
@@ -2590,7 +2590,7 @@
 std::ostream& operator<<(std::ostream& out, const CrashReport& obj);
 
 typedef struct _WorkerReport__isset {
-  _WorkerReport__isset() : worker(false), epoch(false), listing(false), listed(false), draining(false), gone(false), running(false), ended(false), reachable(false), wantsRunInfo(false), pairs(false), number(false), crashes(false) {}
+  _WorkerReport__isset() : worker(false), epoch(false), listing(false), listed(false), draining(false), gone(false), running(false), ended(false), reachable(false), wantsRunInfo(false), pairs(false), number(false), crashes(false), lacksEnds(false) {}
   bool worker :1;
   bool epoch :1;
   bool listing :1;
@@ -2604,6 +2604,7 @@
   bool pairs :1;
   bool number :1;
   bool crashes :1;
+  bool lacksEnds :1;
 } _WorkerReport__isset;
 
 class WorkerReport : public virtual ::apache::thrift::TBase {
@@ -2621,7 +2622,8 @@
                  gone(0),
                  reachable(0),
                  wantsRunInfo(0),
-                 number(0) {
+                 number(0),
+                 lacksEnds(0) {
   }
 
   virtual ~WorkerReport() noexcept;
@@ -2638,6 +2640,7 @@
   std::vector<ImagePair>  pairs;
   int64_t number;
   std::vector<CrashReport>  crashes;
+  bool lacksEnds;
 
   _WorkerReport__isset __isset;
 
@@ -2667,6 +2670,8 @@
 
   void __set_crashes(const std::vector<CrashReport> & val);
 
+  void __set_lacksEnds(const bool val);
+
   bool operator == (const WorkerReport & rhs) const
   {
     if (!(worker == rhs.worker))
@@ -2695,6 +2700,8 @@
       return false;
     if (!(crashes == rhs.crashes))
       return false;
+    if (!(lacksEnds == rhs.lacksEnds))
+      return false;
     return true;
   }
   bool operator != (const WorkerReport &rhs) const {
--- a/idl/messages.thrift
+++ b/idl/messages.thrift
@@ -378,6 +378,8 @@
   12: i64 number;
   // Crashes that no owner has recorded yet.
   13: list<CrashReport> crashes;
+  // The minion may have more ended tasks than `ended` shows.
+  14: bool lacksEnds;
 }
 
 // What an agent needs to know of a run to pace it.
--- a/src/trefoilhoist/jobs/minioninterface.h
+++ b/src/trefoilhoist/jobs/minioninterface.h
@@ -32,6 +32,8 @@
     std::int64_t clockMs = 0;
     std::vector<Wire::RunningTask> running;
     std::vector<Wire::EndedTask> ended;
+    /// The minion may have more ended tasks than it returned.
+    bool lacksEnds = false;
 };
 
 /// The minion to which orders are addressed.
--- a/tests/integration/agent.cpp
+++ b/tests/integration/agent.cpp
@@ -19,15 +19,32 @@
 constexpr std::int32_t fullCpuMilli = 10'000;
 constexpr std::int32_t shrunkenCpuMilli = 3'000;
 constexpr std::int64_t firstBorn = 1000;
+/// Time between the starts of two incarnations of the minion.
+constexpr std::int64_t incarnationGapMs = 3000;
+/// One call may be on its way when the minion restarts.
+constexpr std::size_t callsToMeetRestart = 3;
+/// The agent reports several times during so many calls that meet another incarnation.
+constexpr std::size_t callsDuringReports = 15;
+/// 2100-01-01 in Unix milliseconds.
+constexpr std::int64_t lateBorn = 4'102'444'800'000;
 /// Less than the time between two reports that nothing hastens.
 constexpr Duration promptly = milliseconds(250);
 constexpr Duration longEnough = seconds(5);
 
+/// What the agent sends with a listing call.
+struct ListingCall {
+    std::int64_t fencingToken = 0;
+    std::int64_t acknowledgedEnds = 0;
+    std::int64_t holdUntilMs = 0;
+};
+
 /// A minion whose listing and presence tests set.
 struct FakeMinion {
     bool refusesConnections = false;
     Jobs::MinionListing listing;
     std::vector<int> throttles;
+    std::vector<ListingCall> listingCalls;
+    int starts = 0;
 };
 
 class FakeMinionInterface : public Jobs::MinionInterface
@@ -36,8 +53,9 @@
     explicit FakeMinionInterface(FakeMinion &minion) : m_minion(minion) { }
 
     awaitable<tl::expected<Jobs::MinionListing, Jobs::MinionError>>
-    list(Jobs::MinionTarget, std::int64_t, std::int64_t, Duration wait) override
+    list(Jobs::MinionTarget target, std::int64_t acknowledgedEnds, std::int64_t holdUntilMs, Duration wait) override
     {
+        m_minion.listingCalls.push_back({target.fencingToken, acknowledgedEnds, holdUntilMs});
         co_await sleepFor(std::min(wait, Duration(milliseconds(20))));
         if (m_minion.refusesConnections) {
             co_return tl::unexpected(Jobs::MinionError{"connection refused", true});
@@ -47,6 +65,7 @@
     }
     awaitable<Jobs::OrderAnswer> start(Jobs::MinionTarget, Wire::StartOrder, std::int64_t) override
     {
+        ++m_minion.starts;
         co_return Jobs::OrderAnswer{Jobs::OrderResult::Done, 0, {}};
     }
     awaitable<Jobs::OrderAnswer> stop(Jobs::MinionTarget, Wire::StopOrder) override
@@ -161,17 +180,72 @@
         ASSERT_TRUE(runUntil([&] { return m_lastReport.listed && !m_lastReport.running.empty(); }));
     }
 
+    /// The minion restarts under its id, but has not sent a heartbeat yet. It counts its ended tasks anew.
+    void restartMinion()
+    {
+        m_minion.listing = {};
+        m_minion.listing.startedAtMs = firstBorn + incarnationGapMs;
+        Wire::EndedTask end;
+        end.number = 1;
+        end.task = Jobs::taskRef("b", 0, 0, 0);
+        end.run = 1;
+        m_minion.listing.ended.push_back(end);
+    }
+
+    /// The restarted minion sends its first heartbeat.
+    void announceMinion()
+    {
+        m_heartbeat.worker.born = firstBorn + incarnationGapMs;
+        m_heartbeat.sequence = 0;
+        sendHeartbeat();
+    }
+
+    /// Lets the agent call the minion `count` times more; returns these calls.
+    std::vector<ListingCall> nextListingCalls(std::size_t count)
+    {
+        const auto before = m_minion.listingCalls.size();
+        EXPECT_TRUE(runUntil([&] { return m_minion.listingCalls.size() >= before + count; }));
+        return {m_minion.listingCalls.begin() + static_cast<std::ptrdiff_t>(before), m_minion.listingCalls.end()};
+    }
+
+    /// Sends the agent a start order for the incarnation that it reported last; returns the result.
+    Jobs::OrderResult orderStart()
+    {
+        Wire::WorkerOrders orders;
+        orders.epoch = m_epoch;
+        orders.worker = m_lastReport.worker.id;
+        orders.born = m_lastReport.worker.born;
+        orders.leaseTerm = 1;
+        orders.afterReport = m_lastReport.number;
+        Wire::StartOrder start;
+        start.task = Jobs::taskRef("b", 0, 0, 0);
+        start.run = 1;
+        orders.starts.push_back(start);
+        std::optional<Wire::WorkerOrdersReply> reply;
+        PeerClient client(m_runtime.executor(), "owner", 1, m_orderEndpoint);
+        spawnOn(m_runtime.executor(), "order", [&]() -> awaitable<void> {
+            const auto answer
+                = co_await client.call(Wire::MessageKind::WorkerOrdersKind, Wire::encode(orders), longEnough);
+            reply = Wire::decode<Wire::WorkerOrdersReply>(answer.value().payload);
+        });
+        EXPECT_TRUE(runUntil([&] { return reply.has_value(); }));
+        return static_cast<Jobs::OrderResult>(reply.value().starts.at(0));
+    }
+
     Runtime m_runtime{"agent", "", "{}", nlohmann::json::object(), 1};
     FakeMinion m_minion;
     Jobs::MinionHeartbeat m_heartbeat;
     HttpClient m_client{m_runtime.executor()};
     Endpoint m_heartbeatEndpoint;
+    Endpoint m_orderEndpoint;
     PeerServer m_owner;
     std::uint16_t m_ownerPort = 0;
     std::int64_t m_epoch = 1;
     Wire::WorkerReport m_lastReport;
     /// What the owner answers, besides epoch and lease.
     Wire::WorkerReportReply m_reply;
+    /// The owner has recorded one more end at each report.
+    bool m_recordsMoreEnds = false;
     RecordStore *m_store = nullptr;
     std::unique_ptr<AgentServer> m_agent;
 
@@ -191,8 +265,9 @@
         AgentSettings settings;
         settings.name = "agent";
         settings.heartbeats = {"127.0.0.1", unusedPort(m_runtime.executor())};
-        settings.peers = {"127.0.0.1", 0};
+        settings.peers = {"127.0.0.1", unusedPort(m_runtime.executor())};
         m_heartbeatEndpoint = settings.heartbeats;
+        m_orderEndpoint = settings.peers;
         m_agent = std::make_unique<AgentServer>(m_runtime, settings, std::move(adapters));
         ASSERT_FALSE(m_agent->start().has_value());
     }
@@ -200,6 +275,7 @@
     awaitable<std::optional<Wire::Envelope>> answer(Wire::Envelope envelope)
     {
         m_lastReport = Wire::decode<Wire::WorkerReport>(envelope.payload).value();
+        m_reply.recordedEnds += m_recordsMoreEnds ? 1 : 0;
         auto reply = m_reply;
         reply.epoch = m_epoch;
         reply.leaseMs = 6000;
@@ -284,4 +360,80 @@
     EXPECT_TRUE(runUntil([&] { return !m_minion.throttles.empty(); }));
 }
 
+TEST_F(AgentTest, endsAreRecorded_areAcknowledgedUntilTheMinionHasAnswered)
+{
+    addRun("a", 1000);
+    join();
+    m_reply.recordedEnds = 57;
+    ASSERT_TRUE(runUntil([&] { return m_minion.listingCalls.back().acknowledgedEnds == 57; }));
+    ASSERT_TRUE(runUntil([&] { return m_minion.listingCalls.back().acknowledgedEnds == 0; }));
+    m_reply.recordedEnds = 58;
+    EXPECT_TRUE(runUntil([&] { return m_minion.listingCalls.back().acknowledgedEnds == 58; }));
+}
+
+// The next incarnation forgot its first ends, which nobody had read, because the agent acknowledged them by the numbers
+// of the earlier one.
+TEST_F(AgentTest, minionRestartsUnderItsId_endsOfTheNewIncarnationAreNotAcknowledged)
+{
+    addRun("a", 1000);
+    join();
+    m_reply.recordedEnds = 57;
+    m_recordsMoreEnds = true;
+    ASSERT_TRUE(runUntil([&] { return m_minion.listingCalls.back().acknowledgedEnds > 57; }));
+    restartMinion();
+    nextListingCalls(callsToMeetRestart);
+    for (const auto &it : nextListingCalls(callsDuringReports)) {
+        EXPECT_EQ(it.acknowledgedEnds, 0);
+        EXPECT_EQ(it.holdUntilMs, 0);
+    }
+}
+
+// Orders that were meant for the earlier incarnation were executed by the next one, which the owner did not know yet.
+TEST_F(AgentTest, minionRestartsUnderItsId_ordersForTheEarlierIncarnationAreRefused)
+{
+    addRun("a", 1000);
+    join();
+    ASSERT_EQ(orderStart(), Jobs::OrderResult::Done);
+    ASSERT_EQ(m_minion.starts, 1);
+    restartMinion();
+    nextListingCalls(callsToMeetRestart);
+    EXPECT_EQ(orderStart(), Jobs::OrderResult::Refused);
+    EXPECT_EQ(m_minion.starts, 1);
+}
+
+// A call that is executed late must have no effect on the next incarnation, which numbers its ends anew.
+TEST_F(AgentTest, minionRestartsUnderItsId_refusesLateCallsForTheEarlierIncarnation)
+{
+    addRun("a", 1000);
+    join();
+    restartMinion();
+    announceMinion();
+    ASSERT_TRUE(runUntil([&] { return m_lastReport.worker.born == m_heartbeat.worker.born && m_lastReport.listed; }));
+    const auto &calls = m_minion.listingCalls;
+    EXPECT_GT(calls.back().fencingToken, calls.front().fencingToken);
+}
+
+TEST_F(AgentTest, ownerIsReplaced_fencingTokenIsHigherThanOfAnyIncarnationBefore)
+{
+    addRun("a", 1000);
+    m_heartbeat.worker.born = lateBorn;
+    m_minion.listing.startedAtMs = lateBorn;
+    join();
+    const auto before = m_minion.listingCalls.back().fencingToken;
+    m_minion.listing.startedAtMs = firstBorn;
+    recordOwner(2);
+    EXPECT_TRUE(runUntil([&] { return m_minion.listingCalls.back().fencingToken > before; }));
+}
+
+TEST_F(AgentTest, restartedMinionIsAnnounced_itsEndsAreReported)
+{
+    addRun("a", 1000);
+    join();
+    restartMinion();
+    nextListingCalls(callsToMeetRestart);
+    announceMinion();
+    EXPECT_TRUE(runUntil([&] { return m_lastReport.ended.size() == 1 && m_lastReport.running.empty(); }));
+    EXPECT_FALSE(m_lastReport.gone);
+}
+
 } // namespace Trefoilhoist::Agent
--- /dev/null
+++ b/tests/unit/unreadends.cpp
@@ -0,0 +1,170 @@
+// Ends of runs that could be acknowledged although the owner has not counted them.
+#include "harness/schedulerfixture.h"
+
+#include <gtest/gtest.h>
+
+namespace Trefoilhoist::Jobs {
+
+class UnreadEndTest : public SchedulerFixture
+{
+protected:
+    /// Accepts a job with one task, plans, and returns its start order.
+    Wire::StartOrder startJob(const std::string &id)
+    {
+        accept(jobOf(id, {stepOf(1, 500)}));
+        const auto orders = plan();
+        m_orders = orders.begin()->second;
+        return m_orders.starts.front();
+    }
+
+    /// The report of the next incarnation of the minion, which has the id of the earlier one.
+    Wire::WorkerReport reportOfNextIncarnation(const std::string &worker)
+    {
+        auto report = reportOf(worker);
+        report.worker.born = 2;
+        return report;
+    }
+
+    /// The crash of the earlier incarnation is recorded, and starts before it no longer hold up others.
+    void settle()
+    {
+        recordChanges();
+        m_now += seconds(1);
+    }
+
+    void stopAnswered(const PlannedOrders &orders)
+    {
+        ASSERT_EQ(orders.size(), 1U);
+        ASSERT_EQ(orders.begin()->second.stops.size(), 1U);
+        answer(orders.begin()->second, OrderResult::Done);
+    }
+
+    Wire::WorkerOrders m_orders;
+};
+
+// The order was meant for one incarnation, and the next one, which had the same id, executed and confirmed it. The owner
+// gave the run up with the earlier incarnation and started the task again while the run went on.
+TEST_F(UnreadEndTest, minionRestartsUnderItsId_runThatWasNeverListed_isNotStartedElsewhere)
+{
+    joinWorker("w0");
+    joinWorker("w1");
+    const auto order = startJob("a");
+    const auto worker = m_orders.worker;
+    answer(m_orders, OrderResult::Done);
+    auto unlisted = reportOfNextIncarnation(worker);
+    unlisted.listed = false;
+    sendReport(unlisted);
+    settle();
+    const auto orders = plan();
+    EXPECT_EQ(starts(orders), 0U);
+    stopAnswered(orders);
+    auto listed = reportOfNextIncarnation(worker);
+    listed.ended.push_back(ended(1, order, EndKind::Done));
+    sendReport(listed);
+    EXPECT_EQ(starts(plan()), 0U);
+    EXPECT_EQ(m_scheduler.job("a")->phase(), JobPhase::Completed);
+}
+
+TEST_F(UnreadEndTest, minionRestartsUnderItsId_runThatItDoesNotHave_isStartedAgain)
+{
+    joinWorker("w0");
+    startJob("a");
+    answer(m_orders, OrderResult::Done);
+    auto unlisted = reportOfNextIncarnation("w0");
+    unlisted.listed = false;
+    sendReport(unlisted);
+    settle();
+    stopAnswered(plan());
+    sendReport(reportOfNextIncarnation("w0"));
+    EXPECT_EQ(starts(plan()), 1U);
+}
+
+// A listed run ran on the earlier incarnation, so the task need not wait for the next one.
+TEST_F(UnreadEndTest, minionRestartsUnderItsId_runThatWasListed_isStartedAgainAtOnce)
+{
+    joinWorker("w0");
+    const auto order = startJob("a");
+    answer(m_orders, OrderResult::Done);
+    auto listing = reportOf("w0");
+    listing.running.push_back(running(order));
+    sendReport(listing);
+    sendReport(reportOfNextIncarnation("w0"));
+    settle();
+    EXPECT_EQ(starts(plan()), 1U);
+}
+
+// A new owner acknowledged the end at once, because by its clock the occurrence was not due and so had no such task.
+TEST_F(UnreadEndTest, endOfAnOccurrenceThatIsNotDueHere_isCounted)
+{
+    auto spec = jobOf("a", {stepOf(1, 500)});
+    spec.occurrences = 2;
+    spec.firstDueMs = wallMs + 100;
+    spec.intervalMs = 10'000;
+    m_scheduler.restoreJob(spec, std::nullopt, m_now, wallMs);
+    auto report = reportOf("w0");
+    Wire::StartOrder order;
+    order.task = taskOf("a");
+    order.run = 1;
+    report.ended.push_back(ended(1, order, EndKind::Done));
+    const auto reply = sendReport(report);
+    EXPECT_EQ(reply.recordedEnds, 0);
+    recordChanges();
+    EXPECT_EQ(sendReport(reportOf("w0")).recordedEnds, 1);
+    EXPECT_EQ(starts(m_scheduler.plan(m_now, spec.firstDueMs + 1000, true)), 0U);
+}
+
+TEST_F(UnreadEndTest, runOfAnOccurrenceThatIsNotDueHere_isAdoptedAndItsOtherTasksWait)
+{
+    auto spec = jobOf("a", {stepOf(2, 500)});
+    spec.occurrences = 2;
+    spec.firstDueMs = wallMs + 100;
+    spec.intervalMs = 10'000;
+    m_scheduler.restoreJob(spec, std::nullopt, m_now, wallMs);
+    auto report = reportOf("w0");
+    Wire::StartOrder order;
+    order.task = taskOf("a");
+    order.run = 1;
+    report.running.push_back(running(order));
+    sendReport(report);
+    EXPECT_TRUE(plan().empty());
+    EXPECT_EQ(starts(m_scheduler.plan(m_now, spec.firstDueMs + 1000, true)), 1U);
+}
+
+// The minion returns a limited number of ends at a time. A run that had ended behind them was in neither list, and was
+// taken for lost.
+TEST_F(UnreadEndTest, listingWithoutAllEnds_runThatItDoesNotShow_isKept)
+{
+    joinWorker("w0");
+    const auto order = startJob("a");
+    answer(m_orders, OrderResult::Done);
+    auto partial = reportOf("w0");
+    partial.lacksEnds = true;
+    sendReport(partial);
+    EXPECT_EQ(starts(plan()), 0U);
+    auto whole = reportOf("w0");
+    whole.ended.push_back(ended(1, order, EndKind::Done));
+    sendReport(whole);
+    EXPECT_EQ(starts(plan()), 0U);
+    EXPECT_EQ(m_scheduler.job("a")->phase(), JobPhase::Completed);
+}
+
+// The agent has given up on the earlier report, and has reached its minion since.
+TEST_F(UnreadEndTest, delayedReportThatTheMinionIsGone_runsAreKept)
+{
+    joinWorker("w0");
+    const auto order = startJob("a");
+    answer(m_orders, OrderResult::Done);
+    auto gone = reportOf("w0");
+    gone.number = 1;
+    gone.gone = true;
+    gone.listed = false;
+    auto listing = reportOf("w0");
+    listing.number = 2;
+    listing.running.push_back(running(order));
+    sendReport(listing);
+    sendReport(gone);
+    EXPECT_EQ(starts(plan()), 0U);
+    EXPECT_EQ(m_scheduler.workers().at("w0").runs.size(), 1U);
+}
+
+} // namespace Trefoilhoist::Jobs
