Bind an agent's calls to one incarnation of its minion, also where the id stays

Cause: an agent addresses its minion by id, and told incarnations apart by heartbeats only. A minion that restarts under its id got, until its first heartbeat and by calls that were executed late, acknowledgements by the earlier incarnation's numbers and starts that the owner took for the earlier one's. Class: a permission that names a place, not the incarnation that it was given to.

Change: the fencing token rises with the incarnation too (from the start time of the minion's process), so that an incarnation that was called once refuses late calls for an earlier one; an answer that shows another incarnation stops acknowledgements, leases and orders until the heartbeat; a number of ends is sent only until the minion has answered a call with it.

--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -130,7 +130,7 @@
             .add("born", worker.born)
             .add("endpoint", heartbeat.endpoint.str());
         m_minion = std::move(heartbeat);
-        m_fence.resetForNewIncarnation();
+        m_fence.resetForNewIncarnation(m_minion->worker.born);
         m_throttle.clear();
         m_unreachableSince.reset();
         m_crashNoted = false;
--- a/src/programs/agent/minionruns.cpp
+++ b/src/programs/agent/minionruns.cpp
@@ -28,7 +28,7 @@
 
 Jobs::MinionTarget AgentServer::target() const
 {
-    return {m_minion->endpoint, m_minion->worker.id, m_fence.epoch()};
+    return {m_minion->endpoint, m_minion->worker.id, m_fence.fencingToken()};
 }
 
 awaitable<void> AgentServer::listLoop()
@@ -50,9 +50,9 @@
     const auto worker = m_minion->worker;
     // The first listings under a new owner or lease don't wait for ended tasks, because the owner waits for them.
     const bool wait = m_fence.isListed() && m_reachable && m_fence.extendHold(now).has_value();
-    const auto acknowledged = m_fence.recordedEnds();
+    const auto dropped = m_fence.endsToDrop();
     const auto listing = co_await m_adapters.minion->list(
-        target(), acknowledged, m_fence.extendHold(now).value_or(0), wait ? listingWait : Duration{});
+        target(), dropped, m_fence.extendHold(now).value_or(0), wait ? listingWait : Duration{});
     if (!m_minion || m_minion->worker.id != worker.id || m_minion->worker.born != worker.born) {
         co_return;
     }
@@ -62,17 +62,19 @@
         co_return;
     }
     if (listing->startedAtMs != 0 && worker.born != 0 && listing->startedAtMs != worker.born) {
-        // A new incarnation that has not sent its first heartbeat yet.
         Event("other_life_listed")
             .add("worker", worker.id)
             .add("born", listing->startedAtMs)
             .add("expectedBorn", worker.born)
-            .add("acknowledged", acknowledged)
+            .add("acknowledged", dropped)
             .add("running", listing->running.size())
             .add("ended", listing->ended.size());
+        m_fence.markReplaced();
+        listingFailed({"another incarnation answers", false});
         co_await sleepFor(listingRetryDelay);
         co_return;
     }
+    m_fence.confirmDropped(dropped);
     applyListing(*listing, number, epoch);
     const bool hasUnrecordedEnds = !m_ended.empty();
     if (hasUnrecordedEnds || !wait) {
--- a/src/trefoilhoist/jobs/orderfence.cpp
+++ b/src/trefoilhoist/jobs/orderfence.cpp
@@ -12,6 +12,12 @@
 constexpr Duration maxStartAge = milliseconds(1500);
 /// Number of reports whose send time is kept; several are sent each second.
 constexpr std::size_t keptReports = 64;
+/// A fencing token holds the epoch above this many bits for the start of the incarnation. Up to an epoch of 2^19 it has
+/// no more than the 53 bits that every reader of JSON keeps exact.
+constexpr int incarnationBits = 34;
+constexpr std::int64_t maxIncarnationPart = (std::int64_t{1} << incarnationBits) - 1;
+/// Two incarnations start further apart than this.
+constexpr std::int64_t incarnationUnitMs = 256;
 
 } // namespace
 
@@ -30,6 +36,12 @@
     return true;
 }
 
+std::int64_t OrderFence::fencingToken() const
+{
+    const auto incarnation = std::clamp<std::int64_t>(m_bornMs / incarnationUnitMs, 0, maxIncarnationPart);
+    return (m_epoch << incarnationBits) + incarnation;
+}
+
 void OrderFence::confirmListing(std::int64_t epoch)
 {
     if (epoch == m_epoch) {
@@ -59,8 +71,26 @@
     }
 }
 
-void OrderFence::resetForNewIncarnation()
+std::int64_t OrderFence::endsToDrop() const
 {
+    return !m_replaced && m_recordedEnds > m_droppedEnds ? m_recordedEnds : 0;
+}
+
+void OrderFence::confirmDropped(std::int64_t number)
+{
+    m_droppedEnds = std::max(m_droppedEnds, number);
+}
+
+void OrderFence::markReplaced()
+{
+    m_replaced = true;
+}
+
+void OrderFence::resetForNewIncarnation(std::int64_t bornMs)
+{
+    m_bornMs = bornMs;
+    m_replaced = false;
+    m_droppedEnds = 0;
     m_listed = false;
     m_stopped = false;
     m_recordedEnds = 0;
@@ -77,6 +107,9 @@
         return "orders of epoch " + std::to_string(orders.epoch) + ", but the current epoch is "
             + std::to_string(m_epoch);
     }
+    if (m_replaced) {
+        return "another incarnation of the minion answers";
+    }
     if (!m_listed || m_stopped) {
         return "the minion's runs are not known";
     }
@@ -126,7 +159,7 @@
 
 std::optional<std::int64_t> OrderFence::extendHold(TimePoint now)
 {
-    if (m_clockMs == 0 || now >= m_leaseExpiry) {
+    if (m_replaced || m_clockMs == 0 || now >= m_leaseExpiry) {
         return std::nullopt;
     }
     m_holdExpiry = std::max(m_holdExpiry, m_leaseExpiry);
--- a/src/trefoilhoist/jobs/orderfence.h
+++ b/src/trefoilhoist/jobs/orderfence.h
@@ -13,7 +13,11 @@
 /// Decides in a worker's agent which orders are admitted, and until when the minion may keep its runs (the hold).
 ///
 /// A lease starts when the agent sends a report; the owner grants it in the reply. Orders are admitted only under the
-/// lease that their owner granted, so delayed orders and orders of an earlier owner have no effect. Not thread-safe.
+/// lease that their owner granted, so delayed orders and orders of an earlier owner have no effect.
+///
+/// A minion may restart under its id, by which it is addressed, so that calls for one incarnation can reach the next.
+/// From the first answer of another incarnation until its heartbeat, nothing is admitted or acknowledged. Not
+/// thread-safe.
 class OrderFence
 {
 public:
@@ -23,6 +27,9 @@
     {
         return m_epoch;
     }
+    /// The token with which the minion is called. It rises with the epoch and, within an epoch, with each incarnation of
+    /// the minion: once an incarnation was called, it refuses the delayed calls that were meant for an earlier one.
+    [[nodiscard]] std::int64_t fencingToken() const;
 
     /// Notes that the minion has answered a listing under this epoch's fencing token.
     void confirmListing(std::int64_t epoch);
@@ -58,8 +65,16 @@
     {
         return m_recordedEnds;
     }
-    /// Resets the state for a new incarnation of the minion, which numbers its ended tasks from 1 again.
-    void resetForNewIncarnation();
+    /// The minion drops its ended tasks with numbers up to this one; 0 if it has dropped all that are recorded. An
+    /// unneeded number could only do harm, in a call that reaches another incarnation.
+    [[nodiscard]] std::int64_t endsToDrop() const;
+    /// Notes that the minion has answered a call that told it to drop ended tasks up to `number`.
+    void confirmDropped(std::int64_t number);
+    /// Notes that another incarnation answers under the minion's id, of which no heartbeat has arrived yet.
+    void markReplaced();
+    /// Resets the state for a new incarnation of the minion, which started at `bornMs` in Unix time and numbers its
+    /// ended tasks from 1 again.
+    void resetForNewIncarnation(std::int64_t bornMs);
 
     /// Observes the minion's clock: it shows at least `clockMs` at `now`.
     void observeMinionClock(std::int64_t clockMs, TimePoint now);
@@ -74,9 +89,13 @@
 
 private:
     std::int64_t m_epoch = 0;
+    /// Unix milliseconds of the start of the minion's incarnation.
+    std::int64_t m_bornMs = 0;
     std::int64_t m_leaseTerm = 0;
     std::int64_t m_stoppedTerm = 0;
     std::int64_t m_recordedEnds = 0;
+    std::int64_t m_droppedEnds = 0;
+    bool m_replaced = false;
     bool m_listed = false;
     bool m_stopped = false;
     TimePoint m_leaseExpiry;
--- a/tests/random/jobscheduler.cpp
+++ b/tests/random/jobscheduler.cpp
@@ -309,7 +309,7 @@
         node.lastNumber = 0;
         node.fencingToken = 0;
         ++node.born;
-        node.gate.resetForNewIncarnation();
+        node.gate.resetForNewIncarnation(node.born);
     }
 
     void advance()
--- a/tests/unit/orderfence.cpp
+++ b/tests/unit/orderfence.cpp
@@ -143,4 +143,45 @@
     EXPECT_EQ(m_fence.leaseExpiry(), sentAt + milliseconds(6000));
 }
 
+TEST_F(OrderFenceTest, fencingToken_laterEpochOrIncarnation_isHigher)
+{
+    m_fence.resetForNewIncarnation(1'800'000'000'000);
+    const auto first = m_fence.fencingToken();
+    m_fence.resetForNewIncarnation(1'800'000'000'500);
+    const auto nextIncarnation = m_fence.fencingToken();
+    m_fence.adoptEpoch(4);
+    m_fence.resetForNewIncarnation(0);
+    EXPECT_GT(nextIncarnation, first);
+    EXPECT_GT(m_fence.fencingToken(), nextIncarnation);
+}
+
+// Bodies of calls are JSON, whose readers may keep numbers as doubles.
+TEST_F(OrderFenceTest, fencingToken_highEpoch_isExactAsADouble)
+{
+    m_fence.adoptEpoch(500'000);
+    m_fence.resetForNewIncarnation(4'000'000'000'001);
+    const auto token = m_fence.fencingToken();
+    EXPECT_EQ(static_cast<std::int64_t>(static_cast<double>(token)), token);
+}
+
+TEST_F(OrderFenceTest, anotherIncarnationAnswers_nothingIsAdmittedOrDroppedUntilItIsKnown)
+{
+    Wire::WorkerReportReply reply;
+    reply.epoch = 3;
+    reply.leaseTerm = 1;
+    reply.leaseMs = 6000;
+    reply.recordedEnds = 57;
+    m_fence.applyReply(reply, m_now);
+    ASSERT_EQ(m_fence.endsToDrop(), 57);
+    m_fence.markReplaced();
+    EXPECT_EQ(m_fence.endsToDrop(), 0);
+    EXPECT_FALSE(m_fence.extendHold(m_now).has_value());
+    EXPECT_FALSE(isAdmitted(3, 1));
+    m_fence.resetForNewIncarnation(2000);
+    m_fence.confirmListing(3);
+    m_fence.observeMinionClock(10, m_now);
+    grant(1);
+    EXPECT_TRUE(isAdmitted(3, 1));
+}
+
 } // namespace Trefoilhoist::Jobs
