Keep runs that the next incarnation of a minion may have, until it is listed

Callers would see a task run twice. Cause: a start that was answered but never listed was given up with the incarnation that it was ordered from. If the minion had restarted under its id, the next incarnation may be the one that executed it: the owner started the task again while that run went on, or had ended unread. Only orders without an answer were kept.

Change: a run that was never listed is kept with the next incarnation until a listing of it shows or lacks it. Runs that were listed are the earlier incarnation's and start again at once, as before.

--- a/src/trefoilhoist/jobs/workerincarnations.cpp
+++ b/src/trefoilhoist/jobs/workerincarnations.cpp
@@ -6,6 +6,23 @@
 
 namespace Trefoilhoist::Jobs {
 
+namespace {
+
+// True if the run's start order has no answer yet, or got none: it may still be executed.
+bool isUnresolved(const Run &run)
+{
+    return run.mayStillStart || run.inFlight;
+}
+
+// True if the start order may have been executed, or may still be, by the minion's next incarnation, which has the id of
+// the earlier one. A run that was listed is the earlier one's.
+bool mayBelongToNextIncarnation(const Run &run)
+{
+    return isUnresolved(run) || run.listedIn == 0;
+}
+
+} // namespace
+
 // Called when the agent's minion has left, or when the agent has not reported for so long that its minion can no longer
 // hold any run.
 void JobScheduler::removeAgent(const std::string &name, LossCause cause, TimePoint now)
@@ -42,13 +59,13 @@
     if (known != m_workers.end() && known->second.info.born > report.worker.born) {
         return nullptr;
     }
-    std::map<RunKey, Run> mayStillStart;
+    std::map<RunKey, Run> runsToResolve;
     for (auto &[id, worker] : m_workers) {
         // An agent has one minion at a time, so an earlier minion of the same agent has ended.
         if (id == report.worker.id || agentName(worker.info) == name) {
             for (const auto &[key, run] : worker.runs) {
-                if (id == report.worker.id && (run.mayStillStart || run.inFlight)) {
-                    mayStillStart.emplace(key, run);
+                if (id == report.worker.id && mayBelongToNextIncarnation(run)) {
+                    runsToResolve.emplace(key, run);
                 }
             }
             if (!worker.draining) {
@@ -68,19 +85,20 @@
     addToRoster(report.worker);
     logWorkerEvent("worker_joined", worker, m_epoch);
     auto &newWorker = m_workers.insert_or_assign(report.worker.id, std::move(worker)).first->second;
-    // An unanswered start order may still reach the new incarnation, which has the same id: the run is stopped there
-    // before the task starts elsewhere.
-    for (auto &[key, run] : mayStillStart) {
+    // A listing of the new incarnation shows whether it has the run. A run that may still start is stopped there first.
+    for (auto &[key, run] : runsToResolve) {
         auto *entry = find(key.task.job);
         if (entry == nullptr) {
             continue;
         }
-        run.inFlight = false;
-        run.state = RunState::Stopping;
-        run.stopAcknowledged = false;
-        run.mayStillStart = true;
-        run.lastListingBeforeResolution = INT64_MAX;
-        run.nextOrderAt = now;
+        if (isUnresolved(run)) {
+            run.inFlight = false;
+            run.state = RunState::Stopping;
+            run.stopAcknowledged = false;
+            run.mayStillStart = true;
+            run.lastListingBeforeResolution = INT64_MAX;
+            run.nextOrderAt = now;
+        }
         newWorker.addRun(key, run);
         entry->job.trackRun(key.task, key.run, report.worker.id);
         markChanged(key.task.job);
