Count ends and runs of occurrences that an earlier owner found due

Callers of repeated jobs would see a task run again after it was done (TWICE). Cause: a new owner opens an occurrence when it is due by its own clock, at its next plan. A report that came before acknowledged the occurrence's ends at once, as those of a task that does not exist, and stopped its runs as orphaned; later it started the same tasks. Class: an end is acknowledged without being counted.

Change: a reported run, end or crash opens its occurrence. Its other tasks wait until it is due here.

--- a/src/trefoilhoist/jobs/job.cpp
+++ b/src/trefoilhoist/jobs/job.cpp
@@ -53,7 +53,12 @@
     if (!isActive() || m_openedOccurrences >= m_spec.occurrences) {
         return std::nullopt;
     }
-    return m_spec.firstDueMs + m_openedOccurrences * m_spec.intervalMs;
+    return dueMs(m_openedOccurrences);
+}
+
+std::int64_t Job::dueMs(int number) const
+{
+    return m_spec.firstDueMs + number * m_spec.intervalMs;
 }
 
 void Job::openDueOccurrences(std::int64_t wallMs)
@@ -64,6 +69,19 @@
     }
 }
 
+bool Job::openStartedOccurrence(int number)
+{
+    if (!isActive() || number < m_openedOccurrences || number >= m_spec.occurrences) {
+        return false;
+    }
+    while (m_openedOccurrences <= number) {
+        openOccurrence(m_openedOccurrences);
+        m_occurrences[m_openedOccurrences].openedEarly = true;
+        ++m_openedOccurrences;
+    }
+    return true;
+}
+
 TaskState *Job::task(const Wire::TaskRef &ref)
 {
     const auto it = m_occurrences.find(ref.occurrence);
--- a/src/trefoilhoist/jobs/job.h
+++ b/src/trefoilhoist/jobs/job.h
@@ -43,6 +43,8 @@
 struct OccurrenceState {
     std::vector<StepState> steps;
     bool finished = false;
+    /// Opened because an earlier owner has started a task of it; it may not be due by this process's clock.
+    bool openedEarly = false;
 };
 
 /// One job: its specification, its progress and its active runs.
@@ -86,6 +88,11 @@
 
     /// Opens every occurrence that is due.
     void openDueOccurrences(std::int64_t wallMs);
+    /// Opens every occurrence up to the one of a run that an earlier owner has started, which found it due by its own
+    /// clock. Returns true if something was opened.
+    bool openStartedOccurrence(int number);
+    /// Due time of an occurrence of a repeated job, in Unix milliseconds.
+    [[nodiscard]] std::int64_t dueMs(int number) const;
     /// Due time of the next occurrence that is not open yet, in Unix milliseconds.
     [[nodiscard]] std::optional<std::int64_t> nextDueMs() const;
 
--- a/src/trefoilhoist/jobs/jobcrashes.cpp
+++ b/src/trefoilhoist/jobs/jobcrashes.cpp
@@ -35,7 +35,7 @@
     }
     std::vector<CrashSuspect> suspects;
     for (const auto &it : crash.runs) {
-        auto *entry = find(it.task.job);
+        auto *entry = findForRun(it.task);
         const auto *history = entry == nullptr ? nullptr : entry->job.crashHistory(it.task);
         const Duration age = milliseconds(it.ageMs);
         suspects.push_back({age, history == nullptr ? 0 : history->blameAtAge(age)});
--- a/src/trefoilhoist/jobs/joblistings.cpp
+++ b/src/trefoilhoist/jobs/joblistings.cpp
@@ -77,7 +77,7 @@
 // Adopts a listed run that this owner has not ordered.
 void JobScheduler::adopt(Worker &worker, const Wire::RunningTask &row, TimePoint now)
 {
-    auto *entry = find(row.task.job);
+    auto *entry = findForRun(row.task);
     auto *task = entry == nullptr ? nullptr : entry->job.task(row.task);
     const bool known = task != nullptr && entry->accepted;
     Run run = known ? newRun(entry->job.step(row.task.step), now) : Run{};
--- a/src/trefoilhoist/jobs/jobreports.cpp
+++ b/src/trefoilhoist/jobs/jobreports.cpp
@@ -86,7 +86,7 @@
         return;
     }
     worker.lastEnd = end.number;
-    auto *entry = find(end.task.job);
+    auto *entry = findForRun(end.task);
     logRunEnded(worker, end, m_epoch, entry != nullptr);
     observeOutcome(worker, end, now);
     worker.removeRun({end.task, end.run});
--- a/src/trefoilhoist/jobs/jobscheduler.cpp
+++ b/src/trefoilhoist/jobs/jobscheduler.cpp
@@ -20,6 +20,15 @@
     return it == m_jobs.end() ? nullptr : &it->second;
 }
 
+JobScheduler::Entry *JobScheduler::findForRun(const Wire::TaskRef &task)
+{
+    auto *entry = find(task.job);
+    if (entry != nullptr && entry->job.openStartedOccurrence(task.occurrence)) {
+        m_jobsToRefresh.insert(task.job);
+    }
+    return entry;
+}
+
 void JobScheduler::restoreJob(Wire::JobSpec spec,
                               const std::optional<Wire::JobProgress> &progress,
                               TimePoint now,
@@ -253,9 +262,13 @@
         if (occurrence.finished) {
             continue;
         }
+        if (occurrence.openedEarly && job.dueMs(number) > wallMs - m_settings.dueSlackMs) {
+            m_dueJobs.emplace(job.dueMs(number), id);
+            continue;
+        }
         Duration untilDue{};
         if (job.spec().occurrences > 0) {
-            untilDue = milliseconds(job.spec().firstDueMs + number * job.spec().intervalMs - wallMs);
+            untilDue = milliseconds(job.dueMs(number) - wallMs);
         }
         const auto started = job.spec().occurrences > 0 ? m_now + untilDue : job.acceptedAt();
         const Duration objective
--- a/src/trefoilhoist/jobs/jobscheduler.h
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -155,6 +155,8 @@
     // jobscheduler.cpp
     Entry *find(const std::string &id);
     void markChanged(const std::string &id);
+    /// The job of a run that an agent has reported; opens the run's occurrence if this owner has not done so.
+    Entry *findForRun(const Wire::TaskRef &task);
     void refreshPending(Entry &entry, std::int64_t wallMs);
     void refreshDueJobs(std::int64_t wallMs);
     [[nodiscard]] bool isDrained(const std::string &zone) const;
