Take no run for lost, or reported, by a listing without all ends

Callers would see a task run again after it was done (TWICE). Cause: a minion returns 500 ends at a time. The owner, the agent's account of runs and the wait of a new owner took each listing for whole, so a run whose end came behind the first 500 was in neither list: it was given up and its task started again, and the end acknowledged later. Class: an incomplete answer is read as a complete one. It takes 500 unrecorded ends on one minion, as in a long outage of the store.

Change: the translator marks a listing of 500 ends or more as possibly partial. It resolves no missing run and doesn't count as the agent's first report to a new owner, whose wait goes on as long as such reports come.

--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -136,6 +136,7 @@
         m_crashNoted = false;
         m_running.clear();
         m_ended.clear();
+        m_lacksEnds = false;
         m_lastReportedEnd = 0;
         m_refusedConnections = 0;
         m_reachable = false;
@@ -243,6 +244,7 @@
     report.reachable = m_reachable;
     report.running = m_running;
     report.ended = m_ended;
+    report.lacksEnds = m_lacksEnds;
     for (const auto &row : m_running) {
         report.wantsRunInfo = report.wantsRunInfo || !m_throttle.hasRun({row.task, row.run});
     }
--- a/src/programs/agent/agent.h
+++ b/src/programs/agent/agent.h
@@ -108,6 +108,8 @@
     std::int64_t m_reports = 0;
     std::vector<Wire::RunningTask> m_running;
     std::vector<Wire::EndedTask> m_ended;
+    /// The minion may have more ended tasks than it listed.
+    bool m_lacksEnds = false;
     Jobs::StartedRuns m_runs;
     /// When the first of the failed listings since the last successful one ended.
     std::optional<TimePoint> m_unreachableSince;
--- a/src/programs/agent/minionruns.cpp
+++ b/src/programs/agent/minionruns.cpp
@@ -100,6 +100,10 @@
     m_fence.confirmListing(epoch);
     m_lastListing = number;
     m_running = listing.running;
+    if (listing.lacksEnds && !m_lacksEnds) {
+        Event("listing_incomplete").add("worker", m_minion->worker.id).add("ended", listing.ended.size());
+    }
+    m_lacksEnds = listing.lacksEnds;
     m_ended.clear();
     for (const auto &it : listing.ended) {
         if (it.number > m_fence.recordedEnds()) {
--- a/src/trefoilhoist/jobs/jobreports.cpp
+++ b/src/trefoilhoist/jobs/jobreports.cpp
@@ -75,8 +75,13 @@
     for (const auto &it : report.running) {
         applyRunningTask(worker, it, report.listing, now);
     }
-    removeMissingRuns(worker, report, now);
     observeInterference(worker, now);
+    if (report.lacksEnds) {
+        // Until the rest is listed, no run is known to be over, and none may start that could be among it.
+        m_reportDeadline = std::max(m_reportDeadline, worker.leaseEnds);
+        return;
+    }
+    removeMissingRuns(worker, report, now);
     m_unreported.erase(agentName(worker.info));
 }
 
--- a/src/trefoilhoist/jobs/startedruns.cpp
+++ b/src/trefoilhoist/jobs/startedruns.cpp
@@ -44,6 +44,9 @@
     for (const auto &row : listing.ended) {
         m_runs.erase({row.task, row.run});
     }
+    if (listing.lacksEnds) {
+        return;
+    }
     // A start that was confirmed lately may be missing in a listing that was made before.
     std::erase_if(m_runs, [&](const auto &it) {
         return present.count(it.first) == 0 && now - it.second.orderedAt > maxExecutionDelay;
--- a/tests/unit/platform.cpp
+++ b/tests/unit/platform.cpp
@@ -188,4 +188,16 @@
     EXPECT_ANY_THROW(static_cast<void>(listingFrom(R"({"running":7})")));
 }
 
+// A minion returns a limited number of ends; only fewer are known to be all.
+TEST(ListingTest, listingWithAsManyEndsAsAMinionReturns_mayLackSome)
+{
+    nlohmann::json listing = {{"running", nlohmann::json::array()}, {"ended", nlohmann::json::array()}};
+    for (int number = 1; number < 500; ++number) {
+        listing["ended"].push_back({number, "5c0e7a21d94b36f8.0.0.1", number, "done", ""});
+    }
+    EXPECT_FALSE(listingFrom(listing.dump()).lacksEnds);
+    listing["ended"].push_back({500, "5c0e7a21d94b36f8.0.0.1", 500, "done", ""});
+    EXPECT_TRUE(listingFrom(listing.dump()).lacksEnds);
+}
+
 } // namespace Trefoilhoist::Platform
--- a/tests/unit/unreadends.cpp
+++ b/tests/unit/unreadends.cpp
@@ -139,6 +139,25 @@
     EXPECT_EQ(m_scheduler.job("a")->phase(), JobPhase::Completed);
 }
 
+// A new owner waits for what every agent's minion has run, so that nothing is started again.
+TEST_F(UnreadEndTest, listingWithoutAllEnds_newOwner_waitsForTheRest)
+{
+    const auto report = reportOf("w0");
+    Wire::WorkerRoster roster;
+    roster.workers.push_back(report.worker);
+    m_scheduler.restoreJob(jobOf("a", {stepOf(1, 500)}), std::nullopt, m_now, wallMs);
+    m_scheduler.restoreRoster(roster, m_now);
+    const auto end = m_now + 3 * m_settings.workerLease;
+    for (; m_now < end; m_now += milliseconds(500)) {
+        auto partial = reportOf("w0");
+        partial.lacksEnds = true;
+        sendReport(partial);
+        ASSERT_EQ(starts(plan()), 0U);
+    }
+    sendReport(reportOf("w0"));
+    EXPECT_EQ(starts(plan()), 1U);
+}
+
 // The agent has given up on the earlier report, and has reached its minion since.
 TEST_F(UnreadEndTest, delayedReportThatTheMinionIsGone_runsAreKept)
 {
