Ignore a report that a later one of the same agent has overtaken

Callers would see a task run twice. Cause: a report that says that the minion is gone gave up its runs also when a later report, which lists them, had come first. The agent has given up on the earlier one by then, and its content is outdated: draining, capacity and reachability were taken back by it as well. Class: an outdated message is read as a current one.

Change: a report with a lower number than the last one of the same incarnation is logged (report_overtaken) and ignored.

Evidence: delayedReportThatTheMinionIsGone_runsAreKept failed before and passes.

--- a/src/trefoilhoist/jobs/joblog.cpp
+++ b/src/trefoilhoist/jobs/joblog.cpp
@@ -77,6 +77,13 @@
         .add("epoch", epoch);
 }
 
+void logOvertakenReport(const Worker &worker, const Wire::WorkerReport &report, std::int64_t epoch)
+{
+    Event event("report_overtaken");
+    addWorker(event, worker, epoch);
+    event.add("report", report.number).add("lastReport", worker.lastReport).add("gone", report.gone);
+}
+
 void logRunEnded(const Worker &worker, const Wire::EndedTask &end, std::int64_t epoch, bool jobKnown)
 {
     Event event("run_ended");
--- a/src/trefoilhoist/jobs/workerincarnations.cpp
+++ b/src/trefoilhoist/jobs/workerincarnations.cpp
@@ -44,12 +44,16 @@
 }
 
 // Returns the worker that a report is about, and adds it if the minion's incarnation is new. Null for a report on an
-// earlier incarnation.
+// earlier incarnation, and for one that a later report has overtaken: its agent has given up on it.
 Worker *JobScheduler::workerForReport(const Wire::WorkerReport &report, TimePoint now)
 {
     const auto name = agentName(report.worker);
     const auto known = m_workers.find(report.worker.id);
     if (known != m_workers.end() && known->second.info.born == report.worker.born) {
+        if (report.number < known->second.lastReport) {
+            logOvertakenReport(known->second, report, m_epoch);
+            return nullptr;
+        }
         known->second.info = report.worker;
         known->second.runsOfExpiredLease.clear();
         known->second.zoneDrained = isDrained(report.worker.zone);
