Answer repeated start orders for runs that the minion has or had from memory

Callers would see a task run again after it was done (TWICE). Cause: an owner repeats a start that got no answer. If the first order arrives late at the agent, the run may have ended and its end be acknowledged; the minion refuses the order then, but one that has restarted under its id meanwhile, before its heartbeat, executes it.

Its account of runs for crashes also keeps a start that was answered but never listed until the next incarnation has listed its runs: that one may have executed it.

--- a/src/programs/agent/minionruns.cpp
+++ b/src/programs/agent/minionruns.cpp
@@ -255,6 +255,14 @@
                  !refusalReason.empty() ? refusalReason : "the minion is draining, or its clock is not known");
         co_return static_cast<int>(OrderResult::Refused);
     }
+    if (const auto known = m_runs.knownResult({order.task, order.run})) {
+        Event("start_repeated")
+            .add("job", order.task.job)
+            .add("task", Jobs::taskName(order.task))
+            .add("run", order.run)
+            .add("result", orderResultName(*known));
+        co_return static_cast<int>(*known);
+    }
     m_throttle.addRun(order.info);
     m_runs.addStart({order.task, order.run}, now);
     const auto answer = co_await m_adapters.minion->start(target(), order, *until);
--- a/src/trefoilhoist/jobs/startedruns.h
+++ b/src/trefoilhoist/jobs/startedruns.h
@@ -5,6 +5,7 @@
 #include "trefoilhoist/world/clock.h"
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace Trefoilhoist::Jobs {
@@ -14,6 +15,9 @@
 class StartedRuns
 {
 public:
+    /// The result of an order for a run that the minion is known to have, or to have had until lately. Such an order is a
+    /// repeated one that was delayed; if the minion has restarted meanwhile, it would execute it.
+    [[nodiscard]] std::optional<OrderResult> knownResult(const RunKey &run) const;
     /// A start order was sent.
     void addStart(const RunKey &run, TimePoint now);
     /// The minion's answer to a start order; a refused run doesn't exist, unless it was listed before.
@@ -21,8 +25,8 @@
     void applyListing(const MinionListing &listing, TimePoint now);
     /// The runs that may have been executing at the time of a crash.
     [[nodiscard]] std::vector<Wire::LostRun> runsAt(TimePoint crash) const;
-    /// Another incarnation of the minion has started. If it has the id of the earlier one, start orders without an
-    /// answer may still reach it.
+    /// Another incarnation of the minion has started. If it has the id of the earlier one, it may execute start orders
+    /// that got no answer, and may have executed those whose runs were never listed.
     void resetForNewIncarnation(bool sameId);
 
 private:
@@ -30,8 +34,14 @@
         TimePoint orderedAt;
         /// The minion has said that the run exists, so that it started when it was ordered.
         bool confirmed = false;
+        bool listed = false;
+        /// The order was answered before the present incarnation was known: the first listing shows whether that one has
+        /// the run.
+        bool answeredBefore = false;
     };
     std::map<RunKey, Entry> m_runs;
+    /// When a listing showed the ends of runs.
+    std::map<RunKey, TimePoint> m_endedRuns;
 };
 
 } // namespace Trefoilhoist::Jobs
