Random history: minions that restart under their id before their agents know

The simulated minion now is apart from its agent: it restarts at once under its id, its heartbeat comes up to 1.5 s later, calls between them get no answer and are executed at once, late or never, and a listing call that was on its way may reach the next incarnation. Before, the agent knew of a restart at once.

--- a/tests/random/jobscheduler.cpp
+++ b/tests/random/jobscheduler.cpp
@@ -31,6 +31,13 @@
 constexpr Duration reportTimeout = milliseconds(900);
 constexpr Duration orderTimeout = milliseconds(1500);
 
+/// A call to a minion without an answer may be executed later than this only by chance.
+constexpr Duration maxCallDelay = milliseconds(6000);
+/// A restarted minion sends its first heartbeat within this time.
+constexpr Duration maxHeartbeatDelay = milliseconds(1500);
+/// Minimum time between the starts of two incarnations of a minion, in milliseconds.
+constexpr std::int64_t minRestartMs = 300;
+
 /// A run that a simulated minion executes.
 struct MinionRun {
     std::int64_t cpuMilli = 0;
@@ -53,6 +60,24 @@
     Slow,
 };
 
+/// An agent's call to its minion.
+struct MinionCall {
+    std::int64_t fencingToken = 0;
+    /// The incarnation to which the agent believes to speak.
+    std::int64_t born = 0;
+    TimePoint holdUntil;
+    /// A listing, unless it is a start or a stop.
+    std::optional<Wire::StartOrder> start;
+    std::optional<Wire::StopOrder> stop;
+    std::int64_t endsToDrop = 0;
+};
+
+/// A call that got no answer and is executed late.
+struct DelayedCall {
+    MinionCall call;
+    TimePoint at;
+};
+
 /// What makes minions crash.
 struct CrashCauses {
     /// Minions also crash without a cause in what they run.
@@ -80,9 +105,10 @@
     Duration lag{};
 };
 
-/// A simulated minion, its agent's gate, and the delayed orders to them.
+/// A simulated minion, its agent, and the delayed orders and calls to them.
 struct Node {
     std::string id;
+    // The minion. It restarts at once after a crash, under the same id.
     std::int64_t born = 1;
     std::map<RunKey, MinionRun> runs;
     std::vector<Wire::EndedTask> ended;
@@ -92,13 +118,22 @@
     std::int64_t lastNumber = 0;
     std::int64_t fencingToken = 0;
     std::map<Wire::TaskRef, std::int64_t> lastBlockedRun;
+    TimePoint holdUntil;
+    std::vector<DelayedCall> delayedCalls;
+    std::optional<MinionCall> lastListingCall;
+    // The agent. It learns of a crash by the next incarnation's heartbeat, or when that one answers.
+    std::int64_t knownBorn = 1;
+    TimePoint crashedAt;
+    TimePoint heartbeatAt;
     OrderFence gate;
     StartedRuns accounts;
     /// Crashes that the agent still reports.
     std::vector<Wire::CrashReport> crashes;
     std::int64_t listings = 0;
+    std::int64_t lastListing = 0;
+    std::vector<Wire::RunningTask> listedRuns;
+    std::vector<Wire::EndedTask> listedEnds;
     std::int64_t reports = 0;
-    TimePoint holdUntil;
     TimePoint cutOffUntil;
     std::vector<DelayedOrders> delayed;
     /// The report that the agent waits for an answer to was sent at this time.
@@ -106,8 +141,9 @@
 };
 
 /// Simulates changes of ownership after which the earlier owner acts on for a while, owners that are slow to handle
-/// what arrives, workers that are cut off or crash and restart under the same id, orders that are lost or executed
-/// late, and records that become durable late. Each start on a minion is checked against the scheduler's guarantees.
+/// what arrives, workers that are cut off or crash and restart under the same id before their agents know, orders and
+/// calls to minions that are lost or executed late, and records that become durable late. Each start on a minion is
+/// checked against the scheduler's guarantees.
 class SchedulerSimulation
 {
 public:
@@ -159,6 +195,10 @@
     {
         return std::uniform_real_distribution<>(0, 1)(m_random) < p;
     }
+    static int toMilliseconds(Duration duration)
+    {
+        return static_cast<int>(duration_cast<milliseconds>(duration).count());
+    }
     int randomBelow(int n)
     {
         return static_cast<int>(m_random() % static_cast<std::uint64_t>(n));
@@ -285,31 +325,52 @@
         return *std::find_if(m_nodes.begin(), m_nodes.end(), [&](const auto &it) { return it.id == id; });
     }
 
-    // The agent keeps an account of what it ran, unless its process ends with the minion's.
     void crash(Node &node)
     {
-        Wire::CrashReport account;
-        account.worker = node.id;
-        account.born = node.born;
-        account.runs = node.accounts.runsAt(m_now);
-        node.accounts.resetForNewIncarnation(true);
-        if (m_faultsStopped || !chance(0.1)) {
-            node.crashes.push_back(account);
-        } else {
-            node.crashes.clear();
-            node.accounts = {};
-        }
         for (const auto &it : node.runs) {
             ++m_failuresUnder[it.first.task];
         }
+        if (node.born == node.knownBorn) {
+            node.crashedAt = m_now;
+            node.heartbeatAt = m_now + milliseconds(randomBelow(toMilliseconds(maxHeartbeatDelay)));
+        }
+        if (node.lastListingCall && !m_faultsStopped && chance(0.5)) {
+            // The call was on its way when the minion crashed.
+            node.delayedCalls.push_back({*node.lastListingCall, m_now + milliseconds(randomBelow(3000))});
+        }
         node.runs.clear();
         node.ended.clear();
         node.endedBeforeExpiry.clear();
         node.lastBlockedRun.clear();
         node.lastNumber = 0;
         node.fencingToken = 0;
-        ++node.born;
+        node.holdUntil = TimePoint{};
+        node.born = std::max(wallMs(), node.born + minRestartMs);
+    }
+
+    // The agent keeps an account of what the earlier incarnation ran, unless its process ended as well.
+    // Returns true if the agent learns of a new incarnation.
+    bool receiveHeartbeat(Node &node)
+    {
+        if (node.born == node.knownBorn || m_now < node.heartbeatAt) {
+            return false;
+        }
+        Wire::CrashReport account;
+        account.worker = node.id;
+        account.born = node.knownBorn;
+        account.runs = node.accounts.runsAt(node.crashedAt);
+        node.accounts.resetForNewIncarnation(true);
+        if (m_faultsStopped || !chance(0.1)) {
+            node.crashes.push_back(account);
+        } else {
+            node.crashes.clear();
+            node.accounts = {};
+        }
+        node.listedRuns.clear();
+        node.listedEnds.clear();
+        node.knownBorn = node.born;
         node.gate.resetForNewIncarnation(node.born);
+        return true;
     }
 
     void advance()
@@ -317,8 +378,12 @@
         m_now += stepTime;
         for (auto &node : m_nodes) {
             advanceRuns(node);
+            const bool restarted = receiveHeartbeat(node);
             executeDelayed(node);
             if (m_now >= node.cutOffUntil) {
+                if (restarted && chance(0.5)) {
+                    report(node);
+                }
                 list(node);
                 report(node);
             }
@@ -379,8 +444,7 @@
         }
     }
 
-    // The agent requests a listing: its epoch becomes the minion's fencing token, and the lease extends the minion's
-    // hold on its runs.
+    // The agent requests a listing: the lease extends the minion's hold on its runs.
     void list(Node &node)
     {
         // An agent hears of a new owner from its greeting, or when the earlier one no longer answers.
@@ -388,15 +452,90 @@
             node.gate.adoptEpoch(m_epoch);
         }
         ++node.listings;
-        node.fencingToken = std::max(node.fencingToken, node.gate.epoch());
+        auto call = callTo(node);
+        call.endsToDrop = node.gate.endsToDrop();
+        if (node.gate.extendHold(m_now)) {
+            call.holdUntil = node.gate.leaseExpiry();
+        }
+        node.lastListingCall = call;
+        if (isUnanswered(node, call) || !answerListing(node, call)) {
+            return;
+        }
+        if (node.born != node.knownBorn) {
+            node.gate.markReplaced();
+            return;
+        }
+        node.gate.confirmDropped(call.endsToDrop);
         node.gate.observeMinionClock(m_now.time_since_epoch().count() / 1000 + 1, m_now);
         node.gate.confirmListing(node.gate.epoch());
-        if (node.gate.extendHold(m_now)) {
-            node.holdUntil = std::max(node.holdUntil, node.gate.leaseExpiry());
+        node.lastListing = node.listings;
+        node.listedRuns = runningRows(node);
+        node.listedEnds = node.ended;
+        MinionListing listing;
+        listing.running = node.listedRuns;
+        listing.ended = node.listedEnds;
+        node.accounts.applyListing(listing, m_now);
+    }
+
+    static MinionCall callTo(const Node &node)
+    {
+        MinionCall call;
+        call.fencingToken = node.gate.fencingToken();
+        call.born = node.knownBorn;
+        return call;
+    }
+
+    // Lets some calls get no answer; the minion executes them at once, later, or never.
+    bool isUnanswered(Node &node, const MinionCall &call)
+    {
+        if (m_faultsStopped || !chance(0.03)) {
+            return false;
+        }
+        if (chance(0.3)) {
+            executeCall(node, call);
+        } else if (chance(0.6)) {
+            node.delayedCalls.push_back({call, m_now + milliseconds(randomBelow(toMilliseconds(maxCallDelay)))});
+        }
+        return true;
+    }
+
+    OrderResult executeCall(Node &node, const MinionCall &call)
+    {
+        if (call.start) {
+            return answerStart(node, call);
+        }
+        if (call.stop) {
+            return answerStop(node, call);
+        }
+        return answerListing(node, call) ? OrderResult::Done : OrderResult::Refused;
+    }
+
+    // False if the minion has seen a higher fencing token.
+    static bool admits(Node &node, const MinionCall &call)
+    {
+        if (call.fencingToken < node.fencingToken) {
+            return false;
+        }
+        node.fencingToken = call.fencingToken;
+        return true;
+    }
+
+    // Deadlines are on the clock of an incarnation, which starts anew with each: for the next one, they are far off.
+    TimePoint holdOf(const Node &node, const MinionCall &call) const
+    {
+        const bool otherIncarnation = call.born != node.born && call.holdUntil != TimePoint{};
+        return otherIncarnation ? m_now + m_settings.workerLease : call.holdUntil;
+    }
+
+    bool answerListing(Node &node, const MinionCall &call)
+    {
+        if (!admits(node, call)) {
+            return false;
         }
+        node.holdUntil = std::max(node.holdUntil, holdOf(node, call));
         for (const auto &it : node.ended) {
             const bool done = static_cast<EndKind>(it.how) == EndKind::Done;
-            if (it.number > node.gate.recordedEnds() || !done) {
+            if (it.number > call.endsToDrop || !done) {
                 continue;
             }
             if (node.endedBeforeExpiry.count(it.number) == 0) {
@@ -405,11 +544,8 @@
                 m_acknowledgedAfterExpiry.emplace(it.task, m_now);
             }
         }
-        std::erase_if(node.ended, [&](const auto &it) { return it.number <= node.gate.recordedEnds(); });
-        MinionListing listing;
-        listing.running = runningRows(node);
-        listing.ended = node.ended;
-        node.accounts.applyListing(listing, m_now);
+        std::erase_if(node.ended, [&](const auto &it) { return it.number <= call.endsToDrop; });
+        return true;
     }
 
     static std::vector<Wire::RunningTask> runningRows(const Node &node)
@@ -435,19 +571,19 @@
         }
         Wire::WorkerReport report;
         report.worker.id = node.id;
-        report.worker.born = node.born;
+        report.worker.born = node.knownBorn;
         report.worker.serviceName = "s";
         report.worker.cpuMilli = workerCpuMilli;
         report.worker.memoryMb = 1000;
         report.worker.agentHost = node.id;
         report.epoch = node.gate.epoch();
-        report.listing = node.listings;
+        report.listing = node.lastListing;
         report.number = ++node.reports;
         node.gate.trackReport(report.number, m_now);
         report.listed = node.gate.isListed();
         report.reachable = true;
-        report.ended = node.ended;
-        report.running = runningRows(node);
+        report.ended = node.listedEnds;
+        report.running = node.listedRuns;
         report.crashes = node.crashes;
         node.reportSentAt = m_now;
         arrive(*owner, [this, &node, process = owner.get(), report, sentAt = m_now] {
@@ -463,7 +599,7 @@
             owner.scheduler->markRosterRecorded(*roster);
         }
         const bool stillWaits = node.reportSentAt == sentAt && m_now - sentAt < reportTimeout;
-        if (stillWaits && report.worker.born == node.born && (m_faultsStopped || !chance(0.1))) {
+        if (stillWaits && report.worker.born == node.knownBorn && (m_faultsStopped || !chance(0.1))) {
             node.gate.applyReply(reply, sentAt);
             std::erase_if(node.crashes, [&](const auto &it) {
                 return std::count(reply.recordedCrashes.begin(), reply.recordedCrashes.end(), it.born) > 0;
@@ -497,6 +633,14 @@
 
     void executeDelayed(Node &node)
     {
+        for (const auto &it : std::exchange(node.delayedCalls, {})) {
+            if (it.at > m_now) {
+                node.delayedCalls.push_back(it);
+            } else if (it.call.born == node.born || node.fencingToken > it.call.fencingToken) {
+                // An incarnation that was never called can't know that a call was meant for an earlier one.
+                executeCall(node, it.call);
+            }
+        }
         for (const auto &it : std::exchange(node.delayed, {})) {
             if (it.at <= m_now) {
                 execute(node, it.orders);
@@ -509,7 +653,7 @@
     Wire::WorkerOrdersReply execute(Node &node, const Wire::WorkerOrders &orders)
     {
         Wire::WorkerOrdersReply reply;
-        const bool isAdmitted = orders.born == node.born && node.gate.refusalReason(orders, m_now).empty();
+        const bool isAdmitted = orders.born == node.knownBorn && node.gate.refusalReason(orders, m_now).empty();
         for (const auto &it : orders.stops) {
             reply.stops.push_back(static_cast<int>(isAdmitted ? stop(node, it) : OrderResult::Refused));
         }
@@ -519,8 +663,12 @@
                 reply.starts.push_back(static_cast<int>(OrderResult::Refused));
                 continue;
             }
+            if (const auto known = node.accounts.knownResult({it.task, it.run})) {
+                reply.starts.push_back(static_cast<int>(*known));
+                continue;
+            }
             node.accounts.addStart({it.task, it.run}, m_now);
-            const auto result = start(node, it, orders.epoch);
+            const auto result = start(node, it);
             node.accounts.applyStartResult({it.task, it.run}, result);
             reply.starts.push_back(static_cast<int>(result));
         }
@@ -530,6 +678,17 @@
 
     OrderResult stop(Node &node, const Wire::StopOrder &order)
     {
+        auto call = callTo(node);
+        call.stop = order;
+        return isUnanswered(node, call) ? OrderResult::Unknown : answerStop(node, call);
+    }
+
+    OrderResult answerStop(Node &node, const MinionCall &call)
+    {
+        if (!admits(node, call)) {
+            return OrderResult::Refused;
+        }
+        const auto &order = *call.stop;
         node.lastBlockedRun[order.task] = std::max(node.lastBlockedRun[order.task], order.run);
         if (node.runs.count({order.task, order.run}) > 0) {
             end(node, {order.task, order.run}, EndKind::Stopped);
@@ -537,8 +696,20 @@
         return OrderResult::Done;
     }
 
-    OrderResult start(Node &node, const Wire::StartOrder &order, std::int64_t epoch)
+    OrderResult start(Node &node, const Wire::StartOrder &order)
     {
+        auto call = callTo(node);
+        call.start = order;
+        call.holdUntil = node.gate.leaseExpiry();
+        return isUnanswered(node, call) ? OrderResult::Unknown : answerStart(node, call);
+    }
+
+    OrderResult answerStart(Node &node, const MinionCall &call)
+    {
+        if (!admits(node, call)) {
+            return OrderResult::Refused;
+        }
+        const auto &order = *call.start;
         const RunKey key{order.task, order.run};
         if (node.runs.count(key) > 0) {
             return OrderResult::Done;
@@ -547,7 +718,8 @@
         if (lastBlockedRun != node.lastBlockedRun.end() && order.run <= lastBlockedRun->second) {
             return OrderResult::Superseded;
         }
-        if (epoch < node.fencingToken || m_now > node.gate.leaseExpiry()) {
+        const auto holdUntil = holdOf(node, call);
+        if (m_now > holdUntil) {
             return OrderResult::Refused;
         }
         const auto &step = m_specs.at(order.task.job).steps[static_cast<std::size_t>(order.task.step)];
@@ -557,7 +729,7 @@
         const Duration duration = milliseconds(chance(0.2) ? 1000 + randomBelow(8000) : 200 + randomBelow(600));
         const auto deadly = m_deadly.find(key.task.job);
         node.runs[key] = {step.cpuMilli, duration, deadly != m_deadly.end() && deadly->second == key.task};
-        node.holdUntil = std::max(node.holdUntil, node.gate.leaseExpiry());
+        node.holdUntil = std::max(node.holdUntil, holdUntil);
         return OrderResult::Done;
     }
 
