Acknowledge and start nothing on a minion whose last call failed

A minion that restarts under its id answers after a failed call. The first call that reached it could still carry the number of ends that the owner had recorded meanwhile, and starts for the earlier incarnation passed until three connections were refused.

Change: while the last listing failed, the agent acknowledges nothing and withholds starts. ends_missing shows ends that were acknowledged unread, whatever the cause: a minion numbers its ends without gaps.

--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -125,6 +125,8 @@
             noteCrash();
         }
         m_runs.resetForNewIncarnation(m_minion && m_minion->worker.id == worker.id);
+        m_knownSinceStart = m_minion.has_value() || !m_departedId.empty();
+        m_lastListedEnd = 0;
         Event("minion_seen")
             .add("worker", worker.id)
             .add("born", worker.born)
--- a/src/programs/agent/agent.h
+++ b/src/programs/agent/agent.h
@@ -72,6 +72,7 @@
     awaitable<void> listLoop();
     awaitable<void> listOnce();
     void applyListing(const Jobs::MinionListing &listing, std::int64_t number, std::int64_t epoch);
+    void observeEndNumbers(const Jobs::MinionListing &listing);
     void listingFailed(const Jobs::MinionError &error);
     /// Keeps the account of a crash of the minion until an owner has recorded it.
     void noteCrash();
@@ -103,6 +104,10 @@
     std::int64_t m_lastListing = 0;
     bool m_reachable = false;
     int m_refusedConnections = 0;
+    /// The highest number of an ended task that the minion's incarnation has listed.
+    std::int64_t m_lastListedEnd = 0;
+    /// This process knew an earlier minion, so that it has seen all ends of the present incarnation.
+    bool m_knownSinceStart = false;
     /// The highest number of an ended task that has been sent to the owner.
     std::int64_t m_lastReportedEnd = 0;
     std::int64_t m_reports = 0;
--- a/src/programs/agent/minionruns.cpp
+++ b/src/programs/agent/minionruns.cpp
@@ -50,7 +50,8 @@
     const auto worker = m_minion->worker;
     // The first listings under a new owner or lease don't wait for ended tasks, because the owner waits for them.
     const bool wait = m_fence.isListed() && m_reachable && m_fence.extendHold(now).has_value();
-    const auto dropped = m_fence.endsToDrop();
+    // After a failed call, another incarnation may answer the next one. Its ends have numbers of its own.
+    const auto dropped = m_reachable ? m_fence.endsToDrop() : 0;
     const auto listing = co_await m_adapters.minion->list(
         target(), dropped, m_fence.extendHold(now).value_or(0), wait ? listingWait : Duration{});
     if (!m_minion || m_minion->worker.id != worker.id || m_minion->worker.born != worker.born) {
@@ -105,6 +106,7 @@
     }
     m_lacksEnds = listing.lacksEnds;
     m_ended.clear();
+    observeEndNumbers(listing);
     for (const auto &it : listing.ended) {
         if (it.number > m_fence.recordedEnds()) {
             m_ended.push_back(it);
@@ -120,6 +122,24 @@
     }
 }
 
+// A minion numbers its ends without gaps, so that a gap shows ends which were acknowledged before this process read
+// them.
+void AgentServer::observeEndNumbers(const Jobs::MinionListing &listing)
+{
+    const auto expected = std::max(m_lastListedEnd, m_fence.recordedEnds()) + 1;
+    if (m_knownSinceStart && !listing.ended.empty() && listing.ended.front().number > expected) {
+        Event("ends_missing")
+            .add("worker", m_minion->worker.id)
+            .add("born", m_minion->worker.born)
+            .add("expected", expected)
+            .add("number", listing.ended.front().number);
+        m_metrics.counter("trefoilhoist_ends_missing").add();
+    }
+    for (const auto &it : listing.ended) {
+        m_lastListedEnd = std::max(m_lastListedEnd, it.number);
+    }
+}
+
 void AgentServer::listingFailed(const Jobs::MinionError &error)
 {
     if (m_reachable) {
@@ -247,12 +267,13 @@
     const auto refusalReason = isAddressee ? m_fence.startRefusalReason(orders, now)
                                            : "the orders are for another incarnation of the minion";
     const auto until = m_fence.extendHold(now);
-    if (!refusalReason.empty() || m_minion->draining || !until) {
+    if (!refusalReason.empty() || m_minion->draining || !m_reachable || !until) {
         Event("start_withheld")
             .add("job", order.task.job)
             .add("task", Jobs::taskName(order.task))
             .add("reason",
-                 !refusalReason.empty() ? refusalReason : "the minion is draining, or its clock is not known");
+                 !refusalReason.empty() ? refusalReason
+                                        : "the minion is draining or does not answer, or its clock is not known");
         co_return static_cast<int>(OrderResult::Refused);
     }
     if (const auto known = m_runs.knownResult({order.task, order.run})) {
--- a/tests/integration/agent.cpp
+++ b/tests/integration/agent.cpp
@@ -436,4 +436,35 @@
     EXPECT_FALSE(m_lastReport.gone);
 }
 
+// The owner records the last ends of an incarnation while the minion is down. The first call that reaches the next
+// incarnation carried their number.
+TEST_F(AgentTest, minionIsDownAndRestartsUnderItsId_firstCallAcknowledgesNothing)
+{
+    addRun("a", 1000);
+    join();
+    m_minion.refusesConnections = true;
+    ASSERT_TRUE(runUntil([&] { return m_lastReport.gone; }));
+    m_recordsMoreEnds = true;
+    nextListingCalls(callsDuringReports);
+    restartMinion();
+    m_minion.refusesConnections = false;
+    for (const auto &it : nextListingCalls(callsDuringReports)) {
+        EXPECT_EQ(it.acknowledgedEnds, 0);
+    }
+}
+
+// The next incarnation may have started, and would execute orders for the earlier one.
+TEST_F(AgentTest, listingFails_startsAreWithheldUntilTheMinionAnswers)
+{
+    addRun("a", 1000);
+    join();
+    m_minion.refusesConnections = true;
+    nextListingCalls(2);
+    EXPECT_EQ(orderStart(), Jobs::OrderResult::Refused);
+    m_minion.refusesConnections = false;
+    nextListingCalls(callsToMeetRestart);
+    EXPECT_EQ(orderStart(), Jobs::OrderResult::Done);
+    EXPECT_EQ(m_minion.starts, 1);
+}
+
 } // namespace Trefoilhoist::Agent
