Ignore outdated reports of an agent, whatever minion they are about

Callers would see a task run twice. A report that arrived after a later one of its agent was ignored only if both were about one incarnation. One about the agent's earlier minion ended the present one as replaced, and one that said that the earlier had left gave up the present one's runs.

Change: the last number is kept by agent. The reply tells the last numbers, so that an agent's new process on a host whose clock was set back goes on above them instead of being ignored. A worker whose report of a gone minion was overtaken refused all orders from then on, as its lease term never rose; an answer to a later report now settles that the owner has kept the runs. An earlier start time no longer makes a report outdated, as numbers do that.

--- a/idl/gen/messages_types.cpp
+++ b/idl/gen/messages_types.cpp
@@ -7680,6 +7680,14 @@
 void WorkerReportReply::__set_recordedCrashes(const std::vector<int64_t> & val) {
   this->recordedCrashes = val;
 }
+
+void WorkerReportReply::__set_lastReport(const int64_t val) {
+  this->lastReport = val;
+}
+
+void WorkerReportReply::__set_lastListing(const int64_t val) {
+  this->lastListing = val;
+}
 std::ostream& operator<<(std::ostream& out, const WorkerReportReply& obj)
 {
   obj.printTo(out);
@@ -7800,6 +7808,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lastReport);
+          this->__isset.lastReport = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lastListing);
+          this->__isset.lastListing = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7869,6 +7893,14 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("lastReport", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->lastReport);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lastListing", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->lastListing);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7883,6 +7915,8 @@
   swap(a.runs, b.runs);
   swap(a.pairs, b.pairs);
   swap(a.recordedCrashes, b.recordedCrashes);
+  swap(a.lastReport, b.lastReport);
+  swap(a.lastListing, b.lastListing);
   swap(a.__isset, b.__isset);
 }
 
@@ -7894,6 +7928,8 @@
   runs = other341.runs;
   pairs = other341.pairs;
   recordedCrashes = other341.recordedCrashes;
+  lastReport = other341.lastReport;
+  lastListing = other341.lastListing;
   __isset = other341.__isset;
 }
 WorkerReportReply::WorkerReportReply(WorkerReportReply&& other342) noexcept {
@@ -7904,6 +7940,8 @@
   runs = std::move(other342.runs);
   pairs = std::move(other342.pairs);
   recordedCrashes = std::move(other342.recordedCrashes);
+  lastReport = other342.lastReport;
+  lastListing = other342.lastListing;
   __isset = other342.__isset;
 }
 WorkerReportReply& WorkerReportReply::operator=(const WorkerReportReply& other343) {
@@ -7914,6 +7952,8 @@
   runs = other343.runs;
   pairs = other343.pairs;
   recordedCrashes = other343.recordedCrashes;
+  lastReport = other343.lastReport;
+  lastListing = other343.lastListing;
   __isset = other343.__isset;
   return *this;
 }
@@ -7925,6 +7965,8 @@
   runs = std::move(other344.runs);
   pairs = std::move(other344.pairs);
   recordedCrashes = std::move(other344.recordedCrashes);
+  lastReport = other344.lastReport;
+  lastListing = other344.lastListing;
   __isset = other344.__isset;
   return *this;
 }
@@ -7938,6 +7980,8 @@
   out << ", " << "runs=" << to_string(runs);
   out << ", " << "pairs=" << to_string(pairs);
   out << ", " << "recordedCrashes=" << to_string(recordedCrashes);
+  out << ", " << "lastReport=" << to_string(lastReport);
+  out << ", " << "lastListing=" << to_string(lastListing);
   out << ")";
 }
 
--- a/idl/gen/messages_types.h
+++ b/idl/gen/messages_types.h
@@ -2800,7 +2800,7 @@
 std::ostream& operator<<(std::ostream& out, const RunInfo& obj);
 
 typedef struct _WorkerReportReply__isset {
-  _WorkerReportReply__isset() : epoch(false), leaseMs(false), recordedEnds(false), leaseTerm(false), runs(false), pairs(false), recordedCrashes(false) {}
+  _WorkerReportReply__isset() : epoch(false), leaseMs(false), recordedEnds(false), leaseTerm(false), runs(false), pairs(false), recordedCrashes(false), lastReport(false), lastListing(false) {}
   bool epoch :1;
   bool leaseMs :1;
   bool recordedEnds :1;
@@ -2808,6 +2808,8 @@
   bool runs :1;
   bool pairs :1;
   bool recordedCrashes :1;
+  bool lastReport :1;
+  bool lastListing :1;
 } _WorkerReportReply__isset;
 
 class WorkerReportReply : public virtual ::apache::thrift::TBase {
@@ -2821,7 +2823,9 @@
                     : epoch(0),
                       leaseMs(0),
                       recordedEnds(0),
-                      leaseTerm(0) {
+                      leaseTerm(0),
+                      lastReport(0),
+                      lastListing(0) {
   }
 
   virtual ~WorkerReportReply() noexcept;
@@ -2832,6 +2836,8 @@
   std::vector<RunInfo>  runs;
   std::vector<ImagePair>  pairs;
   std::vector<int64_t>  recordedCrashes;
+  int64_t lastReport;
+  int64_t lastListing;
 
   _WorkerReportReply__isset __isset;
 
@@ -2849,6 +2855,10 @@
 
   void __set_recordedCrashes(const std::vector<int64_t> & val);
 
+  void __set_lastReport(const int64_t val);
+
+  void __set_lastListing(const int64_t val);
+
   bool operator == (const WorkerReportReply & rhs) const
   {
     if (!(epoch == rhs.epoch))
@@ -2865,6 +2875,10 @@
       return false;
     if (!(recordedCrashes == rhs.recordedCrashes))
       return false;
+    if (!(lastReport == rhs.lastReport))
+      return false;
+    if (!(lastListing == rhs.lastListing))
+      return false;
     return true;
   }
   bool operator != (const WorkerReportReply &rhs) const {
--- a/idl/messages.thrift
+++ b/idl/messages.thrift
@@ -408,6 +408,9 @@
   6: list<ImagePair> pairs;
   // The reported crashes that are recorded: when each crashed incarnation was born.
   7: list<i64> recordedCrashes;
+  // Numbers of the agent's last report and listing; a new process of the agent goes on above them.
+  8: i64 lastReport;
+  9: i64 lastListing;
 }
 
 struct StartOrder {
--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -285,6 +285,9 @@
     }
     m_lastOwnerContact = m_runtime.clock().now();
     m_pairsReportedEpoch = epoch;
+    // An earlier process of this agent had higher numbers if the host's clock was set back since.
+    m_reports = std::max(m_reports, reply->lastReport);
+    m_listings = std::max(m_listings, reply->lastListing);
     m_metrics.latency("trefoilhoist_report").record(m_lastOwnerContact - sentAt, m_lastOwnerContact);
     std::erase_if(m_crashes, [&](const auto &it) {
         return std::find(reply->recordedCrashes.begin(), reply->recordedCrashes.end(), it.born)
--- a/src/trefoilhoist/jobs/joblog.cpp
+++ b/src/trefoilhoist/jobs/joblog.cpp
@@ -77,11 +77,15 @@
         .add("epoch", epoch);
 }
 
-void logOvertakenReport(const Worker &worker, const Wire::WorkerReport &report, std::int64_t epoch)
+void logOvertakenReport(const Wire::WorkerReport &report, std::int64_t lastReport, std::int64_t epoch)
 {
-    Event event("report_overtaken");
-    addWorker(event, worker, epoch);
-    event.add("report", report.number).add("lastReport", worker.lastReport).add("gone", report.gone);
+    Event("report_overtaken")
+        .add("agent", agentName(report.worker))
+        .add("worker", report.worker.id)
+        .add("report", report.number)
+        .add("lastReport", lastReport)
+        .add("gone", report.gone)
+        .add("epoch", epoch);
 }
 
 void logRunEnded(const Worker &worker, const Wire::EndedTask &end, std::int64_t epoch, bool jobKnown)
--- a/src/trefoilhoist/jobs/joblog.h
+++ b/src/trefoilhoist/jobs/joblog.h
@@ -28,7 +28,7 @@
                    const CrashHistory &history,
                    std::int64_t epoch);
 /// Logs a report that arrived after a later one of the same agent, and is ignored.
-void logOvertakenReport(const Worker &worker, const Wire::WorkerReport &report, std::int64_t epoch);
+void logOvertakenReport(const Wire::WorkerReport &report, std::int64_t lastReport, std::int64_t epoch);
 void logRunEnded(const Worker &worker, const Wire::EndedTask &end, std::int64_t epoch, bool jobKnown);
 /// Logs a run that belongs to no known job.
 void logOrphanedRun(const Worker &worker, const Wire::RunningTask &row, std::int64_t epoch);
--- a/src/trefoilhoist/jobs/jobreports.cpp
+++ b/src/trefoilhoist/jobs/jobreports.cpp
@@ -14,6 +14,14 @@
     if (report.epoch > m_epoch) {
         return reply;
     }
+    auto &lastReport = m_lastReports[agentName(report.worker)];
+    reply.lastReport = std::max(lastReport, report.number);
+    if (report.number < lastReport) {
+        // The agent has given up on this report, and what it tells is outdated.
+        logOvertakenReport(report, lastReport, m_epoch);
+        return reply;
+    }
+    lastReport = report.number;
     for (const auto &it : report.crashes) {
         applyCrash(agentName(report.worker), it, 1);
         if (isCrashRecorded(it)) {
@@ -28,10 +36,7 @@
         }
         return reply;
     }
-    auto *worker = workerForReport(report, now);
-    if (worker == nullptr) {
-        return reply;
-    }
+    auto *worker = &workerForReport(report, now);
     worker->draining = report.draining;
     worker->reachable = report.reachable;
     worker->lastContact = now;
@@ -49,6 +54,7 @@
         reply.leaseMs = duration_cast<milliseconds>(m_settings.workerLease).count();
         worker->leaseEnds = now + m_settings.workerLease + m_settings.leaseSlack;
     }
+    reply.lastListing = worker->lastListing;
     reply.recordedEnds = worker->recordedEnds;
     reply.leaseTerm = worker->leaseTerm;
     reply.pairs = m_interference.takeChanged(worker->sentPairsRevision);
--- a/src/trefoilhoist/jobs/jobscheduler.h
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -164,7 +164,7 @@
     void releaseMemory(Entry &entry);
 
     // workerincarnations.cpp
-    Worker *workerForReport(const Wire::WorkerReport &report, TimePoint now);
+    Worker &workerForReport(const Wire::WorkerReport &report, TimePoint now);
     void removeAgent(const std::string &name, LossCause cause, TimePoint now);
     void addToRoster(const Wire::WorkerDescription &worker);
     void endIncarnation(Worker &worker, LossCause cause, TimePoint now);
@@ -267,6 +267,8 @@
     std::map<std::string, std::set<std::string>> m_endsAwaiting;
     std::set<std::string> m_drainedZones;
     std::map<std::string, Worker> m_workers;
+    /// Number of the last report of each agent, by its name.
+    std::map<std::string, std::int64_t> m_lastReports;
     InterferenceTable m_interference;
     /// The crashed incarnations of each agent's minion that were attributed, by the agent's name.
     std::map<std::string, std::set<std::int64_t>> m_attributedCrashes;
--- a/src/trefoilhoist/jobs/orderfence.cpp
+++ b/src/trefoilhoist/jobs/orderfence.cpp
@@ -44,9 +44,13 @@
 
 void OrderFence::confirmListing(std::int64_t epoch)
 {
-    if (epoch == m_epoch) {
-        m_listed = true;
+    if (epoch != m_epoch) {
+        return;
+    }
+    m_listed = true;
+    if (m_stopped) {
         m_stopped = false;
+        m_stoppedReportAt = m_reports.empty() ? TimePoint{} : m_reports.rbegin()->second;
     }
 }
 
@@ -55,6 +59,9 @@
     if (reply.epoch != m_epoch) {
         return;
     }
+    if (!m_stopped && sentAt > m_stoppedReportAt) {
+        m_stoppedTerm = 0;
+    }
     m_leaseTerm = std::max(m_leaseTerm, reply.leaseTerm);
     m_recordedEnds = std::max(m_recordedEnds, reply.recordedEnds);
     if (reply.leaseMs > 0) {
--- a/src/trefoilhoist/jobs/orderfence.h
+++ b/src/trefoilhoist/jobs/orderfence.h
@@ -27,8 +27,8 @@
     {
         return m_epoch;
     }
-    /// The token with which the minion is called. It rises with the epoch and, within an epoch, with each incarnation of
-    /// the minion: once an incarnation was called, it refuses the delayed calls that were meant for an earlier one.
+    /// The token with which the minion is called. It rises with the epoch and, within an epoch, with each incarnation
+    /// of the minion: once an incarnation was called, it refuses the delayed calls that were meant for an earlier one.
     [[nodiscard]] std::int64_t fencingToken() const;
 
     /// Notes that the minion has answered a listing under this epoch's fencing token.
@@ -40,7 +40,8 @@
 
     /// Applies the owner's answer to a report that was sent at `sentAt`.
     void applyReply(const Wire::WorkerReportReply &reply, TimePoint sentAt);
-    /// Notes that nothing runs on the minion any more. Orders are refused until the owner grants the next lease term.
+    /// Notes that nothing runs on the minion any more. Orders are refused until the owner grants the next lease term,
+    /// or answers a later report in which the minion is reached again: it has not given up the runs then.
     void markStopped();
     [[nodiscard]] bool isStopped() const
     {
@@ -72,6 +73,10 @@
     void confirmDropped(std::int64_t number);
     /// Notes that another incarnation answers under the minion's id, of which no heartbeat has arrived yet.
     void markReplaced();
+    [[nodiscard]] bool isReplaced() const
+    {
+        return m_replaced;
+    }
     /// Resets the state for a new incarnation of the minion, which started at `bornMs` in Unix time and numbers its
     /// ended tasks from 1 again.
     void resetForNewIncarnation(std::int64_t bornMs);
@@ -102,6 +107,8 @@
     TimePoint m_holdExpiry;
     std::int64_t m_clockMs = 0;
     TimePoint m_clockAt;
+    /// The last report was sent at this time when the minion was reached again after markStopped().
+    TimePoint m_stoppedReportAt;
     /// When the latest reports were sent, by number.
     std::map<std::int64_t, TimePoint> m_reports;
 };
--- a/src/trefoilhoist/jobs/workerincarnations.cpp
+++ b/src/trefoilhoist/jobs/workerincarnations.cpp
@@ -14,8 +14,8 @@
     return run.mayStillStart || run.inFlight;
 }
 
-// True if the start order may have been executed, or may still be, by the minion's next incarnation, which has the id of
-// the earlier one. A run that was listed is the earlier one's.
+// True if the start order may have been executed, or may still be, by the minion's next incarnation, which has the id
+// of the earlier one. A run that was listed is the earlier one's.
 bool mayBelongToNextIncarnation(const Run &run)
 {
     return isUnresolved(run) || run.listedIn == 0;
@@ -43,25 +43,17 @@
     }
 }
 
-// Returns the worker that a report is about, and adds it if the minion's incarnation is new. Null for a report on an
-// earlier incarnation, and for one that a later report has overtaken: its agent has given up on it.
-Worker *JobScheduler::workerForReport(const Wire::WorkerReport &report, TimePoint now)
+// Returns the worker that a report is about, and adds it if the minion's incarnation is new.
+Worker &JobScheduler::workerForReport(const Wire::WorkerReport &report, TimePoint now)
 {
     const auto name = agentName(report.worker);
     const auto known = m_workers.find(report.worker.id);
     if (known != m_workers.end() && known->second.info.born == report.worker.born) {
-        if (report.number < known->second.lastReport) {
-            logOvertakenReport(known->second, report, m_epoch);
-            return nullptr;
-        }
         known->second.info = report.worker;
         known->second.runsOfExpiredLease.clear();
         known->second.zoneDrained = isDrained(report.worker.zone);
         addToRoster(report.worker);
-        return &known->second;
-    }
-    if (known != m_workers.end() && known->second.info.born > report.worker.born) {
-        return nullptr;
+        return known->second;
     }
     std::map<RunKey, Run> runsToResolve;
     for (auto &[id, worker] : m_workers) {
@@ -107,7 +99,7 @@
         entry->job.trackRun(key.task, key.run, report.worker.id);
         markChanged(key.task.job);
     }
-    return &newWorker;
+    return newWorker;
 }
 
 // Adds the agent to the roster that is recorded, so that a later owner waits for its report.
--- a/tests/unit/unreadends.cpp
+++ b/tests/unit/unreadends.cpp
@@ -1,5 +1,6 @@
 // Ends of runs that could be acknowledged although the owner has not counted them.
 #include "harness/schedulerfixture.h"
+#include "trefoilhoist/jobs/orderfence.h"
 
 #include <gtest/gtest.h>
 
@@ -35,8 +36,8 @@
     Wire::WorkerOrders m_orders;
 };
 
-// The order was meant for one incarnation, and the next one, which had the same id, executed and confirmed it. The owner
-// gave the run up with the earlier incarnation and started the task again while the run went on.
+// The order was meant for one incarnation, and the next one, which had the same id, executed and confirmed it. The
+// owner gave the run up with the earlier incarnation and started the task again while the run went on.
 TEST_F(UnreadEndTest, minionRestartsUnderItsId_runThatWasNeverListed_isNotStartedElsewhere)
 {
     joinWorker("w0");
@@ -177,4 +178,102 @@
     EXPECT_EQ(m_scheduler.workers().at("w0").runs.size(), 1U);
 }
 
+// Reports about an agent's earlier minion, which had another id, gave up the runs of its present one.
+TEST_F(UnreadEndTest, delayedReportOnTheAgentsEarlierMinion_runsOfThePresentOneAreKept)
+{
+    auto earlier = reportOf("w0");
+    earlier.number = 1;
+    auto present = reportOf("w1");
+    present.worker.agentHost = earlier.worker.agentHost;
+    present.worker.born = 2;
+    present.number = 3;
+    sendReport(earlier);
+    sendReport(present);
+    const auto order = startJob("a");
+    ASSERT_EQ(m_orders.worker, "w1");
+    answer(m_orders, OrderResult::Done);
+    earlier.number = 2;
+    sendReport(earlier);
+    EXPECT_EQ(m_scheduler.workers().at("w1").runs.count({order.task, order.run}), 1U);
+}
+
+TEST_F(UnreadEndTest, delayedReportThatTheEarlierMinionHasLeft_runsOfThePresentOneAreKept)
+{
+    auto present = reportOf("w0");
+    present.number = 3;
+    sendReport(present);
+    const auto order = startJob("a");
+    answer(m_orders, OrderResult::Done);
+    Wire::WorkerReport left;
+    left.epoch = epoch;
+    left.worker.agentHost = present.worker.agentHost;
+    left.worker.agentPort = present.worker.agentPort;
+    left.gone = true;
+    left.number = 2;
+    sendReport(left);
+    EXPECT_EQ(m_scheduler.workers().at("w0").runs.count({order.task, order.run}), 1U);
+}
+
+// The agent took its minion for gone, but reaches it again, and the owner has not heard of it. The worker refused all
+// orders from then on.
+TEST_F(UnreadEndTest, reportThatTheMinionIsGoneIsOvertaken_workerTakesOrdersAgain)
+{
+    OrderFence fence;
+    fence.adoptEpoch(epoch);
+    fence.resetForNewIncarnation(1);
+    fence.confirmListing(epoch);
+    const auto sendNumbered = [&](std::int64_t number) {
+        m_now += milliseconds(100);
+        auto report = reportOf("w0");
+        report.number = number;
+        fence.trackReport(number, m_now);
+        fence.applyReply(sendReport(report), m_now);
+    };
+    sendNumbered(1);
+    m_now += milliseconds(100);
+    fence.trackReport(2, m_now);
+    fence.markStopped();
+    fence.confirmListing(epoch);
+    sendNumbered(3);
+    auto gone = reportOf("w0");
+    gone.number = 2;
+    gone.gone = true;
+    sendReport(gone);
+    startJob("a");
+    EXPECT_EQ(fence.startRefusalReason(m_orders, m_now), "");
+}
+
+// Until the owner has answered a report after the minion was reached again, it may have given up the runs.
+TEST_F(UnreadEndTest, minionIsReachedAgain_ordersBeforeTheOwnersAnswer_areRefused)
+{
+    OrderFence fence;
+    fence.adoptEpoch(epoch);
+    fence.resetForNewIncarnation(1);
+    fence.confirmListing(epoch);
+    auto report = reportOf("w0");
+    report.number = 1;
+    fence.trackReport(1, m_now);
+    fence.applyReply(sendReport(report), m_now);
+    startJob("a");
+    ASSERT_EQ(fence.startRefusalReason(m_orders, m_now), "");
+    fence.markStopped();
+    fence.confirmListing(epoch);
+    EXPECT_NE(fence.startRefusalReason(m_orders, m_now), "");
+}
+
+// The agent's process was restarted after its host's clock was set back, so that its numbers begin lower.
+TEST_F(UnreadEndTest, reportsWithLowerNumbers_replyTellsWhereToGoOn)
+{
+    auto report = reportOf("w0");
+    report.number = 1'000;
+    report.listing = 2'000;
+    sendReport(report);
+    report.number = 900;
+    report.listing = 1'900;
+    const auto reply = sendReport(report);
+    EXPECT_EQ(reply.lastReport, 1'000);
+    report.number = reply.lastReport + 1;
+    EXPECT_EQ(sendReport(report).lastListing, 2'000);
+}
+
 } // namespace Trefoilhoist::Jobs
