Tell incarnations of a minion apart by start time also when it leaves or was set back

A departure that was delayed until the next incarnation of the same id removed that one: its runs were given up while they ran, and its heartbeats ignored for good (TWICE, LOST). Cause: only ids were compared. And an incarnation with an earlier start time, as after a clock was set back, was never adopted, whatever its id.

Change: a departure counts only for the incarnation that it names; an earlier start time is accepted once the present incarnation is known to be gone or replaced.

--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -84,7 +84,7 @@
     if (notice.heartbeat) {
         applyHeartbeat(std::move(*notice.heartbeat));
     } else {
-        handleDeparture(notice.departedId);
+        handleDeparture(notice.departedId, notice.departedBornMs);
     }
     co_return jsonResponse(200, "{}");
 }
@@ -117,8 +117,10 @@
         }
         m_minion = std::move(heartbeat);
     } else {
-        if (m_minion && m_minion->worker.born > worker.born) {
-            // A delayed heartbeat of an earlier incarnation.
+        const bool minionIsGone = m_fence.isStopped() || m_fence.isReplaced();
+        if (m_minion && m_minion->worker.born > worker.born && !minionIsGone) {
+            // A delayed heartbeat of an earlier incarnation. The next one may also have an earlier start time, if the
+            // host's clock was set back.
             return;
         }
         if (m_minion && !m_minion->draining) {
@@ -150,9 +152,11 @@
     m_waiters.notifyAll();
 }
 
-void AgentServer::handleDeparture(const std::string &id)
+void AgentServer::handleDeparture(const std::string &id, std::int64_t bornMs)
 {
-    if (!m_minion || m_minion->worker.id != id) {
+    const bool isOther = !m_minion || m_minion->worker.id != id || (bornMs != 0 && m_minion->worker.born != bornMs);
+    if (isOther) {
+        Event("departure_ignored").add("worker", id).add("born", bornMs);
         return;
     }
     Event("minion_left").add("worker", id).add("runs", m_running.size());
--- a/src/programs/agent/agent.h
+++ b/src/programs/agent/agent.h
@@ -35,6 +35,8 @@
 struct MinionNotice {
     std::optional<Jobs::MinionHeartbeat> heartbeat;
     std::string departedId;
+    /// Unix milliseconds of the start of the departed minion; 0 if it is not known.
+    std::int64_t departedBornMs = 0;
     std::string parseError;
 };
 
@@ -58,7 +60,7 @@
     awaitable<HttpResponse> serveMinion(HttpRequest request);
     awaitable<std::optional<Wire::Envelope>> servePeer(Wire::Envelope envelope);
     void applyHeartbeat(Jobs::MinionHeartbeat heartbeat);
-    void handleDeparture(const std::string &id);
+    void handleDeparture(const std::string &id, std::int64_t bornMs);
 
     // Orders.
     awaitable<Wire::WorkerOrdersReply> executeOrders(Wire::WorkerOrders orders);
--- a/tests/integration/agent.cpp
+++ b/tests/integration/agent.cpp
@@ -235,6 +235,8 @@
     Runtime m_runtime{"agent", "", "{}", nlohmann::json::object(), 1};
     FakeMinion m_minion;
     Jobs::MinionHeartbeat m_heartbeat;
+    /// If it is set, the minion's next message says that the incarnation with this start time leaves.
+    std::int64_t m_departedBornMs = 0;
     HttpClient m_client{m_runtime.executor()};
     Endpoint m_heartbeatEndpoint;
     Endpoint m_orderEndpoint;
@@ -259,6 +261,11 @@
         adapters.minion = std::make_unique<FakeMinionInterface>(m_minion);
         adapters.parseNotice = [this](const HttpRequest &) {
             MinionNotice notice;
+            if (m_departedBornMs != 0) {
+                notice.departedId = m_heartbeat.worker.id;
+                notice.departedBornMs = m_departedBornMs;
+                return notice;
+            }
             notice.heartbeat = m_heartbeat;
             return notice;
         };
@@ -467,4 +474,33 @@
     EXPECT_EQ(m_minion.starts, 1);
 }
 
+// The host's clock was set back between the starts of two incarnations.
+TEST_F(AgentTest, nextIncarnationHasAnEarlierStartTime_isAdoptedOnceTheMinionIsGone)
+{
+    addRun("a", 1000);
+    join();
+    m_minion.refusesConnections = true;
+    ASSERT_TRUE(runUntil([&] { return m_lastReport.gone; }));
+    m_heartbeat.worker.born = firstBorn - 1;
+    m_heartbeat.worker.id = "next";
+    m_heartbeat.sequence = 0;
+    sendHeartbeat();
+    EXPECT_TRUE(runUntil([&] { return m_lastReport.worker.id == "next"; }));
+}
+
+// A departure that was delayed until the next incarnation, which has the same id, removed that one.
+TEST_F(AgentTest, departureOfTheEarlierIncarnation_isIgnored)
+{
+    addRun("a", 1000);
+    join();
+    announceMinion();
+    m_departedBornMs = firstBorn;
+    sendHeartbeat();
+    m_departedBornMs = 0;
+    m_lastReport = {};
+    ASSERT_TRUE(runUntil([&] { return m_lastReport.number > 0; }));
+    EXPECT_EQ(m_lastReport.worker.born, firstBorn + incarnationGapMs);
+    EXPECT_FALSE(m_lastReport.gone);
+}
+
 } // namespace Trefoilhoist::Agent
--- a/tests/unit/platform.cpp
+++ b/tests/unit/platform.cpp
@@ -166,6 +166,10 @@
     const auto message = minionMessageFrom(requestOf("POST", "/instances/i-7/deregister"));
     ASSERT_TRUE(message);
     EXPECT_EQ(std::get<MinionLeft>(*message).id, "i-7");
+    EXPECT_EQ(std::get<MinionLeft>(*message).bornMs, 0);
+    const auto withStart = minionMessageFrom(requestOf("POST", "/instances/i-7/deregister", R"({"born":17})"));
+    ASSERT_TRUE(withStart);
+    EXPECT_EQ(std::get<MinionLeft>(*withStart).bornMs, 17);
 }
 
 TEST(ListingTest, listing_rowsOfBothKinds_areRead)
