Handle checkpoints of runs whose job has ended under an earlier owner

A new owner threw while it handled such a report (a final job is restored without its steps), so that the agent got no lease, and all inherited tasks waited for it until the run ended (LOST). It takes a cancelled or failed job whose run is still being stopped when the owner is replaced.

Evidence: the test failed with the exception and passes.

--- a/src/trefoilhoist/jobs/joblistings.cpp
+++ b/src/trefoilhoist/jobs/joblistings.cpp
@@ -50,7 +50,8 @@
 void JobScheduler::updateCheckpoint(const Wire::RunningTask &row)
 {
     auto *entry = find(row.task.job);
-    if (entry != nullptr && entry->job.step(row.task.step).checkpoints
+    // A job that ended under an earlier owner has no steps any more.
+    if (entry != nullptr && entry->job.task(row.task) != nullptr && entry->job.step(row.task.step).checkpoints
         && entry->job.updateCheckpoint(row.task, row.checkpoint)) {
         m_unrecordedCheckpoints.insert(row.task.job);
     }
--- a/src/trefoilhoist/jobs/startedruns.h
+++ b/src/trefoilhoist/jobs/startedruns.h
@@ -15,8 +15,8 @@
 class StartedRuns
 {
 public:
-    /// The result of an order for a run that the minion is known to have, or to have had until lately. Such an order is a
-    /// repeated one that was delayed; if the minion has restarted meanwhile, it would execute it.
+    /// The result of an order for a run that the minion is known to have, or to have had until lately. Such an order is
+    /// a repeated one that was delayed; if the minion has restarted meanwhile, it would execute it.
     [[nodiscard]] std::optional<OrderResult> knownResult(const RunKey &run) const;
     /// A start order was sent.
     void addStart(const RunKey &run, TimePoint now);
@@ -35,8 +35,8 @@
         /// The minion has said that the run exists, so that it started when it was ordered.
         bool confirmed = false;
         bool listed = false;
-        /// The order was answered before the present incarnation was known: the first listing shows whether that one has
-        /// the run.
+        /// The order was answered before the present incarnation was known: the first listing shows whether that one
+        /// has the run.
         bool answeredBefore = false;
     };
     std::map<RunKey, Entry> m_runs;
--- a/tests/unit/unreadends.cpp
+++ b/tests/unit/unreadends.cpp
@@ -276,4 +276,25 @@
     EXPECT_EQ(sendReport(report).lastListing, 2'000);
 }
 
+// The owner failed to handle the report, so that it waited for the agent in vain.
+TEST_F(UnreadEndTest, runOfAJobThatEndedUnderAnEarlierOwner_listedAgainWithACheckpoint_isStopped)
+{
+    Wire::JobSpec spec;
+    spec.id = "a";
+    Wire::JobProgress progress;
+    progress.phase = static_cast<int>(JobPhase::Cancelled);
+    m_scheduler.restoreJob(spec, progress, m_now, wallMs);
+    Wire::StartOrder order;
+    order.task = taskOf("a");
+    order.run = 1;
+    auto row = running(order);
+    row.checkpoint = "c";
+    for (int i = 0; i < 2; ++i) {
+        auto report = reportOf("w0");
+        report.running.push_back(row);
+        ASSERT_NO_THROW(sendReport(report));
+    }
+    EXPECT_EQ(plan().at("w0").stops.size(), 1U);
+}
+
 } // namespace Trefoilhoist::Jobs
