Keep the record of a job's end until its submission is known not to exist

After the next change of owner, a job that was done would run again as a whole (TWICE). Cause: the first write of a submission that got no answer may be executed seconds later if its condition still holds, and it holds again once the job has ended and the submission was removed. Class: a late write whose condition holds a second time.

Change: the record of the end is removed only after a commit that is conditional on the submission's absence; one that is there is removed first.

--- a/src/trefoilhoist/jobs/jobrecords.cpp
+++ b/src/trefoilhoist/jobs/jobrecords.cpp
@@ -52,6 +52,15 @@
     if (m_queue.mayExist(specKey(job))) {
         return false;
     }
+    const auto [it, isNew] = m_submissionAbsent.emplace(job, false);
+    if (isNew) {
+        // The removal of a record that is not known to exist holds only if it doesn't.
+        m_queue.remove(specKey(job));
+    }
+    if (!it->second) {
+        return false;
+    }
+    m_submissionAbsent.erase(it);
     m_queue.remove(progressKey(job));
     return true;
 }
@@ -68,6 +77,8 @@
         if (name.isSpec) {
             if (it.present) {
                 committed.accepted.push_back(name.job);
+            } else if (const auto removed = m_submissionAbsent.find(name.job); removed != m_submissionAbsent.end()) {
+                removed->second = true;
             }
             continue;
         }
--- a/src/trefoilhoist/jobs/jobrecords.h
+++ b/src/trefoilhoist/jobs/jobrecords.h
@@ -40,7 +40,8 @@
     [[nodiscard]] bool isKnownUnsubmitted(const std::string &job) const;
     void putProgress(const Job &job);
     void putRoster(const Wire::WorkerRoster &roster);
-    /// Removes the last record of a final job; returns false while its submission still exists.
+    /// Removes the last record of a final job; returns false until the store has confirmed that its submission does not
+    /// exist. A first write of the submission that got no answer may have been executed after the removal.
     bool removeRecords(const std::string &job);
 
     std::optional<RecordBatch> take()
@@ -62,6 +63,9 @@
     std::int64_t m_rosterVersion = 0;
     /// Final jobs whose last progress is not recorded yet, with its version.
     std::map<std::string, std::int64_t> m_pendingFinalProgress;
+    /// Final jobs whose records are to be removed; true once the store has confirmed that the submission does not
+    /// exist.
+    std::map<std::string, bool> m_submissionAbsent;
 };
 
 } // namespace Trefoilhoist::Jobs
--- a/tests/unit/jobrecords.cpp
+++ b/tests/unit/jobrecords.cpp
@@ -171,4 +171,33 @@
               maxCommitEntries);
 }
 
+// The first write of a submission got no answer and was executed after the job had ended and its submission was
+// removed. Without the record of its end, the next owner would have started the job again.
+TEST_F(JobRecordsTest, submissionWrittenLateAfterItsRemoval_isRemovedBeforeTheRecordOfItsEnd)
+{
+    const auto spec = oneTaskJob("a");
+    m_records.submit(spec);
+    m_records.applyFailure(*m_records.take(), StoreFailure::Unknown);
+    commitAll();
+    Job job(spec, TimePoint{});
+    job.finishTask(firstTask("a"));
+    m_records.putProgress(job);
+    commitAll();
+    EXPECT_FALSE(m_records.removeRecords("a"));
+    auto check = m_records.take();
+    ASSERT_TRUE(check);
+    EXPECT_FALSE(removes(*check, progressKey("a")));
+    m_records.applyOutcome(*check, conflict({{specKey("a"), "", 99}}));
+    EXPECT_FALSE(m_records.removeRecords("a"));
+    const auto removal = m_records.take();
+    ASSERT_TRUE(removal);
+    EXPECT_TRUE(removes(*removal, specKey("a")));
+    EXPECT_FALSE(removes(*removal, progressKey("a")));
+    m_records.applyOutcome(*removal, committed());
+    EXPECT_TRUE(m_records.removeRecords("a"));
+    const auto last = m_records.take();
+    ASSERT_TRUE(last);
+    EXPECT_TRUE(removes(*last, progressKey("a")));
+}
+
 } // namespace Trefoilhoist::Jobs
