Win a term only under the lease that the owner's record names

The owner renewed another lease than that of its record and so went on as the verified owner when the record had gone, until another's epoch was noticed: two processes believed to own the scheduling. Cause: a commit without an answer was tried again under a new lease; when the first one was executed late, it was taken for the second. Class: a permission is held on the evidence for another one. Found by the review.

Change: the owner's record names its lease, and a term is taken from a record only if it is the lease that is renewed; otherwise a new term is campaigned for.

Evidence: the test failed before (it renewed lease 2, the record held 1) and passes.

--- a/idl/gen/messages_types.cpp
+++ b/idl/gen/messages_types.cpp
@@ -9438,6 +9438,10 @@
 void OwnerRecord::__set_strength(const double val) {
   this->strength = val;
 }
+
+void OwnerRecord::__set_lease(const int64_t val) {
+  this->lease = val;
+}
 std::ostream& operator<<(std::ostream& out, const OwnerRecord& obj)
 {
   obj.printTo(out);
@@ -9506,6 +9510,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lease);
+          this->__isset.lease = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9543,6 +9555,10 @@
   xfer += oprot->writeDouble(this->strength);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("lease", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->lease);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9555,6 +9571,7 @@
   swap(a.port, b.port);
   swap(a.name, b.name);
   swap(a.strength, b.strength);
+  swap(a.lease, b.lease);
   swap(a.__isset, b.__isset);
 }
 
@@ -9564,6 +9581,7 @@
   port = other405.port;
   name = other405.name;
   strength = other405.strength;
+  lease = other405.lease;
   __isset = other405.__isset;
 }
 OwnerRecord::OwnerRecord(OwnerRecord&& other406) noexcept {
@@ -9572,6 +9590,7 @@
   port = other406.port;
   name = std::move(other406.name);
   strength = other406.strength;
+  lease = other406.lease;
   __isset = other406.__isset;
 }
 OwnerRecord& OwnerRecord::operator=(const OwnerRecord& other407) {
@@ -9580,6 +9599,7 @@
   port = other407.port;
   name = other407.name;
   strength = other407.strength;
+  lease = other407.lease;
   __isset = other407.__isset;
   return *this;
 }
@@ -9589,6 +9609,7 @@
   port = other408.port;
   name = std::move(other408.name);
   strength = other408.strength;
+  lease = other408.lease;
   __isset = other408.__isset;
   return *this;
 }
@@ -9600,6 +9621,7 @@
   out << ", " << "port=" << to_string(port);
   out << ", " << "name=" << to_string(name);
   out << ", " << "strength=" << to_string(strength);
+  out << ", " << "lease=" << to_string(lease);
   out << ")";
 }
 
--- a/idl/gen/messages_types.h
+++ b/idl/gen/messages_types.h
@@ -3435,12 +3435,13 @@
 std::ostream& operator<<(std::ostream& out, const JobAnswer& obj);
 
 typedef struct _OwnerRecord__isset {
-  _OwnerRecord__isset() : epoch(false), host(false), port(false), name(false), strength(false) {}
+  _OwnerRecord__isset() : epoch(false), host(false), port(false), name(false), strength(false), lease(false) {}
   bool epoch :1;
   bool host :1;
   bool port :1;
   bool name :1;
   bool strength :1;
+  bool lease :1;
 } _OwnerRecord__isset;
 
 class OwnerRecord : public virtual ::apache::thrift::TBase {
@@ -3455,7 +3456,8 @@
                 host(),
                 port(0),
                 name(),
-                strength(0) {
+                strength(0),
+                lease(0) {
   }
 
   virtual ~OwnerRecord() noexcept;
@@ -3464,6 +3466,7 @@
   int32_t port;
   std::string name;
   double strength;
+  int64_t lease;
 
   _OwnerRecord__isset __isset;
 
@@ -3477,6 +3480,8 @@
 
   void __set_strength(const double val);
 
+  void __set_lease(const int64_t val);
+
   bool operator == (const OwnerRecord & rhs) const
   {
     if (!(epoch == rhs.epoch))
@@ -3489,6 +3494,8 @@
       return false;
     if (!(strength == rhs.strength))
       return false;
+    if (!(lease == rhs.lease))
+      return false;
     return true;
   }
   bool operator != (const OwnerRecord &rhs) const {
--- a/idl/messages.thrift
+++ b/idl/messages.thrift
@@ -483,6 +483,8 @@
   4: string name;
   // Of a dispatcher's record: what its host can carry, against others.
   5: double strength;
+  // The store's lease under which the record is kept.
+  6: i64 lease;
 }
 
 // Every worker that the owner may have given orders to.
--- a/src/trefoilhoist/jobs/ownerelection.cpp
+++ b/src/trefoilhoist/jobs/ownerelection.cpp
@@ -71,6 +71,12 @@
     return owner && owner->name == m_self.name;
 }
 
+bool OwnerElection::isKeptUnder(const StoredRecord &record, std::int64_t lease)
+{
+    const auto owner = Wire::decode<Wire::OwnerRecord>(record.value);
+    return owner && owner->lease == lease;
+}
+
 awaitable<void> OwnerElection::follow(const ElectionRecords &seen)
 {
     const auto owner = Wire::decode<Wire::OwnerRecord>(seen.owner->value);
@@ -114,6 +120,7 @@
 {
     Wire::OwnerRecord record = m_self;
     record.epoch = m_leaseEpoch;
+    record.lease = m_lease;
     const auto value = Wire::encode(record);
     RecordCommit commit;
     commit.conditions = {{ownerRecordKey, seen.owner ? seen.owner->revision : 0},
@@ -130,8 +137,9 @@
         const auto last = Wire::decode<Wire::OwnerRecord>(seen.epoch->value);
         epoch = last ? last->epoch : 0;
     }
-    if (seen.owner && m_lease != 0 && epoch == m_leaseEpoch) {
-        // The answer to an earlier commit was lost, but the commit took effect.
+    if (seen.owner && m_lease != 0 && epoch == m_leaseEpoch && isKeptUnder(*seen.owner, m_lease)) {
+        // The answer to the last commit was lost, but the commit took effect. An earlier one, which was executed late,
+        // is kept under a lease that is not renewed.
         becomeOwner(epoch, seen.epoch->revision, m_leaseOpenedAt);
         co_return true;
     }
--- a/src/trefoilhoist/jobs/ownerelection.h
+++ b/src/trefoilhoist/jobs/ownerelection.h
@@ -82,6 +82,7 @@
     void endTerm(std::string reason);
     void becomeOwner(std::int64_t epoch, std::int64_t epochRevision, TimePoint verifiedAt);
     [[nodiscard]] bool isOwnRecord(const StoredRecord &record) const;
+    [[nodiscard]] static bool isKeptUnder(const StoredRecord &record, std::int64_t lease);
 
     RecordStore &m_store;
     const Clock &m_clock;
--- a/tests/unit/ownerelection.cpp
+++ b/tests/unit/ownerelection.cpp
@@ -61,8 +61,51 @@
     MemoryRecordStore m_store;
 };
 
+/// The first commit gets no answer, and is executed when the next one arrives.
+class LateCommitStore : public MemoryRecordStore
+{
+public:
+    awaitable<StoreResult<CommitOutcome>> commit(RecordCommit commit) override
+    {
+        if (!m_delayed) {
+            m_delayed = commit;
+            co_return tl::unexpected(StoreError{StoreFailure::Unknown, "no answer"});
+        }
+        if (!m_executed) {
+            m_executed = true;
+            co_await MemoryRecordStore::commit(*m_delayed);
+        }
+        leaseOfRecord = commit.writes.front().lease;
+        co_return co_await MemoryRecordStore::commit(commit);
+    }
+    awaitable<StoreResult<bool>> renewLease(std::int64_t lease) override
+    {
+        renewed.push_back(lease);
+        co_return co_await MemoryRecordStore::renewLease(lease);
+    }
+
+    std::vector<std::int64_t> renewed;
+    /// The lease of the last commit that was executed in time.
+    std::int64_t leaseOfRecord = 0;
+
+private:
+    std::optional<RecordCommit> m_delayed;
+    bool m_executed = false;
+};
+
 } // namespace
 
+// The owner renewed another lease than that of its record: it went on as the owner when the record had gone.
+TEST_F(OwnerElectionTest, earlierCommitIsExecutedLate_ownerRenewsTheLeaseOfItsRecord)
+{
+    LateCommitStore store;
+    Candidate first(m_context, store, m_clock, "a");
+    runFor(milliseconds(100));
+    ASSERT_EQ(first.won.size(), 1U);
+    ASSERT_FALSE(store.renewed.empty());
+    EXPECT_EQ(store.renewed.back(), store.leaseOfRecord);
+}
+
 TEST_F(OwnerElectionTest, twoCandidates_oneWinsAndTheOtherFollowsIt)
 {
     Candidate first(m_context, m_store, m_clock, "a");
