Read ports of addresses strictly

Operators and agents would see an address with a blank or a sign before its port taken, and one with a port beyond 32 bits reported as "stoi", as an exception of another type than the function documents. Cause: std::stoi skips blanks, takes signs and throws std::out_of_range. Class: a text is read by a lenient parser.

Change: std::from_chars into 16 bits; every other text is an invalid argument.

Evidence: Endpoint_portOutOfRange.isAnInvalidArgument failed before on three of its texts and passes.

--- a/src/trefoilhoist/net/program.cpp
+++ b/src/trefoilhoist/net/program.cpp
@@ -10,6 +10,7 @@
 #include <tclap/CmdLine.h>
 
 #include <atomic>
+#include <charconv>
 #include <csignal>
 #include <iostream>
 #include <thread>
@@ -20,7 +21,6 @@
 namespace {
 
 constexpr int defaultThreads = 2;
-constexpr int maxPort = 65535;
 
 void startLogging(const std::string &name)
 {
@@ -210,12 +210,13 @@
     if (colon == std::string::npos || colon + 1 == text.size()) {
         throw std::invalid_argument("\"" + text + "\" is not host:port");
     }
-    std::size_t used = 0;
-    const int port = std::stoi(text.substr(colon + 1), &used);
-    if (used != text.size() - colon - 1 || port < 0 || port > maxPort) {
+    std::uint16_t port = 0;
+    const auto *end = text.data() + text.size();
+    const auto [stop, ec] = std::from_chars(text.data() + colon + 1, end, port);
+    if (ec != std::errc() || stop != end) {
         throw std::invalid_argument("\"" + text + "\" has no port from 0 to 65535");
     }
-    return {text.substr(0, colon), static_cast<std::uint16_t>(port)};
+    return {text.substr(0, colon), port};
 }
 
 } // namespace Trefoilhoist
--- a/tests/unit/foundation.cpp
+++ b/tests/unit/foundation.cpp
@@ -3,6 +3,7 @@
 #include "trefoilhoist/net/asio.h"
 #include "trefoilhoist/net/httpclient.h"
 #include "trefoilhoist/net/httpserver.h"
+#include "trefoilhoist/net/program.h"
 #include "trefoilhoist/verdict/verdict.h"
 #include "trefoilhoist/wire/message.h"
 #include "trefoilhoist/wire/peerclient.h"
@@ -94,6 +95,23 @@
     EXPECT_TRUE(checkSettings("{ // where\n\"listen\": \"a\" }", schema, "entry.json"));
 }
 
+// A port beyond 32 bits was an error of another kind; blanks and signs were taken.
+TEST(Endpoint_portOutOfRange, isAnInvalidArgument)
+{
+    for (const auto *text : {"10.0.0.9:99999999999999999999",
+                             "10.0.0.9:65536",
+                             "10.0.0.9:-1",
+                             "10.0.0.9: 80",
+                             "10.0.0.9:+80",
+                             "10.0.0.9:80x",
+                             "10.0.0.9:x",
+                             "10.0.0.9:",
+                             "10.0.0.9"}) {
+        EXPECT_THROW(static_cast<void>(endpointFromText(text)), std::invalid_argument) << text;
+    }
+    EXPECT_EQ(endpointFromText("10.0.0.9:65535").port, 65535);
+}
+
 TEST(Verdict_name, readsBackAsItself)
 {
     for (const auto verdict : {Verdict::NotRun, Verdict::MayHaveRun, Verdict::Ran}) {
