--- a/tests/unit/platform.cpp
+++ b/tests/unit/platform.cpp
@@ -54,6 +54,21 @@
     Callers m_callers;
 };
 
+/// True if a heartbeat is read whose `field` is the JSON text `value`.
+bool isRead(const std::string &field, const std::string &value)
+{
+    auto body = heartbeatBody();
+    body[field] = "VALUE";
+    auto text = body.dump();
+    text.replace(text.find("\"VALUE\""), std::string("\"VALUE\"").size(), value);
+    return minionMessageFrom(requestOf("POST", "/instances/i-7/heartbeat", text)).has_value();
+}
+
+std::string nested(std::size_t levels)
+{
+    return std::string(levels, '[') + std::string(levels, ']');
+}
+
 } // namespace
 
 TEST_F(CallersTest, jobWithAllFields_isReadIntoTheProductsNames)
@@ -161,6 +176,94 @@
     EXPECT_FALSE(minionMessageFrom(requestOf("GET", "/elsewhere")));
 }
 
+// A number beyond 64 bits became a negative one. An incarnation or a sequence number that no minion reaches would make
+// the agent ignore all later heartbeats.
+TEST(MinionMessageTest, numbersOutOfRange_nameNoMinion)
+{
+    for (const auto *field : {"born", "sequence"}) {
+        for (const auto *value : {"18446744073709551615",
+                                  "9223372036854775807",
+                                  "99999999999999999999",
+                                  "1e400",
+                                  "-1",
+                                  "1e300",
+                                  "17.5",
+                                  "\"17\"",
+                                  "[17]",
+                                  "true"}) {
+            EXPECT_FALSE(isRead(field, value)) << field << " " << value;
+        }
+        EXPECT_TRUE(isRead(field, "1764900000000")) << field;
+        EXPECT_TRUE(isRead(field, "1764900000000.0")) << field;
+    }
+    EXPECT_FALSE(isRead("capacity", R"({"cpu":18446744073709551615})"));
+    EXPECT_FALSE(isRead("capacity", R"({"cpu":1e400})"));
+    EXPECT_FALSE(isRead("capacity", R"({"cpu":-1})"));
+}
+
+// Port 0, or a host that is no IP number, replaced the address at which the agent reaches its minion.
+TEST(MinionMessageTest, addressesThatCannotBeCalled_nameNoMinion)
+{
+    for (const auto *address : {"10.0.0.9:0",
+                                "10.0.0.9:65536",
+                                "10.0.0.9:99999",
+                                "10.0.0.9:99999999999999999999",
+                                "10.0.0.9:-1",
+                                "10.0.0.9:+80",
+                                "10.0.0.9: 80",
+                                "10.0.0.9:8080x",
+                                "10.0.0.9:",
+                                "10.0.0.9",
+                                ":8080",
+                                "front.example:8080",
+                                "10.0.0.9\\u0000:8080"}) {
+        EXPECT_FALSE(isRead("address", '"' + std::string(address) + '"')) << address;
+    }
+    EXPECT_TRUE(isRead("address", R"("10.0.0.9:65535")"));
+}
+
+// Without its capacity the minion counted as one that has none.
+TEST(MinionMessageTest, fieldsOfAnotherType_nameNoMinion)
+{
+    for (const auto *value : {"null", "7", "[]", R"("16000")", R"([["cpu",16000]])"}) {
+        EXPECT_FALSE(isRead("capacity", value)) << value;
+    }
+    EXPECT_FALSE(isRead("labels", R"(["a",7])"));
+    EXPECT_FALSE(isRead("labels", R"({"a":"b"})"));
+    EXPECT_FALSE(isRead("zone", "7"));
+    for (const auto *body : {"", "[]", "null", "7", "{}", "{\"service\":\"\xff\"}"}) {
+        EXPECT_FALSE(minionMessageFrom(requestOf("POST", "/instances/i-7/heartbeat", body))) << body;
+    }
+}
+
+// The id goes into a header of every call to the minion.
+TEST(MinionMessageTest, idsThatAreNoText_nameNoMinion)
+{
+    const auto body = heartbeatBody().dump();
+    for (const auto *id : {"i%0d%0aX-Other:%201", "%00", "%ff", "i%7f"}) {
+        for (const auto *call : {"/heartbeat", "/deregister"}) {
+            EXPECT_FALSE(minionMessageFrom(requestOf("POST", "/instances/" + std::string(id) + call, body))) << id;
+        }
+    }
+    EXPECT_FALSE(minionMessageFrom(requestOf("POST", "/instances/" + std::string(1000, 'i') + "/heartbeat", body)));
+}
+
+// Each level of nesting takes some 80 bytes of memory for one byte of text.
+TEST(DecodingTest, deepNesting_isRefusedBeforeItIsBuilt)
+{
+    for (const std::size_t levels : {100U, 100'000U, 2'000'000U}) {
+        EXPECT_FALSE(isRead("extra", nested(levels))) << levels;
+        EXPECT_FALSE(isRead("labels", nested(levels))) << levels;
+        EXPECT_FALSE(isRead("extra", std::string(levels, '['))) << levels;
+        EXPECT_FALSE(Configuration().queues(nested(levels))) << levels;
+        EXPECT_ANY_THROW(static_cast<void>(listingFrom(R"({"running":)" + nested(levels) + "}"))) << levels;
+        EXPECT_FALSE(Callers().job("5c0e7a21d94b36f8", {}, R"({"steps":)" + nested(levels) + "}")) << levels;
+    }
+    EXPECT_TRUE(isRead("extra", nested(20)));
+    EXPECT_TRUE(
+        isRead("extra", R"("a text [[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[ \" [[[[[[[[[[[")"));
+}
+
 TEST(MinionMessageTest, leavingMinion_isNamed)
 {
     const auto message = minionMessageFrom(requestOf("POST", "/instances/i-7/deregister"));
