Read the other rows of a listing beside one that can't be read

Operators would see an agent that never reaches its minion again (minion_unreached, "unreadable listing"): one odd row made the whole listing unreadable for as long as it was there. No run was started there, no end was read, and the listing calls went on extending the hold, so the worker was not given up either. Casts of huge numbers in a row (percent, usage, run) to integers were undefined. Class: one entry of another writer decides on all entries.

Change, by what a row still says: - Task and run can be read: the run counts; a checkpoint or measurement that can't be read counts as unknown. - The task is a text, but no name of this product's form: the minion returns names as they were ordered, so the run is not the owner's. The row is logged and skipped. - Otherwise the row may be any run that the listing lacks. For five seconds the listing counts as partial (lacksEnds: no run is taken for over, a new owner waits), and ends behind an unreadable one are neither reported nor acknowledged. After that an unreadable end is skipped: its run is over, but its task may be done again. For a row of `running` the agent stops extending the hold first, and skips it only when the hold has expired, since none of the owner's runs is alive there then. This costs the worker's runs once; waiting for ever would cost the worker, and skipping the row at once could start a task that still runs a second time.

--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -137,6 +137,9 @@
         m_running.clear();
         m_ended.clear();
         m_lacksEnds = false;
+        m_skippedRows.clear();
+        m_unreadableRowsSince.reset();
+        m_holdWithheld = false;
         m_lastReportedEnd = 0;
         m_refusedConnections = 0;
         m_reachable = false;
--- a/src/programs/agent/agent.h
+++ b/src/programs/agent/agent.h
@@ -16,6 +16,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace Trefoilhoist::Agent {
@@ -29,6 +30,8 @@
     /// The longest time for which a minion keeps its runs after the agent has last extended the hold, which is the time
     /// until which the minion may keep them.
     Duration maxHold = seconds(6);
+    /// For this time the agent takes rows of a listing that it can't read for possible runs of the owner.
+    Duration unreadableRowsPatience = seconds(5);
 };
 
 /// The parsed message of the minion, a heartbeat or a permanent departure, or the reason why it can't be parsed.
@@ -72,6 +75,9 @@
     awaitable<void> listLoop();
     awaitable<void> listOnce();
     void applyListing(const Jobs::MinionListing &listing, std::int64_t number, std::int64_t epoch);
+    /// Judges the rows that can't be read; false if the listing can't be used as long as they may be the owner's runs.
+    bool judgeUnreadableRows(Jobs::MinionListing &listing);
+    void skipRows(const std::vector<Jobs::UnreadableRow> &rows, const char *reason);
     void listingFailed(const Jobs::MinionError &error);
     /// Keeps the account of a crash of the minion until an owner has recorded it.
     void noteCrash();
@@ -110,6 +116,12 @@
     std::vector<Wire::EndedTask> m_ended;
     /// The minion may have more ended tasks than it listed.
     bool m_lacksEnds = false;
+    /// Rows of the last listing that can't be read and are known to be no runs of the owner.
+    std::set<std::string> m_skippedRows;
+    /// Since when listings have had rows that can't be read and may be runs of the owner.
+    std::optional<TimePoint> m_unreadableRowsSince;
+    /// The minion's hold is not extended, so that everything that the owner has started there ends.
+    bool m_holdWithheld = false;
     Jobs::StartedRuns m_runs;
     /// When the first of the failed listings since the last successful one ended.
     std::optional<TimePoint> m_unreachableSince;
--- a/src/programs/agent/minionruns.cpp
+++ b/src/programs/agent/minionruns.cpp
@@ -4,6 +4,7 @@
 #include "trefoilhoist/log/eventlog.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <utility>
 
 namespace Trefoilhoist::Agent {
@@ -51,8 +52,8 @@
     // The first listings under a new owner or lease don't wait for ended tasks, because the owner waits for them.
     const bool wait = m_fence.isListed() && m_reachable && m_fence.extendHold(now).has_value();
     const auto dropped = m_fence.endsToDrop();
-    const auto listing = co_await m_adapters.minion->list(
-        target(), dropped, m_fence.extendHold(now).value_or(0), wait ? listingWait : Duration{});
+    const auto hold = m_holdWithheld ? 0 : m_fence.extendHold(now).value_or(0);
+    auto listing = co_await m_adapters.minion->list(target(), dropped, hold, wait ? listingWait : Duration{});
     if (!m_minion || m_minion->worker.id != worker.id || m_minion->worker.born != worker.born) {
         co_return;
     }
@@ -75,13 +76,79 @@
         co_return;
     }
     m_fence.confirmDropped(dropped);
+    if (!judgeUnreadableRows(*listing)) {
+        listingFailed({"rows of the listing can't be read", false});
+        co_await sleepFor(listingRetryDelay);
+        co_return;
+    }
     applyListing(*listing, number, epoch);
     const bool hasUnrecordedEnds = !m_ended.empty();
-    if (hasUnrecordedEnds || !wait) {
+    if (!listing->unreadableRows.empty()) {
+        co_await sleepFor(listingRetryDelay);
+    } else if (hasUnrecordedEnds || !wait) {
         co_await sleepFor(listingGap);
     }
 }
 
+bool AgentServer::judgeUnreadableRows(Jobs::MinionListing &listing)
+{
+    std::vector<Jobs::UnreadableRow> foreign;
+    std::vector<Jobs::UnreadableRow> suspect;
+    std::set<std::string> skipped;
+    for (const auto &row : listing.unreadableRows) {
+        if (m_skippedRows.count(row.text) != 0) {
+            skipped.insert(row.text);
+        } else {
+            (row.foreign ? foreign : suspect).push_back(row);
+        }
+    }
+    m_skippedRows = std::move(skipped);
+    skipRows(foreign, "their tasks have no names of this product");
+    if (suspect.empty()) {
+        m_unreadableRowsSince.reset();
+        m_holdWithheld = false;
+        return true;
+    }
+    const auto now = m_runtime.clock().now();
+    if (!m_unreadableRowsSince) {
+        m_unreadableRowsSince = now;
+        Event("listing_rows_unreadable")
+            .add("worker", m_minion->worker.id)
+            .add("rows", suspect.size())
+            .add("first", suspect.front().text);
+    }
+    const bool mayRun = std::any_of(suspect.begin(), suspect.end(), [](const auto &row) { return !row.ended; });
+    if (now - *m_unreadableRowsSince < m_settings.unreadableRowsPatience) {
+        // A run that is not listed may be one of these rows. The ends behind one would acknowledge it.
+        listing.lacksEnds = true;
+        listing.ended.resize(std::min(listing.ended.size(), listing.endsBeforeUnreadable.value_or(SIZE_MAX)));
+        return true;
+    }
+    if (mayRun && !m_fence.isStopped()) {
+        m_holdWithheld = true;
+        return false;
+    }
+    skipRows(suspect, mayRun ? "the minion's hold has expired" : "these ends stay unreadable");
+    m_unreadableRowsSince.reset();
+    m_holdWithheld = false;
+    return true;
+}
+
+void AgentServer::skipRows(const std::vector<Jobs::UnreadableRow> &rows, const char *reason)
+{
+    if (rows.empty()) {
+        return;
+    }
+    for (const auto &row : rows) {
+        m_skippedRows.insert(row.text);
+    }
+    Event("listing_rows_skipped")
+        .add("worker", m_minion->worker.id)
+        .add("rows", rows.size())
+        .add("first", rows.front().text)
+        .add("reason", reason);
+}
+
 void AgentServer::applyListing(const Jobs::MinionListing &listing, std::int64_t number, std::int64_t epoch)
 {
     const auto now = m_runtime.clock().now();
@@ -246,13 +313,13 @@
     const bool isAddressee = m_minion && m_minion->worker.id == orders.worker && m_minion->worker.born == orders.born;
     const auto refusalReason = isAddressee ? m_fence.startRefusalReason(orders, now)
                                            : "the orders are for another incarnation of the minion";
-    const auto until = m_fence.extendHold(now);
+    const auto until = m_holdWithheld ? std::nullopt : m_fence.extendHold(now);
     if (!refusalReason.empty() || m_minion->draining || !until) {
         Event("start_withheld")
             .add("job", order.task.job)
             .add("task", Jobs::taskName(order.task))
             .add("reason",
-                 !refusalReason.empty() ? refusalReason : "the minion is draining, or its clock is not known");
+                 !refusalReason.empty() ? refusalReason : "the minion is draining, or its hold can't be extended");
         co_return static_cast<int>(OrderResult::Refused);
     }
     m_throttle.addRun(order.info);
--- a/src/trefoilhoist/jobs/minioninterface.h
+++ b/src/trefoilhoist/jobs/minioninterface.h
@@ -24,6 +24,16 @@
     std::int64_t sequence = 0;
 };
 
+/// A row of a listing that can't be read.
+struct UnreadableRow {
+    /// The fields that name the run, for the log and to recognise the row in the next listing.
+    std::string text;
+    /// True if the row is one of the ended tasks.
+    bool ended = false;
+    /// The row names a task, but not as this product names its own.
+    bool foreign = false;
+};
+
 /// All runs and ended tasks of a minion at one time.
 struct MinionListing {
     /// Unix milliseconds of the start of the minion's process; 0 if it did not report it.
@@ -34,6 +44,9 @@
     std::vector<Wire::EndedTask> ended;
     /// The minion may have more ended tasks than it returned.
     bool lacksEnds = false;
+    std::vector<UnreadableRow> unreadableRows;
+    /// The number of rows in `ended` before the first that can't be read, if there is one that isn't foreign.
+    std::optional<std::size_t> endsBeforeUnreadable;
 };
 
 /// The minion to which orders are addressed.
