Keep handling reports that list a task which its job does not have

Operators would see a worker lost (lease expired) whose agent and minion are well. Cause: a listed run of a known job but of a step that the job does not have was adopted as orphaned; the next report with it looked the step up for its checkpoint and ended with std::out_of_range, as did each report from then on, so that the agent got no reply. Class: an index of another writer is used without a check.

Change: the checkpoint is taken only of a task that exists. Such a run is stopped, as every orphaned one.

Evidence: listedRunOfATaskThatTheJobDoesNotHave_isStopped failed before (out_of_range) and passes, for steps, indexes and occurrences out of range.

--- a/src/trefoilhoist/jobs/joblistings.cpp
+++ b/src/trefoilhoist/jobs/joblistings.cpp
@@ -50,8 +50,8 @@
 void JobScheduler::updateCheckpoint(const Wire::RunningTask &row)
 {
     auto *entry = find(row.task.job);
-    if (entry != nullptr && entry->job.step(row.task.step).checkpoints
-        && entry->job.updateCheckpoint(row.task, row.checkpoint)) {
+    const bool known = entry != nullptr && entry->job.task(row.task) != nullptr;
+    if (known && entry->job.step(row.task.step).checkpoints && entry->job.updateCheckpoint(row.task, row.checkpoint)) {
         m_unrecordedCheckpoints.insert(row.task.job);
     }
 }
--- a/tests/unit/jobscheduler.cpp
+++ b/tests/unit/jobscheduler.cpp
@@ -639,6 +639,35 @@
     EXPECT_EQ(starts(plan()), 1U);
 }
 
+// The second report with such a run ended the handling of all reports of its agent.
+TEST_F(JobSchedulerTest, listedRunOfATaskThatTheJobDoesNotHave_isStopped)
+{
+    joinWorker("w0");
+    accept(jobOf("a", {stepOf(1, 500)}));
+    std::vector<Wire::TaskRef> odd = {taskOf("a", 0, 99), taskOf("a", 99, 0), taskOf("a", 0, 2'147'483'647)};
+    odd.push_back(taskOf("a"));
+    odd.back().occurrence = 99;
+    for (const auto &task : odd) {
+        Wire::RunningTask row;
+        row.task = task;
+        row.run = 1;
+        row.checkpoint = "c";
+        Wire::EndedTask end;
+        end.number = 1;
+        end.task = task;
+        end.run = 2;
+        auto report = reportOf("w0");
+        report.running = {row};
+        report.ended = {end};
+        EXPECT_NO_THROW(sendReport(report));
+        report.listing = ++m_listingNumber;
+        report.wantsRunInfo = true;
+        EXPECT_NO_THROW(sendReport(report));
+        EXPECT_FALSE(plan()["w0"].stops.empty());
+        EXPECT_NO_THROW(sendReport(reportOf("w0")));
+    }
+}
+
 TEST_F(JobSchedulerTest, gang_thatFindsNoRoom_sendsNothing)
 {
     joinWorker("w1");
