Bound what a record claims of its size before memory is taken for it

Operators would see dispatchers end by themselves, one after the other, as each loads the records. Cause: Thrift's compact protocol takes the memory of a list of structs before it has read the first; a record of 7 bytes that claims 99 million workers took some 25 GB, or ended the load with std::bad_alloc. Class: a size of another writer is trusted.

Change: a container has no more elements, and a text no more bytes, than the record has bytes.

Evidence: OddRecordTest.claimedSizeBeyondTheBytes failed before (std::bad_alloc, run with 2 GB of address space) and passes. Deeply nested unknown fields (1,000,000 levels) and lists of elements without bytes were refused before already; tests show it.

--- a/src/trefoilhoist/wire/message.cpp
+++ b/src/trefoilhoist/wire/message.cpp
@@ -3,6 +3,8 @@
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
+#include <algorithm>
+#include <limits>
 #include <memory>
 
 namespace Trefoilhoist::Wire {
@@ -12,6 +14,8 @@
 using Buffer = apache::thrift::transport::TMemoryBuffer;
 using Protocol = apache::thrift::protocol::TCompactProtocolT<Buffer>;
 
+constexpr std::size_t maxRecordBytes = std::numeric_limits<std::int32_t>::max();
+
 } // namespace
 
 template <typename Message>
@@ -28,7 +32,10 @@
 {
     auto buf = std::make_shared<Buffer>();
     buf->write(reinterpret_cast<const std::uint8_t *>(bytes.data()), static_cast<std::uint32_t>(bytes.size()));
-    Protocol protocol(buf);
+    // Every element of a list and every byte of a text takes at least one byte. Without limits their memory is taken
+    // before they are read. A limit of 0 is none.
+    const auto limit = static_cast<std::int32_t>(std::clamp<std::size_t>(bytes.size(), 1, maxRecordBytes));
+    Protocol protocol(buf, limit, limit);
     Message message;
     try {
         message.read(&protocol);
--- a/tests/unit/foundation.cpp
+++ b/tests/unit/foundation.cpp
@@ -136,6 +136,63 @@
     EXPECT_FALSE(Wire::decode<Wire::Envelope>("\x18\x05hi"));
 }
 
+// Bytes of Thrift's compact protocol, in which a field begins with the difference of its number and its type.
+class OddRecordTest : public testing::Test
+{
+protected:
+    static std::string varint(std::uint64_t value)
+    {
+        std::string bytes;
+        constexpr std::uint64_t more = 0x80;
+        for (; value >= more; value >>= 7U) {
+            bytes += static_cast<char>(value % more | more);
+        }
+        return bytes + static_cast<char>(value);
+    }
+
+    /// A list that claims `count` elements of a type and has none.
+    static std::string emptyList(char field, char type, std::uint64_t count)
+    {
+        return std::string{field, static_cast<char>(0xF0 | type)} + varint(count);
+    }
+
+    static constexpr std::uint64_t hugeCount = 99'000'000;
+    static constexpr char structType = 0x0C;
+    static constexpr char stringType = 0x08;
+};
+
+// The memory for 99 million workers was taken before the first of them was read.
+TEST_F(OddRecordTest, claimedSizeBeyondTheBytes_isNotDecoded)
+{
+    const char firstFieldList = 0x19;
+    const char firstFieldText = 0x18;
+    EXPECT_FALSE(Wire::decode<Wire::WorkerRoster>(emptyList(firstFieldList, structType, hugeCount)));
+    EXPECT_FALSE(Wire::decode<Wire::WorkerRoster>(emptyList(firstFieldList, structType, 0xFFFFFFFF)));
+    EXPECT_FALSE(Wire::decode<Wire::JobSpec>(std::string(1, firstFieldText) + varint(hugeCount) + "text"));
+    EXPECT_FALSE(Wire::decode<Wire::JobSpec>(std::string(1, firstFieldText) + varint(0xFFFFFFFF)));
+    EXPECT_FALSE(Wire::decode<Wire::OwnerRecord>(emptyList(0x79, stringType, hugeCount)));
+}
+
+TEST_F(OddRecordTest, deeplyNestedUnknownFields_areNotDecoded)
+{
+    // Unknown field 15 is a struct whose first field is a struct, and so on; or a list of lists.
+    for (const char nesting : {char{0x1C}, char{0x19}}) {
+        const std::string bytes = static_cast<char>(0xF0 | (nesting & 0x0F)) + std::string(1'000'000, nesting);
+        EXPECT_FALSE(Wire::decode<Wire::OwnerRecord>(bytes));
+        EXPECT_FALSE(Wire::decode<Wire::JobProgress>(bytes));
+        EXPECT_FALSE(Wire::decode<Wire::WorkerRoster>(bytes));
+        EXPECT_FALSE(Wire::decode<Wire::Envelope>(bytes));
+    }
+}
+
+// Elements without bytes were counted to the end of a claimed size.
+TEST_F(OddRecordTest, unknownListOfElementsWithoutBytes_isNotDecoded)
+{
+    const auto before = std::chrono::steady_clock::now();
+    EXPECT_FALSE(Wire::decode<Wire::OwnerRecord>(emptyList(static_cast<char>(0xF9), 0, 0x7FFFFFFF)));
+    EXPECT_LT(std::chrono::steady_clock::now() - before, milliseconds(500));
+}
+
 TEST_F(NetTest, httpCall_completeAnswer_isReturnedWithCorrelation)
 {
     HttpServer server(m_context.get_executor(), {}, [](HttpRequest request) -> awaitable<HttpResponse> {
