Check epochs and ports of owners' records before they are used

Callers would be refused until an operator mends the store. Causes, shown by tests: - Where the record of the last epoch could not be read, the next owner took epoch 1 (or one above a negative number, or overflowed beyond 2^63 - 1). Agents and minions refuse every order of an epoch that is not above those they know. - A record of the owner that could not be read was followed like that of another process: no candidate stood. - An agent adopted an epoch of 2^63 - 1 from the record and refused all owners since; its fencing token overflowed. A port of 65536 + N was cut to N and called. Class: a record of another writer is used without a check of its range.

Change: readOwnerRecord checks epochs (0 to 2^28, for which fencing tokens have room) and logs record_unreadable; endpointOf checks ports. An epoch record that can't be read is replaced by its revision: each term is a change of the store, so that its epoch is never above the revision of a later change. An owner's record that can't be read counts as none, under the condition that it is unchanged; a true owner behind it is fenced off by the higher epoch.

--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -1,5 +1,6 @@
 #include "agent.h"
 
+#include "trefoilhoist/jobs/ownerrecord.h"
 #include "trefoilhoist/jobs/recordkeys.h"
 #include "trefoilhoist/log/eventlog.h"
 #include "trefoilhoist/wire/message.h"
@@ -222,9 +223,14 @@
         Event("owner_unread").add("reason", record.error().reason).add("epoch", m_fence.epoch());
         co_return;
     }
-    const auto owner = *record ? Wire::decode<Wire::OwnerRecord>((*record)->value) : std::nullopt;
-    if (owner && owner->epoch >= m_fence.epoch()) {
-        adoptOwner(owner->epoch, {owner->host, static_cast<std::uint16_t>(owner->port)});
+    const auto owner = *record ? Jobs::readOwnerRecord(**record) : std::nullopt;
+    if (!owner || owner->epoch < m_fence.epoch()) {
+        co_return;
+    }
+    if (const auto endpoint = Jobs::endpointOf(owner->host, owner->port)) {
+        adoptOwner(owner->epoch, *endpoint);
+    } else {
+        Event("owner_unread").add("reason", "the owner's port is out of range").add("epoch", owner->epoch);
     }
 }
 
--- a/src/programs/agent/minionruns.cpp
+++ b/src/programs/agent/minionruns.cpp
@@ -1,6 +1,7 @@
 // The agent's calls to its minion: listings, orders and throttling.
 #include "agent.h"
 
+#include "trefoilhoist/jobs/ownerrecord.h"
 #include "trefoilhoist/log/eventlog.h"
 
 #include <algorithm>
@@ -251,8 +252,9 @@
 
 awaitable<Wire::WorkerOrdersReply> AgentServer::executeOrders(Wire::WorkerOrders orders)
 {
-    if (!orders.ownerHost.empty()) {
-        adoptOwner(orders.epoch, {orders.ownerHost, static_cast<std::uint16_t>(orders.ownerPort)});
+    const auto owner = Jobs::endpointOf(orders.ownerHost, orders.ownerPort);
+    if (owner && !owner->host.empty() && orders.epoch <= Jobs::maxEpoch) {
+        adoptOwner(orders.epoch, *owner);
     }
     auto reply = std::make_shared<Wire::WorkerOrdersReply>();
     reply->starts.assign(orders.starts.size(), static_cast<int>(OrderResult::Refused));
--- a/src/programs/dispatcher/dispatcher.cpp
+++ b/src/programs/dispatcher/dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "dispatcher.h"
 
+#include "trefoilhoist/jobs/ownerrecord.h"
 #include "trefoilhoist/jobs/recordkeys.h"
 #include "trefoilhoist/log/eventlog.h"
 #include "trefoilhoist/wire/message.h"
@@ -288,7 +289,8 @@
                 m_metrics.counter("trefoilhoist_refused_owner_silent").add();
                 co_return answerOf(JobOutcome::Refused);
             }
-            const Endpoint peer{owner.host, static_cast<std::uint16_t>(owner.port)};
+            // Nothing is sent to an address that can't be called.
+            const auto peer = Jobs::endpointOf(owner.host, owner.port).value_or(Endpoint{});
             m_ownerReachability.addCall(owner.epoch, sentAt);
             const auto reply = co_await m_clients.at(peer).call(kind, payload, std::min(left, ownerCallTimeout));
             m_ownerReachability.finishCall(owner.epoch, sentAt, reply.has_value(), clock.now());
--- a/src/programs/dispatcher/ownerload.cpp
+++ b/src/programs/dispatcher/ownerload.cpp
@@ -1,6 +1,7 @@
 // Loads the records of earlier owners and announces the new owner.
 #include "ownersession.h"
 
+#include "trefoilhoist/jobs/ownerrecord.h"
 #include "trefoilhoist/jobs/recordkeys.h"
 #include "trefoilhoist/log/eventlog.h"
 #include "trefoilhoist/wire/message.h"
@@ -114,8 +115,12 @@
         greeting.epoch = m_term.epoch;
         greeting.ownerHost = m_context.self.host;
         greeting.ownerPort = m_context.self.port;
-        const Endpoint agent{it.agentHost, static_cast<std::uint16_t>(it.agentPort)};
-        spawnOn(m_context.executor, "greeting", [self = shared_from_this(), greeting, agent] {
+        const auto agent = Jobs::endpointOf(it.agentHost, it.agentPort);
+        if (!agent) {
+            Event("record_unreadable").add("key", Jobs::rosterKey).add("reason", "port of " + it.agentHost);
+            continue;
+        }
+        spawnOn(m_context.executor, "greeting", [self = shared_from_this(), greeting, agent = *agent] {
             return self->send(greeting, agent);
         });
     }
@@ -155,11 +160,12 @@
 {
     std::vector<Endpoint> peers;
     for (const auto &it : page.records) {
-        const auto peer = Wire::decode<Wire::OwnerRecord>(it.value);
-        if (!peer) {
-            Event("record_unreadable").add("key", it.key).add("bytes", it.value.size());
-        } else if (peer->name != m_context.name) {
-            peers.push_back({peer->host, static_cast<std::uint16_t>(peer->port)});
+        const auto peer = Jobs::readOwnerRecord(it);
+        const auto endpoint = peer ? Jobs::endpointOf(peer->host, peer->port) : std::nullopt;
+        if (peer && !endpoint) {
+            Event("record_unreadable").add("key", it.key).add("reason", "its port is out of range");
+        } else if (endpoint && peer->name != m_context.name) {
+            peers.push_back(*endpoint);
         }
     }
     return peers;
--- a/src/programs/dispatcher/ownersession.cpp
+++ b/src/programs/dispatcher/ownersession.cpp
@@ -1,5 +1,6 @@
 #include "ownersession.h"
 
+#include "trefoilhoist/jobs/ownerrecord.h"
 #include "trefoilhoist/jobs/recordkeys.h"
 #include "trefoilhoist/log/eventlog.h"
 #include "trefoilhoist/store/backoff.h"
@@ -216,7 +217,7 @@
         const auto &info = m_scheduler.workers().at(worker).info;
         orders.ownerHost = m_context.self.host;
         orders.ownerPort = m_context.self.port;
-        const Endpoint agent{info.agentHost, static_cast<std::uint16_t>(info.agentPort)};
+        const auto agent = Jobs::endpointOf(info.agentHost, info.agentPort).value_or(Endpoint{});
         spawnOn(m_context.executor, "orders", [self = shared_from_this(), orders = std::move(orders), agent] {
             return self->send(orders, agent);
         });
--- a/src/trefoilhoist/jobs/ownerelection.cpp
+++ b/src/trefoilhoist/jobs/ownerelection.cpp
@@ -1,9 +1,13 @@
 #include "trefoilhoist/jobs/ownerelection.h"
 
+#include "trefoilhoist/jobs/ownerrecord.h"
 #include "trefoilhoist/jobs/recordkeys.h"
 #include "trefoilhoist/log/eventlog.h"
 #include "trefoilhoist/wire/message.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace Trefoilhoist::Jobs {
 
 OwnerElection::OwnerElection(RecordStore &store, const Clock &clock, ElectionTimes times, Wire::OwnerRecord self)
@@ -25,8 +29,9 @@
         const auto seen = co_await readRecords();
         logReachability("election", seen.has_value(), seen ? "" : seen.error().reason);
         bool handled = false;
-        if (seen && seen->owner && !isOwnRecord(*seen->owner)) {
-            co_await follow(*seen);
+        const auto owner = seen && seen->owner ? readOwnerRecord(*seen->owner) : std::nullopt;
+        if (owner && owner->name != m_self.name) {
+            co_await follow(*owner, seen->revision);
             handled = true;
             m_deferred = false;
         } else if (seen && !m_steppedDown) {
@@ -65,20 +70,13 @@
     co_return seen;
 }
 
-bool OwnerElection::isOwnRecord(const StoredRecord &record) const
+awaitable<void> OwnerElection::follow(Wire::OwnerRecord owner, std::int64_t revision)
 {
-    const auto owner = Wire::decode<Wire::OwnerRecord>(record.value);
-    return owner && owner->name == m_self.name;
-}
-
-awaitable<void> OwnerElection::follow(const ElectionRecords &seen)
-{
-    const auto owner = Wire::decode<Wire::OwnerRecord>(seen.owner->value);
-    if (owner && (!m_owner || m_owner->epoch < owner->epoch)) {
-        m_owner = *owner;
-        Event("owner_seen").add("owner", owner->name).add("epoch", owner->epoch).add("revision", seen.revision);
+    if (!m_owner || m_owner->epoch < owner.epoch) {
+        Event("owner_seen").add("owner", owner.name).add("epoch", owner.epoch).add("revision", revision);
+        m_owner = std::move(owner);
     }
-    const auto changes = co_await m_store.watch(ownerPrefix, seen.revision, m_times.watchWait);
+    const auto changes = co_await m_store.watch(ownerPrefix, revision, m_times.watchWait);
     if (!changes) {
         co_await sleepFor(m_times.retryInterval);
     }
@@ -97,7 +95,7 @@
     int stronger = 0;
     if (peers) {
         for (const auto &it : peers->records) {
-            const auto peer = Wire::decode<Wire::OwnerRecord>(it.value);
+            const auto peer = readOwnerRecord(it);
             stronger += peer && peer->strength > m_self.strength ? 1 : 0;
         }
     }
@@ -122,15 +120,23 @@
     return commit;
 }
 
+// The epoch of the last term. Each term is a change of the store, so that no epoch is above the revision of a later
+// change: where the record can't be read, its revision stands for it.
+std::int64_t OwnerElection::lastEpoch(const ElectionRecords &seen)
+{
+    if (!seen.epoch) {
+        return 0;
+    }
+    const auto last = readOwnerRecord(*seen.epoch);
+    return last ? last->epoch : std::min(seen.epoch->revision, maxEpoch);
+}
+
 // Returns true if this process won the term.
 awaitable<bool> OwnerElection::campaign(const ElectionRecords &seen)
 {
-    std::int64_t epoch = 0;
-    if (seen.epoch) {
-        const auto last = Wire::decode<Wire::OwnerRecord>(seen.epoch->value);
-        epoch = last ? last->epoch : 0;
-    }
-    if (seen.owner && m_lease != 0 && epoch == m_leaseEpoch) {
+    const auto epoch = lastEpoch(seen);
+    const auto owner = seen.owner ? readOwnerRecord(*seen.owner) : std::nullopt;
+    if (owner && m_lease != 0 && epoch == m_leaseEpoch) {
         // The answer to an earlier commit was lost, but the commit took effect.
         becomeOwner(epoch, seen.epoch->revision, m_leaseOpenedAt);
         co_return true;
@@ -200,7 +206,7 @@
 
 void OwnerElection::observeOwner(const Wire::OwnerRecord &owner)
 {
-    if (owner.name == m_self.name || (m_owner && m_owner->epoch >= owner.epoch)) {
+    if (!isValid(owner) || owner.name == m_self.name || (m_owner && m_owner->epoch >= owner.epoch)) {
         return;
     }
     endTerm("another process owns epoch " + std::to_string(owner.epoch));
--- a/src/trefoilhoist/jobs/ownerelection.h
+++ b/src/trefoilhoist/jobs/ownerelection.h
@@ -73,7 +73,8 @@
     /// Logs when the store becomes unreachable or reachable again.
     void logReachability(const char *by, bool reachable, const std::string &reason);
     awaitable<StoreResult<ElectionRecords>> readRecords();
-    awaitable<void> follow(const ElectionRecords &seen);
+    awaitable<void> follow(Wire::OwnerRecord owner, std::int64_t revision);
+    [[nodiscard]] static std::int64_t lastEpoch(const ElectionRecords &seen);
     awaitable<bool> campaign(const ElectionRecords &seen);
     /// Waits for stronger candidates; false if one of them may have won in the meantime.
     awaitable<bool> deferToStronger();
@@ -81,7 +82,6 @@
     awaitable<void> renew();
     void endTerm(std::string reason);
     void becomeOwner(std::int64_t epoch, std::int64_t epochRevision, TimePoint verifiedAt);
-    [[nodiscard]] bool isOwnRecord(const StoredRecord &record) const;
 
     RecordStore &m_store;
     const Clock &m_clock;
--- a/tests/integration/agent.cpp
+++ b/tests/integration/agent.cpp
@@ -11,6 +11,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <limits>
 
 namespace Trefoilhoist::Agent {
 
@@ -122,10 +123,15 @@
     void recordOwner(std::int64_t epoch)
     {
         m_epoch = epoch;
+        recordOwner(epoch, m_ownerPort);
+    }
+
+    void recordOwner(std::int64_t epoch, std::int32_t port)
+    {
         Wire::OwnerRecord owner;
         owner.epoch = epoch;
         owner.host = "127.0.0.1";
-        owner.port = m_ownerPort;
+        owner.port = port;
         RecordCommit commit;
         commit.writes.push_back({Jobs::ownerRecordKey, Wire::encode(owner), 0});
         bool done = false;
@@ -506,4 +512,18 @@
     EXPECT_TRUE(m_lastReport.reachable);
 }
 
+// The port was cut to 16 bits, and an epoch that is too high was never replaced by a right one.
+TEST_F(AgentTest, ownerRecordOutOfRange_isNotFollowed)
+{
+    constexpr std::int32_t portRange = 65'536;
+    constexpr auto mostEpochs = std::numeric_limits<std::int64_t>::max();
+    addRun("a", 1000);
+    sendHeartbeat();
+    recordOwner(1, m_ownerPort + portRange);
+    EXPECT_FALSE(runUntil([&] { return m_lastReport.epoch != 0; }, seconds(1)));
+    recordOwner(mostEpochs, m_ownerPort);
+    EXPECT_FALSE(runUntil([&] { return m_lastReport.epoch != 0; }, seconds(1)));
+    join();
+}
+
 } // namespace Trefoilhoist::Agent
--- a/tests/unit/ownerelection.cpp
+++ b/tests/unit/ownerelection.cpp
@@ -1,11 +1,13 @@
 #include "trefoilhoist/jobs/ownerelection.h"
 
 #include "harness/memoryrecordstore.h"
+#include "trefoilhoist/jobs/ownerrecord.h"
 #include "trefoilhoist/jobs/recordkeys.h"
 #include "trefoilhoist/wire/message.h"
 
 #include <gtest/gtest.h>
 
+#include <limits>
 #include <vector>
 
 namespace Trefoilhoist::Jobs {
@@ -56,6 +58,34 @@
         m_context.run_for(time);
     }
 
+    void write(const std::string &key, const std::string &value)
+    {
+        RecordCommit commit;
+        commit.writes.push_back({key, value, 0});
+        spawnOn(m_context.get_executor(), "record", [this, commit]() -> awaitable<void> {
+            co_await m_store.commit(commit);
+        });
+    }
+
+    /// The third epoch that a candidate wins after another writer has written the record of the second.
+    std::int64_t epochAfter(const std::string &odd)
+    {
+        Asio::io_context context;
+        MemoryRecordStore store;
+        Candidate candidate(context, store, m_clock, "a");
+        context.run_for(milliseconds(30));
+        store.endLeases();
+        context.run_for(milliseconds(60));
+        EXPECT_EQ(candidate.won, (std::vector<std::int64_t>{1, 2}));
+        RecordCommit commit;
+        commit.writes.push_back({epochRecordKey, odd, 0});
+        spawnOn(context.get_executor(), "record", [&]() -> awaitable<void> { co_await store.commit(commit); });
+        context.run_for(milliseconds(10));
+        store.endLeases();
+        context.run_for(milliseconds(60));
+        return candidate.won.size() == 3 ? candidate.won.back() : 0;
+    }
+
     Asio::io_context m_context;
     Clock m_clock;
     MemoryRecordStore m_store;
@@ -145,6 +175,37 @@
     EXPECT_EQ(weak.won.size(), 1U) << "the stronger one was no candidate";
 }
 
+// Agents and minions refuse all orders of an epoch that is not above those they have seen.
+TEST_F(OwnerElectionTest, unreadableEpoch_nextEpochIsHigherThanAnyBefore)
+{
+    Wire::OwnerRecord negative;
+    negative.epoch = -1;
+    Wire::OwnerRecord huge;
+    huge.epoch = std::numeric_limits<std::int64_t>::max();
+    for (const auto &odd : {std::string("\xff"), std::string(), Wire::encode(negative), Wire::encode(huge)}) {
+        EXPECT_GT(epochAfter(odd), 2) << odd.size();
+        EXPECT_LT(epochAfter(odd), 1000) << odd.size();
+    }
+}
+
+// Every candidate followed an owner that nobody could name, and there was none.
+TEST_F(OwnerElectionTest, unreadableOwner_isReplaced)
+{
+    write(ownerRecordKey, "\xff");
+    Candidate first(m_context, m_store, m_clock, "a");
+    runFor(milliseconds(60));
+    EXPECT_EQ(first.won, std::vector<std::int64_t>{1});
+    EXPECT_EQ(first.lost, 0);
+}
+
+TEST(OwnerRecordTest, portOutOfRange_isNoEndpoint)
+{
+    for (const std::int32_t port : {0, -1, 65'536, 65'616, 99'999, std::numeric_limits<std::int32_t>::min()}) {
+        EXPECT_FALSE(endpointOf("10.0.0.9", port)) << port;
+    }
+    EXPECT_EQ(endpointOf("10.0.0.9", 65'535)->port, 65'535);
+}
+
 TEST(RecordStoreTest, silentWatch_isDetectedBeforeAConfigurationIsDue)
 {
     // The shortest time within which users expect a configuration to be applied, and the time to read it once.
