--- a/src/trefoilhoist/jobs/joblistings.cpp
+++ b/src/trefoilhoist/jobs/joblistings.cpp
@@ -51,8 +51,8 @@
 {
     auto *entry = find(row.task.job);
     // A job that ended under an earlier owner has no steps any more.
-    if (entry != nullptr && entry->job.task(row.task) != nullptr && entry->job.step(row.task.step).checkpoints
-        && entry->job.updateCheckpoint(row.task, row.checkpoint)) {
+    const bool known = entry != nullptr && entry->job.task(row.task) != nullptr;
+    if (known && entry->job.step(row.task.step).checkpoints && entry->job.updateCheckpoint(row.task, row.checkpoint)) {
         m_unrecordedCheckpoints.insert(row.task.job);
     }
 }
