Choose no port twice for the programs of a test's site

A test binary ended with "terminate called without an active exception" right after the start of a test (once in 160 sites of a series of ClaimedRequestTest). Cause: the HTTP and the peer address of an entry are on one host, and each port was released before the next was chosen, so both could be the same; then the entry can't listen.

Change: all ports stay bound until the last one is chosen.

--- a/tests/harness/site.cpp
+++ b/tests/harness/site.cpp
@@ -31,13 +31,21 @@
         + std::to_string(number);
 }
 
-// A port that is free now and stays the same over restarts of its process.
-Endpoint reserve(int host)
+// Chooses ports that are free now and stay the same over restarts of their process. Each is bound until all are chosen,
+// so that no port of a host is chosen twice.
+class FreePorts
 {
-    Asio::io_context context;
-    Tcp::acceptor acceptor(context, Tcp::endpoint(Asio::ip::make_address(hostOf(host)), 0));
-    return {hostOf(host), acceptor.local_endpoint().port()};
-}
+public:
+    Endpoint choose(int host)
+    {
+        m_bound.emplace_back(m_context, Tcp::endpoint(Asio::ip::make_address(hostOf(host)), 0));
+        return {hostOf(host), m_bound.back().local_endpoint().port()};
+    }
+
+private:
+    Asio::io_context m_context;
+    std::vector<Tcp::acceptor> m_bound;
+};
 
 } // namespace
 
@@ -77,16 +85,17 @@
 
 void Site::reserveAddresses()
 {
-    m_store.http = reserve(storeHost);
+    FreePorts ports;
+    m_store.http = ports.choose(storeHost);
     for (int i = 0; i < m_plan.entries; ++i) {
         Node node;
-        node.http = reserve(firstEntryHost + i);
-        node.peer = reserve(firstEntryHost + i);
+        node.http = ports.choose(firstEntryHost + i);
+        node.peer = ports.choose(firstEntryHost + i);
         m_entries.push_back(std::move(node));
     }
     for (int i = 0; i < m_plan.minions; ++i) {
         Node node;
-        node.http = reserve(firstMinionHost + i);
+        node.http = ports.choose(firstMinionHost + i);
         m_minions.push_back(std::move(node));
     }
 }
