Report why a test's site could not be started

A program that did not become ready ended the whole test binary with "terminate called without an active exception": the reason was lost, and so were all later tests of the binary. Cause: the exception left the site's constructor while its threads ran, and their destructors end the process.

Change: the constructor stops the threads before it passes the exception on, so that the test fails with the reason.

Evidence: SiteTest.programThatDoesNotStart_isReported ended the binary before and passes.

--- a/tests/harness/site.cpp
+++ b/tests/harness/site.cpp
@@ -57,6 +57,29 @@
     for (int i = 0; i < clientThreads; ++i) {
         m_threads.emplace_back([this] { m_context.run(); });
     }
+    try {
+        startProcesses();
+    } catch (...) {
+        stopThreads();
+        throw;
+    }
+}
+
+Site::~Site()
+{
+    stopThreads();
+}
+
+void Site::stopThreads()
+{
+    m_context.stop();
+    for (auto &thread : m_threads) {
+        thread.join();
+    }
+}
+
+void Site::startProcesses()
+{
     reserveAddresses();
     if (m_plan.store) {
         startStore();
@@ -75,14 +98,6 @@
     }
 }
 
-Site::~Site()
-{
-    m_context.stop();
-    for (auto &thread : m_threads) {
-        thread.join();
-    }
-}
-
 void Site::reserveAddresses()
 {
     FreePorts ports;
--- a/tests/harness/site.h
+++ b/tests/harness/site.h
@@ -93,6 +93,8 @@
         std::unique_ptr<Process> process;
     };
 
+    void startProcesses();
+    void stopThreads();
     void reserveAddresses();
     void startProxy();
     void startStore();
--- a/tests/integration/commandline.cpp
+++ b/tests/integration/commandline.cpp
@@ -1,4 +1,5 @@
 #include "harness/process.h"
+#include "harness/site.h"
 
 #include "trefoilhoist/net/asio.h"
 
@@ -217,3 +218,10 @@
                              std::replace(name.begin(), name.end(), '-', '_');
                              return name;
                          });
+
+TEST(SiteTest, programThatDoesNotStart_isReported)
+{
+    SitePlan plan;
+    plan.entrySettings = {{"unknown", 1}};
+    EXPECT_THROW(Site site(plan), std::runtime_error);
+}
