--- a/tests/harness/site.cpp
+++ b/tests/harness/site.cpp
@@ -1,6 +1,7 @@
 #include "harness/site.h"
 
 #include "trefoilhoist/net/program.h"
+#include "trefoilhoist/wire/peerclient.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -288,6 +289,18 @@
     return callLater(to, std::move(request), timeout).get();
 }
 
+tl::expected<Wire::Envelope, CallError> Site::callAsPeer(int entry, Wire::MessageKind kind, const std::string &payload)
+{
+    using Result = tl::expected<Wire::Envelope, CallError>;
+    const auto &to = m_entries.at(static_cast<std::size_t>(entry)).peer;
+    auto client = std::make_shared<PeerClient>(m_context.get_executor(), "test", 1, to);
+    auto promise = std::make_shared<std::promise<Result>>();
+    spawn(m_context.get_executor(), "test peer call", [client, promise, kind, payload]() -> awaitable<void> {
+        promise->set_value(co_await client->call(kind, payload, seconds(2)));
+    });
+    return promise->get_future().get();
+}
+
 HttpRequest Site::serviceRequest(const std::string &method, const std::string &requestId, const std::string &body) const
 {
     HttpRequest request{method, "/services/" + m_plan.service + "/" + requestId, {}, body};
--- a/tests/harness/site.h
+++ b/tests/harness/site.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "harness/process.h"
+#include "idl/gen/messages_types.h"
 #include "trefoilhoist/net/httpclient.h"
 #include "trefoilhoist/world/world.h"
 
@@ -70,6 +71,8 @@
     CallResult call(const Endpoint &to, HttpRequest request, Duration timeout = seconds(10));
     /// Sends a request without waiting.
     std::future<CallResult> callLater(const Endpoint &to, HttpRequest request, Duration timeout = seconds(10));
+    /// Sends a message to an entry, as a peer does but not through the fault proxy, and waits for the answer.
+    tl::expected<Wire::Envelope, CallError> callAsPeer(int entry, Wire::MessageKind kind, const std::string &payload);
     /// A caller's request to the site's service with a Request-Id that minions count by.
     [[nodiscard]] HttpRequest
     serviceRequest(const std::string &method, const std::string &requestId, const std::string &body = {}) const;
