--- a/tests/harness/site.cpp
+++ b/tests/harness/site.cpp
@@ -1,6 +1,7 @@
 #include "harness/site.h"
 
 #include "trefoilhoist/net/program.h"
+#include "trefoilhoist/wire/peerclient.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -31,13 +32,21 @@
         + std::to_string(number);
 }
 
-// A port that is free now and stays the same over restarts of its process.
-Endpoint reserve(int host)
+// Chooses ports that are free now and stay the same over restarts of their process. Each is bound until all are chosen,
+// so that no port of a host is chosen twice.
+class FreePorts
 {
-    Asio::io_context context;
-    Tcp::acceptor acceptor(context, Tcp::endpoint(Asio::ip::make_address(hostOf(host)), 0));
-    return {hostOf(host), acceptor.local_endpoint().port()};
-}
+public:
+    Endpoint choose(int host)
+    {
+        m_bound.emplace_back(m_context, Tcp::endpoint(Asio::ip::make_address(hostOf(host)), 0));
+        return {hostOf(host), m_bound.back().local_endpoint().port()};
+    }
+
+private:
+    Asio::io_context m_context;
+    std::vector<Tcp::acceptor> m_bound;
+};
 
 } // namespace
 
@@ -49,6 +58,29 @@
     for (int i = 0; i < clientThreads; ++i) {
         m_threads.emplace_back([this] { m_context.run(); });
     }
+    try {
+        startProcesses();
+    } catch (...) {
+        stopThreads();
+        throw;
+    }
+}
+
+Site::~Site()
+{
+    stopThreads();
+}
+
+void Site::stopThreads()
+{
+    m_context.stop();
+    for (auto &thread : m_threads) {
+        thread.join();
+    }
+}
+
+void Site::startProcesses()
+{
     reserveAddresses();
     if (m_plan.store) {
         startStore();
@@ -67,26 +99,19 @@
     }
 }
 
-Site::~Site()
-{
-    m_context.stop();
-    for (auto &thread : m_threads) {
-        thread.join();
-    }
-}
-
 void Site::reserveAddresses()
 {
-    m_store.http = reserve(storeHost);
+    FreePorts ports;
+    m_store.http = ports.choose(storeHost);
     for (int i = 0; i < m_plan.entries; ++i) {
         Node node;
-        node.http = reserve(firstEntryHost + i);
-        node.peer = reserve(firstEntryHost + i);
+        node.http = ports.choose(firstEntryHost + i);
+        node.peer = ports.choose(firstEntryHost + i);
         m_entries.push_back(std::move(node));
     }
     for (int i = 0; i < m_plan.minions; ++i) {
         Node node;
-        node.http = reserve(firstMinionHost + i);
+        node.http = ports.choose(firstMinionHost + i);
         m_minions.push_back(std::move(node));
     }
 }
@@ -264,6 +289,18 @@
     return callLater(to, std::move(request), timeout).get();
 }
 
+tl::expected<Wire::Envelope, CallError> Site::callAsPeer(int entry, Wire::MessageKind kind, const std::string &payload)
+{
+    using Result = tl::expected<Wire::Envelope, CallError>;
+    const auto &to = m_entries.at(static_cast<std::size_t>(entry)).peer;
+    auto client = std::make_shared<PeerClient>(m_context.get_executor(), "test", 1, to);
+    auto promise = std::make_shared<std::promise<Result>>();
+    spawn(m_context.get_executor(), "test peer call", [client, promise, kind, payload]() -> awaitable<void> {
+        promise->set_value(co_await client->call(kind, payload, seconds(2)));
+    });
+    return promise->get_future().get();
+}
+
 HttpRequest Site::serviceRequest(const std::string &method, const std::string &requestId, const std::string &body) const
 {
     HttpRequest request{method, "/services/" + m_plan.service + "/" + requestId, {}, body};
