--- a/tests/unit/unreadends.cpp
+++ b/tests/unit/unreadends.cpp
@@ -178,6 +178,59 @@
     EXPECT_EQ(m_scheduler.workers().at("w0").runs.size(), 1U);
 }
 
+// The first order was executed without an answer, and the run ended before a listing. The minion told the repeated order
+// that the run was over; another repetition was refused, and the task started again although its end was still unread.
+TEST_F(UnreadEndTest, startIsSupersededAndItsRepetitionRefused_runIsKeptUntilItsEndIsListed)
+{
+    joinWorker("w0");
+    joinWorker("w1");
+    const auto order = startJob("a");
+    const auto worker = m_orders.worker;
+    answer(m_orders, OrderResult::Unknown);
+    m_now += m_settings.orderRetryDelay;
+    answer(plan().at(worker), OrderResult::Superseded);
+    for (int i = 0; i < 8; ++i) {
+        m_now += m_settings.orderRetryDelay;
+        for (const auto &[id, orders] : plan()) {
+            EXPECT_EQ(orders.starts.size(), 0U);
+            answer(orders, OrderResult::Refused, OrderResult::Refused);
+        }
+    }
+    auto listing = reportOf(worker);
+    listing.ended.push_back(ended(1, order, EndKind::Done));
+    sendReport(listing);
+    EXPECT_EQ(starts(plan()), 0U);
+    EXPECT_EQ(m_scheduler.job("a")->phase(), JobPhase::Completed);
+}
+
+// Two repetitions were on their way.
+TEST_F(UnreadEndTest, startIsSupersededThenRefused_runIsKeptUntilItsEndIsListed)
+{
+    joinWorker("w0");
+    joinWorker("w1");
+    const auto order = startJob("a");
+    const auto worker = m_orders.worker;
+    answer(m_orders, OrderResult::Unknown);
+    m_now += m_settings.orderRetryDelay;
+    const auto repetition = plan().at(worker);
+    answer(repetition, OrderResult::Superseded);
+    answer(repetition, OrderResult::Refused);
+    m_now += m_settings.orderRetryDelay;
+    EXPECT_EQ(starts(plan()), 0U);
+    EXPECT_EQ(m_scheduler.workers().at(worker).runs.count({order.task, order.run}), 1U);
+}
+
+TEST_F(UnreadEndTest, startIsSupersededAndNoListingShowsTheRun_taskStartsAgain)
+{
+    joinWorker("w0");
+    startJob("a");
+    answer(m_orders, OrderResult::Unknown);
+    m_now += m_settings.orderRetryDelay;
+    answer(plan().at("w0"), OrderResult::Superseded);
+    sendReport(reportOf("w0"));
+    EXPECT_EQ(starts(plan()), 1U);
+}
+
 // Reports about an agent's earlier minion, which had another id, gave up the runs of its present one.
 TEST_F(UnreadEndTest, delayedReportOnTheAgentsEarlierMinion_runsOfThePresentOneAreKept)
 {
