Keep a run that the minion calls over until its end is listed

Cause: a start that got no answer was executed, and the run ended before a listing was answered. The repeated order is told that the run is over, and the owner waited for the listing, but went on repeating the order at once. If one of these was refused (the minion is busy, drains, doesn't answer its agent, or the worker's lease has ended), the run was dropped as never started, and the task started elsewhere while the end was still unread. Class: the refusal of a repeated order is read as the answer to the first one; mended it for runs that had been listed, which a minion that answers late never does.

Change: a run that the minion calls over is handled like one whose stop is acknowledged. It is not ordered again, and only a listing resolves it.

The random history's minions now refuse a tenth of the starts.

--- a/src/trefoilhoist/jobs/joborders.cpp
+++ b/src/trefoilhoist/jobs/joborders.cpp
@@ -6,6 +6,13 @@
 
 namespace Trefoilhoist::Jobs {
 
+namespace {
+
+/// An acknowledged stop is repeated after so many delays, if the end of the run is not listed by then.
+constexpr int stopRetryDelays = 4;
+
+} // namespace
+
 void JobScheduler::handleOrderResults(const Wire::WorkerOrders &orders,
                                       const std::optional<Wire::WorkerOrdersReply> &reply,
                                       TimePoint now)
@@ -42,7 +49,7 @@
             run.stopAcknowledged = true;
             run.lastListingBeforeResolution = std::max(reply->listing, std::int64_t{0});
             // The end is normally listed soon; if it isn't, the stop is sent again.
-            run.nextOrderAt = now + 4 * m_settings.orderRetryDelay;
+            run.nextOrderAt = now + stopRetryDelays * m_settings.orderRetryDelay;
         } else {
             run.nextOrderAt = now + m_settings.orderRetryDelay;
         }
@@ -73,9 +80,13 @@
         }
         break;
     case OrderResult::Superseded:
-        // The run has ended or was stopped on the minion; its end is listed, unless it was acknowledged before.
+        // The run has ended or was stopped on the minion, as after an acknowledged stop: a listing shows its end,
+        // unless that was acknowledged before.
+        run.state = RunState::Stopping;
         run.mayStillStart = false;
+        run.stopAcknowledged = true;
         run.lastListingBeforeResolution = listing;
+        run.nextOrderAt = now + stopRetryDelays * m_settings.orderRetryDelay;
         break;
     case OrderResult::Unknown:
         run.mayStillStart = true;
@@ -93,6 +104,10 @@
         if (result == OrderResult::Refused) {
             worker.health.observeStartProblem(now);
         }
+        if (run.stopAcknowledged) {
+            // The run existed before this order, whose refusal tells nothing about it.
+            break;
+        }
         if (run.mayStillStart) {
             // An earlier start order for this run may still be executed.
             run.nextOrderAt = now + m_settings.orderRetryDelay;
--- a/tests/random/jobscheduler.cpp
+++ b/tests/random/jobscheduler.cpp
@@ -706,7 +706,8 @@
 
     OrderResult answerStart(Node &node, const MinionCall &call)
     {
-        if (!admits(node, call)) {
+        const bool isBusy = !m_faultsStopped && chance(0.1);
+        if (isBusy || !admits(node, call)) {
             return OrderResult::Refused;
         }
         const auto &order = *call.start;
