Answer delayed starts of runs that were to be stopped from memory too

A start order that is held up until after its run's stop is refused by the minion, which remembers the stop, but executed by its next incarnation under the same id: the task then runs twice.

Change: the agent knows for 5 s for which runs it received a stop, as for ended ones.

--- a/src/programs/agent/minionruns.cpp
+++ b/src/programs/agent/minionruns.cpp
@@ -293,6 +293,7 @@
         co_return *reply;
     }
     for (std::size_t i = 0; i < orders.stops.size(); ++i) {
+        m_runs.addStop({orders.stops[i].task, orders.stops[i].run}, m_runtime.clock().now());
         const auto answer = co_await m_adapters.minion->stop(target(), orders.stops[i]);
         reply->stops[i] = static_cast<int>(answer.result);
         if (!m_minion) {
--- a/src/trefoilhoist/jobs/startedruns.cpp
+++ b/src/trefoilhoist/jobs/startedruns.cpp
@@ -44,6 +44,11 @@
     }
 }
 
+void StartedRuns::addStop(const RunKey &run, TimePoint now)
+{
+    m_endedRuns.insert_or_assign(run, now);
+}
+
 void StartedRuns::applyListing(const MinionListing &listing, TimePoint now)
 {
     std::set<RunKey> present;
--- a/src/trefoilhoist/jobs/startedruns.h
+++ b/src/trefoilhoist/jobs/startedruns.h
@@ -15,13 +15,15 @@
 class StartedRuns
 {
 public:
-    /// The result of an order for a run that the minion is known to have, or to have had until lately. Such an order is
-    /// a repeated one that was delayed; if the minion has restarted meanwhile, it would execute it.
+    /// The result of an order for a run that the minion is known to have, or that has ended or was to be stopped there
+    /// lately. Such an order was delayed; if the minion has restarted meanwhile, it would execute it.
     [[nodiscard]] std::optional<OrderResult> knownResult(const RunKey &run) const;
     /// A start order was sent.
     void addStart(const RunKey &run, TimePoint now);
     /// The minion's answer to a start order; a refused run doesn't exist, unless it was listed before.
     void applyStartResult(const RunKey &run, OrderResult result);
+    /// A stop order was received.
+    void addStop(const RunKey &run, TimePoint now);
     void applyListing(const MinionListing &listing, TimePoint now);
     /// The runs that may have been executing at the time of a crash.
     [[nodiscard]] std::vector<Wire::LostRun> runsAt(TimePoint crash) const;
@@ -40,7 +42,7 @@
         bool answeredBefore = false;
     };
     std::map<RunKey, Entry> m_runs;
-    /// When a listing showed the ends of runs.
+    /// When a listing showed the ends of runs, or a stop order was received for them.
     std::map<RunKey, TimePoint> m_endedRuns;
 };
 
--- a/tests/random/jobscheduler.cpp
+++ b/tests/random/jobscheduler.cpp
@@ -655,6 +655,9 @@
         Wire::WorkerOrdersReply reply;
         const bool isAdmitted = orders.born == node.knownBorn && node.gate.refusalReason(orders, m_now).empty();
         for (const auto &it : orders.stops) {
+            if (isAdmitted) {
+                node.accounts.addStop({it.task, it.run}, m_now);
+            }
             reply.stops.push_back(static_cast<int>(isAdmitted ? stop(node, it) : OrderResult::Refused));
         }
         for (const auto &it : orders.starts) {
--- a/tests/unit/startedruns.cpp
+++ b/tests/unit/startedruns.cpp
@@ -125,4 +125,11 @@
     EXPECT_FALSE(m_runs.knownResult(key(1)).has_value());
 }
 
+// A start that was delayed until after the stop must not reach the minion's next incarnation, which knows of no stop.
+TEST_F(StartedRunsTest, startAfterAStop_isSupersededWithoutTheMinion)
+{
+    m_runs.addStop(key(1), m_now);
+    EXPECT_EQ(m_runs.knownResult(key(1)), OrderResult::Superseded);
+}
+
 } // namespace Trefoilhoist::Jobs
