Load without a roster that can't be read

Callers would be refused until an operator removes the record: each owner read the roster of workers, failed to load, and tried again without end. Class: one record of another writer decides on everything.

Change: the owner goes on without the roster. Inherited tasks wait until every lease that an earlier owner can have granted has ended, as they do for agents that don't report, and no roster is recorded before that: the next owner would take it for whole. Known agents are not greeted then; they find the owner in the store.

Evidence: unknownRoster_inheritedTask_waitsForTheLeasesButNotForever (written with the change: the scheduler had no such entry).

--- a/src/programs/dispatcher/ownerload.cpp
+++ b/src/programs/dispatcher/ownerload.cpp
@@ -99,7 +99,8 @@
         const auto roster = Wire::decode<Wire::WorkerRoster>((*record)->value);
         if (!roster) {
             Event("record_unreadable").add("key", Jobs::rosterKey).add("bytes", (*record)->value.size());
-            co_return false;
+            m_scheduler.restoreUnknownRoster(m_context.clock.now());
+            co_return true;
         }
         m_scheduler.restoreRoster(*roster, m_context.clock.now());
         notifyAgents(*roster);
--- a/src/trefoilhoist/jobs/jobscheduler.cpp
+++ b/src/trefoilhoist/jobs/jobscheduler.cpp
@@ -9,6 +9,8 @@
 
 /// An occurrence that takes longer than this multiple of its objective is worthless.
 constexpr int maxObjectiveMultiple = 3;
+/// Stands for agents that an unreadable roster may hold. Agents are named HOST:PORT, so that none reports under it.
+constexpr const char *unknownAgents = "unknown";
 
 } // namespace
 
@@ -59,6 +61,14 @@
     m_reportDeadline = now + m_settings.grantGrace + m_settings.workerLease + m_settings.leaseSlack;
 }
 
+void JobScheduler::restoreUnknownRoster(TimePoint now)
+{
+    restoreRoster({}, now);
+    m_unreported.insert(unknownAgents);
+    // The next roster replaces the record.
+    m_rosterChanged = true;
+}
+
 SubmissionState JobScheduler::submit(const Wire::JobSpec &spec, TimePoint now)
 {
     if (const auto *known = find(spec.id)) {
@@ -159,7 +169,8 @@
 
 std::optional<Wire::WorkerRoster> JobScheduler::takeChangedRoster()
 {
-    if (!m_rosterChanged) {
+    // The next owner must not take a roster for whole while there may be agents that are not in it.
+    if (!m_rosterChanged || m_unreported.count(unknownAgents) != 0) {
         return std::nullopt;
     }
     m_rosterChanged = false;
--- a/src/trefoilhoist/jobs/jobscheduler.h
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -56,6 +56,8 @@
                     TimePoint now,
                     std::int64_t wallMs);
     void restoreRoster(const Wire::WorkerRoster &roster, TimePoint now);
+    /// The roster can't be read: inherited tasks wait until no agent can have a lease of an earlier owner.
+    void restoreUnknownRoster(TimePoint now);
 
     [[nodiscard]] std::int64_t epoch() const
     {
--- a/tests/unit/jobscheduler.cpp
+++ b/tests/unit/jobscheduler.cpp
@@ -198,6 +198,28 @@
     EXPECT_EQ(starts(plan()), 1U);
 }
 
+// No owner could load, for ever. Agents that are not known may run an inherited task until their leases have ended.
+TEST_F(JobSchedulerTest, unknownRoster_inheritedTask_waitsForTheLeasesButNotForever)
+{
+    m_scheduler.restoreJob(jobOf("a", {stepOf(1, 1000)}), std::nullopt, m_now, wallMs);
+    m_scheduler.restoreUnknownRoster(m_now);
+    const auto loadedAt = m_now;
+    const auto leases = m_settings.grantGrace + m_settings.workerLease + m_settings.leaseSlack;
+    std::size_t started = 0;
+    while (started == 0 && m_now < loadedAt + 2 * leases) {
+        m_scheduler.handleReport(reportOf("w1"), true, m_now);
+        const auto roster = m_scheduler.takeChangedRoster();
+        EXPECT_TRUE(!roster || m_now > loadedAt + leases);
+        if (roster) {
+            m_scheduler.markRosterRecorded(*roster);
+        }
+        started = starts(plan());
+        ASSERT_TRUE(started == 0 || m_now > loadedAt + leases);
+        m_now += milliseconds(500);
+    }
+    EXPECT_EQ(started, 1U);
+}
+
 TEST_F(JobSchedulerTest, inheritedTask_reportedAsRunning_isAdoptedAndNotStarted)
 {
     Wire::WorkerRoster roster;
