Check the numbers of jobs' records before they are used

Callers would be refused by every owner, and queries answered with 500. Cause: a recorded step of -1 tasks ended the load with std::length_error, again at each owner; a phase out of range went into lists of names (std::out_of_range at each query and log line). An `after` out of range is used as an index without a check. Class: a record of another writer is used without a check of its range.

Change: such a record is logged (record_unreadable) and left out, as one that can't be decoded.

The index was read, not run.

--- a/src/programs/dispatcher/ownerload.cpp
+++ b/src/programs/dispatcher/ownerload.cpp
@@ -48,8 +48,8 @@
     for (const auto &it : page.records) {
         loaded.lastKey = it.key;
         const auto key = Jobs::parseJobRecordKey(it.key);
-        const auto spec = key.isSpec ? Wire::decode<Wire::JobSpec>(it.value) : std::nullopt;
-        const auto state = key.isSpec ? std::nullopt : Wire::decode<Wire::JobProgress>(it.value);
+        const auto spec = key.isSpec ? Jobs::readSpec(it, key.job) : std::nullopt;
+        const auto state = key.isSpec ? std::nullopt : Jobs::readProgress(it);
         if (!spec && !state) {
             Event("record_unreadable").add("key", it.key).add("bytes", it.value.size());
             continue;
--- a/src/trefoilhoist/jobs/jobrecords.cpp
+++ b/src/trefoilhoist/jobs/jobrecords.cpp
@@ -3,8 +3,53 @@
 #include "trefoilhoist/jobs/recordkeys.h"
 #include "trefoilhoist/wire/message.h"
 
+#include <algorithm>
+
 namespace Trefoilhoist::Jobs {
 
+namespace {
+
+constexpr std::int32_t maxTasksOfStep = 100'000;
+constexpr std::int32_t maxOccurrences = 100'000;
+constexpr std::int64_t maxMs = std::int64_t{1} << 53U;
+
+bool isWithin(std::int64_t value, std::int64_t least, std::int64_t most)
+{
+    return value >= least && value <= most;
+}
+
+bool isValid(const Wire::StepSpec &step, std::size_t number)
+{
+    const auto isEarlier = [&](std::int32_t it) {
+        return it >= 0 && static_cast<std::size_t>(it) < number;
+    };
+    return isWithin(step.count, 1, maxTasksOfStep) && std::all_of(step.after.begin(), step.after.end(), isEarlier);
+}
+
+} // namespace
+
+std::optional<Wire::JobSpec> readSpec(const StoredRecord &record, const std::string &job)
+{
+    auto spec = Wire::decode<Wire::JobSpec>(record.value);
+    bool valid = spec && spec->id == job && !spec->steps.empty() && isWithin(spec->occurrences, 0, maxOccurrences)
+        && isWithin(spec->acceptedAtMs, 0, maxMs);
+    for (std::size_t i = 0; valid && i < spec->steps.size(); ++i) {
+        valid = isValid(spec->steps[i], i);
+    }
+    return valid ? std::move(spec) : std::nullopt;
+}
+
+std::optional<Wire::JobProgress> readProgress(const StoredRecord &record)
+{
+    auto progress = Wire::decode<Wire::JobProgress>(record.value);
+    const auto isValidOccurrence = [](const auto &it) {
+        return isWithin(it.first, 0, maxOccurrences);
+    };
+    const bool valid = progress && isWithin(progress->phase, 0, static_cast<std::int64_t>(jobPhaseNames.size()) - 1)
+        && std::all_of(progress->occurrences.begin(), progress->occurrences.end(), isValidOccurrence);
+    return valid ? std::move(progress) : std::nullopt;
+}
+
 JobRecords::JobRecords(std::int64_t epochRevision) : m_queue(epochRecordKey, epochRevision) { }
 
 void JobRecords::trackExisting(const std::string &key, std::int64_t revision)
--- a/src/trefoilhoist/jobs/jobrecords.h
+++ b/src/trefoilhoist/jobs/jobrecords.h
@@ -10,6 +10,11 @@
 
 namespace Trefoilhoist::Jobs {
 
+/// Reads the record of a job's submission; nothing if it can't be read, is of another job, or out of range.
+[[nodiscard]] std::optional<Wire::JobSpec> readSpec(const StoredRecord &record, const std::string &job);
+/// Reads the record of a job's progress; nothing if it can't be read or is out of range.
+[[nodiscard]] std::optional<Wire::JobProgress> readProgress(const StoredRecord &record);
+
 /// The records that a commit has shown to be stored.
 struct CommittedRecords {
     /// Jobs whose submission is recorded.
