--- a/tests/unit/platform.cpp
+++ b/tests/unit/platform.cpp
@@ -133,6 +133,39 @@
     EXPECT_FALSE(m_callers.request(requestOf("PATCH", "/")));
 }
 
+// The refusal quotes what the caller sent, and JSON holds no bytes that are not UTF-8.
+TEST_F(CallersTest, refusalOfBytesThatAreNoText_isStillAnAnswer)
+{
+    const auto refused = m_callers.badRequest(refusal("\xff\xfe\n", "{}"));
+    EXPECT_EQ(refused.status, 400);
+    EXPECT_TRUE(nlohmann::json::accept(refused.body));
+    const auto method = m_callers.request(requestOf("GE\xff", "/"));
+    ASSERT_FALSE(method);
+    EXPECT_EQ(m_callers.badRequest(method.error()).status, 400);
+}
+
+// Times are kept in microseconds: these overflowed.
+TEST_F(CallersTest, timesOutOfRange_areRefusedOrCut)
+{
+    const std::string id = "5c0e7a21d94b36f8";
+    for (const auto *odd : {"9223372036854775807", "18446744073709551615", "-1", "1e300"}) {
+        const std::string number = odd;
+        EXPECT_FALSE(refusal(id, R"({"steps":[{"count":1,"estimatedMs":)" + number + "}]}").empty()) << odd;
+        EXPECT_FALSE(refusal(id, R"({"steps":[{"count":1,"targetMs":)" + number + "}]}").empty()) << odd;
+        EXPECT_FALSE(refusal(id, R"({"firstRunMs":)" + number + R"(,"steps":[{"count":1}]})").empty()) << odd;
+        EXPECT_FALSE(refusal(id, R"({"intervalMs":)" + number + R"(,"steps":[{"count":1}]})").empty()) << odd;
+    }
+    for (const auto *odd : {"1e400", "[0]", R"("0")", "0.5", "18446744073709551615"}) {
+        EXPECT_FALSE(refusal(id, R"({"steps":[{"count":1},{"count":1,"after":[)" + std::string(odd) + "]}]}").empty());
+    }
+    auto request = requestOf("GET", "/");
+    request.headers.set("X-Deadline-Milliseconds", "9223372036854775807");
+    const auto read = m_callers.request(request);
+    ASSERT_TRUE(read);
+    EXPECT_GT(read->timeout, Duration(seconds(1)));
+    EXPECT_LE(read->timeout, Duration(seconds(3600)));
+}
+
 TEST(ConfigurationTest, configurationWithRoutes_isReadIntoQueues)
 {
     const auto table = Configuration().queues(R"({"version":7,"routes":[
