--- a/tests/unit/platform.cpp
+++ b/tests/unit/platform.cpp
@@ -414,4 +414,26 @@
     EXPECT_TRUE(listingFrom(listing.dump()).lacksEnds);
 }
 
+// Bytes that are not UTF-8 ended the order without an answer, and the agent waited for it for ever.
+TEST(MinionClientTest, orderWithBytesThatAreNoText_isInvalid)
+{
+    Asio::io_context context;
+    MinionClient client(context.get_executor(), milliseconds(100));
+    const Jobs::MinionTarget target{{"127.0.0.1", 1}, "i-7", 1};
+    Wire::StartOrder start;
+    start.payload = "\xff";
+    Wire::StopOrder stop;
+    stop.task.job = "\xff";
+    std::vector<Jobs::OrderResult> results;
+    std::optional<bool> throttled;
+    spawnOn(context.get_executor(), "orders", [&]() -> awaitable<void> {
+        results.push_back((co_await client.start(target, start, 1)).result);
+        results.push_back((co_await client.stop(target, stop)).result);
+        throttled = co_await client.throttle(target, stop.task, 1, 50);
+    });
+    context.run_for(seconds(1));
+    EXPECT_EQ(results, (std::vector<Jobs::OrderResult>(2, Jobs::OrderResult::Invalid)));
+    EXPECT_EQ(throttled, std::optional(false));
+}
+
 } // namespace Trefoilhoist::Platform
