Handle results and ends of no known kind

Operators would see a run that is neither started nor given up, or an agent whose reports are not answered, beside processes of another version: a result of an order that has no name left the run as ordered and was not repeated, and the names of such numbers were looked up for the log with a checked index. Class: a number of another process is used as an index.

Change: such a result counts as unknown, so that the order is repeated; an end of no known kind is counted as one that says nothing of the task; the log says "unknown".

Evidence: resultsAndEndsOfNoKnownKind_areHandled failed before at the result (no order was repeated) and passes; that the log's lookup throws was read for ends, and run for phases in a trial.

--- a/src/trefoilhoist/jobs/joborders.cpp
+++ b/src/trefoilhoist/jobs/joborders.cpp
@@ -18,7 +18,9 @@
     auto &worker = found->second;
     worker.mayNeedOrders = true;
     const auto resultAt = [](const std::vector<std::int32_t> &results, std::size_t i) {
-        return i < results.size() ? static_cast<OrderResult>(results[i]) : OrderResult::Unknown;
+        const bool known
+            = i < results.size() && results[i] >= 0 && static_cast<std::size_t>(results[i]) < orderResultNames.size();
+        return known ? static_cast<OrderResult>(results[i]) : OrderResult::Unknown;
     };
     for (std::size_t i = 0; i < orders.starts.size(); ++i) {
         const RunKey key{orders.starts[i].task, orders.starts[i].run};
--- a/src/trefoilhoist/jobs/jobtypes.h
+++ b/src/trefoilhoist/jobs/jobtypes.h
@@ -10,6 +10,13 @@
 
 namespace Trefoilhoist::Jobs {
 
+/// A name for logs, also for a number of another version that has none.
+template <std::size_t Count>
+[[nodiscard]] constexpr std::string_view nameAt(const std::array<std::string_view, Count> &names, std::size_t number)
+{
+    return number < Count ? names[number] : "unknown";
+}
+
 /// Lifecycle state of a job. The values are recorded in the store, so their meaning must never change.
 enum class JobPhase { Queued = 0, Running = 1, Completed = 2, Failed = 3, Cancelled = 4 };
 
@@ -18,7 +25,7 @@
 
 [[nodiscard]] constexpr std::string_view phaseName(JobPhase phase)
 {
-    return jobPhaseNames.at(static_cast<std::size_t>(phase));
+    return nameAt(jobPhaseNames, static_cast<std::size_t>(phase));
 }
 
 [[nodiscard]] constexpr bool isFinal(JobPhase phase)
@@ -45,7 +52,7 @@
 
 [[nodiscard]] constexpr std::string_view endName(EndKind kind)
 {
-    return endKindNames.at(static_cast<std::size_t>(kind));
+    return nameAt(endKindNames, static_cast<std::size_t>(kind));
 }
 
 /// Why the owner gave up a run, or all runs of an incarnation of a minion.
@@ -67,7 +74,7 @@
 
 [[nodiscard]] constexpr std::string_view lossCauseName(LossCause cause)
 {
-    return lossCauseNames.at(static_cast<std::size_t>(cause));
+    return nameAt(lossCauseNames, static_cast<std::size_t>(cause));
 }
 
 /// Result of one order at the minion.
@@ -91,7 +98,7 @@
 
 [[nodiscard]] constexpr std::string_view orderResultName(OrderResult result)
 {
-    return orderResultNames.at(static_cast<std::size_t>(result));
+    return nameAt(orderResultNames, static_cast<std::size_t>(result));
 }
 
 /// Result of a caller's request about a job.
--- a/tests/unit/jobscheduler.cpp
+++ b/tests/unit/jobscheduler.cpp
@@ -661,6 +661,28 @@
     EXPECT_EQ(starts(plan()), 1U);
 }
 
+// The names of such numbers were looked up for the log, which ended the handling of the report.
+TEST_F(JobSchedulerTest, resultsAndEndsOfNoKnownKind_areHandled)
+{
+    std::int64_t number = 0;
+    for (const int odd : {-1, 77, 2'147'483'647}) {
+        const std::string id = "a" + std::to_string(odd);
+        joinWorker("w0");
+        accept(jobOf(id, {stepOf(1, 500)}));
+        const auto orders = plan().at("w0");
+        ASSERT_EQ(orders.starts.size(), 1U);
+        EXPECT_NO_THROW(answer(orders, static_cast<OrderResult>(odd)));
+        m_now += seconds(2);
+        sendReport(reportOf("w0"));
+        EXPECT_EQ(plan().at("w0").starts.size(), 1U) << "an unknown result is no evidence, so the order is repeated";
+        auto report = reportOf("w0");
+        report.ended.push_back(ended(++number, orders.starts.front(), EndKind::Done));
+        report.ended.back().how = odd;
+        EXPECT_NO_THROW(sendReport(report));
+        m_scheduler.cancel(id, m_now);
+    }
+}
+
 // The second report with such a run ended the handling of all reports of its agent.
 TEST_F(JobSchedulerTest, listedRunOfATaskThatTheJobDoesNotHave_isStopped)
 {
