Show that odd announcements are refused by the entry

The older plane's entry reads announcements through a schema. 400,000 levels of nesting in a known field, ports out of range and numbers that no type can hold are refused; in an unknown field they are ignored, and nothing recurses over them. No change of code.

--- a/tests/unit/membership.cpp
+++ b/tests/unit/membership.cpp
@@ -1,3 +1,4 @@
+#include "announcement.h"
 #include "trefoilhoist/membership/membershiptable.h"
 
 #include <gtest/gtest.h>
@@ -209,3 +210,21 @@
         EXPECT_TRUE(table.available().empty());
     }
 }
+// Announcements of another writer: the entry must refuse them, and go on.
+TEST(Announcement_oddValues, areRefused)
+{
+    const std::string good = R"({"id":"m","host":"10.0.0.9","port":8080,"zone":"z","service":"s","slots":8,)"
+                             R"("incarnation":1,"sequence":1)";
+    EXPECT_TRUE(announcementFromJson(good + "}"));
+    constexpr std::size_t levels = 400'000;
+    const std::string deep = std::string(levels, '[') + std::string(levels, ']');
+    EXPECT_FALSE(announcementFromJson(good + R"(,"labels":)" + deep + "}"));
+    EXPECT_FALSE(announcementFromJson(good + R"(,"leaving":)" + deep + "}"));
+    EXPECT_FALSE(announcementFromJson(deep));
+    for (const auto *odd :
+         {"0", "65536", "99999", "-1", "1e400", "99999999999999999999", R"("8080")", "80.5", "null"}) {
+        EXPECT_FALSE(announcementFromJson(good + R"(,"port":)" + odd + "}")) << odd;
+    }
+    // A field that is not known is not looked at.
+    EXPECT_TRUE(announcementFromJson(good + R"(,"extra":)" + deep + "}"));
+}
