--- a/tests/unit/unreadends.cpp
+++ b/tests/unit/unreadends.cpp
@@ -178,8 +178,9 @@
     EXPECT_EQ(m_scheduler.workers().at("w0").runs.size(), 1U);
 }
 
-// The first order was executed without an answer, and the run ended before a listing. The minion told the repeated order
-// that the run was over; another repetition was refused, and the task started again although its end was still unread.
+// The first order was executed without an answer, and the run ended before a listing. The minion told the repeated
+// order that the run was over; another repetition was refused, and the task started again although its end was still
+// unread.
 TEST_F(UnreadEndTest, startIsSupersededAndItsRepetitionRefused_runIsKeptUntilItsEndIsListed)
 {
     joinWorker("w0");
