--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -99,61 +99,70 @@
         return;
     }
     const bool sameIncarnation = m_minion && m_minion->worker.id == worker.id && m_minion->worker.born == worker.born;
-    if (sameIncarnation) {
-        if (heartbeat.sequence <= m_minion->sequence) {
-            return;
-        }
-        if (heartbeat.draining && !m_minion->draining) {
-            Event("minion_draining").add("worker", worker.id).add("sequence", heartbeat.sequence);
-            m_reportDue = true;
-        }
-        heartbeat.draining = heartbeat.draining || m_minion->draining;
-        if (capacityDiffers(worker, m_minion->worker)) {
-            Event("minion_capacity_changed")
-                .add("worker", worker.id)
-                .add("cpuMilli", worker.cpuMilli)
-                .add("memoryMb", worker.memoryMb)
-                .add("accelerators", worker.accelerators);
-            m_reportDue = true;
-        }
-        m_minion = std::move(heartbeat);
-    } else {
-        const bool minionIsGone = m_fence.isStopped() || m_fence.isReplaced();
-        if (m_minion && m_minion->worker.born > worker.born && !minionIsGone) {
-            // A delayed heartbeat of an earlier incarnation. The next one may also have an earlier start time, if the
-            // host's clock was set back.
-            return;
-        }
-        if (m_minion && !m_minion->draining) {
-            noteCrash();
-        }
-        m_runs.resetForNewIncarnation(m_minion && m_minion->worker.id == worker.id);
-        m_knownSinceStart = m_minion.has_value() || !m_departedId.empty();
-        m_lastListedEnd = 0;
-        Event("minion_seen")
+    const bool used = sameIncarnation ? updateMinion(std::move(heartbeat)) : adoptIncarnation(std::move(heartbeat));
+    if (used) {
+        m_throttle.setCapacity(m_minion->worker.cpuMilli);
+        m_waiters.notifyAll();
+    }
+}
+
+bool AgentServer::updateMinion(Jobs::MinionHeartbeat heartbeat)
+{
+    const auto &worker = heartbeat.worker;
+    if (heartbeat.sequence <= m_minion->sequence) {
+        return false;
+    }
+    if (heartbeat.draining && !m_minion->draining) {
+        Event("minion_draining").add("worker", worker.id).add("sequence", heartbeat.sequence);
+        m_reportDue = true;
+    }
+    heartbeat.draining = heartbeat.draining || m_minion->draining;
+    if (capacityDiffers(worker, m_minion->worker)) {
+        Event("minion_capacity_changed")
             .add("worker", worker.id)
-            .add("born", worker.born)
-            .add("endpoint", heartbeat.endpoint.str());
-        m_minion = std::move(heartbeat);
-        m_fence.resetForNewIncarnation(m_minion->worker.born);
-        m_throttle.clear();
-        m_unreachableSince.reset();
-        m_crashNoted = false;
-        m_running.clear();
-        m_ended.clear();
-        m_lacksEnds = false;
-        m_skippedRows.clear();
-        m_unreadableRowsSince.reset();
-        m_holdWithheld = false;
-        m_lastReportedEnd = 0;
-        m_refusedConnections = 0;
-        m_reachable = false;
+            .add("cpuMilli", worker.cpuMilli)
+            .add("memoryMb", worker.memoryMb)
+            .add("accelerators", worker.accelerators);
         m_reportDue = true;
-        // A hold that an earlier process of this agent granted to the minion may still be valid.
-        m_startedAt = m_runtime.clock().now();
     }
-    m_throttle.setCapacity(m_minion->worker.cpuMilli);
-    m_waiters.notifyAll();
+    m_minion = std::move(heartbeat);
+    return true;
+}
+
+bool AgentServer::adoptIncarnation(Jobs::MinionHeartbeat heartbeat)
+{
+    const auto &worker = heartbeat.worker;
+    const bool minionIsGone = m_fence.isStopped() || m_fence.isReplaced();
+    if (m_minion && m_minion->worker.born > worker.born && !minionIsGone) {
+        // A delayed heartbeat of an earlier incarnation. The next one may also have an earlier start time, if the
+        // host's clock was set back.
+        return false;
+    }
+    if (m_minion && !m_minion->draining) {
+        noteCrash();
+    }
+    m_runs.resetForNewIncarnation(m_minion && m_minion->worker.id == worker.id);
+    m_knownSinceStart = m_minion.has_value() || !m_departedId.empty();
+    m_lastListedEnd = 0;
+    Event("minion_seen").add("worker", worker.id).add("born", worker.born).add("endpoint", heartbeat.endpoint.str());
+    m_minion = std::move(heartbeat);
+    m_fence.resetForNewIncarnation(m_minion->worker.born);
+    m_throttle.clear();
+    m_unreachableSince.reset();
+    m_crashNoted = false;
+    m_running.clear();
+    m_ended.clear();
+    m_lacksEnds = false;
+    m_skippedRows.clear();
+    m_unreadableRowsSince.reset();
+    m_holdWithheld = false;
+    m_lastReportedEnd = 0;
+    m_refusedConnections = 0;
+    m_reachable = false;
+    m_reportDue = true;
+    // A hold that an earlier process of this agent granted to the minion may still be valid.
+    m_startedAt = m_runtime.clock().now();
+    return true;
 }
 
 void AgentServer::handleDeparture(const std::string &id, std::int64_t bornMs)
--- a/src/programs/agent/agent.h
+++ b/src/programs/agent/agent.h
@@ -63,6 +63,10 @@
     awaitable<HttpResponse> serveMinion(HttpRequest request);
     awaitable<std::optional<Wire::Envelope>> servePeer(Wire::Envelope envelope);
     void applyHeartbeat(Jobs::MinionHeartbeat heartbeat);
+    /// Uses a heartbeat of the present incarnation; false if a later one has overtaken it.
+    bool updateMinion(Jobs::MinionHeartbeat heartbeat);
+    /// Uses the first heartbeat of another incarnation; false if that is an earlier one.
+    bool adoptIncarnation(Jobs::MinionHeartbeat heartbeat);
     void handleDeparture(const std::string &id, std::int64_t bornMs);
 
     // Orders.
--- a/tests/unit/jobrecords.cpp
+++ b/tests/unit/jobrecords.cpp
@@ -199,58 +199,59 @@
     const auto last = m_records.take();
     ASSERT_TRUE(last);
     EXPECT_TRUE(removes(*last, progressKey("a")));
+}
 
-    // A step of -1 tasks ended the load of every owner, and an index out of range was read outside of its list.
-    TEST(JobRecordTest, submissionsOutOfRange_areNotRead)
-    {
-        Wire::JobSpec good;
-        good.id = "a";
-        good.steps.resize(2);
-        good.steps[0].count = 1;
-        good.steps[1].count = 3;
-        good.steps[1].after = {0};
-        const auto isRead = [](const Wire::JobSpec &spec) {
-            return readSpec({specKey("a"), Wire::encode(spec), 1}, "a").has_value();
-        };
-        EXPECT_TRUE(isRead(good));
-        for (const std::int32_t count : {0, -1, 2'147'483'647}) {
-            auto odd = good;
-            odd.steps[0].count = count;
-            EXPECT_FALSE(isRead(odd)) << count;
-        }
-        for (const std::int32_t after : {1, 2, -1, 2'147'483'647}) {
-            auto odd = good;
-            odd.steps[1].after = {after};
-            EXPECT_FALSE(isRead(odd)) << after;
-        }
-        for (const std::int32_t occurrences : {-1, 2'147'483'647}) {
-            auto odd = good;
-            odd.occurrences = occurrences;
-            EXPECT_FALSE(isRead(odd)) << occurrences;
-        }
-        auto ofAnother = good;
-        ofAnother.id = "b";
-        EXPECT_FALSE(isRead(ofAnother));
-        EXPECT_FALSE(isRead({}));
+// A step of -1 tasks ended the load of every owner, and an index out of range was read outside of its list.
+TEST(JobRecordTest, submissionsOutOfRange_areNotRead)
+{
+    Wire::JobSpec good;
+    good.id = "a";
+    good.steps.resize(2);
+    good.steps[0].count = 1;
+    good.steps[1].count = 3;
+    good.steps[1].after = {0};
+    const auto isRead = [](const Wire::JobSpec &spec) {
+        return readSpec({specKey("a"), Wire::encode(spec), 1}, "a").has_value();
+    };
+    EXPECT_TRUE(isRead(good));
+    for (const std::int32_t count : {0, -1, 2'147'483'647}) {
+        auto odd = good;
+        odd.steps[0].count = count;
+        EXPECT_FALSE(isRead(odd)) << count;
+    }
+    for (const std::int32_t after : {1, 2, -1, 2'147'483'647}) {
+        auto odd = good;
+        odd.steps[1].after = {after};
+        EXPECT_FALSE(isRead(odd)) << after;
+    }
+    for (const std::int32_t occurrences : {-1, 2'147'483'647}) {
+        auto odd = good;
+        odd.occurrences = occurrences;
+        EXPECT_FALSE(isRead(odd)) << occurrences;
     }
+    auto ofAnother = good;
+    ofAnother.id = "b";
+    EXPECT_FALSE(isRead(ofAnother));
+    EXPECT_FALSE(isRead({}));
+}
 
-    // The phase is an index into lists of names.
-    TEST(JobRecordTest, progressOutOfRange_isNotRead)
-    {
-        const auto isRead = [](const Wire::JobProgress &progress) {
-            return readProgress({progressKey("a"), Wire::encode(progress), 1}).has_value();
-        };
-        for (const std::int32_t phase : {-1, 5, 77, 2'147'483'647}) {
-            Wire::JobProgress odd;
-            odd.phase = phase;
-            EXPECT_FALSE(isRead(odd)) << phase;
-        }
-        for (const std::int32_t occurrence : {-1, 2'147'483'647}) {
-            Wire::JobProgress odd;
-            odd.occurrences[occurrence] = {};
-            EXPECT_FALSE(isRead(odd)) << occurrence;
-        }
-        EXPECT_TRUE(isRead({}));
+// The phase is an index into lists of names.
+TEST(JobRecordTest, progressOutOfRange_isNotRead)
+{
+    const auto isRead = [](const Wire::JobProgress &progress) {
+        return readProgress({progressKey("a"), Wire::encode(progress), 1}).has_value();
+    };
+    for (const std::int32_t phase : {-1, 5, 77, 2'147'483'647}) {
+        Wire::JobProgress odd;
+        odd.phase = phase;
+        EXPECT_FALSE(isRead(odd)) << phase;
+    }
+    for (const std::int32_t occurrence : {-1, 2'147'483'647}) {
+        Wire::JobProgress odd;
+        odd.occurrences[occurrence] = {};
+        EXPECT_FALSE(isRead(odd)) << occurrence;
     }
+    EXPECT_TRUE(isRead({}));
+}
 
 } // namespace Trefoilhoist::Jobs
