--- a/tests/random/jobscheduler.cpp
+++ b/tests/random/jobscheduler.cpp
@@ -521,7 +521,7 @@
     }
 
     // Deadlines are on the clock of an incarnation, which starts anew with each: for the next one, they are far off.
-    TimePoint holdOf(const Node &node, const MinionCall &call) const
+    [[nodiscard]] TimePoint holdOf(const Node &node, const MinionCall &call) const
     {
         const bool otherIncarnation = call.born != node.born && call.holdUntil != TimePoint{};
         return otherIncarnation ? m_now + m_settings.workerLease : call.holdUntil;
