Let the first listing after an acknowledged stop resolve the run

An acknowledged stop is repeated each second until the end is listed. Evidence: the test failed before and passes.

--- a/src/trefoilhoist/jobs/joborders.cpp
+++ b/src/trefoilhoist/jobs/joborders.cpp
@@ -48,8 +48,11 @@
         run.inFlight = false;
         const auto result = reply ? resultAt(reply->stops, i) : OrderResult::Unknown;
         if (result == OrderResult::Done || result == OrderResult::Superseded) {
+            if (!run.stopAcknowledged) {
+                // Any listing after the first answer resolves the run; a repeated stop must not put that off.
+                run.lastListingBeforeResolution = std::max(reply->listing, std::int64_t{0});
+            }
             run.stopAcknowledged = true;
-            run.lastListingBeforeResolution = std::max(reply->listing, std::int64_t{0});
             // The end is normally listed soon; if it isn't, the stop is sent again.
             run.nextOrderAt = now + stopRetryDelays * m_settings.orderRetryDelay;
         } else {
--- a/tests/unit/unreadends.cpp
+++ b/tests/unit/unreadends.cpp
@@ -232,6 +232,23 @@
     EXPECT_EQ(starts(plan()), 1U);
 }
 
+// Each repetition of an acknowledged stop put off the listing that could resolve the run, again and again.
+TEST_F(UnreadEndTest, stopIsRepeatedBeforeEachListing_runIsResolvedByTheFirstListing)
+{
+    joinWorker("w0");
+    startJob("a");
+    answer(m_orders, OrderResult::Unknown);
+    m_now += m_settings.orderRetryDelay;
+    answer(plan().at("w0"), OrderResult::Superseded);
+    const auto listing = reportOf("w0");
+    m_now += seconds(1);
+    const auto repetition = plan().at("w0");
+    ASSERT_EQ(repetition.stops.size(), 1U);
+    answer(repetition, OrderResult::Done);
+    sendReport(listing);
+    EXPECT_EQ(m_scheduler.workers().at("w0").runs.size(), 0U);
+}
+
 // Reports about an agent's earlier minion, which had another id, gave up the runs of its present one.
 TEST_F(UnreadEndTest, delayedReportOnTheAgentsEarlierMinion_runsOfThePresentOneAreKept)
 {
