--- a/src/trefoilhoist/jobs/worker.h
+++ b/src/trefoilhoist/jobs/worker.h
@@ -82,10 +82,11 @@
     /// The task started alone, because workers have crashed under it.
     bool startedAlone = false;
 
-    /// True if the minion has confirmed that the run started.
+    /// True if the minion has confirmed that the run started, and not that it is over.
     [[nodiscard]] bool isConfirmed() const
     {
-        return state == RunState::Running || (state == RunState::Stopping && !mayStillStart);
+        const bool isOver = stopAcknowledged && listedIn == 0;
+        return state == RunState::Running || (state == RunState::Stopping && !mayStillStart && !isOver);
     }
     /// True if another order about the run is needed: a stop, or the start again.
     [[nodiscard]] bool needsOrder() const
--- a/tests/unit/unreadends.cpp
+++ b/tests/unit/unreadends.cpp
@@ -249,6 +249,19 @@
     EXPECT_EQ(m_scheduler.workers().at("w0").runs.size(), 0U);
 }
 
+// The run was over before the crash, and was blamed for it.
+TEST_F(UnreadEndTest, minionCrashesAfterItCalledARunOver_runIsNotBlamed)
+{
+    joinWorker("w0");
+    startJob("a");
+    answer(m_orders, OrderResult::Unknown);
+    m_now += m_settings.orderRetryDelay;
+    answer(plan().at("w0"), OrderResult::Superseded);
+    sendReport(reportOfNextIncarnation("w0"));
+    recordChanges();
+    EXPECT_TRUE(m_records.at("a").occurrences.at(0).at(0).crashes.empty());
+}
+
 // Reports about an agent's earlier minion, which had another id, gave up the runs of its present one.
 TEST_F(UnreadEndTest, delayedReportOnTheAgentsEarlierMinion_runsOfThePresentOneAreKept)
 {
