Keep a listed run with an unanswered order for the next incarnation too

One of two orders is executed and listed, the other got no answer. If the minion restarts under its id, the next incarnation may execute the other one: the owner gave the run up and started the task again (TWICE). Evidence: the test failed before and passes.

--- a/src/trefoilhoist/jobs/workerincarnations.cpp
+++ b/src/trefoilhoist/jobs/workerincarnations.cpp
@@ -15,10 +15,10 @@
 }
 
 // True if the start order may have been executed, or may still be, by the minion's next incarnation, which has the id
-// of the earlier one. A run that was listed is the earlier one's.
+// of the earlier one. A run that was listed is the earlier one's, unless an order for it is left without an answer.
 bool mayBelongToNextIncarnation(const Run &run)
 {
-    return isUnresolved(run) || run.listedIn == 0;
+    return isUnresolved(run) || run.listedIn == 0 || run.unansweredOrders > 0;
 }
 
 } // namespace
--- a/tests/unit/unreadends.cpp
+++ b/tests/unit/unreadends.cpp
@@ -262,6 +262,29 @@
     EXPECT_TRUE(m_records.at("a").occurrences.at(0).at(0).crashes.empty());
 }
 
+// One order was executed and listed, another one got no answer: the next incarnation may execute that.
+TEST_F(UnreadEndTest, minionRestartsUnderItsId_listedRunWithAnUnansweredOrder_isNotStartedElsewhere)
+{
+    joinWorker("w0");
+    joinWorker("w1");
+    const auto order = startJob("a");
+    const auto worker = m_orders.worker;
+    answer(m_orders, OrderResult::Unknown);
+    auto listing = reportOf(worker);
+    listing.running.push_back(running(order));
+    sendReport(listing);
+    auto unlisted = reportOfNextIncarnation(worker);
+    unlisted.listed = false;
+    sendReport(unlisted);
+    settle();
+    EXPECT_EQ(starts(plan()), 0U);
+    auto listed = reportOfNextIncarnation(worker);
+    listed.ended.push_back(ended(1, order, EndKind::Done));
+    sendReport(listed);
+    EXPECT_EQ(starts(plan()), 0U);
+    EXPECT_EQ(m_scheduler.job("a")->phase(), JobPhase::Completed);
+}
+
 // Reports about an agent's earlier minion, which had another id, gave up the runs of its present one.
 TEST_F(UnreadEndTest, delayedReportOnTheAgentsEarlierMinion_runsOfThePresentOneAreKept)
 {
