Count the ends that can be read while a minion's hold is left to expire

While a row that can't be read may be a run, the agent lets the hold expire and used no listing. Sound runs that ended meanwhile were given up with the others, and their ends counted later: their tasks ran again (TWICE).

--- a/src/programs/agent/agent.h
+++ b/src/programs/agent/agent.h
@@ -82,7 +82,7 @@
     awaitable<void> listOnce();
     void applyListing(const Jobs::MinionListing &listing, std::int64_t number, std::int64_t epoch);
     void observeEndNumbers(const Jobs::MinionListing &listing);
-    /// Judges the rows that can't be read; false if the listing can't be used as long as they may be the owner's runs.
+    /// Judges the rows that can't be read; false if they may be the owner's runs, so that the hold must expire.
     bool judgeUnreadableRows(Jobs::MinionListing &listing);
     void skipRows(const std::vector<Jobs::UnreadableRow> &rows, const char *reason);
     void listingFailed(const Jobs::MinionError &error);
--- a/src/programs/agent/minionruns.cpp
+++ b/src/programs/agent/minionruns.cpp
@@ -78,12 +78,14 @@
         co_return;
     }
     m_fence.confirmDropped(dropped);
-    if (!judgeUnreadableRows(*listing)) {
+    const bool usable = judgeUnreadableRows(*listing);
+    // The ends that can be read count in any case: the runs are given up when the hold has expired.
+    applyListing(*listing, number, epoch);
+    if (!usable) {
         listingFailed({"rows of the listing can't be read", false});
         co_await sleepFor(listingRetryDelay);
         co_return;
     }
-    applyListing(*listing, number, epoch);
     const bool hasUnrecordedEnds = !m_ended.empty();
     if (!listing->unreadableRows.empty()) {
         co_await sleepFor(listingRetryDelay);
@@ -120,15 +122,13 @@
             .add("first", suspect.front().text);
     }
     const bool mayRun = std::any_of(suspect.begin(), suspect.end(), [](const auto &row) { return !row.ended; });
-    if (now - *m_unreadableRowsSince < m_settings.unreadableRowsPatience) {
+    const bool isPatient = now - *m_unreadableRowsSince < m_settings.unreadableRowsPatience;
+    if (isPatient || (mayRun && !m_fence.isStopped())) {
         // A run that is not listed may be one of these rows. The ends behind one would acknowledge it.
         listing.lacksEnds = true;
         listing.ended.resize(std::min(listing.ended.size(), listing.endsBeforeUnreadable.value_or(SIZE_MAX)));
-        return true;
-    }
-    if (mayRun && !m_fence.isStopped()) {
-        m_holdWithheld = true;
-        return false;
+        m_holdWithheld = !isPatient;
+        return isPatient;
     }
     skipRows(suspect, mayRun ? "the minion's hold has expired" : "these ends stay unreadable");
     m_unreadableRowsSince.reset();
