--- a/src/trefoilhoist/jobs/joborders.cpp
+++ b/src/trefoilhoist/jobs/joborders.cpp
@@ -105,27 +105,33 @@
     case OrderResult::NoRoom:
     case OrderResult::Refused:
     case OrderResult::Invalid:
-        logRefusedStart(worker, key, result, m_epoch);
-        if (result == OrderResult::Refused) {
-            worker.health.observeStartProblem(now);
-        }
-        if (run.stopAcknowledged) {
-            // The run existed before this order, whose refusal tells nothing about it.
-            break;
-        }
-        if (run.mayStillStart) {
-            // An earlier start order for this run may still be executed.
-            run.nextOrderAt = now + m_settings.orderRetryDelay;
-            run.state = stopping ? run.state : RunState::Unresolved;
-            ++run.unansweredOrders;
-        } else {
-            delayRetry(key, now);
-            handleLostRun(worker, key, now);
-        }
+        handleRefusedStart(worker, key, result, now);
         break;
     }
 }
 
+void JobScheduler::handleRefusedStart(Worker &worker, const RunKey &key, OrderResult result, TimePoint now)
+{
+    logRefusedStart(worker, key, result, m_epoch);
+    if (result == OrderResult::Refused) {
+        worker.health.observeStartProblem(now);
+    }
+    auto &run = worker.runs.at(key);
+    if (run.stopAcknowledged) {
+        // The run existed before this order, whose refusal tells nothing about it.
+        return;
+    }
+    if (run.mayStillStart) {
+        // An earlier start order for this run may still be executed.
+        run.nextOrderAt = now + m_settings.orderRetryDelay;
+        run.state = run.state == RunState::Stopping ? run.state : RunState::Unresolved;
+        ++run.unansweredOrders;
+        return;
+    }
+    delayRetry(key, now);
+    handleLostRun(worker, key, now);
+}
+
 // Delays the next start of a task whose start was refused.
 void JobScheduler::delayRetry(const RunKey &key, TimePoint now)
 {
