--- a/src/trefoilhoist/jobs/jobreports.cpp
+++ b/src/trefoilhoist/jobs/jobreports.cpp
@@ -14,14 +14,11 @@
     if (report.epoch > m_epoch) {
         return reply;
     }
-    auto &lastReport = m_lastReports[agentName(report.worker)];
-    reply.lastReport = std::max(lastReport, report.number);
-    if (report.number < lastReport) {
-        // The agent has given up on this report, and what it tells is outdated.
-        logOvertakenReport(report, lastReport, m_epoch);
+    const bool overtaken = isOvertaken(report);
+    reply.lastReport = m_lastReports.at(agentName(report.worker));
+    if (overtaken) {
         return reply;
     }
-    lastReport = report.number;
     for (const auto &it : report.crashes) {
         applyCrash(agentName(report.worker), it, 1);
         if (isCrashRecorded(it)) {
@@ -68,6 +65,18 @@
     return reply;
 }
 
+// True if a later report of the agent came first: the agent has given up on this one, and what it tells is outdated.
+bool JobScheduler::isOvertaken(const Wire::WorkerReport &report)
+{
+    auto &lastReport = m_lastReports[agentName(report.worker)];
+    if (report.number < lastReport) {
+        logOvertakenReport(report, lastReport, m_epoch);
+        return true;
+    }
+    lastReport = report.number;
+    return false;
+}
+
 void JobScheduler::applyListing(Worker &worker, const Wire::WorkerReport &report, TimePoint now)
 {
     if (!worker.listed) {
--- a/src/trefoilhoist/jobs/jobscheduler.h
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -175,6 +175,7 @@
     void requestStop(Worker &worker, const RunKey &key, TimePoint now);
 
     // jobreports.cpp
+    bool isOvertaken(const Wire::WorkerReport &report);
     void applyListing(Worker &worker, const Wire::WorkerReport &report, TimePoint now);
     void applyEnd(Worker &worker, const Wire::EndedTask &end, TimePoint now);
     static void observeOutcome(Worker &worker, const Wire::EndedTask &end, TimePoint now);
