--- /dev/null
+++ b/review/standins/minion.h
@@ -0,0 +1,376 @@
+// Stand-in for a minion, as PROTOCOL.md describes it. A task runs for as long as its specification says:
+// "ms=A,B,C" are the milliseconds of the tasks of step 0, 1 and 2.
+#pragma once
+
+#include "record.h"
+#include "store.h"
+
+#include <set>
+
+namespace Review {
+
+struct RunEvent {
+    std::int64_t at = 0;
+    std::string minion;
+    std::string task;
+    std::int64_t run = 0;
+    /// "start", or how the run ended.
+    std::string what;
+};
+
+/// All that the minions of a case have run.
+class RunLog
+{
+public:
+    explicit RunLog(Record &record) : m_record(record) { }
+
+    void add(const std::string &minion, const std::string &task, std::int64_t run, const std::string &what)
+    {
+        std::lock_guard lock(m_mutex);
+        m_events.push_back({m_record.now(), minion, task, run, what});
+        m_record.add("run", minion + " " + task + " run " + std::to_string(run) + " " + what);
+    }
+
+    [[nodiscard]] std::vector<RunEvent> events()
+    {
+        std::lock_guard lock(m_mutex);
+        return m_events;
+    }
+
+    [[nodiscard]] int starts(const std::string &job)
+    {
+        const auto all = events();
+        return static_cast<int>(std::count_if(all.begin(), all.end(), [&](const auto &it) {
+            return it.what == "start" && it.task.starts_with(job);
+        }));
+    }
+
+private:
+    Record &m_record;
+    std::mutex m_mutex;
+    std::vector<RunEvent> m_events;
+};
+
+struct MinionPlan {
+    std::string id;
+    std::string service;
+    std::string zone;
+    Address app;
+    Address control;
+    std::int64_t cpu = 4000;
+    std::vector<std::string> labels;
+    std::int64_t heartbeatMs = 1500;
+    std::int64_t maxHoldMs = 6000;
+};
+
+/// One life of a minion, from its construction to crash().
+class Minion
+{
+public:
+    Minion(MinionPlan plan, RunLog &log, Record &record) : m_plan(std::move(plan)), m_log(log), m_record(record)
+    {
+        m_record.add("minion", m_plan.id + " starts, born " + std::to_string(m_born));
+        m_server = std::make_unique<Server>(m_plan.app, [this](const Request &request) { return serve(request); });
+        m_ticker = std::thread([this] { tickLoop(); });
+        m_heart = std::thread([this] { heartbeatLoop(); });
+    }
+
+    ~Minion()
+    {
+        crash();
+    }
+
+    [[nodiscard]] const std::string &id() const
+    {
+        return m_plan.id;
+    }
+
+    /// Answers 503 to every start, and does nothing for it, while this is set. The health check is not asked for here.
+    void setShedding(bool shedding)
+    {
+        m_shedding = shedding;
+    }
+
+    /// While set, heartbeats do not leave: they are held up on their way. The last one is kept.
+    void holdHeartbeats(bool held)
+    {
+        m_heartbeatsHeld = held;
+    }
+    [[nodiscard]] std::pair<std::string, std::string> heldHeartbeat()
+    {
+        std::lock_guard lock(m_mutex);
+        return m_heldHeartbeat;
+    }
+
+    /// The number of heartbeats that were acknowledged.
+    [[nodiscard]] int acknowledged() const
+    {
+        return m_acknowledged;
+    }
+
+    [[nodiscard]] std::size_t running()
+    {
+        std::lock_guard lock(m_mutex);
+        return m_runs.size();
+    }
+
+    /// All that runs here is gone, and nothing is said to anybody.
+    void crash()
+    {
+        if (m_dead.exchange(true)) {
+            return;
+        }
+        {
+            std::lock_guard lock(m_mutex);
+            m_record.add("minion", m_plan.id + " is down");
+            for (const auto &[task, it] : m_runs) {
+                m_log.add(m_plan.id, task, it.run, "gone with its minion");
+            }
+            m_runs.clear();
+        }
+        m_changed.notify_all();
+        m_server->stop();
+        m_ticker.join();
+        m_heart.join();
+    }
+
+private:
+    struct Run {
+        std::int64_t run = 0;
+        std::int64_t endsAtMs = 0;
+        std::int64_t startedAtMs = 0;
+    };
+    struct End {
+        std::int64_t number = 0;
+        std::string task;
+        std::int64_t run = 0;
+        std::string how;
+    };
+
+    [[nodiscard]] std::int64_t clockMs() const
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(SteadyClock::now() - m_startedAt).count();
+    }
+
+    static std::int64_t durationOf(const std::string &specification, const std::string &task)
+    {
+        // ID.K.STEP.INDEX
+        const auto last = task.rfind('.');
+        const auto second = task.rfind('.', last - 1);
+        const int step = std::stoi(task.substr(second + 1, last - second - 1));
+        auto at = specification.find("ms=");
+        if (at == std::string::npos) {
+            return 1000;
+        }
+        at += 3;
+        for (int i = 0; i < step; ++i) {
+            const auto comma = specification.find(',', at);
+            if (comma == std::string::npos) {
+                break;
+            }
+            at = comma + 1;
+        }
+        return std::stoll(specification.substr(at));
+    }
+
+    void end(const std::string &task, const std::string &how)
+    {
+        const auto it = m_runs.find(task);
+        m_ended.push_back({++m_lastEnd, task, it->second.run, how});
+        auto &highest = m_highestOver[task];
+        highest = std::max(highest, it->second.run);
+        m_log.add(m_plan.id, task, it->second.run, how);
+        m_runs.erase(it);
+        m_changed.notify_all();
+    }
+
+    void tickLoop()
+    {
+        while (!m_dead) {
+            {
+                std::lock_guard lock(m_mutex);
+                const auto now = clockMs();
+                std::vector<std::string> over;
+                for (const auto &[task, it] : m_runs) {
+                    if (now >= m_holdUntilMs || now >= it.endsAtMs) {
+                        over.push_back(task);
+                    }
+                }
+                for (const auto &task : over) {
+                    end(task, now >= m_holdUntilMs ? "lapsed" : "done");
+                }
+            }
+            sleepMs(5);
+        }
+    }
+
+    Json heartbeat()
+    {
+        return {{"service", m_plan.service},
+                {"address", m_plan.app.text()},
+                {"zone", m_plan.zone},
+                {"version", "v1"},
+                {"slots", 8},
+                {"state", "ready"},
+                {"coldRemainingMs", 0},
+                {"capacity", {{"cpu", m_plan.cpu}, {"memoryRequestMb", 64000}, {"gpu", 0}}},
+                {"labels", m_plan.labels},
+                {"machine", "m-" + m_plan.control.ip},
+                {"clockMs", clockMs()},
+                {"born", m_born},
+                {"sequence", ++m_sequence}};
+    }
+
+    void heartbeatLoop()
+    {
+        while (!m_dead) {
+            const auto path = "/instances/" + m_plan.id + "/heartbeat";
+            const auto body = heartbeat().dump();
+            if (m_heartbeatsHeld) {
+                std::lock_guard lock(m_mutex);
+                m_heldHeartbeat = {path, body};
+            } else {
+                const auto answer = call(m_plan.control, "POST", path, body, 1000);
+                m_acknowledged += answer && answer->status == 200 ? 1 : 0;
+            }
+            // Until the first one is acknowledged, the next one follows soon.
+            const auto pause = m_acknowledged > 0 || m_heartbeatsHeld ? m_plan.heartbeatMs : m_plan.heartbeatMs / 5;
+            for (std::int64_t waited = 0; waited < pause && !m_dead; waited += 20) {
+                sleepMs(20);
+            }
+        }
+    }
+
+    Response reply(int status, Json body = Json::object())
+    {
+        body["clockMs"] = clockMs();
+        body["born"] = m_born;
+        return {status, body.dump()};
+    }
+
+    void extendHold(const Json &body)
+    {
+        if (body.contains("deadlineMs")) {
+            const auto deadline = body.at("deadlineMs").get<std::int64_t>();
+            m_holdUntilMs = std::max(m_holdUntilMs, std::min(deadline, clockMs() + m_plan.maxHoldMs));
+        }
+    }
+
+    std::optional<Response> serve(const Request &request)
+    {
+        std::unique_lock lock(m_mutex);
+        if (m_dead) {
+            return std::nullopt;
+        }
+        const auto expected = request.headers.find("x-expected-instance");
+        if (expected != request.headers.end() && expected->second != m_plan.id) {
+            return reply(421);
+        }
+        const auto body = Json::parse(request.body);
+        if (m_shedding && request.path == "/run-start") {
+            m_record.add("minion", m_plan.id + " answers 503 to the start of " + body.at("task").get<std::string>());
+            return reply(503);
+        }
+        const auto token = body.value("fencingToken", std::int64_t{0});
+        if (token < m_highestToken) {
+            return reply(409, {{"reason", "fence"}});
+        }
+        m_highestToken = token;
+        if (request.path == "/run-start") {
+            return start(body);
+        }
+        if (request.path == "/run-stop") {
+            return stop(body);
+        }
+        if (request.path == "/hold") {
+            return hold(body, lock);
+        }
+        return reply(200);
+    }
+
+    Response start(const Json &body)
+    {
+        const auto task = body.at("task").get<std::string>();
+        const auto run = body.at("run").get<std::int64_t>();
+        if (body.at("deadlineMs").get<std::int64_t>() <= clockMs()) {
+            return reply(409, {{"reason", "late"}});
+        }
+        extendHold(body);
+        const auto running = m_runs.find(task);
+        if (running != m_runs.end() && running->second.run == run) {
+            return reply(200);
+        }
+        const auto over = m_highestOver.find(task);
+        if ((over != m_highestOver.end() && run <= over->second)
+            || (running != m_runs.end() && run < running->second.run)) {
+            return reply(409, {{"reason", "old"}});
+        }
+        const auto now = clockMs();
+        m_runs[task] = {run, now + durationOf(body.at("specification"), task), now};
+        m_log.add(m_plan.id, task, run, "start");
+        return reply(200);
+    }
+
+    Response stop(const Json &body)
+    {
+        const auto task = body.at("task").get<std::string>();
+        const auto run = body.at("run").get<std::int64_t>();
+        auto &highest = m_highestOver[task];
+        highest = std::max(highest, run);
+        const auto it = m_runs.find(task);
+        if (it != m_runs.end() && it->second.run <= run) {
+            end(task, "stopped");
+        }
+        return reply(200);
+    }
+
+    std::optional<Response> hold(const Json &body, std::unique_lock<std::mutex> &lock)
+    {
+        extendHold(body);
+        const auto seen = body.value("lastSeen", std::int64_t{0});
+        std::erase_if(m_ended, [&](const auto &it) { return it.number <= seen; });
+        const auto until = SteadyClock::now() + std::chrono::milliseconds(body.value("waitMs", 0));
+        while (m_ended.empty() && !m_dead && m_changed.wait_until(lock, until) != std::cv_status::timeout) {
+        }
+        if (m_dead) {
+            return std::nullopt;
+        }
+        Json running = Json::array();
+        for (const auto &[task, it] : m_runs) {
+            const auto percent = 100 * (clockMs() - it.startedAtMs) / std::max<std::int64_t>(1, it.endsAtMs - it.startedAtMs);
+            running.push_back({task, it.run, "", std::min<std::int64_t>(99, percent), 0});
+        }
+        Json ended = Json::array();
+        for (const auto &it : m_ended) {
+            if (ended.size() < 500) {
+                ended.push_back({it.number, it.task, it.run, it.how, ""});
+            }
+        }
+        return reply(200, {{"running", running}, {"ended", ended}});
+    }
+
+    MinionPlan m_plan;
+    RunLog &m_log;
+    Record &m_record;
+    const std::int64_t m_born = wallMs();
+    const SteadyClock::time_point m_startedAt = SteadyClock::now();
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::map<std::string, Run> m_runs;
+    std::deque<End> m_ended;
+    std::map<std::string, std::int64_t> m_highestOver;
+    std::int64_t m_lastEnd = 0;
+    std::int64_t m_highestToken = 0;
+    std::int64_t m_holdUntilMs = 0;
+    std::atomic<std::int64_t> m_sequence = 0;
+    std::atomic<int> m_acknowledged = 0;
+    std::atomic<bool> m_shedding = false;
+    std::atomic<bool> m_heartbeatsHeld = false;
+    std::pair<std::string, std::string> m_heldHeartbeat;
+    std::atomic<bool> m_dead = false;
+    std::unique_ptr<Server> m_server;
+    std::thread m_ticker;
+    std::thread m_heart;
+};
+
+} // namespace Review
--- /dev/null
+++ b/review/standins/site.h
@@ -0,0 +1,334 @@
+// A small deployment on loopback: the store, dispatchers and agents as processes of their own, and minions.
+#pragma once
+
+#include "minion.h"
+
+#include <csignal>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <regex>
+#include <sstream>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+
+namespace Review {
+
+/// A program of the product, started with the command of the deploy file.
+class Process
+{
+public:
+    Process(std::string program, std::string settings, std::string log)
+        : m_program(std::move(program)), m_settings(std::move(settings)), m_log(std::move(log))
+    {
+        start();
+    }
+
+    ~Process()
+    {
+        kill(SIGKILL);
+    }
+
+    void start()
+    {
+        m_pid = fork();
+        if (m_pid != 0) {
+            return;
+        }
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
+        const int fd = open(m_log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+        dup2(fd, STDOUT_FILENO);
+        dup2(fd, STDERR_FILENO);
+        execl(m_program.c_str(), m_program.c_str(), "--settings", m_settings.c_str(), static_cast<char *>(nullptr));
+        _exit(127);
+    }
+
+    /// Sends the signal; one that ends the process is waited for.
+    void kill(int signal)
+    {
+        if (m_pid <= 0) {
+            return;
+        }
+        ::kill(m_pid, signal);
+        if (signal == SIGKILL || signal == SIGTERM) {
+            waitpid(m_pid, nullptr, 0);
+            m_pid = 0;
+        }
+    }
+
+private:
+    std::string m_program;
+    std::string m_settings;
+    std::string m_log;
+    pid_t m_pid = 0;
+};
+
+struct SidePlan {
+    std::int64_t cpu = 4000;
+    std::string rack = "r1-1";
+};
+
+struct SitePlan {
+    int fronts = 2;
+    std::vector<SidePlan> sides;
+};
+
+struct Side {
+    std::string name;
+    MinionPlan plan;
+    std::unique_ptr<Process> agent;
+    std::unique_ptr<Minion> minion;
+};
+
+struct Front {
+    std::string name;
+    Address callers;
+    Address readiness;
+    std::unique_ptr<Process> dispatcher;
+};
+
+/// A queue of the configuration.
+inline const std::string queueHost = "counter.example";
+inline const std::string queuePrefix = "/lending/";
+inline const std::string serviceName = "svc-lending";
+
+class Site
+{
+public:
+    Site(const SitePlan &plan, Record &record) : m_record(record), m_log(record)
+    {
+        char folder[] = "/tmp/trefoilhoist-review-XXXXXX";
+        m_folder = mkdtemp(folder);
+        m_network = 1 + getpid() % 250;
+        m_storeAddress = nextAddress();
+        m_store = std::make_unique<Store>(m_storeAddress);
+        m_store->put("op/config", configuration().dump());
+        for (int i = 0; i < plan.fronts; ++i) {
+            addFront(i);
+        }
+        for (std::size_t i = 0; i < plan.sides.size(); ++i) {
+            addSide(i, plan.sides[i]);
+        }
+    }
+
+    ~Site()
+    {
+        for (auto &it : m_sides) {
+            it.minion.reset();
+            it.agent.reset();
+        }
+        m_fronts.clear();
+        m_store->stop();
+        if (std::getenv("KEEP_LOGS") == nullptr) {
+            std::filesystem::remove_all(m_folder);
+        } else {
+            std::printf("logs of the programs: %s\n", m_folder.c_str());
+        }
+    }
+
+    /// True once a dispatcher answers and a short job has ended.
+    bool waitUntilServing(std::int64_t timeoutMs)
+    {
+        const auto until = m_record.now() + timeoutMs;
+        bool submitted = false;
+        while (m_record.now() < until) {
+            if (!submitted) {
+                const auto answer = send("POST", "00000000000000ff", shortJob(), 1000);
+                submitted = answer && answer->status == 200;
+            } else if (stateOf("00000000000000ff") == "completed") {
+                return true;
+            }
+            sleepMs(200);
+        }
+        return false;
+    }
+
+    /// Sends a caller's request about a job to a dispatcher, and records it and its answer. `leaveAfterMs`: the caller
+    /// closes the connection after this time.
+    std::optional<Response>
+    send(const std::string &method, const std::string &job, const std::string &body, std::int64_t leaveAfterMs, int front = 0)
+    {
+        const std::string headers = "Host: " + queueHost + "\r\nX-Deadline-Milliseconds: 3000\r\n";
+        m_record.add("client", method + " " + job + " sent to front " + std::to_string(front));
+        auto answer = call(m_fronts.at(static_cast<std::size_t>(front)).callers,
+                           method,
+                           queuePrefix + job,
+                           body,
+                           leaveAfterMs,
+                           headers);
+        m_record.add("client",
+                     method + " " + job + (answer ? " answered " + std::to_string(answer->status) + " " + answer->body
+                                                  : " without an answer; the client leaves"));
+        return answer;
+    }
+
+    std::string stateOf(const std::string &job)
+    {
+        const auto answer = send("GET", job, "", 1000);
+        if (!answer || answer->status != 200) {
+            return "";
+        }
+        return Json::parse(answer->body).value("state", "");
+    }
+
+    /// The number that a question for the queue gives; -1 without an answer.
+    std::int64_t waiting()
+    {
+        const auto answer = send("GET", "", "", 1000);
+        return answer && answer->status == 200 ? Json::parse(answer->body).value("waiting", std::int64_t{-1}) : -1;
+    }
+
+    /// A new life of the minion at its old address, under `id`.
+    void startMinion(Side &side, const std::string &id)
+    {
+        side.plan.id = id;
+        side.minion = std::make_unique<Minion>(side.plan, m_log, m_record);
+    }
+
+    Store &store()
+    {
+        return *m_store;
+    }
+    std::vector<Side> &sides()
+    {
+        return m_sides;
+    }
+    std::vector<Front> &fronts()
+    {
+        return m_fronts;
+    }
+    RunLog &runs()
+    {
+        return m_log;
+    }
+
+    static std::string shortJob()
+    {
+        return Json{{"specification", "ms=100"}, {"steps", {{{"count", 1}, {"cpu", 100}, {"memoryRequestMb", 64}, {"estimatedMs", 100}}}}}
+            .dump();
+    }
+
+private:
+    std::string nextIp()
+    {
+        ++m_hosts;
+        return "127." + std::to_string(m_network) + "." + std::to_string(1 + m_hosts / 250) + "."
+            + std::to_string(1 + m_hosts % 250);
+    }
+
+    Address nextAddress()
+    {
+        const auto ip = nextIp();
+        return {ip, freePort(ip)};
+    }
+
+    static Json configuration()
+    {
+        Json route = {{"name", "r-lending"},
+                      {"host", queueHost},
+                      {"prefix", queuePrefix},
+                      {"kind", "unsafe"},
+                      {"timeoutMs", 3000},
+                      {"targetLatencyMs", 250},
+                      {"priority", 0},
+                      {"service", serviceName},
+                      {"maxAttempts", 4},
+                      {"stretch", 1.5}};
+        Json service = {{"name", serviceName},
+                        {"healthPath", "/health"},
+                        {"maxConnections", 64},
+                        {"protocol", "h1"},
+                        {"tls", false},
+                        {"enforcesCapacity", false},
+                        {"spare", false}};
+        Json limits = {{"maxHeaderBytes", 16384}, {"maxBodyBytes", 262144}, {"headerTimeoutMs", 3000}, {"idleTimeoutMs", 15000}};
+        return {{"version", 3}, {"routes", {route}}, {"services", {service}}, {"limits", limits}};
+    }
+
+    /// Fills a template of the deploy folder in, as DEPLOY.md tells; only plain placeholders are used there.
+    std::string settingsFile(const std::string &templatePath, const std::string &name, const std::map<std::string, Json> &values)
+    {
+        std::ifstream in(templatePath);
+        std::stringstream buffer;
+        buffer << in.rdbuf();
+        const std::string text = buffer.str();
+        const std::regex placeholder(R"(\{\{([A-Za-z.0-9]+)(\|json)?\}\})");
+        std::string out;
+        auto last = text.cbegin();
+        for (std::sregex_iterator it(text.cbegin(), text.cend(), placeholder), end; it != end; ++it) {
+            out.append(last, text.cbegin() + it->position());
+            const auto value = values.find((*it)[1]);
+            if (value != values.end()) {
+                const bool asJson = (*it)[2].matched || !value->second.is_string();
+                out += asJson ? value->second.dump() : value->second.get<std::string>();
+            }
+            last = text.cbegin() + it->position() + it->length();
+        }
+        out.append(last, text.cend());
+        const auto path = m_folder + "/" + name + ".json";
+        std::ofstream(path) << out;
+        return path;
+    }
+
+    void addFront(int number)
+    {
+        Front front;
+        front.name = "front-" + std::to_string(number + 1);
+        const auto ip = nextIp();
+        front.callers = {ip, freePort(ip)};
+        front.readiness = {ip, freePort(ip)};
+        const auto settings = settingsFile("deploy/dispatcher.json.in",
+                                           front.name,
+                                           {{"nodeName", front.name},
+                                            {"ipAddress", ip},
+                                            {"listenAddresses.front", front.callers.text()},
+                                            {"listenAddresses.ready", front.readiness.text()},
+                                            {"internalPortRange.0", freePort(ip)},
+                                            {"internalPortRange.1", freePort(ip)},
+                                            {"platform.address", m_storeAddress.text()},
+                                            {"limits.processorShare", 0.25},
+                                            {"limits.linkMbps", 1000.0},
+                                            {"bounds.maxHoldMs", 6000}});
+        front.dispatcher
+            = std::make_unique<Process>("target/bin/trefoilhoist-dispatcher", settings, m_folder + "/" + front.name + ".log");
+        m_fronts.push_back(std::move(front));
+    }
+
+    void addSide(std::size_t number, const SidePlan &plan)
+    {
+        Side side;
+        side.name = "side-" + std::to_string(number + 1);
+        const auto ip = nextIp();
+        side.plan.service = serviceName;
+        side.plan.zone = "zone-a";
+        side.plan.cpu = plan.cpu;
+        side.plan.labels = {"a", plan.rack};
+        side.plan.control = {ip, freePort(ip)};
+        side.plan.app = {ip, freePort(ip)};
+        const auto settings = settingsFile("deploy/agent.json.in",
+                                           side.name,
+                                           {{"nodeName", side.name},
+                                            {"ipAddress", ip},
+                                            {"listenAddresses.control", side.plan.control.text()},
+                                            {"internalPortRange.0", freePort(ip)},
+                                            {"internalPortRange.1", freePort(ip)},
+                                            {"platform.address", m_storeAddress.text()},
+                                            {"bounds.maxHoldMs", 6000}});
+        side.agent
+            = std::make_unique<Process>("target/bin/trefoilhoist-agent", settings, m_folder + "/" + side.name + ".log");
+        startMinion(side, "i-" + std::to_string(number + 1) + "a");
+        m_sides.push_back(std::move(side));
+    }
+
+    Record &m_record;
+    RunLog m_log;
+    std::string m_folder;
+    int m_network = 1;
+    int m_hosts = 0;
+    Address m_storeAddress;
+    std::unique_ptr<Store> m_store;
+    std::vector<Front> m_fronts;
+    std::vector<Side> m_sides;
+};
+
+} // namespace Review
