Review case 1: a stale owner acknowledges a cancel, and the job runs on

The cases of the pending cancel and of the waiting jobs become 4 and 5, and the stand-ins are formatted.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# One minion of ten sheds all starts, and jobs have room only there. TROUBLE=0: it takes them.
+# A caller leaves its submission while the store is slow and cancels the job. TROUBLE=0: the store is as fast as ever.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/standins ] || exit 2
-exec target/review/standins waiting-jobs-uncounted review/4/record.txt
+exec target/review/standins cancelled-while-recorded review/4/record.txt
--- a/review/standins/cases.h
+++ b/review/standins/cases.h
@@ -76,13 +76,101 @@
                            + " ms after its job's cancelling was acknowledged");
         }
     }
-    record.add("check", std::to_string(cancelledAt.size()) + " acknowledged cancels, " + std::to_string(late) + " starts too late");
+    record.add("check",
+               std::to_string(cancelledAt.size()) + " acknowledged cancels, " + std::to_string(late)
+                   + " starts too late");
     if (cancelledAt.empty()) {
         return couldNotRun;
     }
     return late > 0 ? broken : held;
 }
 
+/// The owner of the scheduling stands still until another process owns it and has accepted a job. It wakes up and
+/// answers the cancel of that job.
+inline int cancelledAtStaleOwner(Record &record, bool troubled)
+{
+    constexpr std::int64_t longestFreezeMs = 3500;
+    /// A new owner reads its records before it takes jobs.
+    constexpr std::int64_t loadsForMs = 60;
+    constexpr std::int64_t contactMs = 3000;
+    constexpr std::int64_t cancelMs = 3000;
+    const std::string job = "5ca1ab1e00000001";
+    SitePlan plan;
+    plan.sides.assign(3, SidePlan{});
+    Site site(plan, record);
+    if (!site.waitUntilServing(15'000)) {
+        return couldNotRun;
+    }
+    sleepMs(contactMs);
+    const int first = site.owner();
+    if (first < 0) {
+        return couldNotRun;
+    }
+    const int other = 1 - first;
+    auto &stale = *site.fronts().at(static_cast<std::size_t>(first)).dispatcher;
+    const std::string headers = "Host: " + queueHost + "\r\nX-Deadline-Milliseconds: 3000\r\n";
+    KeptConnection client(site.fronts().at(static_cast<std::size_t>(first)).callers);
+    client.send("GET", queuePrefix, headers);
+    client.receive(1000);
+    const auto frozenAt = record.now();
+    auto calmSince = frozenAt;
+    if (troubled) {
+        record.add("trouble", "front " + std::to_string(first) + ", which owns the scheduling, stands still");
+        stale.kill(SIGSTOP);
+        while (site.owner() != other && record.now() < frozenAt + longestFreezeMs) {
+            sleepMs(2);
+        }
+        sleepMs(loadsForMs);
+    }
+    Json steps = Json::array();
+    for (int i = 0; i < 4; ++i) {
+        steps.push_back(i == 0 ? step(2, 500, 3000) : step(2, 500, 3000, {i - 1}));
+    }
+    const auto body = Json{{"specification", "ms=3000,3000,3000,3000"}, {"steps", steps}}.dump();
+    std::optional<Response> accepted;
+    while ((!accepted || accepted->status != 200) && record.now() < frozenAt + longestFreezeMs) {
+        accepted = site.send("POST", job, body, 1000, other);
+    }
+    record.add("client", "DELETE " + job + " sent to front " + std::to_string(first) + " on an open connection");
+    client.send("DELETE", queuePrefix + job, headers);
+    if (troubled) {
+        sleepMs(5);
+        stale.kill(SIGCONT);
+        calmSince = record.now() + contactMs;
+        record.add("trouble",
+                   "front " + std::to_string(first) + " wakes up after " + std::to_string(record.now() - frozenAt)
+                       + " ms");
+    }
+    const auto answer = client.receive(3000);
+    const auto cancelledAt = record.now();
+    record.add(
+        "client",
+        "DELETE " + job
+            + (answer ? " answered " + std::to_string(answer->status) + " " + answer->body : " without an answer"));
+    for (int i = 0; i < 13; ++i) {
+        sleepMs(1000);
+        site.stateOf(job);
+    }
+    if (!accepted || accepted->status != 200) {
+        return couldNotRun;
+    }
+    if (!answer || (answer->status / 100 != 2 && answer->status != 410)) {
+        // Not acknowledged, so that nothing is owed.
+        return held;
+    }
+    int late = 0;
+    for (const auto &it : site.runs().events()) {
+        if (it.what == "start" && it.task.starts_with(job) && it.at > cancelledAt + cancelMs && it.at > calmSince) {
+            ++late;
+            record.add("check",
+                       "UNASKED: " + it.task + " was started " + std::to_string(it.at - cancelledAt)
+                           + " ms after its job's cancelling was acknowledged");
+        }
+    }
+    record.add("check", std::to_string(late) + " starts too late");
+    return late > 0 ? broken : held;
+}
+
 /// The times at which a task of `job` ran on two minions at once.
 inline int overlaps(Record &record, const std::vector<RunEvent> &events, const std::string &job)
 {
@@ -102,7 +190,8 @@
             ++count;
             record.add("check",
                        "TWICE: " + it.task + " is started as " + key + " at " + std::to_string(it.at) + " ms while "
-                           + runs.begin()->first + " has been at work since " + std::to_string(runs.begin()->second) + " ms");
+                           + runs.begin()->first + " has been at work since " + std::to_string(runs.begin()->second)
+                           + " ms");
         }
         runs[key] = it.at;
     }
@@ -136,8 +225,7 @@
     sleepMs(200);
     site.startMinion(side, "i-1b");
     sleepMs(300);
-    const auto body
-        = Json{{"specification", "ms=15000"}, {"steps", {step(20, 3000, 15'000)}}}.dump();
+    const auto body = Json{{"specification", "ms=15000"}, {"steps", {step(20, 3000, 15'000)}}}.dump();
     const auto accepted = site.send("POST", job, body, 3000);
     for (int i = 0; i < 40 && side.minion->running() == 0; ++i) {
         sleepMs(25);
@@ -240,6 +328,7 @@
 {
     static const std::map<std::string, Case> all = {
         {"cancelled-while-recorded", cancelledWhileRecorded},
+        {"cancelled-at-stale-owner", cancelledAtStaleOwner},
         {"delayed-heartbeat", delayedHeartbeat},
         {"waiting-jobs-uncounted", waitingJobsUncounted},
     };
--- a/review/standins/minion.h
+++ b/review/standins/minion.h
@@ -40,9 +40,8 @@
     [[nodiscard]] int starts(const std::string &job)
     {
         const auto all = events();
-        return static_cast<int>(std::count_if(all.begin(), all.end(), [&](const auto &it) {
-            return it.what == "start" && it.task.starts_with(job);
-        }));
+        return static_cast<int>(std::count_if(
+            all.begin(), all.end(), [&](const auto &it) { return it.what == "start" && it.task.starts_with(job); }));
     }
 
 private:
@@ -330,14 +329,14 @@
         const auto seen = body.value("lastSeen", std::int64_t{0});
         std::erase_if(m_ended, [&](const auto &it) { return it.number <= seen; });
         const auto until = SteadyClock::now() + std::chrono::milliseconds(body.value("waitMs", 0));
-        while (m_ended.empty() && !m_dead && m_changed.wait_until(lock, until) != std::cv_status::timeout) {
-        }
+        while (m_ended.empty() && !m_dead && m_changed.wait_until(lock, until) != std::cv_status::timeout) { }
         if (m_dead) {
             return std::nullopt;
         }
         Json running = Json::array();
         for (const auto &[task, it] : m_runs) {
-            const auto percent = 100 * (clockMs() - it.startedAtMs) / std::max<std::int64_t>(1, it.endsAtMs - it.startedAtMs);
+            const auto percent
+                = 100 * (clockMs() - it.startedAtMs) / std::max<std::int64_t>(1, it.endsAtMs - it.startedAtMs);
             running.push_back({task, it.run, "", std::min<std::int64_t>(99, percent), 0});
         }
         Json ended = Json::array();
--- a/review/standins/net.h
+++ b/review/standins/net.h
@@ -194,7 +194,8 @@
         const int yes = 1;
         setsockopt(m_fd, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
         const auto where = socketAddress(address);
-        m_listens = bind(m_fd, reinterpret_cast<const sockaddr *>(&where), sizeof(where)) == 0 && listen(m_fd, 128) == 0;
+        m_listens
+            = bind(m_fd, reinterpret_cast<const sockaddr *>(&where), sizeof(where)) == 0 && listen(m_fd, 128) == 0;
         m_thread = std::thread([this] { acceptLoop(); });
     }
 
@@ -263,8 +264,7 @@
                 // Silent until the peer gives up.
                 pollfd input{fd, POLLIN, 0};
                 char byte = 0;
-                while (!m_stopped && (poll(&input, 1, 100) == 0 || recv(fd, &byte, 1, 0) > 0)) {
-                }
+                while (!m_stopped && (poll(&input, 1, 100) == 0 || recv(fd, &byte, 1, 0) > 0)) { }
                 break;
             }
             const std::string text = "HTTP/1.1 " + std::to_string(response->status)
@@ -292,6 +292,43 @@
     std::thread m_thread;
 };
 
+/// A connection that a client keeps open for several requests.
+class KeptConnection
+{
+public:
+    explicit KeptConnection(const Address &address) : m_fd(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        const auto where = socketAddress(address);
+        m_open = connect(m_fd, reinterpret_cast<const sockaddr *>(&where), sizeof(where)) == 0;
+    }
+    ~KeptConnection()
+    {
+        close(m_fd);
+    }
+    KeptConnection(const KeptConnection &) = delete;
+    KeptConnection &operator=(const KeptConnection &) = delete;
+
+    bool send(const std::string &method, const std::string &target, const std::string &headers)
+    {
+        return m_open
+            && writeAll(m_fd, method + " " + target + " HTTP/1.1\r\n" + headers + "Content-Length: 0\r\n\r\n");
+    }
+    std::optional<Response> receive(std::int64_t timeoutMs)
+    {
+        std::string head;
+        std::string body;
+        if (!m_open || !readMessage(m_fd, m_buffer, head, body, timeoutMs)) {
+            return std::nullopt;
+        }
+        return Response{std::stoi(head.substr(head.find(' ') + 1, 3)), body};
+    }
+
+private:
+    int m_fd = -1;
+    bool m_open = false;
+    std::string m_buffer;
+};
+
 /// Sends one request on a connection of its own. Nothing when there is no whole answer within `timeoutMs`: the
 /// connection is closed then.
 inline std::optional<Response> call(const Address &address,
--- a/review/standins/site.h
+++ b/review/standins/site.h
@@ -145,8 +145,11 @@
 
     /// Sends a caller's request about a job to a dispatcher, and records it and its answer. `leaveAfterMs`: the caller
     /// closes the connection after this time.
-    std::optional<Response>
-    send(const std::string &method, const std::string &job, const std::string &body, std::int64_t leaveAfterMs, int front = 0)
+    std::optional<Response> send(const std::string &method,
+                                 const std::string &job,
+                                 const std::string &body,
+                                 std::int64_t leaveAfterMs,
+                                 int front = 0)
     {
         const std::string headers = "Host: " + queueHost + "\r\nX-Deadline-Milliseconds: 3000\r\n";
         m_record.add("client", method + " " + job + " sent to front " + std::to_string(front));
@@ -157,8 +160,9 @@
                            leaveAfterMs,
                            headers);
         m_record.add("client",
-                     method + " " + job + (answer ? " answered " + std::to_string(answer->status) + " " + answer->body
-                                                  : " without an answer; the client leaves"));
+                     method + " " + job
+                         + (answer ? " answered " + std::to_string(answer->status) + " " + answer->body
+                                   : " without an answer; the client leaves"));
         return answer;
     }
 
@@ -185,6 +189,18 @@
         side.minion = std::make_unique<Minion>(side.plan, m_log, m_record);
     }
 
+    /// The number of the front that owns the scheduling, as the store shows it to anybody; -1 if none does.
+    int owner()
+    {
+        const auto record = m_store->value("lead/owner");
+        for (std::size_t i = 0; i < m_fronts.size(); ++i) {
+            if (record.find(m_fronts[i].name) != std::string::npos) {
+                return static_cast<int>(i);
+            }
+        }
+        return -1;
+    }
+
     Store &store()
     {
         return *m_store;
@@ -204,7 +220,8 @@
 
     static std::string shortJob()
     {
-        return Json{{"specification", "ms=100"}, {"steps", {{{"count", 1}, {"cpu", 100}, {"memoryRequestMb", 64}, {"estimatedMs", 100}}}}}
+        return Json{{"specification", "ms=100"},
+                    {"steps", {{{"count", 1}, {"cpu", 100}, {"memoryRequestMb", 64}, {"estimatedMs", 100}}}}}
             .dump();
     }
 
@@ -241,12 +258,14 @@
                         {"tls", false},
                         {"enforcesCapacity", false},
                         {"spare", false}};
-        Json limits = {{"maxHeaderBytes", 16384}, {"maxBodyBytes", 262144}, {"headerTimeoutMs", 3000}, {"idleTimeoutMs", 15000}};
+        Json limits = {
+            {"maxHeaderBytes", 16384}, {"maxBodyBytes", 262144}, {"headerTimeoutMs", 3000}, {"idleTimeoutMs", 15000}};
         return {{"version", 3}, {"routes", {route}}, {"services", {service}}, {"limits", limits}};
     }
 
     /// Fills a template of the deploy folder in, as DEPLOY.md tells; only plain placeholders are used there.
-    std::string settingsFile(const std::string &templatePath, const std::string &name, const std::map<std::string, Json> &values)
+    std::string
+    settingsFile(const std::string &templatePath, const std::string &name, const std::map<std::string, Json> &values)
     {
         std::ifstream in(templatePath);
         std::stringstream buffer;
@@ -289,8 +308,8 @@
                                             {"limits.processorShare", 0.25},
                                             {"limits.linkMbps", 1000.0},
                                             {"bounds.maxHoldMs", 6000}});
-        front.dispatcher
-            = std::make_unique<Process>("target/bin/trefoilhoist-dispatcher", settings, m_folder + "/" + front.name + ".log");
+        front.dispatcher = std::make_unique<Process>(
+            "target/bin/trefoilhoist-dispatcher", settings, m_folder + "/" + front.name + ".log");
         m_fronts.push_back(std::move(front));
     }
 
--- a/review/standins/store.h
+++ b/review/standins/store.h
@@ -79,10 +79,13 @@
         m_changed.notify_all();
     }
 
-    [[nodiscard]] bool has(const std::string &key)
+    /// The value of the key; empty if there is none.
+    [[nodiscard]] std::string value(const std::string &key)
     {
         std::lock_guard lock(m_mutex);
-        return m_items.count(key) > 0;
+        expireLeases();
+        const auto it = m_items.find(key);
+        return it == m_items.end() ? std::string() : it->second.value;
     }
 
     void stop()
@@ -275,8 +278,9 @@
                 if (event.revision <= after || !event.key.starts_with(prefix)) {
                     continue;
                 }
-                events.push_back(event.item ? itemJson(event.key, *event.item)
-                                            : Json{{"key", event.key}, {"revision", event.revision}, {"tombstone", true}});
+                events.push_back(event.item
+                                     ? itemJson(event.key, *event.item)
+                                     : Json{{"key", event.key}, {"revision", event.revision}, {"tombstone", true}});
             }
             if (!events.empty() || SteadyClock::now() >= until) {
                 return Response{200, Json{{"events", events}, {"storeRevision", m_revision}}.dump()};
