--- a/review/standins/cases.h
+++ b/review/standins/cases.h
@@ -324,6 +324,66 @@
     return acceptedAt.size() < jobs ? couldNotRun : wrong > 0 ? broken : held;
 }
 
+/// A sound job of one task is accepted. The minion that has just begun the task crashes, and so does the next one.
+inline int soundJobGivenUp(Record &record, bool troubled)
+{
+    constexpr int minions = 10;
+    constexpr int crashes = 2;
+    constexpr std::int64_t crashesAfterMs = 100;
+    constexpr std::int64_t downForMs = 2000;
+    constexpr std::int64_t longestWaitMs = 10'000;
+    const std::string job = "50bd000000000001";
+    SitePlan plan;
+    plan.sides.assign(minions, SidePlan{});
+    Site site(plan, record);
+    if (!site.waitUntilServing(15'000)) {
+        return couldNotRun;
+    }
+    const auto body = Json{{"specification", "ms=3000"}, {"steps", {step(1, 1000, 3000)}}}.dump();
+    const auto accepted = site.send("POST", job, body, 3000);
+    if (!accepted || accepted->status != 200) {
+        return couldNotRun;
+    }
+    std::vector<std::thread> repairs;
+    for (int i = 0; troubled && i < crashes; ++i) {
+        const auto since = record.now();
+        while (site.runs().starts(job) <= i && record.now() < since + longestWaitMs) {
+            sleepMs(2);
+        }
+        sleepMs(crashesAfterMs);
+        for (auto &it : site.sides()) {
+            if (it.minion->running() > 0) {
+                record.add("trouble", it.minion->id() + " crashes");
+                it.minion->crash();
+                repairs.emplace_back([&site, &it] {
+                    sleepMs(downForMs);
+                    site.startMinion(it, it.minion->id() + "b");
+                });
+                break;
+            }
+        }
+    }
+    for (auto &it : repairs) {
+        it.join();
+    }
+    std::string state;
+    for (int i = 0; i < 10 && state != "completed"; ++i) {
+        sleepMs(1000);
+        state = site.stateOf(job);
+    }
+    const auto events = site.runs().events();
+    const auto failures = std::count_if(
+        events.begin(), events.end(), [&](const auto &it) { return it.task.starts_with(job) && it.what == "failed"; });
+    record.add("check",
+               job + " was started " + std::to_string(site.runs().starts(job)) + " times, " + std::to_string(failures)
+                   + " runs ended failed, and it is shown as " + state);
+    if (state == "failed" && failures == 0) {
+        record.add("check", "LOST: an accepted job that nobody has cancelled is shown as failed without cause");
+        return broken;
+    }
+    return state == "completed" ? held : couldNotRun;
+}
+
 inline const std::map<std::string, Case> &cases()
 {
     static const std::map<std::string, Case> all = {
@@ -331,6 +391,7 @@
         {"cancelled-at-stale-owner", cancelledAtStaleOwner},
         {"delayed-heartbeat", delayedHeartbeat},
         {"waiting-jobs-uncounted", waitingJobsUncounted},
+        {"sound-job-given-up", soundJobGivenUp},
     };
     return all;
 }
