Cancel a job whose submission is still being recorded

Cause: JobScheduler hides a job until its submission is recorded. OwnerSession::cancel() took the hidden job for an unknown one and answered `Unknown`; nothing was noted, and the record loop accepted the job later. The same held after a POST that was answered 504, and while the store had executed the write but lost its answer.

The unit tests were written with the change and not run before it.

Change: the cancel ends the pending job in memory and queues the record of its end, which JobRecords already orders before the removal of the submission. DELETE is answered 200 once that record is stored. Until then job() goes on hiding the job, so that no answer rests on something that a crash could take back; a submission that is withdrawn meanwhile leaves the cancelled job in place. If the submission's write is executed late, the recorded end stands beside it, also for the next owner.

--- a/src/programs/dispatcher/owneranswers.cpp
+++ b/src/programs/dispatcher/owneranswers.cpp
@@ -110,11 +110,12 @@
 awaitable<Wire::JobAnswer> OwnerSession::cancel(std::string id, Duration timeout)
 {
     const auto self = shared_from_this();
-    const auto *job = m_scheduler.job(id);
+    const bool accepted = m_scheduler.job(id) != nullptr;
+    m_scheduler.cancel(id, m_context.clock.now());
+    const auto *job = m_scheduler.jobToRecord(id);
     if (job == nullptr) {
         co_return answerOf(isVerified(maxVerificationAge) ? JobOutcome::Unknown : JobOutcome::Refused);
     }
-    m_scheduler.cancel(id, m_context.clock.now());
     const auto version = job->version();
     queueChanges();
     requestPlan();
@@ -123,7 +124,11 @@
         co_await m_waiters.wait(id, until - m_context.clock.now());
     }
     const bool recorded = !m_closed && m_scheduler.recordedVersion(id) >= version;
-    Event("job_cancelled").add("job", id).add("epoch", m_term.epoch).add("recorded", recorded);
+    Event("job_cancelled")
+        .add("job", id)
+        .add("epoch", m_term.epoch)
+        .add("accepted", accepted)
+        .add("recorded", recorded);
     co_return answerOf(recorded ? JobOutcome::Ok : JobOutcome::Unresolved);
 }
 
--- a/src/programs/dispatcher/ownersession.cpp
+++ b/src/programs/dispatcher/ownersession.cpp
@@ -88,7 +88,7 @@
     // Changes that a caller, a worker or a task waits for are recorded at once. Others are batched until the next tick.
     bool urgent = m_scheduler.takeUnrecordedCrash();
     for (const auto &id : m_scheduler.takeChangedJobs()) {
-        const auto *job = m_scheduler.job(id);
+        const auto *job = m_scheduler.jobToRecord(id);
         if (job == nullptr) {
             continue;
         }
@@ -115,7 +115,7 @@
 void OwnerSession::startRecording()
 {
     for (const auto &id : std::exchange(m_changedJobs, {})) {
-        if (const auto *job = m_scheduler.job(id); job != nullptr) {
+        if (const auto *job = m_scheduler.jobToRecord(id); job != nullptr) {
             m_records.putProgress(*job);
         }
     }
--- a/src/trefoilhoist/jobs/jobscheduler.cpp
+++ b/src/trefoilhoist/jobs/jobscheduler.cpp
@@ -81,8 +81,11 @@
 void JobScheduler::accept(const std::string &id)
 {
     auto *entry = find(id);
-    if (entry != nullptr && !entry->accepted) {
-        entry->accepted = true;
+    if (entry == nullptr || entry->accepted) {
+        return;
+    }
+    entry->accepted = true;
+    if (entry->job.isActive()) {
         m_active.insert(id);
         m_jobsToRefresh.insert(id);
     }
@@ -91,7 +94,7 @@
 void JobScheduler::withdraw(const std::string &id)
 {
     const auto *entry = find(id);
-    if (entry != nullptr && !entry->accepted) {
+    if (entry != nullptr && !entry->accepted && entry->job.isActive()) {
         m_jobs.erase(id);
     }
 }
@@ -102,10 +105,17 @@
     return it == m_jobs.end() || !it->second.accepted ? nullptr : &it->second.job;
 }
 
+const Job *JobScheduler::jobToRecord(const std::string &id) const
+{
+    const auto it = m_jobs.find(id);
+    const bool found = it != m_jobs.end() && (it->second.accepted || !it->second.job.isActive());
+    return found ? &it->second.job : nullptr;
+}
+
 void JobScheduler::cancel(const std::string &id, TimePoint now)
 {
     auto *entry = find(id);
-    if (entry == nullptr || !entry->accepted || !entry->job.isActive()) {
+    if (entry == nullptr || !entry->job.isActive()) {
         return;
     }
     entry->job.cancel(wallMilliseconds());
@@ -139,6 +149,8 @@
         return;
     }
     entry->recordedVersion = version;
+    // The record of a cancel takes the place of that of the submission.
+    accept(id);
     acknowledgeEndsOf(id);
 }
 
--- a/src/trefoilhoist/jobs/jobscheduler.h
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -78,10 +78,14 @@
     SubmissionState submit(const Wire::JobSpec &spec, TimePoint now);
     /// To be called once the submission is recorded: the job may run.
     void accept(const std::string &id);
-    /// To be called when the submission is known not to be recorded.
+    /// To be called when the submission is known not to be recorded. A job that was cancelled meanwhile stays.
     void withdraw(const std::string &id);
-    /// Null if the job is unknown or its submission is not recorded.
+    /// Null if the job is unknown, or neither its submission nor its end is recorded.
     [[nodiscard]] const Job *job(const std::string &id) const;
+    /// Like job(), but also finds a job that was cancelled before its submission was recorded. Its end must be recorded
+    /// before a caller learns of it.
+    [[nodiscard]] const Job *jobToRecord(const std::string &id) const;
+    /// Also cancels a job whose submission is still being recorded.
     void cancel(const std::string &id, TimePoint now);
     /// Number of active jobs of the queue of which no task has been started.
     [[nodiscard]] std::int64_t waitingJobs(const std::string &queue) const;
--- a/tests/harness/schedulerfixture.h
+++ b/tests/harness/schedulerfixture.h
@@ -89,7 +89,7 @@
     void recordChanges()
     {
         for (const auto &id : m_scheduler.takeChangedJobs()) {
-            if (const auto *job = m_scheduler.job(id); job != nullptr) {
+            if (const auto *job = m_scheduler.jobToRecord(id); job != nullptr) {
                 m_records[id] = job->progress();
                 m_scheduler.markProgressRecorded(id, job->version());
             }
--- /dev/null
+++ b/tests/integration/dispatcher.cpp
@@ -0,0 +1,240 @@
+// Dispatchers that share a store, and what they answer to callers over real connections.
+#include "programs/dispatcher/dispatcher.h"
+
+#include "harness/processstore.h"
+#include "platform/callers.h"
+#include "trefoilhoist/jobs/recordkeys.h"
+#include "trefoilhoist/net/httpclient.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Trefoilhoist::Dispatcher {
+
+namespace {
+
+constexpr Duration longEnough = seconds(5);
+/// Less than a slow store takes for a write.
+constexpr Duration impatience = milliseconds(60);
+constexpr Duration slowWrite = milliseconds(300);
+/// After this time everything that was sent has been handled.
+constexpr Duration settleTime = milliseconds(500);
+constexpr const char *job = "c0ffee0000000000";
+constexpr const char *configuration = R"({"version":1,"routes":[{"name":"quotes","host":"127.0.0.1",
+    "prefix":"/quotes/","service":"desk","priority":0,"maxAttempts":3,"stretch":2,"targetLatencyMs":250}]})";
+constexpr const char *oneTask
+    = R"({"specification":"work","steps":[{"count":1,"cpu":100,"memoryRequestMb":10,"estimatedMs":10}]})";
+
+std::uint16_t unusedPort(const Asio::any_io_executor &executor)
+{
+    const Asio::ip::tcp::acceptor acceptor(executor, {Asio::ip::make_address("127.0.0.1"), 0});
+    return acceptor.local_endpoint().port();
+}
+
+/// A dispatcher and its connection to the store.
+struct Process {
+    ProcessStore *store = nullptr;
+    Endpoint callers;
+    std::unique_ptr<DispatcherServer> server;
+};
+
+/// What a caller learned; the status is 0 if it left before the answer.
+struct Answer {
+    int status = 0;
+    std::string body;
+
+    [[nodiscard]] bool cancelAcknowledged() const
+    {
+        return status == 200 || status == 410;
+    }
+    [[nodiscard]] bool showsState(const std::string &state) const
+    {
+        return status == 200 && body == R"({"state":")" + state + R"("})";
+    }
+};
+
+} // namespace
+
+class DispatcherTest : public testing::Test
+{
+protected:
+    DispatcherTest()
+    {
+        RecordCommit commit;
+        commit.writes.push_back({"op/config", configuration, 0});
+        await([&]() -> awaitable<void> { co_await m_records.commit(commit); });
+        m_owner = &startDispatcher("a");
+        EXPECT_TRUE(runUntil([&] { return submit(*m_owner, "0000000000000000").status == 200; }));
+    }
+
+    bool runUntil(const std::function<bool()> &condition, Duration limit = longEnough)
+    {
+        auto &context = static_cast<Asio::io_context &>(Asio::query(m_runtime.executor(), Asio::execution::context));
+        const auto end = std::chrono::steady_clock::now() + limit;
+        while (!condition() && std::chrono::steady_clock::now() < end) {
+            context.restart();
+            context.run_for(milliseconds(5));
+        }
+        return condition();
+    }
+
+    void runFor(Duration time)
+    {
+        runUntil([] { return false; }, time);
+    }
+
+    /// Runs a coroutine to its end.
+    void await(const std::function<awaitable<void>()> &body)
+    {
+        bool done = false;
+        spawnOn(m_runtime.executor(), "test", [&]() -> awaitable<void> {
+            co_await body();
+            done = true;
+        });
+        ASSERT_TRUE(runUntil([&] { return done; }));
+    }
+
+    Process &startDispatcher(const std::string &name, bool hidesPeers = false)
+    {
+        auto &process = *m_processes.emplace_back(std::make_unique<Process>());
+        auto store = std::make_unique<ProcessStore>(m_records);
+        store->hidesPeers = hidesPeers;
+        process.store = store.get();
+        Adapters adapters;
+        adapters.store = std::move(store);
+        adapters.callers = std::make_unique<Platform::Callers>();
+        adapters.configuration = std::make_unique<Platform::Configuration>();
+        DispatcherSettings settings;
+        settings.name = name;
+        settings.callers = {"127.0.0.1", unusedPort(m_runtime.executor())};
+        settings.readiness = {"127.0.0.1", unusedPort(m_runtime.executor())};
+        settings.peers = {"127.0.0.1", unusedPort(m_runtime.executor())};
+        settings.election.campaignDelay = milliseconds(5);
+        process.callers = settings.callers;
+        process.server = std::make_unique<DispatcherServer>(m_runtime, settings, std::move(adapters));
+        EXPECT_FALSE(process.server->start().has_value());
+        return process;
+    }
+
+    /// Sends a request, which states `deadline`, and waits for its answer for `patience`.
+    Answer call(const Process &process,
+                const std::string &method,
+                const std::string &id,
+                Duration patience,
+                Duration deadline = longEnough)
+    {
+        HttpRequest request;
+        request.method = method;
+        request.target = "/quotes/" + id;
+        request.headers.set("X-Deadline-Milliseconds", std::to_string(duration_cast<milliseconds>(deadline).count()));
+        request.body = method == "POST" ? oneTask : "";
+        HttpCallOptions options;
+        options.timeout = patience;
+        Answer result;
+        await([&]() -> awaitable<void> {
+            const auto answer = co_await m_client.call(process.callers, request, options);
+            if (answer) {
+                result = {answer->status, answer->body};
+            }
+        });
+        return result;
+    }
+
+    Answer submit(const Process &process,
+                  const std::string &id,
+                  Duration patience = longEnough,
+                  Duration deadline = longEnough)
+    {
+        return call(process, "POST", id, patience, deadline);
+    }
+    Answer cancel(const Process &process, const std::string &id, Duration patience = longEnough)
+    {
+        return call(process, "DELETE", id, patience);
+    }
+    Answer query(const Process &process, const std::string &id, Duration patience = longEnough)
+    {
+        return call(process, "GET", id, patience);
+    }
+
+    /// The job's state once a dispatcher gives one, or says that there is no such job.
+    Answer finalQuery(const Process &process, const std::string &id)
+    {
+        Answer answer;
+        EXPECT_TRUE(runUntil([&] {
+            answer = query(process, id);
+            return answer.status == 200 || answer.status == 410;
+        }));
+        return answer;
+    }
+
+    /// True if the job may be run, as far as callers see.
+    bool mayRun(const Process &process, const std::string &id)
+    {
+        runFor(settleTime);
+        const auto answer = finalQuery(process, id);
+        return answer.status == 200 && !answer.showsState("cancelled");
+    }
+
+    /// Lets another dispatcher take over while the owner learns nothing of it.
+    Process &replaceOwner()
+    {
+        auto &next = startDispatcher("b", true);
+        runFor(settleTime);
+        m_owner->store->stallsRenewals = true;
+        m_records.endLeases();
+        EXPECT_TRUE(runUntil([&] { return submit(next, "0000000000000001").status == 200; }));
+        return next;
+    }
+
+    Runtime m_runtime{"dispatcher", "", "{}", nlohmann::json::object(), 1};
+    HttpClient m_client{m_runtime.executor()};
+    MemoryRecordStore m_records;
+    std::vector<std::unique_ptr<Process>> m_processes;
+    Process *m_owner = nullptr;
+};
+
+TEST_F(DispatcherTest, callerLeavesSlowSubmission_cancel_jobNeverRuns)
+{
+    m_owner->store->jobWriteDelay = slowWrite;
+    ASSERT_EQ(submit(*m_owner, job, impatience).status, 0);
+    EXPECT_TRUE(cancel(*m_owner, job).cancelAcknowledged());
+    EXPECT_FALSE(mayRun(*m_owner, job));
+}
+
+TEST_F(DispatcherTest, submissionAnsweredBeforeItIsRecorded_cancel_jobNeverRuns)
+{
+    m_owner->store->jobWriteDelay = slowWrite;
+    ASSERT_EQ(submit(*m_owner, job, longEnough, impatience).status, 504);
+    EXPECT_TRUE(cancel(*m_owner, job).cancelAcknowledged());
+    EXPECT_FALSE(mayRun(*m_owner, job));
+}
+
+TEST_F(DispatcherTest, submissionIsExecutedLate_cancel_jobNeverRuns)
+{
+    m_owner->store->withholdsJobWrites = true;
+    ASSERT_EQ(submit(*m_owner, job, impatience).status, 0);
+    ASSERT_TRUE(m_owner->store->hasWithheldJobWrite());
+    const bool acknowledged = cancel(*m_owner, job, impatience).cancelAcknowledged();
+    EXPECT_FALSE(acknowledged) << "the store has not confirmed anything";
+    await([&] { return m_owner->store->executeWithheldJobWrite(); });
+    EXPECT_FALSE(mayRun(*m_owner, job));
+}
+
+TEST_F(DispatcherTest, callerLeavesSlowSubmission_cancel_ownerReplaced_jobNeverRuns)
+{
+    m_owner->store->jobWriteDelay = slowWrite;
+    ASSERT_EQ(submit(*m_owner, job, impatience).status, 0);
+    ASSERT_TRUE(cancel(*m_owner, job).cancelAcknowledged());
+    auto &next = replaceOwner();
+    submit(next, job);
+    EXPECT_FALSE(mayRun(next, job));
+}
+
+} // namespace Trefoilhoist::Dispatcher
--- a/tests/unit/jobrecords.cpp
+++ b/tests/unit/jobrecords.cpp
@@ -201,6 +201,32 @@
     EXPECT_TRUE(removes(*last, progressKey("a")));
 }
 
+// The cancelled job's submission must not stay behind, or the next owner would find it without its end some day.
+TEST_F(JobRecordsTest, unansweredSubmission_jobCancelled_isRemovedOnceTheCancelIsRecorded)
+{
+    const auto spec = oneTaskJob("a");
+    m_records.submit(spec);
+    const auto submission = m_records.take();
+    m_records.applyFailure(*submission, StoreFailure::Unknown);
+    Job job(spec, TimePoint{});
+    job.cancel(1);
+    m_records.putProgress(job);
+    const auto both = m_records.take();
+    ASSERT_EQ(both->keys, (std::vector<std::string>{specKey("a"), progressKey("a")}));
+
+    // The first write was executed late: the second one fails as a whole and is sent again without it.
+    const auto conflicting
+        = m_records.applyOutcome(*both, conflict({{specKey("a"), submission->commit.writes.front().value, 50}}));
+    EXPECT_TRUE(conflicting.progress.empty());
+    const auto end = m_records.take();
+    ASSERT_EQ(end->keys, std::vector<std::string>{progressKey("a")});
+    const auto recorded = m_records.applyOutcome(*end, committed());
+    EXPECT_EQ(recorded.progress.at("a"), job.version());
+    const auto removal = m_records.take();
+    ASSERT_TRUE(removal);
+    EXPECT_TRUE(removes(*removal, specKey("a")));
+}
+
 // A step of -1 tasks ended the load of every owner, and an index out of range was read outside of its list.
 TEST(JobRecordTest, submissionsOutOfRange_areNotRead)
 {
--- a/tests/unit/jobscheduler.cpp
+++ b/tests/unit/jobscheduler.cpp
@@ -22,6 +22,32 @@
     EXPECT_EQ(starts(plan()), 0U);
 }
 
+// The submission went on after its cancel had been answered, and the job was run when it was recorded.
+TEST_F(JobSchedulerTest, submittedJob_cancelledBeforeItIsRecorded_isNotStarted)
+{
+    joinWorker("w1");
+    m_scheduler.submit(jobOf("a", {stepOf(1, 1000)}), m_now);
+    m_scheduler.cancel("a", m_now);
+    EXPECT_EQ(m_scheduler.job("a"), nullptr) << "nothing is recorded yet";
+    m_scheduler.accept("a");
+    EXPECT_EQ(starts(plan()), 0U);
+    EXPECT_EQ(m_scheduler.waitingJobs("quotes"), 0);
+    EXPECT_EQ(m_scheduler.job("a")->phase(), JobPhase::Cancelled);
+}
+
+TEST_F(JobSchedulerTest, submittedJob_cancelledThenWithdrawn_laterSubmissionIsNotStarted)
+{
+    joinWorker("w1");
+    m_scheduler.submit(jobOf("a", {stepOf(1, 1000)}), m_now);
+    m_scheduler.cancel("a", m_now);
+    m_scheduler.withdraw("a");
+    EXPECT_EQ(m_scheduler.submit(jobOf("a", {stepOf(1, 1000)}), m_now), SubmissionState::Pending);
+    recordChanges();
+    EXPECT_EQ(m_scheduler.submit(jobOf("a", {stepOf(1, 1000)}), m_now), SubmissionState::Known);
+    EXPECT_EQ(starts(plan()), 0U);
+    EXPECT_EQ(m_records.at("a").phase, static_cast<int>(JobPhase::Cancelled));
+}
+
 TEST_F(JobSchedulerTest, worker_notInTheRecordedRoster_getsNothing)
 {
     m_scheduler.handleReport(reportOf("w1"), true, m_now);
