Record the cancel of an unknown job before it is answered

Cause: 410 was given from memory.

The unit tests were written with the change.

Change: the cancel of a job that the owner doesn't know is recorded like the end of a job, marked as never submitted, before DELETE is answered 410. The write is conditional on the epoch, so that an owner that has been replaced can't acknowledge it; its dispatcher then asks the next owner. A later submission of that id is refused: 503, as it never runs. GET goes on answering 410, since nobody has handed the job in. The record is kept for as long as that of any ended job. While the store is unreachable, or the owner is behind, such a cancel is refused at once, as a submission is.

An id that no job can have is answered 410 without a record: it must not get into a key of the store.

An owner of an earlier build shows such a job as cancelled (one more field in the record of its progress).

--- a/idl/gen/messages_types.cpp
+++ b/idl/gen/messages_types.cpp
@@ -5456,6 +5456,10 @@
 void JobProgress::__set_endedAtMs(const int64_t val) {
   this->endedAtMs = val;
 }
+
+void JobProgress::__set_neverSubmitted(const bool val) {
+  this->neverSubmitted = val;
+}
 std::ostream& operator<<(std::ostream& out, const JobProgress& obj)
 {
   obj.printTo(out);
@@ -5535,6 +5539,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->neverSubmitted);
+          this->__isset.neverSubmitted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5581,6 +5593,10 @@
   xfer += oprot->writeI64(this->endedAtMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("neverSubmitted", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->neverSubmitted);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5591,6 +5607,7 @@
   swap(a.phase, b.phase);
   swap(a.occurrences, b.occurrences);
   swap(a.endedAtMs, b.endedAtMs);
+  swap(a.neverSubmitted, b.neverSubmitted);
   swap(a.__isset, b.__isset);
 }
 
@@ -5598,18 +5615,21 @@
   phase = other247.phase;
   occurrences = other247.occurrences;
   endedAtMs = other247.endedAtMs;
+  neverSubmitted = other247.neverSubmitted;
   __isset = other247.__isset;
 }
 JobProgress::JobProgress(JobProgress&& other248) noexcept {
   phase = other248.phase;
   occurrences = std::move(other248.occurrences);
   endedAtMs = other248.endedAtMs;
+  neverSubmitted = other248.neverSubmitted;
   __isset = other248.__isset;
 }
 JobProgress& JobProgress::operator=(const JobProgress& other249) {
   phase = other249.phase;
   occurrences = other249.occurrences;
   endedAtMs = other249.endedAtMs;
+  neverSubmitted = other249.neverSubmitted;
   __isset = other249.__isset;
   return *this;
 }
@@ -5617,6 +5637,7 @@
   phase = other250.phase;
   occurrences = std::move(other250.occurrences);
   endedAtMs = other250.endedAtMs;
+  neverSubmitted = other250.neverSubmitted;
   __isset = other250.__isset;
   return *this;
 }
@@ -5626,6 +5647,7 @@
   out << "phase=" << to_string(phase);
   out << ", " << "occurrences=" << to_string(occurrences);
   out << ", " << "endedAtMs=" << to_string(endedAtMs);
+  out << ", " << "neverSubmitted=" << to_string(neverSubmitted);
   out << ")";
 }
 
--- a/idl/gen/messages_types.h
+++ b/idl/gen/messages_types.h
@@ -2033,10 +2033,11 @@
 std::ostream& operator<<(std::ostream& out, const StepProgress& obj);
 
 typedef struct _JobProgress__isset {
-  _JobProgress__isset() : phase(false), occurrences(false), endedAtMs(false) {}
+  _JobProgress__isset() : phase(false), occurrences(false), endedAtMs(false), neverSubmitted(false) {}
   bool phase :1;
   bool occurrences :1;
   bool endedAtMs :1;
+  bool neverSubmitted :1;
 } _JobProgress__isset;
 
 class JobProgress : public virtual ::apache::thrift::TBase {
@@ -2048,13 +2049,15 @@
   JobProgress& operator=(JobProgress&&) noexcept;
   JobProgress() noexcept
               : phase(0),
-                endedAtMs(0) {
+                endedAtMs(0),
+                neverSubmitted(0) {
   }
 
   virtual ~JobProgress() noexcept;
   int32_t phase;
   std::map<int32_t, std::vector<StepProgress> >  occurrences;
   int64_t endedAtMs;
+  bool neverSubmitted;
 
   _JobProgress__isset __isset;
 
@@ -2064,6 +2067,8 @@
 
   void __set_endedAtMs(const int64_t val);
 
+  void __set_neverSubmitted(const bool val);
+
   bool operator == (const JobProgress & rhs) const
   {
     if (!(phase == rhs.phase))
@@ -2072,6 +2077,8 @@
       return false;
     if (!(endedAtMs == rhs.endedAtMs))
       return false;
+    if (!(neverSubmitted == rhs.neverSubmitted))
+      return false;
     return true;
   }
   bool operator != (const JobProgress &rhs) const {
--- a/idl/messages.thrift
+++ b/idl/messages.thrift
@@ -290,6 +290,8 @@
   2: map<i32, list<StepProgress>> occurrences;
   // Unix milliseconds; 0 while the job goes on.
   3: i64 endedAtMs;
+  // The job was cancelled before any submission of it had arrived. Later ones are refused.
+  4: bool neverSubmitted;
 }
 
 struct TaskRef {
--- a/src/programs/dispatcher/dispatcher.cpp
+++ b/src/programs/dispatcher/dispatcher.cpp
@@ -326,6 +326,9 @@
         break;
     case Wire::MessageKind::CancelJobKind:
         if (auto cancel = Wire::decode<Wire::CancelJob>(payload)) {
+            if (!m_adapters.callers->isJobId(cancel->id)) {
+                co_return answerOf(JobOutcome::Unknown);
+            }
             co_return co_await session->cancel(std::move(cancel->id), timeout);
         }
         break;
--- a/src/programs/dispatcher/owneranswers.cpp
+++ b/src/programs/dispatcher/owneranswers.cpp
@@ -46,6 +46,24 @@
     return answer;
 }
 
+std::optional<Wire::JobAnswer> OwnerSession::refuseNewRecord(const char *event, const std::string &id, TimePoint now)
+{
+    if (m_storeReachability.isUnreachable(now)) {
+        Event(event).add("job", id).add("epoch", m_term.epoch).add("reason", "the store is unreachable");
+        return answerOf(JobOutcome::Refused, outageRetryAfterMs);
+    }
+    const auto retryAfter = m_intake.retryAfter(now);
+    if (!retryAfter) {
+        return std::nullopt;
+    }
+    Event(event)
+        .add("job", id)
+        .add("epoch", m_term.epoch)
+        .add("reason", "the owner is behind with its work")
+        .add("lagMs", duration_cast<milliseconds>(m_intake.lag(now)).count());
+    return answerOf(JobOutcome::Refused, duration_cast<milliseconds>(*retryAfter).count());
+}
+
 awaitable<Wire::JobAnswer> OwnerSession::submit(Wire::JobSpec spec, Duration timeout)
 {
     const auto self = shared_from_this();
@@ -56,22 +74,15 @@
         Event("job_repeated").add("job", id).add("epoch", m_term.epoch);
         co_return answerOf(JobOutcome::Ok);
     }
-    if (submissionState == Jobs::SubmissionState::New && m_storeReachability.isUnreachable(receivedAt)) {
-        m_scheduler.withdraw(id);
-        Event("job_refused").add("job", id).add("epoch", m_term.epoch).add("reason", "the store is unreachable");
-        co_return answerOf(JobOutcome::Refused, outageRetryAfterMs);
-    }
-    const auto retryAfter = m_intake.retryAfter(receivedAt);
-    if (submissionState == Jobs::SubmissionState::New && retryAfter) {
-        m_scheduler.withdraw(id);
-        Event("job_refused")
-            .add("job", id)
-            .add("epoch", m_term.epoch)
-            .add("reason", "the owner is behind with its work")
-            .add("lagMs", duration_cast<milliseconds>(m_intake.lag(receivedAt)).count());
-        co_return answerOf(JobOutcome::Refused, duration_cast<milliseconds>(*retryAfter).count());
+    if (submissionState == Jobs::SubmissionState::CancelledBefore) {
+        Event("job_refused").add("job", id).add("epoch", m_term.epoch).add("reason", "cancelled before it arrived");
+        co_return answerOf(JobOutcome::Refused);
     }
     if (submissionState == Jobs::SubmissionState::New) {
+        if (const auto refusal = refuseNewRecord("job_refused", id, receivedAt)) {
+            m_scheduler.withdraw(id);
+            co_return *refusal;
+        }
         m_records.submit(spec);
         startRecording();
     }
@@ -110,16 +121,20 @@
 awaitable<Wire::JobAnswer> OwnerSession::cancel(std::string id, Duration timeout)
 {
     const auto self = shared_from_this();
+    const auto receivedAt = m_context.clock.now();
+    if (!m_scheduler.knows(id)) {
+        if (const auto refusal = refuseNewRecord("cancel_refused", id, receivedAt)) {
+            co_return *refusal;
+        }
+    }
     const bool accepted = m_scheduler.job(id) != nullptr;
-    m_scheduler.cancel(id, m_context.clock.now());
+    m_scheduler.cancel(id, receivedAt);
     const auto *job = m_scheduler.jobToRecord(id);
-    if (job == nullptr) {
-        co_return answerOf(isVerified(maxVerificationAge) ? JobOutcome::Unknown : JobOutcome::Refused);
-    }
     const auto version = job->version();
+    const bool neverSubmitted = job->isNeverSubmitted();
     queueChanges();
     requestPlan();
-    const auto until = m_context.clock.now() + timeout;
+    const auto until = receivedAt + timeout;
     while (!m_closed && m_scheduler.recordedVersion(id) < version && m_context.clock.now() < until) {
         co_await m_waiters.wait(id, until - m_context.clock.now());
     }
@@ -128,8 +143,13 @@
         .add("job", id)
         .add("epoch", m_term.epoch)
         .add("accepted", accepted)
+        .add("neverSubmitted", neverSubmitted)
         .add("recorded", recorded);
-    co_return answerOf(recorded ? JobOutcome::Ok : JobOutcome::Unresolved);
+    if (recorded) {
+        co_return answerOf(neverSubmitted ? JobOutcome::Unknown : JobOutcome::Ok);
+    }
+    // A cancel is idempotent: the next owner carries it out again.
+    co_return answerOf(m_closed ? JobOutcome::NotOwner : JobOutcome::Unresolved);
 }
 
 Wire::JobAnswer OwnerSession::queryJob(const std::string &id) const
@@ -138,6 +158,9 @@
     if (job == nullptr) {
         return answerOf(isVerified(maxVerificationAge) ? JobOutcome::Unknown : JobOutcome::Refused);
     }
+    if (job->isNeverSubmitted()) {
+        return answerOf(JobOutcome::Unknown);
+    }
     auto answer = answerOf(JobOutcome::Ok);
     auto phase = job->phase();
     if (isFinal(phase) && m_scheduler.recordedVersion(id) < job->version()) {
--- a/src/programs/dispatcher/ownersession.h
+++ b/src/programs/dispatcher/ownersession.h
@@ -16,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -94,6 +95,9 @@
     awaitable<void> announceLoop();
     [[nodiscard]] std::vector<Endpoint> peersOf(const RecordPage &page) const;
     [[nodiscard]] bool isVerified(Duration within) const;
+    /// Returns the refusal of a request that takes a new record, if none can be written in time. Logs it as `event`.
+    [[nodiscard]] std::optional<Wire::JobAnswer>
+    refuseNewRecord(const char *event, const std::string &id, TimePoint now);
 
     SessionContext m_context;
     Jobs::OwnerTerm m_term;
--- a/src/trefoilhoist/jobs/callertranslator.h
+++ b/src/trefoilhoist/jobs/callertranslator.h
@@ -30,6 +30,8 @@
     virtual ~CallerTranslator() = default;
 
     [[nodiscard]] virtual tl::expected<CallerRequest, std::string> request(const HttpRequest &request) const = 0;
+    /// False for a text that no job has as its id.
+    [[nodiscard]] virtual bool isJobId(const std::string &id) const = 0;
     /// Parses a submitted job. `id` is the part of the path that follows the queue's prefix; it is empty for the queue
     /// itself.
     [[nodiscard]] virtual tl::expected<Wire::JobSpec, std::string>
--- a/src/trefoilhoist/jobs/job.cpp
+++ b/src/trefoilhoist/jobs/job.cpp
@@ -247,6 +247,12 @@
     }
 }
 
+void Job::cancelUnsubmitted(std::int64_t wallMs)
+{
+    m_neverSubmitted = true;
+    cancel(wallMs);
+}
+
 Duration Job::criticalPath(const OccurrenceState *occurrence) const
 {
     std::vector<Duration> finishTimes(m_spec.steps.size());
@@ -279,6 +285,7 @@
     Wire::JobProgress result;
     result.phase = static_cast<int>(m_phase);
     result.endedAtMs = m_endedAtMs;
+    result.neverSubmitted = m_neverSubmitted;
     if (!isActive()) {
         return result;
     }
@@ -312,6 +319,7 @@
 {
     m_phase = static_cast<JobPhase>(progress.phase);
     m_endedAtMs = progress.endedAtMs;
+    m_neverSubmitted = progress.neverSubmitted;
     m_hasStarted = true;
     for (const auto &[number, steps] : progress.occurrences) {
         if (m_occurrences.count(number) == 0) {
--- a/src/trefoilhoist/jobs/job.h
+++ b/src/trefoilhoist/jobs/job.h
@@ -131,6 +131,14 @@
     /// Increases the version, so that the checkpoints received since the last version are recorded.
     void requestCheckpointRecording();
     void cancel(std::int64_t wallMs);
+    /// Cancels a job of which only the id is known.
+    void cancelUnsubmitted(std::int64_t wallMs);
+    /// True if the job was cancelled before any submission of it had arrived: there is no such job, and there must be
+    /// none later.
+    [[nodiscard]] bool isNeverSubmitted() const
+    {
+        return m_neverSubmitted;
+    }
 
     /// Estimated duration of the longest dependency chain of an occurrence, without its finished steps.
     [[nodiscard]] Duration remainingCriticalPath(const OccurrenceState &occurrence) const;
@@ -164,6 +172,7 @@
     TimePoint m_acceptedAt;
     JobPhase m_phase = JobPhase::Queued;
     bool m_hasStarted = false;
+    bool m_neverSubmitted = false;
     std::map<int, OccurrenceState> m_occurrences;
     int m_openedOccurrences = 0;
     int m_finishedOccurrences = 0;
--- a/src/trefoilhoist/jobs/jobscheduler.cpp
+++ b/src/trefoilhoist/jobs/jobscheduler.cpp
@@ -72,6 +72,9 @@
 SubmissionState JobScheduler::submit(const Wire::JobSpec &spec, TimePoint now)
 {
     if (const auto *known = find(spec.id)) {
+        if (known->job.isNeverSubmitted()) {
+            return SubmissionState::CancelledBefore;
+        }
         return known->accepted ? SubmissionState::Known : SubmissionState::Pending;
     }
     m_jobs.emplace(spec.id, Entry{Job(spec, now), false, false, 0});
@@ -115,7 +118,11 @@
 void JobScheduler::cancel(const std::string &id, TimePoint now)
 {
     auto *entry = find(id);
-    if (entry == nullptr || !entry->job.isActive()) {
+    if (entry == nullptr) {
+        addNeverSubmitted(id, now);
+        return;
+    }
+    if (!entry->job.isActive()) {
         return;
     }
     entry->job.cancel(wallMilliseconds());
@@ -123,6 +130,15 @@
     stopRuns(*entry, now);
 }
 
+void JobScheduler::addNeverSubmitted(const std::string &id, TimePoint now)
+{
+    Wire::JobSpec spec;
+    spec.id = id;
+    auto &entry = m_jobs.emplace(id, Entry{Job(std::move(spec), now), false, false, 0}).first->second;
+    entry.job.cancelUnsubmitted(wallMilliseconds());
+    markChanged(id);
+}
+
 std::int64_t JobScheduler::waitingJobs(const std::string &queue) const
 {
     return std::count_if(m_active.begin(), m_active.end(), [&](const auto &id) {
--- a/src/trefoilhoist/jobs/jobscheduler.h
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -39,6 +39,8 @@
     Pending,
     /// Added just now; it must be recorded before anything else.
     New,
+    /// Refused: the job was cancelled before this submission arrived.
+    CancelledBefore,
 };
 
 /// Holds the owner's view of all jobs and workers and plans the orders to the workers. Each term of ownership has one.
@@ -80,12 +82,18 @@
     void accept(const std::string &id);
     /// To be called when the submission is known not to be recorded. A job that was cancelled meanwhile stays.
     void withdraw(const std::string &id);
+    /// True also for a job of which nothing is recorded yet.
+    [[nodiscard]] bool knows(const std::string &id) const
+    {
+        return m_jobs.count(id) > 0;
+    }
     /// Null if the job is unknown, or neither its submission nor its end is recorded.
     [[nodiscard]] const Job *job(const std::string &id) const;
-    /// Like job(), but also finds a job that was cancelled before its submission was recorded. Its end must be recorded
-    /// before a caller learns of it.
+    /// Like job(), but also finds a job that was cancelled before its submission was recorded or had arrived. Its end
+    /// must be recorded before a caller learns of it.
     [[nodiscard]] const Job *jobToRecord(const std::string &id) const;
-    /// Also cancels a job whose submission is still being recorded.
+    /// Also cancels a job whose submission is still being recorded, and one that is not known: its submission may be on
+    /// its way and must not be accepted later.
     void cancel(const std::string &id, TimePoint now);
     /// Number of active jobs of the queue of which no task has been started.
     [[nodiscard]] std::int64_t waitingJobs(const std::string &queue) const;
@@ -160,6 +168,7 @@
 
     // jobscheduler.cpp
     Entry *find(const std::string &id);
+    void addNeverSubmitted(const std::string &id, TimePoint now);
     void markChanged(const std::string &id);
     /// The job of a run that an agent has reported; opens the run's occurrence if this owner has not done so.
     Entry *findForRun(const Wire::TaskRef &task);
--- a/tests/integration/dispatcher.cpp
+++ b/tests/integration/dispatcher.cpp
@@ -200,6 +200,8 @@
     Process *m_owner = nullptr;
 };
 
+// A cancel was answered "no such job" while the slow store confirmed the submission; the job then ran to its end.
+
 TEST_F(DispatcherTest, callerLeavesSlowSubmission_cancel_jobNeverRuns)
 {
     m_owner->store->jobWriteDelay = slowWrite;
@@ -216,6 +218,8 @@
     EXPECT_FALSE(mayRun(*m_owner, job));
 }
 
+// The same after the store lost the submission's answer, and executed it seconds later.
+
 TEST_F(DispatcherTest, submissionIsExecutedLate_cancel_jobNeverRuns)
 {
     m_owner->store->withholdsJobWrites = true;
@@ -227,6 +231,30 @@
     EXPECT_FALSE(mayRun(*m_owner, job));
 }
 
+// The submission of the cancelled job was accepted when it arrived by another dispatcher, or was sent again.
+
+TEST_F(DispatcherTest, submissionArrivesAfterItsCancel_jobNeverRuns)
+{
+    auto &other = startDispatcher("b");
+    ASSERT_EQ(cancel(*m_owner, job).status, 410);
+    EXPECT_EQ(submit(other, job).status, 503);
+    EXPECT_EQ(submit(*m_owner, job).status, 503);
+    EXPECT_EQ(finalQuery(other, job).status, 410) << "nobody has handed in this job";
+    EXPECT_FALSE(mayRun(*m_owner, job));
+}
+
+// The next owner knew nothing of a cancel that had come before the submission.
+
+TEST_F(DispatcherTest, submissionArrivesAfterItsCancel_ownerReplaced_jobNeverRuns)
+{
+    ASSERT_EQ(cancel(*m_owner, job).status, 410);
+    auto &next = replaceOwner();
+    EXPECT_EQ(submit(next, job).status, 503);
+    EXPECT_FALSE(mayRun(next, job));
+}
+
+// A cancelled submission was lost with the owner that had acknowledged the cancel, and accepted by the next one.
+
 TEST_F(DispatcherTest, callerLeavesSlowSubmission_cancel_ownerReplaced_jobNeverRuns)
 {
     m_owner->store->jobWriteDelay = slowWrite;
@@ -237,4 +265,32 @@
     EXPECT_FALSE(mayRun(next, job));
 }
 
+// A query was answered "no such job" during the recording of a submission that was accepted.
+
+// An owner that had been replaced told callers of the next owner's jobs that there were none.
+
+// An owner that had been replaced acknowledged the cancel of a job that the next owner went on to run.
+
+TEST_F(DispatcherTest, ownerReplacedUnawares_cancel_isAcknowledgedOnlyIfTheJobNeverRuns)
+{
+    auto &next = replaceOwner();
+    ASSERT_EQ(submit(next, job).status, 200);
+    const bool acknowledged = cancel(*m_owner, job).cancelAcknowledged();
+    EXPECT_FALSE(acknowledged && mayRun(next, job));
+}
+
+// What can't be a job's id must not get into a record's key.
+
+TEST_F(DispatcherTest, cancelOfWhatIsNoId_isAnsweredUnknownAndRecordsNothing)
+{
+    for (const std::string odd : {"", "x", "c0ffee000000000g", "c0ffee0000000000/spec"}) {
+        EXPECT_EQ(cancel(*m_owner, odd).status, 410) << odd;
+    }
+    await([&]() -> awaitable<void> {
+        const auto page = co_await m_records.list(Jobs::jobPrefix, "");
+        EXPECT_EQ(page->records.size(), 1U) << "the job of the fixture alone";
+    });
+    EXPECT_EQ(submit(*m_owner, job).status, 200);
+}
+
 } // namespace Trefoilhoist::Dispatcher
--- a/tests/unit/jobscheduler.cpp
+++ b/tests/unit/jobscheduler.cpp
@@ -48,6 +48,33 @@
     EXPECT_EQ(m_records.at("a").phase, static_cast<int>(JobPhase::Cancelled));
 }
 
+// A submission that arrived after the cancel of its job was accepted, and the job was run.
+TEST_F(JobSchedulerTest, unknownJob_cancelled_laterSubmissionIsRefused)
+{
+    joinWorker("w1");
+    m_scheduler.cancel("a", m_now);
+    EXPECT_EQ(m_scheduler.job("a"), nullptr) << "nothing is recorded yet";
+    EXPECT_EQ(m_scheduler.submit(jobOf("a", {stepOf(1, 1000)}), m_now), SubmissionState::CancelledBefore);
+    recordChanges();
+    EXPECT_EQ(m_scheduler.submit(jobOf("a", {stepOf(1, 1000)}), m_now), SubmissionState::CancelledBefore);
+    EXPECT_TRUE(m_scheduler.job("a")->isNeverSubmitted());
+    EXPECT_EQ(starts(plan()), 0U);
+}
+
+TEST_F(JobSchedulerTest, unknownJob_cancelledUnderAnEarlierOwner_submissionIsRefusedUntilItExpires)
+{
+    m_scheduler.cancel("a", m_now);
+    recordChanges();
+    JobScheduler next(m_settings, epoch + 1);
+    Wire::JobSpec spec;
+    spec.id = "a";
+    next.restoreJob(spec, m_records.at("a"), m_now, wallMilliseconds());
+    EXPECT_EQ(next.submit(jobOf("a", {stepOf(1, 1000)}), m_now), SubmissionState::CancelledBefore);
+    const auto expiry = wallMilliseconds() + m_settings.keepEndedMs;
+    EXPECT_TRUE(next.expiredJobs(expiry - 1000).empty());
+    EXPECT_EQ(next.expiredJobs(expiry + 1000), std::vector<std::string>{"a"});
+}
+
 TEST_F(JobSchedulerTest, worker_notInTheRecordedRoster_getsNothing)
 {
     m_scheduler.handleReport(reportOf("w1"), true, m_now);
