Answer queries only after a pending submission is recorded

Callers saw: GET was answered 410, "no such job", while the store was still confirming a submission that was accepted a moment later, or that the store had executed without an answer.

Cause: queryJob() asked the same view of the scheduler as cancel() did before, which hides pending submissions.

"submissionIsRefusedWhileItsQueryWaits_..." was written with the change: it guards the notification of waiting queries when a submission is withdrawn.

Change: a query waits for the outcome of the recording within the caller's deadline, and is answered 504 if it is still open then.

--- a/src/programs/dispatcher/dispatcher.cpp
+++ b/src/programs/dispatcher/dispatcher.cpp
@@ -333,8 +333,8 @@
         }
         break;
     case Wire::MessageKind::JobQueryKind:
-        if (const auto query = Wire::decode<Wire::JobQuery>(payload)) {
-            co_return session->queryJob(query->id);
+        if (auto query = Wire::decode<Wire::JobQuery>(payload)) {
+            co_return co_await session->queryJob(std::move(query->id), timeout);
         }
         break;
     case Wire::MessageKind::QueueQueryKind:
--- a/src/programs/dispatcher/owneranswers.cpp
+++ b/src/programs/dispatcher/owneranswers.cpp
@@ -109,6 +109,7 @@
     const bool withdrawn = m_records.withdraw(id);
     if (withdrawn) {
         m_scheduler.withdraw(id);
+        m_waiters.notify(id);
     }
     Event(withdrawn ? "job_refused" : "job_unsettled")
         .add("job", id)
@@ -152,18 +153,36 @@
     co_return answerOf(m_closed ? JobOutcome::NotOwner : JobOutcome::Unresolved);
 }
 
-Wire::JobAnswer OwnerSession::queryJob(const std::string &id) const
+bool OwnerSession::isBeingRecorded(const std::string &id) const
 {
-    const auto *job = m_scheduler.job(id);
-    if (job == nullptr) {
-        return answerOf(isVerified(maxVerificationAge) ? JobOutcome::Unknown : JobOutcome::Refused);
+    return m_scheduler.knows(id) && m_scheduler.job(id) == nullptr;
+}
+
+awaitable<Wire::JobAnswer> OwnerSession::queryJob(std::string id, Duration timeout)
+{
+    const auto self = shared_from_this();
+    const auto until = m_context.clock.now() + timeout;
+    while (!m_closed && isBeingRecorded(id) && m_context.clock.now() < until) {
+        co_await m_waiters.wait(id, until - m_context.clock.now());
+    }
+    if (m_closed) {
+        co_return answerOf(JobOutcome::NotOwner);
+    }
+    if (isBeingRecorded(id)) {
+        co_return answerOf(JobOutcome::Unresolved);
     }
-    if (job->isNeverSubmitted()) {
-        return answerOf(JobOutcome::Unknown);
+    const auto *job = m_scheduler.job(id);
+    if (job != nullptr && !job->isNeverSubmitted()) {
+        co_return stateOf(*job);
     }
+    co_return answerOf(isVerified(maxVerificationAge) ? JobOutcome::Unknown : JobOutcome::Refused);
+}
+
+Wire::JobAnswer OwnerSession::stateOf(const Jobs::Job &job) const
+{
     auto answer = answerOf(JobOutcome::Ok);
-    auto phase = job->phase();
-    if (isFinal(phase) && m_scheduler.recordedVersion(id) < job->version()) {
+    auto phase = job.phase();
+    if (isFinal(phase) && m_scheduler.recordedVersion(job.id()) < job.version()) {
         // A final phase is not reported before it is recorded.
         phase = JobPhase::Running;
     }
--- a/src/programs/dispatcher/ownersession.h
+++ b/src/programs/dispatcher/ownersession.h
@@ -65,7 +65,8 @@
 
     awaitable<Wire::JobAnswer> submit(Wire::JobSpec spec, Duration timeout);
     awaitable<Wire::JobAnswer> cancel(std::string id, Duration timeout);
-    [[nodiscard]] Wire::JobAnswer queryJob(const std::string &id) const;
+    /// Waits for the end of the recording if the job's submission is being recorded.
+    awaitable<Wire::JobAnswer> queryJob(std::string id, Duration timeout);
     [[nodiscard]] Wire::JobAnswer queryQueue(const std::string &queue) const;
     Wire::WorkerReportReply report(const Wire::WorkerReport &report);
 
@@ -86,6 +87,9 @@
     awaitable<void> tickLoop();
     void applyResolved(const Jobs::CommittedRecords &records);
     void wakeUnrecorded(const Jobs::RecordBatch &batch);
+    /// True if the job is known, but nothing of it is recorded: no answer may rest on it yet.
+    [[nodiscard]] bool isBeingRecorded(const std::string &id) const;
+    [[nodiscard]] Wire::JobAnswer stateOf(const Jobs::Job &job) const;
     void queueChanges();
     void startRecording();
     void forgetExpired();
--- a/tests/harness/processstore.cpp
+++ b/tests/harness/processstore.cpp
@@ -46,10 +46,10 @@
         m_withheld = std::move(commit);
         co_return tl::unexpected(StoreError{StoreFailure::Unknown, "no answer"});
     }
-    if (withholdsJobWrites) {
+    co_await sleepFor(jobWriteDelay);
+    if (withholdsJobWrites || refusesJobWrites) {
         co_return tl::unexpected(StoreError{StoreFailure::NotDone, "refused"});
     }
-    co_await sleepFor(jobWriteDelay);
     co_return co_await m_shared.commit(std::move(commit));
 }
 
--- a/tests/harness/processstore.h
+++ b/tests/harness/processstore.h
@@ -29,6 +29,8 @@
 
     /// How long a write of a job's records takes.
     Duration jobWriteDelay{};
+    /// The store refuses writes of a job's records, after `jobWriteDelay`.
+    bool refusesJobWrites = false;
     /// The next write of a job's records gets no answer and is executed only when the test says so. Until then the
     /// store refuses all other such writes.
     bool withholdsJobWrites = false;
--- a/tests/integration/dispatcher.cpp
+++ b/tests/integration/dispatcher.cpp
@@ -267,6 +267,32 @@
 
 // A query was answered "no such job" during the recording of a submission that was accepted.
 
+TEST_F(DispatcherTest, callerLeavesSlowSubmission_query_isNotToldThatTheJobIsUnknown)
+{
+    m_owner->store->jobWriteDelay = slowWrite;
+    ASSERT_EQ(submit(*m_owner, job, impatience).status, 0);
+    EXPECT_TRUE(query(*m_owner, job).showsState("queued"));
+}
+
+TEST_F(DispatcherTest, submissionWithoutAnswer_query_isNotToldThatTheJobIsUnknown)
+{
+    m_owner->store->withholdsJobWrites = true;
+    ASSERT_EQ(submit(*m_owner, job, impatience).status, 0);
+    EXPECT_NE(query(*m_owner, job, slowWrite).status, 410);
+    await([&] { return m_owner->store->executeWithheldJobWrite(); });
+    EXPECT_TRUE(finalQuery(*m_owner, job).showsState("queued"));
+}
+
+// The query would otherwise wait for a submission that is not recorded any more.
+
+TEST_F(DispatcherTest, submissionIsRefusedWhileItsQueryWaits_queryIsAnsweredUnknownAtOnce)
+{
+    m_owner->store->jobWriteDelay = slowWrite;
+    m_owner->store->refusesJobWrites = true;
+    ASSERT_EQ(submit(*m_owner, job, impatience).status, 0);
+    EXPECT_EQ(query(*m_owner, job, seconds(1)).status, 410);
+}
+
 // An owner that had been replaced told callers of the next owner's jobs that there were none.
 
 // An owner that had been replaced acknowledged the cancel of a job that the next owner went on to run.
@@ -279,6 +305,11 @@
     EXPECT_FALSE(acknowledged && mayRun(next, job));
 }
 
+TEST_F(DispatcherTest, unknownJob_query_isAnsweredUnknown)
+{
+    EXPECT_EQ(query(*m_owner, job).status, 410);
+}
+
 // What can't be a job's id must not get into a record's key.
 
 TEST_F(DispatcherTest, cancelOfWhatIsNoId_isAnsweredUnknownAndRecordsNothing)
