Answer that a job is unknown only after a later confirmation of the owner

Callers saw: GET for a job that the next owner had accepted was answered 410 by the owner that had been replaced and did not know it yet.

Cause: an unknown job was answered `Unknown` if the store had confirmed the ownership within the last 2.5 s; the owner's lease ends after 1.6 s, and at once where the store takes it away.

Change: a query about an unknown job waits until the store has answered a renewal of the owner's lease that was sent after the query was received; while that lease is alive nobody else can have accepted the job.

--- a/src/programs/dispatcher/owneranswers.cpp
+++ b/src/programs/dispatcher/owneranswers.cpp
@@ -10,8 +10,7 @@
 using Jobs::JobOutcome;
 using Jobs::JobPhase;
 
-/// If the store has not confirmed the ownership for this long, an unknown job may belong to another owner.
-constexpr Duration maxVerificationAge = milliseconds(2500);
+constexpr Duration verificationPollInterval = milliseconds(20);
 /// Store outages last for seconds and callers retry only a few times, so callers are told to retry later than usual.
 constexpr std::int64_t outageRetryAfterMs = 2000;
 
@@ -153,29 +152,30 @@
     co_return answerOf(m_closed ? JobOutcome::NotOwner : JobOutcome::Unresolved);
 }
 
-bool OwnerSession::isBeingRecorded(const std::string &id) const
+// A job that this owner doesn't know could be one of the next owner's, unless the store has confirmed this one since.
+bool OwnerSession::canAnswer(const std::string &id, TimePoint receivedAt) const
 {
-    return m_scheduler.knows(id) && m_scheduler.job(id) == nullptr;
+    const bool known = m_scheduler.knows(id);
+    const bool beingRecorded = known && m_scheduler.job(id) == nullptr;
+    return !beingRecorded && (known || m_context.verifiedAt() >= receivedAt);
 }
 
 awaitable<Wire::JobAnswer> OwnerSession::queryJob(std::string id, Duration timeout)
 {
     const auto self = shared_from_this();
-    const auto until = m_context.clock.now() + timeout;
-    while (!m_closed && isBeingRecorded(id) && m_context.clock.now() < until) {
-        co_await m_waiters.wait(id, until - m_context.clock.now());
+    const auto receivedAt = m_context.clock.now();
+    const auto until = receivedAt + timeout;
+    while (!m_closed && !canAnswer(id, receivedAt) && isVerified(m_context.leaseTtl) && m_context.clock.now() < until) {
+        co_await m_waiters.wait(id, verificationPollInterval);
     }
     if (m_closed) {
         co_return answerOf(JobOutcome::NotOwner);
     }
-    if (isBeingRecorded(id)) {
+    if (!canAnswer(id, receivedAt)) {
         co_return answerOf(JobOutcome::Unresolved);
     }
     const auto *job = m_scheduler.job(id);
-    if (job != nullptr && !job->isNeverSubmitted()) {
-        co_return stateOf(*job);
-    }
-    co_return answerOf(isVerified(maxVerificationAge) ? JobOutcome::Unknown : JobOutcome::Refused);
+    co_return job == nullptr || job->isNeverSubmitted() ? answerOf(JobOutcome::Unknown) : stateOf(*job);
 }
 
 Wire::JobAnswer OwnerSession::stateOf(const Jobs::Job &job) const
--- a/src/programs/dispatcher/ownersession.h
+++ b/src/programs/dispatcher/ownersession.h
@@ -65,7 +65,7 @@
 
     awaitable<Wire::JobAnswer> submit(Wire::JobSpec spec, Duration timeout);
     awaitable<Wire::JobAnswer> cancel(std::string id, Duration timeout);
-    /// Waits for the end of the recording if the job's submission is being recorded.
+    /// Waits for the recording of a pending submission; for an unknown job, until the store confirms this owner.
     awaitable<Wire::JobAnswer> queryJob(std::string id, Duration timeout);
     [[nodiscard]] Wire::JobAnswer queryQueue(const std::string &queue) const;
     Wire::WorkerReportReply report(const Wire::WorkerReport &report);
@@ -87,8 +87,9 @@
     awaitable<void> tickLoop();
     void applyResolved(const Jobs::CommittedRecords &records);
     void wakeUnrecorded(const Jobs::RecordBatch &batch);
-    /// True if the job is known, but nothing of it is recorded: no answer may rest on it yet.
-    [[nodiscard]] bool isBeingRecorded(const std::string &id) const;
+    /// True if a query that was received at this time can be answered: nothing of the job is being recorded, and no other
+    /// owner can have accepted it before.
+    [[nodiscard]] bool canAnswer(const std::string &id, TimePoint receivedAt) const;
     [[nodiscard]] Wire::JobAnswer stateOf(const Jobs::Job &job) const;
     void queueChanges();
     void startRecording();
--- a/tests/integration/dispatcher.cpp
+++ b/tests/integration/dispatcher.cpp
@@ -201,7 +201,6 @@
 };
 
 // A cancel was answered "no such job" while the slow store confirmed the submission; the job then ran to its end.
-
 TEST_F(DispatcherTest, callerLeavesSlowSubmission_cancel_jobNeverRuns)
 {
     m_owner->store->jobWriteDelay = slowWrite;
@@ -219,7 +218,6 @@
 }
 
 // The same after the store lost the submission's answer, and executed it seconds later.
-
 TEST_F(DispatcherTest, submissionIsExecutedLate_cancel_jobNeverRuns)
 {
     m_owner->store->withholdsJobWrites = true;
@@ -232,7 +230,6 @@
 }
 
 // The submission of the cancelled job was accepted when it arrived by another dispatcher, or was sent again.
-
 TEST_F(DispatcherTest, submissionArrivesAfterItsCancel_jobNeverRuns)
 {
     auto &other = startDispatcher("b");
@@ -244,7 +241,6 @@
 }
 
 // The next owner knew nothing of a cancel that had come before the submission.
-
 TEST_F(DispatcherTest, submissionArrivesAfterItsCancel_ownerReplaced_jobNeverRuns)
 {
     ASSERT_EQ(cancel(*m_owner, job).status, 410);
@@ -254,7 +250,6 @@
 }
 
 // A cancelled submission was lost with the owner that had acknowledged the cancel, and accepted by the next one.
-
 TEST_F(DispatcherTest, callerLeavesSlowSubmission_cancel_ownerReplaced_jobNeverRuns)
 {
     m_owner->store->jobWriteDelay = slowWrite;
@@ -266,7 +261,6 @@
 }
 
 // A query was answered "no such job" during the recording of a submission that was accepted.
-
 TEST_F(DispatcherTest, callerLeavesSlowSubmission_query_isNotToldThatTheJobIsUnknown)
 {
     m_owner->store->jobWriteDelay = slowWrite;
@@ -284,7 +278,6 @@
 }
 
 // The query would otherwise wait for a submission that is not recorded any more.
-
 TEST_F(DispatcherTest, submissionIsRefusedWhileItsQueryWaits_queryIsAnsweredUnknownAtOnce)
 {
     m_owner->store->jobWriteDelay = slowWrite;
@@ -294,9 +287,14 @@
 }
 
 // An owner that had been replaced told callers of the next owner's jobs that there were none.
+TEST_F(DispatcherTest, ownerReplacedUnawares_query_isNotToldThatTheJobIsUnknown)
+{
+    auto &next = replaceOwner();
+    ASSERT_EQ(submit(next, job).status, 200);
+    EXPECT_NE(query(*m_owner, job).status, 410);
+}
 
 // An owner that had been replaced acknowledged the cancel of a job that the next owner went on to run.
-
 TEST_F(DispatcherTest, ownerReplacedUnawares_cancel_isAcknowledgedOnlyIfTheJobNeverRuns)
 {
     auto &next = replaceOwner();
@@ -311,7 +309,6 @@
 }
 
 // What can't be a job's id must not get into a record's key.
-
 TEST_F(DispatcherTest, cancelOfWhatIsNoId_isAnsweredUnknownAndRecordsNothing)
 {
     for (const std::string odd : {"", "x", "c0ffee000000000g", "c0ffee0000000000/spec"}) {
