Remove an agent from the roster when the last lease of its worker has ended

Cause: expireWorkers() removed agents only while their worker was listed or had runs. A minion that was reported gone leaves neither, so that an agent that ended after its minion stayed in the roster for good, and each later owner waited the full time for it.

Change: an agent of the roster expires with the last lease of its worker, whatever the worker holds, and a report that its minion is gone doesn't add it again. A minion that is back within the lease changes nothing, so that crashes cost no records.

--- a/src/trefoilhoist/jobs/jobplanning.cpp
+++ b/src/trefoilhoist/jobs/jobplanning.cpp
@@ -99,7 +99,9 @@
 void JobScheduler::expireWorkers(TimePoint now)
 {
     for (auto &[id, worker] : m_workers) {
-        if (now > worker.leaseEnds && (worker.listed || !worker.runs.empty())) {
+        // An agent that has ended, and that held nothing before, would otherwise be waited for by each later owner.
+        const bool isWaitedFor = worker.listed || !worker.runs.empty() || m_roster.count(agentName(worker.info)) > 0;
+        if (now > worker.leaseEnds && isWaitedFor) {
             logWorkerEvent("worker_lease_expired", worker, m_epoch);
             removeAgent(agentName(worker.info), LossCause::LeaseExpired, now);
         }
--- a/src/trefoilhoist/jobs/workerincarnations.cpp
+++ b/src/trefoilhoist/jobs/workerincarnations.cpp
@@ -52,7 +52,9 @@
         known->second.info = report.worker;
         known->second.runsOfExpiredLease.clear();
         known->second.zoneDrained = isDrained(report.worker.zone);
-        addToRoster(report.worker);
+        if (!report.gone) {
+            addToRoster(report.worker);
+        }
         return known->second;
     }
     std::map<RunKey, Run> runsToResolve;
@@ -78,7 +80,9 @@
     worker.leaseEnds = now + m_settings.grantGrace + m_settings.workerLease + m_settings.leaseSlack;
     worker.inRecordedRoster = m_recordedRoster.count(name) > 0;
     worker.zoneDrained = isDrained(report.worker.zone);
-    addToRoster(report.worker);
+    if (!report.gone) {
+        addToRoster(report.worker);
+    }
     logWorkerEvent("worker_joined", worker, m_epoch);
     auto &newWorker = m_workers.insert_or_assign(report.worker.id, std::move(worker)).first->second;
     // A listing of the new incarnation shows whether it has the run. A run that may still start is stopped there first.
@@ -102,7 +106,8 @@
     return newWorker;
 }
 
-// Adds the agent to the roster that is recorded, so that a later owner waits for its report.
+// Adds the agent to the roster that is recorded, so that a later owner waits for its report. An agent whose minion has
+// ended holds nothing and stays in the roster only for as long as the last lease lasts.
 void JobScheduler::addToRoster(const Wire::WorkerDescription &worker)
 {
     auto name = agentName(worker);
--- /dev/null
+++ b/tests/unit/roster.cpp
@@ -0,0 +1,177 @@
+// The roster of agents that may hold something: a new owner waits for each of them.
+#include "harness/schedulerfixture.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace Trefoilhoist::Jobs {
+
+class RosterTest : public SchedulerFixture
+{
+protected:
+    static constexpr Duration reportInterval = milliseconds(500);
+    /// Longer than any lease that a worker can have.
+    static constexpr Duration longAfter = seconds(30);
+
+    static Wire::JobSpec longRunningJob()
+    {
+        auto step = stepOf(1, 1000);
+        step.longRunning = true;
+        return jobOf("a", {step});
+    }
+
+    Wire::WorkerReport goneReportOf(const std::string &worker)
+    {
+        auto report = reportOf(worker);
+        report.gone = true;
+        report.listed = false;
+        report.reachable = false;
+        return report;
+    }
+
+    /// Only w2 reports for so long that nothing can be running on the others; records each change of the roster.
+    void letTimePass(Duration time, const std::set<std::string> &gone = {})
+    {
+        for (Duration passed{}; passed < time; passed += reportInterval) {
+            m_now += reportInterval;
+            report(reportOf("w2"));
+            for (const auto &it : gone) {
+                report(goneReportOf(it));
+            }
+            plan();
+            recordRoster();
+        }
+    }
+
+    void report(const Wire::WorkerReport &report)
+    {
+        m_scheduler.handleReport(report, true, m_now);
+        recordRoster();
+    }
+
+    void recordRoster()
+    {
+        if (const auto roster = m_scheduler.takeChangedRoster()) {
+            m_roster = *roster;
+            ++m_rosterRecords;
+            m_scheduler.markRosterRecorded(*roster);
+        }
+    }
+
+    [[nodiscard]] std::set<std::string> agents() const
+    {
+        std::set<std::string> names;
+        for (const auto &it : m_roster.workers) {
+            names.insert(it.agentHost);
+        }
+        return names;
+    }
+
+    /// The number of starts that the next owner orders as soon as w2 has reported.
+    std::size_t startsAfterTakeover()
+    {
+        JobScheduler next(m_settings, epoch + 1);
+        next.restoreJob(longRunningJob(), std::nullopt, m_now, wallMs);
+        next.restoreRoster(m_roster, m_now);
+        auto first = reportOf("w2");
+        first.epoch = epoch + 1;
+        next.handleReport(first, true, m_now);
+        return starts(next.plan(m_now, wallMs, true));
+    }
+
+    Wire::WorkerRoster m_roster;
+    int m_rosterRecords = 0;
+};
+
+// The agent stayed in the roster for good. Each later owner waited for it before it started what it had inherited.
+TEST_F(RosterTest, minionLostThenItsAgentEnds_nextOwnerDoesNotWaitForIt)
+{
+    report(reportOf("w1"));
+    report(reportOf("w2"));
+    report(goneReportOf("w1"));
+    letTimePass(longAfter);
+    EXPECT_EQ(agents(), std::set<std::string>{"w2"});
+    EXPECT_EQ(startsAfterTakeover(), 1U);
+}
+
+TEST_F(RosterTest, anyNumberOfMachinesLostLongBefore_nextOwnerResumesAtOnce)
+{
+    for (const int lost : {0, 1, 3, 10}) {
+        m_scheduler = JobScheduler(m_settings, epoch);
+        for (int i = 0; i < lost; ++i) {
+            const auto worker = "lost" + std::to_string(i);
+            report(reportOf(worker));
+            report(goneReportOf(worker));
+        }
+        report(reportOf("w2"));
+        letTimePass(longAfter);
+        EXPECT_EQ(startsAfterTakeover(), 1U) << lost;
+    }
+}
+
+// An agent whose minion had never answered was not removed either.
+TEST_F(RosterTest, agentEndsBeforeItsMinionAnswered_nextOwnerDoesNotWaitForIt)
+{
+    auto unlisted = reportOf("w1");
+    unlisted.listed = false;
+    report(unlisted);
+    report(reportOf("w2"));
+    letTimePass(longAfter);
+    EXPECT_EQ(agents(), std::set<std::string>{"w2"});
+    EXPECT_EQ(startsAfterTakeover(), 1U);
+}
+
+TEST_F(RosterTest, agentAndMinionEndTogether_nextOwnerDoesNotWaitForThem)
+{
+    report(reportOf("w1"));
+    report(reportOf("w2"));
+    letTimePass(longAfter);
+    EXPECT_EQ(agents(), std::set<std::string>{"w2"});
+    EXPECT_EQ(startsAfterTakeover(), 1U);
+}
+
+// A machine whose minion was lost for good, and whose agent goes on, must not cause a record with each report.
+TEST_F(RosterTest, minionLostAndItsAgentGoesOn_rosterChangesOnce)
+{
+    report(reportOf("w1"));
+    report(reportOf("w2"));
+    report(goneReportOf("w1"));
+    const int before = m_rosterRecords;
+    letTimePass(longAfter, {"w1"});
+    EXPECT_EQ(m_rosterRecords, before + 1);
+    EXPECT_EQ(agents(), std::set<std::string>{"w2"});
+}
+
+// Most minions are back within seconds.
+TEST_F(RosterTest, minionCrashesAndReturnsSoon_rosterDoesNotChange)
+{
+    report(reportOf("w1"));
+    report(reportOf("w2"));
+    report(goneReportOf("w1"));
+    const int before = m_rosterRecords;
+    letTimePass(seconds(3), {"w1"});
+    auto back = reportOf("w1");
+    back.worker.born = 2;
+    report(back);
+    letTimePass(seconds(1));
+    EXPECT_EQ(m_rosterRecords, before);
+}
+
+TEST_F(RosterTest, minionReturnsAfterItsAgentWasRemoved_nothingStartsThereBeforeTheRosterIsRecorded)
+{
+    report(reportOf("w1"));
+    report(goneReportOf("w1"));
+    letTimePass(longAfter, {"w1"});
+    accept(jobOf("b", {stepOf(1, 3000)}));
+    accept(jobOf("c", {stepOf(1, 3000)}));
+    auto back = reportOf("w1");
+    back.worker.born = 2;
+    m_scheduler.handleReport(back, true, m_now);
+    EXPECT_EQ(plan().count("w1"), 0U);
+    recordRoster();
+    EXPECT_EQ(agents(), (std::set<std::string>{"w1", "w2"}));
+    EXPECT_EQ(plan().at("w1").starts.size(), 1U);
+}
+
+} // namespace Trefoilhoist::Jobs
