Ignore reports about an incarnation before the present one

JobScheduler::workerForReport() ended every other incarnation of the same agent as replaced, without comparing start times.

Change: the owner ignores a report about an incarnation that started before the present one and that has not answered its agent. The minion's own answer still replaces a later one, since clocks may be set back.

--- a/src/trefoilhoist/jobs/joblog.cpp
+++ b/src/trefoilhoist/jobs/joblog.cpp
@@ -77,6 +77,17 @@
         .add("epoch", epoch);
 }
 
+void logEarlierIncarnation(const Wire::WorkerReport &report, std::int64_t epoch)
+{
+    Event("earlier_incarnation_ignored")
+        .add("agent", agentName(report.worker))
+        .add("worker", report.worker.id)
+        .add("born", report.worker.born)
+        .add("report", report.number)
+        .add("gone", report.gone)
+        .add("epoch", epoch);
+}
+
 void logOvertakenReport(const Wire::WorkerReport &report, std::int64_t lastReport, std::int64_t epoch)
 {
     Event("report_overtaken")
--- a/src/trefoilhoist/jobs/jobreports.cpp
+++ b/src/trefoilhoist/jobs/jobreports.cpp
@@ -33,6 +33,10 @@
         }
         return reply;
     }
+    if (isOfEarlierIncarnation(report)) {
+        logEarlierIncarnation(report, m_epoch);
+        return reply;
+    }
     auto *worker = &workerForReport(report, now);
     worker->draining = report.draining;
     worker->reachable = report.reachable;
--- a/src/trefoilhoist/jobs/jobscheduler.h
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -179,6 +179,9 @@
     void releaseMemory(Entry &entry);
 
     // workerincarnations.cpp
+    /// True if the report is about an incarnation that started before the present one and has not answered its agent: a
+    /// heartbeat of it was held up and reached an agent that doesn't know the present one.
+    [[nodiscard]] bool isOfEarlierIncarnation(const Wire::WorkerReport &report) const;
     Worker &workerForReport(const Wire::WorkerReport &report, TimePoint now);
     void removeAgent(const std::string &name, LossCause cause, TimePoint now);
     void addToRoster(const Wire::WorkerDescription &worker);
--- a/src/trefoilhoist/jobs/workerincarnations.cpp
+++ b/src/trefoilhoist/jobs/workerincarnations.cpp
@@ -43,6 +43,21 @@
     }
 }
 
+bool JobScheduler::isOfEarlierIncarnation(const Wire::WorkerReport &report) const
+{
+    if (report.listed) {
+        // The minion itself has answered. Its host's clock was set back.
+        return false;
+    }
+    const auto name = agentName(report.worker);
+    return std::any_of(m_workers.begin(), m_workers.end(), [&](const auto &it) {
+        const auto &[id, known] = it;
+        const bool sameMinion = id == report.worker.id || agentName(known.info) == name;
+        const bool present = known.listed || !known.runs.empty();
+        return sameMinion && present && known.info.born > report.worker.born;
+    });
+}
+
 // Returns the worker that a report is about, and adds it if the minion's incarnation is new.
 Worker &JobScheduler::workerForReport(const Wire::WorkerReport &report, TimePoint now)
 {
--- /dev/null
+++ b/tests/unit/incarnations.cpp
@@ -0,0 +1,130 @@
+// Incarnations of one agent's minion, and reports about one that is not the present one.
+#include "harness/schedulerfixture.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace Trefoilhoist::Jobs {
+
+class IncarnationTest : public SchedulerFixture
+{
+protected:
+    IncarnationTest()
+    {
+        sendReport(reportOfIncarnation("present", presentBorn));
+        sendReport(reportOf("other"));
+        auto step = stepOf(1, 1000);
+        step.maxPerWorker = 1;
+        step.count = 2;
+        accept(jobOf("a", {step}));
+        const auto orders = plan();
+        for (const auto &[worker, it] : orders) {
+            answer(it, OrderResult::Done);
+        }
+        m_running = running(orders.at("present").starts.front());
+        sendPresent();
+    }
+
+    /// All incarnations are of the same agent.
+    Wire::WorkerReport reportOfIncarnation(const std::string &id, std::int64_t born)
+    {
+        auto report = reportOf(id);
+        report.worker.born = born;
+        report.worker.agentHost = "agent";
+        return report;
+    }
+
+    /// A heartbeat of this incarnation has reached the agent, which has not called the minion yet.
+    Wire::WorkerReport unlistedReportOf(const std::string &id, std::int64_t born)
+    {
+        auto report = reportOfIncarnation(id, born);
+        report.listed = false;
+        report.reachable = false;
+        return report;
+    }
+
+    void sendPresent()
+    {
+        auto report = reportOfIncarnation("present", presentBorn);
+        report.running = {m_running};
+        sendReport(report);
+    }
+
+    [[nodiscard]] bool presentKeepsItsRun() const
+    {
+        const auto it = m_scheduler.workers().find("present");
+        return it != m_scheduler.workers().end() && it->second.runs.count({m_running.task, m_running.run}) > 0;
+    }
+
+    static constexpr std::int64_t earlierBorn = 1000;
+    static constexpr std::int64_t presentBorn = 2000;
+    static constexpr std::int64_t laterBorn = 3000;
+    Wire::RunningTask m_running;
+};
+
+// A heartbeat that was held up reached an agent that had been restarted. The owner took the present minion for replaced
+// and started its tasks elsewhere while it worked on them.
+TEST_F(IncarnationTest, lateHeartbeatOfAnEarlierIncarnation_presentOneKeepsItsRuns)
+{
+    const auto reply = sendReport(unlistedReportOf("earlier", earlierBorn));
+    EXPECT_EQ(reply.leaseMs, 0) << "nothing may be held there";
+    EXPECT_TRUE(presentKeepsItsRun());
+    EXPECT_EQ(m_scheduler.workers().count("earlier"), 0U);
+    EXPECT_EQ(starts(plan()), 0U);
+    sendPresent();
+    EXPECT_TRUE(presentKeepsItsRun());
+}
+
+TEST_F(IncarnationTest, lateHeartbeatOfAnEarlierIncarnation_noCrashIsBlamed)
+{
+    sendReport(unlistedReportOf("earlier", earlierBorn));
+    sendPresent();
+    recordChanges();
+    EXPECT_EQ(m_records.count("a"), 0U);
+}
+
+TEST_F(IncarnationTest, lateHeartbeatUnderTheSameId_presentOneKeepsItsRuns)
+{
+    sendReport(unlistedReportOf("present", earlierBorn));
+    EXPECT_TRUE(presentKeepsItsRun());
+    EXPECT_EQ(starts(plan()), 0U);
+}
+
+TEST_F(IncarnationTest, earlierIncarnationIsReportedGone_presentOneKeepsItsRuns)
+{
+    auto gone = unlistedReportOf("earlier", earlierBorn);
+    gone.gone = true;
+    sendReport(gone);
+    EXPECT_TRUE(presentKeepsItsRun());
+    EXPECT_EQ(starts(plan()), 0U);
+}
+
+TEST_F(IncarnationTest, laterIncarnationIsHeardOf_presentOneIsReplaced)
+{
+    sendReport(unlistedReportOf("later", laterBorn));
+    EXPECT_FALSE(presentKeepsItsRun());
+    EXPECT_EQ(m_scheduler.workers().count("present"), 0U);
+}
+
+// The host's clock was set back: only the minion's own answer shows that the incarnation with the earlier start time is
+// the present one.
+TEST_F(IncarnationTest, incarnationWithAnEarlierStartTimeAnswers_replacesTheOther)
+{
+    sendReport(reportOfIncarnation("earlier", earlierBorn));
+    EXPECT_FALSE(presentKeepsItsRun());
+    EXPECT_EQ(m_scheduler.workers().count("earlier"), 1U);
+}
+
+// Otherwise a machine whose clock was set back would not be used before its minion has answered a call.
+TEST_F(IncarnationTest, presentOneIsGone_incarnationWithAnEarlierStartTimeIsAccepted)
+{
+    auto gone = reportOfIncarnation("present", presentBorn);
+    gone.gone = true;
+    gone.listed = false;
+    sendReport(gone);
+    sendReport(unlistedReportOf("earlier", earlierBorn));
+    EXPECT_EQ(m_scheduler.workers().count("earlier"), 1U);
+}
+
+} // namespace Trefoilhoist::Jobs
