Count a job as begun only when a minion has confirmed a start

Cause: Job::trackRun() marked a job as begun when a start was ordered, and nothing took that back after a refusal.

Evidence: "startIsRefused_jobStillWaits" and "startWithoutAnswer_jobWaitsUntilTheRunIsListed" fail before the change and pass now.

Change: a job has begun when a start is confirmed, or a run of it or its end is listed. Until then it waits, and is shown as queued.

--- a/src/trefoilhoist/jobs/job.cpp
+++ b/src/trefoilhoist/jobs/job.cpp
@@ -109,6 +109,10 @@
     }
     state->activeRuns.push_back({run, worker});
     state->lastRun = std::max(state->lastRun, run);
+}
+
+void Job::confirmStart()
+{
     m_hasStarted = true;
     if (m_phase == JobPhase::Queued) {
         m_phase = JobPhase::Running;
--- a/src/trefoilhoist/jobs/job.h
+++ b/src/trefoilhoist/jobs/job.h
@@ -80,7 +80,7 @@
     {
         return !isFinal(m_phase);
     }
-    /// True if a task has been started, or may have been started by an earlier owner.
+    /// True if a minion has confirmed a start, or an earlier owner has recorded progress.
     [[nodiscard]] bool hasStarted() const
     {
         return m_hasStarted;
@@ -110,8 +110,10 @@
     /// True when all steps that `step` depends on have finished.
     [[nodiscard]] bool isStepReady(const OccurrenceState &occurrence, int step) const;
 
-    /// Adds an active run of the task.
+    /// Adds an active run of the task, which may not have started yet.
     void trackRun(const Wire::TaskRef &ref, std::int64_t run, const std::string &worker);
+    /// To be called when a minion has shown that it has started a task.
+    void confirmStart();
     /// Removes an active run; returns true if it was active.
     bool dropRun(const Wire::TaskRef &ref, std::int64_t run);
 
--- a/src/trefoilhoist/jobs/joblistings.cpp
+++ b/src/trefoilhoist/jobs/joblistings.cpp
@@ -41,6 +41,7 @@
     observeSurvival(worker, key, run, now);
     if (run.state == RunState::Ordered || run.state == RunState::Unresolved) {
         run.state = RunState::Running;
+        confirmStart(key);
     }
     if (!run.inFlight) {
         run.lastListingBeforeResolution = std::min(run.lastListingBeforeResolution, listing);
@@ -94,6 +95,7 @@
         const bool mayRunTwice = step.duplicatesAllowed || step.gang;
         const bool wanted = entry->job.isActive() && !task->done && (task->activeRuns.empty() || mayRunTwice);
         entry->job.trackRun(row.task, row.run, worker.info.id);
+        entry->job.confirmStart();
         m_jobsToRefresh.insert(row.task.job);
         worker.addRun({row.task, row.run}, run);
         if (!wanted) {
--- a/src/trefoilhoist/jobs/joborders.cpp
+++ b/src/trefoilhoist/jobs/joborders.cpp
@@ -75,6 +75,7 @@
     }
     switch (result) {
     case OrderResult::Done:
+        confirmStart(key);
         run.mayStillStart = false;
         run.lastListingBeforeResolution = listing;
         if (run.startedAlone) {
@@ -132,6 +133,13 @@
     handleLostRun(worker, key, now);
 }
 
+void JobScheduler::confirmStart(const RunKey &key)
+{
+    if (auto *entry = find(key.task.job); entry != nullptr) {
+        entry->job.confirmStart();
+    }
+}
+
 // Delays the next start of a task whose start was refused.
 void JobScheduler::delayRetry(const RunKey &key, TimePoint now)
 {
--- a/src/trefoilhoist/jobs/jobreports.cpp
+++ b/src/trefoilhoist/jobs/jobreports.cpp
@@ -118,6 +118,7 @@
         addPendingEnd(worker, {end.number, {}, 0});
         return;
     }
+    entry->job.confirmStart();
     applyEndToJob(entry->job, worker, end);
     stopObsoleteRuns(*entry, end, now);
     m_jobsToRefresh.insert(entry->job.id());
--- a/src/trefoilhoist/jobs/jobscheduler.h
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -224,6 +224,7 @@
     // joborders.cpp
     void handleStartResult(Worker &worker, const RunKey &key, OrderResult result, std::int64_t listing, TimePoint now);
     void handleRefusedStart(Worker &worker, const RunKey &key, OrderResult result, TimePoint now);
+    void confirmStart(const RunKey &key);
     void delayRetry(const RunKey &key, TimePoint now);
 
     // jobplanning.cpp
--- a/tests/unit/jobscheduler.cpp
+++ b/tests/unit/jobscheduler.cpp
@@ -82,6 +82,52 @@
     EXPECT_EQ(starts(plan()), 0U);
 }
 
+// A queue was said to have no waiting jobs while minions refused all their starts.
+TEST_F(JobSchedulerTest, startIsRefused_jobStillWaits)
+{
+    joinWorker("w1");
+    accept(jobOf("a", {stepOf(1, 1000)}));
+    const auto orders = plan().at("w1");
+    EXPECT_EQ(m_scheduler.waitingJobs("quotes"), 1) << "the order is in flight";
+    answer(orders, OrderResult::Refused);
+    EXPECT_EQ(m_scheduler.waitingJobs("quotes"), 1);
+    EXPECT_EQ(m_scheduler.job("a")->phase(), JobPhase::Queued);
+}
+
+TEST_F(JobSchedulerTest, startIsConfirmed_jobNoLongerWaits)
+{
+    joinWorker("w1");
+    accept(jobOf("a", {stepOf(1, 1000)}));
+    answer(plan().at("w1"), OrderResult::Done);
+    EXPECT_EQ(m_scheduler.waitingJobs("quotes"), 0);
+    EXPECT_EQ(m_scheduler.job("a")->phase(), JobPhase::Running);
+}
+
+TEST_F(JobSchedulerTest, startWithoutAnswer_jobWaitsUntilTheRunIsListed)
+{
+    joinWorker("w1");
+    accept(jobOf("a", {stepOf(1, 1000)}));
+    const auto orders = plan().at("w1");
+    m_scheduler.handleOrderResults(orders, std::nullopt, m_now);
+    EXPECT_EQ(m_scheduler.waitingJobs("quotes"), 1);
+    auto report = reportOf("w1");
+    report.running = {running(orders.starts.front())};
+    sendReport(report);
+    EXPECT_EQ(m_scheduler.waitingJobs("quotes"), 0);
+}
+
+TEST_F(JobSchedulerTest, startWithoutAnswer_runFailsBeforeItIsListed_jobNoLongerWaits)
+{
+    joinWorker("w1");
+    accept(jobOf("a", {stepOf(1, 1000)}));
+    const auto orders = plan().at("w1");
+    m_scheduler.handleOrderResults(orders, std::nullopt, m_now);
+    auto report = reportOf("w1");
+    report.ended = {ended(1, orders.starts.front(), EndKind::Failed)};
+    sendReport(report);
+    EXPECT_EQ(m_scheduler.waitingJobs("quotes"), 0);
+}
+
 TEST_F(JobSchedulerTest, tasks_exceedTheCapacity_onlyThoseThatFitStart)
 {
     joinWorker("w1");
