Let the hold of a minion expire that is silent for good

Cause: the agent extended the hold with each listing that it asked for, answered or not, so that the hold never expired.

Change: after 3 s without an answer neither listings nor starts extend the hold. It expires, and the minion is given up. An answer before that extends it again.

--- a/src/programs/agent/agent.h
+++ b/src/programs/agent/agent.h
@@ -32,6 +32,9 @@
     Duration maxHold = seconds(6);
     /// For this time the agent takes rows of a listing that it can't read for possible runs of the owner.
     Duration unreadableRowsPatience = seconds(5);
+    /// How long the hold of a minion that doesn't answer is still extended. One that is only slow answers some call
+    /// within this time.
+    Duration maxMinionSilence = seconds(3);
 };
 
 /// The parsed message of the minion, a heartbeat or a permanent departure, or the reason why it can't be parsed.
@@ -90,6 +93,9 @@
     void noteCrash();
     awaitable<void> throttle(Jobs::RunThrottle order);
     [[nodiscard]] Jobs::MinionTarget target() const;
+    /// Until when the minion may keep its runs, by its clock; nothing if the hold must not be extended: the minion may
+    /// not be there any more, and its tasks can start elsewhere only when the hold has expired.
+    [[nodiscard]] std::optional<std::int64_t> extendHold(TimePoint now);
 
     // The owner.
     awaitable<void> reportLoop();
--- a/src/programs/agent/minionruns.cpp
+++ b/src/programs/agent/minionruns.cpp
@@ -33,6 +33,12 @@
     return {m_minion->endpoint, m_minion->worker.id, m_fence.fencingToken()};
 }
 
+std::optional<std::int64_t> AgentServer::extendHold(TimePoint now)
+{
+    const bool silent = m_unreachableSince && now - *m_unreachableSince > m_settings.maxMinionSilence;
+    return m_holdWithheld || silent ? std::nullopt : m_fence.extendHold(now);
+}
+
 awaitable<void> AgentServer::listLoop()
 {
     while (true) {
@@ -54,7 +60,7 @@
     const bool wait = m_fence.isListed() && m_reachable && m_fence.extendHold(now).has_value();
     // After a failed call, another incarnation may answer the next one. Its ends have numbers of its own.
     const auto dropped = m_reachable ? m_fence.endsToDrop() : 0;
-    const auto hold = m_holdWithheld ? 0 : m_fence.extendHold(now).value_or(0);
+    const auto hold = extendHold(now).value_or(0);
     auto listing = co_await m_adapters.minion->list(target(), dropped, hold, wait ? listingWait : Duration{});
     if (!m_minion || m_minion->worker.id != worker.id || m_minion->worker.born != worker.born) {
         co_return;
@@ -336,7 +342,7 @@
     const bool isAddressee = m_minion && m_minion->worker.id == orders.worker && m_minion->worker.born == orders.born;
     const auto refusalReason = isAddressee ? m_fence.startRefusalReason(orders, now)
                                            : "the orders are for another incarnation of the minion";
-    const auto until = m_holdWithheld ? std::nullopt : m_fence.extendHold(now);
+    const auto until = extendHold(now);
     if (!refusalReason.empty() || m_minion->draining || !m_reachable || !until) {
         Event("start_withheld")
             .add("job", order.task.job)
--- a/src/programs/dispatcher/ownersession.h
+++ b/src/programs/dispatcher/ownersession.h
@@ -87,8 +87,8 @@
     awaitable<void> tickLoop();
     void applyResolved(const Jobs::CommittedRecords &records);
     void wakeUnrecorded(const Jobs::RecordBatch &batch);
-    /// True if a query that was received at this time can be answered: nothing of the job is being recorded, and no other
-    /// owner can have accepted it before.
+    /// True if a query that was received at this time can be answered: nothing of the job is being recorded, and no
+    /// other owner can have accepted it before.
     [[nodiscard]] bool canAnswer(const std::string &id, TimePoint receivedAt) const;
     [[nodiscard]] Wire::JobAnswer stateOf(const Jobs::Job &job) const;
     void queueChanges();
--- a/tests/integration/agent.cpp
+++ b/tests/integration/agent.cpp
@@ -32,6 +32,8 @@
 constexpr Duration promptly = milliseconds(250);
 /// How long the agent takes rows that it can't read for possible runs of the owner.
 constexpr Duration rowsPatience = milliseconds(600);
+/// How long the agent extends the hold of a minion that doesn't answer.
+constexpr Duration maxSilence = milliseconds(400);
 constexpr Duration longEnough = seconds(5);
 
 /// What the agent sends with a listing call.
@@ -44,6 +46,8 @@
 /// A minion whose listing and presence tests set.
 struct FakeMinion {
     bool refusesConnections = false;
+    /// Calls get no answer.
+    bool silent = false;
     Jobs::MinionListing listing;
     std::vector<int> throttles;
     std::vector<ListingCall> listingCalls;
@@ -63,6 +67,9 @@
         if (m_minion.refusesConnections) {
             co_return tl::unexpected(Jobs::MinionError{"connection refused", true});
         }
+        if (m_minion.silent) {
+            co_return tl::unexpected(Jobs::MinionError{"no answer", false});
+        }
         ++m_minion.listing.clockMs;
         co_return m_minion.listing;
     }
@@ -293,6 +300,7 @@
         settings.peers = {"127.0.0.1", unusedPort(m_runtime.executor())};
         settings.maxHold = seconds(1);
         settings.unreadableRowsPatience = rowsPatience;
+        settings.maxMinionSilence = maxSilence;
         m_heartbeatEndpoint = settings.heartbeats;
         m_orderEndpoint = settings.peers;
         m_agent = std::make_unique<AgentServer>(m_runtime, settings, std::move(adapters));
@@ -494,6 +502,29 @@
     EXPECT_EQ(m_minion.starts, 1);
 }
 
+// The hold was extended for good, though nobody knew whether the minion was still there: its tasks never moved.
+TEST_F(AgentTest, minionIsSilentForGood_holdExpiresAndTheMinionIsGivenUp)
+{
+    addRun("a", 1000);
+    m_leaseMs = 1000;
+    join();
+    m_minion.silent = true;
+    EXPECT_TRUE(runUntil([&] { return m_lastReport.gone; }));
+    EXPECT_EQ(nextListingCalls(1).back().holdUntilMs, 0);
+}
+
+TEST_F(AgentTest, minionIsSilentForAMoment_holdIsExtendedAgain)
+{
+    addRun("a", 1000);
+    m_leaseMs = 1000;
+    join();
+    m_minion.silent = true;
+    EXPECT_TRUE(runUntil([&] { return nextListingCalls(1).back().holdUntilMs == 0; }));
+    m_minion.silent = false;
+    EXPECT_TRUE(runUntil([&] { return nextListingCalls(1).back().holdUntilMs > 0; }));
+    EXPECT_FALSE(m_lastReport.gone);
+}
+
 // The host's clock was set back between the starts of two incarnations.
 TEST_F(AgentTest, nextIncarnationHasAnEarlierStartTime_isAdoptedOnceTheMinionIsGone)
 {
