Start a gang whole or not at all where a worker takes no more starts

Evidence: "gang_oneWorkerTakesNoMoreStarts_startsWholeOrNotAtAll" fails before the change (one member is ordered alone, and the gang doesn't start in the next plan either) and passes now.

Change: such workers are left out before the members are placed.

--- a/src/trefoilhoist/jobs/jobplanning.cpp
+++ b/src/trefoilhoist/jobs/jobplanning.cpp
@@ -295,6 +295,11 @@
         run = std::max(run, nextRun(task));
     }
     auto selector = selectorFor(entry, pending, now);
+    for (const auto &[id, it] : orders) {
+        if (it.starts.size() >= maxStartsPerPlan) {
+            selector.exclude(m_workers.at(id));
+        }
+    }
     std::vector<Worker *> chosen;
     std::vector<RunKey> keys;
     std::map<const Worker *, std::size_t> members;
--- a/tests/unit/jobscheduler.cpp
+++ b/tests/unit/jobscheduler.cpp
@@ -352,6 +352,34 @@
     EXPECT_EQ(starts(plan()), 1U);
 }
 
+// A worker takes 24 starts in one plan. A gang of which one member got none was started in part, and its members waited
+// for each other until they ended.
+TEST_F(JobSchedulerTest, gang_oneWorkerTakesNoMoreStarts_startsWholeOrNotAtAll)
+{
+    constexpr int startsPerPlan = 24;
+    auto large = reportOf("w1");
+    large.worker.cpuMilli = 100'000;
+    large.worker.memoryMb = 100'000;
+    large.worker.labels = {"large"};
+    sendReport(large);
+    joinWorker("w2");
+    auto first = stepOf(startsPerPlan, 100);
+    first.requiredLabel = "large";
+    first.longRunning = true;
+    accept(jobOf("a", {first}));
+    auto gang = stepOf(2, 1000);
+    gang.gang = true;
+    gang.maxPerWorker = 1;
+    accept(jobOf("b", {gang}));
+    const auto orders = plan();
+    ASSERT_EQ(orders.at("w1").starts.size(), static_cast<std::size_t>(startsPerPlan));
+    EXPECT_EQ(orders.count("w2"), 0U) << "one member alone";
+    for (const auto &[worker, it] : orders) {
+        answer(it, OrderResult::Done);
+    }
+    EXPECT_EQ(starts(plan()), 2U);
+}
+
 TEST_F(JobSchedulerTest, agentThatLeft_longRunningTask_movesAtOnceAndAgentLeavesTheRoster)
 {
     joinWorker("w1");
