--- a/src/trefoilhoist/jobs/jobplanning.cpp
+++ b/src/trefoilhoist/jobs/jobplanning.cpp
@@ -99,11 +99,14 @@
 void JobScheduler::expireWorkers(TimePoint now)
 {
     for (auto &[id, worker] : m_workers) {
-        // An agent that has ended, and that held nothing before, would otherwise be waited for by each later owner.
-        const bool isWaitedFor = worker.listed || !worker.runs.empty() || m_roster.count(agentName(worker.info)) > 0;
-        if (now > worker.leaseEnds && isWaitedFor) {
+        if (now <= worker.leaseEnds) {
+            continue;
+        }
+        // Each later owner would wait for an agent of the roster, also for one that held nothing when it ended.
+        const auto name = agentName(worker.info);
+        if (worker.listed || !worker.runs.empty() || m_roster.count(name) > 0) {
             logWorkerEvent("worker_lease_expired", worker, m_epoch);
-            removeAgent(agentName(worker.info), LossCause::LeaseExpired, now);
+            removeAgent(name, LossCause::LeaseExpired, now);
         }
     }
     if (!m_unreported.empty() && now > m_reportDeadline) {
