--- a/src/trefoilhoist/jobs/jobreports.cpp
+++ b/src/trefoilhoist/jobs/jobreports.cpp
@@ -60,15 +60,22 @@
     reply.leaseTerm = worker->leaseTerm;
     reply.pairs = m_interference.takeChanged(worker->sentPairsRevision);
     if (report.wantsRunInfo) {
-        for (const auto &[key, run] : worker->runs) {
-            if (const auto *entry = find(key.task.job); entry != nullptr && !run.orphaned) {
-                reply.runs.push_back(runInfo(*entry, key));
-            }
-        }
+        reply.runs = describeRuns(*worker);
     }
     return reply;
 }
 
+std::vector<Wire::RunInfo> JobScheduler::describeRuns(const Worker &worker)
+{
+    std::vector<Wire::RunInfo> runs;
+    for (const auto &[key, run] : worker.runs) {
+        if (const auto *entry = find(key.task.job); entry != nullptr && !run.orphaned) {
+            runs.push_back(runInfo(*entry, key));
+        }
+    }
+    return runs;
+}
+
 // True if a later report of the agent came first: the agent has given up on this one, and what it tells is outdated.
 bool JobScheduler::isOvertaken(const Wire::WorkerReport &report)
 {
--- a/src/trefoilhoist/jobs/jobscheduler.h
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -191,6 +191,7 @@
     void requestStop(Worker &worker, const RunKey &key, TimePoint now);
 
     // jobreports.cpp
+    [[nodiscard]] std::vector<Wire::RunInfo> describeRuns(const Worker &worker);
     bool isOvertaken(const Wire::WorkerReport &report);
     void applyListing(Worker &worker, const Wire::WorkerReport &report, TimePoint now);
     void applyEnd(Worker &worker, const Wire::EndedTask &end, TimePoint now);
