Split the placement of tasks from planning

What chooses workers and starts tasks is in jobplacement.cpp now, moved as it was; the header lists the functions by file.

--- a/src/trefoilhoist/jobs/jobscheduler.h
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -232,6 +232,14 @@
     void expireWorkers(TimePoint now);
     void resendOrders(std::map<std::string, Wire::WorkerOrders> &orders, TimePoint now);
     [[nodiscard]] std::vector<const PendingStep *> pendingByRank(TimePoint now) const;
+    /// True if the pending step still has tasks that may have to be started.
+    [[nodiscard]] bool hasTasksToStart(const PendingStep &pending);
+    Wire::WorkerOrders &ordersFor(std::map<std::string, Wire::WorkerOrders> &orders, const Worker &worker) const;
+    [[nodiscard]] static Wire::RunInfo runInfo(const Entry &entry, const RunKey &key);
+    [[nodiscard]] std::int64_t nextRun(const TaskState &task) const;
+    [[nodiscard]] Wire::StartOrder startOrder(const Entry &entry, const RunKey &key, const Run &run) const;
+
+    // jobplacement.cpp
     void placeStep(const PendingStep &pending, std::map<std::string, Wire::WorkerOrders> &orders, TimePoint now);
     void placeTasks(Entry &entry,
                     const PendingStep &pending,
@@ -250,8 +258,6 @@
     void handleUnplaced(const Entry &entry, const PendingStep &pending, const WorkerSelector &selector, TimePoint now);
     /// True if an equal or smaller demand found no worker earlier in this plan.
     [[nodiscard]] bool isKnownUnplaceable(const Entry &entry, const PendingStep &pending, TimePoint now) const;
-    /// True if the pending step still has tasks that may have to be started.
-    [[nodiscard]] bool hasTasksToStart(const PendingStep &pending);
     [[nodiscard]] Run newRun(const Wire::StepSpec &step, TimePoint now);
     void startAlone(Entry &entry,
                     const Wire::TaskRef &ref,
@@ -265,10 +271,6 @@
                std::map<std::string, Wire::WorkerOrders> &orders,
                std::int64_t run,
                TimePoint now);
-    Wire::WorkerOrders &ordersFor(std::map<std::string, Wire::WorkerOrders> &orders, const Worker &worker) const;
-    [[nodiscard]] static Wire::RunInfo runInfo(const Entry &entry, const RunKey &key);
-    [[nodiscard]] std::int64_t nextRun(const TaskState &task) const;
-    [[nodiscard]] Wire::StartOrder startOrder(const Entry &entry, const RunKey &key, const Run &run) const;
 
     SchedulerSettings m_settings;
     std::int64_t m_epoch = 0;
