--- a/src/trefoilhoist/jobs/joblog.cpp
+++ b/src/trefoilhoist/jobs/joblog.cpp
@@ -157,11 +157,16 @@
         .add("epoch", epoch);
 }
 
-void logUnreportedAgents(const std::set<std::string> &agents, std::int64_t epoch)
+void logAgentGivenUp(const std::string &agent, const Worker *worker, TimePoint now, std::int64_t epoch)
 {
-    for (const auto &it : agents) {
-        Event("agent_given_up").add("agent", it).add("epoch", epoch);
+    Event event("agent_given_up");
+    event.add("agent", agent).add("reported", worker != nullptr);
+    if (worker != nullptr) {
+        event.add("worker", worker->info.id)
+            .add("reachable", worker->reachable)
+            .add("leaseLeftMs", duration_cast<milliseconds>(worker->leaseEnds - now).count());
     }
+    event.add("epoch", epoch);
 }
 
 } // namespace Trefoilhoist::Jobs
--- a/src/trefoilhoist/jobs/joblog.h
+++ b/src/trefoilhoist/jobs/joblog.h
@@ -42,7 +42,8 @@
                     const std::map<std::string_view, int> &rejections,
                     Duration waited,
                     std::int64_t epoch);
-/// Logs the agents for whose first report the owner no longer waits.
-void logUnreportedAgents(const std::set<std::string> &agents, std::int64_t epoch);
+/// Logs an agent for whose first listing the owner no longer waits. `worker` is what the agent has reported; null if it
+/// has reported nothing.
+void logAgentGivenUp(const std::string &agent, const Worker *worker, TimePoint now, std::int64_t epoch);
 
 } // namespace Trefoilhoist::Jobs
--- a/src/trefoilhoist/jobs/jobplanning.cpp
+++ b/src/trefoilhoist/jobs/jobplanning.cpp
@@ -102,15 +102,28 @@
             removeAgent(name, LossCause::LeaseExpired, now);
         }
     }
-    if (!m_unreported.empty() && now > m_reportDeadline) {
-        logUnreportedAgents(m_unreported, m_epoch);
+    if (now > m_reportDeadline) {
+        giveUpAgents(now);
+    }
+}
+
+void JobScheduler::giveUpAgents(TimePoint now)
+{
+    for (const auto &name : std::set<std::string>(m_unreported)) {
+        logAgentGivenUp(name, workerOf(name), now, m_epoch);
         m_agentsGivenUp = true;
-        for (const auto &name : std::set<std::string>(m_unreported)) {
-            removeAgent(name, LossCause::LeaseExpired, now);
-        }
+        removeAgent(name, LossCause::LeaseExpired, now);
     }
 }
 
+const Worker *JobScheduler::workerOf(const std::string &agent) const
+{
+    const auto it = std::find_if(m_workers.begin(), m_workers.end(), [&](const auto &known) {
+        return agentName(known.second.info) == agent;
+    });
+    return it == m_workers.end() ? nullptr : &it->second;
+}
+
 Wire::WorkerOrders &JobScheduler::ordersFor(std::map<std::string, Wire::WorkerOrders> &orders,
                                             const Worker &worker) const
 {
--- a/src/trefoilhoist/jobs/jobscheduler.h
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -230,6 +230,10 @@
 
     // jobplanning.cpp
     void expireWorkers(TimePoint now);
+    /// Gives up the agents of the restored roster that have not reported in time.
+    void giveUpAgents(TimePoint now);
+    /// The worker that this agent has reported; null if it has reported none.
+    [[nodiscard]] const Worker *workerOf(const std::string &agent) const;
     void resendOrders(std::map<std::string, Wire::WorkerOrders> &orders, TimePoint now);
     [[nodiscard]] std::vector<const PendingStep *> pendingByRank(TimePoint now) const;
     /// True if the pending step still has tasks that may have to be started.
