Play a site of real processes under random, overlapping faults

Change: tests/soak starts dispatchers, agents and minions as processes, over the review's stand-ins for store and minion, kills, stops and pauses them at random, restarts them within milliseconds, lets minions answer late and heartbeats arrive late, and checks all runs. The minion can be a process now, answers late when told so, has a clock of its own and notes when its hold expires.

--- a/review/standins/minion.h
+++ b/review/standins/minion.h
@@ -60,8 +60,54 @@
     std::vector<std::string> labels;
     std::int64_t heartbeatMs = 1500;
     std::int64_t maxHoldMs = 6000;
+    /// How fast the minion's own clock runs.
+    double clockRate = 1;
+    /// How much earlier than its start the minion says that it was born: its host's clock was set back.
+    std::int64_t bornShiftMs = 0;
+    /// For this time after the start, connections to `app` are refused.
+    std::int64_t refusesForMs = 0;
+    /// Each heartbeat is written to the record, so that it can be sent once more.
+    bool recordsHeartbeats = false;
 };
 
+inline Json json(const MinionPlan &plan)
+{
+    return {{"id", plan.id},
+            {"service", plan.service},
+            {"zone", plan.zone},
+            {"appIp", plan.app.ip},
+            {"appPort", plan.app.port},
+            {"controlIp", plan.control.ip},
+            {"controlPort", plan.control.port},
+            {"cpu", plan.cpu},
+            {"labels", plan.labels},
+            {"heartbeatMs", plan.heartbeatMs},
+            {"maxHoldMs", plan.maxHoldMs},
+            {"clockRate", plan.clockRate},
+            {"bornShiftMs", plan.bornShiftMs},
+            {"refusesForMs", plan.refusesForMs},
+            {"recordsHeartbeats", plan.recordsHeartbeats}};
+}
+
+inline MinionPlan minionPlanFrom(const Json &body)
+{
+    MinionPlan plan;
+    plan.id = body.at("id");
+    plan.service = body.at("service");
+    plan.zone = body.at("zone");
+    plan.app = {body.at("appIp"), body.at("appPort")};
+    plan.control = {body.at("controlIp"), body.at("controlPort")};
+    plan.cpu = body.at("cpu");
+    plan.labels = body.at("labels").get<std::vector<std::string>>();
+    plan.heartbeatMs = body.at("heartbeatMs");
+    plan.maxHoldMs = body.at("maxHoldMs");
+    plan.clockRate = body.at("clockRate");
+    plan.bornShiftMs = body.at("bornShiftMs");
+    plan.refusesForMs = body.at("refusesForMs");
+    plan.recordsHeartbeats = body.at("recordsHeartbeats");
+    return plan;
+}
+
 /// One life of a minion, from its construction to crash().
 class Minion
 {
@@ -69,9 +115,10 @@
     Minion(MinionPlan plan, RunLog &log, Record &record) : m_plan(std::move(plan)), m_log(log), m_record(record)
     {
         m_record.add("minion", m_plan.id + " starts, born " + std::to_string(m_born));
-        m_server = std::make_unique<Server>(m_plan.app, [this](const Request &request) { return serve(request); });
         m_ticker = std::thread([this] { tickLoop(); });
         m_heart = std::thread([this] { heartbeatLoop(); });
+        sleepMs(m_plan.refusesForMs);
+        m_server = std::make_unique<Server>(m_plan.app, [this](const Request &request) { return serve(request); });
     }
 
     ~Minion()
@@ -90,6 +137,12 @@
         m_shedding = shedding;
     }
 
+    /// Calls are executed at once, and answered after this time.
+    void setAnswerDelay(std::int64_t ms)
+    {
+        m_answerDelayMs = ms;
+    }
+
     /// While set, heartbeats do not leave: they are held up on their way. The last one is kept.
     void holdHeartbeats(bool held)
     {
@@ -148,7 +201,8 @@
 
     [[nodiscard]] std::int64_t clockMs() const
     {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(SteadyClock::now() - m_startedAt).count();
+        const auto age = std::chrono::duration<double, std::milli>(SteadyClock::now() - m_startedAt).count();
+        return static_cast<std::int64_t>(m_plan.clockRate * age);
     }
 
     static std::int64_t durationOf(const std::string &specification, const std::string &task)
@@ -172,13 +226,13 @@
         return std::stoll(specification.substr(at));
     }
 
-    void end(const std::string &task, const std::string &how)
+    void end(const std::string &task, const std::string &how, const std::string &note = "")
     {
         const auto it = m_runs.find(task);
         m_ended.push_back({++m_lastEnd, task, it->second.run, how});
         auto &highest = m_highestOver[task];
         highest = std::max(highest, it->second.run);
-        m_log.add(m_plan.id, task, it->second.run, how);
+        m_log.add(m_plan.id, task, it->second.run, how + note);
         m_runs.erase(it);
         m_changed.notify_all();
     }
@@ -189,6 +243,7 @@
             {
                 std::lock_guard lock(m_mutex);
                 const auto now = clockMs();
+                noteLapse(now);
                 std::vector<std::string> over;
                 for (const auto &[task, it] : m_runs) {
                     if (now >= m_holdUntilMs || now >= it.endsAtMs) {
@@ -196,13 +251,24 @@
                     }
                 }
                 for (const auto &task : over) {
-                    end(task, now >= m_holdUntilMs ? "lapsed" : "done");
+                    // A process that stood still notices it late.
+                    const auto late = std::to_string(now - m_holdUntilMs);
+                    end(task, now >= m_holdUntilMs ? "lapsed" : "done", now >= m_holdUntilMs ? " " + late : "");
                 }
             }
             sleepMs(5);
         }
     }
 
+    /// Notes once that the hold has expired, whether something runs or not. A process that stood still notices it late.
+    void noteLapse(std::int64_t now)
+    {
+        if (m_holdUntilMs > m_lapsedHoldMs && now >= m_holdUntilMs) {
+            m_lapsedHoldMs = m_holdUntilMs;
+            m_record.add("lapse", m_plan.id + " " + std::to_string(now - m_holdUntilMs));
+        }
+    }
+
     Json heartbeat()
     {
         return {{"service", m_plan.service},
@@ -225,6 +291,11 @@
         while (!m_dead) {
             const auto path = "/instances/" + m_plan.id + "/heartbeat";
             const auto body = heartbeat().dump();
+            if (m_plan.recordsHeartbeats) {
+                auto text = path;
+                text.append(" ").append(body);
+                m_record.add("beat", text);
+            }
             if (m_heartbeatsHeld) {
                 std::lock_guard lock(m_mutex);
                 m_heldHeartbeat = {path, body};
@@ -249,6 +320,7 @@
 
     void extendHold(const Json &body)
     {
+        noteLapse(clockMs());
         if (body.contains("deadlineMs")) {
             const auto deadline = body.at("deadlineMs").get<std::int64_t>();
             m_holdUntilMs = std::max(m_holdUntilMs, std::min(deadline, clockMs() + m_plan.maxHoldMs));
@@ -256,6 +328,13 @@
     }
 
     std::optional<Response> serve(const Request &request)
+    {
+        auto response = execute(request);
+        sleepMs(m_answerDelayMs);
+        return response;
+    }
+
+    std::optional<Response> execute(const Request &request)
     {
         std::unique_lock lock(m_mutex);
         if (m_dead) {
@@ -327,7 +406,10 @@
     {
         extendHold(body);
         const auto seen = body.value("lastSeen", std::int64_t{0});
-        std::erase_if(m_ended, [&](const auto &it) { return it.number <= seen; });
+        while (!m_ended.empty() && m_ended.front().number <= seen) {
+            m_log.add(m_plan.id, m_ended.front().task, m_ended.front().run, "noted");
+            m_ended.pop_front();
+        }
         const auto until = SteadyClock::now() + std::chrono::milliseconds(body.value("waitMs", 0));
         while (m_ended.empty() && !m_dead && m_changed.wait_until(lock, until) != std::cv_status::timeout) { }
         if (m_dead) {
@@ -351,7 +433,7 @@
     MinionPlan m_plan;
     RunLog &m_log;
     Record &m_record;
-    const std::int64_t m_born = wallMs();
+    const std::int64_t m_born = wallMs() - m_plan.bornShiftMs;
     const SteadyClock::time_point m_startedAt = SteadyClock::now();
     std::mutex m_mutex;
     std::condition_variable m_changed;
@@ -361,8 +443,10 @@
     std::int64_t m_lastEnd = 0;
     std::int64_t m_highestToken = 0;
     std::int64_t m_holdUntilMs = 0;
+    std::int64_t m_lapsedHoldMs = 0;
     std::atomic<std::int64_t> m_sequence = 0;
     std::atomic<int> m_acknowledged = 0;
+    std::atomic<std::int64_t> m_answerDelayMs = 0;
     std::atomic<bool> m_shedding = false;
     std::atomic<bool> m_heartbeatsHeld = false;
     std::pair<std::string, std::string> m_heldHeartbeat;
--- a/review/standins/net.h
+++ b/review/standins/net.h
@@ -188,7 +188,7 @@
 public:
     using Handler = std::function<std::optional<Response>(const Request &)>;
 
-    Server(Address address, Handler handler) : m_handler(std::move(handler))
+    Server(const Address &address, Handler handler) : m_handler(std::move(handler))
     {
         m_fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         const int yes = 1;
--- a/review/standins/record.h
+++ b/review/standins/record.h
@@ -12,7 +12,12 @@
 class Record
 {
 public:
-    explicit Record(const std::string &path) : m_file(std::fopen(path.c_str(), "w")) { }
+    using TimePoint = std::chrono::steady_clock::time_point;
+
+    explicit Record(const std::string &path, TimePoint startedAt = std::chrono::steady_clock::now())
+        : m_startedAt(startedAt), m_file(std::fopen(path.c_str(), "w"))
+    {
+    }
 
     ~Record()
     {
@@ -24,6 +29,11 @@
     Record(const Record &) = delete;
     Record &operator=(const Record &) = delete;
 
+    [[nodiscard]] TimePoint startedAt() const
+    {
+        return m_startedAt;
+    }
+
     [[nodiscard]] std::int64_t now() const
     {
         using namespace std::chrono;
@@ -40,7 +50,7 @@
     }
 
 private:
-    const std::chrono::steady_clock::time_point m_startedAt = std::chrono::steady_clock::now();
+    const TimePoint m_startedAt;
     std::mutex m_mutex;
     std::FILE *m_file = nullptr;
 };
--- a/review/standins/site.h
+++ b/review/standins/site.h
@@ -14,6 +14,43 @@
 
 namespace Review {
 
+/// A thread that lives as long as the program. A child is ended with the thread that has started it, so that all
+/// children are started here.
+class Spawner
+{
+public:
+    static void run(const std::function<void()> &work)
+    {
+        static auto *spawner = new Spawner;
+        std::unique_lock lock(spawner->m_mutex);
+        spawner->m_changed.wait(lock, [] { return spawner->m_work == nullptr; });
+        spawner->m_work = &work;
+        spawner->m_changed.notify_all();
+        spawner->m_changed.wait(lock, [&] { return spawner->m_work != &work; });
+    }
+
+private:
+    Spawner()
+    {
+        std::thread([this] { loop(); }).detach();
+    }
+
+    void loop()
+    {
+        std::unique_lock lock(m_mutex);
+        while (true) {
+            m_changed.wait(lock, [this] { return m_work != nullptr; });
+            (*m_work)();
+            m_work = nullptr;
+            m_changed.notify_all();
+        }
+    }
+
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    const std::function<void()> *m_work = nullptr;
+};
+
 /// A program of the product, started with the command of the deploy file.
 class Process
 {
@@ -31,16 +68,12 @@
 
     void start()
     {
-        m_pid = fork();
-        if (m_pid != 0) {
-            return;
-        }
-        prctl(PR_SET_PDEATHSIG, SIGKILL);
-        const int fd = open(m_log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-        dup2(fd, STDOUT_FILENO);
-        dup2(fd, STDERR_FILENO);
-        execl(m_program.c_str(), m_program.c_str(), "--settings", m_settings.c_str(), static_cast<char *>(nullptr));
-        _exit(127);
+        Spawner::run([this] { spawn(); });
+    }
+
+    [[nodiscard]] bool running() const
+    {
+        return m_pid > 0;
     }
 
     /// Sends the signal; one that ends the process is waited for.
@@ -56,7 +89,31 @@
         }
     }
 
+    /// Sends SIGUSR1 with a number.
+    void tell(int number)
+    {
+        sigval value{};
+        value.sival_int = number;
+        if (m_pid > 0) {
+            sigqueue(m_pid, SIGUSR1, value);
+        }
+    }
+
 private:
+    void spawn()
+    {
+        m_pid = fork();
+        if (m_pid != 0) {
+            return;
+        }
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
+        const int fd = open(m_log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+        dup2(fd, STDOUT_FILENO);
+        dup2(fd, STDERR_FILENO);
+        execl(m_program.c_str(), m_program.c_str(), "--settings", m_settings.c_str(), static_cast<char *>(nullptr));
+        _exit(127);
+    }
+
     std::string m_program;
     std::string m_settings;
     std::string m_log;
@@ -71,6 +128,11 @@
 struct SitePlan {
     int fronts = 2;
     std::vector<SidePlan> sides;
+    /// Where the programs of the product lie.
+    std::string bin = "target/bin";
+    /// The program that is started as each minion, with its plan as settings. Empty: minions are threads.
+    std::string minionProgram;
+    std::int64_t workerLeaseMs = 6000;
 };
 
 struct Side {
@@ -78,6 +140,8 @@
     MinionPlan plan;
     std::unique_ptr<Process> agent;
     std::unique_ptr<Minion> minion;
+    /// The minion, where it is a process of its own.
+    std::unique_ptr<Process> minionProcess;
 };
 
 struct Front {
@@ -95,7 +159,7 @@
 class Site
 {
 public:
-    Site(const SitePlan &plan, Record &record) : m_record(record), m_log(record)
+    Site(const SitePlan &plan, Record &record) : m_plan(plan), m_record(record), m_log(record)
     {
         char folder[] = "/tmp/trefoilhoist-review-XXXXXX";
         m_folder = mkdtemp(folder);
@@ -115,6 +179,7 @@
     {
         for (auto &it : m_sides) {
             it.minion.reset();
+            it.minionProcess.reset();
             it.agent.reset();
         }
         m_fronts.clear();
@@ -186,7 +251,17 @@
     void startMinion(Side &side, const std::string &id)
     {
         side.plan.id = id;
-        side.minion = std::make_unique<Minion>(side.plan, m_log, m_record);
+        if (m_plan.minionProgram.empty()) {
+            side.minion = std::make_unique<Minion>(side.plan, m_log, m_record);
+            return;
+        }
+        const auto name = m_folder + "/minion-" + std::to_string(++m_minions);
+        auto settings = json(side.plan);
+        settings["record"] = name + ".txt";
+        settings["startedAtNs"] = m_record.startedAt().time_since_epoch().count();
+        std::ofstream(name + ".json") << settings;
+        side.minionProcess = std::make_unique<Process>(m_plan.minionProgram, name + ".json", name + ".log");
+        m_minionRecords.push_back(name + ".txt");
     }
 
     /// The number of the front that owns the scheduling, as the store shows it to anybody; -1 if none does.
@@ -201,6 +276,16 @@
         return -1;
     }
 
+    [[nodiscard]] const std::string &folder() const
+    {
+        return m_folder;
+    }
+    /// The records of all minions that were processes of their own.
+    [[nodiscard]] const std::vector<std::string> &minionRecords() const
+    {
+        return m_minionRecords;
+    }
+
     Store &store()
     {
         return *m_store;
@@ -284,7 +369,7 @@
             last = text.cbegin() + it->position() + it->length();
         }
         out.append(last, text.cend());
-        const auto path = m_folder + "/" + name + ".json";
+        auto path = m_folder + "/" + name + ".json";
         std::ofstream(path) << out;
         return path;
     }
@@ -307,9 +392,9 @@
                                             {"platform.address", m_storeAddress.text()},
                                             {"limits.processorShare", 0.25},
                                             {"limits.linkMbps", 1000.0},
-                                            {"bounds.maxHoldMs", 6000}});
+                                            {"bounds.maxHoldMs", m_plan.workerLeaseMs}});
         front.dispatcher = std::make_unique<Process>(
-            "target/bin/trefoilhoist-dispatcher", settings, m_folder + "/" + front.name + ".log");
+            m_plan.bin + "/trefoilhoist-dispatcher", settings, m_folder + "/" + front.name + ".log");
         m_fronts.push_back(std::move(front));
     }
 
@@ -321,6 +406,8 @@
         side.plan.service = serviceName;
         side.plan.zone = "zone-a";
         side.plan.cpu = plan.cpu;
+        side.plan.maxHoldMs = m_plan.workerLeaseMs;
+        side.plan.recordsHeartbeats = !m_plan.minionProgram.empty();
         side.plan.labels = {"a", plan.rack};
         side.plan.control = {ip, freePort(ip)};
         side.plan.app = {ip, freePort(ip)};
@@ -332,16 +419,19 @@
                                             {"internalPortRange.0", freePort(ip)},
                                             {"internalPortRange.1", freePort(ip)},
                                             {"platform.address", m_storeAddress.text()},
-                                            {"bounds.maxHoldMs", 6000}});
-        side.agent
-            = std::make_unique<Process>("target/bin/trefoilhoist-agent", settings, m_folder + "/" + side.name + ".log");
+                                            {"bounds.maxHoldMs", m_plan.workerLeaseMs}});
+        side.agent = std::make_unique<Process>(
+            m_plan.bin + "/trefoilhoist-agent", settings, m_folder + "/" + side.name + ".log");
         startMinion(side, "i-" + std::to_string(number + 1) + "a");
         m_sides.push_back(std::move(side));
     }
 
+    SitePlan m_plan;
     Record &m_record;
     RunLog m_log;
     std::string m_folder;
+    int m_minions = 0;
+    std::vector<std::string> m_minionRecords;
     int m_network = 1;
     int m_hosts = 0;
     Address m_storeAddress;
--- /dev/null
+++ b/tests/soak/chaos.cpp
@@ -0,0 +1,522 @@
+#include "soak/chaos.h"
+
+namespace Trefoilhoist::Soak {
+
+namespace {
+
+using Random = std::mt19937_64;
+
+std::int64_t between(Random &random, std::int64_t least, std::int64_t most)
+{
+    return std::uniform_int_distribution<std::int64_t>(least, most)(random);
+}
+
+bool withChance(Random &random, double chance)
+{
+    return std::uniform_real_distribution<double>(0, 1)(random) < chance;
+}
+
+/// Most pauses are short, and some are longer than the longest lease.
+std::int64_t pauseMs(Random &random)
+{
+    return withChance(random, 0.6) ? between(random, 20, 1500) : between(random, 1500, 9000);
+}
+
+/// Most processes are started again at once.
+std::int64_t downMs(Random &random)
+{
+    return withChance(random, 0.5) ? between(random, 0, 60) : between(random, 60, 3000);
+}
+
+std::string jobName(Random &random)
+{
+    static const char *digits = "0123456789abcdef";
+    std::string name;
+    for (int i = 0; i < 16; ++i) {
+        name += digits[between(random, 0, 15)];
+    }
+    return name;
+}
+
+Review::Json stepOf(std::int64_t count, std::int64_t cpu, std::int64_t ms)
+{
+    return {{"count", count}, {"cpu", cpu}, {"memoryRequestMb", 64}, {"estimatedMs", ms}};
+}
+
+} // namespace
+
+Load::Load(Review::Site &site, Review::Record &record, std::uint64_t seed)
+    : m_site(site), m_record(record), m_random(seed), m_thread([this] { submitLoop(); })
+{
+}
+
+Load::~Load()
+{
+    stopSubmitting();
+}
+
+void Load::stopSubmitting()
+{
+    m_stopped = true;
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+std::size_t Load::accepted() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_accepted.size();
+}
+
+void Load::submitLoop()
+{
+    for (int n = 0; !m_stopped; ++n) {
+        const bool lasting = n % 40 == 0;
+        const auto ms = lasting ? 3'600'000 : between(m_random, 200, 2500);
+        auto first = stepOf(between(m_random, 1, 8), between(m_random, 200, 2000), ms);
+        if (lasting) {
+            first["longRunning"] = true;
+        }
+        Review::Json steps = {first};
+        if (!lasting && withChance(m_random, 0.5)) {
+            auto second = stepOf(between(m_random, 1, 6), 500, ms);
+            second["after"] = {0};
+            steps.push_back(second);
+        }
+        const auto text = "ms=" + std::to_string(ms) + "," + std::to_string(ms);
+        submit(jobName(m_random), Review::Json{{"specification", text}, {"steps", steps}}.dump(), lasting);
+        Review::sleepMs(between(m_random, 20, 250));
+    }
+}
+
+void Load::submit(const std::string &job, const std::string &body, bool lasting)
+{
+    constexpr int tries = 4;
+    for (int i = 0; i < tries && !m_stopped; ++i) {
+        const int front = static_cast<int>(between(m_random, 0, static_cast<std::int64_t>(m_site.fronts().size()) - 1));
+        const auto answer = m_site.send("POST", job, body, 700, front);
+        if (answer && answer->status == 200) {
+            std::lock_guard lock(m_mutex);
+            m_accepted[job] = lasting;
+            return;
+        }
+        Review::sleepMs(100);
+    }
+}
+
+std::vector<std::string> Load::waitForJobs(std::int64_t timeoutMs)
+{
+    const auto until = m_record.now() + timeoutMs;
+    auto unfinished = unfinishedJobs();
+    while (!unfinished.empty() && m_record.now() < until) {
+        Review::sleepMs(1000);
+        unfinished = unfinishedJobs();
+    }
+    return unfinished;
+}
+
+std::vector<std::string> Load::unfinishedJobs()
+{
+    std::vector<std::string> unfinished;
+    std::lock_guard lock(m_mutex);
+    for (const auto &[job, lasting] : m_accepted) {
+        const auto state = m_site.stateOf(job);
+        if (state != "completed" && !lasting) {
+            auto text = job;
+            text.append(" is shown as \"").append(state).append("\"");
+            unfinished.push_back(std::move(text));
+        }
+    }
+    return unfinished;
+}
+
+Chaos::Chaos(Review::Site &site, Review::Record &record, std::uint64_t seed, const std::vector<std::string> &kinds)
+    : m_site(site), m_record(record), m_random(seed)
+{
+    const std::map<std::string, void (Chaos::*)(Random &)> all = {{"kill-agent", &Chaos::killAgent},
+                                                                  {"stop-agent", &Chaos::stopAgent},
+                                                                  {"pause-agent", &Chaos::pauseAgent},
+                                                                  {"kill-minion", &Chaos::killMinion},
+                                                                  {"pause-minion", &Chaos::pauseMinion},
+                                                                  {"slow-minion", &Chaos::slowMinion},
+                                                                  {"kill-owner", &Chaos::killOwner},
+                                                                  {"slow-at-takeover", &Chaos::slowAtTakeover},
+                                                                  {"kill-machine", &Chaos::killMachine},
+                                                                  {"pause-machine", &Chaos::pauseMachine},
+                                                                  {"kill-dispatcher", &Chaos::killDispatcher},
+                                                                  {"stop-dispatcher", &Chaos::stopDispatcher},
+                                                                  {"pause-dispatcher", &Chaos::pauseDispatcher},
+                                                                  {"slow-store", &Chaos::slowStore}};
+    for (const auto &[name, fault] : all) {
+        if (kinds.empty() || std::find(kinds.begin(), kinds.end(), name) != kinds.end()) {
+            m_faults[name] = [this, fault = fault](Random &random) {
+                (this->*fault)(random);
+            };
+        }
+    }
+    const auto &records = m_site.minionRecords();
+    for (std::size_t i = 0; i < m_site.sides().size(); ++i) {
+        m_recordOfSide[m_site.sides()[i].name] = records.at(i);
+    }
+}
+
+std::int64_t Chaos::killedAtMs(const std::string &minionRecord) const
+{
+    std::lock_guard lock(m_mutex);
+    const auto it = m_killedAtMs.find(minionRecord);
+    return it == m_killedAtMs.end() ? 0 : it->second;
+}
+
+void Chaos::run(std::int64_t forMs)
+{
+    const auto until = m_record.now() + forMs;
+    while (m_record.now() < until) {
+        auto it = m_faults.begin();
+        std::advance(it, between(m_random, 0, static_cast<std::int64_t>(m_faults.size()) - 1));
+        m_threads.emplace_back([fault = it->second, seed = m_random()] {
+            Random random(seed);
+            fault(random);
+        });
+        ++m_count;
+        Review::sleepMs(between(m_random, 50, 1200));
+    }
+    for (auto &it : m_threads) {
+        it.join();
+    }
+}
+
+/// Takes a name for the time of a fault; `taken` is false if it has one already.
+struct Claim {
+    std::mutex &mutex;
+    std::set<std::string> &busy;
+    std::string name;
+    bool taken = false;
+
+    Claim(std::mutex &lockedBy, std::set<std::string> &names, std::string wanted)
+        : mutex(lockedBy), busy(names), name(std::move(wanted))
+    {
+        std::lock_guard lock(mutex);
+        taken = busy.insert(name).second;
+    }
+    ~Claim()
+    {
+        std::lock_guard lock(mutex);
+        if (taken) {
+            busy.erase(name);
+        }
+    }
+    Claim(const Claim &) = delete;
+    Claim &operator=(const Claim &) = delete;
+};
+
+Review::Side &Chaos::anySide(Random &random)
+{
+    auto &sides = m_site.sides();
+    return sides[static_cast<std::size_t>(between(random, 0, static_cast<std::int64_t>(sides.size()) - 1))];
+}
+
+Review::Front &Chaos::anyFront(Random &random)
+{
+    auto &fronts = m_site.fronts();
+    return fronts[static_cast<std::size_t>(between(random, 0, static_cast<std::int64_t>(fronts.size()) - 1))];
+}
+
+std::string Chaos::lastRecordOf(const Review::Side &side) const
+{
+    std::lock_guard lock(m_mutex);
+    return m_recordOfSide.at(side.name);
+}
+
+void Chaos::killAgent(Random &random)
+{
+    auto &side = anySide(random);
+    const Claim claim(m_mutex, m_busy, side.name + " agent");
+    if (!claim.taken) {
+        return;
+    }
+    m_record.add("fault", side.name + ": the agent is killed");
+    side.agent->kill(SIGKILL);
+    Review::sleepMs(downMs(random));
+    m_record.add("fault", side.name + ": the agent is started");
+    side.agent->start();
+}
+
+void Chaos::stopAgent(Random &random)
+{
+    auto &side = anySide(random);
+    const Claim claim(m_mutex, m_busy, side.name + " agent");
+    if (!claim.taken) {
+        return;
+    }
+    m_record.add("fault", side.name + ": SIGTERM to the agent");
+    side.agent->kill(SIGTERM);
+    Review::sleepMs(downMs(random));
+    m_record.add("fault", side.name + ": the agent is started");
+    side.agent->start();
+}
+
+void Chaos::pauseAgent(Random &random)
+{
+    auto &side = anySide(random);
+    const Claim claim(m_mutex, m_busy, side.name + " agent");
+    if (!claim.taken) {
+        return;
+    }
+    const auto ms = pauseMs(random);
+    m_record.add("fault", side.name + ": the agent stands still for " + std::to_string(ms) + " ms");
+    side.agent->kill(SIGSTOP);
+    Review::sleepMs(ms);
+    side.agent->kill(SIGCONT);
+    m_record.add("fault", side.name + ": the agent goes on");
+}
+
+void Chaos::endMinion(Review::Side &side)
+{
+    const auto path = lastRecordOf(side);
+    m_record.add("fault", side.name + ": the minion " + side.plan.id + " is killed");
+    side.minionProcess->kill(SIGKILL);
+    std::lock_guard lock(m_mutex);
+    m_killedAtMs[path] = m_record.now();
+}
+
+void Chaos::beginMinion(Review::Side &side, bool sameId, Random &random)
+{
+    std::lock_guard lock(m_mutex);
+    side.plan.refusesForMs = withChance(random, 0.3) ? between(random, 0, 700) : 0;
+    side.plan.clockRate = 1 - 0.0001 * static_cast<double>(between(random, 0, 200));
+    const auto id = sameId ? side.plan.id : "i-" + side.name + "-" + std::to_string(++m_lives);
+    m_site.startMinion(side, id);
+    m_recordOfSide[side.name] = m_site.minionRecords().back();
+    m_record.add("fault", side.name + ": the minion " + id + " is started");
+}
+
+void Chaos::sendLateHeartbeat(const Review::Side &side, const std::string &minionRecord, std::int64_t delayMs)
+{
+    std::ifstream file(minionRecord);
+    std::string path;
+    std::string body;
+    for (std::string line; std::getline(file, line);) {
+        const auto at = line.find(" beat ");
+        if (at == std::string::npos) {
+            continue;
+        }
+        const auto slash = line.find('/', at);
+        const auto space = line.find(' ', slash);
+        path = line.substr(slash, space - slash);
+        body = line.substr(space + 1);
+    }
+    if (path.empty()) {
+        return;
+    }
+    Review::sleepMs(delayMs);
+    const auto answer = Review::call(side.plan.control, "POST", path, body, 1000);
+    m_record.add("fault",
+                 side.name + ": a late heartbeat arrives, answered " + std::to_string(answer ? answer->status : 0)
+                     + ": " + path);
+}
+
+void Chaos::killMinion(Random &random)
+{
+    auto &side = anySide(random);
+    const Claim claim(m_mutex, m_busy, side.name + " minion");
+    if (!claim.taken) {
+        return;
+    }
+    const auto path = lastRecordOf(side);
+    endMinion(side);
+    Review::sleepMs(downMs(random));
+    beginMinion(side, withChance(random, 0.5), random);
+    if (withChance(random, 0.4)) {
+        sendLateHeartbeat(side, path, between(random, 0, 5000));
+    }
+}
+
+void Chaos::pauseMinion(Random &random)
+{
+    auto &side = anySide(random);
+    const Claim claim(m_mutex, m_busy, side.name + " minion");
+    if (!claim.taken) {
+        return;
+    }
+    const auto ms = pauseMs(random);
+    m_record.add("fault", side.name + ": the minion stands still for " + std::to_string(ms) + " ms");
+    side.minionProcess->kill(SIGSTOP);
+    Review::sleepMs(ms);
+    side.minionProcess->kill(SIGCONT);
+    m_record.add("fault", side.name + ": the minion goes on");
+}
+
+void Chaos::slowMinion(Random &random)
+{
+    auto &side = anySide(random);
+    const Claim claim(m_mutex, m_busy, side.name + " minion");
+    if (!claim.taken) {
+        return;
+    }
+    // An agent waits 400 ms for an answer.
+    const auto delayMs = between(random, 200, 1500);
+    const auto ms = between(random, 1000, 11'000);
+    m_record.add("fault",
+                 side.name + ": the minion answers after " + std::to_string(delayMs) + " ms for " + std::to_string(ms)
+                     + " ms");
+    side.minionProcess->tell(static_cast<int>(delayMs));
+    Review::sleepMs(ms);
+    side.minionProcess->tell(0);
+    m_record.add("fault", side.name + ": the minion answers at once");
+}
+
+void Chaos::killMachine(Random &random)
+{
+    auto &side = anySide(random);
+    const Claim minion(m_mutex, m_busy, side.name + " minion");
+    const Claim agent(m_mutex, m_busy, side.name + " agent");
+    if (!minion.taken || !agent.taken) {
+        return;
+    }
+    const auto path = lastRecordOf(side);
+    m_record.add("fault", side.name + ": the machine is killed");
+    side.agent->kill(SIGKILL);
+    endMinion(side);
+    Review::sleepMs(downMs(random));
+    const bool agentFirst = withChance(random, 0.5);
+    if (agentFirst) {
+        side.agent->start();
+        Review::sleepMs(between(random, 0, 400));
+    }
+    beginMinion(side, withChance(random, 0.5), random);
+    if (!agentFirst) {
+        Review::sleepMs(between(random, 0, 400));
+        side.agent->start();
+    }
+    if (withChance(random, 0.5)) {
+        sendLateHeartbeat(side, path, between(random, 0, 3000));
+    }
+}
+
+void Chaos::pauseMachine(Random &random)
+{
+    auto &side = anySide(random);
+    const Claim minion(m_mutex, m_busy, side.name + " minion");
+    const Claim agent(m_mutex, m_busy, side.name + " agent");
+    if (!minion.taken || !agent.taken) {
+        return;
+    }
+    const auto ms = pauseMs(random);
+    m_record.add("fault", side.name + ": the machine stands still for " + std::to_string(ms) + " ms");
+    side.agent->kill(SIGSTOP);
+    side.minionProcess->kill(SIGSTOP);
+    Review::sleepMs(ms);
+    side.minionProcess->kill(SIGCONT);
+    Review::sleepMs(withChance(random, 0.5) ? between(random, 0, 30) : 0);
+    side.agent->kill(SIGCONT);
+    m_record.add("fault", side.name + ": the machine goes on");
+}
+
+void Chaos::killDispatcher(Random &random)
+{
+    auto &front = anyFront(random);
+    const Claim claim(m_mutex, m_busy, front.name);
+    if (!claim.taken) {
+        return;
+    }
+    m_record.add("fault", front.name + ": the dispatcher is killed");
+    front.dispatcher->kill(SIGKILL);
+    Review::sleepMs(downMs(random));
+    front.dispatcher->start();
+}
+
+void Chaos::killOwner(Random &random)
+{
+    // A new owner waits for this long for the agents that don't report.
+    constexpr std::int64_t minTermMs = 12'000;
+    const int owner = m_site.owner();
+    {
+        std::lock_guard lock(m_mutex);
+        if (owner < 0 || m_record.now() < m_ownerKilledAtMs + minTermMs) {
+            return;
+        }
+        m_ownerKilledAtMs = m_record.now();
+    }
+    auto &front = m_site.fronts()[static_cast<std::size_t>(owner)];
+    const Claim claim(m_mutex, m_busy, front.name);
+    if (!claim.taken) {
+        return;
+    }
+    m_record.add("fault", front.name + ": the owner is killed");
+    front.dispatcher->kill(SIGKILL);
+    Review::sleepMs(downMs(random));
+    front.dispatcher->start();
+}
+
+// A new owner gets no listing from one agent for longer than it waits for agents that don't report at all.
+void Chaos::slowAtTakeover(Random &random)
+{
+    constexpr int delayMs = 1000;
+    auto &side = anySide(random);
+    const int owner = m_site.owner();
+    if (owner < 0) {
+        return;
+    }
+    auto &front = m_site.fronts()[static_cast<std::size_t>(owner)];
+    const Claim takeover(m_mutex, m_busy, "takeover");
+    const Claim minion(m_mutex, m_busy, side.name + " minion");
+    const Claim dispatcher(m_mutex, m_busy, front.name);
+    if (!takeover.taken || !minion.taken || !dispatcher.taken) {
+        return;
+    }
+    const auto ms = between(random, 8400, 9300);
+    m_record.add("fault", side.name + ": the minion answers after 1 s for " + std::to_string(ms) + " ms");
+    side.minionProcess->tell(delayMs);
+    Review::sleepMs(between(random, 0, 200));
+    const auto since = m_record.now();
+    m_record.add("fault", front.name + ": SIGTERM to the owner");
+    front.dispatcher->kill(SIGTERM);
+    front.dispatcher->start();
+    Review::sleepMs(std::max<std::int64_t>(0, since + ms - m_record.now()));
+    side.minionProcess->tell(0);
+    m_record.add("fault", side.name + ": the minion answers at once");
+    Review::sleepMs(5000);
+}
+
+void Chaos::stopDispatcher(Random &random)
+{
+    auto &front = anyFront(random);
+    const Claim claim(m_mutex, m_busy, front.name);
+    if (!claim.taken) {
+        return;
+    }
+    m_record.add("fault", front.name + ": SIGTERM to the dispatcher");
+    front.dispatcher->kill(SIGTERM);
+    Review::sleepMs(downMs(random));
+    front.dispatcher->start();
+}
+
+void Chaos::pauseDispatcher(Random &random)
+{
+    auto &front = anyFront(random);
+    const Claim claim(m_mutex, m_busy, front.name);
+    if (!claim.taken) {
+        return;
+    }
+    const auto ms = pauseMs(random);
+    m_record.add("fault", front.name + ": the dispatcher stands still for " + std::to_string(ms) + " ms");
+    front.dispatcher->kill(SIGSTOP);
+    Review::sleepMs(ms);
+    front.dispatcher->kill(SIGCONT);
+}
+
+void Chaos::slowStore(Random &random)
+{
+    const Claim claim(m_mutex, m_busy, "store");
+    if (!claim.taken) {
+        return;
+    }
+    const auto factor = between(random, 5, 80);
+    m_record.add("fault", "the store is " + std::to_string(factor) + " times as slow");
+    m_site.store().setSlowness(factor);
+    Review::sleepMs(between(random, 300, 3000));
+    m_site.store().setSlowness(1);
+}
+
+} // namespace Trefoilhoist::Soak
