Wait for an agent without a listing until the lease that the new owner granted has ended

Cause: a new owner starts inherited tasks when each agent of the roster has reported a listing, or when no lease of an earlier owner can last any more (8.15 s, 12.15 s). It also renews the lease of every agent that reports, listed or not. The minion of an agent whose calls are executed, but answered too late, keeps its tasks under that lease; when the time was over, the owner started them elsewhere.

Evidence: RosterTest.agentReportsButItsMinionIsNotListed… failed before (a start after 8.0 s) and passes. The lines are those of the record: both kinds, one minion, first runs of epoch 1, ends acknowledged later. That the users' runs broke by this sequence is inferred from that.

Change: giveUpAgents() passes over an agent whose worker holds a lease of this owner. It is resolved by its listing, by the agent that gives its minion up, or by the end of the lease, which expireWorkers() handles.

--- a/src/trefoilhoist/jobs/jobplanning.cpp
+++ b/src/trefoilhoist/jobs/jobplanning.cpp
@@ -99,6 +99,7 @@
         const auto name = agentName(worker.info);
         if (worker.listed || !worker.runs.empty() || m_roster.count(name) > 0) {
             logWorkerEvent("worker_lease_expired", worker, m_epoch);
+            m_agentsGivenUp = m_agentsGivenUp || m_unreported.count(name) > 0;
             removeAgent(name, LossCause::LeaseExpired, now);
         }
     }
@@ -110,7 +111,12 @@
 void JobScheduler::giveUpAgents(TimePoint now)
 {
     for (const auto &name : std::set<std::string>(m_unreported)) {
-        logAgentGivenUp(name, workerOf(name), now, m_epoch);
+        const auto *worker = workerOf(name);
+        if (worker != nullptr && now <= worker->leaseEnds) {
+            // Its minion was not listed yet and may hold tasks under the lease that this owner has granted.
+            continue;
+        }
+        logAgentGivenUp(name, worker, now, m_epoch);
         m_agentsGivenUp = true;
         removeAgent(name, LossCause::LeaseExpired, now);
     }
@@ -118,9 +124,8 @@
 
 const Worker *JobScheduler::workerOf(const std::string &agent) const
 {
-    const auto it = std::find_if(m_workers.begin(), m_workers.end(), [&](const auto &known) {
-        return agentName(known.second.info) == agent;
-    });
+    const auto it = std::find_if(
+        m_workers.begin(), m_workers.end(), [&](const auto &known) { return agentName(known.second.info) == agent; });
     return it == m_workers.end() ? nullptr : &it->second;
 }
 
--- a/src/trefoilhoist/jobs/jobscheduler.h
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -230,7 +230,7 @@
 
     // jobplanning.cpp
     void expireWorkers(TimePoint now);
-    /// Gives up the agents of the restored roster that have not reported in time.
+    /// Gives up the agents of the restored roster that have not reported in time and hold no lease of this owner.
     void giveUpAgents(TimePoint now);
     /// The worker that this agent has reported; null if it has reported none.
     [[nodiscard]] const Worker *workerOf(const std::string &agent) const;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -72,7 +72,7 @@
     plan.bin = bin.getValue();
     plan.minionProgram = std::filesystem::canonical("/proc/self/exe");
     Review::Site site(plan, record);
-    if (!site.waitUntilServing(20'000)) {
+    if (!site.waitUntilServing(longestEndMs)) {
         std::cerr << "the site does not serve\n";
         return couldNotRun;
     }
--- a/tests/unit/roster.cpp
+++ b/tests/unit/roster.cpp
@@ -174,4 +174,45 @@
     EXPECT_EQ(plan().at("w1").starts.size(), 1U);
 }
 
+// A task ran on the minion that held it and on another one: the new owner had renewed the lease of an agent whose
+// minion did not answer yet, and gave the agent up after the longest lease that an earlier owner could have granted.
+TEST_F(RosterTest, agentReportsButItsMinionIsNotListed_tasksWaitUntilTheLeaseThatTheNewOwnerGrantedHasEnded)
+{
+    joinWorker("w1");
+    joinWorker("w2");
+    recordRoster();
+    Wire::WorkerRoster roster;
+    roster.workers = {reportOf("w1").worker, reportOf("w2").worker};
+    JobScheduler next(m_settings, epoch + 1);
+    next.restoreJob(longRunningJob(), std::nullopt, m_now, wallMs);
+    next.restoreRoster(roster, m_now);
+
+    const auto longestEarlierLease = m_settings.grantGrace + m_settings.workerLease + m_settings.leaseSlack;
+    TimePoint leaseEnds;
+    for (Duration passed{}; passed <= longestEarlierLease; passed += reportInterval) {
+        m_now += reportInterval;
+        auto listed = reportOf("w2");
+        listed.epoch = epoch + 1;
+        next.handleReport(listed, true, m_now);
+        auto unlisted = reportOf("w1");
+        unlisted.epoch = epoch + 1;
+        unlisted.listed = false;
+        unlisted.reachable = false;
+        leaseEnds = m_now + milliseconds(next.handleReport(unlisted, true, m_now).leaseMs);
+        EXPECT_EQ(starts(next.plan(m_now, wallMs, true)), 0U) << "after " << passed.count() << " us";
+    }
+    while (m_now + reportInterval < leaseEnds) {
+        m_now += reportInterval;
+        auto listed = reportOf("w2");
+        listed.epoch = epoch + 1;
+        next.handleReport(listed, true, m_now);
+        EXPECT_EQ(starts(next.plan(m_now, wallMs, true)), 0U);
+    }
+    m_now = leaseEnds + m_settings.leaseSlack + milliseconds(1);
+    auto listed = reportOf("w2");
+    listed.epoch = epoch + 1;
+    next.handleReport(listed, true, m_now);
+    EXPECT_EQ(starts(next.plan(m_now, wallMs, true)), 1U);
+}
+
 } // namespace Trefoilhoist::Jobs
