Wait for unlisted agents also where the roster can't be read

Seen: by a reviewer, in a test: inherited tasks started elsewhere 8.15 s after a takeover, beside an agent that had reported without a listing, and whose lease the new owner renewed.

Cause: an unreadable roster is waited for under one name that stands for all agents, and no worker has that name.

Evidence: RosterTest.rosterUnreadableAndAgentReportsUnlisted_tasksWaitWhileTheNewOwnerRenewsItsLease failed at (one start after 8.0 s) and passes.

Change: under that name, the wait goes on while any agent without a listing holds a lease of this owner.

--- a/src/trefoilhoist/jobs/jobplanning.cpp
+++ b/src/trefoilhoist/jobs/jobplanning.cpp
@@ -111,17 +111,26 @@
 void JobScheduler::giveUpAgents(TimePoint now)
 {
     for (const auto &name : std::set<std::string>(m_unreported)) {
-        const auto *worker = workerOf(name);
-        if (worker != nullptr && now <= worker->leaseEnds) {
-            // Its minion was not listed yet and may hold tasks under the lease that this owner has granted.
+        if (mayHoldUnlistedTasks(name, now)) {
             continue;
         }
-        logAgentGivenUp(name, worker, now, m_epoch);
+        logAgentGivenUp(name, workerOf(name), now, m_epoch);
         m_agentsGivenUp = true;
         removeAgent(name, LossCause::LeaseExpired, now);
     }
 }
 
+bool JobScheduler::mayHoldUnlistedTasks(const std::string &agent, TimePoint now) const
+{
+    if (agent == unknownAgents) {
+        return std::any_of(m_workers.begin(), m_workers.end(), [&](const auto &it) {
+            return !it.second.listed && now <= it.second.leaseEnds;
+        });
+    }
+    const auto *worker = workerOf(agent);
+    return worker != nullptr && now <= worker->leaseEnds;
+}
+
 const Worker *JobScheduler::workerOf(const std::string &agent) const
 {
     const auto it = std::find_if(
--- a/src/trefoilhoist/jobs/jobscheduler.cpp
+++ b/src/trefoilhoist/jobs/jobscheduler.cpp
@@ -9,8 +9,6 @@
 
 /// An occurrence that takes longer than this multiple of its objective is worthless.
 constexpr int maxObjectiveMultiple = 3;
-/// Stands for agents that an unreadable roster may hold. Agents are named HOST:PORT, so that none reports under it.
-constexpr const char *unknownAgents = "unknown";
 
 } // namespace
 
--- a/src/trefoilhoist/jobs/jobscheduler.h
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -232,6 +232,9 @@
     void expireWorkers(TimePoint now);
     /// Gives up the agents of the restored roster that have not reported in time and hold no lease of this owner.
     void giveUpAgents(TimePoint now);
+    /// True if the agent's minion was not listed to this owner yet and may hold tasks under a lease that it has
+    /// granted.
+    [[nodiscard]] bool mayHoldUnlistedTasks(const std::string &agent, TimePoint now) const;
     /// The worker that this agent has reported; null if it has reported none.
     [[nodiscard]] const Worker *workerOf(const std::string &agent) const;
     void resendOrders(std::map<std::string, Wire::WorkerOrders> &orders, TimePoint now);
@@ -276,6 +279,9 @@
                std::int64_t run,
                TimePoint now);
 
+    /// Stands for agents that an unreadable roster may hold. Agents are named HOST:PORT, so that none reports under it.
+    static constexpr const char *unknownAgents = "unknown";
+
     SchedulerSettings m_settings;
     std::int64_t m_epoch = 0;
     QueueTable m_queues;
--- a/tests/unit/roster.cpp
+++ b/tests/unit/roster.cpp
@@ -215,4 +215,32 @@
     EXPECT_EQ(starts(next.plan(m_now, wallMs, true)), 1U);
 }
 
+// A task ran on the minion that held it and on another one: where the roster can't be read, the new owner waits for no
+// agent by its name, so it did not count the lease that it had renewed for an agent whose minion did not answer yet.
+TEST_F(RosterTest, rosterUnreadableAndAgentReportsUnlisted_tasksWaitWhileTheNewOwnerRenewsItsLease)
+{
+    JobScheduler next(m_settings, epoch + 1);
+    next.restoreJob(longRunningJob(), std::nullopt, m_now, wallMs);
+    next.restoreUnknownRoster(m_now);
+
+    const auto longestEarlierLease = m_settings.grantGrace + m_settings.workerLease + m_settings.leaseSlack;
+    for (Duration passed{}; passed <= longestEarlierLease + 2 * reportInterval; passed += reportInterval) {
+        m_now += reportInterval;
+        auto listed = reportOf("w2");
+        listed.epoch = epoch + 1;
+        next.handleReport(listed, true, m_now);
+        auto unlisted = reportOf("w1");
+        unlisted.epoch = epoch + 1;
+        unlisted.listed = false;
+        unlisted.reachable = false;
+        ASSERT_GT(next.handleReport(unlisted, true, m_now).leaseMs, 0);
+        auto orders = next.plan(m_now, wallMs, true);
+        if (const auto roster = next.takeChangedRoster()) {
+            next.markRosterRecorded(*roster);
+            orders = next.plan(m_now, wallMs, true);
+        }
+        EXPECT_EQ(starts(orders), 0U) << "after " << duration_cast<milliseconds>(passed).count() << " ms";
+    }
+}
+
 } // namespace Trefoilhoist::Jobs
