Assume the earlier owner's longest lease until a minion was listed under the new epoch

Seen: by a reviewer, in a test: an agent that reported once to a new owner, restarted, and followed the earlier owner, which had not noticed yet that it was replaced, was given up 6.15 s after its report, 1.5 s before its minion's hold expired.

Cause: the first report assumes the longest lease of an earlier owner (8.15 s), and the grant of the new owner in the same reply put a shorter time (6.15 s) in its place. Only the minion's fencing token, which a listing under the new epoch sets, keeps an agent that has restarted from extending the hold under the earlier owner.

Change: until the worker is listed, a grant only moves the end of the lease forward.

--- a/src/trefoilhoist/jobs/jobreports.cpp
+++ b/src/trefoilhoist/jobs/jobreports.cpp
@@ -53,7 +53,9 @@
         endIncarnation(*worker, LossCause::MinionGone, now);
     } else if (mayGrant) {
         reply.leaseMs = duration_cast<milliseconds>(m_settings.workerLease).count();
-        worker->leaseEnds = now + m_settings.workerLease + m_settings.leaseSlack;
+        const auto granted = now + m_settings.workerLease + m_settings.leaseSlack;
+        // Until the minion was listed under this epoch, an earlier owner may still grant a lease that ends later.
+        worker->leaseEnds = worker->listed ? granted : std::max(worker->leaseEnds, granted);
     }
     reply.lastListing = worker->lastListing;
     reply.recordedEnds = worker->recordedEnds;
--- a/tests/unit/roster.cpp
+++ b/tests/unit/roster.cpp
@@ -1,5 +1,6 @@
 // The roster of agents that may hold something: a new owner waits for each of them.
 #include "harness/schedulerfixture.h"
+#include "trefoilhoist/jobs/orderfence.h"
 
 #include <gtest/gtest.h>
 
@@ -243,4 +244,40 @@
     }
 }
 
+// A task ran on the minion that held it and on another one: the new owner gave up an agent one lease after its only
+// report, though an earlier owner could still grant leases. An agent that has restarted knows no epoch, and so it takes
+// the lease of an earlier owner that has not noticed yet that it was replaced.
+TEST_F(RosterTest, agentReportsOnceThenRestartsUnderTheEarlierOwner_tasksWaitUntilThatOwnersLeaseHasEnded)
+{
+    joinWorker("w1");
+    joinWorker("w2");
+    recordRoster();
+    Wire::WorkerRoster roster;
+    roster.workers = {reportOf("w1").worker, reportOf("w2").worker};
+    JobScheduler next(m_settings, epoch + 1);
+    next.restoreJob(longRunningJob(), std::nullopt, m_now, wallMs);
+    next.restoreRoster(roster, m_now);
+    auto unlisted = reportOf("w1");
+    unlisted.epoch = epoch + 1;
+    unlisted.listed = false;
+    next.handleReport(unlisted, true, m_now);
+
+    m_now += m_settings.grantGrace;
+    OrderFence restarted;
+    restarted.adoptEpoch(epoch);
+    restarted.resetForNewIncarnation(1);
+    restarted.observeMinionClock(1, m_now);
+    restarted.applyReply(m_scheduler.handleReport(reportOf("w1"), true, m_now), m_now);
+    ASSERT_TRUE(restarted.extendHold(m_now));
+
+    while (m_now < restarted.holdExpiry()) {
+        auto listed = reportOf("w2");
+        listed.epoch = epoch + 1;
+        next.handleReport(listed, true, m_now);
+        ASSERT_EQ(starts(next.plan(m_now, wallMs, true)), 0U)
+            << duration_cast<milliseconds>(restarted.holdExpiry() - m_now).count() << " ms before the hold expires";
+        m_now += reportInterval;
+    }
+}
+
 } // namespace Trefoilhoist::Jobs
