Count a removed agent as recorded only after it was recorded again

Seen: by a reviewer, in a test: an agent that was removed and came back got starts while the roster without it was being written. An owner that ended then left a roster without the agent, and the next one would not have waited for it.

Cause: the confirmation of a roster that was in flight before the removal put the agent back among those recorded, until the roster without it was confirmed.

Evidence: RosterTest.rosterRecordedAfterAnAgentWasRemoved_nothingStartsThereBeforeTheRosterIsRecordedAgain failed at (one start on the agent) and passes.

Change: markRosterRecorded() leaves out agents that are no longer in the roster to be written.

--- a/src/trefoilhoist/jobs/jobscheduler.cpp
+++ b/src/trefoilhoist/jobs/jobscheduler.cpp
@@ -211,7 +211,10 @@
 {
     m_recordedRoster.clear();
     for (const auto &it : roster.workers) {
-        m_recordedRoster.insert(agentName(it));
+        // The record without an agent that was removed since is still to be written.
+        if (m_roster.count(agentName(it)) > 0) {
+            m_recordedRoster.insert(agentName(it));
+        }
     }
     for (auto &[id, worker] : m_workers) {
         worker.inRecordedRoster = m_recordedRoster.count(agentName(worker.info)) > 0;
--- a/tests/unit/roster.cpp
+++ b/tests/unit/roster.cpp
@@ -280,4 +280,26 @@
     }
 }
 
+// The next owner did not wait for an agent whose minion held tasks: a record of the roster from before the agent's
+// removal was confirmed after it, so that the agent counted as recorded while the record without it was written.
+TEST_F(RosterTest, rosterRecordedAfterAnAgentWasRemoved_nothingStartsThereBeforeTheRosterIsRecordedAgain)
+{
+    report(reportOf("w1"));
+    report(reportOf("w2"));
+    m_now += m_settings.workerLease + m_settings.leaseSlack + milliseconds(1);
+    m_scheduler.handleReport(reportOf("w2"), true, m_now);
+    m_scheduler.handleReport(reportOf("w3"), true, m_now);
+    const auto inFlight = m_scheduler.takeChangedRoster();
+    ASSERT_TRUE(inFlight);
+    plan();
+    m_scheduler.markRosterRecorded(*inFlight);
+    const auto withoutAgent = m_scheduler.takeChangedRoster();
+    ASSERT_TRUE(withoutAgent);
+    ASSERT_EQ(withoutAgent->workers.size(), 2U);
+
+    accept(jobOf("b", {stepOf(3, 3000)}));
+    m_scheduler.handleReport(reportOf("w1"), true, m_now);
+    EXPECT_EQ(plan().count("w1"), 0U);
+}
+
 } // namespace Trefoilhoist::Jobs
