Count a minion that leaves as ended only when it has ended

Seen: by a reviewer, in a test: the agent of a minion that had sent its message of departure told the owner within 50 ms that nothing runs there, with 3 s of the hold left. A minion whose message gets no answer ends seconds later, and its tasks were started elsewhere beside it. It is no cause of the users' cases, as such an agent acknowledges no end.

Cause: the message was taken for the end. The agent can't know whether its answer arrives.

Change: after the message the agent extends the hold no more, takes no starts, and goes on listing, so that the last ends are read. One refused connection, or the end of the hold, ends the minion for the agent. The new event is minion_leaves.

--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -156,6 +156,7 @@
     m_skippedRows.clear();
     m_unreadableRowsSince.reset();
     m_holdWithheld = false;
+    m_leaving = false;
     m_lastReportedEnd = 0;
     m_refusedConnections = 0;
     m_reachable = false;
@@ -172,8 +173,18 @@
         Event("departure_ignored").add("worker", id).add("born", bornMs);
         return;
     }
-    Event("minion_left").add("worker", id).add("runs", m_running.size());
-    m_departedId = id;
+    Event("minion_leaves").add("worker", id).add("runs", m_running.size());
+    m_leaving = true;
+    m_minion->draining = true;
+    m_reportDue = true;
+    m_waiters.notifyAll();
+}
+
+void AgentServer::finishDeparture()
+{
+    Event("minion_left").add("worker", m_minion->worker.id).add("runs", m_running.size());
+    m_leaving = false;
+    m_departedId = m_minion->worker.id;
     m_departedStartMs = m_minion->worker.born;
     m_minion.reset();
     m_runs.resetForNewIncarnation(false);
--- a/src/programs/agent/agent.h
+++ b/src/programs/agent/agent.h
@@ -70,7 +70,12 @@
     bool updateMinion(Jobs::MinionHeartbeat heartbeat);
     /// Uses the first heartbeat of another incarnation; false if that is an earlier one.
     bool adoptIncarnation(Jobs::MinionHeartbeat heartbeat);
+    /// Notes that the minion is about to end. Until it has, it keeps its runs.
     void handleDeparture(const std::string &id, std::int64_t bornMs);
+    /// Forgets the minion that left, as it has ended or can hold nothing any more.
+    void finishDeparture();
+    /// True if the last hold that an agent's process can have extended has expired.
+    [[nodiscard]] bool holdHasExpired(TimePoint now) const;
 
     // Orders.
     awaitable<Wire::WorkerOrdersReply> executeOrders(Wire::WorkerOrders orders);
@@ -112,6 +117,8 @@
     PeerServer m_peers;
 
     std::optional<Jobs::MinionHeartbeat> m_minion;
+    /// The minion has said that it leaves, and may still run tasks.
+    bool m_leaving = false;
     /// Id and start time of the minion that departed last.
     std::string m_departedId;
     std::int64_t m_departedStartMs = -1;
--- a/src/programs/agent/minionruns.cpp
+++ b/src/programs/agent/minionruns.cpp
@@ -36,7 +36,13 @@
 std::optional<std::int64_t> AgentServer::extendHold(TimePoint now)
 {
     const bool silent = m_unreachableSince && now - *m_unreachableSince > m_settings.maxMinionSilence;
-    return m_holdWithheld || silent ? std::nullopt : m_fence.extendHold(now);
+    return m_holdWithheld || m_leaving || silent ? std::nullopt : m_fence.extendHold(now);
+}
+
+bool AgentServer::holdHasExpired(TimePoint now) const
+{
+    // An earlier process of this agent may have extended the hold until shortly before this one was started.
+    return now > m_fence.holdExpiry() && now > m_startedAt + m_settings.maxHold;
 }
 
 awaitable<void> AgentServer::listLoop()
@@ -57,7 +63,7 @@
     const auto epoch = m_fence.epoch();
     const auto worker = m_minion->worker;
     // The first listings under a new owner or lease don't wait for ended tasks, because the owner waits for them.
-    const bool wait = m_fence.isListed() && m_reachable && m_fence.extendHold(now).has_value();
+    const bool wait = m_fence.isListed() && m_reachable && extendHold(now).has_value();
     // After a failed call, another incarnation may answer the next one. Its ends have numbers of its own.
     const auto dropped = m_reachable ? m_fence.endsToDrop() : 0;
     const auto hold = extendHold(now).value_or(0);
@@ -65,6 +71,10 @@
     if (!m_minion || m_minion->worker.id != worker.id || m_minion->worker.born != worker.born) {
         co_return;
     }
+    if (m_leaving && (holdHasExpired(m_runtime.clock().now()) || (!listing && listing.error().notRunning))) {
+        finishDeparture();
+        co_return;
+    }
     if (!listing) {
         listingFailed(listing.error());
         co_await sleepFor(listingRetryDelay);
@@ -223,7 +233,7 @@
     m_unreachableSince = m_unreachableSince.value_or(m_runtime.clock().now());
     m_refusedConnections = error.notRunning ? m_refusedConnections + 1 : 0;
     const auto now = m_runtime.clock().now();
-    const bool leaseExpired = now > m_fence.holdExpiry() && now > m_startedAt + m_settings.maxHold;
+    const bool leaseExpired = holdHasExpired(now);
     if (!m_fence.isStopped() && (m_refusedConnections >= refusalsUntilStopped || leaseExpired)) {
         Event("minion_gone")
             .add("worker", m_minion->worker.id)
--- a/tests/integration/agent.cpp
+++ b/tests/integration/agent.cpp
@@ -624,4 +624,20 @@
     join();
 }
 
+// A minion whose message that it leaves gets no answer ends seconds later. Until then its tasks run, and the agent told
+// the owner at once that they are over, so that they started elsewhere beside them.
+TEST_F(AgentTest, minionLeavesAndStillAnswers_isNotGoneBeforeItEndsOrItsHoldExpires)
+{
+    constexpr Duration lessThanTheHold = seconds(1);
+    addRun("a", 1000);
+    m_leaseMs = 3000;
+    join();
+    nextListingCalls(1);
+    m_departedBornMs = firstBorn;
+    sendHeartbeat();
+    EXPECT_FALSE(runUntil([&] { return m_lastReport.gone; }, lessThanTheHold));
+    m_minion.refusesConnections = true;
+    EXPECT_TRUE(runUntil([&] { return m_lastReport.gone; }));
+}
+
 } // namespace Trefoilhoist::Agent
