--- a/src/trefoilhoist/jobs/jobscheduler.cpp
+++ b/src/trefoilhoist/jobs/jobscheduler.cpp
@@ -9,8 +9,6 @@
 
 /// An occurrence that takes longer than this multiple of its objective is worthless.
 constexpr int maxObjectiveMultiple = 3;
-/// Stands for agents that an unreadable roster may hold. Agents are named HOST:PORT, so that none reports under it.
-constexpr const char *unknownAgents = "unknown";
 
 } // namespace
 
@@ -213,7 +211,10 @@
 {
     m_recordedRoster.clear();
     for (const auto &it : roster.workers) {
-        m_recordedRoster.insert(agentName(it));
+        // The record without an agent that was removed since is still to be written.
+        if (m_roster.count(agentName(it)) > 0) {
+            m_recordedRoster.insert(agentName(it));
+        }
     }
     for (auto &[id, worker] : m_workers) {
         worker.inRecordedRoster = m_recordedRoster.count(agentName(worker.info)) > 0;
--- a/tests/unit/roster.cpp
+++ b/tests/unit/roster.cpp
@@ -1,5 +1,6 @@
 // The roster of agents that may hold something: a new owner waits for each of them.
 #include "harness/schedulerfixture.h"
+#include "trefoilhoist/jobs/orderfence.h"
 
 #include <gtest/gtest.h>
 
@@ -215,4 +216,90 @@
     EXPECT_EQ(starts(next.plan(m_now, wallMs, true)), 1U);
 }
 
+// A task ran on the minion that held it and on another one: where the roster can't be read, the new owner waits for no
+// agent by its name, so it did not count the lease that it had renewed for an agent whose minion did not answer yet.
+TEST_F(RosterTest, rosterUnreadableAndAgentReportsUnlisted_tasksWaitWhileTheNewOwnerRenewsItsLease)
+{
+    JobScheduler next(m_settings, epoch + 1);
+    next.restoreJob(longRunningJob(), std::nullopt, m_now, wallMs);
+    next.restoreUnknownRoster(m_now);
+
+    const auto longestEarlierLease = m_settings.grantGrace + m_settings.workerLease + m_settings.leaseSlack;
+    for (Duration passed{}; passed <= longestEarlierLease + 2 * reportInterval; passed += reportInterval) {
+        m_now += reportInterval;
+        auto listed = reportOf("w2");
+        listed.epoch = epoch + 1;
+        next.handleReport(listed, true, m_now);
+        auto unlisted = reportOf("w1");
+        unlisted.epoch = epoch + 1;
+        unlisted.listed = false;
+        unlisted.reachable = false;
+        ASSERT_GT(next.handleReport(unlisted, true, m_now).leaseMs, 0);
+        auto orders = next.plan(m_now, wallMs, true);
+        if (const auto roster = next.takeChangedRoster()) {
+            next.markRosterRecorded(*roster);
+            orders = next.plan(m_now, wallMs, true);
+        }
+        EXPECT_EQ(starts(orders), 0U) << "after " << duration_cast<milliseconds>(passed).count() << " ms";
+    }
+}
+
+// A task ran on the minion that held it and on another one: the new owner gave up an agent one lease after its only
+// report, though an earlier owner could still grant leases. An agent that has restarted knows no epoch, and so it takes
+// the lease of an earlier owner that has not noticed yet that it was replaced.
+TEST_F(RosterTest, agentReportsOnceThenRestartsUnderTheEarlierOwner_tasksWaitUntilThatOwnersLeaseHasEnded)
+{
+    joinWorker("w1");
+    joinWorker("w2");
+    recordRoster();
+    Wire::WorkerRoster roster;
+    roster.workers = {reportOf("w1").worker, reportOf("w2").worker};
+    JobScheduler next(m_settings, epoch + 1);
+    next.restoreJob(longRunningJob(), std::nullopt, m_now, wallMs);
+    next.restoreRoster(roster, m_now);
+    auto unlisted = reportOf("w1");
+    unlisted.epoch = epoch + 1;
+    unlisted.listed = false;
+    next.handleReport(unlisted, true, m_now);
+
+    m_now += m_settings.grantGrace;
+    OrderFence restarted;
+    restarted.adoptEpoch(epoch);
+    restarted.resetForNewIncarnation(1);
+    restarted.observeMinionClock(1, m_now);
+    restarted.applyReply(m_scheduler.handleReport(reportOf("w1"), true, m_now), m_now);
+    ASSERT_TRUE(restarted.extendHold(m_now));
+
+    while (m_now < restarted.holdExpiry()) {
+        auto listed = reportOf("w2");
+        listed.epoch = epoch + 1;
+        next.handleReport(listed, true, m_now);
+        ASSERT_EQ(starts(next.plan(m_now, wallMs, true)), 0U)
+            << duration_cast<milliseconds>(restarted.holdExpiry() - m_now).count() << " ms before the hold expires";
+        m_now += reportInterval;
+    }
+}
+
+// The next owner did not wait for an agent whose minion held tasks: a record of the roster from before the agent's
+// removal was confirmed after it, so that the agent counted as recorded while the record without it was written.
+TEST_F(RosterTest, rosterRecordedAfterAnAgentWasRemoved_nothingStartsThereBeforeTheRosterIsRecordedAgain)
+{
+    report(reportOf("w1"));
+    report(reportOf("w2"));
+    m_now += m_settings.workerLease + m_settings.leaseSlack + milliseconds(1);
+    m_scheduler.handleReport(reportOf("w2"), true, m_now);
+    m_scheduler.handleReport(reportOf("w3"), true, m_now);
+    const auto inFlight = m_scheduler.takeChangedRoster();
+    ASSERT_TRUE(inFlight);
+    plan();
+    m_scheduler.markRosterRecorded(*inFlight);
+    const auto withoutAgent = m_scheduler.takeChangedRoster();
+    ASSERT_TRUE(withoutAgent);
+    ASSERT_EQ(withoutAgent->workers.size(), 2U);
+
+    accept(jobOf("b", {stepOf(3, 3000)}));
+    m_scheduler.handleReport(reportOf("w1"), true, m_now);
+    EXPECT_EQ(plan().count("w1"), 0U);
+}
+
 } // namespace Trefoilhoist::Jobs
