Read the memory of the host for this process, and add a budget of bytes for all ports

The processes had no bound derived from the memory of their machine: the platform fills limits.memoryMb in, and nothing read it. The setting memoryMb brings it in, and MemoryBudget, one per process, counts reserved bytes against a quarter of it. Nothing reserves from it yet.

--- a/review/standins/site.h
+++ b/review/standins/site.h
@@ -307,6 +307,7 @@
                                             {"platform.address", m_storeAddress.text()},
                                             {"limits.processorShare", 0.25},
                                             {"limits.linkMbps", 1000.0},
+                                            {"limits.memoryMb", 260},
                                             {"bounds.maxHoldMs", 6000}});
         front.dispatcher = std::make_unique<Process>(
             "target/bin/trefoilhoist-dispatcher", settings, m_folder + "/" + front.name + ".log");
@@ -332,6 +333,7 @@
                                             {"internalPortRange.0", freePort(ip)},
                                             {"internalPortRange.1", freePort(ip)},
                                             {"platform.address", m_storeAddress.text()},
+                                            {"limits.memoryMb", 128},
                                             {"bounds.maxHoldMs", 6000}});
         side.agent
             = std::make_unique<Process>("target/bin/trefoilhoist-agent", settings, m_folder + "/" + side.name + ".log");
--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -29,6 +29,7 @@
     , m_settings(std::move(settings))
     , m_adapters(std::move(adapters))
     , m_metrics(runtime.clock())
+    , m_memory(MemoryBudget::forProcess(m_settings.memoryBytes))
     , m_heartbeats(runtime.executor(), {}, [this](HttpRequest request) { return serveMinion(std::move(request)); })
     , m_metricsServer(
           runtime.executor(),
--- a/src/programs/agent/agent.h
+++ b/src/programs/agent/agent.h
@@ -6,6 +6,7 @@
 #include "trefoilhoist/jobs/throttlecontrol.h"
 #include "trefoilhoist/metrics/metrics.h"
 #include "trefoilhoist/net/httpserver.h"
+#include "trefoilhoist/net/memorybudget.h"
 #include "trefoilhoist/net/program.h"
 #include "trefoilhoist/net/waiters.h"
 #include "trefoilhoist/store/recordstore.h"
@@ -27,6 +28,8 @@
     Endpoint heartbeats;
     Endpoint peers;
     Endpoint metrics;
+    /// The memory of the host for this process.
+    std::size_t memoryBytes = 128'000'000;
     /// The longest time for which a minion keeps its runs after the agent has last extended the hold, which is the time
     /// until which the minion may keep them.
     Duration maxHold = seconds(6);
@@ -107,6 +110,8 @@
     AgentSettings m_settings;
     Adapters m_adapters;
     MetricsRegistry m_metrics;
+    /// Shared by all ports.
+    MemoryBudget m_memory;
     HttpServer m_heartbeats;
     HttpServer m_metricsServer;
     PeerServer m_peers;
--- a/src/programs/dispatcher/dispatcher.cpp
+++ b/src/programs/dispatcher/dispatcher.cpp
@@ -57,6 +57,7 @@
     , m_settings(std::move(settings))
     , m_adapters(std::move(adapters))
     , m_metrics(runtime.clock())
+    , m_memory(MemoryBudget::forProcess(m_settings.memoryBytes))
     , m_election(*m_adapters.store, runtime.clock(), m_settings.election, selfRecord(m_settings))
     , m_operators(*m_adapters.configuration)
     , m_callers(
--- a/src/programs/dispatcher/dispatcher.h
+++ b/src/programs/dispatcher/dispatcher.h
@@ -5,6 +5,7 @@
 #include "trefoilhoist/jobs/operatorrecords.h"
 #include "trefoilhoist/jobs/ownerreachability.h"
 #include "trefoilhoist/net/httpserver.h"
+#include "trefoilhoist/net/memorybudget.h"
 #include "trefoilhoist/net/program.h"
 #include "trefoilhoist/wire/peerserver.h"
 
@@ -25,6 +26,8 @@
     double strength = 1;
     Jobs::SchedulerSettings scheduler;
     Jobs::ElectionTimes election;
+    /// The memory of the host for this process.
+    std::size_t memoryBytes = 260'000'000;
     /// The longest time from SIGTERM to the end of the process.
     Duration stopWithin = seconds(5);
 };
@@ -84,6 +87,8 @@
     DispatcherSettings m_settings;
     Adapters m_adapters;
     MetricsRegistry m_metrics;
+    /// Shared by all ports.
+    MemoryBudget m_memory;
     Jobs::OwnerElection m_election;
     Jobs::OperatorRecords m_operators;
     std::shared_ptr<OwnerSession> m_session;
--- a/src/trefoilhoist/net/programsettings.cpp
+++ b/src/trefoilhoist/net/programsettings.cpp
@@ -6,6 +6,7 @@
 
 namespace {
 
+constexpr std::size_t bytesPerMegabyte = 1'000'000;
 constexpr Duration flushEvery = milliseconds(20);
 
 } // namespace
@@ -34,6 +35,11 @@
     return milliseconds(runtime.settings().value(key, duration_cast<milliseconds>(fallback).count()));
 }
 
+std::size_t megabytesAt(const Runtime &runtime, const std::string &key, std::size_t fallbackBytes)
+{
+    return runtime.settings().value(key, fallbackBytes / bytesPerMegabyte) * bytesPerMegabyte;
+}
+
 void openEventLog(Runtime &runtime)
 {
     EventLog::instance().open([executor = runtime.executor()] {
--- a/src/trefoilhoist/net/programsettings.h
+++ b/src/trefoilhoist/net/programsettings.h
@@ -2,6 +2,7 @@
 
 #include "trefoilhoist/net/program.h"
 
+#include <cstddef>
 #include <string>
 
 namespace Trefoilhoist {
@@ -14,6 +15,8 @@
 /// Port 0 when the setting is missing or empty.
 [[nodiscard]] Endpoint optionalEndpointAt(const Runtime &runtime, const std::string &key);
 [[nodiscard]] Duration millisAt(const Runtime &runtime, const std::string &key, Duration fallback);
+/// A setting in megabytes, in bytes.
+[[nodiscard]] std::size_t megabytesAt(const Runtime &runtime, const std::string &key, std::size_t fallbackBytes);
 
 /// Sends the process's events to standard output.
 void openEventLog(Runtime &runtime);
