--- a/tests/unit/memorybudget.cpp
+++ b/tests/unit/memorybudget.cpp
@@ -86,8 +86,10 @@
 TEST_F(MemoryBudgetTest, manyThreads_neverExceedTheLimit)
 {
     std::atomic<bool> exceeded = false;
+    constexpr int threadCount = 4;
     std::vector<std::thread> threads;
-    for (int i = 0; i < 4; ++i) {
+    threads.reserve(threadCount);
+    for (int i = 0; i < threadCount; ++i) {
         threads.emplace_back([&] {
             for (int n = 0; n < 20000; ++n) {
                 const auto reservation = m_budget.tryReserve(300);
