Bound the bytes that an HTTP connection buffers

Clients that sent trailers without end behind a chunked body made a process run out of memory; a chunk extension without end does the same. Cause: Beast 1.74 keeps both whole in the read buffer until they end, its header and body limits cover neither, and the buffer had no limit. It has one now, twice the longest header, and a client that exceeds it gets 431 and verdict not-run, as for a long header. Headers are limited to half of that, so that no request inside the limits meets it.

--- a/src/trefoilhoist/net/httpserver.cpp
+++ b/src/trefoilhoist/net/httpserver.cpp
@@ -21,6 +21,14 @@
 namespace Http = boost::beast::http;
 using Tcp = Asio::ip::tcp;
 
+namespace {
+
+/// A connection buffers so many times the longest header: Beast keeps trailers and chunk extensions whole, and has no
+/// other limit for them.
+constexpr std::size_t bufferFactor = 2;
+
+} // namespace
+
 namespace Detail {
 
 class ServedConnection;
@@ -50,7 +58,10 @@
 class ServedConnection : public std::enable_shared_from_this<ServedConnection>
 {
 public:
-    ServedConnection(Tcp::socket socket, HttpLimits limits) : m_stream(std::move(socket)), m_limits(limits) { }
+    ServedConnection(Tcp::socket socket, HttpLimits limits)
+        : m_stream(std::move(socket)), m_buffer(bufferFactor * limits.maxHeaderBytes), m_limits(limits)
+    {
+    }
 
     template <typename State>
     awaitable<void> run(std::shared_ptr<State> state)
@@ -159,7 +170,7 @@
         int status = 0;
         if (reason == Http::error::body_limit) {
             status = 413;
-        } else if (reason == Http::error::header_limit) {
+        } else if (reason == Http::error::header_limit || reason == Http::error::buffer_overflow) {
             status = 431;
         } else if (reason == Beast::error::timeout) {
             status = 408;
