--- /dev/null
+++ b/src/trefoilhoist/net/internal/servedconnection.cpp
@@ -0,0 +1,179 @@
+#include "trefoilhoist/net/internal/servedconnection.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http.hpp>
+#include <glog/logging.h>
+
+namespace Trefoilhoist::Detail {
+
+namespace Beast = boost::beast;
+namespace Http = boost::beast::http;
+using Tcp = Asio::ip::tcp;
+
+namespace {
+
+/// A connection buffers so many times the longest header: Beast keeps trailers and chunk extensions whole, and has no
+/// other limit for them.
+constexpr std::size_t bufferFactor = 2;
+
+std::chrono::nanoseconds inNanoseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::nanoseconds>(duration);
+}
+
+/// The status that refuses a request which can't be read; 0 if there is nobody to answer.
+int statusFor(boost::system::error_code reason)
+{
+    if (reason == Http::error::body_limit) {
+        return 413;
+    }
+    if (reason == Http::error::header_limit || reason == Http::error::buffer_overflow) {
+        return 431;
+    }
+    if (reason == Beast::error::timeout) {
+        return 408;
+    }
+    const bool isHttpError = reason.category() == Http::make_error_code(Http::error::bad_method).category();
+    const bool isCut = reason == Http::error::end_of_stream || reason == Http::error::partial_message;
+    return isHttpError && !isCut ? 400 : 0;
+}
+
+HttpRequest plainRequest(Http::request<Http::string_body> &message)
+{
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto &field : message) {
+        request.headers.add(std::string_view(field.name_string().data(), field.name_string().size()),
+                            std::string(field.value()));
+    }
+    request.body = std::move(message.body());
+    return request;
+}
+
+} // namespace
+
+ServedConnection::ServedConnection(Tcp::socket socket, std::shared_ptr<HttpServing> serving)
+    : m_stream(std::move(socket))
+    , m_buffer(bufferFactor * serving->limits.maxHeaderBytes)
+    , m_serving(std::move(serving))
+{
+}
+
+awaitable<void> ServedConnection::run()
+{
+    boost::system::error_code ec;
+    m_stream.socket().set_option(Tcp::no_delay(true), ec);
+    while (!ec && !m_serving->closed) {
+        const bool open = co_await serveOne();
+        if (!open) {
+            break;
+        }
+    }
+    m_stream.socket().shutdown(Tcp::socket::shutdown_send, ec);
+    m_stream.close();
+}
+
+Asio::any_io_executor ServedConnection::executor()
+{
+    return m_stream.get_executor();
+}
+
+void ServedConnection::closeIfIdle()
+{
+    Asio::post(m_stream.get_executor(), [self = shared_from_this()] {
+        if (self->m_idle) {
+            self->m_stream.close();
+        }
+    });
+}
+
+awaitable<bool> ServedConnection::waitForRequest()
+{
+    if (m_buffer.size() > 0) {
+        co_return true;
+    }
+    constexpr std::size_t firstReadBytes = 4096;
+    m_idle = true;
+    m_stream.expires_after(inNanoseconds(m_serving->limits.idleTimeout));
+    boost::system::error_code ec;
+    auto space = m_buffer.prepare(firstReadBytes);
+    const std::size_t n = co_await m_stream.async_read_some(space, Asio::redirect_error(Asio::use_awaitable, ec));
+    m_idle = false;
+    m_buffer.commit(n);
+    co_return !ec;
+}
+
+awaitable<bool> ServedConnection::serveOne()
+{
+    if (!co_await waitForRequest()) {
+        co_return false;
+    }
+    m_serving->inFlight.fetch_add(1);
+    const bool open = co_await readAndAnswer();
+    m_serving->inFlight.fetch_sub(1);
+    co_return open;
+}
+
+awaitable<bool> ServedConnection::readAndAnswer()
+{
+    const auto &limits = m_serving->limits;
+    Http::request_parser<Http::string_body> parser;
+    parser.body_limit(limits.maxBodyBytes);
+    parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
+    m_stream.expires_after(inNanoseconds(limits.requestTimeout));
+    boost::system::error_code ec;
+    co_await Http::async_read(m_stream, m_buffer, parser, Asio::redirect_error(Asio::use_awaitable, ec));
+    if (ec) {
+        co_await refuse(ec);
+        co_return false;
+    }
+
+    auto message = parser.release();
+    m_stream.expires_never();
+    auto response = co_await answerOf(plainRequest(message));
+    co_return co_await write(std::move(response), message.keep_alive() && !m_serving->draining, message.version());
+}
+
+awaitable<HttpResponse> ServedConnection::answerOf(HttpRequest request)
+{
+    try {
+        co_return co_await m_serving->handler(std::move(request));
+    } catch (const std::exception &e) {
+        LOG(ERROR) << "event=handler_failed reason=\"" << e.what() << "\"";
+    }
+    // A handler that throws may have acted already.
+    auto response = textResponse(500, "internal error\n");
+    response.headers.set(verdictHeader, "may-have-run");
+    co_return response;
+}
+
+awaitable<void> ServedConnection::refuse(boost::system::error_code reason)
+{
+    const int status = statusFor(reason);
+    if (status == 0) {
+        co_return;
+    }
+    auto response = textResponse(status, "request refused: " + reason.message() + "\n");
+    response.headers.set(verdictHeader, "not-run");
+    co_await write(std::move(response), false, 11);
+}
+
+awaitable<bool> ServedConnection::write(HttpResponse response, bool keepAlive, unsigned version)
+{
+    Http::response<Http::string_body> message(static_cast<Http::status>(response.status), version);
+    for (const auto &[name, value] : response.headers.fields()) {
+        message.insert(name, value);
+    }
+    message.body() = std::move(response.body);
+    message.keep_alive(keepAlive);
+    message.prepare_payload();
+    m_stream.expires_after(inNanoseconds(m_serving->limits.requestTimeout));
+    boost::system::error_code ec;
+    co_await Http::async_write(m_stream, message, Asio::redirect_error(Asio::use_awaitable, ec));
+    co_return !ec && keepAlive;
+}
+
+} // namespace Trefoilhoist::Detail
--- /dev/null
+++ b/src/trefoilhoist/net/internal/servedconnection.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "trefoilhoist/net/internal/httpserving.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+
+#include <memory>
+
+namespace Trefoilhoist::Detail {
+
+/// One accepted connection of an HttpServer. All members are used on the stream's strand only.
+class ServedConnection : public std::enable_shared_from_this<ServedConnection>
+{
+public:
+    ServedConnection(Asio::ip::tcp::socket socket, std::shared_ptr<HttpServing> serving);
+
+    /// Serves requests until either side closes the connection.
+    awaitable<void> run();
+    [[nodiscard]] Asio::any_io_executor executor();
+    /// Closes the connection when no request is being read or served. May be called from any thread.
+    void closeIfIdle();
+
+private:
+    /// Waits for the first byte, so that an idle connection is told from a slow request.
+    awaitable<bool> waitForRequest();
+    awaitable<bool> serveOne();
+    awaitable<bool> readAndAnswer();
+    awaitable<HttpResponse> answerOf(HttpRequest request);
+    awaitable<void> refuse(boost::system::error_code reason);
+    awaitable<bool> write(HttpResponse response, bool keepAlive, unsigned version);
+
+    boost::beast::tcp_stream m_stream;
+    boost::beast::flat_buffer m_buffer;
+    std::shared_ptr<HttpServing> m_serving;
+    bool m_idle = false;
+};
+
+} // namespace Trefoilhoist::Detail
