Reserve requests and answers of HTTP clients in the memory budget of the process

Bodies of 1 MB that lack their last byte, or headers of many short fields whose body never comes, exceeded the memory of the host in sum: each connection was bounded, all together weren't. Beast also allocated a body's announced length at once. What arrives is now reserved as it arrives: the fields when the header is whole, the body piece by piece, trailers at the end; a request keeps its reservation while it is handled, an answer while it is written. A request that finds no room gets 503, Retry-After and verdict not-run before the handler sees it, and its connection closes.

--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -30,11 +30,13 @@
     , m_adapters(std::move(adapters))
     , m_metrics(runtime.clock())
     , m_memory(MemoryBudget::forProcess(m_settings.memoryBytes))
-    , m_heartbeats(runtime.executor(), {}, [this](HttpRequest request) { return serveMinion(std::move(request)); })
+    , m_heartbeats(
+          runtime.executor(), {}, [this](HttpRequest request) { return serveMinion(std::move(request)); }, m_memory)
     , m_metricsServer(
           runtime.executor(),
           {},
-          [this](HttpRequest) -> awaitable<HttpResponse> { co_return textResponse(200, m_metrics.exposition()); })
+          [this](HttpRequest) -> awaitable<HttpResponse> { co_return textResponse(200, m_metrics.exposition()); },
+          m_memory)
     , m_peers(runtime.executor(), m_settings.name, runtime.incarnation(), [this](Wire::Envelope envelope) {
         return servePeer(std::move(envelope));
     })
--- a/src/programs/dispatcher/dispatcher.cpp
+++ b/src/programs/dispatcher/dispatcher.cpp
@@ -61,9 +61,14 @@
     , m_election(*m_adapters.store, runtime.clock(), m_settings.election, selfRecord(m_settings))
     , m_operators(*m_adapters.configuration)
     , m_callers(
-          runtime.executor(), callerLimits(), [this](HttpRequest request) { return serveCaller(std::move(request)); })
-    , m_readiness(runtime.executor(), {}, [this](HttpRequest request) { return serveReadiness(std::move(request)); })
-    , m_metricsServer(runtime.executor(), {}, [this](HttpRequest request) { return serveMetrics(std::move(request)); })
+          runtime.executor(),
+          callerLimits(),
+          [this](HttpRequest request) { return serveCaller(std::move(request)); },
+          m_memory)
+    , m_readiness(
+          runtime.executor(), {}, [this](HttpRequest request) { return serveReadiness(std::move(request)); }, m_memory)
+    , m_metricsServer(
+          runtime.executor(), {}, [this](HttpRequest request) { return serveMetrics(std::move(request)); }, m_memory)
     , m_peers(runtime.executor(),
               m_settings.name,
               runtime.incarnation(),
--- a/src/trefoilhoist/net/httpserver.cpp
+++ b/src/trefoilhoist/net/httpserver.cpp
@@ -22,8 +22,10 @@
     std::mutex mutex;
     std::set<std::shared_ptr<Detail::ServedConnection>> connections;
 
-    State(Asio::any_io_executor ex, HttpLimits httpLimits, Handler handle)
-        : HttpServing(httpLimits, std::move(handle)), executor(std::move(ex)), acceptor(Asio::make_strand(executor))
+    State(Asio::any_io_executor ex, HttpLimits httpLimits, Handler handle, MemoryBudget budget)
+        : HttpServing(httpLimits, std::move(handle), std::move(budget))
+        , executor(std::move(ex))
+        , acceptor(Asio::make_strand(executor))
     {
     }
 };
@@ -63,8 +65,8 @@
 
 } // namespace
 
-HttpServer::HttpServer(Asio::any_io_executor executor, HttpLimits limits, Handler handler)
-    : m_state(std::make_shared<State>(std::move(executor), limits, std::move(handler)))
+HttpServer::HttpServer(Asio::any_io_executor executor, HttpLimits limits, Handler handler, MemoryBudget memory)
+    : m_state(std::make_shared<State>(std::move(executor), limits, std::move(handler), std::move(memory)))
 {
 }
 
--- a/src/trefoilhoist/net/httpserver.h
+++ b/src/trefoilhoist/net/httpserver.h
@@ -2,6 +2,7 @@
 
 #include "trefoilhoist/net/asio.h"
 #include "trefoilhoist/net/httpmessage.h"
+#include "trefoilhoist/net/memorybudget.h"
 #include "trefoilhoist/world/clock.h"
 #include "trefoilhoist/world/world.h"
 
@@ -31,7 +32,12 @@
 public:
     using Handler = std::function<awaitable<HttpResponse>(HttpRequest)>;
 
-    HttpServer(Asio::any_io_executor executor, HttpLimits limits, Handler handler);
+    /// Requests and answers are reserved in `memory`; one that finds no room there is refused. Without a budget of the
+    /// process, the server has one of its own.
+    HttpServer(Asio::any_io_executor executor,
+               HttpLimits limits,
+               Handler handler,
+               MemoryBudget memory = MemoryBudget(defaultMemoryBytes));
     ~HttpServer();
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
@@ -49,6 +55,7 @@
     [[nodiscard]] int inFlight() const;
 
 private:
+    static constexpr std::size_t defaultMemoryBytes = std::size_t{256} << 20U;
     struct State;
     std::shared_ptr<State> m_state;
 };
--- a/src/trefoilhoist/net/internal/httpserving.h
+++ b/src/trefoilhoist/net/internal/httpserving.h
@@ -10,11 +10,15 @@
 struct HttpServing {
     HttpLimits limits;
     HttpServer::Handler handler;
+    MemoryBudget memory;
     std::atomic<int> inFlight = 0;
     std::atomic<bool> draining = false;
     std::atomic<bool> closed = false;
 
-    HttpServing(HttpLimits httpLimits, HttpServer::Handler handle) : limits(httpLimits), handler(std::move(handle)) { }
+    HttpServing(HttpLimits httpLimits, HttpServer::Handler handle, MemoryBudget budget)
+        : limits(httpLimits), handler(std::move(handle)), memory(std::move(budget))
+    {
+    }
 };
 
 } // namespace Trefoilhoist::Detail
--- a/src/trefoilhoist/net/internal/servedconnection.cpp
+++ b/src/trefoilhoist/net/internal/servedconnection.cpp
@@ -35,12 +35,15 @@
     if (reason == Beast::error::timeout) {
         return 408;
     }
+    if (reason == boost::system::errc::not_enough_memory) {
+        return 503;
+    }
     const bool isHttpError = reason.category() == Http::make_error_code(Http::error::bad_method).category();
     const bool isCut = reason == Http::error::end_of_stream || reason == Http::error::partial_message;
     return isHttpError && !isCut ? 400 : 0;
 }
 
-HttpRequest plainRequest(Http::request<Http::string_body> &message)
+HttpRequest plainRequest(Http::request<HeldBody> &message)
 {
     HttpRequest request;
     request.method = std::string(message.method_string());
@@ -49,7 +52,7 @@
         request.headers.add(std::string_view(field.name_string().data(), field.name_string().size()),
                             std::string(field.value()));
     }
-    request.body = std::move(message.body());
+    request.body = std::move(message.body().text);
     return request;
 }
 
@@ -59,6 +62,7 @@
     : m_stream(std::move(socket))
     , m_buffer(bufferFactor * serving->limits.maxHeaderBytes)
     , m_serving(std::move(serving))
+    , m_reservation(m_serving->memory.reserveNothing())
 {
 }
 
@@ -118,23 +122,56 @@
 }
 
 awaitable<bool> ServedConnection::readAndAnswer()
+{
+    auto read = co_await readRequest();
+    if (!read) {
+        m_reservation.shrinkTo(0);
+        co_await refuse(read.error());
+        co_return false;
+    }
+    m_stream.expires_never();
+    auto response = co_await answerOf(std::move(read->request));
+    holdAnswer(response);
+    const bool open = co_await write(std::move(response), read->keepAlive && !m_serving->draining, read->version);
+    m_reservation.shrinkTo(0);
+    co_return open;
+}
+
+awaitable<tl::expected<ServedConnection::ReadRequest, boost::system::error_code>> ServedConnection::readRequest()
 {
     const auto &limits = m_serving->limits;
-    Http::request_parser<Http::string_body> parser;
+    Http::request_parser<HeldBody> parser;
+    parser.get().body().reservation = &m_reservation;
     parser.body_limit(limits.maxBodyBytes);
     parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
     m_stream.expires_after(inNanoseconds(limits.requestTimeout));
     boost::system::error_code ec;
-    co_await Http::async_read(m_stream, m_buffer, parser, Asio::redirect_error(Asio::use_awaitable, ec));
+    co_await Http::async_read_header(m_stream, m_buffer, parser, Asio::redirect_error(Asio::use_awaitable, ec));
+    if (!ec && !parser.is_done()) {
+        // The header is kept while its body is awaited.
+        ec = holdRequest(parser.get());
+    }
+    if (!ec && !parser.is_done()) {
+        co_await Http::async_read(m_stream, m_buffer, parser, Asio::redirect_error(Asio::use_awaitable, ec));
+    }
+    if (!ec) {
+        // Trailers have joined the header.
+        ec = holdRequest(parser.get());
+    }
     if (ec) {
-        co_await refuse(ec);
-        co_return false;
+        co_return tl::unexpected(ec);
     }
-
     auto message = parser.release();
-    m_stream.expires_never();
-    auto response = co_await answerOf(plainRequest(message));
-    co_return co_await write(std::move(response), message.keep_alive() && !m_serving->draining, message.version());
+    co_return ReadRequest{plainRequest(message), message.keep_alive(), message.version()};
+}
+
+boost::system::error_code ServedConnection::holdRequest(const boost::beast::http::request<HeldBody> &message)
+{
+    const auto bytes = bytesOfFields(message) + message.body().text.size();
+    if (bytes <= m_reservation.bytes() || m_reservation.tryGrow(bytes - m_reservation.bytes())) {
+        return {};
+    }
+    return make_error_code(boost::system::errc::not_enough_memory);
 }
 
 awaitable<HttpResponse> ServedConnection::answerOf(HttpRequest request)
@@ -150,6 +187,16 @@
     co_return response;
 }
 
+void ServedConnection::holdAnswer(HttpResponse &response)
+{
+    // The handler has let go of the request.
+    m_reservation.shrinkTo(0);
+    if (!m_reservation.tryGrow(response.body.size())) {
+        response = textResponse(500, "no memory for the answer\n");
+        response.headers.set(verdictHeader, "may-have-run");
+    }
+}
+
 awaitable<void> ServedConnection::refuse(boost::system::error_code reason)
 {
     const int status = statusFor(reason);
@@ -158,6 +205,9 @@
     }
     auto response = textResponse(status, "request refused: " + reason.message() + "\n");
     response.headers.set(verdictHeader, "not-run");
+    if (status == 503) {
+        response.headers.set(retryAfterHeader, "1");
+    }
     co_await write(std::move(response), false, 11);
 }
 
--- a/src/trefoilhoist/net/memorybudget.cpp
+++ b/src/trefoilhoist/net/memorybudget.cpp
@@ -86,6 +86,11 @@
     return Reservation(m_state, bytes);
 }
 
+MemoryBudget::Reservation MemoryBudget::reserveNothing()
+{
+    return {m_state, 0};
+}
+
 std::size_t MemoryBudget::used() const
 {
     return m_state->used;
--- a/src/trefoilhoist/net/memorybudget.h
+++ b/src/trefoilhoist/net/memorybudget.h
@@ -43,6 +43,9 @@
     /// Reserves bytes; nothing if the budget has no room for them. Reserving 0 bytes always succeeds.
     [[nodiscard]] std::optional<Reservation> tryReserve(std::size_t bytes);
 
+    /// A reservation that may grow.
+    [[nodiscard]] Reservation reserveNothing();
+
     /// The number of bytes that are reserved.
     [[nodiscard]] std::size_t used() const;
     [[nodiscard]] std::size_t limit() const;
