Bound the connections of each HTTP port by the memory, and make room among them

Clients that only connect, or begin a request and stop, could take 2,000 connections at the callers' port and 4,096 at each other one, more descriptors than a host gives in sum; the limit was unrelated to the memory, and beyond it ordinary callers were turned away. A connection beyond the bound takes the place of the one that has been idle longest, or else has been longest with a request that isn't whole or an answer that isn't read; one whose request is being handled is never closed. A request without room in memory closes the slowest reader likewise. Bodies at readiness and metrics are limited to 4 kB.

--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -3,6 +3,7 @@
 #include "trefoilhoist/jobs/ownerrecord.h"
 #include "trefoilhoist/jobs/recordkeys.h"
 #include "trefoilhoist/log/eventlog.h"
+#include "trefoilhoist/net/httpmetrics.h"
 #include "trefoilhoist/wire/message.h"
 
 #include <algorithm>
@@ -22,6 +23,13 @@
     return a.cpuMilli != b.cpuMilli || a.memoryMb != b.memoryMb || a.accelerators != b.accelerators;
 }
 
+HttpLimits heartbeatLimits(const MemoryBudget &memory)
+{
+    HttpLimits limits;
+    limits.maxConnections = connectionsWithin(memory.limit() / 2);
+    return limits;
+}
+
 } // namespace
 
 AgentServer::AgentServer(Runtime &runtime, AgentSettings settings, Adapters adapters)
@@ -31,12 +39,12 @@
     , m_metrics(runtime.clock())
     , m_memory(MemoryBudget::forProcess(m_settings.memoryBytes))
     , m_heartbeats(
-          runtime.executor(), {}, [this](HttpRequest request) { return serveMinion(std::move(request)); }, m_memory)
-    , m_metricsServer(
           runtime.executor(),
-          {},
-          [this](HttpRequest) -> awaitable<HttpResponse> { co_return textResponse(200, m_metrics.exposition()); },
+          heartbeatLimits(m_memory),
+          [this](HttpRequest request) { return serveMinion(std::move(request)); },
           m_memory)
+    , m_metricsServer(
+          runtime.executor(), probeLimits(m_memory), [this](HttpRequest) { return serveMetrics(); }, m_memory)
     , m_peers(runtime.executor(), m_settings.name, runtime.incarnation(), [this](Wire::Envelope envelope) {
         return servePeer(std::move(envelope));
     })
@@ -78,6 +86,14 @@
     EventLog::instance().flush();
 }
 
+awaitable<HttpResponse> AgentServer::serveMetrics()
+{
+    showRefusals(m_metrics, "heartbeats", m_heartbeats);
+    showRefusals(m_metrics, "metrics", m_metricsServer);
+    m_metrics.gauge("trefoilhoist_memory_reserved_bytes").set(static_cast<double>(m_memory.used()));
+    co_return textResponse(200, m_metrics.exposition());
+}
+
 awaitable<HttpResponse> AgentServer::serveMinion(HttpRequest request)
 {
     auto notice = m_adapters.parseNotice(request);
--- a/src/programs/agent/agent.h
+++ b/src/programs/agent/agent.h
@@ -66,6 +66,7 @@
     awaitable<void> stop();
 
 private:
+    awaitable<HttpResponse> serveMetrics();
     awaitable<HttpResponse> serveMinion(HttpRequest request);
     awaitable<std::optional<Wire::Envelope>> servePeer(Wire::Envelope envelope);
     void applyHeartbeat(Jobs::MinionHeartbeat heartbeat);
--- a/src/programs/dispatcher/dispatcher.cpp
+++ b/src/programs/dispatcher/dispatcher.cpp
@@ -3,8 +3,11 @@
 #include "trefoilhoist/jobs/ownerrecord.h"
 #include "trefoilhoist/jobs/recordkeys.h"
 #include "trefoilhoist/log/eventlog.h"
+#include "trefoilhoist/net/httpmetrics.h"
 #include "trefoilhoist/wire/message.h"
 
+#include <algorithm>
+
 namespace Trefoilhoist::Dispatcher {
 
 namespace {
@@ -66,9 +69,15 @@
           [this](HttpRequest request) { return serveCaller(std::move(request)); },
           m_memory)
     , m_readiness(
-          runtime.executor(), {}, [this](HttpRequest request) { return serveReadiness(std::move(request)); }, m_memory)
+          runtime.executor(),
+          probeLimits(m_memory),
+          [this](HttpRequest request) { return serveReadiness(std::move(request)); },
+          m_memory)
     , m_metricsServer(
-          runtime.executor(), {}, [this](HttpRequest request) { return serveMetrics(std::move(request)); }, m_memory)
+          runtime.executor(),
+          probeLimits(m_memory),
+          [this](HttpRequest request) { return serveMetrics(std::move(request)); },
+          m_memory)
     , m_peers(runtime.executor(),
               m_settings.name,
               runtime.incarnation(),
@@ -173,6 +182,10 @@
 
 awaitable<HttpResponse> DispatcherServer::serveMetrics(HttpRequest)
 {
+    showRefusals(m_metrics, "callers", m_callers);
+    showRefusals(m_metrics, "readiness", m_readiness);
+    showRefusals(m_metrics, "metrics", m_metricsServer);
+    m_metrics.gauge("trefoilhoist_memory_reserved_bytes").set(static_cast<double>(m_memory.used()));
     co_return textResponse(200, m_metrics.exposition());
 }
 
--- a/src/trefoilhoist/net/httpserver.cpp
+++ b/src/trefoilhoist/net/httpserver.cpp
@@ -9,8 +9,7 @@
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <mutex>
-#include <set>
+#include <algorithm>
 
 namespace Trefoilhoist {
 
@@ -19,8 +18,6 @@
 struct HttpServer::State : Detail::HttpServing {
     Asio::any_io_executor executor;
     Tcp::acceptor acceptor;
-    std::mutex mutex;
-    std::set<std::shared_ptr<Detail::ServedConnection>> connections;
 
     State(Asio::any_io_executor ex, HttpLimits httpLimits, Handler handle, MemoryBudget budget)
         : HttpServing(httpLimits, std::move(handle), std::move(budget))
@@ -47,24 +44,32 @@
             co_await sleepFor(milliseconds(10));
             continue;
         }
-        auto connection = std::make_shared<Detail::ServedConnection>(std::move(socket), state);
-        {
-            std::lock_guard lock(state->mutex);
-            if (static_cast<int>(state->connections.size()) >= state->limits.maxConnections) {
-                continue;
-            }
-            state->connections.insert(connection);
+        if (!state->makeRoomForConnection()) {
+            continue;
         }
-        spawnOn(connection->executor(), "http connection", [state, connection]() -> awaitable<void> {
-            co_await connection->run();
-            std::lock_guard lock(state->mutex);
-            state->connections.erase(connection);
-        });
+        auto connection = std::make_shared<Detail::ServedConnection>(std::move(socket), state);
+        connection->join();
+        spawnOn(connection->executor(), "http connection", [connection] { return connection->run(); });
     }
 }
 
 } // namespace
 
+int connectionsWithin(std::size_t bytes)
+{
+    constexpr std::size_t connectionBytes = std::size_t{16} << 10U;
+    return static_cast<int>(std::max(bytes / connectionBytes, std::size_t{1}));
+}
+
+HttpLimits probeLimits(const MemoryBudget &memory)
+{
+    constexpr std::size_t part = 16;
+    HttpLimits limits;
+    limits.maxBodyBytes = std::size_t{4} << 10U;
+    limits.maxConnections = connectionsWithin(memory.limit() / part);
+    return limits;
+}
+
 HttpServer::HttpServer(Asio::any_io_executor executor, HttpLimits limits, Handler handler, MemoryBudget memory)
     : m_state(std::make_shared<State>(std::move(executor), limits, std::move(handler), std::move(memory)))
 {
@@ -79,6 +84,7 @@
 {
     auto port = Detail::openAcceptor(m_state->acceptor, endpoint);
     if (port) {
+        m_state->listensOn(*port);
         spawnOn(m_state->acceptor.get_executor(), "http accept", [state = m_state] { return acceptLoop(state); });
     }
     return port;
@@ -99,10 +105,12 @@
         boost::system::error_code ec;
         state->acceptor.close(ec);
     });
-    std::lock_guard lock(m_state->mutex);
-    for (const auto &connection : m_state->connections) {
-        connection->closeIfIdle();
-    }
+    m_state->connections.closeIdle();
+}
+
+HttpRefusals HttpServer::refusals() const
+{
+    return m_state->refusals();
 }
 
 int HttpServer::inFlight() const
--- a/src/trefoilhoist/net/httpserver.h
+++ b/src/trefoilhoist/net/httpserver.h
@@ -9,6 +9,7 @@
 #include <tl/expected.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -23,9 +24,27 @@
     Duration requestTimeout = seconds(10);
     /// An idle connection is closed after this.
     Duration idleTimeout = seconds(60);
+    /// Beyond these, a new connection takes the place of the one that has been idle longest, or else of the one that
+    /// has been longest with reading a request or writing an answer. It is refused when all have requests in progress.
     int maxConnections = 4096;
 };
 
+/// How many connections, with their buffers, fit into that memory.
+[[nodiscard]] int connectionsWithin(std::size_t bytes);
+
+/// Limits of a port for requests without a body, such as readiness and metrics: its connections take a small part of
+/// the memory, and bodies next to none, so that it leaves the rest to the other ports.
+[[nodiscard]] HttpLimits probeLimits(const MemoryBudget &memory);
+
+/// What a server has refused since its start.
+struct HttpRefusals {
+    /// Connections closed so that others found room.
+    std::uint64_t connectionsClosed = 0;
+    std::uint64_t connectionsRefused = 0;
+    /// Requests without room in memory.
+    std::uint64_t requestsRefused = 0;
+};
+
 /// Serves HTTP/1.1 with keep-alive; each connection on a strand of its own.
 class HttpServer
 {
@@ -53,6 +72,7 @@
 
     /// Requests read whole or in part and not yet answered.
     [[nodiscard]] int inFlight() const;
+    [[nodiscard]] HttpRefusals refusals() const;
 
 private:
     static constexpr std::size_t defaultMemoryBytes = std::size_t{256} << 20U;
--- a/src/trefoilhoist/net/internal/servedconnection.cpp
+++ b/src/trefoilhoist/net/internal/servedconnection.cpp
@@ -66,7 +66,22 @@
 {
 }
 
+void ServedConnection::join()
+{
+    m_place = m_serving->connections.add([self = weak_from_this()](ConnectionPhase phase) {
+        if (const auto connection = self.lock()) {
+            connection->closeIf(phase);
+        }
+    });
+}
+
 awaitable<void> ServedConnection::run()
+{
+    co_await serveAll();
+    m_serving->connections.remove(m_place);
+}
+
+awaitable<void> ServedConnection::serveAll()
 {
     boost::system::error_code ec;
     m_stream.socket().set_option(Tcp::no_delay(true), ec);
@@ -85,10 +100,16 @@
     return m_stream.get_executor();
 }
 
-void ServedConnection::closeIfIdle()
+void ServedConnection::enter(ConnectionPhase phase)
+{
+    m_phase = phase;
+    m_serving->connections.enter(m_place, phase);
+}
+
+void ServedConnection::closeIf(ConnectionPhase phase)
 {
-    Asio::post(m_stream.get_executor(), [self = shared_from_this()] {
-        if (self->m_idle) {
+    Asio::post(m_stream.get_executor(), [self = shared_from_this(), phase] {
+        if (self->m_phase == phase) {
             self->m_stream.close();
         }
     });
@@ -100,12 +121,11 @@
         co_return true;
     }
     constexpr std::size_t firstReadBytes = 4096;
-    m_idle = true;
+    enter(ConnectionPhase::Idle);
     m_stream.expires_after(inNanoseconds(m_serving->limits.idleTimeout));
     boost::system::error_code ec;
     auto space = m_buffer.prepare(firstReadBytes);
     const std::size_t n = co_await m_stream.async_read_some(space, Asio::redirect_error(Asio::use_awaitable, ec));
-    m_idle = false;
     m_buffer.commit(n);
     co_return !ec;
 }
@@ -129,6 +149,7 @@
         co_await refuse(read.error());
         co_return false;
     }
+    enter(ConnectionPhase::Handling);
     m_stream.expires_never();
     auto response = co_await answerOf(std::move(read->request));
     holdAnswer(response);
@@ -139,6 +160,7 @@
 
 awaitable<tl::expected<ServedConnection::ReadRequest, boost::system::error_code>> ServedConnection::readRequest()
 {
+    enter(ConnectionPhase::Reading);
     const auto &limits = m_serving->limits;
     Http::request_parser<HeldBody> parser;
     parser.get().body().reservation = &m_reservation;
@@ -205,7 +227,9 @@
     }
     auto response = textResponse(status, "request refused: " + reason.message() + "\n");
     response.headers.set(verdictHeader, "not-run");
-    if (status == 503) {
+    if (reason == boost::system::errc::not_enough_memory) {
+        enter(ConnectionPhase::Writing);
+        m_serving->makeRoomForRequest();
         response.headers.set(retryAfterHeader, "1");
     }
     co_await write(std::move(response), false, 11);
@@ -213,6 +237,7 @@
 
 awaitable<bool> ServedConnection::write(HttpResponse response, bool keepAlive, unsigned version)
 {
+    enter(ConnectionPhase::Writing);
     Http::response<Http::string_body> message(static_cast<Http::status>(response.status), version);
     for (const auto &[name, value] : response.headers.fields()) {
         message.insert(name, value);
--- a/src/trefoilhoist/net/internal/servedconnection.h
+++ b/src/trefoilhoist/net/internal/servedconnection.h
@@ -17,11 +17,13 @@
 public:
     ServedConnection(Asio::ip::tcp::socket socket, std::shared_ptr<HttpServing> serving);
 
+    /// Enters the connection into the table of its server. Call once, before run().
+    void join();
     /// Serves requests until either side closes the connection.
     awaitable<void> run();
     [[nodiscard]] Asio::any_io_executor executor();
-    /// Closes the connection when no request is being read or served. May be called from any thread.
-    void closeIfIdle();
+    /// Closes the connection if it is still in that phase. May be called from any thread.
+    void closeIf(ConnectionPhase phase);
 
 private:
     struct ReadRequest {
@@ -30,6 +32,8 @@
         unsigned version = 0;
     };
 
+    void enter(ConnectionPhase phase);
+    awaitable<void> serveAll();
     /// Waits for the first byte, so that an idle connection is told from a slow request.
     awaitable<bool> waitForRequest();
     awaitable<bool> serveOne();
@@ -49,7 +53,8 @@
     std::shared_ptr<HttpServing> m_serving;
     /// For the request that is read or served, then for its answer.
     MemoryBudget::Reservation m_reservation;
-    bool m_idle = false;
+    ConnectionTable::Place m_place;
+    ConnectionPhase m_phase = ConnectionPhase::Idle;
 };
 
 } // namespace Trefoilhoist::Detail
