Refuse bodies of too many values before they are parsed

A whole body of 1 MB of the shape [{},{},...], as a heartbeat, took some 30 MB while it was parsed, since the parser builds some 80 bytes for three; the nesting was bounded, the number of values wasn't. No body of 256 KiB, the clients' limit, holds so many.

--- a/tests/unit/platform.cpp
+++ b/tests/unit/platform.cpp
@@ -306,6 +306,34 @@
         isRead("extra", R"("a text [[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[ \" [[[[[[[[[[[")"));
 }
 
+// A value of two bytes takes some 80 bytes of memory, so that a body of 1 MB took more than 30 MB.
+TEST(DecodingTest, bodyOfTooManyValues_isRefused)
+{
+    const auto arrayOf = [](std::size_t values) {
+        std::string text = "[";
+        for (std::size_t n = 1; n < values; ++n) {
+            text += "{},";
+        }
+        return text + "{}]";
+    };
+    EXPECT_TRUE(isRead("extra", arrayOf(1000)));
+    EXPECT_FALSE(isRead("extra", arrayOf(100'000)));
+    EXPECT_FALSE(Callers().job("5c0e7a21d94b36f8", {}, R"({"steps":)" + arrayOf(100'000) + "}"));
+}
+
+// The users' clients send up to 262144 bytes, of whatever shape.
+TEST(DecodingTest, bodyOf256KiB_isNeverTooManyValues)
+{
+    constexpr std::size_t bytes = 262144;
+    for (const std::string value : {"0,", "{},", "[],", "\"\","}) {
+        std::string text = "[";
+        while (text.size() + value.size() < bytes) {
+            text += value;
+        }
+        EXPECT_TRUE(isRead("extra", text + "0]")) << value;
+    }
+}
+
 TEST(MinionMessageTest, leavingMinion_isNamed)
 {
     const auto message = minionMessageFrom(requestOf("POST", "/instances/i-7/deregister"));
