--- a/src/trefoilhoist/net/internal/heldbody.h
+++ b/src/trefoilhoist/net/internal/heldbody.h
@@ -28,17 +28,17 @@
 /// A body for Beast's parser that reserves what arrives in a budget. Fails with not_enough_memory when there is no
 /// room. Nothing is reserved or allocated for a length that is only announced.
 struct HeldBody {
-    struct value_type {
+    struct Value {
         std::string text;
         /// Set before the parser is used.
         MemoryBudget::Reservation *reservation = nullptr;
     };
 
-    class reader
+    class Reader
     {
     public:
         template <bool isRequest, typename Fields>
-        reader(boost::beast::http::header<isRequest, Fields> &, value_type &body) : m_body(body)
+        Reader(boost::beast::http::header<isRequest, Fields> &, Value &body) : m_body(body)
         {
         }
 
@@ -69,8 +69,12 @@
         }
 
     private:
-        value_type &m_body;
+        Value &m_body;
     };
+
+    // The names that Beast expects.
+    using value_type = Value;
+    using reader = Reader;
 };
 
 } // namespace Trefoilhoist::Detail
