--- a/src/trefoilhoist/net/internal/heldbody.h
+++ b/src/trefoilhoist/net/internal/heldbody.h
@@ -72,9 +72,9 @@
         Value &m_body;
     };
 
-    // The names that Beast expects.
-    using value_type = Value;
-    using reader = Reader;
+    // Beast prescribes these names.
+    using value_type = Value; // NOLINT(readability-identifier-naming)
+    using reader = Reader; // NOLINT(readability-identifier-naming)
 };
 
 } // namespace Trefoilhoist::Detail
