--- a/review/standins/site.h
+++ b/review/standins/site.h
@@ -392,12 +392,8 @@
                                             {"platform.address", m_storeAddress.text()},
                                             {"limits.processorShare", 0.25},
                                             {"limits.linkMbps", 1000.0},
-<<<<<<< HEAD
-                                            {"bounds.maxHoldMs", m_plan.workerLeaseMs}});
-=======
                                             {"limits.memoryMb", 260},
-                                            {"bounds.maxHoldMs", 6000}});
->>>>>>> memory-http
+                                            {"bounds.maxHoldMs", m_plan.workerLeaseMs}});
         front.dispatcher = std::make_unique<Process>(
             m_plan.bin + "/trefoilhoist-dispatcher", settings, m_folder + "/" + front.name + ".log");
         m_fronts.push_back(std::move(front));
@@ -424,16 +420,10 @@
                                             {"internalPortRange.0", freePort(ip)},
                                             {"internalPortRange.1", freePort(ip)},
                                             {"platform.address", m_storeAddress.text()},
-<<<<<<< HEAD
-                                            {"bounds.maxHoldMs", m_plan.workerLeaseMs}});
-        side.agent = std::make_unique<Process>(
-            m_plan.bin + "/trefoilhoist-agent", settings, m_folder + "/" + side.name + ".log");
-=======
                                             {"limits.memoryMb", 128},
-                                            {"bounds.maxHoldMs", 6000}});
+                                            {"bounds.maxHoldMs", m_plan.workerLeaseMs}});
         side.agent
             = std::make_unique<Process>("target/bin/trefoilhoist-agent", settings, m_folder + "/" + side.name + ".log");
->>>>>>> memory-http
         startMinion(side, "i-" + std::to_string(number + 1) + "a");
         m_sides.push_back(std::move(side));
     }
