Suspend hosts in the soak: minions whose clock doesn't count the time

A suspended host's steady clock stands still, so that a minion's hold lasts on after the suspension, while the owner has given the worker up. The stand-in plays it, and the check leaves out the suspension and the 300 ms after it (thawSlackMs), in which the minion is not up or must be given time; a run beside another one after that counts as before, and so does a start after a noted end.

--- a/review/standins/minion.h
+++ b/review/standins/minion.h
@@ -143,6 +143,12 @@
         m_answerDelayMs = ms;
     }
 
+    /// While set, the minion's clock doesn't count the time for which the process stands still: the host is suspended.
+    void setSuspends(bool suspends)
+    {
+        m_suspends = suspends;
+    }
+
     /// While set, heartbeats do not leave: they are held up on their way. The last one is kept.
     void holdHeartbeats(bool held)
     {
@@ -201,10 +207,25 @@
 
     [[nodiscard]] std::int64_t clockMs() const
     {
-        const auto age = std::chrono::duration<double, std::milli>(SteadyClock::now() - m_startedAt).count();
+        using Milliseconds = std::chrono::duration<double, std::milli>;
+        const auto now = SteadyClock::now();
+        const auto sinceTick = Milliseconds(now.time_since_epoch()).count() - m_tickedAtMs;
+        const auto standing = m_suspends && sinceTick > shortestSuspensionMs ? sinceTick : 0;
+        const auto age = Milliseconds(now - m_startedAt).count() - m_suspendedMs - standing;
         return static_cast<std::int64_t>(m_plan.clockRate * age);
     }
 
+    /// Notes that the ticks go on, and the time for which they did not if the host was suspended.
+    void tick()
+    {
+        const auto now = std::chrono::duration<double, std::milli>(SteadyClock::now().time_since_epoch()).count();
+        const auto sinceTick = now - m_tickedAtMs;
+        if (m_suspends && sinceTick > shortestSuspensionMs) {
+            m_suspendedMs = m_suspendedMs + sinceTick;
+        }
+        m_tickedAtMs = now;
+    }
+
     static std::int64_t durationOf(const std::string &specification, const std::string &task)
     {
         // ID.K.STEP.INDEX
@@ -242,6 +263,7 @@
         while (!m_dead) {
             {
                 std::lock_guard lock(m_mutex);
+                tick();
                 const auto now = clockMs();
                 noteLapse(now);
                 std::vector<std::string> over;
@@ -435,6 +457,11 @@
     Record &m_record;
     const std::int64_t m_born = wallMs() - m_plan.bornShiftMs;
     const SteadyClock::time_point m_startedAt = SteadyClock::now();
+    static constexpr double shortestSuspensionMs = 100;
+    std::atomic<bool> m_suspends = false;
+    std::atomic<double> m_suspendedMs = 0;
+    std::atomic<double> m_tickedAtMs
+        = std::chrono::duration<double, std::milli>(m_startedAt.time_since_epoch()).count();
     std::mutex m_mutex;
     std::condition_variable m_changed;
     std::map<std::string, Run> m_runs;
--- a/tests/soak/chaos.cpp
+++ b/tests/soak/chaos.cpp
@@ -144,6 +144,7 @@
                                                                   {"slow-at-takeover", &Chaos::slowAtTakeover},
                                                                   {"kill-machine", &Chaos::killMachine},
                                                                   {"pause-machine", &Chaos::pauseMachine},
+                                                                  {"suspend-machine", &Chaos::suspendMachine},
                                                                   {"kill-dispatcher", &Chaos::killDispatcher},
                                                                   {"stop-dispatcher", &Chaos::stopDispatcher},
                                                                   {"pause-dispatcher", &Chaos::pauseDispatcher},
@@ -168,6 +169,13 @@
     return it == m_killedAtMs.end() ? 0 : it->second;
 }
 
+std::vector<Suspension> Chaos::suspensionsOf(const std::string &minionRecord) const
+{
+    std::lock_guard lock(m_mutex);
+    const auto it = m_suspensions.find(minionRecord);
+    return it == m_suspensions.end() ? std::vector<Suspension>() : it->second;
+}
+
 void Chaos::run(std::int64_t forMs)
 {
     const auto until = m_record.now() + forMs;
@@ -413,6 +421,37 @@
     m_record.add("fault", side.name + ": the machine goes on");
 }
 
+// The minion's clock doesn't count the time, as the steady clock of a host that was suspended.
+void Chaos::suspendMachine(Random &random)
+{
+    auto &side = anySide(random);
+    const Claim minion(m_mutex, m_busy, side.name + " minion");
+    const Claim agent(m_mutex, m_busy, side.name + " agent");
+    if (!minion.taken || !agent.taken) {
+        return;
+    }
+    constexpr std::int64_t settleMs = 200;
+    // The users' thawSlackMs.
+    constexpr std::int64_t slackMs = 300;
+    const auto ms = between(random, 4000, 9000);
+    m_record.add("fault", side.name + ": the machine is suspended for " + std::to_string(ms) + " ms");
+    side.minionProcess->tell(suspendOrder);
+    Review::sleepMs(settleMs);
+    const auto since = m_record.now();
+    side.agent->kill(SIGSTOP);
+    side.minionProcess->kill(SIGSTOP);
+    Review::sleepMs(ms);
+    side.minionProcess->kill(SIGCONT);
+    side.agent->kill(SIGCONT);
+    {
+        std::lock_guard lock(m_mutex);
+        m_suspensions[m_recordOfSide.at(side.name)].push_back({since, m_record.now() + slackMs});
+    }
+    m_record.add("fault", side.name + ": the machine goes on");
+    Review::sleepMs(settleMs);
+    side.minionProcess->tell(0);
+}
+
 void Chaos::killDispatcher(Random &random)
 {
     auto &front = anyFront(random);
--- a/tests/soak/chaos.h
+++ b/tests/soak/chaos.h
@@ -1,6 +1,8 @@
 // Random faults of the processes of a site, and the load beside them.
 #pragma once
 
+#include "soak/judge.h"
+
 #include "review/standins/site.h"
 
 #include <atomic>
@@ -16,6 +18,9 @@
 
 namespace Trefoilhoist::Soak {
 
+/// Tells a minion's process that its host is about to be suspended. Other numbers are answer delays in milliseconds.
+inline constexpr int suspendOrder = -1;
+
 /// Submits jobs as callers do, and asks for their states at the end.
 class Load
 {
@@ -61,6 +66,8 @@
     }
     /// When the minion with this record was killed; 0 if it was not.
     [[nodiscard]] std::int64_t killedAtMs(const std::string &minionRecord) const;
+    /// When the host of the minion with this record was suspended.
+    [[nodiscard]] std::vector<Suspension> suspensionsOf(const std::string &minionRecord) const;
 
 private:
     using Fault = std::function<void(std::mt19937_64 &)>;
@@ -74,6 +81,7 @@
     void pauseMinion(std::mt19937_64 &random);
     void slowMinion(std::mt19937_64 &random);
     void killMachine(std::mt19937_64 &random);
+    void suspendMachine(std::mt19937_64 &random);
     void pauseMachine(std::mt19937_64 &random);
     void killDispatcher(std::mt19937_64 &random);
     void killOwner(std::mt19937_64 &random);
@@ -98,6 +106,7 @@
     /// Names of the machines and processes that have a fault now.
     std::set<std::string> m_busy;
     std::map<std::string, std::int64_t> m_killedAtMs;
+    std::map<std::string, std::vector<Suspension>> m_suspensions;
     std::int64_t m_ownerKilledAtMs = 0;
     std::map<std::string, std::string> m_recordOfSide;
     std::vector<std::thread> m_threads;
--- a/tests/soak/judge.h
+++ b/tests/soak/judge.h
@@ -10,6 +10,12 @@
 
 namespace Trefoilhoist::Soak {
 
+/// A time for which a minion's host was suspended, and the slack that the users' rules give it to stop what it runs.
+struct Suspension {
+    std::int64_t fromMs = 0;
+    std::int64_t untilMs = 0;
+};
+
 /// One run of a task on one incarnation of a minion.
 struct RecordedRun {
     std::string minion;
@@ -22,18 +28,21 @@
     std::string how;
     /// The minion was told that the end is recorded, and its hold had not expired since the end.
     bool noted = false;
+    std::vector<Suspension> suspensions;
 };
 
 /// A minion's record, and when its process was killed; 0 if it was alive to the end.
 struct MinionRecord {
     std::string path;
     std::int64_t killedAtMs = 0;
+    std::vector<Suspension> suspensions;
 };
 
 /// Reads the runs of one incarnation of a minion.
 [[nodiscard]] std::vector<RecordedRun> readRuns(const MinionRecord &record, std::int64_t soakEndMs);
 
-/// Describes each run that began while another run of its task was at work, or after one was done and noted.
+/// Describes each run that was at work beside another run of its task, on hosts that are not suspended, or began after
+/// one was done and noted.
 [[nodiscard]] std::vector<std::string> findRunsTwice(const std::vector<RecordedRun> &runs);
 
 /// The number of tasks of the job that have ended as done.
