Stop what outlives its hold, and acknowledge none of its ends before the hold has expired on the minion

Cause: the agent's clock counts the time of a suspension, the minion's doesn't. The agent knew that its hold had expired, but took a new lease for the same runs at once, extended the hold, and acknowledged ends that the owner had counted as lost.

Change: where the hold has expired by the agent's clock and the minion's clock has not reached its end, OrderFence neither extends it nor gives acknowledgements, and the agent stops what is listed. Both end when the minion's clock has passed the end of the hold. The fake minion's clock in AgentTest runs now: it had stood practically still, which is just this case.

--- a/src/programs/agent/agent.h
+++ b/src/programs/agent/agent.h
@@ -89,6 +89,9 @@
     awaitable<void> listLoop();
     awaitable<void> listOnce();
     void applyListing(const Jobs::MinionListing &listing, std::int64_t number, std::int64_t epoch);
+    /// Stops what the minion still runs though its hold has expired by this agent's clock: the owner has given it up.
+    void stopRunsOfExpiredHold(const Jobs::MinionListing &listing);
+    awaitable<void> stopRun(Wire::TaskRef task, std::int64_t run);
     void observeEndNumbers(const Jobs::MinionListing &listing);
     /// Judges the rows that can't be read; false if they may be the owner's runs, so that the hold must expire.
     bool judgeUnreadableRows(Jobs::MinionListing &listing);
--- a/src/programs/agent/minionruns.cpp
+++ b/src/programs/agent/minionruns.cpp
@@ -65,7 +65,8 @@
     // The first listings under a new owner or lease don't wait for ended tasks, because the owner waits for them.
     const bool wait = m_fence.isListed() && m_reachable && extendHold(now).has_value();
     // After a failed call, another incarnation may answer the next one. Its ends have numbers of its own.
-    const auto dropped = m_reachable ? m_fence.endsToDrop() : 0;
+    // Ends that were read after the hold had expired may be of tasks that run elsewhere by now.
+    const auto dropped = m_reachable && !m_fence.hasOutlivedHold(now) ? m_fence.endsToDrop() : 0;
     const auto hold = extendHold(now).value_or(0);
     auto listing = co_await m_adapters.minion->list(target(), dropped, hold, wait ? listingWait : Duration{});
     if (!m_minion || m_minion->worker.id != worker.id || m_minion->worker.born != worker.born) {
@@ -171,6 +172,9 @@
 {
     const auto now = m_runtime.clock().now();
     m_fence.observeMinionClock(listing.clockMs, now);
+    if (m_fence.hasOutlivedHold(now)) {
+        stopRunsOfExpiredHold(listing);
+    }
     if (!m_reachable) {
         Event("minion_reached")
             .add("worker", m_minion->worker.id)
@@ -206,6 +210,37 @@
     }
 }
 
+void AgentServer::stopRunsOfExpiredHold(const Jobs::MinionListing &listing)
+{
+    if (listing.running.empty()) {
+        return;
+    }
+    Event("runs_outlived_hold")
+        .add("worker", m_minion->worker.id)
+        .add("born", m_minion->worker.born)
+        .add("runs", listing.running.size());
+    for (const auto &row : listing.running) {
+        m_runs.addStop({row.task, row.run}, m_runtime.clock().now());
+        spawnOn(m_runtime.executor(), "stop", [this, row] { return stopRun(row.task, row.run); });
+    }
+}
+
+awaitable<void> AgentServer::stopRun(Wire::TaskRef task, std::int64_t run)
+{
+    if (!m_minion) {
+        co_return;
+    }
+    Wire::StopOrder order;
+    order.task = task;
+    order.run = run;
+    const auto answer = co_await m_adapters.minion->stop(target(), order);
+    Event("run_stopped")
+        .add("job", task.job)
+        .add("task", Jobs::taskName(task))
+        .add("run", run)
+        .add("result", orderResultName(answer.result));
+}
+
 // A minion numbers its ends without gaps, so that a gap shows ends which were acknowledged before this process read
 // them.
 void AgentServer::observeEndNumbers(const Jobs::MinionListing &listing)
--- a/src/trefoilhoist/jobs/orderfence.cpp
+++ b/src/trefoilhoist/jobs/orderfence.cpp
@@ -102,6 +102,8 @@
     m_stopped = false;
     m_recordedEnds = 0;
     m_clockMs = 0;
+    m_extendedUntil = TimePoint{};
+    m_extendedUntilMs = 0;
     m_stoppedTerm = 0;
     m_leaseTerm = 0;
     m_leaseExpiry = TimePoint{};
@@ -166,12 +168,15 @@
 
 std::optional<std::int64_t> OrderFence::extendHold(TimePoint now)
 {
-    if (m_replaced || m_clockMs == 0 || now >= m_leaseExpiry) {
+    if (m_replaced || m_clockMs == 0 || now >= m_leaseExpiry || hasOutlivedHold(now)) {
         return std::nullopt;
     }
     m_holdExpiry = std::max(m_holdExpiry, m_leaseExpiry);
     const auto left = duration_cast<milliseconds>(m_leaseExpiry - m_clockAt).count();
-    return m_clockMs + static_cast<std::int64_t>(minClockRate * static_cast<double>(left));
+    const auto untilMs = m_clockMs + static_cast<std::int64_t>(minClockRate * static_cast<double>(left));
+    m_extendedUntil = std::max(m_extendedUntil, m_leaseExpiry);
+    m_extendedUntilMs = std::max(m_extendedUntilMs, untilMs);
+    return untilMs;
 }
 
 } // namespace Trefoilhoist::Jobs
--- a/src/trefoilhoist/jobs/orderfence.h
+++ b/src/trefoilhoist/jobs/orderfence.h
@@ -86,6 +86,13 @@
     /// Returns until when, on the minion's clock, it may keep its runs; nothing without a lease or a known clock. Each
     /// call extends holdExpiry() to the end of the lease.
     [[nodiscard]] std::optional<std::int64_t> extendHold(TimePoint now);
+    /// True if the hold has expired by this agent's clock, but not by the minion's when it was last observed: the host
+    /// may have been suspended, and a minion's clock doesn't count that time. The owner has given up the minion's runs,
+    /// so they must be stopped, and the hold is not extended before it has expired on the minion too.
+    [[nodiscard]] bool hasOutlivedHold(TimePoint now) const
+    {
+        return now > m_extendedUntil && m_clockMs < m_extendedUntilMs;
+    }
     /// Returns the time after which no ordered run can still be running, unless the hold is extended again.
     [[nodiscard]] TimePoint holdExpiry() const
     {
@@ -107,6 +114,9 @@
     TimePoint m_holdExpiry;
     std::int64_t m_clockMs = 0;
     TimePoint m_clockAt;
+    /// The end of the last hold, by this agent's clock and by the minion's.
+    TimePoint m_extendedUntil;
+    std::int64_t m_extendedUntilMs = 0;
     /// The last report was sent at this time when the minion was reached again after markStopped().
     TimePoint m_stoppedReportAt;
     /// When the latest reports were sent, by number.
--- a/tests/integration/agent.cpp
+++ b/tests/integration/agent.cpp
@@ -48,10 +48,13 @@
     bool refusesConnections = false;
     /// Calls get no answer.
     bool silent = false;
+    /// The minion's clock stands still, as on a host that was suspended.
+    bool clockStands = false;
     Jobs::MinionListing listing;
     std::vector<int> throttles;
     std::vector<ListingCall> listingCalls;
     int starts = 0;
+    int stops = 0;
 };
 
 class FakeMinionInterface : public Jobs::MinionInterface
@@ -70,7 +73,10 @@
         if (m_minion.silent) {
             co_return tl::unexpected(Jobs::MinionError{"no answer", false});
         }
-        ++m_minion.listing.clockMs;
+        if (!m_minion.clockStands) {
+            const auto age = std::chrono::steady_clock::now() - m_startedAt;
+            m_minion.listing.clockMs = 1 + std::chrono::duration_cast<milliseconds>(age).count();
+        }
         co_return m_minion.listing;
     }
     awaitable<Jobs::OrderAnswer> start(Jobs::MinionTarget, Wire::StartOrder, std::int64_t) override
@@ -80,6 +86,7 @@
     }
     awaitable<Jobs::OrderAnswer> stop(Jobs::MinionTarget, Wire::StopOrder) override
     {
+        ++m_minion.stops;
         co_return Jobs::OrderAnswer{Jobs::OrderResult::Done, 0, {}};
     }
     awaitable<bool> throttle(Jobs::MinionTarget, Wire::TaskRef, std::int64_t, int percent) override
@@ -90,6 +97,7 @@
 
 private:
     FakeMinion &m_minion;
+    const std::chrono::steady_clock::time_point m_startedAt = std::chrono::steady_clock::now();
 };
 
 std::uint16_t unusedPort(const Asio::any_io_executor &executor)
@@ -640,4 +648,26 @@
     EXPECT_TRUE(runUntil([&] { return m_lastReport.gone; }));
 }
 
+// Tasks ran twice after a host was suspended for longer than the lease: the minion's clock had not counted that time,
+// so that the minion went on with tasks that had been started elsewhere, and its ends were acknowledged.
+TEST_F(AgentTest, minionOutlivesItsHold_itsRunsAreStoppedAndNothingIsExtendedOrAcknowledged)
+{
+    m_leaseMs = 500;
+    addRun("a", 1000);
+    join();
+    ASSERT_GT(nextListingCalls(1).back().holdUntilMs, 0);
+    m_minion.clockStands = true;
+    m_leaseMs = 0;
+    ASSERT_TRUE(runUntil([&] { return m_minion.stops > 0; }));
+    addEnd(1);
+    m_reply.recordedEnds = 1;
+    m_leaseMs = 500;
+    for (const auto &it : nextListingCalls(callsDuringReports)) {
+        EXPECT_EQ(it.holdUntilMs, 0);
+        EXPECT_EQ(it.acknowledgedEnds, 0);
+    }
+    m_minion.clockStands = false;
+    EXPECT_TRUE(runUntil([&] { return nextListingCalls(1).back().holdUntilMs > 0; }));
+}
+
 } // namespace Trefoilhoist::Agent
