--- a/tests/integration/memory.cpp
+++ b/tests/integration/memory.cpp
@@ -36,6 +36,8 @@
 constexpr std::size_t bodyBytes = std::size_t{1} << 20U;
 constexpr std::size_t fieldClients = 200;
 constexpr std::size_t fieldCount = 3900;
+constexpr std::size_t mixedClients = 800;
+constexpr std::size_t longHeaderBytes = 15000;
 constexpr std::size_t silentClients = 800;
 constexpr std::size_t deafClients = 200;
 constexpr std::size_t pipelinedBytes = std::size_t{64} << 10U;
@@ -223,12 +225,13 @@
     /// The crowd sends `script` to each port in turn, and stays connected while others ask.
     void attackWith(std::size_t clients, Script (*script)(const Port &))
     {
+        const auto firstScript = m_scripts.size();
         for (const auto &port : m_ports) {
             m_scripts.push_back(std::make_unique<Script>(script(port)));
         }
         for (std::size_t n = 0; n < clients; ++n) {
-            const auto at = n % m_ports.size();
-            m_crowd.push_back(std::make_unique<Client>(m_ports[at].number, *m_scripts[at]));
+            const auto at = n % m_attackedPorts;
+            m_crowd.push_back(std::make_unique<Client>(m_ports[at].number, *m_scripts[firstScript + at]));
         }
         int idleMs = 0;
         while (idleMs < stalledMs) {
@@ -247,6 +250,12 @@
         m_descriptors = countDescriptors();
     }
 
+    /// From here crowds turn to the first port alone.
+    void attackOnePort()
+    {
+        m_attackedPorts = 1;
+    }
+
     void expectBounded()
     {
         expectOrdinaryAnswers("beside the crowd");
@@ -263,6 +272,7 @@
 private:
     void start(const std::string &program, const std::string &ports)
     {
+        m_attackedPorts = m_ports.size();
         m_process = Process::start(program,
                                    R"({"id":"a","threads":1,"memoryMb":)" + std::to_string(memoryMb) + R"(,"store":")"
                                        + addressOf(unusedPort()) + R"(","peers":")" + addressOf(unusedPort()) + "\","
@@ -307,6 +317,7 @@
 
     std::unique_ptr<Process> m_process;
     std::vector<Port> m_ports;
+    std::size_t m_attackedPorts = 0;
     std::vector<std::unique_ptr<Script>> m_scripts;
     std::vector<std::unique_ptr<Client>> m_crowd;
     std::size_t m_descriptors = 0;
@@ -367,6 +378,11 @@
     return {lastHead(port, "A: "), "", 0};
 }
 
+Script longHeaderWithoutEnd(const Port &port)
+{
+    return {lastHead(port, "A: " + std::string(longHeaderBytes, 'a')), "", 0};
+}
+
 Script requestsAndNoReading(const Port &port)
 {
     return {"", port.call + " HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n", pipelinedBytes, false};
@@ -502,6 +518,28 @@
     expectBounded();
 }
 
+// Bodies, long headers and many fields were each within the memory, and not together.
+TEST_F(MemoryTest, mixedCrowdToADispatcher_staysWithinItsMemory)
+{
+    startDispatcher();
+    attackOnePort();
+    attackWith(mixedClients, bodyButItsLastByte);
+    attackWith(mixedClients, longHeaderWithoutEnd);
+    attackWith(fieldClients, manyFieldsAndNoBody);
+    expectBounded();
+}
+
+// As above, at the ports of an agent.
+TEST_F(MemoryTest, mixedCrowdToAnAgent_staysWithinItsMemory)
+{
+    startAgent();
+    attackOnePort();
+    attackWith(mixedClients, bodyButItsLastByte);
+    attackWith(mixedClients, longHeaderWithoutEnd);
+    attackWith(fieldClients, manyFieldsAndNoBody);
+    expectBounded();
+}
+
 // Answers that nobody reads, and the requests behind them, must not be kept without bound.
 TEST_F(MemoryTest, answersThatNobodyReadsOfADispatcher_staysWithinItsMemory)
 {
