--- a/src/programs/dispatcher/dispatcher.cpp
+++ b/src/programs/dispatcher/dispatcher.cpp
@@ -46,10 +46,11 @@
     return commit;
 }
 
-HttpLimits callerLimits()
+HttpLimits callerLimits(const MemoryBudget &memory)
 {
+    constexpr int maxConnections = 2000;
     HttpLimits limits;
-    limits.maxConnections = 2000;
+    limits.maxConnections = std::min(maxConnections, connectionsWithin(memory.limit() / 2));
     return limits;
 }
 
@@ -65,7 +66,7 @@
     , m_operators(*m_adapters.configuration)
     , m_callers(
           runtime.executor(),
-          callerLimits(),
+          callerLimits(m_memory),
           [this](HttpRequest request) { return serveCaller(std::move(request)); },
           m_memory)
     , m_readiness(
