--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -44,7 +44,7 @@
           [this](HttpRequest request) { return serveMinion(std::move(request)); },
           m_memory)
     , m_metricsServer(
-          runtime.executor(), probeLimits(m_memory), [this](HttpRequest) { return serveMetrics(); }, m_memory)
+          runtime.executor(), probeLimits(m_memory), [this](const HttpRequest &) { return serveMetrics(); }, m_memory)
     , m_peers(runtime.executor(), m_settings.name, runtime.incarnation(), [this](Wire::Envelope envelope) {
         return servePeer(std::move(envelope));
     })
