--- a/src/trefoilhoist/net/internal/servedconnection.cpp
+++ b/src/trefoilhoist/net/internal/servedconnection.cpp
@@ -6,6 +6,8 @@
 #include <boost/beast/http.hpp>
 #include <glog/logging.h>
 
+#include <algorithm>
+
 namespace Trefoilhoist::Detail {
 
 namespace Beast = boost::beast;
@@ -17,6 +19,12 @@
 /// A connection buffers so many times the longest header: Beast keeps trailers and chunk extensions whole, and has no
 /// other limit for them.
 constexpr std::size_t bufferFactor = 2;
+constexpr std::size_t firstReadBytes = 4096;
+
+std::size_t maxBufferBytes(const HttpLimits &limits)
+{
+    return std::max(bufferFactor * limits.maxHeaderBytes, firstReadBytes);
+}
 
 std::chrono::nanoseconds inNanoseconds(Duration duration)
 {
@@ -60,7 +68,7 @@
 
 ServedConnection::ServedConnection(Tcp::socket socket, std::shared_ptr<HttpServing> serving)
     : m_stream(std::move(socket))
-    , m_buffer(bufferFactor * serving->limits.maxHeaderBytes)
+    , m_buffer(maxBufferBytes(serving->limits))
     , m_serving(std::move(serving))
     , m_reservation(m_serving->memory.reserveNothing())
 {
@@ -75,10 +83,16 @@
     });
 }
 
+ServedConnection::Leaving::~Leaving()
+{
+    connection.m_serving->connections.remove(connection.m_place);
+}
+
 awaitable<void> ServedConnection::run()
 {
+    // Also when an exception ends the connection.
+    const Leaving leaving{*this};
     co_await serveAll();
-    m_serving->connections.remove(m_place);
 }
 
 awaitable<void> ServedConnection::serveAll()
@@ -120,7 +134,6 @@
     if (m_buffer.size() > 0) {
         co_return true;
     }
-    constexpr std::size_t firstReadBytes = 4096;
     enter(ConnectionPhase::Idle);
     m_stream.expires_after(inNanoseconds(m_serving->limits.idleTimeout));
     boost::system::error_code ec;
--- a/src/trefoilhoist/net/internal/servedconnection.h
+++ b/src/trefoilhoist/net/internal/servedconnection.h
@@ -32,6 +32,12 @@
         unsigned version = 0;
     };
 
+    /// Takes the connection out of its server's table at the end of its scope.
+    struct Leaving {
+        ServedConnection &connection;
+        ~Leaving();
+    };
+
     void enter(ConnectionPhase phase);
     awaitable<void> serveAll();
     /// Waits for the first byte, so that an idle connection is told from a slow request.
