Show what callers can make the owner keep in memory

Well-formed requests of clients that the users don't control have no bound in sum: jobs, their records, cancels of unknown ids. The setting, the state of a submission and mayCancel() are there for them and have no effect yet.

--- a/src/trefoilhoist/jobs/jobscheduler.cpp
+++ b/src/trefoilhoist/jobs/jobscheduler.cpp
@@ -130,6 +130,11 @@
     stopRuns(*entry, now);
 }
 
+bool JobScheduler::mayCancel(const std::string &) const
+{
+    return true;
+}
+
 void JobScheduler::addNeverSubmitted(const std::string &id, TimePoint now)
 {
     Wire::JobSpec spec;
--- a/src/trefoilhoist/jobs/jobscheduler.h
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -29,6 +29,8 @@
     std::int64_t keepEndedMs = 150'000;
     /// An occurrence starts this long after its due time, in milliseconds, because clocks differ.
     std::int64_t dueSlackMs = 20;
+    /// Estimated bytes that all jobs together may take. New submissions are refused beyond it.
+    std::int64_t jobMemoryBytes = 104'000'000;
 };
 
 /// State of a submission.
@@ -41,6 +43,8 @@
     New,
     /// Refused: the job was cancelled before this submission arrived.
     CancelledBefore,
+    /// Refused: the memory for jobs is used up.
+    NoMemory,
 };
 
 /// Holds the owner's view of all jobs and workers and plans the orders to the workers. Each term of ownership has one.
@@ -95,6 +99,8 @@
     /// Also cancels a job whose submission is still being recorded, and one that is not known: its submission may be on
     /// its way and must not be accepted later.
     void cancel(const std::string &id, TimePoint now);
+    /// False if the job is unknown and the memory for cancels of such jobs is used up: cancel() must not be called.
+    [[nodiscard]] bool mayCancel(const std::string &id) const;
     /// Number of active jobs of the queue of which no task has been started.
     [[nodiscard]] std::int64_t waitingJobs(const std::string &queue) const;
     /// Number of accepted jobs that are not final.
--- a/tests/integration/dispatcher.cpp
+++ b/tests/integration/dispatcher.cpp
@@ -49,6 +49,7 @@
 struct Answer {
     int status = 0;
     std::string body;
+    std::string retryAfter;
 
     [[nodiscard]] bool cancelAcknowledged() const
     {
@@ -65,7 +66,7 @@
 class DispatcherTest : public testing::Test
 {
 protected:
-    DispatcherTest()
+    explicit DispatcherTest(Jobs::SchedulerSettings scheduler = {}) : m_scheduler(scheduler)
     {
         RecordCommit commit;
         commit.writes.push_back({"op/config", configuration, 0});
@@ -117,6 +118,7 @@
         settings.readiness = {"127.0.0.1", unusedPort(m_runtime.executor())};
         settings.peers = {"127.0.0.1", unusedPort(m_runtime.executor())};
         settings.election.campaignDelay = milliseconds(5);
+        settings.scheduler = m_scheduler;
         process.callers = settings.callers;
         process.server = std::make_unique<DispatcherServer>(m_runtime, settings, std::move(adapters));
         EXPECT_FALSE(process.server->start().has_value());
@@ -141,7 +143,7 @@
         await([&]() -> awaitable<void> {
             const auto answer = co_await m_client.call(process.callers, request, options);
             if (answer) {
-                result = {answer->status, answer->body};
+                result = {answer->status, answer->body, std::string(answer->headers.get("Retry-After"))};
             }
         });
         return result;
@@ -193,6 +195,7 @@
         return next;
     }
 
+    Jobs::SchedulerSettings m_scheduler;
     Runtime m_runtime{"dispatcher", "", "{}", nlohmann::json::object(), 1};
     HttpClient m_client{m_runtime.executor()};
     MemoryRecordStore m_records;
@@ -308,6 +311,79 @@
     EXPECT_EQ(query(*m_owner, job).status, 410);
 }
 
+/// A dispatcher whose memory for jobs a small crowd uses up.
+class CrowdedDispatcherTest : public DispatcherTest
+{
+protected:
+    CrowdedDispatcherTest() : DispatcherTest(crowdedSettings()) { }
+
+    static Jobs::SchedulerSettings crowdedSettings()
+    {
+        Jobs::SchedulerSettings settings;
+        settings.jobMemoryBytes = 100'000;
+        return settings;
+    }
+
+    static std::string crowdId(int number)
+    {
+        auto digits = std::to_string(number);
+        return "c" + std::string(15 - digits.size(), '0') + digits;
+    }
+
+    /// Sends requests for new ids until one is refused, and returns its id; empty if none is refused.
+    std::string fill(const std::string &method, int status)
+    {
+        constexpr int crowd = 300;
+        for (int i = 0; i < crowd; ++i) {
+            const auto id = crowdId(i);
+            const auto answer = call(*m_owner, method, id, longEnough);
+            if (answer.status == 503) {
+                EXPECT_FALSE(answer.retryAfter.empty());
+                return id;
+            }
+            EXPECT_EQ(answer.status, status);
+        }
+        return "";
+    }
+};
+
+// A crowd that went on submitting took the memory of the owner, and of each next one.
+TEST_F(CrowdedDispatcherTest, memoryForJobsIsUsedUp_newJobIsRefusedAndNeverRuns)
+{
+    const auto refused = fill("POST", 200);
+    ASSERT_FALSE(refused.empty()) << "nothing was refused";
+    EXPECT_EQ(query(*m_owner, refused).status, 410);
+    // What is known is still answered for.
+    EXPECT_EQ(submit(*m_owner, crowdId(0)).status, 200);
+    EXPECT_TRUE(query(*m_owner, crowdId(0)).showsState("queued"));
+    EXPECT_EQ(cancel(*m_owner, crowdId(0)).status, 200);
+    EXPECT_FALSE(mayRun(*m_owner, refused));
+}
+
+// The next owner must load what this one has accepted, and refuse on.
+TEST_F(CrowdedDispatcherTest, memoryForJobsIsUsedUp_ownerReplaced_jobsAreKnownAndNewOnesRefused)
+{
+    const auto refused = fill("POST", 200);
+    ASSERT_FALSE(refused.empty()) << "nothing was refused";
+    auto &next = startDispatcher("b", true);
+    runFor(settleTime);
+    m_owner->store->stallsRenewals = true;
+    m_records.endLeases();
+    EXPECT_TRUE(runUntil([&] { return query(next, crowdId(0)).showsState("queued"); }));
+    EXPECT_EQ(submit(next, refused).status, 503);
+}
+
+// Each cancel of an unknown job left a record in the memory and in the store.
+TEST_F(CrowdedDispatcherTest, crowdCancelsUnknownJobs_laterCancelsAreRefusedAndOthersAnswered)
+{
+    ASSERT_EQ(submit(*m_owner, job).status, 200);
+    ASSERT_FALSE(fill("DELETE", 410).empty()) << "nothing was refused";
+    EXPECT_EQ(submit(*m_owner, crowdId(0)).status, 503) << "it was cancelled before";
+    EXPECT_EQ(cancel(*m_owner, crowdId(0)).status, 410);
+    EXPECT_EQ(submit(*m_owner, "c0ffee0000000001").status, 200);
+    EXPECT_EQ(cancel(*m_owner, job).status, 200);
+}
+
 // What can't be a job's id must not get into a record's key.
 TEST_F(DispatcherTest, cancelOfWhatIsNoId_isAnsweredUnknownAndRecordsNothing)
 {
--- a/tests/unit/platform.cpp
+++ b/tests/unit/platform.cpp
@@ -100,6 +100,39 @@
     EXPECT_EQ(jobOf(R"({"steps":[{"count":60000},{"count":40000}]})").steps.size(), 2U);
 }
 
+// A specification of any length was kept, sent with each start of the job's tasks, and loaded by each next owner.
+TEST_F(CallersTest, specificationLongerThanCallersMaySend_isRefused)
+{
+    const std::string steps = R"("steps":[{"count":1}])";
+    const std::string longest(4000, 'x');
+    EXPECT_EQ(jobOf(R"({"specification":")" + longest + R"(",)" + steps + "}").payload, longest);
+    EXPECT_EQ(refusal("5c0e7a21d94b36f8", R"({"specification":"x)" + longest + R"(",)" + steps + "}"),
+              "the specification has 4001 bytes; it may have 4000");
+}
+
+// Such a job makes a record that the store doesn't take, and no other record of the same commit was written.
+TEST_F(CallersTest, jobWhoseRecordIsVeryLarge_isRefused)
+{
+    constexpr int steps = 20'000;
+    std::string list = R"({"count":1})";
+    for (int i = 1; i < steps; ++i) {
+        list += R"(,{"count":1})";
+    }
+    EXPECT_NE(refusal("5c0e7a21d94b36f8", R"({"steps":[)" + list + "]}").find("it may take 65536"), std::string::npos);
+    const std::string image(100'000, 'i');
+    EXPECT_NE(
+        refusal("5c0e7a21d94b36f8", R"({"steps":[{"count":1,"image":")" + image + R"("}]})").find("it may take 65536"),
+        std::string::npos);
+}
+
+// A step that names an earlier one thousands of times was compared with all of them whenever its job changed.
+TEST_F(CallersTest, stepNamesAnEarlierOneManyTimes_itIsKeptOnce)
+{
+    const auto spec = jobOf(R"({"steps":[{"count":1},{"count":1},{"count":1,"after":[1,0,1,0,0]}]})");
+    ASSERT_EQ(spec.steps.size(), 3U);
+    EXPECT_EQ(spec.steps[2].after, (std::vector<std::int32_t>{0, 1}));
+}
+
 TEST_F(CallersTest, unreadableJobs_areRefusedInPlainWords)
 {
     const std::string id = "5c0e7a21d94b36f8";
