Free the values of records that are stored

Cause: an empty string that is assigned to a string leaves its buffer in place, so that each record of a job kept its value twice after it was written.

JobMemoryTest.submissionIsRecorded_valueOfTheRecordIsNotKept failed before.

--- a/src/trefoilhoist/jobs/recordqueue.cpp
+++ b/src/trefoilhoist/jobs/recordqueue.cpp
@@ -101,9 +101,9 @@
         m_entries.erase(key);
         return;
     }
-    // Only the revision is needed from now on.
-    entry.value = std::string();
-    entry.sent = std::string();
+    // Only the revision is needed from now on. A string that an empty one is assigned to would keep its memory.
+    entry.value.emplace();
+    entry.sent.emplace();
 }
 
 // Compares a record of a rejected commit with the store: its own condition, or that of another record, did not hold.
