Keep no specification of a job that has ended

Cause: an ended job is kept for 150 s to answer its callers, with the whole text that its tasks were to work on; one that a new owner loads as ended kept the state of its tasks, too.

--- a/src/trefoilhoist/jobs/job.cpp
+++ b/src/trefoilhoist/jobs/job.cpp
@@ -256,6 +256,13 @@
     }
 }
 
+void Job::releaseMemory()
+{
+    m_occurrences.clear();
+    m_spec.payload = {};
+    m_spec.payload.shrink_to_fit();
+}
+
 void Job::cancelUnsubmitted(std::int64_t wallMs)
 {
     m_neverSubmitted = true;
--- a/src/trefoilhoist/jobs/job.h
+++ b/src/trefoilhoist/jobs/job.h
@@ -134,6 +134,9 @@
     /// Increases the version, so that the checkpoints received since the last version are recorded.
     void requestCheckpointRecording();
     void cancel(std::int64_t wallMs);
+    /// Drops what only the tasks of an active job need: their state and their specification. To be called once the job
+    /// has ended and has no active runs.
+    void releaseMemory();
     /// Cancels a job of which only the id is known.
     void cancelUnsubmitted(std::int64_t wallMs);
     /// True if the job was cancelled before any submission of it had arrived: there is no such job, and there must be
--- a/src/trefoilhoist/jobs/jobscheduler.cpp
+++ b/src/trefoilhoist/jobs/jobscheduler.cpp
@@ -43,6 +43,7 @@
     if (progress) {
         entry.job.restore(*progress);
     }
+    releaseMemory(entry);
     const bool stillActive = entry.job.isActive();
     m_jobs.insert_or_assign(id, std::move(entry));
     if (stillActive) {
@@ -271,7 +272,7 @@
             }
         }
     }
-    entry.job.occurrences().clear();
+    entry.job.releaseMemory();
 }
 
 void JobScheduler::refreshDueJobs(std::int64_t wallMs)
