--- a/src/trefoilhoist/jobs/jobtypes.h
+++ b/src/trefoilhoist/jobs/jobtypes.h
@@ -119,6 +119,11 @@
 /// The owner keeps the state of each in memory.
 inline constexpr std::int64_t maxTasksOfJob = 100'000;
 
+/// Longest specification of a job's work.
+inline constexpr std::size_t maxSpecificationBytes = 4000;
+/// Largest record of a submission. A commit carries up to 15 of them.
+inline constexpr std::size_t maxSubmissionBytes = std::size_t{64} << 10U;
+
 /// Identifies one run of a task. Later runs of a task have higher numbers.
 struct RunKey {
     Wire::TaskRef task;
