Compute a job's critical path once for all its steps

Cause: the path was computed again for each step that has tasks to start, so that one change of a job took time that grew with the square of its steps, during which the owner answered nobody. Found by reading; no test, since it shows in time alone.

--- a/src/trefoilhoist/jobs/jobscheduler.cpp
+++ b/src/trefoilhoist/jobs/jobscheduler.cpp
@@ -318,6 +318,7 @@
         const auto started = job.spec().occurrences > 0 ? m_now + untilDue : job.acceptedAt();
         const Duration objective
             = duration_cast<Duration>(policy.stretch * job.totalCriticalPath()) + milliseconds(policy.targetLatencyMs);
+        const Duration criticalPath = job.remainingCriticalPath(occurrence);
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
             const auto &tasks = occurrence.steps[step].tasks;
             const bool hasTaskToStart = std::any_of(
@@ -329,8 +330,8 @@
             pending.job = id;
             pending.occurrence = number;
             pending.step = static_cast<int>(step);
-            pending.latestStart = started + objective - job.remainingCriticalPath(occurrence);
-            pending.worthlessAfter = started + maxObjectiveMultiple * objective - job.remainingCriticalPath(occurrence);
+            pending.latestStart = started + objective - criticalPath;
+            pending.worthlessAfter = started + maxObjectiveMultiple * objective - criticalPath;
             pending.longRunning = job.spec().steps[step].longRunning;
             pending.usesIdleCpu = job.spec().steps[step].usesIdleCpu;
             const auto known = before.find({id, number, static_cast<int>(step)});
