Refuse new jobs when the memory for jobs is used up

Seen: the owner of the scheduling kept every job that callers sent, with its records and the state of its tasks, until its process was killed; the next owner loaded the same.

Repetitions, queries and cancels of known jobs are answered as before. What is loaded from an earlier owner counts, and takes no more than it did there.

--- a/src/programs/dispatcher/owneranswers.cpp
+++ b/src/programs/dispatcher/owneranswers.cpp
@@ -13,6 +13,8 @@
 constexpr Duration verificationPollInterval = milliseconds(20);
 /// Store outages last for seconds and callers retry only a few times, so callers are told to retry later than usual.
 constexpr std::int64_t outageRetryAfterMs = 2000;
+/// Jobs leave the memory only when they have ended and were kept for a while.
+constexpr std::int64_t memoryRetryAfterMs = 5000;
 
 // Returns the estimated CPU time of one occurrence.
 double coreSeconds(const Wire::JobSpec &spec)
@@ -54,6 +56,17 @@
     return answerOf(JobOutcome::Refused, duration_cast<milliseconds>(*retryAfter).count());
 }
 
+Wire::JobAnswer OwnerSession::refuseForMemory(const char *event, const std::string &id)
+{
+    Event(event)
+        .add("job", id)
+        .add("epoch", m_term.epoch)
+        .add("reason", "the memory for jobs is used up")
+        .add("usedBytes", m_scheduler.memoryBytes());
+    m_context.metrics.counter("trefoilhoist_refused_memory").add();
+    return answerOf(JobOutcome::Refused, memoryRetryAfterMs);
+}
+
 awaitable<Wire::JobAnswer> OwnerSession::submit(Wire::JobSpec spec, Duration timeout)
 {
     const auto self = shared_from_this();
@@ -68,6 +81,9 @@
         Event("job_refused").add("job", id).add("epoch", m_term.epoch).add("reason", "cancelled before it arrived");
         co_return answerOf(JobOutcome::Refused);
     }
+    if (submissionState == Jobs::SubmissionState::NoMemory) {
+        co_return refuseForMemory("job_refused", id);
+    }
     if (submissionState == Jobs::SubmissionState::New) {
         if (const auto refusal = refuseNewRecord("job_refused", id, receivedAt)) {
             m_scheduler.withdraw(id);
@@ -76,6 +92,9 @@
         m_records.submit(spec);
         startRecording();
     }
+    // Not needed for the answer, for which many callers may wait.
+    spec.payload = {};
+    spec.payload.shrink_to_fit();
     co_await m_waiters.wait(id, timeout);
     const auto waited = m_context.clock.now() - receivedAt;
     if (m_closed) {
--- a/src/programs/dispatcher/ownersession.cpp
+++ b/src/programs/dispatcher/ownersession.cpp
@@ -289,6 +289,7 @@
         m_intake.tick(now);
         m_context.metrics.latency("trefoilhoist_owner_lag").record(m_intake.lag(now), now);
         forgetExpired();
+        m_context.metrics.gauge("trefoilhoist_job_memory_bytes").set(static_cast<double>(m_scheduler.memoryBytes()));
         queueChanges();
         if (!m_changedJobs.empty()) {
             startRecording();
--- a/src/programs/dispatcher/ownersession.h
+++ b/src/programs/dispatcher/ownersession.h
@@ -103,6 +103,8 @@
     /// Returns the refusal of a request that takes a new record, if none can be written in time. Logs it as `event`.
     [[nodiscard]] std::optional<Wire::JobAnswer>
     refuseNewRecord(const char *event, const std::string &id, TimePoint now);
+    /// Returns the refusal of a request for which there is no memory. Logs it as `event`.
+    [[nodiscard]] Wire::JobAnswer refuseForMemory(const char *event, const std::string &id);
 
     SessionContext m_context;
     Jobs::OwnerTerm m_term;
--- a/src/trefoilhoist/jobs/jobscheduler.cpp
+++ b/src/trefoilhoist/jobs/jobscheduler.cpp
@@ -14,7 +14,10 @@
 
 } // namespace
 
-JobScheduler::JobScheduler(SchedulerSettings settings, std::int64_t epoch) : m_settings(settings), m_epoch(epoch) { }
+JobScheduler::JobScheduler(SchedulerSettings settings, std::int64_t epoch)
+    : m_settings(settings), m_epoch(epoch), m_memory(settings.jobMemoryBytes)
+{
+}
 
 JobScheduler::Entry *JobScheduler::find(const std::string &id)
 {
@@ -44,6 +47,7 @@
         entry.job.restore(*progress);
     }
     releaseMemory(entry);
+    updateMemory(entry);
     const bool stillActive = entry.job.isActive();
     m_jobs.insert_or_assign(id, std::move(entry));
     if (stillActive) {
@@ -78,7 +82,12 @@
         }
         return known->accepted ? SubmissionState::Known : SubmissionState::Pending;
     }
-    m_jobs.emplace(spec.id, Entry{Job(spec, now), false, false, 0});
+    const auto bytes = JobMemory::submissionBytes(spec);
+    if (!m_memory.hasRoomFor(bytes)) {
+        return SubmissionState::NoMemory;
+    }
+    m_jobs.emplace(spec.id, Entry{Job(spec, now), false, false, 0, 0, bytes});
+    m_memory.replace(0, bytes);
     return SubmissionState::New;
 }
 
@@ -89,6 +98,7 @@
         return;
     }
     entry->accepted = true;
+    updateMemory(*entry);
     if (entry->job.isActive()) {
         m_active.insert(id);
         m_jobsToRefresh.insert(id);
@@ -99,7 +109,7 @@
 {
     const auto *entry = find(id);
     if (entry != nullptr && !entry->accepted && entry->job.isActive()) {
-        m_jobs.erase(id);
+        erase(id);
     }
 }
 
@@ -142,6 +152,7 @@
     spec.id = id;
     auto &entry = m_jobs.emplace(id, Entry{Job(std::move(spec), now), false, false, 0}).first->second;
     entry.job.cancelUnsubmitted(wallMilliseconds());
+    updateMemory(entry);
     markChanged(id);
 }
 
@@ -197,7 +208,7 @@
 void JobScheduler::removeJob(const std::string &id)
 {
     m_active.erase(id);
-    m_jobs.erase(id);
+    erase(id);
     acknowledgeEndsOf(id);
 }
 
@@ -275,6 +286,22 @@
     entry.job.releaseMemory();
 }
 
+void JobScheduler::updateMemory(Entry &entry)
+{
+    const auto bytes = JobMemory::recordedBytes(entry.job);
+    m_memory.replace(entry.memoryBytes, bytes);
+    entry.memoryBytes = bytes;
+}
+
+void JobScheduler::erase(const std::string &id)
+{
+    const auto it = m_jobs.find(id);
+    if (it != m_jobs.end()) {
+        m_memory.replace(it->second.memoryBytes, 0);
+        m_jobs.erase(it);
+    }
+}
+
 void JobScheduler::refreshDueJobs(std::int64_t wallMs)
 {
     while (!m_dueJobs.empty() && m_dueJobs.begin()->first <= wallMs - m_settings.dueSlackMs) {
@@ -296,9 +323,11 @@
     if (!job.isActive()) {
         m_active.erase(id);
         releaseMemory(entry);
+        updateMemory(entry);
         return;
     }
     job.openDueOccurrences(wallMs - m_settings.dueSlackMs);
+    updateMemory(entry);
     if (const auto due = job.nextDueMs()) {
         m_dueJobs.emplace(*due, id);
     }
--- a/src/trefoilhoist/jobs/jobscheduler.h
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "trefoilhoist/jobs/job.h"
+#include "trefoilhoist/jobs/jobmemory.h"
 #include "trefoilhoist/jobs/queuetable.h"
 #include "trefoilhoist/jobs/worker.h"
 #include "trefoilhoist/jobs/workerselector.h"
@@ -103,6 +104,11 @@
     [[nodiscard]] bool mayCancel(const std::string &id) const;
     /// Number of active jobs of the queue of which no task has been started.
     [[nodiscard]] std::int64_t waitingJobs(const std::string &queue) const;
+    /// Estimated bytes that all jobs take.
+    [[nodiscard]] std::int64_t memoryBytes() const
+    {
+        return m_memory.usedBytes();
+    }
     /// Number of accepted jobs that are not final.
     [[nodiscard]] std::size_t activeJobs() const
     {
@@ -151,6 +157,8 @@
         std::int64_t recordedVersion = 0;
         /// The version that contains the last crash of a worker under one of the job's runs.
         std::int64_t crashVersion = 0;
+        /// The job's part of the memory for jobs.
+        std::int64_t memoryBytes = 0;
     };
     /// A step with tasks to start.
     struct PendingStep {
@@ -183,6 +191,9 @@
     [[nodiscard]] bool isDrained(const std::string &zone) const;
     void stopRuns(Entry &entry, TimePoint now);
     void releaseMemory(Entry &entry);
+    /// Estimates anew what the job takes in memory.
+    void updateMemory(Entry &entry);
+    void erase(const std::string &id);
 
     // workerincarnations.cpp
     /// True if the report is about an incarnation that started before the present one and has not answered its agent: a
@@ -282,6 +293,7 @@
     std::int64_t m_epoch = 0;
     QueueTable m_queues;
     std::map<std::string, Entry> m_jobs;
+    JobMemory m_memory;
     std::set<std::string> m_active;
     std::set<std::string> m_changedJobs;
     /// Jobs whose pending steps must be recomputed.
