Open due occurrences of repeated jobs as far as there is memory

Seen: a repeated job opened all occurrences that were due, up to 100,000 tasks; a crowd of such jobs, each one small request, took the memory of the owner.

The others follow when earlier ones have finished.

JobMemoryTest.manyOccurrencesOfRepeatedJobsAreDue_... failed before.

--- a/src/trefoilhoist/jobs/job.cpp
+++ b/src/trefoilhoist/jobs/job.cpp
@@ -61,12 +61,12 @@
     return m_spec.firstDueMs + number * m_spec.intervalMs;
 }
 
-void Job::openDueOccurrences(std::int64_t wallMs)
+void Job::openDueOccurrences(std::int64_t wallMs, std::int64_t maxOpen)
 {
     const auto tasks = taskCount(m_spec);
     for (auto due = nextDueMs(); due && *due <= wallMs; due = nextDueMs()) {
         const std::int64_t open = m_openedOccurrences - m_finishedOccurrences;
-        if (open > 0 && (open + 1) * tasks > maxTasksOfJob) {
+        if (open > 0 && (open >= maxOpen || (open + 1) * tasks > maxTasksOfJob)) {
             break;
         }
         openOccurrence(m_openedOccurrences);
--- a/src/trefoilhoist/jobs/job.h
+++ b/src/trefoilhoist/jobs/job.h
@@ -86,9 +86,9 @@
         return m_hasStarted;
     }
 
-    /// Opens every occurrence that is due, as far as the tasks of all open ones stay within `maxTasksOfJob`; the others
-    /// follow when earlier ones have finished.
-    void openDueOccurrences(std::int64_t wallMs);
+    /// Opens every occurrence that is due, as far as the tasks of all open ones stay within `maxTasksOfJob`, and the
+    /// number of open ones within `maxOpen`, or one; the others follow when earlier ones have finished.
+    void openDueOccurrences(std::int64_t wallMs, std::int64_t maxOpen = maxTasksOfJob);
     /// Opens every occurrence up to the one of a run that an earlier owner has started, which found it due by its own
     /// clock. Returns true if something was opened.
     bool openStartedOccurrence(int number);
--- a/src/trefoilhoist/jobs/jobmemory.cpp
+++ b/src/trefoilhoist/jobs/jobmemory.cpp
@@ -85,6 +85,12 @@
     return m_usedBytes + bytes <= m_limitBytes;
 }
 
+std::int64_t JobMemory::maxOpenOccurrences(const Job &job) const
+{
+    const auto free = std::max<std::int64_t>(0, m_limitBytes - m_usedBytes);
+    return openOccurrences(job) + free / bytesOfOccurrence(job.spec());
+}
+
 void JobMemory::replace(std::int64_t before, std::int64_t after)
 {
     m_usedBytes += after - before;
--- a/src/trefoilhoist/jobs/jobscheduler.cpp
+++ b/src/trefoilhoist/jobs/jobscheduler.cpp
@@ -326,7 +326,7 @@
         updateMemory(entry);
         return;
     }
-    job.openDueOccurrences(wallMs - m_settings.dueSlackMs);
+    job.openDueOccurrences(wallMs - m_settings.dueSlackMs, m_memory.maxOpenOccurrences(job));
     updateMemory(entry);
     if (const auto due = job.nextDueMs()) {
         m_dueJobs.emplace(*due, id);
