Bound the memory that cancels of unknown jobs take

Seen: each cancel of an id that nobody had submitted left a job and a record in the store for 150 s, so that a crowd of random ids grew both without bound.

Cancels of known jobs are always taken.

--- a/src/programs/dispatcher/owneranswers.cpp
+++ b/src/programs/dispatcher/owneranswers.cpp
@@ -132,6 +132,9 @@
 {
     const auto self = shared_from_this();
     const auto receivedAt = m_context.clock.now();
+    if (!m_scheduler.mayCancel(id)) {
+        co_return refuseForMemory("cancel_refused", id);
+    }
     if (!m_scheduler.knows(id)) {
         if (const auto refusal = refuseNewRecord("cancel_refused", id, receivedAt)) {
             co_return *refusal;
--- a/src/trefoilhoist/jobs/jobscheduler.cpp
+++ b/src/trefoilhoist/jobs/jobscheduler.cpp
@@ -9,13 +9,18 @@
 
 /// An occurrence that takes longer than this multiple of its objective is worthless.
 constexpr int maxObjectiveMultiple = 3;
+/// Cancels of unknown jobs get one part in so many of the memory for jobs, so that there is room for submissions.
+constexpr std::int64_t unknownCancelsPart = 8;
 /// Stands for agents that an unreadable roster may hold. Agents are named HOST:PORT, so that none reports under it.
 constexpr const char *unknownAgents = "unknown";
 
 } // namespace
 
 JobScheduler::JobScheduler(SchedulerSettings settings, std::int64_t epoch)
-    : m_settings(settings), m_epoch(epoch), m_memory(settings.jobMemoryBytes)
+    : m_settings(settings)
+    , m_epoch(epoch)
+    , m_memory(settings.jobMemoryBytes)
+    , m_unknownCancels(settings.jobMemoryBytes / unknownCancelsPart)
 {
 }
 
@@ -141,9 +146,9 @@
     stopRuns(*entry, now);
 }
 
-bool JobScheduler::mayCancel(const std::string &) const
+bool JobScheduler::mayCancel(const std::string &id) const
 {
-    return true;
+    return knows(id) || (m_unknownCancels.hasRoomFor(unknownCancelBytes) && m_memory.hasRoomFor(unknownCancelBytes));
 }
 
 void JobScheduler::addNeverSubmitted(const std::string &id, TimePoint now)
@@ -289,7 +294,15 @@
 void JobScheduler::updateMemory(Entry &entry)
 {
     const auto bytes = JobMemory::recordedBytes(entry.job);
+    setMemory(entry, bytes);
+}
+
+void JobScheduler::setMemory(Entry &entry, std::int64_t bytes)
+{
     m_memory.replace(entry.memoryBytes, bytes);
+    if (entry.job.isNeverSubmitted()) {
+        m_unknownCancels.replace(entry.memoryBytes, bytes);
+    }
     entry.memoryBytes = bytes;
 }
 
@@ -297,7 +310,7 @@
 {
     const auto it = m_jobs.find(id);
     if (it != m_jobs.end()) {
-        m_memory.replace(it->second.memoryBytes, 0);
+        setMemory(it->second, 0);
         m_jobs.erase(it);
     }
 }
--- a/src/trefoilhoist/jobs/jobscheduler.h
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -193,6 +193,7 @@
     void releaseMemory(Entry &entry);
     /// Estimates anew what the job takes in memory.
     void updateMemory(Entry &entry);
+    void setMemory(Entry &entry, std::int64_t bytes);
     void erase(const std::string &id);
 
     // workerincarnations.cpp
@@ -294,6 +295,8 @@
     QueueTable m_queues;
     std::map<std::string, Entry> m_jobs;
     JobMemory m_memory;
+    /// The part of it that cancels of unknown jobs take.
+    JobMemory m_unknownCancels;
     std::set<std::string> m_active;
     std::set<std::string> m_changedJobs;
     /// Jobs whose pending steps must be recomputed.
