Leave room for other jobs beside due occurrences

Seen in a trial of the bound: one request for 100,000 occurrences that are all due used up the memory for jobs, so that every other submission was refused until they had ended.

Change: open occurrences of a job get an eighth of that memory, and none beyond the first is opened where three quarters of it are used. JobMemoryTest.repeatedJobsHaveManyDueOccurrences_otherJobsAreStillTaken failed before and passes now.

--- a/src/trefoilhoist/jobs/jobmemory.cpp
+++ b/src/trefoilhoist/jobs/jobmemory.cpp
@@ -17,6 +17,10 @@
 constexpr std::int64_t occurrenceBytes = 150;
 /// An occurrence that has finished is still listed.
 constexpr std::int64_t finishedOccurrenceBytes = 120;
+/// The occurrences of one job get one part of the limit, and further occurrences of any job are opened only up to some
+/// of the parts, so that there is room for submissions.
+constexpr std::int64_t partsOfLimit = 8;
+constexpr std::int64_t partsForOccurrences = 6;
 /// A submission that is being recorded: the job, the record to write, the record that was sent, and the caller's
 /// request.
 constexpr std::int64_t submissionCopies = 4;
@@ -87,8 +91,9 @@
 
 std::int64_t JobMemory::maxOpenOccurrences(const Job &job) const
 {
-    const auto free = std::max<std::int64_t>(0, m_limitBytes - m_usedBytes);
-    return openOccurrences(job) + free / bytesOfOccurrence(job.spec());
+    const auto bytes = bytesOfOccurrence(job.spec());
+    const auto free = std::max<std::int64_t>(0, m_limitBytes / partsOfLimit * partsForOccurrences - m_usedBytes);
+    return std::min(openOccurrences(job) + free / bytes, m_limitBytes / partsOfLimit / bytes);
 }
 
 void JobMemory::replace(std::int64_t before, std::int64_t after)
--- a/src/trefoilhoist/jobs/jobmemory.h
+++ b/src/trefoilhoist/jobs/jobmemory.h
@@ -27,7 +27,8 @@
     [[nodiscard]] static std::int64_t recordedBytes(const Job &job);
 
     [[nodiscard]] bool hasRoomFor(std::int64_t bytes) const;
-    /// How many occurrences of a repeated job there is room for, with those that are open.
+    /// How many occurrences of a repeated job there is room for, with those that are open. Some room stays for
+    /// submissions.
     [[nodiscard]] std::int64_t maxOpenOccurrences(const Job &job) const;
     /// Changes the part of one job from `before` to `after`, both in bytes.
     void replace(std::int64_t before, std::int64_t after);
--- a/tests/unit/jobmemory.cpp
+++ b/tests/unit/jobmemory.cpp
@@ -259,6 +259,23 @@
     EXPECT_GE(owner.scheduler.job(repeated.id)->occurrences().size(), 1U);
 }
 
+// One small request for many occurrences that are all due kept every other caller out.
+TEST_F(JobMemoryTest, repeatedJobsHaveManyDueOccurrences_otherJobsAreStillTaken)
+{
+    Owner owner(m_settings);
+    for (int i = 0; i < 20; ++i) {
+        auto spec = jobOf(idOf(i), {stepOf(1, 1)});
+        spec.occurrences = 2000;
+        ASSERT_EQ(owner.submit(spec, m_now), SubmissionState::New);
+        owner.confirmRecords();
+    }
+    owner.scheduler.plan(m_now, wallMs, true);
+    for (int i = 0; i < 20; ++i) {
+        EXPECT_EQ(owner.submit(smallJob(crowd + i), m_now), SubmissionState::New);
+        owner.confirmRecords();
+    }
+}
+
 // Jobs that had ended kept their whole specification.
 TEST_F(JobMemoryTest, jobsHaveEnded_theirSpecificationsAreNotKept)
 {
