--- a/src/trefoilhoist/jobs/job.cpp
+++ b/src/trefoilhoist/jobs/job.cpp
@@ -61,12 +61,12 @@
     return m_spec.firstDueMs + number * m_spec.intervalMs;
 }
 
-void Job::openDueOccurrences(std::int64_t wallMs)
+void Job::openDueOccurrences(std::int64_t wallMs, std::int64_t maxOpen)
 {
     const auto tasks = taskCount(m_spec);
     for (auto due = nextDueMs(); due && *due <= wallMs; due = nextDueMs()) {
         const std::int64_t open = m_openedOccurrences - m_finishedOccurrences;
-        if (open > 0 && (open + 1) * tasks > maxTasksOfJob) {
+        if (open > 0 && (open >= maxOpen || (open + 1) * tasks > maxTasksOfJob)) {
             break;
         }
         openOccurrence(m_openedOccurrences);
@@ -256,6 +256,13 @@
     }
 }
 
+void Job::releaseMemory()
+{
+    m_occurrences.clear();
+    m_spec.payload = {};
+    m_spec.payload.shrink_to_fit();
+}
+
 void Job::cancelUnsubmitted(std::int64_t wallMs)
 {
     m_neverSubmitted = true;
--- a/src/trefoilhoist/jobs/job.h
+++ b/src/trefoilhoist/jobs/job.h
@@ -86,9 +86,9 @@
         return m_hasStarted;
     }
 
-    /// Opens every occurrence that is due, as far as the tasks of all open ones stay within `maxTasksOfJob`; the others
-    /// follow when earlier ones have finished.
-    void openDueOccurrences(std::int64_t wallMs);
+    /// Opens every occurrence that is due, as far as the tasks of all open ones stay within `maxTasksOfJob`, and the
+    /// number of open ones within `maxOpen`, or one; the others follow when earlier ones have finished.
+    void openDueOccurrences(std::int64_t wallMs, std::int64_t maxOpen = maxTasksOfJob);
     /// Opens every occurrence up to the one of a run that an earlier owner has started, which found it due by its own
     /// clock. Returns true if something was opened.
     bool openStartedOccurrence(int number);
@@ -134,6 +134,9 @@
     /// Increases the version, so that the checkpoints received since the last version are recorded.
     void requestCheckpointRecording();
     void cancel(std::int64_t wallMs);
+    /// Drops what only the tasks of an active job need: their state and their specification. To be called once the job
+    /// has ended and has no active runs.
+    void releaseMemory();
     /// Cancels a job of which only the id is known.
     void cancelUnsubmitted(std::int64_t wallMs);
     /// True if the job was cancelled before any submission of it had arrived: there is no such job, and there must be
