Bound what peers make a process keep in sum

Frames that lacked their last byte, calls in progress and replies that a peer didn't read were kept without a bound: 96 frames without their last byte took the agent (128 MB) and the dispatcher (260 MB) to 392 MB, 200 unread replies of 1 MB a server to 202 MB, 200 calls of 1 MB at once to 400 MB, and 40,000 small calls were handled at once.

All of it is now reserved from one budget of the peer port, an eighth of the process's memory. Where it is used up, the connection that holds the most is closed and the frame waits, for 5 s at most; so a large holder goes before a peer with ordinary frames. The budget is not that of the HTTP ports: callers that use theirs up must not stop reports and orders. A call counts with 4 KiB beside its frame, which bounds small calls. Frames of a call are no longer copied for its coroutine.

--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -35,10 +35,14 @@
           runtime.executor(),
           {},
           [this](HttpRequest) -> awaitable<HttpResponse> { co_return textResponse(200, m_metrics.exposition()); })
-    , m_peers(runtime.executor(), m_settings.name, runtime.incarnation(), [this](Wire::Envelope envelope) {
-        return servePeer(std::move(envelope));
-    })
+    , m_peers(
+          runtime.executor(),
+          m_settings.name,
+          runtime.incarnation(),
+          [this](Wire::Envelope envelope) { return servePeer(std::move(envelope)); },
+          PeerLimits::forProcess(m_settings.memoryBytes))
 {
+    m_peers.countClosed(m_metrics.counter("trefoilhoist_peer_connections_closed"));
 }
 
 std::optional<StartProblem> AgentServer::start()
--- a/src/programs/dispatcher/dispatcher.cpp
+++ b/src/programs/dispatcher/dispatcher.cpp
@@ -64,12 +64,15 @@
           runtime.executor(), callerLimits(), [this](HttpRequest request) { return serveCaller(std::move(request)); })
     , m_readiness(runtime.executor(), {}, [this](HttpRequest request) { return serveReadiness(std::move(request)); })
     , m_metricsServer(runtime.executor(), {}, [this](HttpRequest request) { return serveMetrics(std::move(request)); })
-    , m_peers(runtime.executor(),
-              m_settings.name,
-              runtime.incarnation(),
-              [this](Wire::Envelope envelope) { return servePeer(std::move(envelope)); })
+    , m_peers(
+          runtime.executor(),
+          m_settings.name,
+          runtime.incarnation(),
+          [this](Wire::Envelope envelope) { return servePeer(std::move(envelope)); },
+          PeerLimits::forProcess(m_settings.memoryBytes))
     , m_clients(runtime.executor(), m_settings.name, runtime.incarnation())
 {
+    m_peers.countClosed(m_metrics.counter("trefoilhoist_peer_connections_closed"));
 }
 
 std::optional<StartProblem> DispatcherServer::start()
--- a/src/trefoilhoist/wire/internal/frame.cpp
+++ b/src/trefoilhoist/wire/internal/frame.cpp
@@ -44,7 +44,7 @@
     return frame + body;
 }
 
-awaitable<std::optional<Wire::Envelope>> readFrame(Asio::ip::tcp::socket &socket)
+awaitable<std::optional<Wire::Envelope>> readFrame(Asio::ip::tcp::socket &socket, MakeRoom makeRoom)
 {
     std::array<unsigned char, prefixBytes> prefix{};
     boost::system::error_code ec;
@@ -61,7 +61,11 @@
     }
     std::string body;
     for (std::size_t arrived = 0; arrived < size; arrived = body.size()) {
-        body.resize(roomFor(arrived, size));
+        const auto wanted = roomFor(arrived, size);
+        if (makeRoom && !co_await makeRoom(wanted - arrived)) {
+            co_return std::nullopt;
+        }
+        body.resize(wanted);
         const auto room = Asio::buffer(body.data() + arrived, body.size() - arrived);
         co_await Asio::async_read(socket, room, Asio::redirect_error(Asio::use_awaitable, ec));
         if (ec) {
--- /dev/null
+++ b/src/trefoilhoist/wire/internal/peerconnections.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "trefoilhoist/metrics/metrics.h"
+#include "trefoilhoist/net/memorybudget.h"
+#include "trefoilhoist/wire/internal/peerconnection.h"
+#include "trefoilhoist/wire/peerlimits.h"
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <set>
+
+namespace Trefoilhoist::Detail {
+
+/// The connections of a PeerServer, and the memory that they hold. Where a limit is met, it closes the connection that
+/// uses most of what is short, so that the others are still served. Thread-safe.
+class PeerConnections
+{
+public:
+    using Connection = std::shared_ptr<PeerConnection>;
+
+    explicit PeerConnections(PeerLimits limits);
+
+    /// Counts the connections that are closed because a limit is met.
+    void countClosed(Counter &counter);
+
+    Connection add(Asio::ip::tcp::socket socket);
+    void remove(const Connection &connection);
+    void closeAll();
+
+    [[nodiscard]] HeldMemory holdNothing(const PeerConnection &connection);
+    /// Adds bytes to what a connection holds. Without room for them it closes a connection that holds more, and waits.
+    /// False when the wait was too long or the connection is closed.
+    awaitable<bool> grow(const Connection &connection, HeldMemory &memory, std::size_t bytes);
+
+private:
+    void closeLargestAbove(std::size_t bytes);
+    /// Both need the mutex.
+    void closeForLimit(const Connection &connection);
+    void logClosed(const PeerConnection &connection);
+
+    PeerLimits m_limits;
+    MemoryBudget m_budget;
+    std::mutex m_mutex;
+    std::set<Connection> m_connections;
+    Counter *m_counter = nullptr;
+    /// Closed since the last line of the log about it.
+    std::uint64_t m_unloggedClosed = 0;
+    std::chrono::steady_clock::time_point m_loggedAt;
+};
+
+} // namespace Trefoilhoist::Detail
--- a/src/trefoilhoist/wire/peerserver.cpp
+++ b/src/trefoilhoist/wire/peerserver.cpp
@@ -2,40 +2,39 @@
 
 #include "trefoilhoist/net/internal/acceptor.h"
 #include "trefoilhoist/wire/internal/frame.h"
+#include "trefoilhoist/wire/internal/peerconnections.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <glog/logging.h>
 
 #include <atomic>
-#include <deque>
-#include <mutex>
-#include <set>
 
 namespace Trefoilhoist {
 
 using Tcp = Asio::ip::tcp;
+using Detail::HeldMemory;
+using Detail::PeerConnection;
 
 namespace {
 
-// One accepted peer connection; members are used on the socket's strand.
-struct PeerConnection {
-    Tcp::socket socket;
-    std::deque<std::string> unsent;
-    bool writing = false;
+/// What a call takes beside its frame.
+constexpr std::size_t callBytes = std::size_t{4} << 10U;
 
-    explicit PeerConnection(Tcp::socket taken) : socket(std::move(taken)) { }
+// A call in progress.
+struct PeerCall {
+    Wire::Envelope envelope;
+    HeldMemory memory;
 };
 
 awaitable<void> writeAll(std::shared_ptr<PeerConnection> connection)
 {
     connection->writing = true;
     while (!connection->unsent.empty()) {
-        std::string frame = std::move(connection->unsent.front());
+        auto reply = std::move(connection->unsent.front());
         connection->unsent.pop_front();
-        if (!co_await Detail::writeFrame(connection->socket, std::move(frame))) {
+        if (!co_await Detail::writeFrame(connection->socket, std::move(reply.frame))) {
             connection->unsent.clear();
         }
     }
@@ -51,15 +50,15 @@
     Handler handler;
     Tcp::acceptor acceptor;
     std::atomic<bool> closed = false;
-    std::mutex mutex;
-    std::set<std::shared_ptr<PeerConnection>> connections;
+    Detail::PeerConnections connections;
 
-    State(Asio::any_io_executor ex, std::string name, std::int64_t inc, Handler handle)
+    State(Asio::any_io_executor ex, std::string name, std::int64_t inc, Handler handle, PeerLimits limits)
         : executor(std::move(ex))
         , self(std::move(name))
         , incarnation(inc)
         , handler(std::move(handle))
         , acceptor(Asio::make_strand(executor))
+        , connections(limits)
     {
     }
 
@@ -77,11 +76,7 @@
                 continue;
             }
             socket.set_option(Tcp::no_delay(true), ec);
-            auto connection = std::make_shared<PeerConnection>(std::move(socket));
-            {
-                std::lock_guard lock(mutex);
-                connections.insert(connection);
-            }
+            const auto connection = connections.add(std::move(socket));
             spawnOn(connection->socket.get_executor(), "peer connection", [self = shared_from_this(), connection] {
                 return self->serve(connection);
             });
@@ -91,27 +86,39 @@
     awaitable<void> serve(std::shared_ptr<PeerConnection> connection)
     {
         while (!closed) {
-            auto envelope = co_await Detail::readFrame(connection->socket);
-            if (!envelope) {
+            const auto call = co_await readCall(connection);
+            if (!call) {
                 break;
             }
             // Calls on one connection are handled side by side.
-            spawnOn(connection->socket.get_executor(),
-                    "peer call",
-                    [self = shared_from_this(), connection, envelope = std::move(*envelope)] {
-                        return self->answer(connection, envelope);
-                    });
+            spawnOn(connection->socket.get_executor(), "peer call", [self = shared_from_this(), connection, call] {
+                return self->answer(connection, call);
+            });
         }
-        std::lock_guard lock(mutex);
-        connections.erase(connection);
+        connections.remove(connection);
         boost::system::error_code ec;
         connection->socket.close(ec);
     }
 
-    awaitable<void> answer(std::shared_ptr<PeerConnection> connection, Wire::Envelope envelope)
+    // Reads a call; nothing when the connection ends.
+    awaitable<std::shared_ptr<PeerCall>> readCall(std::shared_ptr<PeerConnection> connection)
     {
-        const auto correlation = envelope.correlation;
-        auto reply = co_await handler(std::move(envelope));
+        auto memory = connections.holdNothing(*connection);
+        Detail::MakeRoom makeRoom = [&](std::size_t bytes) {
+            const auto isFirst = memory.bytes() == 0;
+            return connections.grow(connection, memory, bytes + (isFirst ? callBytes : 0));
+        };
+        auto envelope = co_await Detail::readFrame(connection->socket, std::move(makeRoom));
+        if (!envelope) {
+            co_return nullptr;
+        }
+        co_return std::make_shared<PeerCall>(std::move(*envelope), std::move(memory));
+    }
+
+    awaitable<void> answer(std::shared_ptr<PeerConnection> connection, std::shared_ptr<PeerCall> call)
+    {
+        const auto correlation = call->envelope.correlation;
+        auto reply = co_await handler(std::move(call->envelope));
         if (!reply) {
             co_return;
         }
@@ -119,15 +126,21 @@
         reply->incarnation = incarnation;
         reply->correlation = correlation;
         reply->reply = true;
-        connection->unsent.push_back(Detail::frameOf(*reply));
+        auto frame = Detail::frameOf(*reply);
+        const auto held = call->memory.bytes();
+        if (frame.size() > held && !co_await connections.grow(connection, call->memory, frame.size() - held)) {
+            co_return;
+        }
+        connection->unsent.push_back({std::move(frame), std::move(call->memory)});
         if (!connection->writing) {
             co_await writeAll(connection);
         }
     }
 };
 
-PeerServer::PeerServer(Asio::any_io_executor executor, std::string self, std::int64_t incarnation, Handler handler)
-    : m_state(std::make_shared<State>(std::move(executor), std::move(self), incarnation, std::move(handler)))
+PeerServer::PeerServer(
+    Asio::any_io_executor executor, std::string self, std::int64_t incarnation, Handler handler, PeerLimits limits)
+    : m_state(std::make_shared<State>(std::move(executor), std::move(self), incarnation, std::move(handler), limits))
 {
 }
 
@@ -136,6 +149,11 @@
     close();
 }
 
+void PeerServer::countClosed(Counter &counter)
+{
+    m_state->connections.countClosed(counter);
+}
+
 tl::expected<std::uint16_t, std::string> PeerServer::listen(const Endpoint &endpoint)
 {
     auto port = Detail::openAcceptor(m_state->acceptor, endpoint);
@@ -154,13 +172,7 @@
         boost::system::error_code ec;
         state->acceptor.close(ec);
     });
-    std::lock_guard lock(m_state->mutex);
-    for (const auto &connection : m_state->connections) {
-        Asio::post(connection->socket.get_executor(), [connection] {
-            boost::system::error_code ec;
-            connection->socket.close(ec);
-        });
-    }
+    m_state->connections.closeAll();
 }
 
 } // namespace Trefoilhoist
