Bound the connections of a peer port

Connections were accepted without a bound and kept for ever: 600 idle ones held 612 descriptors of the agent and 613 of the dispatcher, until no peer could connect. Above that, a connection that never sent a frame is closed, or else the one that has been without a frame for longest, so that peers which call go on.

--- a/src/trefoilhoist/wire/internal/peerconnection.h
+++ b/src/trefoilhoist/wire/internal/peerconnection.h
@@ -27,6 +27,10 @@
     bool writing = false;
     /// Bytes of the server's budget that the connection holds.
     HeldMemory::ConnectionBytes heldBytes = std::make_shared<std::atomic<std::size_t>>(0);
+    /// Rises over all connections of a server with each accepted connection and each whole frame.
+    std::atomic<std::uint64_t> lastUse = 0;
+    /// A whole frame has arrived.
+    std::atomic<bool> used = false;
 
     explicit PeerConnection(Asio::ip::tcp::socket taken) : socket(std::move(taken)) { }
 };
--- a/src/trefoilhoist/wire/internal/peerconnections.cpp
+++ b/src/trefoilhoist/wire/internal/peerconnections.cpp
@@ -35,7 +35,11 @@
 PeerConnections::Connection PeerConnections::add(Asio::ip::tcp::socket socket)
 {
     auto connection = std::make_shared<PeerConnection>(std::move(socket));
+    connection->lastUse = ++m_uses;
     const std::lock_guard lock(m_mutex);
+    if (m_connections.size() >= m_limits.maxConnections) {
+        closeLeastUsed();
+    }
     m_connections.insert(connection);
     return connection;
 }
@@ -52,6 +56,12 @@
     std::for_each(m_connections.begin(), m_connections.end(), postClose);
 }
 
+void PeerConnections::touch(PeerConnection &connection)
+{
+    connection.lastUse = ++m_uses;
+    connection.used = true;
+}
+
 HeldMemory PeerConnections::holdNothing(const PeerConnection &connection)
 {
     return {m_budget, connection.heldBytes};
@@ -66,7 +76,7 @@
         }
         if (std::chrono::steady_clock::now() >= giveUpAt) {
             const std::lock_guard lock(m_mutex);
-            closeForLimit(connection);
+            closeForLimit(connection, Reason::Memory);
             co_return false;
         }
         closeLargestAbove(*connection->heldBytes + bytes);
@@ -75,6 +85,18 @@
     co_return true;
 }
 
+void PeerConnections::closeLeastUsed()
+{
+    const auto rank = [](const Connection &it) {
+        return std::pair(it->used.load(), it->lastUse.load());
+    };
+    const auto it = std::min_element(
+        m_connections.begin(), m_connections.end(), [&](const auto &a, const auto &b) { return rank(a) < rank(b); });
+    if (it != m_connections.end()) {
+        closeForLimit(Connection(*it), Reason::Connections);
+    }
+}
+
 void PeerConnections::closeLargestAbove(std::size_t bytes)
 {
     const std::lock_guard lock(m_mutex);
@@ -82,11 +104,11 @@
         return *a->heldBytes < *b->heldBytes;
     });
     if (it != m_connections.end() && *(*it)->heldBytes > bytes) {
-        closeForLimit(Connection(*it));
+        closeForLimit(Connection(*it), Reason::Memory);
     }
 }
 
-void PeerConnections::closeForLimit(const Connection &connection)
+void PeerConnections::closeForLimit(const Connection &connection, Reason reason)
 {
     if (m_connections.erase(connection) == 0) {
         return;
@@ -95,10 +117,10 @@
     if (m_counter != nullptr) {
         m_counter->add();
     }
-    logClosed(*connection);
+    logClosed(*connection, reason);
 }
 
-void PeerConnections::logClosed(const PeerConnection &connection)
+void PeerConnections::logClosed(const PeerConnection &connection, Reason reason)
 {
     ++m_unloggedClosed;
     const auto now = std::chrono::steady_clock::now();
@@ -107,7 +129,7 @@
     }
     m_loggedAt = now;
     Event("peer_connection_closed")
-        .add("reason", "memory")
+        .add("reason", reason == Reason::Memory ? "memory" : "connections")
         .add("heldBytes", connection.heldBytes->load())
         .add("connections", m_connections.size())
         .add("closed", std::exchange(m_unloggedClosed, 0));
--- a/src/trefoilhoist/wire/peerlimits.h
+++ b/src/trefoilhoist/wire/peerlimits.h
@@ -8,6 +8,7 @@
 
 /// What peers may make a PeerServer keep.
 struct PeerLimits {
+    std::size_t maxConnections = 1024;
     /// Frames that arrive, calls in progress and replies that no peer has read, in sum over all connections.
     std::size_t maxHeldBytes = std::size_t{16} << 20U;
     /// How long a frame may wait for memory before its connection is closed.
--- a/src/trefoilhoist/wire/peerserver.cpp
+++ b/src/trefoilhoist/wire/peerserver.cpp
@@ -112,6 +112,7 @@
         if (!envelope) {
             co_return nullptr;
         }
+        connections.touch(*connection);
         co_return std::make_shared<PeerCall>(std::move(*envelope), std::move(memory));
     }
 
