Bound what the lists and maps of a message take

Generated code makes room for all elements of a list before it reads the first. The limit was one element a byte, and an element takes up to 304 bytes: one frame of 4 MB took the agent to 1,267 MB, the dispatcher to 531 MB, and the decoder 1,215 MB. BoundedProtocol now counts the room that all containers of a message take against its size: 16 KiB and twelve times its bytes, 64 times for the progress of a job, whose finished occurrences are three bytes long. A call counts in the peer port's budget with four times its frame and 8 KiB, since its decoded message lives as long. Lists of 20,000 orders, reports, steps, occurrences and workers are read, which a new test holds. The bytes are no longer copied before they are decoded.

--- a/src/trefoilhoist/wire/message.cpp
+++ b/src/trefoilhoist/wire/message.cpp
@@ -1,10 +1,10 @@
 #include "trefoilhoist/wire/message.h"
 
+#include "trefoilhoist/wire/internal/boundedprotocol.h"
+
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
-#include <algorithm>
-#include <limits>
 #include <memory>
 
 namespace Trefoilhoist::Wire {
@@ -14,7 +14,13 @@
 using Buffer = apache::thrift::transport::TMemoryBuffer;
 using Protocol = apache::thrift::protocol::TCompactProtocolT<Buffer>;
 
-constexpr std::size_t maxRecordBytes = std::numeric_limits<std::int32_t>::max();
+/// What the containers of a message may take for each of its bytes. Their elements hold at least a text or a few
+/// numbers.
+template <typename Message>
+constexpr std::size_t containerBytesPerByte = 12;
+/// An occurrence that has finished is a short number and an empty list.
+template <>
+constexpr std::size_t containerBytesPerByte<JobProgress> = 64;
 
 } // namespace
 
@@ -30,12 +36,10 @@
 template <typename Message>
 std::optional<Message> decode(const std::string &bytes)
 {
-    auto buf = std::make_shared<Buffer>();
-    buf->write(reinterpret_cast<const std::uint8_t *>(bytes.data()), static_cast<std::uint32_t>(bytes.size()));
-    // Every element of a list and every byte of a text takes at least one byte. Without limits their memory is taken
-    // before they are read. A limit of 0 is none.
-    const auto limit = static_cast<std::int32_t>(std::clamp<std::size_t>(bytes.size(), 1, maxRecordBytes));
-    Protocol protocol(buf, limit, limit);
+    // The buffer only reads the bytes where they are.
+    auto *data = reinterpret_cast<std::uint8_t *>(const_cast<char *>(bytes.data()));
+    auto buf = std::make_shared<Buffer>(data, static_cast<std::uint32_t>(bytes.size()), Buffer::OBSERVE);
+    Detail::BoundedProtocol protocol(buf, bytes.size(), containerBytesPerByte<Message>);
     Message message;
     try {
         message.read(&protocol);
--- a/src/trefoilhoist/wire/peerlimits.h
+++ b/src/trefoilhoist/wire/peerlimits.h
@@ -10,7 +10,7 @@
 struct PeerLimits {
     std::size_t maxConnections = 1024;
     /// Frames that arrive, calls in progress and replies that no peer has read, in sum over all connections.
-    std::size_t maxHeldBytes = std::size_t{16} << 20U;
+    std::size_t maxHeldBytes = std::size_t{20} << 20U;
     /// How long a frame may wait for memory before its connection is closed.
     Duration maxWait = seconds(5);
 
--- a/src/trefoilhoist/wire/peerserver.cpp
+++ b/src/trefoilhoist/wire/peerserver.cpp
@@ -20,7 +20,9 @@
 namespace {
 
 /// What a call takes beside its frame.
-constexpr std::size_t callBytes = std::size_t{4} << 10U;
+constexpr std::size_t callBytes = std::size_t{8} << 10U;
+/// What the decoded message takes, in bytes for each byte of the frame.
+constexpr std::size_t decodedBytesPerByte = 3;
 
 // A call in progress.
 struct PeerCall {
@@ -112,6 +114,9 @@
         if (!envelope) {
             co_return nullptr;
         }
+        if (!co_await connections.grow(connection, memory, decodedBytesPerByte * envelope->payload.size())) {
+            co_return nullptr;
+        }
         connections.touch(*connection);
         co_return std::make_shared<PeerCall>(std::move(*envelope), std::move(memory));
     }
--- a/tests/integration/peermemory.cpp
+++ b/tests/integration/peermemory.cpp
@@ -635,4 +635,38 @@
     EXPECT_LT(peak() / mebibyte, decodingBytes / mebibyte);
 }
 
+// Bounds on what decoding takes must not refuse what own processes send and store.
+TEST_F(DecodingMemoryTest, longListsOfOwnProcesses_areRead)
+{
+    constexpr std::size_t many = 20'000;
+    Wire::TaskRef task;
+    task.job = "c0ffee0000000000";
+    Wire::WorkerOrders orders;
+    orders.starts.resize(many);
+    orders.stops.resize(many);
+    Wire::WorkerReport report;
+    report.running.resize(many);
+    report.ended.resize(many);
+    Wire::JobSpec spec;
+    spec.steps.resize(many);
+    Wire::JobProgress progress;
+    Wire::WorkerRoster roster;
+    roster.workers.resize(many);
+    for (std::size_t i = 0; i < many; ++i) {
+        orders.starts[i].task = task;
+        orders.starts[i].info.task = task;
+        orders.stops[i].task = task;
+        report.running[i].task = task;
+        report.ended[i].task = task;
+        roster.workers[i].id = "i-687cbb51";
+        roster.workers[i].agentHost = "10.1.0.13";
+        progress.occurrences[static_cast<std::int32_t>(i)];
+    }
+    EXPECT_EQ(Wire::decode<Wire::WorkerOrders>(Wire::encode(orders)), orders);
+    EXPECT_EQ(Wire::decode<Wire::WorkerReport>(Wire::encode(report)), report);
+    EXPECT_EQ(Wire::decode<Wire::JobSpec>(Wire::encode(spec)), spec);
+    EXPECT_EQ(Wire::decode<Wire::JobProgress>(Wire::encode(progress)), progress);
+    EXPECT_EQ(Wire::decode<Wire::WorkerRoster>(Wire::encode(roster)), roster);
+}
+
 } // namespace Trefoilhoist::Testing
