Bound the calls that a peer has not taken

Calls to a peer that reads nothing were queued until their time-outs: 200 calls of 1 MB took the client's process to 402 MB. A payload is no longer kept beside its frame while the call waits.

--- a/src/trefoilhoist/wire/peerclient.cpp
+++ b/src/trefoilhoist/wire/peerclient.cpp
@@ -1,6 +1,8 @@
 #include "trefoilhoist/wire/peerclient.h"
 
+#include "trefoilhoist/net/memorybudget.h"
 #include "trefoilhoist/wire/internal/frame.h"
+#include "trefoilhoist/wire/peerserver.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
@@ -24,6 +26,9 @@
 /// A host that is down or cut off does not answer, and the system's own retries of the handshake come seconds apart.
 constexpr Duration connectTimeout = milliseconds(1000);
 
+/// Frames to one peer that it has not taken yet. A call that would exceed it is refused as not run.
+constexpr std::size_t maxUnsentBytes = std::size_t{2} * maxFrameBytes;
+
 using SteadyTime = std::chrono::steady_clock::time_point;
 
 // A call that waits for its answer. The timer is the signal: cancelled when there is news.
@@ -40,12 +45,13 @@
 
 struct UnsentFrame {
     std::string bytes;
+    MemoryBudget::Reservation memory;
     std::shared_ptr<PendingCall> call;
 };
 
 } // namespace
 
-// All members are used on the strand only.
+// All members but unsentMemory are used on the strand only.
 struct PeerClient::State : std::enable_shared_from_this<PeerClient::State> {
     Asio::any_io_executor strand;
     std::string self;
@@ -59,6 +65,7 @@
     std::int64_t lastCorrelation = 0;
     SteadyTime lastReceivedAt;
     std::deque<UnsentFrame> unsent;
+    MemoryBudget unsentMemory{maxUnsentBytes};
     std::map<std::int64_t, std::shared_ptr<PendingCall>> pending;
 
     State(const Asio::any_io_executor &executor, std::string name, std::int64_t inc, Endpoint to)
@@ -66,19 +73,16 @@
     {
     }
 
-    static awaitable<CallResult>
-    call(std::shared_ptr<State> state, Wire::MessageKind kind, std::string payload, Duration timeout)
+    static awaitable<CallResult> call(std::shared_ptr<State> state,
+                                      Wire::MessageKind kind,
+                                      std::string payload,
+                                      MemoryBudget::Reservation memory,
+                                      Duration timeout)
     {
-        Wire::Envelope envelope;
-        envelope.sender = state->self;
-        envelope.incarnation = state->incarnation;
-        envelope.correlation = ++state->lastCorrelation;
-        envelope.kind = kind;
-        envelope.payload = std::move(payload);
         auto waiting = std::make_shared<PendingCall>(state->strand, timeout);
-        waiting->correlation = envelope.correlation;
-        state->pending[envelope.correlation] = waiting;
-        state->unsent.push_back({Detail::frameOf(envelope), waiting});
+        waiting->correlation = ++state->lastCorrelation;
+        state->enqueue(waiting, kind, std::move(payload), std::move(memory));
+        state->pending[waiting->correlation] = waiting;
         state->flush();
 
         boost::system::error_code ec;
@@ -90,6 +94,20 @@
         co_return tl::unexpected(state->failureOf(*waiting));
     }
 
+    void enqueue(const std::shared_ptr<PendingCall> &call,
+                 Wire::MessageKind kind,
+                 std::string payload,
+                 MemoryBudget::Reservation memory)
+    {
+        Wire::Envelope envelope;
+        envelope.sender = self;
+        envelope.incarnation = incarnation;
+        envelope.correlation = call->correlation;
+        envelope.kind = kind;
+        envelope.payload = std::move(payload);
+        unsent.push_back({Detail::frameOf(envelope), std::move(memory), call});
+    }
+
     CallError failureOf(const PendingCall &call)
     {
         if (!call.sentAt) {
@@ -220,8 +238,14 @@
 
 awaitable<CallResult> PeerClient::call(Wire::MessageKind kind, std::string payload, Duration timeout)
 {
-    co_return co_await Asio::co_spawn(
-        m_state->strand, State::call(m_state, kind, std::move(payload), timeout), Asio::use_awaitable);
+    // Reserved before anything is queued, so that a refused payload is not kept.
+    auto memory = m_state->unsentMemory.tryReserve(payload.size());
+    if (!memory) {
+        co_return tl::unexpected(CallError{Verdict::NotRun, peer().str() + ": too much waits to be sent"});
+    }
+    co_return co_await Asio::co_spawn(m_state->strand,
+                                      State::call(m_state, kind, std::move(payload), std::move(*memory), timeout),
+                                      Asio::use_awaitable);
 }
 
 const Endpoint &PeerClient::peer() const
--- a/src/trefoilhoist/wire/peerclient.h
+++ b/src/trefoilhoist/wire/peerclient.h
@@ -24,7 +24,8 @@
     PeerClient(const PeerClient &) = delete;
     PeerClient &operator=(const PeerClient &) = delete;
 
-    /// Sends `payload` and waits for the answer.
+    /// Sends `payload` and waits for the answer. Fails as not run if the peer has left too many bytes of earlier calls
+    /// untaken.
     awaitable<tl::expected<Wire::Envelope, CallError>>
     call(Wire::MessageKind kind, std::string payload, Duration timeout);
 
