Bound what is buffered of an answer

The client's buffer now holds 64 KiB at most; an answer that needs more fails with buffer_overflow. A body is moved out of the parser, not copied.

--- a/src/trefoilhoist/net/httpclient.cpp
+++ b/src/trefoilhoist/net/httpclient.cpp
@@ -23,6 +23,9 @@
 
 using CallResult = tl::expected<HttpResponse, CallError>;
 
+/// Bytes of an answer that are read and not yet parsed; bounds header fields, chunk extensions and trailers.
+constexpr std::size_t maxUnparsedBytes = std::size_t{64} << 10U;
+
 std::chrono::nanoseconds inNanoseconds(Duration duration)
 {
     return std::chrono::duration_cast<std::chrono::nanoseconds>(duration);
@@ -93,9 +96,9 @@
             // An answer that ends with its connection can't be told from one that was cut.
             co_return failure(Verdict::MayHaveRun, "the answer from " + endpoint.str() + " has no length");
         }
-        const auto answer = parser.release();
+        auto answer = parser.release();
         m_reusable = answer.keep_alive() && m_buffer.size() == 0;
-        auto response = plainResponse(answer);
+        auto response = plainResponse(std::move(answer));
         if (!options.correlation.empty() && response.headers.get(correlationHeader) != options.correlation) {
             m_reusable = false;
             co_return failure(Verdict::MayHaveRun, "the answer from " + endpoint.str() + " belongs to another request");
@@ -143,7 +146,7 @@
         return message;
     }
 
-    static HttpResponse plainResponse(const Http::response<Http::string_body> &answer)
+    static HttpResponse plainResponse(Http::response<Http::string_body> answer)
     {
         HttpResponse response;
         response.status = static_cast<int>(answer.result_int());
@@ -156,12 +159,12 @@
             response.headers.add(std::string_view(field.name_string().data(), field.name_string().size()),
                                  std::string(field.value()));
         }
-        response.body = answer.body();
+        response.body = std::move(answer.body());
         return response;
     }
 
     Beast::tcp_stream m_stream;
-    Beast::flat_buffer m_buffer;
+    Beast::flat_buffer m_buffer{maxUnparsedBytes};
     bool m_reusable = false;
     bool m_nothingListens = false;
 };
