Bound the answers that are read at once in sum

Each answer kept to its limit, but any number was read at once: 64 answers of 4 MB took 256 MB. A call whose answer has no room fails as may have run. The same answers take 64 MB with the default.

--- a/src/trefoilhoist/net/httpclient.cpp
+++ b/src/trefoilhoist/net/httpclient.cpp
@@ -1,5 +1,7 @@
 #include "trefoilhoist/net/httpclient.h"
 
+#include "trefoilhoist/net/memorybudget.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -40,7 +42,10 @@
 class Connection
 {
 public:
-    explicit Connection(const Asio::any_io_executor &executor) : m_stream(Asio::make_strand(executor)) { }
+    Connection(const Asio::any_io_executor &executor, MemoryBudget answerMemory)
+        : m_stream(Asio::make_strand(executor)), m_answerMemory(std::move(answerMemory))
+    {
+    }
 
     Asio::any_io_executor executor()
     {
@@ -88,9 +93,9 @@
         Http::response_parser<Http::string_body> parser;
         parser.body_limit(options.maxBodyBytes);
         parser.skip(message.method() == Http::verb::head);
-        co_await Http::async_read(m_stream, m_buffer, parser, Asio::redirect_error(Asio::use_awaitable, ec));
-        if (ec) {
-            co_return failure(Verdict::MayHaveRun, "no whole answer from " + endpoint.str() + ": " + ec.message());
+        auto problem = co_await readAnswer(parser);
+        if (!problem.empty()) {
+            co_return failure(Verdict::MayHaveRun, "no whole answer from " + endpoint.str() + ": " + problem);
         }
         if (parser.need_eof()) {
             // An answer that ends with its connection can't be told from one that was cut.
@@ -126,6 +131,26 @@
     }
 
 private:
+    // Reads an answer in the room that its body may take. Returns why it can't be read, or nothing.
+    awaitable<std::string> readAnswer(Http::response_parser<Http::string_body> &parser)
+    {
+        boost::system::error_code ec;
+        co_await Http::async_read_header(m_stream, m_buffer, parser, Asio::redirect_error(Asio::use_awaitable, ec));
+        // The parser makes room for a body of known length as soon as it begins.
+        auto memory = m_answerMemory.tryReserve(ec ? 0 : parser.content_length().value_or(0));
+        while (!ec && memory && !parser.is_done()) {
+            co_await Http::async_read_some(m_stream, m_buffer, parser, Asio::redirect_error(Asio::use_awaitable, ec));
+            const auto taken = parser.get().body().capacity();
+            if (taken > memory->bytes() && !memory->tryGrow(taken - memory->bytes())) {
+                memory.reset();
+            }
+        }
+        if (ec) {
+            co_return ec.message();
+        }
+        co_return memory ? "" : "too many bytes of other answers are being read";
+    }
+
     static Http::request<Http::string_body>
     beastRequest(const Endpoint &endpoint, HttpRequest request, const HttpCallOptions &options)
     {
@@ -164,6 +189,7 @@
     }
 
     Beast::tcp_stream m_stream;
+    MemoryBudget m_answerMemory;
     Beast::flat_buffer m_buffer{maxUnparsedBytes};
     bool m_reusable = false;
     bool m_nothingListens = false;
@@ -173,9 +199,14 @@
 
 struct HttpClient::Pool {
     Asio::any_io_executor executor;
+    MemoryBudget answerMemory;
     std::mutex mutex;
     std::map<Endpoint, std::vector<std::shared_ptr<Connection>>> idle;
 
+    Pool(Asio::any_io_executor ex, std::size_t maxAnswerBytes) : executor(std::move(ex)), answerMemory(maxAnswerBytes)
+    {
+    }
+
     std::shared_ptr<Connection> take(const Endpoint &endpoint)
     {
         std::lock_guard lock(mutex);
@@ -224,9 +255,9 @@
     }
 };
 
-HttpClient::HttpClient(Asio::any_io_executor executor) : m_pool(std::make_shared<Pool>())
+HttpClient::HttpClient(Asio::any_io_executor executor, std::size_t maxAnswerBytes)
+    : m_pool(std::make_shared<Pool>(std::move(executor), maxAnswerBytes))
 {
-    m_pool->executor = std::move(executor);
 }
 
 HttpClient::~HttpClient() = default;
@@ -239,7 +270,7 @@
     }
     const bool fresh = !connection;
     if (fresh) {
-        connection = std::make_shared<Connection>(m_pool->executor);
+        connection = std::make_shared<Connection>(m_pool->executor, m_pool->answerMemory);
     }
     co_return co_await Asio::co_spawn(
         connection->executor(),
--- a/src/trefoilhoist/net/httpclient.h
+++ b/src/trefoilhoist/net/httpclient.h
@@ -8,6 +8,7 @@
 
 #include <tl/expected.hpp>
 
+#include <cstddef>
 #include <memory>
 #include <string>
 
@@ -36,7 +37,8 @@
 class HttpClient
 {
 public:
-    explicit HttpClient(Asio::any_io_executor executor);
+    /// Bodies of answers that are being read may take `maxAnswerBytes` in sum; a call whose answer exceeds it fails.
+    explicit HttpClient(Asio::any_io_executor executor, std::size_t maxAnswerBytes = std::size_t{64} << 20U);
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
