--- a/tests/integration/peermemory.cpp
+++ b/tests/integration/peermemory.cpp
@@ -605,6 +605,17 @@
     expectWithinMemory(list(std::string(30, '[') + std::string(30, ']')));
 }
 
+// As many objects in objects as may be built.
+TEST_F(DecodingMemoryTest, objectsUpToTheLimit_staysWithinMemory)
+{
+    constexpr std::size_t elements = 99'000;
+    const std::string element = R"({"":{"":0}},)";
+    auto text = "[" + repeated(element, elements * element.size());
+    text.back() = ']';
+    expectWithinMemory(text);
+    EXPECT_EQ(Platform::parseBody(text).size(), elements);
+}
+
 // Lists without end in lists are refused before they are parsed.
 TEST_F(DecodingMemoryTest, listsWithoutEnd_staysWithinMemory)
 {
