--- a/src/trefoilhoist/wire/peerserver.cpp
+++ b/src/trefoilhoist/wire/peerserver.cpp
@@ -118,7 +118,8 @@
             co_return nullptr;
         }
         connections.touch(*connection);
-        co_return std::make_shared<PeerCall>(std::move(*envelope), std::move(memory));
+        PeerCall call{std::move(*envelope), std::move(memory)};
+        co_return std::make_shared<PeerCall>(std::move(call));
     }
 
     awaitable<void> answer(std::shared_ptr<PeerConnection> connection, std::shared_ptr<PeerCall> call)
--- a/tests/integration/peermemory.cpp
+++ b/tests/integration/peermemory.cpp
@@ -450,7 +450,7 @@
     void answer(std::string head, const std::string &rest, std::int64_t bytes, int connections = 1)
     {
         m_head = std::move(head);
-        m_rest = repeated(rest, 64 * 1024);
+        m_rest = repeated(rest, std::size_t{64} << 10U);
         for (int i = 0; i < connections; ++i) {
             auto &socket = *m_sockets.emplace_back(std::make_unique<Tcp::socket>(m_serverContext));
             m_threads.emplace_back([this, bytes, &socket] { serve(socket, bytes); });
