--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -45,10 +45,14 @@
           m_memory)
     , m_metricsServer(
           runtime.executor(), probeLimits(m_memory), [this](const HttpRequest &) { return serveMetrics(); }, m_memory)
-    , m_peers(runtime.executor(), m_settings.name, runtime.incarnation(), [this](Wire::Envelope envelope) {
-        return servePeer(std::move(envelope));
-    })
+    , m_peers(
+          runtime.executor(),
+          m_settings.name,
+          runtime.incarnation(),
+          [this](Wire::Envelope envelope) { return servePeer(std::move(envelope)); },
+          PeerLimits::forProcess(m_settings.memoryBytes))
 {
+    m_peers.countClosed(m_metrics.counter("trefoilhoist_peer_connections_closed"));
 }
 
 std::optional<StartProblem> AgentServer::start()
--- a/src/programs/dispatcher/dispatcher.cpp
+++ b/src/programs/dispatcher/dispatcher.cpp
@@ -79,12 +79,15 @@
           probeLimits(m_memory),
           [this](HttpRequest request) { return serveMetrics(std::move(request)); },
           m_memory)
-    , m_peers(runtime.executor(),
-              m_settings.name,
-              runtime.incarnation(),
-              [this](Wire::Envelope envelope) { return servePeer(std::move(envelope)); })
+    , m_peers(
+          runtime.executor(),
+          m_settings.name,
+          runtime.incarnation(),
+          [this](Wire::Envelope envelope) { return servePeer(std::move(envelope)); },
+          PeerLimits::forProcess(m_settings.memoryBytes))
     , m_clients(runtime.executor(), m_settings.name, runtime.incarnation())
 {
+    m_peers.countClosed(m_metrics.counter("trefoilhoist_peer_connections_closed"));
 }
 
 std::optional<StartProblem> DispatcherServer::start()
