--- a/tests/integration/dispatcher.cpp
+++ b/tests/integration/dispatcher.cpp
@@ -335,7 +335,7 @@
     {
         constexpr int crowd = 300;
         for (int i = 0; i < crowd; ++i) {
-            const auto id = crowdId(i);
+            auto id = crowdId(i);
             const auto answer = call(*m_owner, method, id, longEnough);
             if (answer.status == 503) {
                 EXPECT_FALSE(answer.retryAfter.empty());
