--- a/review/standins/site.h
+++ b/review/standins/site.h
@@ -392,6 +392,7 @@
                                             {"platform.address", m_storeAddress.text()},
                                             {"limits.processorShare", 0.25},
                                             {"limits.linkMbps", 1000.0},
+                                            {"limits.memoryMb", 260},
                                             {"bounds.maxHoldMs", m_plan.workerLeaseMs}});
         front.dispatcher = std::make_unique<Process>(
             m_plan.bin + "/trefoilhoist-dispatcher", settings, m_folder + "/" + front.name + ".log");
@@ -419,9 +420,10 @@
                                             {"internalPortRange.0", freePort(ip)},
                                             {"internalPortRange.1", freePort(ip)},
                                             {"platform.address", m_storeAddress.text()},
+                                            {"limits.memoryMb", 128},
                                             {"bounds.maxHoldMs", m_plan.workerLeaseMs}});
-        side.agent = std::make_unique<Process>(
-            m_plan.bin + "/trefoilhoist-agent", settings, m_folder + "/" + side.name + ".log");
+        side.agent
+            = std::make_unique<Process>("target/bin/trefoilhoist-agent", settings, m_folder + "/" + side.name + ".log");
         startMinion(side, "i-" + std::to_string(number + 1) + "a");
         m_sides.push_back(std::move(side));
     }
--- a/src/programs/agent/agent.h
+++ b/src/programs/agent/agent.h
@@ -6,6 +6,7 @@
 #include "trefoilhoist/jobs/throttlecontrol.h"
 #include "trefoilhoist/metrics/metrics.h"
 #include "trefoilhoist/net/httpserver.h"
+#include "trefoilhoist/net/memorybudget.h"
 #include "trefoilhoist/net/program.h"
 #include "trefoilhoist/net/waiters.h"
 #include "trefoilhoist/store/recordstore.h"
@@ -27,6 +28,8 @@
     Endpoint heartbeats;
     Endpoint peers;
     Endpoint metrics;
+    /// The memory of the host for this process.
+    std::size_t memoryBytes = 128'000'000;
     /// The longest time for which a minion keeps its runs after the agent has last extended the hold, which is the time
     /// until which the minion may keep them.
     Duration maxHold = seconds(6);
@@ -63,6 +66,7 @@
     awaitable<void> stop();
 
 private:
+    awaitable<HttpResponse> serveMetrics();
     awaitable<HttpResponse> serveMinion(HttpRequest request);
     awaitable<std::optional<Wire::Envelope>> servePeer(Wire::Envelope envelope);
     void applyHeartbeat(Jobs::MinionHeartbeat heartbeat);
@@ -89,6 +93,9 @@
     awaitable<void> listLoop();
     awaitable<void> listOnce();
     void applyListing(const Jobs::MinionListing &listing, std::int64_t number, std::int64_t epoch);
+    /// Stops what the minion still runs though its hold has expired by this agent's clock: the owner has given it up.
+    void stopRunsOfExpiredHold(const Jobs::MinionListing &listing);
+    awaitable<void> stopRun(Wire::TaskRef task, std::int64_t run);
     void observeEndNumbers(const Jobs::MinionListing &listing);
     /// Judges the rows that can't be read; false if they may be the owner's runs, so that the hold must expire.
     bool judgeUnreadableRows(Jobs::MinionListing &listing);
@@ -112,6 +119,8 @@
     AgentSettings m_settings;
     Adapters m_adapters;
     MetricsRegistry m_metrics;
+    /// Shared by all ports.
+    MemoryBudget m_memory;
     HttpServer m_heartbeats;
     HttpServer m_metricsServer;
     PeerServer m_peers;
--- a/src/programs/dispatcher/dispatcher.cpp
+++ b/src/programs/dispatcher/dispatcher.cpp
@@ -3,8 +3,11 @@
 #include "trefoilhoist/jobs/ownerrecord.h"
 #include "trefoilhoist/jobs/recordkeys.h"
 #include "trefoilhoist/log/eventlog.h"
+#include "trefoilhoist/net/httpmetrics.h"
 #include "trefoilhoist/wire/message.h"
 
+#include <algorithm>
+
 namespace Trefoilhoist::Dispatcher {
 
 namespace {
@@ -43,10 +46,11 @@
     return commit;
 }
 
-HttpLimits callerLimits()
+HttpLimits callerLimits(const MemoryBudget &memory)
 {
+    constexpr int maxConnections = 2000;
     HttpLimits limits;
-    limits.maxConnections = 2000;
+    limits.maxConnections = std::min(maxConnections, connectionsWithin(memory.limit() / 2));
     return limits;
 }
 
@@ -57,18 +61,33 @@
     , m_settings(std::move(settings))
     , m_adapters(std::move(adapters))
     , m_metrics(runtime.clock())
+    , m_memory(MemoryBudget::forProcess(m_settings.memoryBytes))
     , m_election(*m_adapters.store, runtime.clock(), m_settings.election, selfRecord(m_settings))
     , m_operators(*m_adapters.configuration)
     , m_callers(
-          runtime.executor(), callerLimits(), [this](HttpRequest request) { return serveCaller(std::move(request)); })
-    , m_readiness(runtime.executor(), {}, [this](HttpRequest request) { return serveReadiness(std::move(request)); })
-    , m_metricsServer(runtime.executor(), {}, [this](HttpRequest request) { return serveMetrics(std::move(request)); })
-    , m_peers(runtime.executor(),
-              m_settings.name,
-              runtime.incarnation(),
-              [this](Wire::Envelope envelope) { return servePeer(std::move(envelope)); })
+          runtime.executor(),
+          callerLimits(m_memory),
+          [this](HttpRequest request) { return serveCaller(std::move(request)); },
+          m_memory)
+    , m_readiness(
+          runtime.executor(),
+          probeLimits(m_memory),
+          [this](HttpRequest request) { return serveReadiness(std::move(request)); },
+          m_memory)
+    , m_metricsServer(
+          runtime.executor(),
+          probeLimits(m_memory),
+          [this](HttpRequest request) { return serveMetrics(std::move(request)); },
+          m_memory)
+    , m_peers(
+          runtime.executor(),
+          m_settings.name,
+          runtime.incarnation(),
+          [this](Wire::Envelope envelope) { return servePeer(std::move(envelope)); },
+          PeerLimits::forProcess(m_settings.memoryBytes))
     , m_clients(runtime.executor(), m_settings.name, runtime.incarnation())
 {
+    m_peers.countClosed(m_metrics.counter("trefoilhoist_peer_connections_closed"));
 }
 
 std::optional<StartProblem> DispatcherServer::start()
@@ -167,6 +186,10 @@
 
 awaitable<HttpResponse> DispatcherServer::serveMetrics(HttpRequest)
 {
+    showRefusals(m_metrics, "callers", m_callers);
+    showRefusals(m_metrics, "readiness", m_readiness);
+    showRefusals(m_metrics, "metrics", m_metricsServer);
+    m_metrics.gauge("trefoilhoist_memory_reserved_bytes").set(static_cast<double>(m_memory.used()));
     co_return textResponse(200, m_metrics.exposition());
 }
 
--- a/src/trefoilhoist/jobs/jobscheduler.cpp
+++ b/src/trefoilhoist/jobs/jobscheduler.cpp
@@ -9,10 +9,18 @@
 
 /// An occurrence that takes longer than this multiple of its objective is worthless.
 constexpr int maxObjectiveMultiple = 3;
+/// Cancels of unknown jobs get one part in so many of the memory for jobs, so that there is room for submissions.
+constexpr std::int64_t unknownCancelsPart = 8;
 
 } // namespace
 
-JobScheduler::JobScheduler(SchedulerSettings settings, std::int64_t epoch) : m_settings(settings), m_epoch(epoch) { }
+JobScheduler::JobScheduler(SchedulerSettings settings, std::int64_t epoch)
+    : m_settings(settings)
+    , m_epoch(epoch)
+    , m_memory(settings.jobMemoryBytes)
+    , m_unknownCancels(settings.jobMemoryBytes / unknownCancelsPart)
+{
+}
 
 JobScheduler::Entry *JobScheduler::find(const std::string &id)
 {
@@ -41,6 +49,8 @@
     if (progress) {
         entry.job.restore(*progress);
     }
+    releaseMemory(entry);
+    updateMemory(entry);
     const bool stillActive = entry.job.isActive();
     m_jobs.insert_or_assign(id, std::move(entry));
     if (stillActive) {
@@ -75,7 +85,12 @@
         }
         return known->accepted ? SubmissionState::Known : SubmissionState::Pending;
     }
-    m_jobs.emplace(spec.id, Entry{Job(spec, now), false, false, 0});
+    const auto bytes = JobMemory::submissionBytes(spec);
+    if (!m_memory.hasRoomFor(bytes)) {
+        return SubmissionState::NoMemory;
+    }
+    m_jobs.emplace(spec.id, Entry{Job(spec, now), false, false, 0, 0, bytes});
+    m_memory.replace(0, bytes);
     return SubmissionState::New;
 }
 
@@ -86,6 +101,7 @@
         return;
     }
     entry->accepted = true;
+    updateMemory(*entry);
     if (entry->job.isActive()) {
         m_active.insert(id);
         m_jobsToRefresh.insert(id);
@@ -96,7 +112,7 @@
 {
     const auto *entry = find(id);
     if (entry != nullptr && !entry->accepted && entry->job.isActive()) {
-        m_jobs.erase(id);
+        erase(id);
     }
 }
 
@@ -128,12 +144,18 @@
     stopRuns(*entry, now);
 }
 
+bool JobScheduler::mayCancel(const std::string &id) const
+{
+    return knows(id) || (m_unknownCancels.hasRoomFor(unknownCancelBytes) && m_memory.hasRoomFor(unknownCancelBytes));
+}
+
 void JobScheduler::addNeverSubmitted(const std::string &id, TimePoint now)
 {
     Wire::JobSpec spec;
     spec.id = id;
     auto &entry = m_jobs.emplace(id, Entry{Job(std::move(spec), now), false, false, 0}).first->second;
     entry.job.cancelUnsubmitted(wallMilliseconds());
+    updateMemory(entry);
     markChanged(id);
 }
 
@@ -189,7 +211,7 @@
 void JobScheduler::removeJob(const std::string &id)
 {
     m_active.erase(id);
-    m_jobs.erase(id);
+    erase(id);
     acknowledgeEndsOf(id);
 }
 
@@ -267,7 +289,31 @@
             }
         }
     }
-    entry.job.occurrences().clear();
+    entry.job.releaseMemory();
+}
+
+void JobScheduler::updateMemory(Entry &entry)
+{
+    const auto bytes = JobMemory::recordedBytes(entry.job);
+    setMemory(entry, bytes);
+}
+
+void JobScheduler::setMemory(Entry &entry, std::int64_t bytes)
+{
+    m_memory.replace(entry.memoryBytes, bytes);
+    if (entry.job.isNeverSubmitted()) {
+        m_unknownCancels.replace(entry.memoryBytes, bytes);
+    }
+    entry.memoryBytes = bytes;
+}
+
+void JobScheduler::erase(const std::string &id)
+{
+    const auto it = m_jobs.find(id);
+    if (it != m_jobs.end()) {
+        setMemory(it->second, 0);
+        m_jobs.erase(it);
+    }
 }
 
 void JobScheduler::refreshDueJobs(std::int64_t wallMs)
@@ -291,9 +337,11 @@
     if (!job.isActive()) {
         m_active.erase(id);
         releaseMemory(entry);
+        updateMemory(entry);
         return;
     }
-    job.openDueOccurrences(wallMs - m_settings.dueSlackMs);
+    job.openDueOccurrences(wallMs - m_settings.dueSlackMs, m_memory.maxOpenOccurrences(job));
+    updateMemory(entry);
     if (const auto due = job.nextDueMs()) {
         m_dueJobs.emplace(*due, id);
     }
@@ -313,6 +361,7 @@
         const auto started = job.spec().occurrences > 0 ? m_now + untilDue : job.acceptedAt();
         const Duration objective
             = duration_cast<Duration>(policy.stretch * job.totalCriticalPath()) + milliseconds(policy.targetLatencyMs);
+        const Duration criticalPath = job.remainingCriticalPath(occurrence);
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
             const auto &tasks = occurrence.steps[step].tasks;
             const bool hasTaskToStart = std::any_of(
@@ -324,8 +373,8 @@
             pending.job = id;
             pending.occurrence = number;
             pending.step = static_cast<int>(step);
-            pending.latestStart = started + objective - job.remainingCriticalPath(occurrence);
-            pending.worthlessAfter = started + maxObjectiveMultiple * objective - job.remainingCriticalPath(occurrence);
+            pending.latestStart = started + objective - criticalPath;
+            pending.worthlessAfter = started + maxObjectiveMultiple * objective - criticalPath;
             pending.longRunning = job.spec().steps[step].longRunning;
             pending.usesIdleCpu = job.spec().steps[step].usesIdleCpu;
             const auto known = before.find({id, number, static_cast<int>(step)});
--- a/src/trefoilhoist/jobs/jobscheduler.h
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "trefoilhoist/jobs/job.h"
+#include "trefoilhoist/jobs/jobmemory.h"
 #include "trefoilhoist/jobs/queuetable.h"
 #include "trefoilhoist/jobs/worker.h"
 #include "trefoilhoist/jobs/workerselector.h"
@@ -29,6 +30,8 @@
     std::int64_t keepEndedMs = 150'000;
     /// An occurrence starts this long after its due time, in milliseconds, because clocks differ.
     std::int64_t dueSlackMs = 20;
+    /// Estimated bytes that all jobs together may take. New submissions are refused beyond it.
+    std::int64_t jobMemoryBytes = 104'000'000;
 };
 
 /// State of a submission.
@@ -41,6 +44,8 @@
     New,
     /// Refused: the job was cancelled before this submission arrived.
     CancelledBefore,
+    /// Refused: the memory for jobs is used up.
+    NoMemory,
 };
 
 /// Holds the owner's view of all jobs and workers and plans the orders to the workers. Each term of ownership has one.
@@ -95,8 +100,15 @@
     /// Also cancels a job whose submission is still being recorded, and one that is not known: its submission may be on
     /// its way and must not be accepted later.
     void cancel(const std::string &id, TimePoint now);
+    /// False if the job is unknown and the memory for cancels of such jobs is used up: cancel() must not be called.
+    [[nodiscard]] bool mayCancel(const std::string &id) const;
     /// Number of active jobs of the queue of which no task has been started.
     [[nodiscard]] std::int64_t waitingJobs(const std::string &queue) const;
+    /// Estimated bytes that all jobs take.
+    [[nodiscard]] std::int64_t memoryBytes() const
+    {
+        return m_memory.usedBytes();
+    }
     /// Number of accepted jobs that are not final.
     [[nodiscard]] std::size_t activeJobs() const
     {
@@ -145,6 +157,8 @@
         std::int64_t recordedVersion = 0;
         /// The version that contains the last crash of a worker under one of the job's runs.
         std::int64_t crashVersion = 0;
+        /// The job's part of the memory for jobs.
+        std::int64_t memoryBytes = 0;
     };
     /// A step with tasks to start.
     struct PendingStep {
@@ -177,6 +191,10 @@
     [[nodiscard]] bool isDrained(const std::string &zone) const;
     void stopRuns(Entry &entry, TimePoint now);
     void releaseMemory(Entry &entry);
+    /// Estimates anew what the job takes in memory.
+    void updateMemory(Entry &entry);
+    void setMemory(Entry &entry, std::int64_t bytes);
+    void erase(const std::string &id);
 
     // workerincarnations.cpp
     /// True if the report is about an incarnation that started before the present one and has not answered its agent: a
@@ -286,6 +304,9 @@
     std::int64_t m_epoch = 0;
     QueueTable m_queues;
     std::map<std::string, Entry> m_jobs;
+    JobMemory m_memory;
+    /// The part of it that cancels of unknown jobs take.
+    JobMemory m_unknownCancels;
     std::set<std::string> m_active;
     std::set<std::string> m_changedJobs;
     /// Jobs whose pending steps must be recomputed.
