--- a/review/standins/site.h
+++ b/review/standins/site.h
@@ -422,8 +422,8 @@
                                             {"platform.address", m_storeAddress.text()},
                                             {"limits.memoryMb", 128},
                                             {"bounds.maxHoldMs", m_plan.workerLeaseMs}});
-        side.agent
-            = std::make_unique<Process>("target/bin/trefoilhoist-agent", settings, m_folder + "/" + side.name + ".log");
+        side.agent = std::make_unique<Process>(
+            m_plan.bin + "/trefoilhoist-agent", settings, m_folder + "/" + side.name + ".log");
         startMinion(side, "i-" + std::to_string(number + 1) + "a");
         m_sides.push_back(std::move(side));
     }
