Note in one place that an awaited agent was given up

Both ways to give up an agent of the roster set the flag; removeAgent(), which they share, sets it now. No behaviour changes: agents that left don't set it, as before. unit-roster, -jobscheduler, -incarnations, -deadlytasks and random-jobscheduler pass.

--- a/src/trefoilhoist/jobs/jobplanning.cpp
+++ b/src/trefoilhoist/jobs/jobplanning.cpp
@@ -99,7 +99,6 @@
         const auto name = agentName(worker.info);
         if (worker.listed || !worker.runs.empty() || m_roster.count(name) > 0) {
             logWorkerEvent("worker_lease_expired", worker, m_epoch);
-            m_agentsGivenUp = m_agentsGivenUp || m_unreported.count(name) > 0;
             removeAgent(name, LossCause::LeaseExpired, now);
         }
     }
@@ -115,7 +114,6 @@
             continue;
         }
         logAgentGivenUp(name, workerOf(name), now, m_epoch);
-        m_agentsGivenUp = true;
         removeAgent(name, LossCause::LeaseExpired, now);
     }
 }
--- a/src/trefoilhoist/jobs/workerincarnations.cpp
+++ b/src/trefoilhoist/jobs/workerincarnations.cpp
@@ -27,7 +27,10 @@
 // hold any run.
 void JobScheduler::removeAgent(const std::string &name, LossCause cause, TimePoint now)
 {
-    m_unreported.erase(name);
+    const bool wasAwaited = m_unreported.erase(name) > 0;
+    if (wasAwaited && cause == LossCause::LeaseExpired) {
+        m_agentsGivenUp = true;
+    }
     if (cause == LossCause::Left) {
         m_attributedCrashes.erase(name);
     }
