--- a/src/programs/agent/minionruns.cpp
+++ b/src/programs/agent/minionruns.cpp
@@ -62,13 +62,14 @@
     const auto number = ++m_listings;
     const auto epoch = m_fence.epoch();
     const auto worker = m_minion->worker;
+    const auto hold = extendHold(now);
     // The first listings under a new owner or lease don't wait for ended tasks, because the owner waits for them.
-    const bool wait = m_fence.isListed() && m_reachable && extendHold(now).has_value();
+    const bool wait = m_fence.isListed() && m_reachable && hold.has_value();
     // After a failed call, another incarnation may answer the next one. Its ends have numbers of its own.
     // Ends that were read after the hold had expired may be of tasks that run elsewhere by now.
     const auto dropped = m_reachable && !m_fence.hasOutlivedHold(now) ? m_fence.endsToDrop() : 0;
-    const auto hold = extendHold(now).value_or(0);
-    auto listing = co_await m_adapters.minion->list(target(), dropped, hold, wait ? listingWait : Duration{});
+    auto listing
+        = co_await m_adapters.minion->list(target(), dropped, hold.value_or(0), wait ? listingWait : Duration{});
     if (!m_minion || m_minion->worker.id != worker.id || m_minion->worker.born != worker.born) {
         co_return;
     }
