--- a/src/trefoilhoist/wire/internal/heldmemory.cpp
+++ b/src/trefoilhoist/wire/internal/heldmemory.cpp
@@ -5,8 +5,7 @@
 namespace Trefoilhoist::Detail {
 
 HeldMemory::HeldMemory(MemoryBudget &budget, ConnectionBytes connectionBytes)
-    // Reserving nothing always succeeds.
-    : m_reservation(std::move(*budget.tryReserve(0))), m_connectionBytes(std::move(connectionBytes))
+    : m_reservation(budget.reserveNothing()), m_connectionBytes(std::move(connectionBytes))
 {
 }
 
