Let one function restart a program in the soak, and one let it stand still

The faults of agents, dispatchers and the owner were copies of each other but for the program and the signal. Same draws, same effects; the record names the program and the signal.

--- a/tests/soak/chaos.cpp
+++ b/tests/soak/chaos.cpp
@@ -224,59 +224,69 @@
     return sides[static_cast<std::size_t>(between(random, 0, static_cast<std::int64_t>(sides.size()) - 1))];
 }
 
-Review::Front &Chaos::anyFront(Random &random)
-{
-    auto &fronts = m_site.fronts();
-    return fronts[static_cast<std::size_t>(between(random, 0, static_cast<std::int64_t>(fronts.size()) - 1))];
-}
-
 std::string Chaos::lastRecordOf(const Review::Side &side) const
 {
     std::lock_guard lock(m_mutex);
     return m_recordOfSide.at(side.name);
 }
 
-void Chaos::killAgent(Random &random)
+void Chaos::restart(const Program &program, int signal, Random &random)
 {
-    auto &side = anySide(random);
-    const Claim claim(m_mutex, m_busy, side.name + " agent");
+    const Claim claim(m_mutex, m_busy, program.name);
     if (!claim.taken) {
         return;
     }
-    m_record.add("fault", side.name + ": the agent is killed");
-    side.agent->kill(SIGKILL);
+    m_record.add("fault", program.name + ": " + (signal == SIGKILL ? "SIGKILL" : "SIGTERM"));
+    program.process.kill(signal);
     Review::sleepMs(downMs(random));
-    m_record.add("fault", side.name + ": the agent is started");
-    side.agent->start();
+    m_record.add("fault", program.name + ": started");
+    program.process.start();
 }
 
-void Chaos::stopAgent(Random &random)
+void Chaos::pauseProgram(const Program &program, Random &random)
 {
-    auto &side = anySide(random);
-    const Claim claim(m_mutex, m_busy, side.name + " agent");
+    const Claim claim(m_mutex, m_busy, program.name);
     if (!claim.taken) {
         return;
     }
-    m_record.add("fault", side.name + ": SIGTERM to the agent");
-    side.agent->kill(SIGTERM);
-    Review::sleepMs(downMs(random));
-    m_record.add("fault", side.name + ": the agent is started");
-    side.agent->start();
+    const auto ms = pauseMs(random);
+    m_record.add("fault", program.name + ": stands still for " + std::to_string(ms) + " ms");
+    program.process.kill(SIGSTOP);
+    Review::sleepMs(ms);
+    program.process.kill(SIGCONT);
+    m_record.add("fault", program.name + ": goes on");
 }
 
-void Chaos::pauseAgent(Random &random)
+Chaos::Program Chaos::anyAgent(Random &random)
 {
     auto &side = anySide(random);
-    const Claim claim(m_mutex, m_busy, side.name + " agent");
-    if (!claim.taken) {
-        return;
-    }
-    const auto ms = pauseMs(random);
-    m_record.add("fault", side.name + ": the agent stands still for " + std::to_string(ms) + " ms");
-    side.agent->kill(SIGSTOP);
-    Review::sleepMs(ms);
-    side.agent->kill(SIGCONT);
-    m_record.add("fault", side.name + ": the agent goes on");
+    return {side.name + " agent", *side.agent};
+}
+
+Chaos::Program Chaos::anyDispatcher(Random &random)
+{
+    auto &fronts = m_site.fronts();
+    return dispatcherOf(fronts[static_cast<std::size_t>(between(random, 0, std::ssize(fronts) - 1))]);
+}
+
+Chaos::Program Chaos::dispatcherOf(Review::Front &front)
+{
+    return {front.name + " dispatcher", *front.dispatcher};
+}
+
+void Chaos::killAgent(Random &random)
+{
+    restart(anyAgent(random), SIGKILL, random);
+}
+
+void Chaos::stopAgent(Random &random)
+{
+    restart(anyAgent(random), SIGTERM, random);
+}
+
+void Chaos::pauseAgent(Random &random)
+{
+    pauseProgram(anyAgent(random), random);
 }
 
 void Chaos::endMinion(Review::Side &side)
@@ -454,15 +464,7 @@
 
 void Chaos::killDispatcher(Random &random)
 {
-    auto &front = anyFront(random);
-    const Claim claim(m_mutex, m_busy, front.name);
-    if (!claim.taken) {
-        return;
-    }
-    m_record.add("fault", front.name + ": the dispatcher is killed");
-    front.dispatcher->kill(SIGKILL);
-    Review::sleepMs(downMs(random));
-    front.dispatcher->start();
+    restart(anyDispatcher(random), SIGKILL, random);
 }
 
 void Chaos::killOwner(Random &random)
@@ -477,15 +479,7 @@
         }
         m_ownerKilledAtMs = m_record.now();
     }
-    auto &front = m_site.fronts()[static_cast<std::size_t>(owner)];
-    const Claim claim(m_mutex, m_busy, front.name);
-    if (!claim.taken) {
-        return;
-    }
-    m_record.add("fault", front.name + ": the owner is killed");
-    front.dispatcher->kill(SIGKILL);
-    Review::sleepMs(downMs(random));
-    front.dispatcher->start();
+    restart(dispatcherOf(m_site.fronts()[static_cast<std::size_t>(owner)]), SIGKILL, random);
 }
 
 // A new owner gets no listing from one agent for longer than it waits for agents that don't report at all.
@@ -500,7 +494,7 @@
     auto &front = m_site.fronts()[static_cast<std::size_t>(owner)];
     const Claim takeover(m_mutex, m_busy, "takeover");
     const Claim minion(m_mutex, m_busy, side.name + " minion");
-    const Claim dispatcher(m_mutex, m_busy, front.name);
+    const Claim dispatcher(m_mutex, m_busy, dispatcherOf(front).name);
     if (!takeover.taken || !minion.taken || !dispatcher.taken) {
         return;
     }
@@ -520,29 +514,12 @@
 
 void Chaos::stopDispatcher(Random &random)
 {
-    auto &front = anyFront(random);
-    const Claim claim(m_mutex, m_busy, front.name);
-    if (!claim.taken) {
-        return;
-    }
-    m_record.add("fault", front.name + ": SIGTERM to the dispatcher");
-    front.dispatcher->kill(SIGTERM);
-    Review::sleepMs(downMs(random));
-    front.dispatcher->start();
+    restart(anyDispatcher(random), SIGTERM, random);
 }
 
 void Chaos::pauseDispatcher(Random &random)
 {
-    auto &front = anyFront(random);
-    const Claim claim(m_mutex, m_busy, front.name);
-    if (!claim.taken) {
-        return;
-    }
-    const auto ms = pauseMs(random);
-    m_record.add("fault", front.name + ": the dispatcher stands still for " + std::to_string(ms) + " ms");
-    front.dispatcher->kill(SIGSTOP);
-    Review::sleepMs(ms);
-    front.dispatcher->kill(SIGCONT);
+    pauseProgram(anyDispatcher(random), random);
 }
 
 void Chaos::slowStore(Random &random)
--- a/tests/soak/chaos.h
+++ b/tests/soak/chaos.h
@@ -71,9 +71,20 @@
 
 private:
     using Fault = std::function<void(std::mt19937_64 &)>;
+    /// A process, by the name under which it has one fault at a time.
+    struct Program {
+        std::string name;
+        Review::Process &process;
+    };
 
     Review::Side &anySide(std::mt19937_64 &random);
-    Review::Front &anyFront(std::mt19937_64 &random);
+    [[nodiscard]] Program anyAgent(std::mt19937_64 &random);
+    [[nodiscard]] Program anyDispatcher(std::mt19937_64 &random);
+    [[nodiscard]] static Program dispatcherOf(Review::Front &front);
+    /// Ends a program by the signal, and starts it again. Does nothing while it has another fault.
+    void restart(const Program &program, int signal, std::mt19937_64 &random);
+    /// Lets a program stand still for some time. Does nothing while it has another fault.
+    void pauseProgram(const Program &program, std::mt19937_64 &random);
     void killAgent(std::mt19937_64 &random);
     void stopAgent(std::mt19937_64 &random);
     void pauseAgent(std::mt19937_64 &random);
