Give the tests of the roster one next owner and its reports

Four tests built the next owner, and its agents' listed and unlisted reports, line by line. The assertions are the same.

--- a/tests/unit/roster.cpp
+++ b/tests/unit/roster.cpp
@@ -69,15 +69,44 @@
         return names;
     }
 
-    /// The number of starts that the next owner orders as soon as w2 has reported.
-    std::size_t startsAfterTakeover()
+    /// An owner of the next term that has loaded one job and not the roster yet.
+    JobScheduler nextOwner()
     {
         JobScheduler next(m_settings, epoch + 1);
         next.restoreJob(longRunningJob(), std::nullopt, m_now, wallMs);
+        return next;
+    }
+
+    [[nodiscard]] Wire::WorkerRoster rosterOfBoth()
+    {
+        Wire::WorkerRoster roster;
+        roster.workers = {reportOf("w1").worker, reportOf("w2").worker};
+        return roster;
+    }
+
+    void reportListed(JobScheduler &next, const std::string &worker)
+    {
+        auto listed = reportOf(worker);
+        listed.epoch = epoch + 1;
+        next.handleReport(listed, true, m_now);
+    }
+
+    /// Returns the reply to an agent whose minion has not answered a listing.
+    Wire::WorkerReportReply reportUnlisted(JobScheduler &next, const std::string &worker)
+    {
+        auto unlisted = reportOf(worker);
+        unlisted.epoch = epoch + 1;
+        unlisted.listed = false;
+        unlisted.reachable = false;
+        return next.handleReport(unlisted, true, m_now);
+    }
+
+    /// The number of starts that the next owner orders as soon as w2 has reported.
+    std::size_t startsAfterTakeover()
+    {
+        auto next = nextOwner();
         next.restoreRoster(m_roster, m_now);
-        auto first = reportOf("w2");
-        first.epoch = epoch + 1;
-        next.handleReport(first, true, m_now);
+        reportListed(next, "w2");
         return starts(next.plan(m_now, wallMs, true));
     }
 
@@ -182,37 +211,24 @@
     joinWorker("w1");
     joinWorker("w2");
     recordRoster();
-    Wire::WorkerRoster roster;
-    roster.workers = {reportOf("w1").worker, reportOf("w2").worker};
-    JobScheduler next(m_settings, epoch + 1);
-    next.restoreJob(longRunningJob(), std::nullopt, m_now, wallMs);
-    next.restoreRoster(roster, m_now);
+    auto next = nextOwner();
+    next.restoreRoster(rosterOfBoth(), m_now);
 
     const auto longestEarlierLease = m_settings.grantGrace + m_settings.workerLease + m_settings.leaseSlack;
     TimePoint leaseEnds;
     for (Duration passed{}; passed <= longestEarlierLease; passed += reportInterval) {
         m_now += reportInterval;
-        auto listed = reportOf("w2");
-        listed.epoch = epoch + 1;
-        next.handleReport(listed, true, m_now);
-        auto unlisted = reportOf("w1");
-        unlisted.epoch = epoch + 1;
-        unlisted.listed = false;
-        unlisted.reachable = false;
-        leaseEnds = m_now + milliseconds(next.handleReport(unlisted, true, m_now).leaseMs);
+        reportListed(next, "w2");
+        leaseEnds = m_now + milliseconds(reportUnlisted(next, "w1").leaseMs);
         EXPECT_EQ(starts(next.plan(m_now, wallMs, true)), 0U) << "after " << passed.count() << " us";
     }
     while (m_now + reportInterval < leaseEnds) {
         m_now += reportInterval;
-        auto listed = reportOf("w2");
-        listed.epoch = epoch + 1;
-        next.handleReport(listed, true, m_now);
+        reportListed(next, "w2");
         EXPECT_EQ(starts(next.plan(m_now, wallMs, true)), 0U);
     }
     m_now = leaseEnds + m_settings.leaseSlack + milliseconds(1);
-    auto listed = reportOf("w2");
-    listed.epoch = epoch + 1;
-    next.handleReport(listed, true, m_now);
+    reportListed(next, "w2");
     EXPECT_EQ(starts(next.plan(m_now, wallMs, true)), 1U);
 }
 
@@ -220,21 +236,14 @@
 // agent by its name, so it did not count the lease that it had renewed for an agent whose minion did not answer yet.
 TEST_F(RosterTest, rosterUnreadableAndAgentReportsUnlisted_tasksWaitWhileTheNewOwnerRenewsItsLease)
 {
-    JobScheduler next(m_settings, epoch + 1);
-    next.restoreJob(longRunningJob(), std::nullopt, m_now, wallMs);
+    auto next = nextOwner();
     next.restoreUnknownRoster(m_now);
 
     const auto longestEarlierLease = m_settings.grantGrace + m_settings.workerLease + m_settings.leaseSlack;
     for (Duration passed{}; passed <= longestEarlierLease + 2 * reportInterval; passed += reportInterval) {
         m_now += reportInterval;
-        auto listed = reportOf("w2");
-        listed.epoch = epoch + 1;
-        next.handleReport(listed, true, m_now);
-        auto unlisted = reportOf("w1");
-        unlisted.epoch = epoch + 1;
-        unlisted.listed = false;
-        unlisted.reachable = false;
-        ASSERT_GT(next.handleReport(unlisted, true, m_now).leaseMs, 0);
+        reportListed(next, "w2");
+        ASSERT_GT(reportUnlisted(next, "w1").leaseMs, 0);
         auto orders = next.plan(m_now, wallMs, true);
         if (const auto roster = next.takeChangedRoster()) {
             next.markRosterRecorded(*roster);
@@ -252,15 +261,9 @@
     joinWorker("w1");
     joinWorker("w2");
     recordRoster();
-    Wire::WorkerRoster roster;
-    roster.workers = {reportOf("w1").worker, reportOf("w2").worker};
-    JobScheduler next(m_settings, epoch + 1);
-    next.restoreJob(longRunningJob(), std::nullopt, m_now, wallMs);
-    next.restoreRoster(roster, m_now);
-    auto unlisted = reportOf("w1");
-    unlisted.epoch = epoch + 1;
-    unlisted.listed = false;
-    next.handleReport(unlisted, true, m_now);
+    auto next = nextOwner();
+    next.restoreRoster(rosterOfBoth(), m_now);
+    reportUnlisted(next, "w1");
 
     m_now += m_settings.grantGrace;
     OrderFence restarted;
@@ -271,9 +274,7 @@
     ASSERT_TRUE(restarted.extendHold(m_now));
 
     while (m_now < restarted.holdExpiry()) {
-        auto listed = reportOf("w2");
-        listed.epoch = epoch + 1;
-        next.handleReport(listed, true, m_now);
+        reportListed(next, "w2");
         ASSERT_EQ(starts(next.plan(m_now, wallMs, true)), 0U)
             << duration_cast<milliseconds>(restarted.holdExpiry() - m_now).count() << " ms before the hold expires";
         m_now += reportInterval;
