--- a/src/trefoilhoist/jobs/jobtypes.cpp
+++ b/src/trefoilhoist/jobs/jobtypes.cpp
@@ -1,5 +1,7 @@
 #include "trefoilhoist/jobs/jobtypes.h"
 
+#include "trefoilhoist/wire/message.h"
+
 #include <tuple>
 
 namespace Trefoilhoist::Wire {
@@ -33,6 +35,21 @@
     return count;
 }
 
+std::optional<std::string> reasonTooLarge(const Wire::JobSpec &spec)
+{
+    if (spec.payload.size() > maxSpecificationBytes) {
+        return "the specification has " + std::to_string(spec.payload.size()) + " bytes; it may have "
+            + std::to_string(maxSpecificationBytes);
+    }
+    if (const auto tasks = taskCount(spec); tasks > maxTasksOfJob) {
+        return "the job has " + std::to_string(tasks) + " tasks; it may have " + std::to_string(maxTasksOfJob);
+    }
+    if (const auto bytes = Wire::encode(spec).size(); bytes > maxSubmissionBytes) {
+        return "the job takes " + std::to_string(bytes) + " bytes; it may take " + std::to_string(maxSubmissionBytes);
+    }
+    return std::nullopt;
+}
+
 Wire::TaskRef taskRef(const std::string &job, int occurrence, std::size_t step, std::size_t index)
 {
     Wire::TaskRef ref;
--- a/src/trefoilhoist/jobs/jobtypes.h
+++ b/src/trefoilhoist/jobs/jobtypes.h
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -139,6 +140,9 @@
 /// Number of tasks of one occurrence.
 [[nodiscard]] std::int64_t taskCount(const Wire::JobSpec &spec);
 
+/// Why a submission is larger than the owner of the scheduling keeps; nothing if it isn't.
+[[nodiscard]] std::optional<std::string> reasonTooLarge(const Wire::JobSpec &spec);
+
 [[nodiscard]] Wire::TaskRef taskRef(const std::string &job, int occurrence, std::size_t step, std::size_t index);
 
 /// For logs: JOB.OCCURRENCE.STEP.INDEX.
