Keep one copy of what tests of processes share

unusedPort() stood in four test files, the readers of a process's peak memory and descriptors and repeated() in two. The harness has them now.

--- a/tests/harness/process.cpp
+++ b/tests/harness/process.cpp
@@ -1,8 +1,11 @@
 #include "harness/process.h"
 
+#include <arpa/inet.h>
 #include <fcntl.h>
+#include <netinet/in.h>
 #include <signal.h>
 #include <spawn.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -158,6 +161,51 @@
     return m_pid;
 }
 
+std::int64_t Process::peakMemoryKb() const
+{
+    std::ifstream in("/proc/" + std::to_string(m_pid) + "/status");
+    std::string word;
+    while (in >> word) {
+        std::int64_t kb = 0;
+        if (word == "VmHWM:" && in >> kb) {
+            return kb;
+        }
+    }
+    throw std::runtime_error("the process has no peak memory any more");
+}
+
+std::size_t Process::openDescriptors() const
+{
+    const std::filesystem::directory_iterator entries("/proc/" + std::to_string(m_pid) + "/fd");
+    return static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
+}
+
+std::uint16_t unusedPort()
+{
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    const bool bound = bind(fd, reinterpret_cast<sockaddr *>(&address), size) == 0
+        && getsockname(fd, reinterpret_cast<sockaddr *>(&address), &size) == 0;
+    close(fd);
+    if (!bound) {
+        throw std::runtime_error("cannot bind a port for the test");
+    }
+    return ntohs(address.sin_port);
+}
+
+std::string repeated(const std::string &text, std::size_t bytes)
+{
+    std::string all;
+    all.reserve(bytes + text.size());
+    while (all.size() < bytes) {
+        all += text;
+    }
+    return all;
+}
+
 Finished runToEnd(const std::string &program, const std::vector<std::string> &arguments)
 {
     auto process = Process::startWith(program, arguments);
--- a/tests/harness/process.h
+++ b/tests/harness/process.h
@@ -2,6 +2,8 @@
 
 #include <sys/types.h>
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -36,6 +38,9 @@
     [[nodiscard]] std::string output() const;
     [[nodiscard]] std::string errors() const;
     [[nodiscard]] pid_t pid() const;
+    /// The highest resident memory of the process so far; throws if it is gone.
+    [[nodiscard]] std::int64_t peakMemoryKb() const;
+    [[nodiscard]] std::size_t openDescriptors() const;
 
 private:
     Process() = default;
@@ -46,6 +51,12 @@
     std::string m_folder;
 };
 
+/// A port of the loopback address that nothing listens on now.
+[[nodiscard]] std::uint16_t unusedPort();
+
+/// `text`, repeated until it has at least so many bytes.
+[[nodiscard]] std::string repeated(const std::string &text, std::size_t bytes);
+
 /// The result of a program that ran to its end.
 struct Finished {
     int code = 0;
--- a/tests/integration/agent.cpp
+++ b/tests/integration/agent.cpp
@@ -2,12 +2,11 @@
 #include "programs/agent/agent.h"
 
 #include "harness/memoryrecordstore.h"
+#include "harness/process.h"
 #include "trefoilhoist/jobs/recordkeys.h"
 #include "trefoilhoist/net/httpclient.h"
 #include "trefoilhoist/wire/message.h"
 
-#include <boost/asio/ip/tcp.hpp>
-
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -100,12 +99,6 @@
     const std::chrono::steady_clock::time_point m_startedAt = std::chrono::steady_clock::now();
 };
 
-std::uint16_t unusedPort(const Asio::any_io_executor &executor)
-{
-    const Asio::ip::tcp::acceptor acceptor(executor, {Asio::ip::make_address("127.0.0.1"), 0});
-    return acceptor.local_endpoint().port();
-}
-
 } // namespace
 
 /// An agent, its minion and an owner in one process.
@@ -304,8 +297,8 @@
         };
         AgentSettings settings;
         settings.name = "agent";
-        settings.heartbeats = {"127.0.0.1", unusedPort(m_runtime.executor())};
-        settings.peers = {"127.0.0.1", unusedPort(m_runtime.executor())};
+        settings.heartbeats = {"127.0.0.1", Testing::unusedPort()};
+        settings.peers = {"127.0.0.1", Testing::unusedPort()};
         settings.maxHold = seconds(1);
         settings.unreadableRowsPatience = rowsPatience;
         settings.maxMinionSilence = maxSilence;
--- a/tests/integration/dispatcher.cpp
+++ b/tests/integration/dispatcher.cpp
@@ -1,13 +1,12 @@
 // Dispatchers that share a store, and what they answer to callers over real connections.
 #include "programs/dispatcher/dispatcher.h"
 
+#include "harness/process.h"
 #include "harness/processstore.h"
 #include "platform/callers.h"
 #include "trefoilhoist/jobs/recordkeys.h"
 #include "trefoilhoist/net/httpclient.h"
 
-#include <boost/asio/ip/tcp.hpp>
-
 #include <gtest/gtest.h>
 
 #include <functional>
@@ -32,12 +31,6 @@
 constexpr const char *oneTask
     = R"({"specification":"work","steps":[{"count":1,"cpu":100,"memoryRequestMb":10,"estimatedMs":10}]})";
 
-std::uint16_t unusedPort(const Asio::any_io_executor &executor)
-{
-    const Asio::ip::tcp::acceptor acceptor(executor, {Asio::ip::make_address("127.0.0.1"), 0});
-    return acceptor.local_endpoint().port();
-}
-
 /// A dispatcher and its connection to the store.
 struct Process {
     ProcessStore *store = nullptr;
@@ -114,9 +107,9 @@
         adapters.configuration = std::make_unique<Platform::Configuration>();
         DispatcherSettings settings;
         settings.name = name;
-        settings.callers = {"127.0.0.1", unusedPort(m_runtime.executor())};
-        settings.readiness = {"127.0.0.1", unusedPort(m_runtime.executor())};
-        settings.peers = {"127.0.0.1", unusedPort(m_runtime.executor())};
+        settings.callers = {"127.0.0.1", Testing::unusedPort()};
+        settings.readiness = {"127.0.0.1", Testing::unusedPort()};
+        settings.peers = {"127.0.0.1", Testing::unusedPort()};
         settings.election.campaignDelay = milliseconds(5);
         settings.scheduler = m_scheduler;
         process.callers = settings.callers;
--- a/tests/integration/memory.cpp
+++ b/tests/integration/memory.cpp
@@ -12,8 +12,6 @@
 
 #include <algorithm>
 #include <cstdint>
-#include <filesystem>
-#include <fstream>
 #include <iostream>
 #include <memory>
 #include <string>
@@ -51,35 +49,11 @@
 constexpr const char *heartbeat = R"({"service":"desk","address":"127.0.0.1:9","zone":"z1","state":"ready","sequence":1,
     "born":17,"machine":"m","capacity":{"cpu":1000,"memoryRequestMb":1000,"gpu":0},"labels":[]})";
 
-/// A port that nothing listens on now.
-std::uint16_t unusedPort()
-{
-    const int fd = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    inet_pton(AF_INET, loopback, &address.sin_addr);
-    socklen_t size = sizeof(address);
-    EXPECT_EQ(bind(fd, reinterpret_cast<sockaddr *>(&address), size), 0);
-    EXPECT_EQ(getsockname(fd, reinterpret_cast<sockaddr *>(&address), &size), 0);
-    close(fd);
-    return ntohs(address.sin_port);
-}
-
 std::string addressOf(std::uint16_t port)
 {
     return std::string(loopback) + ":" + std::to_string(port);
 }
 
-std::string repeated(const std::string &block, std::size_t bytes)
-{
-    std::string text;
-    text.reserve(bytes + block.size());
-    while (text.size() < bytes) {
-        text += block;
-    }
-    return text;
-}
-
 /// What one client sends: `head` once, then `block` again and again until `bytes` of blocks are sent.
 struct Script {
     std::string head;
@@ -247,7 +221,7 @@
             poll(nullptr, 0, pauseMs);
             idleMs += pauseMs;
         }
-        m_descriptors = countDescriptors();
+        m_descriptors = m_process->openDescriptors();
     }
 
     /// From here crowds turn to the first port alone.
@@ -262,7 +236,7 @@
         m_crowd.clear();
         expectOrdinaryAnswers("after the crowd");
         ASSERT_TRUE(m_process->running());
-        const auto peakKb = peakMemoryKb();
+        const auto peakKb = static_cast<std::size_t>(m_process->peakMemoryKb());
         std::cout << "peak memory " << peakKb << " kB of " << memoryKb << ", descriptors " << m_descriptors << " of "
                   << maxDescriptors << "\n";
         EXPECT_LE(peakKb, memoryKb);
@@ -288,33 +262,6 @@
         }
     }
 
-    [[nodiscard]] std::string procFolder() const
-    {
-        return "/proc/" + std::to_string(m_process->pid());
-    }
-
-    [[nodiscard]] std::size_t countDescriptors() const
-    {
-        std::error_code ec;
-        const std::filesystem::directory_iterator entries(procFolder() + "/fd", ec);
-        return static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
-    }
-
-    [[nodiscard]] std::size_t peakMemoryKb() const
-    {
-        std::ifstream status(procFolder() + "/status");
-        std::string word;
-        while (status >> word) {
-            if (word == "VmHWM:") {
-                std::size_t kb = 0;
-                status >> kb;
-                return kb;
-            }
-        }
-        ADD_FAILURE() << "no peak memory";
-        return 0;
-    }
-
     std::unique_ptr<Process> m_process;
     std::vector<Port> m_ports;
     std::size_t m_attackedPorts = 0;
--- a/tests/integration/peermemory.cpp
+++ b/tests/integration/peermemory.cpp
@@ -19,8 +19,6 @@
 #include <atomic>
 #include <cstdlib>
 #include <deque>
-#include <filesystem>
-#include <fstream>
 #include <mutex>
 #include <new>
 #include <thread>
@@ -82,13 +80,6 @@
 constexpr std::size_t bodyBytes = maxFrameBytes - 1024;
 constexpr Duration longEnough = seconds(60);
 
-std::uint16_t unusedPort()
-{
-    Asio::io_context context;
-    const Tcp::acceptor acceptor(context, {Asio::ip::make_address("127.0.0.1"), 0});
-    return acceptor.local_endpoint().port();
-}
-
 std::string prefixOf(std::uint32_t size)
 {
     std::string prefix;
@@ -104,27 +95,6 @@
     return prefixOf(static_cast<std::uint32_t>(body.size())) + body;
 }
 
-/// The highest resident memory of a process so far.
-std::int64_t peakBytesOf(pid_t pid)
-{
-    std::ifstream in("/proc/" + std::to_string(pid) + "/status");
-    std::string word;
-    while (in >> word) {
-        if (word == "VmHWM:") {
-            std::int64_t kilobytes = 0;
-            in >> kilobytes;
-            return kilobytes * 1024;
-        }
-    }
-    return -1;
-}
-
-std::size_t descriptorsOf(pid_t pid)
-{
-    const std::filesystem::directory_iterator folder("/proc/" + std::to_string(pid) + "/fd");
-    return static_cast<std::size_t>(std::distance(begin(folder), end(folder)));
-}
-
 /// The orders' starts claim `count` elements; as many bytes follow, of which each is an empty struct.
 std::string ordersClaiming(std::uint32_t count)
 {
@@ -137,16 +107,6 @@
     return bytes;
 }
 
-std::string repeated(const std::string &text, std::size_t bytes)
-{
-    std::string all;
-    all.reserve(bytes + text.size());
-    while (all.size() < bytes) {
-        all += text;
-    }
-    return all;
-}
-
 } // namespace
 
 /// Peak of this process's heap above what it was at the start of the test.
@@ -249,7 +209,7 @@
         EXPECT_TRUE(isAnswered());
         EXPECT_TRUE(m_process->running()) << m_process->errors();
         const auto machine = isAgent() ? agentMachineBytes : dispatcherMachineBytes;
-        const auto peak = peakBytesOf(m_process->pid()) / mebibyte;
+        const auto peak = m_process->peakMemoryKb() * 1024 / mebibyte;
         RecordProperty("peakMb", std::to_string(peak));
         EXPECT_LT(peak, machine / mebibyte);
     }
@@ -305,7 +265,7 @@
         connect();
     }
     expectWithinMemory();
-    EXPECT_LT(descriptorsOf(m_process->pid()), maxDescriptors);
+    EXPECT_LT(m_process->openDescriptors(), maxDescriptors);
 }
 
 // A list's claimed length made room for as many large elements as the body has bytes.
