--- a/src/trefoilhoist/jobs/joblog.cpp
+++ b/src/trefoilhoist/jobs/joblog.cpp
@@ -45,6 +45,7 @@
         .add("cause", lossCauseName(cause))
         .add("listed", run.listedIn > 0)
         .add("ageMs", duration_cast<milliseconds>(now - run.orderedAt).count())
+        .add("leaseLeftMs", duration_cast<milliseconds>(worker.leaseEnds - now).count())
         .add("epoch", epoch);
 }
 
