--- a/tests/integration/agent.cpp
+++ b/tests/integration/agent.cpp
@@ -49,11 +49,19 @@
     bool silent = false;
     /// The minion's clock stands still, as on a host that was suspended.
     bool clockStands = false;
+    /// Until when the minion keeps its runs, by its clock: the latest time in a call that reached it.
+    std::int64_t heldUntilMs = 0;
     Jobs::MinionListing listing;
     std::vector<int> throttles;
     std::vector<ListingCall> listingCalls;
     int starts = 0;
     int stops = 0;
+    const std::chrono::steady_clock::time_point startedAt = std::chrono::steady_clock::now();
+
+    [[nodiscard]] std::int64_t clockMs() const
+    {
+        return 1 + std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - startedAt).count();
+    }
 };
 
 class FakeMinionInterface : public Jobs::MinionInterface
@@ -69,12 +77,12 @@
         if (m_minion.refusesConnections) {
             co_return tl::unexpected(Jobs::MinionError{"connection refused", true});
         }
+        m_minion.heldUntilMs = std::max(m_minion.heldUntilMs, holdUntilMs);
         if (m_minion.silent) {
             co_return tl::unexpected(Jobs::MinionError{"no answer", false});
         }
         if (!m_minion.clockStands) {
-            const auto age = std::chrono::steady_clock::now() - m_startedAt;
-            m_minion.listing.clockMs = 1 + std::chrono::duration_cast<milliseconds>(age).count();
+            m_minion.listing.clockMs = m_minion.clockMs();
         }
         co_return m_minion.listing;
     }
@@ -96,7 +104,6 @@
 
 private:
     FakeMinion &m_minion;
-    const std::chrono::steady_clock::time_point m_startedAt = std::chrono::steady_clock::now();
 };
 
 } // namespace
@@ -272,6 +279,8 @@
     /// What the owner answers, besides epoch and lease.
     Wire::WorkerReportReply m_reply;
     std::int64_t m_leaseMs = 6000;
+    /// Rises when the owner gives up what the minion runs.
+    std::int64_t m_leaseTerm = 1;
     /// The owner has recorded one more end at each report.
     bool m_recordsMoreEnds = false;
     RecordStore *m_store = nullptr;
@@ -315,7 +324,7 @@
         auto reply = m_reply;
         reply.epoch = m_epoch;
         reply.leaseMs = m_leaseMs;
-        reply.leaseTerm = 1;
+        reply.leaseTerm = m_leaseTerm;
         Wire::Envelope result;
         result.kind = envelope.kind;
         result.payload = Wire::encode(reply);
@@ -641,6 +650,67 @@
     EXPECT_TRUE(runUntil([&] { return m_lastReport.gone; }));
 }
 
+// Tasks ran twice: three refused connections counted as the end of a minion that was at work. Its tasks were started
+// elsewhere at once, and the minion was taken on again with its runs and ends when its port could be reached.
+TEST_F(AgentTest, livingMinionRefusesConnections_isNotGoneBeforeItsHoldExpires)
+{
+    addRun("a", 1000);
+    join();
+    ASSERT_TRUE(runUntil([&] { return m_minion.heldUntilMs > 0; }));
+    m_minion.refusesConnections = true;
+    ASSERT_TRUE(runUntil([&] { return m_lastReport.gone; }));
+    EXPECT_GE(m_minion.clockMs(), m_minion.heldUntilMs);
+}
+
+// The same for a moment that ends well inside the hold.
+TEST_F(AgentTest, livingMinionRefusesConnectionsForAMoment_keepsItsRuns)
+{
+    addRun("a", 1000);
+    join();
+    ASSERT_TRUE(runUntil([&] { return m_minion.heldUntilMs > 0; }));
+    m_minion.refusesConnections = true;
+    EXPECT_FALSE(runUntil([&] { return m_lastReport.gone; }, seconds(1)));
+    m_minion.refusesConnections = false;
+    ASSERT_TRUE(runUntil([&] { return m_lastReport.reachable; }));
+    EXPECT_EQ(m_lastReport.running.size(), 1U);
+    EXPECT_TRUE(m_lastReport.crashes.empty());
+    EXPECT_EQ(m_minion.stops, 0);
+    EXPECT_TRUE(runUntil([&] { return nextListingCalls(1).back().holdUntilMs > 0; }));
+}
+
+// A minion that leaves may close its port and work on. One refused connection counted as its end.
+TEST_F(AgentTest, leavingMinionRefusesConnections_isNotGoneBeforeItsHoldExpires)
+{
+    addRun("a", 1000);
+    join();
+    ASSERT_TRUE(runUntil([&] { return m_minion.heldUntilMs > 0; }));
+    m_departedBornMs = firstBorn;
+    sendHeartbeat();
+    m_minion.refusesConnections = true;
+    ASSERT_TRUE(runUntil([&] { return m_lastReport.gone; }));
+    EXPECT_GE(m_minion.clockMs(), m_minion.heldUntilMs);
+}
+
+// Whatever made an owner give up what a minion runs: if the minion holds it still, it must not go on beside the tasks
+// that were started elsewhere, and their ends must not be acknowledged.
+TEST_F(AgentTest, ownerHasGivenUpTheRuns_theyAreStoppedAndNothingIsExtendedOrAcknowledgedInsideTheHold)
+{
+    addRun("a", 1000);
+    join();
+    ASSERT_TRUE(runUntil([&] { return m_minion.heldUntilMs > 0; }));
+    m_leaseTerm = 2;
+    ASSERT_TRUE(runUntil([&] { return m_minion.stops > 0; }));
+    const auto calls = m_minion.listingCalls.size();
+    addEnd(1);
+    m_reply.recordedEnds = 1;
+    ASSERT_TRUE(runUntil([&] { return m_minion.listingCalls.back().acknowledgedEnds > 0; }));
+    EXPECT_GE(m_minion.clockMs(), m_minion.heldUntilMs);
+    for (auto it = m_minion.listingCalls.begin() + static_cast<std::ptrdiff_t>(calls); it->acknowledgedEnds == 0;
+         ++it) {
+        EXPECT_EQ(it->holdUntilMs, 0);
+    }
+}
+
 // Tasks ran twice after a host was suspended for longer than the lease: the minion's clock had not counted that time,
 // so that the minion went on with tasks that had been started elsewhere, and its ends were acknowledged.
 TEST_F(AgentTest, minionOutlivesItsHold_itsRunsAreStoppedAndNothingIsExtendedOrAcknowledged)
