--- a/idl/gen/messages_types.cpp
+++ b/idl/gen/messages_types.cpp
@@ -7052,6 +7052,10 @@
 void WorkerReport::__set_lacksEnds(const bool val) {
   this->lacksEnds = val;
 }
+
+void WorkerReport::__set_lapsedTerm(const int64_t val) {
+  this->lapsedTerm = val;
+}
 std::ostream& operator<<(std::ostream& out, const WorkerReport& obj)
 {
   obj.printTo(out);
@@ -7240,6 +7244,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lapsedTerm);
+          this->__isset.lapsedTerm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7345,6 +7357,10 @@
   xfer += oprot->writeBool(this->lacksEnds);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("lapsedTerm", ::apache::thrift::protocol::T_I64, 15);
+  xfer += oprot->writeI64(this->lapsedTerm);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7366,6 +7382,7 @@
   swap(a.number, b.number);
   swap(a.crashes, b.crashes);
   swap(a.lacksEnds, b.lacksEnds);
+  swap(a.lapsedTerm, b.lapsedTerm);
   swap(a.__isset, b.__isset);
 }
 
@@ -7384,6 +7401,7 @@
   number = other315.number;
   crashes = other315.crashes;
   lacksEnds = other315.lacksEnds;
+  lapsedTerm = other315.lapsedTerm;
   __isset = other315.__isset;
 }
 WorkerReport::WorkerReport(WorkerReport&& other316) noexcept {
@@ -7401,6 +7419,7 @@
   number = other316.number;
   crashes = std::move(other316.crashes);
   lacksEnds = other316.lacksEnds;
+  lapsedTerm = other316.lapsedTerm;
   __isset = other316.__isset;
 }
 WorkerReport& WorkerReport::operator=(const WorkerReport& other317) {
@@ -7418,6 +7437,7 @@
   number = other317.number;
   crashes = other317.crashes;
   lacksEnds = other317.lacksEnds;
+  lapsedTerm = other317.lapsedTerm;
   __isset = other317.__isset;
   return *this;
 }
@@ -7436,6 +7456,7 @@
   number = other318.number;
   crashes = std::move(other318.crashes);
   lacksEnds = other318.lacksEnds;
+  lapsedTerm = other318.lapsedTerm;
   __isset = other318.__isset;
   return *this;
 }
@@ -7456,6 +7477,7 @@
   out << ", " << "number=" << to_string(number);
   out << ", " << "crashes=" << to_string(crashes);
   out << ", " << "lacksEnds=" << to_string(lacksEnds);
+  out << ", " << "lapsedTerm=" << to_string(lapsedTerm);
   out << ")";
 }
 
@@ -7710,6 +7732,10 @@
 void WorkerReportReply::__set_lastListing(const int64_t val) {
   this->lastListing = val;
 }
+
+void WorkerReportReply::__set_lapsedTerm(const int64_t val) {
+  this->lapsedTerm = val;
+}
 std::ostream& operator<<(std::ostream& out, const WorkerReportReply& obj)
 {
   obj.printTo(out);
@@ -7846,6 +7872,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lapsedTerm);
+          this->__isset.lapsedTerm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7923,6 +7957,10 @@
   xfer += oprot->writeI64(this->lastListing);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("lapsedTerm", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->lapsedTerm);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7939,6 +7977,7 @@
   swap(a.recordedCrashes, b.recordedCrashes);
   swap(a.lastReport, b.lastReport);
   swap(a.lastListing, b.lastListing);
+  swap(a.lapsedTerm, b.lapsedTerm);
   swap(a.__isset, b.__isset);
 }
 
@@ -7952,6 +7991,7 @@
   recordedCrashes = other341.recordedCrashes;
   lastReport = other341.lastReport;
   lastListing = other341.lastListing;
+  lapsedTerm = other341.lapsedTerm;
   __isset = other341.__isset;
 }
 WorkerReportReply::WorkerReportReply(WorkerReportReply&& other342) noexcept {
@@ -7964,6 +8004,7 @@
   recordedCrashes = std::move(other342.recordedCrashes);
   lastReport = other342.lastReport;
   lastListing = other342.lastListing;
+  lapsedTerm = other342.lapsedTerm;
   __isset = other342.__isset;
 }
 WorkerReportReply& WorkerReportReply::operator=(const WorkerReportReply& other343) {
@@ -7976,6 +8017,7 @@
   recordedCrashes = other343.recordedCrashes;
   lastReport = other343.lastReport;
   lastListing = other343.lastListing;
+  lapsedTerm = other343.lapsedTerm;
   __isset = other343.__isset;
   return *this;
 }
@@ -7989,6 +8031,7 @@
   recordedCrashes = std::move(other344.recordedCrashes);
   lastReport = other344.lastReport;
   lastListing = other344.lastListing;
+  lapsedTerm = other344.lapsedTerm;
   __isset = other344.__isset;
   return *this;
 }
@@ -8004,6 +8047,7 @@
   out << ", " << "recordedCrashes=" << to_string(recordedCrashes);
   out << ", " << "lastReport=" << to_string(lastReport);
   out << ", " << "lastListing=" << to_string(lastListing);
+  out << ", " << "lapsedTerm=" << to_string(lapsedTerm);
   out << ")";
 }
 
--- a/idl/gen/messages_types.h
+++ b/idl/gen/messages_types.h
@@ -2597,7 +2597,7 @@
 std::ostream& operator<<(std::ostream& out, const CrashReport& obj);
 
 typedef struct _WorkerReport__isset {
-  _WorkerReport__isset() : worker(false), epoch(false), listing(false), listed(false), draining(false), gone(false), running(false), ended(false), reachable(false), wantsRunInfo(false), pairs(false), number(false), crashes(false), lacksEnds(false) {}
+  _WorkerReport__isset() : worker(false), epoch(false), listing(false), listed(false), draining(false), gone(false), running(false), ended(false), reachable(false), wantsRunInfo(false), pairs(false), number(false), crashes(false), lacksEnds(false), lapsedTerm(false) {}
   bool worker :1;
   bool epoch :1;
   bool listing :1;
@@ -2612,6 +2612,7 @@
   bool number :1;
   bool crashes :1;
   bool lacksEnds :1;
+  bool lapsedTerm :1;
 } _WorkerReport__isset;
 
 class WorkerReport : public virtual ::apache::thrift::TBase {
@@ -2630,7 +2631,8 @@
                  reachable(0),
                  wantsRunInfo(0),
                  number(0),
-                 lacksEnds(0) {
+                 lacksEnds(0),
+                 lapsedTerm(0) {
   }
 
   virtual ~WorkerReport() noexcept;
@@ -2648,6 +2650,7 @@
   int64_t number;
   std::vector<CrashReport>  crashes;
   bool lacksEnds;
+  int64_t lapsedTerm;
 
   _WorkerReport__isset __isset;
 
@@ -2679,6 +2682,8 @@
 
   void __set_lacksEnds(const bool val);
 
+  void __set_lapsedTerm(const int64_t val);
+
   bool operator == (const WorkerReport & rhs) const
   {
     if (!(worker == rhs.worker))
@@ -2709,6 +2714,8 @@
       return false;
     if (!(lacksEnds == rhs.lacksEnds))
       return false;
+    if (!(lapsedTerm == rhs.lapsedTerm))
+      return false;
     return true;
   }
   bool operator != (const WorkerReport &rhs) const {
@@ -2807,7 +2814,7 @@
 std::ostream& operator<<(std::ostream& out, const RunInfo& obj);
 
 typedef struct _WorkerReportReply__isset {
-  _WorkerReportReply__isset() : epoch(false), leaseMs(false), recordedEnds(false), leaseTerm(false), runs(false), pairs(false), recordedCrashes(false), lastReport(false), lastListing(false) {}
+  _WorkerReportReply__isset() : epoch(false), leaseMs(false), recordedEnds(false), leaseTerm(false), runs(false), pairs(false), recordedCrashes(false), lastReport(false), lastListing(false), lapsedTerm(false) {}
   bool epoch :1;
   bool leaseMs :1;
   bool recordedEnds :1;
@@ -2817,6 +2824,7 @@
   bool recordedCrashes :1;
   bool lastReport :1;
   bool lastListing :1;
+  bool lapsedTerm :1;
 } _WorkerReportReply__isset;
 
 class WorkerReportReply : public virtual ::apache::thrift::TBase {
@@ -2832,7 +2840,8 @@
                       recordedEnds(0),
                       leaseTerm(0),
                       lastReport(0),
-                      lastListing(0) {
+                      lastListing(0),
+                      lapsedTerm(0) {
   }
 
   virtual ~WorkerReportReply() noexcept;
@@ -2845,6 +2854,7 @@
   std::vector<int64_t>  recordedCrashes;
   int64_t lastReport;
   int64_t lastListing;
+  int64_t lapsedTerm;
 
   _WorkerReportReply__isset __isset;
 
@@ -2866,6 +2876,8 @@
 
   void __set_lastListing(const int64_t val);
 
+  void __set_lapsedTerm(const int64_t val);
+
   bool operator == (const WorkerReportReply & rhs) const
   {
     if (!(epoch == rhs.epoch))
@@ -2886,6 +2898,8 @@
       return false;
     if (!(lastListing == rhs.lastListing))
       return false;
+    if (!(lapsedTerm == rhs.lapsedTerm))
+      return false;
     return true;
   }
   bool operator != (const WorkerReportReply &rhs) const {
--- a/idl/messages.thrift
+++ b/idl/messages.thrift
@@ -366,7 +366,7 @@
   // False until the minion has answered a listing of this epoch.
   4: bool listed;
   5: bool draining;
-  // The minion is known to run nothing any more.
+  // The minion's hold has expired, so that it runs nothing any more.
   6: bool gone;
   7: list<RunningTask> running;
   8: list<EndedTask> ended;
@@ -382,6 +382,8 @@
   13: list<CrashReport> crashes;
   // The minion may have more ended tasks than `ended` shows.
   14: bool lacksEnds;
+  // The hold that the minion was given in lease terms up to this one has expired by the minion's own clock.
+  15: i64 lapsedTerm;
 }
 
 // What an agent needs to know of a run to pace it.
@@ -413,6 +415,9 @@
   // Numbers of the agent's last report and listing; a new process of the agent goes on above them.
   8: i64 lastReport;
   9: i64 lastListing;
+  // The highest term that the agent, or an earlier process of it, has reported as lapsed. What ran in the terms between
+  // this one and `leaseTerm` is given up, so that the minion's hold must expire before it is extended again.
+  10: i64 lapsedTerm;
 }
 
 struct StartOrder {
--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -52,6 +52,7 @@
           [this](Wire::Envelope envelope) { return servePeer(std::move(envelope)); },
           PeerLimits::forProcess(m_settings.memoryBytes))
 {
+    m_fence = Jobs::OrderFence(m_settings.hold);
     m_peers.countClosed(m_metrics.counter("trefoilhoist_peer_connections_closed"));
 }
 
@@ -85,6 +86,7 @@
     m_heartbeats.drain();
     // The minion continues under its current lease. Its last listing is reported once more.
     m_waiters.notifyAll();
+    co_await extendHoldForRestart();
     co_await sleepFor(milliseconds(300));
     Event("stopped").add("name", m_settings.name);
     EventLog::instance().flush();
@@ -181,7 +183,7 @@
     m_holdWithheld = false;
     m_leaving = false;
     m_lastReportedEnd = 0;
-    m_refusedConnections = 0;
+    m_refusesConnections = false;
     m_reachable = false;
     m_reportDue = true;
     // A hold that an earlier process of this agent granted to the minion may still be valid.
@@ -299,6 +301,7 @@
     report.listed = m_fence.isListed();
     report.draining = m_minion->draining;
     report.gone = m_fence.isStopped();
+    report.lapsedTerm = m_fence.lapsedTerm();
     report.reachable = m_reachable;
     report.running = m_running;
     report.ended = m_ended;
--- a/src/programs/agent/agent.h
+++ b/src/programs/agent/agent.h
@@ -30,9 +30,9 @@
     Endpoint metrics;
     /// The memory of the host for this process.
     std::size_t memoryBytes = 128'000'000;
-    /// The longest time for which a minion keeps its runs after the agent has last extended the hold, which is the time
-    /// until which the minion may keep them.
-    Duration maxHold = seconds(6);
+    /// For how long a minion keeps its runs after the agent has last extended the hold, which is the time until which
+    /// the minion may keep them.
+    Jobs::HoldLimits hold;
     /// For this time the agent takes rows of a listing that it can't read for possible runs of the owner.
     Duration unreadableRowsPatience = seconds(5);
     /// How long the hold of a minion that doesn't answer is still extended. One that is only slow answers some call
@@ -78,8 +78,9 @@
     void handleDeparture(const std::string &id, std::int64_t bornMs);
     /// Forgets the minion that left, as it has ended or can hold nothing any more.
     void finishDeparture();
-    /// True if the last hold that an agent's process can have extended has expired.
-    [[nodiscard]] bool holdHasExpired(TimePoint now) const;
+    /// True if the last hold that an agent's process can have extended has expired. `answered`: the minion has just
+    /// told its own clock, by which it must have expired too.
+    [[nodiscard]] bool holdHasExpired(TimePoint now, bool answered) const;
 
     // Orders.
     awaitable<Wire::WorkerOrdersReply> executeOrders(Wire::WorkerOrders orders);
@@ -93,14 +94,17 @@
     awaitable<void> listLoop();
     awaitable<void> listOnce();
     void applyListing(const Jobs::MinionListing &listing, std::int64_t number, std::int64_t epoch);
-    /// Stops what the minion still runs though its hold has expired by this agent's clock: the owner has given it up.
-    void stopRunsOfExpiredHold(const Jobs::MinionListing &listing);
+    /// Stops what the minion still runs though the owner has given it up.
+    void stopGivenUpRuns(const Jobs::MinionListing &listing);
     awaitable<void> stopRun(Wire::TaskRef task, std::int64_t run);
     void observeEndNumbers(const Jobs::MinionListing &listing);
     /// Judges the rows that can't be read; false if they may be the owner's runs, so that the hold must expire.
     bool judgeUnreadableRows(Jobs::MinionListing &listing);
     void skipRows(const std::vector<Jobs::UnreadableRow> &rows, const char *reason);
-    void listingFailed(const Jobs::MinionError &error);
+    void logOtherIncarnation(const Jobs::MinionListing &listing, std::int64_t acknowledged) const;
+    /// `answered`: the present incarnation has answered, but its listing can't be used.
+    void handleMissingListing(const Jobs::MinionError &error, bool answered);
+    void listingFailed(const Jobs::MinionError &error, bool answered);
     /// Keeps the account of a crash of the minion until an owner has recorded it.
     void noteCrash();
     awaitable<void> throttle(Jobs::RunThrottle order);
@@ -108,6 +112,10 @@
     /// Until when the minion may keep its runs, by its clock; nothing if the hold must not be extended: the minion may
     /// not be there any more, and its tasks can start elsewhere only when the hold has expired.
     [[nodiscard]] std::optional<std::int64_t> extendHold(TimePoint now);
+    /// True if the hold may be extended, as far as the minion's presence decides it.
+    [[nodiscard]] bool mayExtendHold(TimePoint now) const;
+    /// Lets the minion keep its runs until the next process of this agent extends the hold.
+    awaitable<void> extendHoldForRestart();
 
     // The owner.
     awaitable<void> reportLoop();
@@ -137,7 +145,8 @@
     std::int64_t m_listings = 0;
     std::int64_t m_lastListing = 0;
     bool m_reachable = false;
-    int m_refusedConnections = 0;
+    /// The last call to the minion found no open port. Such a call has not extended the hold.
+    bool m_refusesConnections = false;
     /// The highest number of an ended task that the minion's incarnation has listed.
     std::int64_t m_lastListedEnd = 0;
     /// This process knew an earlier minion, so that it has seen all ends of the present incarnation.
--- a/src/programs/agent/minionruns.cpp
+++ b/src/programs/agent/minionruns.cpp
@@ -18,8 +18,6 @@
 /// Delay between listings while ended tasks wait to be recorded, because the minion then answers at once.
 constexpr Duration listingGap = milliseconds(40);
 constexpr Duration listingRetryDelay = milliseconds(100);
-/// Number of consecutive refused connections after which the minion's process counts as stopped.
-constexpr int refusalsUntilStopped = 3;
 /// Number of starts that may be in flight to the minion at the same time.
 constexpr int maxConcurrentStarts = 6;
 /// Number of crashes that wait for an owner to record them.
@@ -33,16 +31,42 @@
     return {m_minion->endpoint, m_minion->worker.id, m_fence.fencingToken()};
 }
 
-std::optional<std::int64_t> AgentServer::extendHold(TimePoint now)
+bool AgentServer::mayExtendHold(TimePoint now) const
 {
     const bool silent = m_unreachableSince && now - *m_unreachableSince > m_settings.maxMinionSilence;
-    return m_holdWithheld || m_leaving || silent ? std::nullopt : m_fence.extendHold(now);
+    return !m_holdWithheld && !m_leaving && !silent && !m_refusesConnections;
+}
+
+std::optional<std::int64_t> AgentServer::extendHold(TimePoint now)
+{
+    return mayExtendHold(now) ? m_fence.extendHold(now) : std::nullopt;
 }
 
-bool AgentServer::holdHasExpired(TimePoint now) const
+awaitable<void> AgentServer::extendHoldForRestart()
 {
+    const auto now = m_runtime.clock().now();
+    if (!m_minion || !m_reachable || !mayExtendHold(now)) {
+        co_return;
+    }
+    const auto until = m_fence.extendHoldToLease(now);
+    if (!until) {
+        co_return;
+    }
+    const auto id = m_minion->worker.id;
+    const auto listing = co_await m_adapters.minion->list(target(), 0, *until, Duration{});
+    Event("hold_extended_for_restart")
+        .add("worker", id)
+        .add("answered", listing.has_value())
+        .add("reason", listing ? "" : listing.error().reason);
+}
+
+bool AgentServer::holdHasExpired(TimePoint now, bool answered) const
+{
+    if (answered && m_fence.mustLapse(now)) {
+        return false;
+    }
     // An earlier process of this agent may have extended the hold until shortly before this one was started.
-    return now > m_fence.holdExpiry() && now > m_startedAt + m_settings.maxHold;
+    return now > m_fence.holdExpiry() && now > m_startedAt + m_settings.hold.longest;
 }
 
 awaitable<void> AgentServer::listLoop()
@@ -66,41 +90,36 @@
     // The first listings under a new owner or lease don't wait for ended tasks, because the owner waits for them.
     const bool wait = m_fence.isListed() && m_reachable && hold.has_value();
     // After a failed call, another incarnation may answer the next one. Its ends have numbers of its own.
-    // Ends that were read after the hold had expired may be of tasks that run elsewhere by now.
-    const auto dropped = m_reachable && !m_fence.hasOutlivedHold(now) ? m_fence.endsToDrop() : 0;
+    // Ends of runs that the owner has given up may be of tasks that run elsewhere by now.
+    const auto dropped = m_reachable && !m_fence.mustLapse(now) ? m_fence.endsToDrop() : 0;
     auto listing
         = co_await m_adapters.minion->list(target(), dropped, hold.value_or(0), wait ? listingWait : Duration{});
     if (!m_minion || m_minion->worker.id != worker.id || m_minion->worker.born != worker.born) {
         co_return;
     }
-    if (m_leaving && (holdHasExpired(m_runtime.clock().now()) || (!listing && listing.error().notRunning))) {
-        finishDeparture();
-        co_return;
-    }
     if (!listing) {
-        listingFailed(listing.error());
+        handleMissingListing(listing.error(), false);
         co_await sleepFor(listingRetryDelay);
         co_return;
     }
     if (listing->startedAtMs != 0 && worker.born != 0 && listing->startedAtMs != worker.born) {
-        Event("other_life_listed")
-            .add("worker", worker.id)
-            .add("born", listing->startedAtMs)
-            .add("expectedBorn", worker.born)
-            .add("acknowledged", dropped)
-            .add("running", listing->running.size())
-            .add("ended", listing->ended.size());
+        logOtherIncarnation(*listing, dropped);
         m_fence.markReplaced();
-        listingFailed({"another incarnation answers", false});
+        handleMissingListing({"another incarnation answers", false}, false);
         co_await sleepFor(listingRetryDelay);
         co_return;
     }
+    m_fence.observeMinionClock(listing->clockMs, m_runtime.clock().now());
+    if (m_leaving && holdHasExpired(m_runtime.clock().now(), true)) {
+        finishDeparture();
+        co_return;
+    }
     m_fence.confirmDropped(dropped);
     const bool usable = judgeUnreadableRows(*listing);
     // The ends that can be read count in any case: the runs are given up when the hold has expired.
     applyListing(*listing, number, epoch);
     if (!usable) {
-        listingFailed({"rows of the listing can't be read", false});
+        handleMissingListing({"rows of the listing can't be read", false}, true);
         co_await sleepFor(listingRetryDelay);
         co_return;
     }
@@ -172,9 +191,8 @@
 void AgentServer::applyListing(const Jobs::MinionListing &listing, std::int64_t number, std::int64_t epoch)
 {
     const auto now = m_runtime.clock().now();
-    m_fence.observeMinionClock(listing.clockMs, now);
-    if (m_fence.hasOutlivedHold(now)) {
-        stopRunsOfExpiredHold(listing);
+    if (m_fence.mustLapse(now)) {
+        stopGivenUpRuns(listing);
     }
     if (!m_reachable) {
         Event("minion_reached")
@@ -185,7 +203,7 @@
     const bool firstOfEpoch = !m_fence.isListed() || !m_reachable;
     m_reachable = true;
     m_unreachableSince.reset();
-    m_refusedConnections = 0;
+    m_refusesConnections = false;
     m_runs.applyListing(listing, now);
     m_fence.confirmListing(epoch);
     m_lastListing = number;
@@ -211,7 +229,7 @@
     }
 }
 
-void AgentServer::stopRunsOfExpiredHold(const Jobs::MinionListing &listing)
+void AgentServer::stopGivenUpRuns(const Jobs::MinionListing &listing)
 {
     if (listing.running.empty()) {
         return;
@@ -260,21 +278,44 @@
     }
 }
 
-void AgentServer::listingFailed(const Jobs::MinionError &error)
+void AgentServer::logOtherIncarnation(const Jobs::MinionListing &listing, std::int64_t acknowledged) const
+{
+    Event("other_life_listed")
+        .add("worker", m_minion->worker.id)
+        .add("born", listing.startedAtMs)
+        .add("expectedBorn", m_minion->worker.born)
+        .add("acknowledged", acknowledged)
+        .add("running", listing.running.size())
+        .add("ended", listing.ended.size());
+}
+
+void AgentServer::handleMissingListing(const Jobs::MinionError &error, bool answered)
+{
+    if (m_leaving && holdHasExpired(m_runtime.clock().now(), answered)) {
+        finishDeparture();
+    } else {
+        listingFailed(error, answered);
+    }
+}
+
+void AgentServer::listingFailed(const Jobs::MinionError &error, bool answered)
 {
     if (m_reachable) {
         Event("minion_unreached").add("worker", m_minion->worker.id).add("reason", error.reason);
     }
     m_reachable = false;
     m_unreachableSince = m_unreachableSince.value_or(m_runtime.clock().now());
-    m_refusedConnections = error.notRunning ? m_refusedConnections + 1 : 0;
+    m_refusesConnections = error.notRunning;
     const auto now = m_runtime.clock().now();
-    const bool leaseExpired = holdHasExpired(now);
-    if (!m_fence.isStopped() && (m_refusedConnections >= refusalsUntilStopped || leaseExpired)) {
+    // A minion that refuses connections, or is silent, may be at work until its hold expires.
+    if (!m_fence.isStopped() && holdHasExpired(now, answered)) {
         Event("minion_gone")
             .add("worker", m_minion->worker.id)
-            .add("reason", leaseExpired ? "its lease has expired" : "connections are refused");
-        if (m_refusedConnections >= refusalsUntilStopped && !m_minion->draining) {
+            .add("born", m_minion->worker.born)
+            .add("reason", error.reason)
+            .add("refused", m_refusesConnections)
+            .add("unreachedMs", duration_cast<milliseconds>(now - *m_unreachableSince).count());
+        if (m_refusesConnections && !m_minion->draining) {
             noteCrash();
         }
         m_fence.markStopped();
--- a/src/trefoilhoist/jobs/joblistings.cpp
+++ b/src/trefoilhoist/jobs/joblistings.cpp
@@ -26,6 +26,7 @@
     const RunKey key{row.task, row.run};
     const auto it = worker.runs.find(key);
     if (it == worker.runs.end()) {
+        handleGivenUpRun(worker, key, "running");
         adopt(worker, row, now);
         return;
     }
@@ -92,8 +93,13 @@
     run.lastListingBeforeResolution = worker.lastListing;
     if (known) {
         const auto &step = entry->job.step(row.task.step);
-        const bool mayRunTwice = step.duplicatesAllowed || step.gang;
-        const bool wanted = entry->job.isActive() && !task->done && (task->activeRuns.empty() || mayRunTwice);
+        // The members of a gang's run have the same number.
+        const bool isOfSameRun
+            = step.gang && std::all_of(task->activeRuns.begin(), task->activeRuns.end(), [&](const auto &it) {
+                  return it.run == row.run;
+              });
+        const bool fits = task->activeRuns.empty() || step.duplicatesAllowed || isOfSameRun;
+        const bool wanted = entry->job.isActive() && !task->done && fits;
         entry->job.trackRun(row.task, row.run, worker.info.id);
         entry->job.confirmStart();
         m_jobsToRefresh.insert(row.task.job);
@@ -124,6 +130,7 @@
     }
     for (const auto &key : missing) {
         logRunLost(worker, key, LossCause::NotListed, now, m_epoch);
+        worker.rememberGivenUp(key, LossCause::NotListed);
         handleLostRun(worker, key, now);
     }
 }
--- a/src/trefoilhoist/jobs/joblog.cpp
+++ b/src/trefoilhoist/jobs/joblog.cpp
@@ -49,6 +49,22 @@
         .add("epoch", epoch);
 }
 
+void logGivenUpRunListed(
+    const Worker &worker, const RunKey &key, LossCause cause, std::string_view state, std::int64_t epoch)
+{
+    Event("given_up_run_listed")
+        .add("job", key.task.job)
+        .add("task", taskName(key.task))
+        .add("run", key.run)
+        .add("worker", worker.info.id)
+        .add("born", worker.info.born)
+        .add("cause", lossCauseName(cause))
+        .add("state", state)
+        .add("term", worker.leaseTerm)
+        .add("lapsedTerm", worker.lapsedTerm)
+        .add("epoch", epoch);
+}
+
 void logCrash(const Wire::CrashReport &crash, std::int64_t epoch)
 {
     Event("worker_crashed")
@@ -78,9 +94,9 @@
         .add("epoch", epoch);
 }
 
-void logEarlierIncarnation(const Wire::WorkerReport &report, std::int64_t epoch)
+void logUnlistedIncarnation(const Wire::WorkerReport &report, std::int64_t epoch)
 {
-    Event("earlier_incarnation_ignored")
+    Event("unlisted_incarnation_ignored")
         .add("agent", agentName(report.worker))
         .add("worker", report.worker.id)
         .add("born", report.worker.born)
--- a/src/trefoilhoist/jobs/joblog.h
+++ b/src/trefoilhoist/jobs/joblog.h
@@ -19,6 +19,9 @@
 void logWorkerLost(const Worker &worker, LossCause cause, std::int64_t epoch);
 /// Logs a run that was given up without an end.
 void logRunLost(const Worker &worker, const RunKey &key, LossCause cause, TimePoint now, std::int64_t epoch);
+/// Logs that a minion lists a run, or its end, which was given up for this cause. `state` says how it is listed.
+void logGivenUpRunListed(
+    const Worker &worker, const RunKey &key, LossCause cause, std::string_view state, std::int64_t epoch);
 /// Logs the crash of a minion's incarnation, with the number of runs that may have caused it.
 void logCrash(const Wire::CrashReport &crash, std::int64_t epoch);
 /// Logs the part of a run in the cause of a crash, and what is known of its task by now.
@@ -28,7 +31,7 @@
                    const CrashHistory &history,
                    std::int64_t epoch);
 /// Logs a report about an incarnation before the present one, which is ignored.
-void logEarlierIncarnation(const Wire::WorkerReport &report, std::int64_t epoch);
+void logUnlistedIncarnation(const Wire::WorkerReport &report, std::int64_t epoch);
 /// Logs a report that arrived after a later one of the same agent, and is ignored.
 void logOvertakenReport(const Wire::WorkerReport &report, std::int64_t lastReport, std::int64_t epoch);
 void logRunEnded(const Worker &worker, const Wire::EndedTask &end, std::int64_t epoch, bool jobKnown);
--- a/src/trefoilhoist/jobs/jobplacement.cpp
+++ b/src/trefoilhoist/jobs/jobplacement.cpp
@@ -28,7 +28,7 @@
         // A crash that only this process knows would not count if it ended now.
         return false;
     }
-    const bool mayHaveEndedElsewhere = task.lostWithWorker || (entry.inherited && m_agentsGivenUp);
+    const bool mayHaveEndedElsewhere = task.lostWithWorker || (entry.inherited && !m_givenUpAgents.empty());
     if (mayHaveEndedElsewhere && !m_ownershipVerified && !step.duplicatesAllowed) {
         return false;
     }
--- a/src/trefoilhoist/jobs/jobreports.cpp
+++ b/src/trefoilhoist/jobs/jobreports.cpp
@@ -33,8 +33,8 @@
         }
         return reply;
     }
-    if (isOfEarlierIncarnation(report)) {
-        logEarlierIncarnation(report, m_epoch);
+    if (mayBeOfEarlierIncarnation(report, now)) {
+        logUnlistedIncarnation(report, m_epoch);
         return reply;
     }
     auto *worker = &workerForReport(report, now);
@@ -42,6 +42,9 @@
     worker->reachable = report.reachable;
     worker->lastContact = now;
     worker->lastReport = report.number;
+    if (report.epoch == m_epoch) {
+        worker->applyLapse(report.lapsedTerm);
+    }
     for (const auto &it : report.pairs) {
         m_interference.setPrior(it);
     }
@@ -60,6 +63,7 @@
     reply.lastListing = worker->lastListing;
     reply.recordedEnds = worker->recordedEnds;
     reply.leaseTerm = worker->leaseTerm;
+    reply.lapsedTerm = worker->lapsedTerm;
     reply.pairs = m_interference.takeChanged(worker->sentPairsRevision);
     if (report.wantsRunInfo) {
         reply.runs = describeRuns(*worker);
@@ -121,6 +125,7 @@
     worker.lastEnd = end.number;
     auto *entry = findForRun(end.task);
     logRunEnded(worker, end, m_epoch, entry != nullptr);
+    handleGivenUpRun(worker, {end.task, end.run}, endName(static_cast<EndKind>(end.how)));
     observeOutcome(worker, end, now);
     worker.removeRun({end.task, end.run});
     if (entry == nullptr) {
--- a/src/trefoilhoist/jobs/jobscheduler.h
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -197,14 +197,19 @@
     void erase(const std::string &id);
 
     // workerincarnations.cpp
-    /// True if the report is about an incarnation that started before the present one and has not answered its agent: a
-    /// heartbeat of it was held up and reached an agent that doesn't know the present one.
-    [[nodiscard]] bool isOfEarlierIncarnation(const Wire::WorkerReport &report) const;
+    /// True if only a heartbeat speaks for the incarnation that the report is about, and another one that may hold runs
+    /// is known: the heartbeat may be an old one that was held up.
+    [[nodiscard]] bool mayBeOfEarlierIncarnation(const Wire::WorkerReport &report, TimePoint now) const;
     Worker &workerForReport(const Wire::WorkerReport &report, TimePoint now);
     void removeAgent(const std::string &name, LossCause cause, TimePoint now);
     void addToRoster(const Wire::WorkerDescription &worker);
+    void rememberGivenUp(const Worker &worker);
+    /// True if what the incarnation may hold under an earlier lease has been given up.
+    [[nodiscard]] bool wasGivenUp(const Wire::WorkerDescription &worker);
     void endIncarnation(Worker &worker, LossCause cause, TimePoint now);
     void handleLostRun(Worker &worker, const RunKey &key, TimePoint now);
+    /// Notes that a minion lists a run, or its end, which was given up. Until its hold has expired it must not go on.
+    void handleGivenUpRun(Worker &worker, const RunKey &key, std::string_view state);
     void stopGangRun(const Wire::TaskRef &task, std::int64_t run, TimePoint now);
     void requestStop(Worker &worker, const RunKey &key, TimePoint now);
 
@@ -322,6 +327,9 @@
     std::map<std::string, std::set<std::string>> m_endsAwaiting;
     std::set<std::string> m_drainedZones;
     std::map<std::string, Worker> m_workers;
+    /// Ids and start times of incarnations that are no longer known and whose runs were given up. One that returns must
+    /// let its hold expire first.
+    std::set<std::pair<std::string, std::int64_t>> m_givenUpIncarnations;
     /// Number of the last report of each agent, by its name.
     std::map<std::string, std::int64_t> m_lastReports;
     InterferenceTable m_interference;
@@ -332,8 +340,8 @@
     /// Agents of the restored roster that have not reported to this owner yet.
     std::set<std::string> m_unreported;
     TimePoint m_reportDeadline;
-    /// Some agents of the restored roster have not reported in time.
-    bool m_agentsGivenUp = false;
+    /// Agents of the restored roster that have not reported in time.
+    std::set<std::string> m_givenUpAgents;
     std::map<std::string, Wire::WorkerDescription> m_roster;
     std::set<std::string> m_recordedRoster;
     bool m_rosterChanged = false;
--- a/src/trefoilhoist/jobs/orderfence.cpp
+++ b/src/trefoilhoist/jobs/orderfence.cpp
@@ -30,6 +30,7 @@
         m_epoch = epoch;
         m_leaseTerm = 0;
         m_stoppedTerm = 0;
+        m_lapsedTerm = 0;
         m_listed = false;
         m_leaseExpiry = TimePoint{};
     }
@@ -62,19 +63,34 @@
     if (!m_stopped && sentAt > m_stoppedReportAt) {
         m_stoppedTerm = 0;
     }
-    m_leaseTerm = std::max(m_leaseTerm, reply.leaseTerm);
+    applyLeaseTerm(reply);
     m_recordedEnds = std::max(m_recordedEnds, reply.recordedEnds);
     if (reply.leaseMs > 0) {
         m_leaseExpiry = std::max(m_leaseExpiry, sentAt + milliseconds(reply.leaseMs));
     }
 }
 
+void OrderFence::applyLeaseTerm(const Wire::WorkerReportReply &reply)
+{
+    m_leaseTerm = std::max(m_leaseTerm, reply.leaseTerm);
+    m_lapsedTerm = std::max(m_lapsedTerm, reply.lapsedTerm);
+    m_isGivenUp = m_isGivenUp || m_leaseTerm > m_lapsedTerm + 1;
+    noteLapse();
+}
+
+void OrderFence::noteLapse()
+{
+    if (m_isGivenUp && m_clockMs > 0 && m_clockMs >= std::max(m_extendedUntilMs, m_earlierHoldUntilMs)) {
+        m_isGivenUp = false;
+        m_lapsedTerm = std::max(m_lapsedTerm, m_leaseTerm - 1);
+    }
+}
+
 void OrderFence::markStopped()
 {
     if (!m_stopped) {
         m_stopped = true;
         m_stoppedTerm = m_leaseTerm;
-        m_holdExpiry = TimePoint{};
     }
 }
 
@@ -104,6 +120,9 @@
     m_clockMs = 0;
     m_extendedUntil = TimePoint{};
     m_extendedUntilMs = 0;
+    m_earlierHoldUntilMs = 0;
+    m_isGivenUp = false;
+    m_lapsedTerm = 0;
     m_stoppedTerm = 0;
     m_leaseTerm = 0;
     m_leaseExpiry = TimePoint{};
@@ -160,21 +179,38 @@
 
 void OrderFence::observeMinionClock(std::int64_t clockMs, TimePoint now)
 {
-    if (clockMs > 0) {
-        m_clockMs = clockMs;
-        m_clockAt = now;
+    if (clockMs <= 0) {
+        return;
+    }
+    if (m_clockMs == 0) {
+        m_earlierHoldUntilMs = clockMs + duration_cast<milliseconds>(m_limits.longest).count();
     }
+    m_clockMs = clockMs;
+    m_clockAt = now;
+    noteLapse();
 }
 
 std::optional<std::int64_t> OrderFence::extendHold(TimePoint now)
 {
-    if (m_replaced || m_clockMs == 0 || now >= m_leaseExpiry || hasOutlivedHold(now)) {
+    return extendHoldUntil(std::min(m_leaseExpiry, now + m_limits.extension), now);
+}
+
+std::optional<std::int64_t> OrderFence::extendHoldToLease(TimePoint now)
+{
+    return extendHoldUntil(m_leaseExpiry, now);
+}
+
+std::optional<std::int64_t> OrderFence::extendHoldUntil(TimePoint until, TimePoint now)
+{
+    // After markStopped(), the owner may be giving the runs up.
+    const bool mayBeGivenUp = m_leaseTerm <= m_stoppedTerm;
+    if (m_replaced || m_clockMs == 0 || now >= m_leaseExpiry || mayBeGivenUp || mustLapse(now)) {
         return std::nullopt;
     }
-    m_holdExpiry = std::max(m_holdExpiry, m_leaseExpiry);
-    const auto left = duration_cast<milliseconds>(m_leaseExpiry - m_clockAt).count();
+    m_holdExpiry = std::max(m_holdExpiry, until);
+    const auto left = duration_cast<milliseconds>(until - m_clockAt).count();
     const auto untilMs = m_clockMs + static_cast<std::int64_t>(minClockRate * static_cast<double>(left));
-    m_extendedUntil = std::max(m_extendedUntil, m_leaseExpiry);
+    m_extendedUntil = std::max(m_extendedUntil, until);
     m_extendedUntilMs = std::max(m_extendedUntilMs, untilMs);
     return untilMs;
 }
--- a/src/trefoilhoist/jobs/orderfence.h
+++ b/src/trefoilhoist/jobs/orderfence.h
@@ -10,6 +10,14 @@
 
 namespace Trefoilhoist::Jobs {
 
+/// How long a minion may keep its runs.
+struct HoldLimits {
+    /// The longest hold that a minion takes from any process of its agent.
+    Duration longest = seconds(6);
+    /// A hold is extended by this time at most, so that a minion that has died is known to hold nothing soon after.
+    Duration extension = milliseconds(2500);
+};
+
 /// Decides in a worker's agent which orders are admitted, and until when the minion may keep its runs (the hold).
 ///
 /// A lease starts when the agent sends a report; the owner grants it in the reply. Orders are admitted only under the
@@ -21,6 +29,8 @@
 class OrderFence
 {
 public:
+    explicit OrderFence(HoldLimits limits = {}) : m_limits(limits) { }
+
     /// Adopts an owner's epoch. Orders of earlier epochs are refused from then on. False for an older epoch.
     bool adoptEpoch(std::int64_t epoch);
     [[nodiscard]] std::int64_t epoch() const
@@ -40,8 +50,9 @@
 
     /// Applies the owner's answer to a report that was sent at `sentAt`.
     void applyReply(const Wire::WorkerReportReply &reply, TimePoint sentAt);
-    /// Notes that nothing runs on the minion any more. Orders are refused until the owner grants the next lease term,
-    /// or answers a later report in which the minion is reached again: it has not given up the runs then.
+    /// Notes that the minion's hold has expired and that nothing runs there any more. Orders are refused until the
+    /// owner grants the next lease term, or answers a later report in which the minion is reached again: it has not
+    /// given up the runs then.
     void markStopped();
     [[nodiscard]] bool isStopped() const
     {
@@ -84,14 +95,24 @@
     /// Observes the minion's clock: it shows at least `clockMs` at `now`.
     void observeMinionClock(std::int64_t clockMs, TimePoint now);
     /// Returns until when, on the minion's clock, it may keep its runs; nothing without a lease or a known clock. Each
-    /// call extends holdExpiry() to the end of the lease.
+    /// call moves holdExpiry() to that time.
     [[nodiscard]] std::optional<std::int64_t> extendHold(TimePoint now);
-    /// True if the hold has expired by this agent's clock, but not by the minion's when it was last observed: the host
-    /// may have been suspended, and a minion's clock doesn't count that time. The owner has given up the minion's runs,
-    /// so they must be stopped, and the hold is not extended before it has expired on the minion too.
-    [[nodiscard]] bool hasOutlivedHold(TimePoint now) const
+    /// Like extendHold(), but to the end of the lease, for the time in which this agent is restarted.
+    [[nodiscard]] std::optional<std::int64_t> extendHoldToLease(TimePoint now);
+    /// True if the owner has given up the minion's runs, but the hold has not expired by the minion's clock when it was
+    /// last observed. The runs must be stopped, and until the hold has expired it is not extended and no end is
+    /// acknowledged: the tasks may have been started elsewhere.
+    ///
+    /// The owner tells so by a new lease term. It has also given them up if the hold has expired by this agent's clock
+    /// only: the host may have been suspended, and a minion's clock doesn't count that time.
+    [[nodiscard]] bool mustLapse(TimePoint now) const
     {
-        return now > m_extendedUntil && m_clockMs < m_extendedUntilMs;
+        return m_isGivenUp || (now > m_extendedUntil && m_clockMs < m_extendedUntilMs);
+    }
+    /// The hold that lease terms up to this one allowed has expired by the minion's clock.
+    [[nodiscard]] std::int64_t lapsedTerm() const
+    {
+        return m_lapsedTerm;
     }
     /// Returns the time after which no ordered run can still be running, unless the hold is extended again.
     [[nodiscard]] TimePoint holdExpiry() const
@@ -100,6 +121,12 @@
     }
 
 private:
+    std::optional<std::int64_t> extendHoldUntil(TimePoint until, TimePoint now);
+    /// Notes a new lease term of the owner, and whether it has given up what ran before.
+    void applyLeaseTerm(const Wire::WorkerReportReply &reply);
+    void noteLapse();
+
+    HoldLimits m_limits;
     std::int64_t m_epoch = 0;
     /// Unix milliseconds of the start of the minion's incarnation.
     std::int64_t m_bornMs = 0;
@@ -117,6 +144,10 @@
     /// The end of the last hold, by this agent's clock and by the minion's.
     TimePoint m_extendedUntil;
     std::int64_t m_extendedUntilMs = 0;
+    /// By the minion's clock, the end of any hold that an earlier process of this agent may have given it.
+    std::int64_t m_earlierHoldUntilMs = 0;
+    bool m_isGivenUp = false;
+    std::int64_t m_lapsedTerm = 0;
     /// The last report was sent at this time when the minion was reached again after markStopped().
     TimePoint m_stoppedReportAt;
     /// When the latest reports were sent, by number.
--- a/src/trefoilhoist/jobs/worker.cpp
+++ b/src/trefoilhoist/jobs/worker.cpp
@@ -12,6 +12,8 @@
 constexpr Duration maxUncertaintyOfAge = seconds(2);
 /// Long-running tasks use about this share of the CPU that they reserve; the rest is available to best-effort tasks.
 constexpr double assumedUseOfReservation = 0.6;
+/// Number of runs of one worker that are remembered after they were given up.
+constexpr std::size_t maxGivenUpRuns = 1000;
 
 bool fitsWorker(const Demand &demand, const Wire::WorkerDescription &worker)
 {
@@ -157,4 +159,23 @@
     }
 }
 
+void Worker::rememberGivenUp(const RunKey &key, LossCause cause)
+{
+    givenUpRuns.insert_or_assign(key, cause);
+    if (givenUpRuns.size() > maxGivenUpRuns) {
+        givenUpRuns.erase(givenUpRuns.begin());
+    }
+}
+
+void Worker::applyLapse(std::int64_t reportedTerm)
+{
+    if (reportedTerm <= lapsedTerm || reportedTerm >= leaseTerm) {
+        return;
+    }
+    lapsedTerm = reportedTerm;
+    if (!awaitsLapse()) {
+        givenUpRuns.clear();
+    }
+}
+
 } // namespace Trefoilhoist::Jobs
--- a/src/trefoilhoist/jobs/worker.h
+++ b/src/trefoilhoist/jobs/worker.h
@@ -145,6 +145,10 @@
     TimePoint leaseEnds;
     /// Increases whenever all ordered runs are given up, so that delayed orders of an earlier term are refused.
     std::int64_t leaseTerm = 1;
+    /// The agent has reported that the hold of terms up to this one has expired by the minion's clock.
+    std::int64_t lapsedTerm = 0;
+    /// The runs that were given up without a report of their end, and why, until the hold that they had has lapsed.
+    std::map<RunKey, LossCause> givenUpRuns;
     TimePoint lastContact;
     /// Number of the agent's last report.
     std::int64_t lastReport = 0;
@@ -198,6 +202,14 @@
 
     Run &addRun(const RunKey &key, Run run);
     void removeRun(const RunKey &key);
+    void rememberGivenUp(const RunKey &key, LossCause cause);
+    /// Notes what the agent has reported of expired holds.
+    void applyLapse(std::int64_t reportedTerm);
+    /// True if the agent is being told to let the minion's hold expire.
+    [[nodiscard]] bool awaitsLapse() const
+    {
+        return leaseTerm > lapsedTerm + 1;
+    }
 };
 
 /// Describes a run that may have been executing when the worker was last heard of.
--- a/src/trefoilhoist/jobs/workerincarnations.cpp
+++ b/src/trefoilhoist/jobs/workerincarnations.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr std::size_t maxGivenUpIncarnations = 1000;
+
 // True if the run's start order has no answer yet, or got none: it may still be executed.
 bool isUnresolved(const Run &run)
 {
@@ -29,7 +31,7 @@
 {
     const bool wasAwaited = m_unreported.erase(name) > 0;
     if (wasAwaited && cause == LossCause::LeaseExpired) {
-        m_agentsGivenUp = true;
+        m_givenUpAgents.insert(name);
     }
     if (cause == LossCause::Left) {
         m_attributedCrashes.erase(name);
@@ -46,18 +48,20 @@
     }
 }
 
-bool JobScheduler::isOfEarlierIncarnation(const Wire::WorkerReport &report) const
+bool JobScheduler::mayBeOfEarlierIncarnation(const Wire::WorkerReport &report, TimePoint now) const
 {
     if (report.listed) {
-        // The minion itself has answered. Its host's clock was set back.
+        // The minion itself has answered.
         return false;
     }
     const auto name = agentName(report.worker);
     return std::any_of(m_workers.begin(), m_workers.end(), [&](const auto &it) {
         const auto &[id, known] = it;
         const bool sameMinion = id == report.worker.id || agentName(known.info) == name;
-        const bool present = known.listed || !known.runs.empty();
-        return sameMinion && present && known.info.born > report.worker.born;
+        const bool sameIncarnation = id == report.worker.id && known.info.born == report.worker.born;
+        const bool earlier = (known.listed || !known.runs.empty()) && known.info.born > report.worker.born;
+        const bool mayHoldRuns = !known.runs.empty() && now <= known.leaseEnds;
+        return sameMinion && !sameIncarnation && (earlier || mayHoldRuns);
     });
 }
 
@@ -88,6 +92,7 @@
                 applyUnreportedCrash(worker);
             }
             endIncarnation(worker, LossCause::Replaced, now);
+            rememberGivenUp(worker);
         }
     }
     std::erase_if(m_workers,
@@ -98,6 +103,9 @@
     worker.leaseEnds = now + m_settings.grantGrace + m_settings.workerLease + m_settings.leaseSlack;
     worker.inRecordedRoster = m_recordedRoster.count(name) > 0;
     worker.zoneDrained = isDrained(report.worker.zone);
+    if (wasGivenUp(report.worker)) {
+        ++worker.leaseTerm;
+    }
     if (!report.gone) {
         addToRoster(report.worker);
     }
@@ -124,6 +132,23 @@
     return newWorker;
 }
 
+void JobScheduler::rememberGivenUp(const Worker &worker)
+{
+    if (!worker.awaitsLapse()) {
+        return;
+    }
+    m_givenUpIncarnations.emplace(worker.info.id, worker.info.born);
+    if (m_givenUpIncarnations.size() > maxGivenUpIncarnations) {
+        m_givenUpIncarnations.erase(m_givenUpIncarnations.begin());
+    }
+}
+
+bool JobScheduler::wasGivenUp(const Wire::WorkerDescription &worker)
+{
+    const bool returns = m_givenUpIncarnations.erase({worker.id, worker.born}) > 0;
+    return returns || m_givenUpAgents.count(agentName(worker)) > 0 || m_givenUpAgents.count(unknownAgents) > 0;
+}
+
 // Adds the agent to the roster that is recorded, so that a later owner waits for its report. An agent whose minion has
 // ended holds nothing and stays in the roster only for as long as the last lease lasts.
 void JobScheduler::addToRoster(const Wire::WorkerDescription &worker)
@@ -138,7 +163,8 @@
 // Called when no run that was ordered from this incarnation can still be executing.
 void JobScheduler::endIncarnation(Worker &worker, LossCause cause, TimePoint now)
 {
-    if (!worker.runs.empty()) {
+    const bool hadRuns = !worker.runs.empty();
+    if (hadRuns) {
         logWorkerLost(worker, cause, m_epoch);
     }
     while (!worker.runs.empty()) {
@@ -148,6 +174,7 @@
             worker.runsOfExpiredLease.push_back(lostRun(worker, key, worker.runs.begin()->second));
         }
         logRunLost(worker, key, cause, now, m_epoch);
+        worker.rememberGivenUp(key, cause);
         if (auto *entry = find(key.task.job); entry != nullptr) {
             if (auto *task = entry->job.task(key.task); task != nullptr) {
                 task->lostWithWorker = true;
@@ -155,7 +182,7 @@
         }
         handleLostRun(worker, key, now);
     }
-    if (worker.listed) {
+    if (worker.listed || hadRuns) {
         ++worker.leaseTerm;
     }
     worker.listed = false;
@@ -183,6 +210,19 @@
     }
 }
 
+void JobScheduler::handleGivenUpRun(Worker &worker, const RunKey &key, std::string_view state)
+{
+    const auto it = worker.givenUpRuns.find(key);
+    if (it == worker.givenUpRuns.end()) {
+        return;
+    }
+    logGivenUpRunListed(worker, key, it->second, state, m_epoch);
+    worker.givenUpRuns.erase(it);
+    if (!worker.awaitsLapse()) {
+        ++worker.leaseTerm;
+    }
+}
+
 // Stops the other members of a gang's run.
 void JobScheduler::stopGangRun(const Wire::TaskRef &task, std::int64_t run, TimePoint now)
 {
--- a/tests/integration/agent.cpp
+++ b/tests/integration/agent.cpp
@@ -308,7 +308,7 @@
         settings.name = "agent";
         settings.heartbeats = {"127.0.0.1", Testing::unusedPort()};
         settings.peers = {"127.0.0.1", Testing::unusedPort()};
-        settings.maxHold = seconds(1);
+        settings.hold.longest = seconds(1);
         settings.unreadableRowsPatience = rowsPatience;
         settings.maxMinionSilence = maxSilence;
         m_heartbeatEndpoint = settings.heartbeats;
--- a/tests/unit/incarnations.cpp
+++ b/tests/unit/incarnations.cpp
@@ -100,11 +100,75 @@
     EXPECT_EQ(starts(plan()), 0U);
 }
 
-TEST_F(IncarnationTest, laterIncarnationIsHeardOf_presentOneIsReplaced)
+// A held-up heartbeat of an incarnation that had started before the host's clock was set back looked like a later one.
+// The owner took the living minion for replaced and started its tasks elsewhere.
+TEST_F(IncarnationTest, laterIncarnationIsOnlyHeardOf_presentOneKeepsItsRunsUntilItsLeaseEnds)
 {
+    const auto reply = sendReport(unlistedReportOf("later", laterBorn));
+    EXPECT_EQ(reply.leaseMs, 0) << "nothing may be held there";
+    EXPECT_TRUE(presentKeepsItsRun());
+    EXPECT_EQ(starts(plan()), 0U);
+    m_now += m_settings.workerLease + m_settings.leaseSlack + milliseconds(1);
     sendReport(unlistedReportOf("later", laterBorn));
     EXPECT_FALSE(presentKeepsItsRun());
     EXPECT_EQ(m_scheduler.workers().count("present"), 0U);
+    EXPECT_EQ(m_scheduler.workers().count("later"), 1U);
+}
+
+TEST_F(IncarnationTest, laterIncarnationAnswers_presentOneIsReplaced)
+{
+    sendReport(reportOfIncarnation("later", laterBorn));
+    EXPECT_FALSE(presentKeepsItsRun());
+    EXPECT_EQ(m_scheduler.workers().count("present"), 0U);
+}
+
+// The run of a minion that is given up is listed by the same incarnation: its hold must expire before it goes on, and
+// no term is taken for lapsed that the agent has not reported.
+TEST_F(IncarnationTest, presentOneIsGivenUpAndListedAgain_agentIsToldUntilItReportsTheLapse)
+{
+    auto gone = reportOfIncarnation("present", presentBorn);
+    gone.gone = true;
+    gone.listed = false;
+    EXPECT_EQ(sendReport(gone).leaseTerm, 2);
+    auto report = reportOfIncarnation("present", presentBorn);
+    report.running = {m_running};
+    auto reply = sendReport(report);
+    EXPECT_EQ(reply.leaseTerm, 2);
+    EXPECT_EQ(reply.lapsedTerm, 0);
+    report = reportOfIncarnation("present", presentBorn);
+    report.lapsedTerm = 1;
+    EXPECT_EQ(sendReport(report).lapsedTerm, 1);
+    // A new process of the agent knows of no lapse.
+    EXPECT_EQ(sendReport(reportOfIncarnation("present", presentBorn)).lapsedTerm, 1);
+}
+
+// The owner forgot that it had given the runs of an incarnation up when a late heartbeat of another one came between.
+TEST_F(IncarnationTest, givenUpOneReturnsAfterAnotherWasHeardOf_agentIsToldToLetTheHoldExpire)
+{
+    auto gone = reportOfIncarnation("present", presentBorn);
+    gone.gone = true;
+    gone.listed = false;
+    sendReport(gone);
+    sendReport(unlistedReportOf("earlier", earlierBorn));
+    const auto reply = sendReport(reportOfIncarnation("present", presentBorn));
+    EXPECT_GT(reply.leaseTerm, reply.lapsedTerm + 1);
+}
+
+// A run that a listing had not shown was given up and started elsewhere. Its end was acknowledged when a later listing
+// showed it.
+TEST_F(IncarnationTest, runIsNotListedAndThenEnds_holdMustExpireBeforeTheEndIsAcknowledged)
+{
+    sendReport(reportOfIncarnation("present", presentBorn));
+    ASSERT_FALSE(presentKeepsItsRun());
+    auto report = reportOfIncarnation("present", presentBorn);
+    Wire::EndedTask end;
+    end.number = 1;
+    end.task = m_running.task;
+    end.run = m_running.run;
+    end.how = static_cast<int>(EndKind::Done);
+    report.ended = {end};
+    const auto reply = sendReport(report);
+    EXPECT_GT(reply.leaseTerm, reply.lapsedTerm + 1);
 }
 
 // The host's clock was set back: only the minion's own answer shows that the incarnation with the earlier start time is
--- a/tests/unit/orderfence.cpp
+++ b/tests/unit/orderfence.cpp
@@ -123,11 +123,17 @@
 TEST_F(OrderFenceTest, slowMinionClock_holdEndsBeforeTheLease)
 {
     grant(1);
+    // The minion's clock runs 2 % slow, so that it takes longer to reach the shown time.
+    const auto realMs = [](std::int64_t until) {
+        return static_cast<double>(until - 5000) / 0.98;
+    };
     const auto until = m_fence.extendHold(m_now);
     ASSERT_TRUE(until);
-    // The minion's clock runs 2 % slow, so that it takes longer to reach the shown time.
-    const double realMs = static_cast<double>(*until - 5000) / 0.98;
-    EXPECT_LE(realMs, 6000);
+    EXPECT_LE(realMs(*until), static_cast<double>(duration_cast<milliseconds>(HoldLimits().extension).count()));
+    EXPECT_EQ(m_fence.holdExpiry(), m_now + HoldLimits().extension);
+    const auto untilLeaseEnds = m_fence.extendHoldToLease(m_now);
+    ASSERT_TRUE(untilLeaseEnds);
+    EXPECT_LE(realMs(*untilLeaseEnds), 6000);
     EXPECT_EQ(m_fence.holdExpiry(), m_fence.leaseExpiry());
 }
 
@@ -184,4 +190,84 @@
     EXPECT_TRUE(isAdmitted(3, 1));
 }
 
+// A minion that had died counted as alive for as long as the lease of its owner lasts.
+TEST_F(OrderFenceTest, holdIsExtended_endsBeforeTheLease)
+{
+    grant(1);
+    const HoldLimits limits;
+    EXPECT_LE(m_fence.extendHold(m_now).value(), 5000 + duration_cast<milliseconds>(limits.extension).count());
+    EXPECT_EQ(m_fence.holdExpiry(), m_now + limits.extension);
+    EXPECT_GT(m_fence.extendHoldToLease(m_now).value(), 5000 + duration_cast<milliseconds>(limits.extension).count());
+    EXPECT_EQ(m_fence.holdExpiry(), m_fence.leaseExpiry());
+}
+
+// The owner may be starting the tasks elsewhere at this moment.
+TEST_F(OrderFenceTest, minionIsReachedAgainAfterItsHold_holdIsNotExtendedBeforeTheOwnerHasAnswered)
+{
+    grant(1);
+    ASSERT_TRUE(m_fence.extendHold(m_now).has_value());
+    m_fence.markStopped();
+    m_fence.trackReport(1, m_now);
+    m_now += seconds(3);
+    m_fence.observeMinionClock(8000, m_now);
+    m_fence.confirmListing(3);
+    EXPECT_FALSE(m_fence.extendHold(m_now).has_value());
+    m_now += milliseconds(1);
+    grant(1);
+    EXPECT_TRUE(m_fence.extendHold(m_now).has_value());
+}
+
+TEST_F(OrderFenceTest, ownerGivesTheRunsUpInsideTheHold_nothingIsExtendedUntilTheMinionsClockHasPassedIt)
+{
+    grant(1);
+    m_now += seconds(10);
+    m_fence.observeMinionClock(15'000, m_now);
+    grant(1);
+    const auto until = m_fence.extendHold(m_now).value();
+    grant(2);
+    EXPECT_TRUE(m_fence.mustLapse(m_now));
+    m_now += seconds(5);
+    m_fence.observeMinionClock(until - 1, m_now);
+    EXPECT_FALSE(m_fence.extendHold(m_now).has_value());
+    EXPECT_EQ(m_fence.lapsedTerm(), 0);
+    m_fence.observeMinionClock(until, m_now);
+    EXPECT_FALSE(m_fence.mustLapse(m_now));
+    EXPECT_EQ(m_fence.lapsedTerm(), 1);
+    grant(2);
+    EXPECT_TRUE(m_fence.extendHold(m_now).has_value());
+}
+
+// A new process of the agent doesn't know what the one before it has granted.
+TEST_F(OrderFenceTest, ownerHasGivenUpUnderAnEarlierProcess_longestHoldMustPass)
+{
+    grant(2);
+    EXPECT_TRUE(m_fence.mustLapse(m_now));
+    m_now += seconds(7);
+    m_fence.observeMinionClock(10'999, m_now);
+    EXPECT_TRUE(m_fence.mustLapse(m_now));
+    m_fence.observeMinionClock(11'000, m_now);
+    EXPECT_FALSE(m_fence.mustLapse(m_now));
+}
+
+TEST_F(OrderFenceTest, ownerKnowsOfTheLapse_newProcessDoesNotWaitForItAgain)
+{
+    Wire::WorkerReportReply reply;
+    reply.epoch = 3;
+    reply.leaseTerm = 2;
+    reply.lapsedTerm = 1;
+    reply.leaseMs = 6000;
+    m_fence.applyReply(reply, m_now);
+    EXPECT_FALSE(m_fence.mustLapse(m_now));
+}
+
+// The next owner knows nothing of the tasks that the one before has started elsewhere.
+TEST_F(OrderFenceTest, ownerIsReplacedAfterItHasGivenUp_holdMustExpireAllTheSame)
+{
+    grant(1);
+    ASSERT_TRUE(m_fence.extendHold(m_now).has_value());
+    grant(2);
+    m_fence.adoptEpoch(4);
+    EXPECT_TRUE(m_fence.mustLapse(m_now));
+}
+
 } // namespace Trefoilhoist::Jobs
