Let a test of the next incarnation record the crash when that one answers

The earlier incarnation ends when the next one answers, no longer when a heartbeat is heard of it, and only then is its crash attributed; the task waits for that record, so the start follows one record later. The test now also asserts that the listing ends the run at once.

--- a/tests/unit/unreadends.cpp
+++ b/tests/unit/unreadends.cpp
@@ -68,6 +68,8 @@
     settle();
     EXPECT_TRUE(plan().empty());
     sendReport(reportOfNextIncarnation("w0"));
+    EXPECT_TRUE(m_scheduler.workers().at("w0").runs.empty());
+    settle();
     EXPECT_EQ(starts(plan()), 1U);
 }
 
