--- a/src/trefoilhoist/jobs/orderfence.h
+++ b/src/trefoilhoist/jobs/orderfence.h
@@ -29,7 +29,8 @@
 class OrderFence
 {
 public:
-    explicit OrderFence(HoldLimits limits = {}) : m_limits(limits) { }
+    OrderFence() = default;
+    explicit OrderFence(HoldLimits limits) : m_limits(limits) { }
 
     /// Adopts an owner's epoch. Orders of earlier epochs are refused from then on. False for an older epoch.
     bool adoptEpoch(std::int64_t epoch);
--- a/tests/random/incarnations.cpp
+++ b/tests/random/incarnations.cpp
@@ -1,6 +1,8 @@
-// Three incarnations of one minion whose heartbeats are held up, and an agent that is restarted, against the scheduler.
+// Three incarnations of one minion whose heartbeats are held up, whose connections are refused while it lives, and an
+// agent that is restarted, against the scheduler and the agent's order fence.
 #include "harness/schedulerfixture.h"
 #include "harness/seeds.h"
+#include "trefoilhoist/jobs/orderfence.h"
 
 #include <gtest/gtest.h>
 
@@ -20,7 +22,8 @@
 constexpr Duration stepTime = milliseconds(50);
 constexpr int incarnations = 3;
 constexpr int jobCount = 3;
-constexpr int refusalsUntilGone = 3;
+/// Connections of a living minion are refused for at most this many steps.
+constexpr int maxRefusalSteps = 160;
 constexpr int stepsBetweenHeartbeats = 20;
 /// A heartbeat is held up for at most this many steps.
 constexpr int maxHoldUpSteps = 120;
@@ -44,9 +47,10 @@
 /// The agent's process: what it believes of its minion.
 struct AgentProcess {
     std::optional<Incarnation> known;
-    bool listed = false;
-    bool gone = false;
-    int refusals = 0;
+    OrderFence fence;
+    /// A hold that an earlier process granted may last for the longest hold from then on.
+    TimePoint knownSince;
+    bool reachable = false;
 };
 
 /// A minion that executes long-running tasks until it crashes or its hold expires.
@@ -54,12 +58,15 @@
     std::optional<Incarnation> alive;
     std::set<RunKey> runs;
     TimePoint holdUntil;
+    /// The path from its agent refuses connections before this step.
+    int refusesUntil = 0;
 };
 
 class IncarnationSimulation
 {
 public:
-    explicit IncarnationSimulation(std::uint64_t seed) : m_random(seed), m_sameId(chance(0.3))
+    explicit IncarnationSimulation(std::uint64_t seed)
+        : m_random(seed), m_sameId(chance(0.3)), m_clockIsSetBack(chance(0.3))
     {
         startIncarnation();
         m_other.alive = Incarnation{"other", 1};
@@ -109,7 +116,8 @@
     void startIncarnation()
     {
         ++m_started;
-        m_minion.alive = Incarnation{m_sameId ? "minion" : "minion" + std::to_string(m_started), m_started * 1000};
+        const auto born = 1000 * (m_clockIsSetBack ? incarnations + 1 - m_started : m_started);
+        m_minion.alive = Incarnation{m_sameId ? "minion" : "minion" + std::to_string(m_started), born};
         m_minion.holdUntil = TimePoint{};
     }
 
@@ -130,6 +138,9 @@
         if (chance(0.02)) {
             m_agent = {};
         }
+        if (m_step > m_minion.refusesUntil && chance(0.02)) {
+            m_minion.refusesUntil = m_step + randomBelow(maxRefusalSteps);
+        }
     }
 
     void deliverHeartbeats()
@@ -153,12 +164,16 @@
     // As AgentServer does it.
     void receive(const Incarnation &from)
     {
-        const bool isEarlier = m_agent.known && from.born < m_agent.known->born && !m_agent.gone;
+        const bool minionIsGone = m_agent.fence.isStopped() || m_agent.fence.isReplaced();
+        const bool isEarlier = m_agent.known && from.born < m_agent.known->born && !minionIsGone;
         if (isEarlier || m_agent.known == from) {
             return;
         }
         m_agent = {};
         m_agent.known = from;
+        m_agent.knownSince = m_now;
+        m_agent.fence.adoptEpoch(epoch);
+        m_agent.fence.resetForNewIncarnation(from.born);
     }
 
     void expire(Minion &minion)
@@ -168,18 +183,47 @@
         }
     }
 
+    /// True if the agent's calls reach the incarnation that it knows.
+    [[nodiscard]] bool isReached() const
+    {
+        return m_agent.known && m_minion.alive == m_agent.known && m_step >= m_minion.refusesUntil;
+    }
+
+    // As AgentServer does it.
     void callMinion()
     {
-        if (!m_agent.known || m_agent.gone) {
+        if (!m_agent.known) {
             return;
         }
-        if (m_minion.alive == m_agent.known) {
-            m_agent.listed = true;
-            m_agent.refusals = 0;
+        auto &fence = m_agent.fence;
+        m_agent.reachable = isReached();
+        if (!m_agent.reachable) {
+            const bool otherAnswers = m_minion.alive && m_minion.alive->id == m_agent.known->id
+                && !(*m_minion.alive == *m_agent.known) && m_step >= m_minion.refusesUntil;
+            if (otherAnswers) {
+                fence.markReplaced();
+            }
+            if (m_now > fence.holdExpiry() && m_now > m_agent.knownSince + HoldLimits().longest) {
+                fence.markStopped();
+            }
             return;
         }
-        m_agent.refusals = m_minion.alive ? 0 : m_agent.refusals + 1;
-        m_agent.gone = m_agent.refusals >= refusalsUntilGone;
+        extendHold();
+        fence.observeMinionClock(duration_cast<milliseconds>(m_now.time_since_epoch()).count(), m_now);
+        fence.confirmListing(epoch);
+        if (fence.mustLapse(m_now)) {
+            m_minion.runs.clear();
+        }
+    }
+
+    /// False if the minion may keep nothing for longer than before.
+    bool extendHold()
+    {
+        const auto until = m_agent.fence.extendHold(m_now);
+        if (until) {
+            m_minion.holdUntil = std::max(m_minion.holdUntil, TimePoint(milliseconds(*until)));
+        }
+        return until.has_value();
     }
 
     Wire::WorkerReport reportOf(const Incarnation &worker, const std::string &agent)
@@ -204,15 +248,18 @@
             return;
         }
         auto report = reportOf(*m_agent.known, "agent");
-        report.listed = m_agent.listed;
-        report.gone = m_agent.gone;
-        const bool answers = m_minion.alive == m_agent.known;
-        report.reachable = answers;
-        addRuns(report, m_minion, answers);
-        const auto reply = send(report);
-        if (answers && reply.leaseMs > 0) {
-            m_minion.holdUntil = m_now + milliseconds(reply.leaseMs);
+        report.listed = m_agent.fence.isListed();
+        report.gone = m_agent.fence.isStopped();
+        report.lapsedTerm = m_agent.fence.lapsedTerm();
+        report.reachable = m_agent.reachable;
+        if (!m_agent.reachable) {
+            report.listing = m_lastListing;
+        } else {
+            m_lastListing = report.listing;
         }
+        addRuns(report, m_minion, m_agent.reachable);
+        m_agent.fence.trackReport(report.number, m_now);
+        m_agent.fence.applyReply(send(report), m_now);
     }
 
     void reportOther()
@@ -255,9 +302,7 @@
         for (const auto &[worker, orders] : m_scheduler.plan(m_now, wallMs, true)) {
             const bool forOther = worker == "other";
             auto &minion = forOther ? m_other : m_minion;
-            const bool reaches = forOther
-                || (m_agent.known && m_minion.alive == m_agent.known && m_agent.known->id == worker
-                    && m_agent.known->born == orders.born && m_now <= m_minion.holdUntil);
+            const bool reaches = forOther || (isAddressee(orders) && isReached() && extendHold());
             Wire::WorkerOrdersReply reply;
             reply.listing = m_listings;
             for (const auto &it : orders.starts) {
@@ -277,6 +322,12 @@
         }
     }
 
+    [[nodiscard]] bool isAddressee(const Wire::WorkerOrders &orders) const
+    {
+        return m_agent.known && m_agent.known->id == orders.worker && m_agent.known->born == orders.born
+            && m_agent.fence.refusalReason(orders, m_now).empty();
+    }
+
     void checkStart(const Wire::StartOrder &order, const Minion &on)
     {
         for (const auto *minion : {&m_minion, &m_other}) {
@@ -291,6 +342,8 @@
     std::mt19937_64 m_random;
     /// The incarnations have one id.
     bool m_sameId;
+    /// Each incarnation has an earlier start time than the one before.
+    bool m_clockIsSetBack;
     JobScheduler m_scheduler{SchedulerSettings{}, epoch};
     TimePoint m_now{seconds(100)};
     int m_step = 0;
@@ -301,13 +354,15 @@
     std::vector<Heartbeat> m_heartbeats;
     std::int64_t m_reports = 0;
     std::int64_t m_listings = 0;
+    std::int64_t m_lastListing = 0;
     std::string m_violation;
 };
 
 } // namespace
 
-// A heartbeat that was held up reached a restarted agent; the tasks of the living minion were started elsewhere, too.
-TEST(IncarnationSimulationTest, heartbeatsAreHeldUpAndTheAgentIsRestarted_noTaskRunsTwice)
+// A heartbeat that was held up reached a restarted agent, or refused connections counted as the minion's end; the tasks
+// of the living minion were started elsewhere, too.
+TEST(IncarnationSimulationTest, heartbeatsAreHeldUpConnectionsRefusedAndTheAgentRestarted_noTaskRunsTwice)
 {
     Testing::forEachSeed(
         seedCount,
