Let agents and dispatchers advertise another address than they listen on

A test that puts a fault proxy between the owner and the agents has to lead orders and reports through it. The programs announced the address of `peers`, so that every connection went past the proxy.

The optional setting `advertise` is announced instead, as the stand-ins' minions and workers do already. Without it nothing changes.

--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -116,8 +116,8 @@
 void AgentServer::applyHeartbeat(Jobs::MinionHeartbeat heartbeat)
 {
     auto &worker = heartbeat.worker;
-    worker.agentHost = m_settings.peers.host;
-    worker.agentPort = m_settings.peers.port;
+    worker.agentHost = m_settings.advertise.value_or(m_settings.peers).host;
+    worker.agentPort = m_settings.advertise.value_or(m_settings.peers).port;
     if (worker.id == m_departedId && worker.born <= m_departedStartMs) {
         return;
     }
@@ -289,8 +289,8 @@
     report.epoch = m_fence.epoch();
     report.crashes.assign(m_crashes.begin(), m_crashes.end());
     if (!m_minion) {
-        report.worker.agentHost = m_settings.peers.host;
-        report.worker.agentPort = m_settings.peers.port;
+        report.worker.agentHost = m_settings.advertise.value_or(m_settings.peers).host;
+        report.worker.agentPort = m_settings.advertise.value_or(m_settings.peers).port;
         report.gone = true;
         return report;
     }
--- a/src/programs/agent/agent.h
+++ b/src/programs/agent/agent.h
@@ -27,6 +27,8 @@
     /// The endpoint to which the minion on this machine sends its heartbeats.
     Endpoint heartbeats;
     Endpoint peers;
+    /// Where the owner reaches this agent, if not at `peers`.
+    std::optional<Endpoint> advertise;
     Endpoint metrics;
     /// The memory of the host for this process.
     std::size_t memoryBytes = 128'000'000;
--- a/src/programs/dispatcher/dispatcher.cpp
+++ b/src/programs/dispatcher/dispatcher.cpp
@@ -31,8 +31,8 @@
 {
     Wire::OwnerRecord self;
     self.name = settings.name;
-    self.host = settings.peers.host;
-    self.port = settings.peers.port;
+    self.host = settings.advertise.value_or(settings.peers).host;
+    self.port = settings.advertise.value_or(settings.peers).port;
     self.strength = settings.strength;
     return self;
 }
@@ -153,7 +153,7 @@
                            m_metrics,
                            m_settings.name,
                            m_runtime.incarnation(),
-                           m_settings.peers,
+                           m_settings.advertise.value_or(m_settings.peers),
                            m_settings.scheduler,
                            m_settings.election.leaseTtl,
                            [this] { return m_election.verifiedAt(); },
--- a/src/programs/dispatcher/dispatcher.h
+++ b/src/programs/dispatcher/dispatcher.h
@@ -20,6 +20,8 @@
     Endpoint callers;
     Endpoint readiness;
     Endpoint peers;
+    /// Where agents and other dispatchers reach this one, if not at `peers`.
+    std::optional<Endpoint> advertise;
     Endpoint metrics;
     /// The capacity of this host relative to others. The dispatcher with the highest strength becomes the owner, which
     /// schedules all jobs.
