Refuse, reset and silence one direction in the fault proxy

`cut` accepts a connection and closes it: a caller never sees the connection refused, which is what the port of a process that has ended shows. `refuse` closes the listening socket, `reset` resets open connections once, and `silentRequests` and `silentAnswers` hold back one direction. A link with `refusesWhileClosed` refuses for as long as nobody listens at its target.

--- a/standins/faultproxy/faultlink.cpp
+++ b/standins/faultproxy/faultlink.cpp
@@ -22,6 +22,7 @@
 
 constexpr std::size_t chunkBytes = 65536;
 constexpr Duration silentPoll = milliseconds(20);
+constexpr Duration refusalPoll = milliseconds(20);
 
 // Both halves of one forwarded connection, on one strand.
 struct Pair {
@@ -37,6 +38,14 @@
         client.close(ec);
         target.close(ec);
     }
+
+    void reset()
+    {
+        boost::system::error_code ec;
+        client.set_option(Asio::socket_base::linger(true, 0), ec);
+        target.set_option(Asio::socket_base::linger(true, 0), ec);
+        close();
+    }
 };
 
 enum class Direction { Request, Answer };
@@ -47,7 +56,9 @@
     Asio::any_io_executor executor;
     Endpoint listen;
     Endpoint target;
+    ClosedTarget closedTarget;
     Tcp::acceptor acceptor;
+    std::atomic<bool> targetClosed = false;
     std::atomic<std::uint64_t> connections = 0;
     std::atomic<std::uint64_t> bytes = 0;
     mutable std::mutex mutex;
@@ -55,8 +66,12 @@
     std::set<std::shared_ptr<Pair>> pairs;
     std::optional<std::string> parked;
 
-    State(Asio::any_io_executor ex, Endpoint from, Endpoint to)
-        : executor(std::move(ex)), listen(std::move(from)), target(std::move(to)), acceptor(Asio::make_strand(executor))
+    State(Asio::any_io_executor ex, Endpoint from, Endpoint to, ClosedTarget whenClosed)
+        : executor(std::move(ex))
+        , listen(std::move(from))
+        , target(std::move(to))
+        , closedTarget(whenClosed)
+        , acceptor(Asio::make_strand(executor))
     {
     }
 
@@ -69,6 +84,9 @@
     awaitable<void> acceptLoop()
     {
         while (true) {
+            if (refuses()) {
+                co_await refuse();
+            }
             boost::system::error_code ec;
             Tcp::socket socket = co_await acceptor.async_accept(Asio::make_strand(executor),
                                                                 Asio::redirect_error(Asio::use_awaitable, ec));
@@ -92,12 +110,55 @@
         }
     }
 
+    [[nodiscard]] bool refuses() const
+    {
+        return currentFaults().refuse || targetClosed;
+    }
+
+    /// Keeps the listening socket closed for as long as connections are refused.
+    awaitable<void> refuse()
+    {
+        boost::system::error_code ec;
+        acceptor.close(ec);
+        while (refuses()) {
+            co_await sleepFor(refusalPoll);
+            const bool targetListens = co_await acceptsConnections(target);
+            targetClosed = targetClosed && !targetListens;
+        }
+        while (!Detail::openAcceptor(acceptor, listen)) {
+            acceptor.close(ec);
+            co_await sleepFor(refusalPoll);
+        }
+    }
+
+    awaitable<bool> acceptsConnections(const Endpoint &endpoint)
+    {
+        boost::system::error_code ec;
+        Tcp::socket socket(acceptor.get_executor());
+        const Tcp::endpoint to(Asio::ip::make_address(endpoint.host), endpoint.port);
+        co_await socket.async_connect(to, Asio::redirect_error(Asio::use_awaitable, ec));
+        co_return !ec;
+    }
+
+    /// Lets acceptLoop() read again whether connections are refused.
+    void wakeAcceptLoop()
+    {
+        Asio::post(acceptor.get_executor(), [self = shared_from_this()] {
+            boost::system::error_code ec;
+            self->acceptor.cancel(ec);
+        });
+    }
+
     awaitable<void> connect(std::shared_ptr<Pair> pair)
     {
         boost::system::error_code ec;
         const Tcp::endpoint to(Asio::ip::make_address(target.host), target.port);
         co_await pair->target.async_connect(to, Asio::redirect_error(Asio::use_awaitable, ec));
         if (ec) {
+            if (ec == Asio::error::connection_refused && closedTarget == ClosedTarget::Refuse) {
+                targetClosed = true;
+                wakeAcceptLoop();
+            }
             forget(pair);
             co_return;
         }
@@ -123,7 +184,7 @@
             if (ec) {
                 break;
             }
-            co_await waitWhileSilent();
+            co_await waitWhileSilent(direction);
             const auto now = currentFaults();
             co_await sleepIfAny(direction == Direction::Request ? now.requestDelay : now.answerDelay);
             std::string chunk = buf.substr(0, n);
@@ -146,9 +207,15 @@
         forget(pair);
     }
 
-    awaitable<void> waitWhileSilent() const
+    [[nodiscard]] bool isSilent(Direction direction) const
     {
-        while (currentFaults().silent) {
+        const auto now = currentFaults();
+        return now.silent || (direction == Direction::Request ? now.silentRequests : now.silentAnswers);
+    }
+
+    awaitable<void> waitWhileSilent(Direction direction) const
+    {
+        while (isSilent(direction)) {
             co_await sleepFor(silentPoll);
         }
     }
@@ -203,10 +270,18 @@
             Asio::post(pair->client.get_executor(), [pair] { pair->close(); });
         }
     }
+
+    void resetAll()
+    {
+        std::lock_guard lock(mutex);
+        for (const auto &pair : pairs) {
+            Asio::post(pair->client.get_executor(), [pair] { pair->reset(); });
+        }
+    }
 };
 
-FaultLink::FaultLink(Asio::any_io_executor executor, Endpoint listen, Endpoint target)
-    : m_state(std::make_shared<State>(std::move(executor), std::move(listen), std::move(target)))
+FaultLink::FaultLink(Asio::any_io_executor executor, Endpoint listen, Endpoint target, ClosedTarget closedTarget)
+    : m_state(std::make_shared<State>(std::move(executor), std::move(listen), std::move(target), closedTarget))
 {
 }
 
@@ -216,6 +291,7 @@
     if (!port) {
         return tl::unexpected(port.error());
     }
+    m_state->listen.port = *port;
     spawnOn(m_state->acceptor.get_executor(), "fault accept", [state = m_state] { return state->acceptLoop(); });
     return Endpoint{m_state->listen.host, *port};
 }
@@ -229,6 +305,10 @@
     if (faults.cut) {
         m_state->breakAll();
     }
+    if (faults.refuse || faults.reset) {
+        m_state->wakeAcceptLoop();
+        m_state->resetAll();
+    }
 }
 
 LinkFaults FaultLink::faults() const
--- a/standins/faultproxy/faultlink.h
+++ b/standins/faultproxy/faultlink.h
@@ -13,10 +13,17 @@
 
 /// What a link does to its connections. Directions: a request goes to the target, an answer comes from it.
 struct LinkFaults {
-    /// Breaks all connections and refuses new ones.
+    /// Breaks all connections, and each new one once it is accepted.
     bool cut = false;
+    /// Resets all connections and closes the listening socket, so that new connections are refused.
+    bool refuse = false;
+    /// Resets all open connections once. New ones are forwarded.
+    bool reset = false;
     /// Takes bytes and connections and passes nothing on.
     bool silent = false;
+    /// Like silent, in one direction.
+    bool silentRequests = false;
+    bool silentAnswers = false;
     /// Added to each chunk on its way to the target, and from it.
     Duration requestDelay{};
     Duration answerDelay{};
@@ -30,11 +37,22 @@
     bool dropAnswers = false;
 };
 
+/// What a link does while nobody listens at its target.
+enum class ClosedTarget {
+    /// Accepts connections and closes them.
+    Accept,
+    /// Closes its own listening socket, so that connections are refused as they would be without the link.
+    Refuse
+};
+
 /// Forwards TCP connections from one address to another with faults.
 class FaultLink
 {
 public:
-    FaultLink(Asio::any_io_executor executor, Endpoint listen, Endpoint target);
+    FaultLink(Asio::any_io_executor executor,
+              Endpoint listen,
+              Endpoint target,
+              ClosedTarget closedTarget = ClosedTarget::Accept);
 
     /// Binds. Returns the bound address or why it can't be bound.
     tl::expected<Endpoint, std::string> start();
--- a/standins/faultproxy/main.cpp
+++ b/standins/faultproxy/main.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 using namespace Trefoilhoist;
+using StandIns::ClosedTarget;
 using StandIns::FaultLink;
 using StandIns::LinkFaults;
 
@@ -19,7 +20,8 @@
     "threads": {"description": "threads of the pool", "type": "integer", "minimum": 1},
     "links": {"description": "links by name", "type": "object", "additionalProperties": {
       "type": "object", "additionalProperties": false, "required": ["listen", "target"],
-      "properties": {"listen": {"type": "string"}, "target": {"description": "where it leads", "type": "string"}}}}
+      "properties": {"listen": {"type": "string"}, "target": {"description": "where it leads", "type": "string"},
+        "refusesWhileClosed": {"description": "refuse connections while nobody listens at the target", "type": "boolean"}}}}
   }
 })";
 
@@ -29,7 +31,11 @@
 {
     LinkFaults faults;
     faults.cut = json.value("cut", false);
+    faults.refuse = json.value("refuse", false);
+    faults.reset = json.value("reset", false);
     faults.silent = json.value("silent", false);
+    faults.silentRequests = json.value("silentRequests", false);
+    faults.silentAnswers = json.value("silentAnswers", false);
     faults.requestDelay = milliseconds(json.value("requestDelayMs", 0));
     faults.answerDelay = milliseconds(json.value("answerDelayMs", 0));
     faults.truncateAnswersAfter = json.value("truncateAnswersAfter", std::int64_t{0});
@@ -73,8 +79,11 @@
     auto links = std::make_shared<Links>();
     std::string fields;
     for (const auto &[name, link] : runtime.settings().at("links").items()) {
-        auto made = std::make_shared<FaultLink>(
-            runtime.executor(), endpointFromText(link.at("listen")), endpointFromText(link.at("target")));
+        const bool refuses = link.value("refusesWhileClosed", false);
+        auto made = std::make_shared<FaultLink>(runtime.executor(),
+                                                endpointFromText(link.at("listen")),
+                                                endpointFromText(link.at("target")),
+                                                refuses ? ClosedTarget::Refuse : ClosedTarget::Accept);
         const auto bound = made->start();
         if (!bound) {
             runtime.failStart("/links/" + name + "/listen", bound.error());
