Play links, leaving minions, late calls and clock steps in the soak

All links of the site lead through the fault proxy. Minions drain and leave, with the last answer lost or the port closed while they work on; a share of calls is executed 2 to 12 s late; the time of day of a host's processes steps (a preloaded library, as a process can't set it).

--- a/review/standins/minion.h
+++ b/review/standins/minion.h
@@ -5,6 +5,7 @@
 #include "record.h"
 #include "store.h"
 
+#include <random>
 #include <set>
 
 namespace Review {
@@ -54,7 +55,10 @@
     std::string id;
     std::string service;
     std::string zone;
+    /// Where the minion listens.
     Address app;
+    /// Where heartbeats say that it listens.
+    Address advertised;
     Address control;
     std::int64_t cpu = 4000;
     std::vector<std::string> labels;
@@ -66,6 +70,8 @@
     std::int64_t bornShiftMs = 0;
     /// For this time after the start, connections to `app` are refused.
     std::int64_t refusesForMs = 0;
+    /// Seed of the calls that are late.
+    std::uint64_t seed = 1;
     /// Each heartbeat is written to the record, so that it can be sent once more.
     bool recordsHeartbeats = false;
 };
@@ -77,6 +83,8 @@
             {"zone", plan.zone},
             {"appIp", plan.app.ip},
             {"appPort", plan.app.port},
+            {"advertisedIp", plan.advertised.ip},
+            {"advertisedPort", plan.advertised.port},
             {"controlIp", plan.control.ip},
             {"controlPort", plan.control.port},
             {"cpu", plan.cpu},
@@ -86,6 +94,7 @@
             {"clockRate", plan.clockRate},
             {"bornShiftMs", plan.bornShiftMs},
             {"refusesForMs", plan.refusesForMs},
+            {"seed", plan.seed},
             {"recordsHeartbeats", plan.recordsHeartbeats}};
 }
 
@@ -96,6 +105,7 @@
     plan.service = body.at("service");
     plan.zone = body.at("zone");
     plan.app = {body.at("appIp"), body.at("appPort")};
+    plan.advertised = {body.at("advertisedIp"), body.at("advertisedPort")};
     plan.control = {body.at("controlIp"), body.at("controlPort")};
     plan.cpu = body.at("cpu");
     plan.labels = body.at("labels").get<std::vector<std::string>>();
@@ -104,10 +114,21 @@
     plan.clockRate = body.at("clockRate");
     plan.bornShiftMs = body.at("bornShiftMs");
     plan.refusesForMs = body.at("refusesForMs");
+    plan.seed = body.at("seed");
     plan.recordsHeartbeats = body.at("recordsHeartbeats");
     return plan;
 }
 
+/// How a minion leaves. The times follow each other.
+struct Departure {
+    /// From the first heartbeat that says that it drains to its last call.
+    std::int64_t drainMs = 2000;
+    /// It doesn't read the answer to its last call, as if it were lost, and goes on for this time.
+    std::int64_t unansweredMs = 0;
+    /// Its port is closed, and it works on for this time.
+    std::int64_t closedMs = 0;
+};
+
 /// One life of a minion, from its construction to crash().
 class Minion
 {
@@ -117,6 +138,7 @@
         m_record.add("minion", m_plan.id + " starts, born " + std::to_string(m_born));
         m_ticker = std::thread([this] { tickLoop(); });
         m_heart = std::thread([this] { heartbeatLoop(); });
+        m_lateExecutor = std::thread([this] { lateLoop(); });
         sleepMs(m_plan.refusesForMs);
         m_server = std::make_unique<Server>(m_plan.app, [this](const Request &request) { return serve(request); });
     }
@@ -143,6 +165,31 @@
         m_answerDelayMs = ms;
     }
 
+    /// This share of the calls gets no answer, and is executed seconds later.
+    void setLateShare(double share)
+    {
+        m_lateShare = share;
+    }
+
+    /// Drains, says that it leaves and ends, with all that runs on it.
+    void leave(const Departure &departure)
+    {
+        m_record.add("minion", m_plan.id + " drains");
+        m_draining = true;
+        sendHeartbeat();
+        sleepMs(departure.drainMs);
+        m_record.add("minion", m_plan.id + " leaves");
+        if (!sayLeaves(departure.unansweredMs > 0)) {
+            sleepMs(departure.unansweredMs > 0 ? departure.unansweredMs : patienceMs);
+        }
+        if (departure.closedMs > 0) {
+            m_record.add("minion", m_plan.id + " closes its port");
+            m_server->stop();
+            sleepMs(departure.closedMs);
+        }
+        crash();
+    }
+
     /// While set, the minion's clock doesn't count the time for which the process stands still: the host is suspended.
     void setSuspends(bool suspends)
     {
@@ -190,6 +237,7 @@
         m_server->stop();
         m_ticker.join();
         m_heart.join();
+        m_lateExecutor.join();
     }
 
 private:
@@ -198,6 +246,10 @@
         std::int64_t endsAtMs = 0;
         std::int64_t startedAtMs = 0;
     };
+    struct LateCall {
+        SteadyClock::time_point due;
+        Request request;
+    };
     struct End {
         std::int64_t number = 0;
         std::string task;
@@ -294,11 +346,11 @@
     Json heartbeat()
     {
         return {{"service", m_plan.service},
-                {"address", m_plan.app.text()},
+                {"address", m_plan.advertised.text()},
                 {"zone", m_plan.zone},
                 {"version", "v1"},
                 {"slots", 8},
-                {"state", "ready"},
+                {"state", m_draining ? "draining" : "ready"},
                 {"coldRemainingMs", 0},
                 {"capacity", {{"cpu", m_plan.cpu}, {"memoryRequestMb", 64000}, {"gpu", 0}}},
                 {"labels", m_plan.labels},
@@ -308,23 +360,37 @@
                 {"sequence", ++m_sequence}};
     }
 
+    void sendHeartbeat()
+    {
+        const auto path = "/instances/" + m_plan.id + "/heartbeat";
+        const auto body = heartbeat().dump();
+        if (m_plan.recordsHeartbeats) {
+            auto text = path;
+            text.append(" ").append(body);
+            m_record.add("beat", text);
+        }
+        if (m_heartbeatsHeld) {
+            std::lock_guard lock(m_mutex);
+            m_heldHeartbeat = {path, body};
+        } else {
+            const auto answer = call(m_plan.control, "POST", path, body, 1000);
+            m_acknowledged += answer && answer->status == 200 ? 1 : 0;
+        }
+    }
+
+    /// Says that the minion leaves. False without an answer.
+    bool sayLeaves(bool answerIsLost)
+    {
+        const auto body = Json{{"born", m_born}}.dump();
+        const auto path = "/instances/" + m_plan.id + "/deregister";
+        const auto answer = call(m_plan.control, "POST", path, body, answerIsLost ? 1 : 1000);
+        return answer && !answerIsLost;
+    }
+
     void heartbeatLoop()
     {
         while (!m_dead) {
-            const auto path = "/instances/" + m_plan.id + "/heartbeat";
-            const auto body = heartbeat().dump();
-            if (m_plan.recordsHeartbeats) {
-                auto text = path;
-                text.append(" ").append(body);
-                m_record.add("beat", text);
-            }
-            if (m_heartbeatsHeld) {
-                std::lock_guard lock(m_mutex);
-                m_heldHeartbeat = {path, body};
-            } else {
-                const auto answer = call(m_plan.control, "POST", path, body, 1000);
-                m_acknowledged += answer && answer->status == 200 ? 1 : 0;
-            }
+            sendHeartbeat();
             // Until the first one is acknowledged, the next one follows soon.
             const auto pause = m_acknowledged > 0 || m_heartbeatsHeld ? m_plan.heartbeatMs : m_plan.heartbeatMs / 5;
             for (std::int64_t waited = 0; waited < pause && !m_dead; waited += 20) {
@@ -351,11 +417,65 @@
 
     std::optional<Response> serve(const Request &request)
     {
+        if (isLate()) {
+            delay(request);
+            return std::nullopt;
+        }
         auto response = execute(request);
         sleepMs(m_answerDelayMs);
         return response;
     }
 
+    bool isLate()
+    {
+        std::lock_guard lock(m_lateMutex);
+        return std::uniform_real_distribution<double>(0, 1)(m_random) < m_lateShare;
+    }
+
+    void delay(Request request)
+    {
+        constexpr std::int64_t leastMs = 2000;
+        constexpr std::int64_t mostMs = 12'000;
+        auto body = Json::parse(request.body);
+        // Nobody waits for the answer.
+        body.erase("waitMs");
+        request.body = body.dump();
+        std::lock_guard lock(m_lateMutex);
+        const std::chrono::milliseconds late(std::uniform_int_distribution<std::int64_t>(leastMs, mostMs)(m_random));
+        m_record.add("late",
+                     m_plan.id + " " + request.path + " by " + std::to_string(late.count()) + " ms "
+                         + request.body.substr(0, 200));
+        m_lateCalls.push_back({SteadyClock::now() + late, std::move(request)});
+    }
+
+    std::optional<Request> nextLateCall()
+    {
+        std::lock_guard lock(m_lateMutex);
+        const auto now = SteadyClock::now();
+        const auto it
+            = std::find_if(m_lateCalls.begin(), m_lateCalls.end(), [&](const auto &call) { return call.due <= now; });
+        if (it == m_lateCalls.end()) {
+            return std::nullopt;
+        }
+        auto request = std::move(it->request);
+        m_lateCalls.erase(it);
+        return request;
+    }
+
+    void lateLoop()
+    {
+        while (!m_dead) {
+            if (const auto request = nextLateCall()) {
+                const auto response = execute(*request);
+                m_record.add("late",
+                             m_plan.id + " " + request->path
+                                 + " executed: " + (response ? response->body.substr(0, 120) : ""));
+            } else {
+                sleepMs(10);
+            }
+        }
+    }
+
     std::optional<Response> execute(const Request &request)
     {
         std::unique_lock lock(m_mutex);
@@ -478,9 +598,17 @@
     std::atomic<bool> m_heartbeatsHeld = false;
     std::pair<std::string, std::string> m_heldHeartbeat;
     std::atomic<bool> m_dead = false;
+    /// A minion that leaves and gets no answer goes on for this time.
+    static constexpr std::int64_t patienceMs = 3000;
+    std::atomic<bool> m_draining = false;
+    std::atomic<double> m_lateShare = 0;
+    std::mutex m_lateMutex;
+    std::mt19937_64 m_random{m_plan.seed};
+    std::deque<LateCall> m_lateCalls;
     std::unique_ptr<Server> m_server;
     std::thread m_ticker;
     std::thread m_heart;
+    std::thread m_lateExecutor;
 };
 
 } // namespace Review
--- a/review/standins/site.h
+++ b/review/standins/site.h
@@ -1,125 +1,19 @@
 // A small deployment on loopback: the store, dispatchers and agents as processes of their own, and minions.
 #pragma once
 
+#include "links.h"
 #include "minion.h"
+#include "process.h"
 
-#include <csignal>
-#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <regex>
+#include <set>
 #include <sstream>
-#include <sys/prctl.h>
-#include <sys/wait.h>
+#include <stdexcept>
 
 namespace Review {
 
-/// A thread that lives as long as the program. A child is ended with the thread that has started it, so that all
-/// children are started here.
-class Spawner
-{
-public:
-    static void run(const std::function<void()> &work)
-    {
-        static auto *spawner = new Spawner;
-        std::unique_lock lock(spawner->m_mutex);
-        spawner->m_changed.wait(lock, [] { return spawner->m_work == nullptr; });
-        spawner->m_work = &work;
-        spawner->m_changed.notify_all();
-        spawner->m_changed.wait(lock, [&] { return spawner->m_work != &work; });
-    }
-
-private:
-    Spawner()
-    {
-        std::thread([this] { loop(); }).detach();
-    }
-
-    void loop()
-    {
-        std::unique_lock lock(m_mutex);
-        while (true) {
-            m_changed.wait(lock, [this] { return m_work != nullptr; });
-            (*m_work)();
-            m_work = nullptr;
-            m_changed.notify_all();
-        }
-    }
-
-    std::mutex m_mutex;
-    std::condition_variable m_changed;
-    const std::function<void()> *m_work = nullptr;
-};
-
-/// A program of the product, started with the command of the deploy file.
-class Process
-{
-public:
-    Process(std::string program, std::string settings, std::string log)
-        : m_program(std::move(program)), m_settings(std::move(settings)), m_log(std::move(log))
-    {
-        start();
-    }
-
-    ~Process()
-    {
-        kill(SIGKILL);
-    }
-
-    void start()
-    {
-        Spawner::run([this] { spawn(); });
-    }
-
-    [[nodiscard]] bool running() const
-    {
-        return m_pid > 0;
-    }
-
-    /// Sends the signal; one that ends the process is waited for.
-    void kill(int signal)
-    {
-        if (m_pid <= 0) {
-            return;
-        }
-        ::kill(m_pid, signal);
-        if (signal == SIGKILL || signal == SIGTERM) {
-            waitpid(m_pid, nullptr, 0);
-            m_pid = 0;
-        }
-    }
-
-    /// Sends SIGUSR1 with a number.
-    void tell(int number)
-    {
-        sigval value{};
-        value.sival_int = number;
-        if (m_pid > 0) {
-            sigqueue(m_pid, SIGUSR1, value);
-        }
-    }
-
-private:
-    void spawn()
-    {
-        m_pid = fork();
-        if (m_pid != 0) {
-            return;
-        }
-        prctl(PR_SET_PDEATHSIG, SIGKILL);
-        const int fd = open(m_log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-        dup2(fd, STDOUT_FILENO);
-        dup2(fd, STDERR_FILENO);
-        execl(m_program.c_str(), m_program.c_str(), "--settings", m_settings.c_str(), static_cast<char *>(nullptr));
-        _exit(127);
-    }
-
-    std::string m_program;
-    std::string m_settings;
-    std::string m_log;
-    pid_t m_pid = 0;
-};
-
 struct SidePlan {
     std::int64_t cpu = 4000;
     std::string rack = "r1-1";
@@ -132,6 +26,10 @@
     std::string bin = "target/bin";
     /// The program that is started as each minion, with its plan as settings. Empty: minions are threads.
     std::string minionProgram;
+    /// The fault proxy through which all links of the site lead. Empty: there is none.
+    std::string proxyProgram;
+    /// A library that is preloaded into the processes of a host and shifts their time of day. Empty: there is none.
+    std::string clockLibrary;
     std::int64_t workerLeaseMs = 6000;
 };
 
@@ -173,6 +71,10 @@
         for (std::size_t i = 0; i < plan.sides.size(); ++i) {
             addSide(i, plan.sides[i]);
         }
+        if (!plan.proxyProgram.empty() && !m_links.start(plan.proxyProgram, nextAddress(), m_folder)) {
+            throw std::runtime_error("the fault proxy does not answer");
+        }
+        startPrograms();
     }
 
     ~Site()
@@ -183,6 +85,7 @@
             it.agent.reset();
         }
         m_fronts.clear();
+        m_links.stop();
         m_store->stop();
         if (std::getenv("KEEP_LOGS") == nullptr) {
             std::filesystem::remove_all(m_folder);
@@ -260,10 +163,21 @@
         settings["record"] = name + ".txt";
         settings["startedAtNs"] = m_record.startedAt().time_since_epoch().count();
         std::ofstream(name + ".json") << settings;
-        side.minionProcess = std::make_unique<Process>(m_plan.minionProgram, name + ".json", name + ".log");
+        side.minionProcess = std::make_unique<Process>(
+            m_plan.minionProgram, name + ".json", name + ".log", clockEnvironment(side.name));
         m_minionRecords.push_back(name + ".txt");
     }
 
+    /// Shifts the time of day of all processes of a side or front, those that run and later ones.
+    void shiftClock(const std::string &host, std::int64_t ms)
+    {
+        const int fd = open(clockFile(host).c_str(), O_WRONLY | O_CREAT | O_CLOEXEC, 0644);
+        if (fd < 0 || pwrite(fd, &ms, sizeof(ms), 0) != sizeof(ms)) {
+            m_record.add("site", "the clock of " + host + " can't be shifted");
+        }
+        close(fd);
+    }
+
     /// The number of the front that owns the scheduling, as the store shows it to anybody; -1 if none does.
     int owner()
     {
@@ -286,6 +200,10 @@
         return m_minionRecords;
     }
 
+    Links &links()
+    {
+        return m_links;
+    }
     Store &store()
     {
         return *m_store;
@@ -321,7 +239,72 @@
     Address nextAddress()
     {
         const auto ip = nextIp();
-        return {ip, freePort(ip)};
+        return {ip, nextPort(ip)};
+    }
+
+    /// A port that is free on `ip`, and was not given out before.
+    int nextPort(const std::string &ip)
+    {
+        int port = freePort(ip);
+        while (!m_ports.insert(port).second) {
+            port = freePort(ip);
+        }
+        return port;
+    }
+
+    /// Where the link to `target` is reached; `target` itself where there is no proxy.
+    Address linkTo(const Address &target, const std::string &name)
+    {
+        if (m_plan.proxyProgram.empty()) {
+            return target;
+        }
+        const Address listen{target.ip, nextPort(target.ip)};
+        m_links.add(name, listen, target);
+        return listen;
+    }
+
+    /// The link from a program to the store, on the address of the program.
+    Address linkToStore(const std::string &ip, const std::string &program)
+    {
+        if (m_plan.proxyProgram.empty()) {
+            return m_storeAddress;
+        }
+        const Address listen{ip, nextPort(ip)};
+        m_links.add("store-" + program, listen, m_storeAddress);
+        return listen;
+    }
+
+    void startPrograms()
+    {
+        for (auto &it : m_fronts) {
+            shiftClock(it.name, 0);
+            it.dispatcher = start("trefoilhoist-dispatcher", it.name);
+        }
+        for (std::size_t i = 0; i < m_sides.size(); ++i) {
+            shiftClock(m_sides[i].name, 0);
+            m_sides[i].agent = start("trefoilhoist-agent", m_sides[i].name);
+            startMinion(m_sides[i], "i-" + std::to_string(i + 1) + "a");
+        }
+    }
+
+    [[nodiscard]] std::unique_ptr<Process> start(const std::string &program, const std::string &name) const
+    {
+        const auto path = m_folder + "/" + name;
+        return std::make_unique<Process>(
+            m_plan.bin + "/" + program, path + ".json", path + ".log", clockEnvironment(name));
+    }
+
+    [[nodiscard]] std::string clockFile(const std::string &host) const
+    {
+        return m_folder + "/" + host + ".clock";
+    }
+
+    [[nodiscard]] Process::Environment clockEnvironment(const std::string &host) const
+    {
+        if (m_plan.clockLibrary.empty()) {
+            return {};
+        }
+        return {{"LD_PRELOAD", m_plan.clockLibrary}, {"SOAK_CLOCK_FILE", clockFile(host)}};
     }
 
     static Json configuration()
@@ -349,8 +332,10 @@
     }
 
     /// Fills a template of the deploy folder in, as DEPLOY.md tells; only plain placeholders are used there.
-    std::string
-    settingsFile(const std::string &templatePath, const std::string &name, const std::map<std::string, Json> &values)
+    void writeSettings(const std::string &templatePath,
+                       const std::string &name,
+                       const std::map<std::string, Json> &values,
+                       const Address &advertised)
     {
         std::ifstream in(templatePath);
         std::stringstream buffer;
@@ -369,9 +354,9 @@
             last = text.cbegin() + it->position() + it->length();
         }
         out.append(last, text.cend());
-        auto path = m_folder + "/" + name + ".json";
-        std::ofstream(path) << out;
-        return path;
+        auto settings = Json::parse(out, nullptr, true, true);
+        settings["advertise"] = advertised.text();
+        std::ofstream(m_folder + "/" + name + ".json") << settings;
     }
 
     void addFront(int number)
@@ -379,23 +364,23 @@
         Front front;
         front.name = "front-" + std::to_string(number + 1);
         const auto ip = nextIp();
-        front.callers = {ip, freePort(ip)};
-        front.readiness = {ip, freePort(ip)};
-        const auto settings = settingsFile("deploy/dispatcher.json.in",
-                                           front.name,
-                                           {{"nodeName", front.name},
-                                            {"ipAddress", ip},
-                                            {"listenAddresses.front", front.callers.text()},
-                                            {"listenAddresses.ready", front.readiness.text()},
-                                            {"internalPortRange.0", freePort(ip)},
-                                            {"internalPortRange.1", freePort(ip)},
-                                            {"platform.address", m_storeAddress.text()},
-                                            {"limits.processorShare", 0.25},
-                                            {"limits.linkMbps", 1000.0},
-                                            {"limits.memoryMb", 260},
-                                            {"bounds.maxHoldMs", m_plan.workerLeaseMs}});
-        front.dispatcher = std::make_unique<Process>(
-            m_plan.bin + "/trefoilhoist-dispatcher", settings, m_folder + "/" + front.name + ".log");
+        front.callers = {ip, nextPort(ip)};
+        front.readiness = {ip, nextPort(ip)};
+        const Address peers{ip, nextPort(ip)};
+        writeSettings("deploy/dispatcher.json.in",
+                      front.name,
+                      {{"nodeName", front.name},
+                       {"ipAddress", ip},
+                       {"listenAddresses.front", front.callers.text()},
+                       {"listenAddresses.ready", front.readiness.text()},
+                       {"internalPortRange.0", peers.port},
+                       {"internalPortRange.1", nextPort(ip)},
+                       {"platform.address", linkToStore(ip, front.name).text()},
+                       {"limits.processorShare", 0.25},
+                       {"limits.linkMbps", 1000.0},
+                       {"limits.memoryMb", 260},
+                       {"bounds.maxHoldMs", m_plan.workerLeaseMs}},
+                      linkTo(peers, "reports-" + front.name));
         m_fronts.push_back(std::move(front));
     }
 
@@ -410,21 +395,22 @@
         side.plan.maxHoldMs = m_plan.workerLeaseMs;
         side.plan.recordsHeartbeats = !m_plan.minionProgram.empty();
         side.plan.labels = {"a", plan.rack};
-        side.plan.control = {ip, freePort(ip)};
-        side.plan.app = {ip, freePort(ip)};
-        const auto settings = settingsFile("deploy/agent.json.in",
-                                           side.name,
-                                           {{"nodeName", side.name},
-                                            {"ipAddress", ip},
-                                            {"listenAddresses.control", side.plan.control.text()},
-                                            {"internalPortRange.0", freePort(ip)},
-                                            {"internalPortRange.1", freePort(ip)},
-                                            {"platform.address", m_storeAddress.text()},
-                                            {"limits.memoryMb", 128},
-                                            {"bounds.maxHoldMs", m_plan.workerLeaseMs}});
-        side.agent = std::make_unique<Process>(
-            m_plan.bin + "/trefoilhoist-agent", settings, m_folder + "/" + side.name + ".log");
-        startMinion(side, "i-" + std::to_string(number + 1) + "a");
+        const Address heartbeats{ip, nextPort(ip)};
+        const Address peers{ip, nextPort(ip)};
+        side.plan.control = linkTo(heartbeats, "heartbeats-" + side.name);
+        side.plan.app = {ip, nextPort(ip)};
+        side.plan.advertised = linkTo(side.plan.app, "minion-" + side.name);
+        writeSettings("deploy/agent.json.in",
+                      side.name,
+                      {{"nodeName", side.name},
+                       {"ipAddress", ip},
+                       {"listenAddresses.control", heartbeats.text()},
+                       {"internalPortRange.0", peers.port},
+                       {"internalPortRange.1", nextPort(ip)},
+                       {"platform.address", linkToStore(ip, side.name).text()},
+                       {"limits.memoryMb", 128},
+                       {"bounds.maxHoldMs", m_plan.workerLeaseMs}},
+                      linkTo(peers, "orders-" + side.name));
         m_sides.push_back(std::move(side));
     }
 
@@ -436,8 +422,10 @@
     std::vector<std::string> m_minionRecords;
     int m_network = 1;
     int m_hosts = 0;
+    std::set<int> m_ports;
     Address m_storeAddress;
     std::unique_ptr<Store> m_store;
+    Links m_links;
     std::vector<Front> m_fronts;
     std::vector<Side> m_sides;
 };
--- a/tests/soak/chaos.cpp
+++ b/tests/soak/chaos.cpp
@@ -1,5 +1,8 @@
 #include "soak/chaos.h"
 
+#include <numeric>
+#include <stdexcept>
+
 namespace Trefoilhoist::Soak {
 
 namespace {
@@ -38,15 +41,35 @@
     return name;
 }
 
-Review::Json stepOf(std::int64_t count, std::int64_t cpu, std::int64_t ms)
+constexpr std::int64_t lastingTaskMs = 3'600'000;
+
+Review::Json jobOf(const JobClass &kind, Random &random)
 {
-    return {{"count", count}, {"cpu", cpu}, {"memoryRequestMb", 64}, {"estimatedMs", ms}};
+    const auto ms = kind.lasts ? lastingTaskMs : kind.taskMs;
+    Review::Json steps = Review::Json::array();
+    const auto count = between(random, kind.minSteps, kind.maxSteps);
+    std::string text = "ms=";
+    for (std::int64_t i = 0; i < count; ++i) {
+        Review::Json step
+            = {{"count", kind.tasks}, {"cpu", kind.milliCpu}, {"memoryRequestMb", 64}, {"estimatedMs", ms}};
+        if (kind.lasts) {
+            step["longRunning"] = true;
+        }
+        if (i > 0) {
+            step["after"] = {i - 1};
+        }
+        // Tasks of a class differ from step to step.
+        const auto taskMs = kind.lasts ? ms : between(random, ms / 2, 3 * ms / 2);
+        text += (i > 0 ? "," : "") + std::to_string(taskMs);
+        steps.push_back(std::move(step));
+    }
+    return {{"specification", text}, {"steps", steps}};
 }
 
 } // namespace
 
-Load::Load(Review::Site &site, Review::Record &record, std::uint64_t seed)
-    : m_site(site), m_record(record), m_random(seed), m_thread([this] { submitLoop(); })
+Load::Load(Review::Site &site, Review::Record &record, std::vector<JobClass> classes, std::uint64_t seed)
+    : m_site(site), m_record(record), m_classes(std::move(classes)), m_random(seed), m_thread([this] { submitLoop(); })
 {
 }
 
@@ -71,25 +94,25 @@
 
 void Load::submitLoop()
 {
-    for (int n = 0; !m_stopped; ++n) {
-        const bool lasting = n % 40 == 0;
-        const auto ms = lasting ? 3'600'000 : between(m_random, 200, 2500);
-        auto first = stepOf(between(m_random, 1, 8), between(m_random, 200, 2000), ms);
-        if (lasting) {
-            first["longRunning"] = true;
-        }
-        Review::Json steps = {first};
-        if (!lasting && withChance(m_random, 0.5)) {
-            auto second = stepOf(between(m_random, 1, 6), 500, ms);
-            second["after"] = {0};
-            steps.push_back(second);
-        }
-        const auto text = "ms=" + std::to_string(ms) + "," + std::to_string(ms);
-        submit(jobName(m_random), Review::Json{{"specification", text}, {"steps", steps}}.dump(), lasting);
-        Review::sleepMs(between(m_random, 20, 250));
+    const double perSecond = std::accumulate(
+        m_classes.begin(), m_classes.end(), 0.0, [](double sum, const auto &it) { return sum + it.perSecond; });
+    std::exponential_distribution<double> pause(perSecond / 1000);
+    while (!m_stopped) {
+        const auto &kind = anyClass();
+        submit(jobName(m_random), jobOf(kind, m_random).dump(), kind.lasts);
+        Review::sleepMs(static_cast<std::int64_t>(pause(m_random)));
     }
 }
 
+const JobClass &Load::anyClass()
+{
+    std::vector<double> shares;
+    for (const auto &it : m_classes) {
+        shares.push_back(it.perSecond);
+    }
+    return m_classes[std::discrete_distribution<std::size_t>(shares.begin(), shares.end())(m_random)];
+}
+
 void Load::submit(const std::string &job, const std::string &body, bool lasting)
 {
     constexpr int tries = 4;
@@ -132,7 +155,31 @@
 }
 
 Chaos::Chaos(Review::Site &site, Review::Record &record, std::uint64_t seed, const std::vector<std::string> &kinds)
-    : m_site(site), m_record(record), m_random(seed)
+    : m_site(site), m_record(record), m_random(seed), m_links(site, record)
+{
+    addProcessFaults();
+    for (const auto &kind : LinkChaos::kinds()) {
+        m_linkFaults[kind.name] = [this, kind](Random &random) {
+            m_links.breakAny(kind, random);
+        };
+    }
+    for (const auto &it : kinds) {
+        if (m_processFaults.count(it) == 0 && m_linkFaults.count(it) == 0) {
+            throw std::invalid_argument("no such kind of faults: " + it);
+        }
+    }
+    const auto isUnwanted = [&](const auto &it) {
+        return !kinds.empty() && std::find(kinds.begin(), kinds.end(), it.first) == kinds.end();
+    };
+    std::erase_if(m_processFaults, isUnwanted);
+    std::erase_if(m_linkFaults, isUnwanted);
+    const auto &records = m_site.minionRecords();
+    for (std::size_t i = 0; i < m_site.sides().size(); ++i) {
+        m_recordOfSide[m_site.sides()[i].name] = records.at(i);
+    }
+}
+
+void Chaos::addProcessFaults()
 {
     const std::map<std::string, void (Chaos::*)(Random &)> all = {{"kill-agent", &Chaos::killAgent},
                                                                   {"stop-agent", &Chaos::stopAgent},
@@ -140,6 +187,9 @@
                                                                   {"kill-minion", &Chaos::killMinion},
                                                                   {"pause-minion", &Chaos::pauseMinion},
                                                                   {"slow-minion", &Chaos::slowMinion},
+                                                                  {"delay-calls", &Chaos::delayCalls},
+                                                                  {"leave-minion", &Chaos::leaveMinion},
+                                                                  {"step-clock", &Chaos::stepClock},
                                                                   {"kill-owner", &Chaos::killOwner},
                                                                   {"slow-at-takeover", &Chaos::slowAtTakeover},
                                                                   {"kill-machine", &Chaos::killMachine},
@@ -150,15 +200,9 @@
                                                                   {"pause-dispatcher", &Chaos::pauseDispatcher},
                                                                   {"slow-store", &Chaos::slowStore}};
     for (const auto &[name, fault] : all) {
-        if (kinds.empty() || std::find(kinds.begin(), kinds.end(), name) != kinds.end()) {
-            m_faults[name] = [this, fault = fault](Random &random) {
-                (this->*fault)(random);
-            };
-        }
-    }
-    const auto &records = m_site.minionRecords();
-    for (std::size_t i = 0; i < m_site.sides().size(); ++i) {
-        m_recordOfSide[m_site.sides()[i].name] = records.at(i);
+        m_processFaults[name] = [this, fault = fault](Random &random) {
+            (this->*fault)(random);
+        };
     }
 }
 
@@ -180,8 +224,10 @@
 {
     const auto until = m_record.now() + forMs;
     while (m_record.now() < until) {
-        auto it = m_faults.begin();
-        std::advance(it, between(m_random, 0, static_cast<std::int64_t>(m_faults.size()) - 1));
+        const bool ofLinks = m_processFaults.empty() || (!m_linkFaults.empty() && withChance(m_random, 0.5));
+        const auto &faults = ofLinks ? m_linkFaults : m_processFaults;
+        auto it = faults.begin();
+        std::advance(it, between(m_random, 0, std::ssize(faults) - 1));
         m_threads.emplace_back([fault = it->second, seed = m_random()] {
             Random random(seed);
             fault(random);
@@ -302,6 +348,7 @@
 {
     std::lock_guard lock(m_mutex);
     side.plan.refusesForMs = withChance(random, 0.3) ? between(random, 0, 700) : 0;
+    side.plan.seed = random();
     side.plan.clockRate = 1 - 0.0001 * static_cast<double>(between(random, 0, 200));
     const auto id = sameId ? side.plan.id : "i-" + side.name + "-" + std::to_string(++m_lives);
     m_site.startMinion(side, id);
@@ -378,12 +425,72 @@
     m_record.add("fault",
                  side.name + ": the minion answers after " + std::to_string(delayMs) + " ms for " + std::to_string(ms)
                      + " ms");
-    side.minionProcess->tell(static_cast<int>(delayMs));
-    Review::sleepMs(ms);
-    side.minionProcess->tell(0);
+    tellMinion(side, MinionOrderKind::AnswerDelay, static_cast<int>(delayMs), ms);
     m_record.add("fault", side.name + ": the minion answers at once");
 }
 
+void Chaos::tellMinion(const Review::Side &side, MinionOrderKind kind, int value, std::int64_t forMs)
+{
+    side.minionProcess->tell(MinionOrder{kind, value}.number());
+    Review::sleepMs(forMs);
+    side.minionProcess->tell(MinionOrder{kind, 0}.number());
+}
+
+// Calls get no answer, and arrive after newer ones.
+void Chaos::delayCalls(Random &random)
+{
+    auto &side = anySide(random);
+    const Claim claim(m_mutex, m_busy, side.name + " minion");
+    if (!claim.taken) {
+        return;
+    }
+    const auto percent = between(random, 5, 60);
+    const auto ms = between(random, 1000, 8000);
+    m_record.add("fault",
+                 side.name + ": " + std::to_string(percent) + " % of the minion's calls are late for "
+                     + std::to_string(ms) + " ms");
+    tellMinion(side, MinionOrderKind::LatePercent, static_cast<int>(percent), ms);
+    m_record.add("fault", side.name + ": the minion's calls are no longer late");
+}
+
+void Chaos::leaveMinion(Random &random)
+{
+    auto &side = anySide(random);
+    const Claim claim(m_mutex, m_busy, side.name + " minion");
+    if (!claim.taken) {
+        return;
+    }
+    Review::Departure departure;
+    departure.unansweredMs = withChance(random, 0.4) ? between(random, 500, 5000) : 0;
+    departure.closedMs = withChance(random, 0.5) ? between(random, 200, 4000) : 0;
+    m_record.add("fault",
+                 side.name + ": the minion leaves, " + std::to_string(departure.unansweredMs)
+                     + " ms without an answer, " + std::to_string(departure.closedMs) + " ms with its port closed");
+    const auto path = lastRecordOf(side);
+    side.minionProcess->tell(MinionOrder{MinionOrderKind::Leave, departureValue(departure)}.number());
+    side.minionProcess->wait();
+    m_record.add("fault", side.name + ": the minion has left");
+    {
+        std::lock_guard lock(m_mutex);
+        m_killedAtMs[path] = m_record.now();
+    }
+    Review::sleepMs(downMs(random));
+    beginMinion(side, withChance(random, 0.3), random);
+}
+
+// The time of day steps on a host, for its processes and for the start times of later minions.
+void Chaos::stepClock(Random &random)
+{
+    constexpr std::int64_t farthestMs = 60'000;
+    const bool ofSide = withChance(random, 0.7);
+    const auto &fronts = m_site.fronts();
+    const auto front = static_cast<std::size_t>(between(random, 0, std::ssize(fronts) - 1));
+    const auto &host = ofSide ? anySide(random).name : fronts[front].name;
+    const auto ms = withChance(random, 0.7) ? between(random, -farthestMs, farthestMs) : 0;
+    m_record.add("fault", host + ": its time of day is " + std::to_string(ms) + " ms ahead");
+    m_site.shiftClock(host, ms);
+}
+
 void Chaos::killMachine(Random &random)
 {
     auto &side = anySide(random);
@@ -445,7 +552,7 @@
     constexpr std::int64_t slackMs = 300;
     const auto ms = between(random, 4000, 9000);
     m_record.add("fault", side.name + ": the machine is suspended for " + std::to_string(ms) + " ms");
-    side.minionProcess->tell(suspendOrder);
+    side.minionProcess->tell(MinionOrder{MinionOrderKind::Suspends, 1}.number());
     Review::sleepMs(settleMs);
     const auto since = m_record.now();
     side.agent->kill(SIGSTOP);
@@ -459,7 +566,7 @@
     }
     m_record.add("fault", side.name + ": the machine goes on");
     Review::sleepMs(settleMs);
-    side.minionProcess->tell(0);
+    side.minionProcess->tell(MinionOrder{MinionOrderKind::Suspends, 0}.number());
 }
 
 void Chaos::killDispatcher(Random &random)
@@ -500,14 +607,14 @@
     }
     const auto ms = between(random, 8400, 9300);
     m_record.add("fault", side.name + ": the minion answers after 1 s for " + std::to_string(ms) + " ms");
-    side.minionProcess->tell(delayMs);
+    side.minionProcess->tell(MinionOrder{MinionOrderKind::AnswerDelay, delayMs}.number());
     Review::sleepMs(between(random, 0, 200));
     const auto since = m_record.now();
     m_record.add("fault", front.name + ": SIGTERM to the owner");
     front.dispatcher->kill(SIGTERM);
     front.dispatcher->start();
     Review::sleepMs(std::max<std::int64_t>(0, since + ms - m_record.now()));
-    side.minionProcess->tell(0);
+    side.minionProcess->tell(MinionOrder{MinionOrderKind::AnswerDelay, 0}.number());
     m_record.add("fault", side.name + ": the minion answers at once");
     Review::sleepMs(5000);
 }
--- a/tests/soak/chaos.h
+++ b/tests/soak/chaos.h
@@ -1,7 +1,10 @@
-// Random faults of the processes of a site, and the load beside them.
+// Random faults of the processes and links of a site, and the load beside them.
 #pragma once
 
 #include "soak/judge.h"
+#include "soak/linkchaos.h"
+#include "soak/minionorder.h"
+#include "soak/siteshape.h"
 
 #include "review/standins/site.h"
 
@@ -18,14 +21,11 @@
 
 namespace Trefoilhoist::Soak {
 
-/// Tells a minion's process that its host is about to be suspended. Other numbers are answer delays in milliseconds.
-inline constexpr int suspendOrder = -1;
-
 /// Submits jobs as callers do, and asks for their states at the end.
 class Load
 {
 public:
-    Load(Review::Site &site, Review::Record &record, std::uint64_t seed);
+    Load(Review::Site &site, Review::Record &record, std::vector<JobClass> classes, std::uint64_t seed);
     ~Load();
     Load(const Load &) = delete;
     Load &operator=(const Load &) = delete;
@@ -38,10 +38,12 @@
 private:
     void submitLoop();
     [[nodiscard]] std::vector<std::string> unfinishedJobs();
+    [[nodiscard]] const JobClass &anyClass();
     void submit(const std::string &job, const std::string &body, bool lasting);
 
     Review::Site &m_site;
     Review::Record &m_record;
+    const std::vector<JobClass> m_classes;
     std::mt19937_64 m_random;
     std::atomic<bool> m_stopped = false;
     mutable std::mutex m_mutex;
@@ -51,7 +53,7 @@
 };
 
 /// Brings about faults in series, so that they overlap: processes that are killed, stopped, paused and started again,
-/// heartbeats that arrive late, and a slow store.
+/// minions that leave, heartbeats and calls that arrive late, a slow store, and links that fail.
 class Chaos
 {
 public:
@@ -91,6 +93,9 @@
     void killMinion(std::mt19937_64 &random);
     void pauseMinion(std::mt19937_64 &random);
     void slowMinion(std::mt19937_64 &random);
+    void delayCalls(std::mt19937_64 &random);
+    void leaveMinion(std::mt19937_64 &random);
+    void stepClock(std::mt19937_64 &random);
     void killMachine(std::mt19937_64 &random);
     void suspendMachine(std::mt19937_64 &random);
     void pauseMachine(std::mt19937_64 &random);
@@ -101,6 +106,9 @@
     void pauseDispatcher(std::mt19937_64 &random);
     void slowStore(std::mt19937_64 &random);
 
+    /// Tells the minion's process, for some time.
+    void tellMinion(const Review::Side &side, MinionOrderKind kind, int value, std::int64_t forMs);
+    void addProcessFaults();
     void endMinion(Review::Side &side);
     void beginMinion(Review::Side &side, bool sameId, std::mt19937_64 &random);
     /// Sends the last heartbeat of a minion that has ended once more.
@@ -110,7 +118,9 @@
     Review::Site &m_site;
     Review::Record &m_record;
     std::mt19937_64 m_random;
-    std::map<std::string, Fault> m_faults;
+    LinkChaos m_links;
+    std::map<std::string, Fault> m_processFaults;
+    std::map<std::string, Fault> m_linkFaults;
     int m_count = 0;
     int m_lives = 0;
     mutable std::mutex m_mutex;
