--- a/tests/unit/orderfence.cpp
+++ b/tests/unit/orderfence.cpp
@@ -270,4 +270,16 @@
     EXPECT_TRUE(m_fence.mustLapse(m_now));
 }
 
+// The hold is shorter than the lease. A host that was suspended for longer than the hold, but not for the lease, had all
+// its runs stopped, though no owner had given them up.
+TEST_F(OrderFenceTest, hostWasSuspendedInsideTheLease_runsAreNotGivenUp)
+{
+    grant(1);
+    ASSERT_TRUE(m_fence.extendHold(m_now).has_value());
+    m_now += HoldLimits().extension + milliseconds(500);
+    m_fence.observeMinionClock(5100, m_now);
+    ASSERT_LT(m_now, m_fence.leaseExpiry());
+    EXPECT_FALSE(m_fence.mustLapse(m_now));
+}
+
 } // namespace Trefoilhoist::Jobs
