--- a/tests/unit/roster.cpp
+++ b/tests/unit/roster.cpp
@@ -303,4 +303,30 @@
     EXPECT_EQ(plan().count("w1"), 0U);
 }
 
+// A minion that started after the takeover holds nothing of the earlier owner. Each one on that host, for as long as the
+// owner lasted, had to wait for the longest hold before it took a task.
+TEST_F(RosterTest, agentGivenUpAtATakeover_laterIncarnationsNeedNotLapse)
+{
+    report(reportOf("w1"));
+    report(reportOf("w2"));
+    auto next = nextOwner();
+    next.restoreRoster(m_roster, m_now);
+    m_now += longAfter;
+    reportListed(next, "w2");
+    next.plan(m_now, wallMs, true);
+    auto late = reportOf("w1");
+    late.epoch = epoch + 1;
+    auto reply = next.handleReport(late, true, m_now);
+    ASSERT_GT(reply.leaseTerm, reply.lapsedTerm + 1);
+    late = reportOf("w1");
+    late.epoch = epoch + 1;
+    late.lapsedTerm = reply.leaseTerm - 1;
+    next.handleReport(late, true, m_now);
+    auto restarted = reportOf("w1");
+    restarted.epoch = epoch + 1;
+    restarted.worker.born = late.worker.born + 1000;
+    reply = next.handleReport(restarted, true, m_now);
+    EXPECT_LE(reply.leaseTerm, reply.lapsedTerm + 1);
+}
+
 } // namespace Trefoilhoist::Jobs
