--- a/tests/unit/incarnations.cpp
+++ b/tests/unit/incarnations.cpp
@@ -154,6 +154,22 @@
     EXPECT_GT(reply.leaseTerm, reply.lapsedTerm + 1);
 }
 
+// The minion looked empty, so that it was ordered the starts that its agent withheld until the hold had expired.
+TEST_F(IncarnationTest, givenUpOneReturns_getsNoStartsBeforeItsHoldHasLapsed)
+{
+    auto gone = reportOfIncarnation("present", presentBorn);
+    gone.gone = true;
+    gone.listed = false;
+    sendReport(gone);
+    const auto reply = sendReport(reportOfIncarnation("present", presentBorn));
+    ASSERT_GT(reply.leaseTerm, reply.lapsedTerm + 1);
+    ASSERT_EQ(starts(plan()), 0U);
+    auto lapsed = reportOfIncarnation("present", presentBorn);
+    lapsed.lapsedTerm = reply.leaseTerm - 1;
+    sendReport(lapsed);
+    EXPECT_EQ(starts(plan()), 1U);
+}
+
 // A run that a listing had not shown was given up and started elsewhere. Its end was acknowledged when a later listing
 // showed it.
 TEST_F(IncarnationTest, runIsNotListedAndThenEnds_holdMustExpireBeforeTheEndIsAcknowledged)
