--- a/tests/integration/agent.cpp
+++ b/tests/integration/agent.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <thread>
 
 namespace Trefoilhoist::Agent {
 
@@ -56,11 +57,14 @@
     std::vector<ListingCall> listingCalls;
     int starts = 0;
     int stops = 0;
+    /// The time for which the host was suspended, which the minion's clock doesn't count.
+    std::chrono::milliseconds suspended{0};
     const std::chrono::steady_clock::time_point startedAt = std::chrono::steady_clock::now();
 
     [[nodiscard]] std::int64_t clockMs() const
     {
-        return 1 + std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - startedAt).count();
+        const auto age = std::chrono::steady_clock::now() - startedAt - suspended;
+        return 1 + std::chrono::duration_cast<milliseconds>(age).count();
     }
 };
 
@@ -203,6 +207,13 @@
         ASSERT_TRUE(runUntil([&] { return m_lastReport.listed && !m_lastReport.running.empty(); }));
     }
 
+    /// Suspends the host: agent and minion stand still, and the minion's clock doesn't count the time.
+    void suspendHost(std::chrono::milliseconds time)
+    {
+        std::this_thread::sleep_for(time);
+        m_minion.suspended += time;
+    }
+
     void addEnd(std::int64_t number)
     {
         Wire::EndedTask end;
@@ -733,4 +744,57 @@
     EXPECT_TRUE(runUntil([&] { return nextListingCalls(1).back().holdUntilMs > 0; }));
 }
 
+// The minion has shown its clock after the suspension, by which it holds its runs for longer than by the agent's account.
+// When it could not be reached afterwards, its tasks were started elsewhere while it had them.
+TEST_F(AgentTest, hostWasSuspendedForLongerThanTheHold_thenRefuses_isNotGoneBeforeItsHoldExpires)
+{
+    addRun("a", 1000);
+    join();
+    ASSERT_TRUE(runUntil([&] { return m_minion.heldUntilMs > 0; }));
+    suspendHost(milliseconds(2700));
+    nextListingCalls(callsToMeetRestart);
+    ASSERT_LT(m_minion.clockMs(), m_minion.heldUntilMs);
+    m_minion.refusesConnections = true;
+    ASSERT_TRUE(runUntil([&] { return m_lastReport.gone; }));
+    EXPECT_GE(m_minion.clockMs(), m_minion.heldUntilMs);
+}
+
+// The tasks of a minion that had refused connections and lived were blamed for a crash, and its real crash was not noted.
+TEST_F(AgentTest, minionRefusesConnectionsUntilItsHoldExpires_thenAnswers_noCrashIsToldAnyMore)
+{
+    addRun("a", 1000);
+    join();
+    m_minion.refusesConnections = true;
+    ASSERT_TRUE(runUntil([&] { return m_lastReport.gone; }));
+    m_minion.refusesConnections = false;
+    ASSERT_TRUE(runUntil([&] { return m_lastReport.reachable; }));
+    EXPECT_TRUE(m_lastReport.crashes.empty());
+}
+
+// The same for a suspension that ends inside the hold. The next hold was counted from a clock that was seen before it.
+TEST_F(AgentTest, hostWasSuspendedInsideTheHold_thenRefuses_isNotGoneBeforeItsHoldExpires)
+{
+    addRun("a", 1000);
+    join();
+    ASSERT_TRUE(runUntil([&] { return m_minion.heldUntilMs > 0; }));
+    suspendHost(milliseconds(1500));
+    nextListingCalls(callsToMeetRestart);
+    m_minion.refusesConnections = true;
+    ASSERT_TRUE(runUntil([&] { return m_lastReport.gone; }));
+    EXPECT_GE(m_minion.clockMs(), m_minion.heldUntilMs);
+}
+
+// Every listing during a lapse, one each 40 ms, ordered every run to stop once more.
+TEST_F(AgentTest, ownerHasGivenUpTheRuns_stopsAreNotRepeatedWithEachListing)
+{
+    constexpr int stopsPerSecond = 4;
+    addRun("a", 1000);
+    join();
+    ASSERT_TRUE(runUntil([&] { return m_minion.heldUntilMs > 0; }));
+    m_leaseTerm = 2;
+    ASSERT_TRUE(runUntil([&] { return m_minion.stops > 0; }));
+    runUntil([] { return false; }, seconds(1));
+    EXPECT_LE(m_minion.stops, 1 + stopsPerSecond);
+}
+
 } // namespace Trefoilhoist::Agent
