--- a/tests/integration/agent.cpp
+++ b/tests/integration/agent.cpp
@@ -744,8 +744,8 @@
     EXPECT_TRUE(runUntil([&] { return nextListingCalls(1).back().holdUntilMs > 0; }));
 }
 
-// The minion has shown its clock after the suspension, by which it holds its runs for longer than by the agent's account.
-// When it could not be reached afterwards, its tasks were started elsewhere while it had them.
+// The minion has shown its clock after the suspension, by which it holds its runs for longer than by the agent's
+// account. When it could not be reached afterwards, its tasks were started elsewhere while it had them.
 TEST_F(AgentTest, hostWasSuspendedForLongerThanTheHold_thenRefuses_isNotGoneBeforeItsHoldExpires)
 {
     addRun("a", 1000);
@@ -759,7 +759,8 @@
     EXPECT_GE(m_minion.clockMs(), m_minion.heldUntilMs);
 }
 
-// The tasks of a minion that had refused connections and lived were blamed for a crash, and its real crash was not noted.
+// The tasks of a minion that had refused connections and lived were blamed for a crash, and its real crash was not
+// noted.
 TEST_F(AgentTest, minionRefusesConnectionsUntilItsHoldExpires_thenAnswers_noCrashIsToldAnyMore)
 {
     addRun("a", 1000);
--- a/tests/unit/orderfence.cpp
+++ b/tests/unit/orderfence.cpp
@@ -270,8 +270,8 @@
     EXPECT_TRUE(m_fence.mustLapse(m_now));
 }
 
-// The hold is shorter than the lease. A host that was suspended for longer than the hold, but not for the lease, had all
-// its runs stopped, though no owner had given them up.
+// The hold is shorter than the lease. A host that was suspended for longer than the hold, but not for the lease, had
+// all its runs stopped, though no owner had given them up.
 TEST_F(OrderFenceTest, hostWasSuspendedInsideTheLease_runsAreNotGivenUp)
 {
     grant(1);
--- a/tests/unit/roster.cpp
+++ b/tests/unit/roster.cpp
@@ -303,8 +303,8 @@
     EXPECT_EQ(plan().count("w1"), 0U);
 }
 
-// A minion that started after the takeover holds nothing of the earlier owner. Each one on that host, for as long as the
-// owner lasted, had to wait for the longest hold before it took a task.
+// A minion that started after the takeover holds nothing of the earlier owner. Each one on that host, for as long as
+// the owner lasted, had to wait for the longest hold before it took a task.
 TEST_F(RosterTest, agentGivenUpAtATakeover_laterIncarnationsNeedNotLapse)
 {
     report(reportOf("w1"));
@@ -329,4 +329,22 @@
     EXPECT_LE(reply.leaseTerm, reply.lapsedTerm + 1);
 }
 
+// The agent had told of its minion, but not what it runs. The next owner started the tasks elsewhere, and took the
+// minion on without a word of it.
+TEST_F(RosterTest, agentThatHasNotListedIsGivenUpAtATakeover_itsMinionMustLapse)
+{
+    report(reportOf("w1"));
+    report(reportOf("w2"));
+    auto next = nextOwner();
+    next.restoreRoster(m_roster, m_now);
+    reportUnlisted(next, "w1");
+    m_now += longAfter;
+    reportListed(next, "w2");
+    next.plan(m_now, wallMs, true);
+    auto late = reportOf("w1");
+    late.epoch = epoch + 1;
+    const auto reply = next.handleReport(late, true, m_now);
+    EXPECT_GT(reply.leaseTerm, reply.lapsedTerm + 1);
+}
+
 } // namespace Trefoilhoist::Jobs
