Show that a late heartbeat with a later start time ends a living minion's runs

The owner takes an unlisted report with a later start time for the minion's next incarnation. After the host's clock was set back, a heartbeat of an earlier one that was held up has the later time. Its word gives up the runs of a minion that is listed and holds them, one task starts elsewhere, and the minion's end is acknowledged in term 1, because the owner has forgotten the incarnation.

incarnationWithALaterStartTimeHasNotAnswered_presentOneKeepsItsRuns presentKeepsItsRun() is false; startedElsewhere is 1, not 0; startedElsewhere > 0 && acknowledgedInTheFirstTerm is true

laterIncarnationIsHeardOf_presentOneIsReplaced asserts the opposite and passes; it isn't touched here. Its sound form sends a listed report.

--- a/tests/unit/incarnations.cpp
+++ b/tests/unit/incarnations.cpp
@@ -51,6 +51,16 @@
         sendReport(report);
     }
 
+    [[nodiscard]] Wire::EndedTask endOfPresentRun() const
+    {
+        Wire::EndedTask end;
+        end.number = 1;
+        end.task = m_running.task;
+        end.run = m_running.run;
+        end.how = static_cast<int>(EndKind::Done);
+        return end;
+    }
+
     [[nodiscard]] bool presentKeepsItsRun() const
     {
         const auto it = m_scheduler.workers().find("present");
@@ -127,4 +137,24 @@
     EXPECT_EQ(m_scheduler.workers().count("earlier"), 1U);
 }
 
+// A heartbeat that was held up is of an earlier incarnation, whose start time is later, as the host's clock was set
+// back since. The present minion's tasks started elsewhere while it worked on them, and its ends were acknowledged all
+// the same.
+TEST_F(IncarnationTest, incarnationWithALaterStartTimeHasNotAnswered_presentOneKeepsItsRuns)
+{
+    joinWorker("third");
+    sendReport(unlistedReportOf("earlier", laterBorn));
+    EXPECT_TRUE(presentKeepsItsRun());
+    recordChanges();
+    const auto startedElsewhere = starts(plan());
+    EXPECT_EQ(startedElsewhere, 0U);
+    auto report = reportOfIncarnation("present", presentBorn);
+    report.ended = {endOfPresentRun()};
+    sendReport(report);
+    recordChanges();
+    const auto reply = sendReport(reportOfIncarnation("present", presentBorn));
+    const bool acknowledgedInTheFirstTerm = reply.recordedEnds > 0 && reply.leaseTerm == 1;
+    EXPECT_FALSE(startedElsewhere > 0 && acknowledgedInTheFirstTerm);
+}
+
 } // namespace Trefoilhoist::Jobs
