Show that an agent that never reached a minion ends the runs that another lists

Two agents that name the same minion: the owner keeps the address of the one that reported last, and takes its word that the minion is gone or has left, though it never reached it. Two agents of one minion haven't been seen on the users' machines. Both fail at:

agentThatNeverReachedTheMinionReportsItGone_otherAgentsListingHolds minionLeavesAnAgentThatNeverReachedIt_otherAgentsListingHolds presentKeepsItsRun() is false; starts(plan()) is 1, not 0

--- a/tests/unit/incarnations.cpp
+++ b/tests/unit/incarnations.cpp
@@ -157,4 +157,36 @@
     EXPECT_FALSE(startedElsewhere > 0 && acknowledgedInTheFirstTerm);
 }
 
+// Two agents named the same minion. One that had never reached it took it for gone, and its tasks started elsewhere
+// though the other agent listed them.
+TEST_F(IncarnationTest, agentThatNeverReachedTheMinionReportsItGone_otherAgentsListingHolds)
+{
+    joinWorker("third");
+    auto report = unlistedReportOf("present", presentBorn);
+    report.worker.agentHost = "another";
+    sendReport(report);
+    EXPECT_TRUE(presentKeepsItsRun());
+    report.gone = true;
+    sendReport(report);
+    EXPECT_TRUE(presentKeepsItsRun());
+    EXPECT_EQ(starts(plan()), 0U);
+}
+
+// Like above, with an agent that ends its part because the minion has left it.
+TEST_F(IncarnationTest, minionLeavesAnAgentThatNeverReachedIt_otherAgentsListingHolds)
+{
+    joinWorker("third");
+    auto report = unlistedReportOf("present", presentBorn);
+    report.worker.agentHost = "another";
+    sendReport(report);
+    Wire::WorkerReport left;
+    left.epoch = epoch;
+    left.gone = true;
+    left.worker.agentHost = report.worker.agentHost;
+    left.worker.agentPort = report.worker.agentPort;
+    sendReport(left);
+    EXPECT_TRUE(presentKeepsItsRun());
+    EXPECT_EQ(starts(plan()), 0U);
+}
+
 } // namespace Trefoilhoist::Jobs
