--- a/tests/unit/jobscheduler.cpp
+++ b/tests/unit/jobscheduler.cpp
@@ -848,4 +848,25 @@
     EXPECT_TRUE(plan().empty());
 }
 
+// The start order is still on its way when its minion crashes. The next incarnation, which has the same id, may execute
+// it, but the task started elsewhere as soon as the minion was reported gone.
+TEST_F(JobSchedulerTest, unansweredStart_minionIsGone_taskWaitsForTheNextIncarnation)
+{
+    joinWorker("w1");
+    accept(jobOf("a", {stepOf(1, 1000)}));
+    const auto orders = plan().at("w1");
+    m_scheduler.handleOrderResults(orders, std::nullopt, m_now);
+    joinWorker("w2");
+    auto gone = reportOf("w1");
+    gone.gone = true;
+    gone.listed = false;
+    sendReport(gone);
+    EXPECT_EQ(starts(plan()), 0U);
+    auto restarted = reportOf("w1");
+    restarted.worker.born = 2;
+    restarted.running = {running(orders.starts.front())};
+    sendReport(restarted);
+    EXPECT_EQ(starts(plan()), 0U);
+}
+
 } // namespace Trefoilhoist::Jobs
