Show that runs are given up without a new lease term

endIncarnation() begins a new term only if the minion was listed. A run that was carried over to the next incarnation is given up before that one has answered, and its agent is never told.

--- a/tests/unit/jobscheduler.cpp
+++ b/tests/unit/jobscheduler.cpp
@@ -869,4 +869,25 @@
     EXPECT_EQ(starts(plan()), 0U);
 }
 
+// A run that was carried over to the next incarnation was given up before that one had answered. As the lease term
+// stayed, its agent learned nothing of it: orders of before were admitted, and ends acknowledged at once.
+TEST_F(JobSchedulerTest, minionIsGoneBeforeItWasListed_itsRunIsGivenUp_nextLeaseTermBegins)
+{
+    joinWorker("w1");
+    accept(jobOf("a", {stepOf(1, 1000)}));
+    m_scheduler.handleOrderResults(plan().at("w1"), std::nullopt, m_now);
+    auto report = reportOf("w1");
+    report.worker.born = 2;
+    report.listed = false;
+    const auto before = sendReport(report).leaseTerm;
+    ASSERT_EQ(m_scheduler.workers().at("w1").runs.size(), 1U);
+    report.gone = true;
+    sendReport(report);
+    report.gone = false;
+    report.listed = true;
+    report.listing = ++m_listingNumber;
+    const auto after = sendReport(report).leaseTerm;
+    EXPECT_TRUE(after > before || !m_scheduler.workers().at("w1").runs.empty());
+}
+
 } // namespace Trefoilhoist::Jobs
