Show that the fencing token falls when the host's clock was set back

Within an epoch the token rises with the start time only. A next incarnation under the same id that has an earlier one obeys delayed calls for its predecessor (orders, and numbers of ends that nobody has read), and refuses the agent's own calls after one.

--- a/tests/unit/orderfence.cpp
+++ b/tests/unit/orderfence.cpp
@@ -184,4 +184,14 @@
     EXPECT_TRUE(isAdmitted(3, 1));
 }
 
+// The host's clock was set back between the starts of two incarnations. The next one obeyed delayed calls that were
+// meant for the earlier one, and after such a call refused its own.
+TEST_F(OrderFenceTest, fencingToken_nextIncarnationHasAnEarlierStartTime_isHigherToo)
+{
+    m_fence.resetForNewIncarnation(1'800'000'003'000);
+    const auto first = m_fence.fencingToken();
+    m_fence.resetForNewIncarnation(1'800'000'000'000);
+    EXPECT_GT(m_fence.fencingToken(), first);
+}
+
 } // namespace Trefoilhoist::Jobs
