Show that an agent drops a minion that answers for a late heartbeat

The agent's part of the same: a heartbeat with a later start time replaces the minion, which answers all the while.

--- a/tests/integration/agent.cpp
+++ b/tests/integration/agent.cpp
@@ -663,4 +663,18 @@
     EXPECT_TRUE(runUntil([&] { return nextListingCalls(1).back().holdUntilMs > 0; }));
 }
 
+// A heartbeat that was held up is of an earlier incarnation, whose start time is later, as the host's clock was set
+// back since. The agent took the minion for replaced though it answered, and the owner started its tasks elsewhere.
+TEST_F(AgentTest, lateHeartbeatHasALaterStartTime_minionThatAnswersIsKept)
+{
+    constexpr Duration longerThanTwoReports = milliseconds(1500);
+    addRun("a", 1000);
+    join();
+    m_heartbeat.worker.born = firstBorn + incarnationGapMs;
+    sendHeartbeat();
+    EXPECT_FALSE(runUntil([&] { return m_lastReport.worker.born != firstBorn; }, longerThanTwoReports));
+    EXPECT_EQ(m_lastReport.running.size(), 1U);
+    EXPECT_GT(nextListingCalls(1).back().holdUntilMs, 0);
+}
+
 } // namespace Trefoilhoist::Agent
