Show that a leaving minion is taken for ended while it lists a run

After a suspension of the host the hold has expired by the agent's clock and not by the minion's. The listing shows both its run and its clock, but finishDeparture() asks the agent's clock only, and the run isn't even stopped.

--- a/tests/integration/agent.cpp
+++ b/tests/integration/agent.cpp
@@ -677,4 +677,22 @@
     EXPECT_GT(nextListingCalls(1).back().holdUntilMs, 0);
 }
 
+// The host was suspended for a while that the minion's clock doesn't count. A minion that leaves was taken for ended
+// when its hold had expired by the agent's clock alone, though it still listed a run.
+TEST_F(AgentTest, leavingMinionOutlivesItsHold_isNotGoneWhileItRunsTasks)
+{
+    constexpr Duration longerThanTheHold = seconds(3);
+    m_leaseMs = 1500;
+    addRun("a", 1000);
+    join();
+    ASSERT_GT(nextListingCalls(1).back().holdUntilMs, 0);
+    m_minion.clockStands = true;
+    m_departedBornMs = firstBorn;
+    sendHeartbeat();
+    EXPECT_FALSE(runUntil([&] { return m_lastReport.gone; }, longerThanTheHold));
+    m_minion.clockStands = false;
+    m_minion.listing.running.clear();
+    EXPECT_TRUE(runUntil([&] { return m_lastReport.gone; }));
+}
+
 } // namespace Trefoilhoist::Agent
