Show that a minion with an unreadable row is taken for ended while it runs tasks

The same for rows that stay unreadable: the agent lets the hold expire by its own clock, and reports the minion gone while the owner still grants a lease.

--- a/tests/integration/agent.cpp
+++ b/tests/integration/agent.cpp
@@ -695,4 +695,18 @@
     EXPECT_TRUE(runUntil([&] { return m_lastReport.gone; }));
 }
 
+// Like above, with rows that stay unreadable, for which the agent lets the hold expire while the owner still grants a
+// lease: the owner gives up the runs on the agent's word only.
+TEST_F(AgentTest, rowStaysUnreadable_minionOutlivesItsHold_isNotGoneWhileItRunsTasks)
+{
+    constexpr Duration longerThanPatienceAndHold = seconds(4);
+    m_leaseMs = 1500;
+    addRun("a", 1000);
+    m_minion.listing.unreadableRows.push_back({"[17,2]", false, false});
+    join();
+    ASSERT_GT(nextListingCalls(1).back().holdUntilMs, 0);
+    m_minion.clockStands = true;
+    EXPECT_FALSE(runUntil([&] { return m_lastReport.gone; }, longerThanPatienceAndHold));
+}
+
 } // namespace Trefoilhoist::Agent
