Show that a restarted agent acknowledges ends inside an earlier hold

A new process of the agent doesn't know what its earlier one has granted, so that it takes no hold for outlived. The owner has given up the runs (its lease term is 2), and the minion's clock hasn't moved since.

restartedAgent_ownerHasGivenUpTheRuns_noEndIsAcknowledgedWithinAnEarlierHold acknowledgedEnds is 1, not 0

--- a/tests/integration/agent.cpp
+++ b/tests/integration/agent.cpp
@@ -272,6 +272,7 @@
     /// What the owner answers, besides epoch and lease.
     Wire::WorkerReportReply m_reply;
     std::int64_t m_leaseMs = 6000;
+    std::int64_t m_leaseTerm = 1;
     /// The owner has recorded one more end at each report.
     bool m_recordsMoreEnds = false;
     RecordStore *m_store = nullptr;
@@ -315,7 +316,7 @@
         auto reply = m_reply;
         reply.epoch = m_epoch;
         reply.leaseMs = m_leaseMs;
-        reply.leaseTerm = 1;
+        reply.leaseTerm = m_leaseTerm;
         Wire::Envelope result;
         result.kind = envelope.kind;
         result.payload = Wire::encode(reply);
@@ -709,4 +710,22 @@
     EXPECT_FALSE(runUntil([&] { return m_lastReport.gone; }, longerThanPatienceAndHold));
 }
 
+// The owner has given up the runs, and the agent was restarted: it knew nothing of the hold that its earlier process
+// had granted, which had not expired by the minion's clock, and acknowledged ends of tasks that ran elsewhere by then.
+TEST_F(AgentTest, restartedAgent_ownerHasGivenUpTheRuns_noEndIsAcknowledgedWithinAnEarlierHold)
+{
+    constexpr std::int64_t minionClockMs = 5000;
+    m_leaseTerm = 2;
+    m_reply.recordedEnds = 1;
+    m_minion.listing.clockMs = minionClockMs;
+    m_minion.clockStands = true;
+    addRun("a", 1000);
+    addEnd(1);
+    join();
+    nextListingCalls(callsDuringReports);
+    for (const auto &it : m_minion.listingCalls) {
+        EXPECT_EQ(it.acknowledgedEnds, 0);
+    }
+}
+
 } // namespace Trefoilhoist::Agent
