Show that a given-up run of a gang goes on beside its next run

A listed run whose task has another run is stopped, but not that of a gang's member: it counts as wanted.

--- a/tests/unit/jobscheduler.cpp
+++ b/tests/unit/jobscheduler.cpp
@@ -890,4 +890,32 @@
     EXPECT_TRUE(after > before || !m_scheduler.workers().at("w1").runs.empty());
 }
 
+// A member's run that was given up and is listed again went on beside the member's next run, as only the runs of other
+// steps were stopped.
+TEST_F(JobSchedulerTest, gang_givenUpRunIsListedAgain_isStopped)
+{
+    constexpr int moreThanHalfOfAWorker = 3000;
+    joinWorker("w1");
+    joinWorker("w2");
+    auto step = stepOf(2, moreThanHalfOfAWorker);
+    step.gang = true;
+    accept(jobOf("a", {step}));
+    const auto first = plan();
+    ASSERT_EQ(starts(first), 2U);
+    for (const auto &[worker, it] : first) {
+        answer(it, OrderResult::Done);
+    }
+    m_now += m_settings.workerLease + seconds(1);
+    auto report = reportOf("w2");
+    report.ended = {ended(1, first.at("w2").starts.front(), EndKind::Broken)};
+    sendReport(report);
+    joinWorker("w3");
+    const auto second = plan();
+    ASSERT_EQ(starts(second), 2U);
+    report = reportOf("w1");
+    report.running = {running(first.at("w1").starts.front())};
+    sendReport(report);
+    EXPECT_EQ(plan()["w1"].stops.size(), 1U);
+}
+
 } // namespace Trefoilhoist::Jobs
