Show that an owner forgets that it gave up an incarnation's runs

A delayed heartbeat of an earlier incarnation is taken once the present one is gone, and the owner erases that one with its lease term. When it comes back, its agent can't tell that anything was given up.

--- a/tests/unit/incarnations.cpp
+++ b/tests/unit/incarnations.cpp
@@ -189,4 +189,16 @@
     EXPECT_EQ(starts(plan()), 0U);
 }
 
+// The owner forgot that it had given up runs of the incarnation that came back, so that its agent could not tell:
+// orders of before were admitted, and its ends acknowledged at once.
+TEST_F(IncarnationTest, presentOneComesBackAfterAnEarlierOneWasHeardOf_itsLeaseTermIsHigher)
+{
+    auto gone = reportOfIncarnation("present", presentBorn);
+    gone.gone = true;
+    gone.listed = false;
+    sendReport(gone);
+    sendReport(unlistedReportOf("earlier", earlierBorn));
+    EXPECT_GT(sendReport(reportOfIncarnation("present", presentBorn)).leaseTerm, 1);
+}
+
 } // namespace Trefoilhoist::Jobs
