Show that a late report of an agent's earlier process is taken for its own

An agent that was restarted with an earlier time of its host goes on above the last report that the owner has taken. The next report of its earlier process, if it was held up, has that number too, and equal numbers pass isOvertaken(): a departure that it told of gives up the runs of the minion that came after. It needs a clock set back, a restart and a report that arrives within one interval.

The fixture's other reports have no numbers, so refusing equal ones needs reports with numbers there.

--- a/tests/unit/jobscheduler.cpp
+++ b/tests/unit/jobscheduler.cpp
@@ -918,4 +918,32 @@
     EXPECT_EQ(plan()["w1"].stops.size(), 1U);
 }
 
+// The agent was restarted, with an earlier time of its host, and went on above the last report that the owner had
+// taken. The next report of its earlier process, which was held up, had the same number and was taken for its own.
+TEST_F(JobSchedulerTest, agentRestarts_lateReportOfItsEarlierProcessThatTheMinionLeft_isIgnored)
+{
+    constexpr std::int64_t lastOfEarlierProcess = 10;
+    auto report = reportOf("w1");
+    report.number = lastOfEarlierProcess;
+    sendReport(report);
+    Wire::WorkerReport left;
+    left.epoch = epoch;
+    left.gone = true;
+    left.worker.agentHost = report.worker.agentHost;
+    left.worker.agentPort = report.worker.agentPort;
+    left.number = lastOfEarlierProcess + 1;
+    report = reportOf("w2");
+    report.worker.agentHost = "w1";
+    report.number = 1;
+    const auto reply = sendReport(report);
+    ASSERT_EQ(reply.lastReport, lastOfEarlierProcess);
+    report.number = reply.lastReport + 1;
+    sendReport(report);
+    accept(jobOf("a", {stepOf(1, 1000)}));
+    answer(plan().at("w2"), OrderResult::Done);
+    joinWorker("w3");
+    sendReport(left);
+    EXPECT_EQ(starts(plan()), 0U);
+}
+
 } // namespace Trefoilhoist::Jobs
