--- a/tests/unit/jobscheduler.cpp
+++ b/tests/unit/jobscheduler.cpp
@@ -848,4 +848,102 @@
     EXPECT_TRUE(plan().empty());
 }
 
+// The start order is still on its way when its minion crashes. The next incarnation, which has the same id, may execute
+// it, but the task started elsewhere as soon as the minion was reported gone.
+TEST_F(JobSchedulerTest, unansweredStart_minionIsGone_taskWaitsForTheNextIncarnation)
+{
+    joinWorker("w1");
+    accept(jobOf("a", {stepOf(1, 1000)}));
+    const auto orders = plan().at("w1");
+    m_scheduler.handleOrderResults(orders, std::nullopt, m_now);
+    joinWorker("w2");
+    auto gone = reportOf("w1");
+    gone.gone = true;
+    gone.listed = false;
+    sendReport(gone);
+    EXPECT_EQ(starts(plan()), 0U);
+    auto restarted = reportOf("w1");
+    restarted.worker.born = 2;
+    restarted.running = {running(orders.starts.front())};
+    sendReport(restarted);
+    EXPECT_EQ(starts(plan()), 0U);
+}
+
+// A run that was carried over to the next incarnation was given up before that one had answered. As the lease term
+// stayed, its agent learned nothing of it: orders of before were admitted, and ends acknowledged at once.
+TEST_F(JobSchedulerTest, minionIsGoneBeforeItWasListed_itsRunIsGivenUp_nextLeaseTermBegins)
+{
+    joinWorker("w1");
+    accept(jobOf("a", {stepOf(1, 1000)}));
+    m_scheduler.handleOrderResults(plan().at("w1"), std::nullopt, m_now);
+    auto report = reportOf("w1");
+    report.worker.born = 2;
+    report.listed = false;
+    const auto before = sendReport(report).leaseTerm;
+    ASSERT_EQ(m_scheduler.workers().at("w1").runs.size(), 1U);
+    report.gone = true;
+    sendReport(report);
+    report.gone = false;
+    report.listed = true;
+    report.listing = ++m_listingNumber;
+    const auto after = sendReport(report).leaseTerm;
+    EXPECT_TRUE(after > before || !m_scheduler.workers().at("w1").runs.empty());
+}
+
+// A member's run that was given up and is listed again went on beside the member's next run, as only the runs of other
+// steps were stopped.
+TEST_F(JobSchedulerTest, gang_givenUpRunIsListedAgain_isStopped)
+{
+    constexpr int moreThanHalfOfAWorker = 3000;
+    joinWorker("w1");
+    joinWorker("w2");
+    auto step = stepOf(2, moreThanHalfOfAWorker);
+    step.gang = true;
+    accept(jobOf("a", {step}));
+    const auto first = plan();
+    ASSERT_EQ(starts(first), 2U);
+    for (const auto &[worker, it] : first) {
+        answer(it, OrderResult::Done);
+    }
+    m_now += m_settings.workerLease + seconds(1);
+    auto report = reportOf("w2");
+    report.ended = {ended(1, first.at("w2").starts.front(), EndKind::Broken)};
+    sendReport(report);
+    joinWorker("w3");
+    const auto second = plan();
+    ASSERT_EQ(starts(second), 2U);
+    report = reportOf("w1");
+    report.running = {running(first.at("w1").starts.front())};
+    sendReport(report);
+    EXPECT_EQ(plan()["w1"].stops.size(), 1U);
+}
+
+// The agent was restarted, with an earlier time of its host, and went on above the last report that the owner had
+// taken. The next report of its earlier process, which was held up, had the same number and was taken for its own.
+TEST_F(JobSchedulerTest, agentRestarts_lateReportOfItsEarlierProcessThatTheMinionLeft_isIgnored)
+{
+    constexpr std::int64_t lastOfEarlierProcess = 10;
+    auto report = reportOf("w1");
+    report.number = lastOfEarlierProcess;
+    sendReport(report);
+    Wire::WorkerReport left;
+    left.epoch = epoch;
+    left.gone = true;
+    left.worker.agentHost = report.worker.agentHost;
+    left.worker.agentPort = report.worker.agentPort;
+    left.number = lastOfEarlierProcess + 1;
+    report = reportOf("w2");
+    report.worker.agentHost = "w1";
+    report.number = 1;
+    const auto reply = sendReport(report);
+    ASSERT_EQ(reply.lastReport, lastOfEarlierProcess);
+    report.number = reply.lastReport + 1;
+    sendReport(report);
+    accept(jobOf("a", {stepOf(1, 1000)}));
+    answer(plan().at("w2"), OrderResult::Done);
+    joinWorker("w3");
+    sendReport(left);
+    EXPECT_EQ(starts(plan()), 0U);
+}
+
 } // namespace Trefoilhoist::Jobs
