--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -7,6 +7,7 @@
 #include "trefoilhoist/wire/message.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Trefoilhoist::Agent {
 
@@ -124,6 +125,13 @@
         return;
     }
     const bool sameIncarnation = m_minion && m_minion->worker.id == worker.id && m_minion->worker.born == worker.born;
+    if (!sameIncarnation && m_minion && m_reachable) {
+        // The present incarnation answers, so that this may be an old heartbeat that was held up.
+        Event("incarnation_announced").add("worker", worker.id).add("born", worker.born);
+        m_announced = std::move(heartbeat);
+        m_announcedAtListing = m_listings;
+        return;
+    }
     const bool used = sameIncarnation ? updateMinion(std::move(heartbeat)) : adoptIncarnation(std::move(heartbeat));
     if (used) {
         m_throttle.setCapacity(m_minion->worker.cpuMilli);
@@ -171,6 +179,7 @@
     m_lastListedEnd = 0;
     Event("minion_seen").add("worker", worker.id).add("born", worker.born).add("endpoint", heartbeat.endpoint.str());
     m_minion = std::move(heartbeat);
+    m_announced.reset();
     m_fence.resetForNewIncarnation(m_minion->worker.born);
     m_throttle.clear();
     m_unreachableSince.reset();
@@ -191,6 +200,13 @@
     return true;
 }
 
+void AgentServer::adoptAnnounced()
+{
+    if (auto announced = std::exchange(m_announced, std::nullopt)) {
+        applyHeartbeat(std::move(*announced));
+    }
+}
+
 void AgentServer::handleDeparture(const std::string &id, std::int64_t bornMs)
 {
     const bool isOther = !m_minion || m_minion->worker.id != id || (bornMs != 0 && m_minion->worker.born != bornMs);
@@ -357,6 +373,8 @@
     }
     const auto recordedBefore = m_fence.recordedEnds();
     m_fence.applyReply(*reply, sentAt);
+    // The owner uses the minion again once it knows of the lapse.
+    m_reportDue = m_reportDue || m_fence.lapsedTerm() > std::max(sent.lapsedTerm, reply->lapsedTerm);
     for (const auto &info : reply->runs) {
         m_throttle.addRun(info);
     }
--- a/src/programs/agent/agent.h
+++ b/src/programs/agent/agent.h
@@ -76,6 +76,8 @@
     bool updateMinion(Jobs::MinionHeartbeat heartbeat);
     /// Uses the first heartbeat of another incarnation; false if that is an earlier one.
     bool adoptIncarnation(Jobs::MinionHeartbeat heartbeat);
+    /// Uses the heartbeat of another incarnation that arrived while the present one still answered.
+    void adoptAnnounced();
     /// Notes that the minion is about to end. Until it has, it keeps its runs.
     void handleDeparture(const std::string &id, std::int64_t bornMs);
     /// Forgets the minion that left, as it has ended or can hold nothing any more.
@@ -103,12 +105,15 @@
     /// Judges the rows that can't be read; false if they may be the owner's runs, so that the hold must expire.
     bool judgeUnreadableRows(Jobs::MinionListing &listing);
     void skipRows(const std::vector<Jobs::UnreadableRow> &rows, const char *reason);
+    void observeMinionClock(std::int64_t clockMs);
     void logOtherIncarnation(const Jobs::MinionListing &listing, std::int64_t acknowledged) const;
     /// `answered`: the present incarnation has answered, but its listing can't be used.
     void handleMissingListing(const Jobs::MinionError &error, bool answered);
     void listingFailed(const Jobs::MinionError &error, bool answered);
     /// Keeps the account of a crash of the minion until an owner has recorded it.
     void noteCrash();
+    /// Forgets the account of a crash of the present incarnation, which has answered since.
+    void withdrawCrash();
     awaitable<void> throttle(Jobs::RunThrottle order);
     [[nodiscard]] Jobs::MinionTarget target() const;
     /// Until when the minion may keep its runs, by its clock; nothing if the hold must not be extended: the minion may
@@ -136,6 +141,10 @@
     PeerServer m_peers;
 
     std::optional<Jobs::MinionHeartbeat> m_minion;
+    /// A heartbeat of another incarnation that arrived while the present one answered. It counts once that one doesn't.
+    std::optional<Jobs::MinionHeartbeat> m_announced;
+    /// The last listing that was asked for before it arrived.
+    std::int64_t m_announcedAtListing = 0;
     /// The minion has said that it leaves, and may still run tasks.
     bool m_leaving = false;
     /// Id and start time of the minion that departed last.
--- a/src/programs/agent/minionruns.cpp
+++ b/src/programs/agent/minionruns.cpp
@@ -109,11 +109,14 @@
         co_await sleepFor(listingRetryDelay);
         co_return;
     }
-    m_fence.observeMinionClock(listing->clockMs, m_runtime.clock().now());
+    observeMinionClock(listing->clockMs);
     if (m_leaving && holdHasExpired(m_runtime.clock().now(), true)) {
         finishDeparture();
         co_return;
     }
+    if (number > m_announcedAtListing) {
+        m_announced.reset();
+    }
     m_fence.confirmDropped(dropped);
     const bool usable = judgeUnreadableRows(*listing);
     // The ends that can be read count in any case: the runs are given up when the hold has expired.
@@ -195,6 +198,7 @@
         stopGivenUpRuns(listing);
     }
     if (!m_reachable) {
+        withdrawCrash();
         Event("minion_reached")
             .add("worker", m_minion->worker.id)
             .add("listing", number)
@@ -239,6 +243,10 @@
         .add("born", m_minion->worker.born)
         .add("runs", listing.running.size());
     for (const auto &row : listing.running) {
+        if (m_runs.knownResult({row.task, row.run}) == OrderResult::Superseded) {
+            // It was ordered to stop lately.
+            continue;
+        }
         m_runs.addStop({row.task, row.run}, m_runtime.clock().now());
         spawnOn(m_runtime.executor(), "stop", [this, row] { return stopRun(row.task, row.run); });
     }
@@ -278,6 +286,17 @@
     }
 }
 
+void AgentServer::observeMinionClock(std::int64_t clockMs)
+{
+    const auto lapsedBefore = m_fence.lapsedTerm();
+    m_fence.observeMinionClock(clockMs, m_runtime.clock().now());
+    if (m_fence.lapsedTerm() > lapsedBefore) {
+        Event("hold_lapsed").add("worker", m_minion->worker.id).add("term", m_fence.lapsedTerm());
+        m_reportDue = true;
+        m_waiters.notify(reportSignal);
+    }
+}
+
 void AgentServer::logOtherIncarnation(const Jobs::MinionListing &listing, std::int64_t acknowledged) const
 {
     Event("other_life_listed")
@@ -296,6 +315,9 @@
     } else {
         listingFailed(error, answered);
     }
+    if (!answered) {
+        adoptAnnounced();
+    }
 }
 
 void AgentServer::listingFailed(const Jobs::MinionError &error, bool answered)
@@ -306,6 +328,9 @@
     m_reachable = false;
     m_unreachableSince = m_unreachableSince.value_or(m_runtime.clock().now());
     m_refusesConnections = error.notRunning;
+    if (error.fenced) {
+        m_fence.raiseFencingToken();
+    }
     const auto now = m_runtime.clock().now();
     // A minion that refuses connections, or is silent, may be at work until its hold expires.
     if (!m_fence.isStopped() && holdHasExpired(now, answered)) {
@@ -346,6 +371,20 @@
     }
 }
 
+void AgentServer::withdrawCrash()
+{
+    if (!std::exchange(m_crashNoted, false)) {
+        return;
+    }
+    const auto dropped = std::erase_if(m_crashes, [&](const auto &it) {
+        return it.worker == m_minion->worker.id && it.born == m_minion->worker.born;
+    });
+    Event("crash_withdrawn")
+        .add("worker", m_minion->worker.id)
+        .add("born", m_minion->worker.born)
+        .add("told", dropped == 0);
+}
+
 awaitable<void> AgentServer::throttle(Jobs::RunThrottle order)
 {
     if (!m_minion) {
--- a/src/trefoilhoist/jobs/minioninterface.h
+++ b/src/trefoilhoist/jobs/minioninterface.h
@@ -61,6 +61,8 @@
     std::string reason;
     /// Nothing listens at the minion's address.
     bool notRunning = false;
+    /// The minion has seen a higher fencing token.
+    bool fenced = false;
 };
 
 /// The result of an order, and the minion's clock in milliseconds (0 if not reported).
--- a/src/trefoilhoist/jobs/orderfence.cpp
+++ b/src/trefoilhoist/jobs/orderfence.cpp
@@ -8,6 +8,9 @@
 
 /// The slowest rate of a minion's clock, relative to real time, that the hold allows for.
 constexpr double minClockRate = 0.98;
+/// The minion is called more often than this. If no call was due for longer, the host was suspended: the minion's clock
+/// may not have counted that time.
+constexpr Duration maxCallInterval = milliseconds(1200);
 /// Older starts are refused. The owner stops waiting for an answer after the same time.
 constexpr Duration maxStartAge = milliseconds(1500);
 /// Number of reports whose send time is kept; several are sent each second.
@@ -19,6 +22,12 @@
 /// Two incarnations start further apart than this.
 constexpr std::int64_t incarnationUnitMs = 256;
 
+/// The time that the slowest clock of a minion takes for `clockMs`.
+Duration realTime(std::int64_t clockMs)
+{
+    return milliseconds(static_cast<std::int64_t>(static_cast<double>(clockMs) / minClockRate) + 1);
+}
+
 } // namespace
 
 bool OrderFence::adoptEpoch(std::int64_t epoch)
@@ -39,8 +48,13 @@
 
 std::int64_t OrderFence::fencingToken() const
 {
-    const auto incarnation = std::clamp<std::int64_t>(m_bornMs / incarnationUnitMs, 0, maxIncarnationPart);
-    return (m_epoch << incarnationBits) + incarnation;
+    return (m_epoch << incarnationBits) + m_incarnationPart;
+}
+
+void OrderFence::raiseFencingToken()
+{
+    m_tokenStep *= 2;
+    m_incarnationPart = std::min(m_incarnationPart + m_tokenStep, maxIncarnationPart);
 }
 
 void OrderFence::confirmListing(std::int64_t epoch)
@@ -111,6 +125,10 @@
 
 void OrderFence::resetForNewIncarnation(std::int64_t bornMs)
 {
+    // Also if the host's clock was set back between the starts of the two.
+    const auto next = bornMs == m_bornMs ? m_incarnationPart : m_incarnationPart + 1;
+    m_incarnationPart = std::clamp<std::int64_t>(bornMs / incarnationUnitMs, next, maxIncarnationPart);
+    m_tokenStep = 1;
     m_bornMs = bornMs;
     m_replaced = false;
     m_droppedEnds = 0;
@@ -118,7 +136,7 @@
     m_stopped = false;
     m_recordedEnds = 0;
     m_clockMs = 0;
-    m_extendedUntil = TimePoint{};
+    m_leaseOfHold = TimePoint{};
     m_extendedUntilMs = 0;
     m_earlierHoldUntilMs = 0;
     m_isGivenUp = false;
@@ -187,6 +205,10 @@
     }
     m_clockMs = clockMs;
     m_clockAt = now;
+    m_hostWasSuspended = false;
+    if (clockMs < m_extendedUntilMs) {
+        m_holdExpiry = std::max(m_holdExpiry, now + realTime(m_extendedUntilMs - clockMs));
+    }
     noteLapse();
 }
 
@@ -202,15 +224,21 @@
 
 std::optional<std::int64_t> OrderFence::extendHoldUntil(TimePoint until, TimePoint now)
 {
+    const auto lastCallAt = std::max(m_clockAt, m_triedAt);
+    m_hostWasSuspended = m_hostWasSuspended || now - lastCallAt > maxCallInterval;
+    m_triedAt = now;
     // After markStopped(), the owner may be giving the runs up.
     const bool mayBeGivenUp = m_leaseTerm <= m_stoppedTerm;
-    if (m_replaced || m_clockMs == 0 || now >= m_leaseExpiry || mayBeGivenUp || mustLapse(now)) {
+    if (m_replaced || m_clockMs == 0 || m_hostWasSuspended || now >= m_leaseExpiry || mayBeGivenUp || mustLapse(now)) {
         return std::nullopt;
     }
     m_holdExpiry = std::max(m_holdExpiry, until);
-    const auto left = duration_cast<milliseconds>(until - m_clockAt).count();
-    const auto untilMs = m_clockMs + static_cast<std::int64_t>(minClockRate * static_cast<double>(left));
-    m_extendedUntil = std::max(m_extendedUntil, until);
+    m_leaseOfHold = std::max(m_leaseOfHold, m_leaseExpiry);
+    // A clock that was read lately is taken as standing since. One of a minion that doesn't answer goes on.
+    const auto age = now - m_clockAt;
+    const auto left = until - now + (age > maxCallInterval ? age : Duration{});
+    const auto untilMs = m_clockMs
+        + static_cast<std::int64_t>(minClockRate * static_cast<double>(duration_cast<milliseconds>(left).count()));
     m_extendedUntilMs = std::max(m_extendedUntilMs, untilMs);
     return untilMs;
 }
--- a/src/trefoilhoist/jobs/orderfence.h
+++ b/src/trefoilhoist/jobs/orderfence.h
@@ -41,6 +41,9 @@
     /// The token with which the minion is called. It rises with the epoch and, within an epoch, with each incarnation
     /// of the minion: once an incarnation was called, it refuses the delayed calls that were meant for an earlier one.
     [[nodiscard]] std::int64_t fencingToken() const;
+    /// To be called when the minion refuses the token: an earlier process of this agent has called it with a higher
+    /// one.
+    void raiseFencingToken();
 
     /// Notes that the minion has answered a listing under this epoch's fencing token.
     void confirmListing(std::int64_t epoch);
@@ -104,11 +107,12 @@
     /// last observed. The runs must be stopped, and until the hold has expired it is not extended and no end is
     /// acknowledged: the tasks may have been started elsewhere.
     ///
-    /// The owner tells so by a new lease term. It has also given them up if the hold has expired by this agent's clock
-    /// only: the host may have been suspended, and a minion's clock doesn't count that time.
+    /// The owner tells so by a new lease term. It has also given them up if the lease has ended under which the hold
+    /// was extended, and the hold has not expired: the host may have been suspended, and a minion's clock doesn't count
+    /// that time.
     [[nodiscard]] bool mustLapse(TimePoint now) const
     {
-        return m_isGivenUp || (now > m_extendedUntil && m_clockMs < m_extendedUntilMs);
+        return m_isGivenUp || (now > m_leaseOfHold && m_clockMs < m_extendedUntilMs);
     }
     /// The hold that lease terms up to this one allowed has expired by the minion's clock.
     [[nodiscard]] std::int64_t lapsedTerm() const
@@ -131,6 +135,10 @@
     std::int64_t m_epoch = 0;
     /// Unix milliseconds of the start of the minion's incarnation.
     std::int64_t m_bornMs = 0;
+    /// The part of the fencing token that rises with the minion's incarnations.
+    std::int64_t m_incarnationPart = 0;
+    /// By how much that part rises when the minion refuses the token.
+    std::int64_t m_tokenStep = 1;
     std::int64_t m_leaseTerm = 0;
     std::int64_t m_stoppedTerm = 0;
     std::int64_t m_recordedEnds = 0;
@@ -142,8 +150,13 @@
     TimePoint m_holdExpiry;
     std::int64_t m_clockMs = 0;
     TimePoint m_clockAt;
-    /// The end of the last hold, by this agent's clock and by the minion's.
-    TimePoint m_extendedUntil;
+    /// When the hold was last to be extended.
+    TimePoint m_triedAt;
+    /// The minion's clock is not known since.
+    bool m_hostWasSuspended = false;
+    /// The end of the lease under which the hold was extended last.
+    TimePoint m_leaseOfHold;
+    /// The end of the hold, by the minion's clock.
     std::int64_t m_extendedUntilMs = 0;
     /// By the minion's clock, the end of any hold that an earlier process of this agent may have given it.
     std::int64_t m_earlierHoldUntilMs = 0;
