--- a/src/trefoilhoist/jobs/jobreports.cpp
+++ b/src/trefoilhoist/jobs/jobreports.cpp
@@ -86,7 +86,8 @@
 bool JobScheduler::isOvertaken(const Wire::WorkerReport &report)
 {
     auto &lastReport = m_lastReports[agentName(report.worker)];
-    if (report.number < lastReport) {
+    // A report of an earlier process of the agent may have the number of one that is known.
+    if (report.number < lastReport || (report.number == lastReport && lastReport > 0)) {
         logOvertakenReport(report, lastReport, m_epoch);
         return true;
     }
--- a/src/trefoilhoist/jobs/jobscheduler.h
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -342,6 +342,8 @@
     TimePoint m_reportDeadline;
     /// Agents of the restored roster that have not reported in time.
     std::set<std::string> m_givenUpAgents;
+    /// Agents that have reported a minion to this owner.
+    std::set<std::string> m_reportedAgents;
     std::map<std::string, Wire::WorkerDescription> m_roster;
     std::set<std::string> m_recordedRoster;
     bool m_rosterChanged = false;
--- a/src/trefoilhoist/jobs/worker.cpp
+++ b/src/trefoilhoist/jobs/worker.cpp
@@ -167,6 +167,12 @@
     }
 }
 
+void Worker::raiseTerm(TimePoint now)
+{
+    ++leaseTerm;
+    termRaisedAt = now;
+}
+
 void Worker::applyLapse(std::int64_t reportedTerm)
 {
     if (reportedTerm <= lapsedTerm || reportedTerm >= leaseTerm) {
--- a/src/trefoilhoist/jobs/worker.h
+++ b/src/trefoilhoist/jobs/worker.h
@@ -147,6 +147,8 @@
     std::int64_t leaseTerm = 1;
     /// The agent has reported that the hold of terms up to this one has expired by the minion's clock.
     std::int64_t lapsedTerm = 0;
+    /// When the term was last raised.
+    TimePoint termRaisedAt;
     /// The runs that were given up without a report of their end, and why, until the hold that they had has lapsed.
     std::map<RunKey, LossCause> givenUpRuns;
     TimePoint lastContact;
@@ -205,6 +207,8 @@
     void rememberGivenUp(const RunKey &key, LossCause cause);
     /// Notes what the agent has reported of expired holds.
     void applyLapse(std::int64_t reportedTerm);
+    /// Notes that what was ordered here is given up.
+    void raiseTerm(TimePoint now);
     /// True if the agent is being told to let the minion's hold expire.
     [[nodiscard]] bool awaitsLapse() const
     {
--- a/src/trefoilhoist/jobs/workerincarnations.cpp
+++ b/src/trefoilhoist/jobs/workerincarnations.cpp
@@ -38,7 +38,12 @@
     }
     for (auto &[id, worker] : m_workers) {
         if (agentName(worker.info) == name) {
+            const bool isUnlisted = !worker.listed && worker.runs.empty();
             endIncarnation(worker, cause, now);
+            if (wasAwaited && isUnlisted) {
+                // Its inherited tasks start elsewhere, though no listing has shown them.
+                worker.raiseTerm(now);
+            }
             worker.inRecordedRoster = false;
         }
     }
@@ -57,8 +62,9 @@
     const auto name = agentName(report.worker);
     return std::any_of(m_workers.begin(), m_workers.end(), [&](const auto &it) {
         const auto &[id, known] = it;
-        const bool sameMinion = id == report.worker.id || agentName(known.info) == name;
-        const bool sameIncarnation = id == report.worker.id && known.info.born == report.worker.born;
+        const bool sameAgent = agentName(known.info) == name;
+        const bool sameMinion = id == report.worker.id || sameAgent;
+        const bool sameIncarnation = id == report.worker.id && known.info.born == report.worker.born && sameAgent;
         const bool earlier = (known.listed || !known.runs.empty()) && known.info.born > report.worker.born;
         const bool mayHoldRuns = !known.runs.empty() && now <= known.leaseEnds;
         return sameMinion && !sameIncarnation && (earlier || mayHoldRuns);
@@ -104,7 +110,7 @@
     worker.inRecordedRoster = m_recordedRoster.count(name) > 0;
     worker.zoneDrained = isDrained(report.worker.zone);
     if (wasGivenUp(report.worker)) {
-        ++worker.leaseTerm;
+        worker.raiseTerm(now);
     }
     if (!report.gone) {
         addToRoster(report.worker);
@@ -145,8 +151,11 @@
 
 bool JobScheduler::wasGivenUp(const Wire::WorkerDescription &worker)
 {
+    const auto name = agentName(worker);
     const bool returns = m_givenUpIncarnations.erase({worker.id, worker.born}) > 0;
-    return returns || m_givenUpAgents.count(agentName(worker)) > 0 || m_givenUpAgents.count(unknownAgents) > 0;
+    // What an agent reports later has started since, and holds nothing of an earlier owner.
+    const bool isFirst = m_reportedAgents.insert(name).second;
+    return returns || (isFirst && (m_givenUpAgents.count(name) > 0 || m_givenUpAgents.count(unknownAgents) > 0));
 }
 
 // Adds the agent to the roster that is recorded, so that a later owner waits for its report. An agent whose minion has
@@ -183,7 +192,7 @@
         handleLostRun(worker, key, now);
     }
     if (worker.listed || hadRuns) {
-        ++worker.leaseTerm;
+        worker.raiseTerm(now);
     }
     worker.listed = false;
 }
@@ -219,7 +228,7 @@
     logGivenUpRunListed(worker, key, it->second, state, m_epoch);
     worker.givenUpRuns.erase(it);
     if (!worker.awaitsLapse()) {
-        ++worker.leaseTerm;
+        worker.raiseTerm(m_now);
     }
 }
 
--- a/src/trefoilhoist/jobs/workerselector.cpp
+++ b/src/trefoilhoist/jobs/workerselector.cpp
@@ -10,6 +10,8 @@
 
 /// A worker whose last report is older than this gets no new tasks.
 constexpr Duration maxReportAge = milliseconds(1500);
+/// An agent that lets a hold expire reports it within this time. Agents of earlier versions never do.
+constexpr Duration maxLapseTime = seconds(6);
 /// No task is started on a worker whose lease expires sooner than this.
 constexpr Duration minRemainingLease = seconds(1);
 
@@ -80,6 +82,9 @@
     if (!worker.inRecordedRoster || !worker.listed) {
         return Rejection::NotListed;
     }
+    if (worker.awaitsLapse() && m_now - worker.termRaisedAt < maxLapseTime) {
+        return Rejection::AwaitsLapse;
+    }
     if (!worker.reachable || m_now - worker.lastContact > maxReportAge
         || worker.leaseEnds - m_now < minRemainingLease) {
         return Rejection::Silent;
--- a/src/trefoilhoist/jobs/workerselector.h
+++ b/src/trefoilhoist/jobs/workerselector.h
@@ -19,6 +19,7 @@
 enum class Rejection {
     None,
     NotListed,
+    AwaitsLapse,
     Silent,
     Draining,
     ZoneDrained,
@@ -30,8 +31,9 @@
     NoCapacity,
 };
 
-inline constexpr std::array<std::string_view, 11> rejectionNames = {"",
+inline constexpr std::array<std::string_view, 12> rejectionNames = {"",
                                                                     "not listed or recorded yet",
+                                                                    "its hold has not lapsed yet",
                                                                     "silent",
                                                                     "draining",
                                                                     "zone drained",
