--- a/src/trefoilhoist/jobs/jobreports.cpp
+++ b/src/trefoilhoist/jobs/jobreports.cpp
@@ -19,12 +19,7 @@
     if (overtaken) {
         return reply;
     }
-    for (const auto &it : report.crashes) {
-        applyCrash(agentName(report.worker), it, 1);
-        if (isCrashRecorded(it)) {
-            reply.recordedCrashes.push_back(it.born);
-        }
-    }
+    reply.recordedCrashes = applyCrashes(report);
     const bool current = report.epoch == m_epoch && report.listed;
     if (report.worker.id.empty()) {
         // The agent's minion has left permanently.
@@ -71,6 +66,18 @@
     return reply;
 }
 
+std::vector<std::int64_t> JobScheduler::applyCrashes(const Wire::WorkerReport &report)
+{
+    std::vector<std::int64_t> recorded;
+    for (const auto &it : report.crashes) {
+        applyCrash(agentName(report.worker), it, 1);
+        if (isCrashRecorded(it)) {
+            recorded.push_back(it.born);
+        }
+    }
+    return recorded;
+}
+
 std::vector<Wire::RunInfo> JobScheduler::describeRuns(const Worker &worker)
 {
     std::vector<Wire::RunInfo> runs;
--- a/src/trefoilhoist/jobs/jobscheduler.h
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -201,6 +201,9 @@
     /// is known: the heartbeat may be an old one that was held up.
     [[nodiscard]] bool mayBeOfEarlierIncarnation(const Wire::WorkerReport &report, TimePoint now) const;
     Worker &workerForReport(const Wire::WorkerReport &report, TimePoint now);
+    std::map<RunKey, Run> replaceIncarnations(const Wire::WorkerReport &report, TimePoint now);
+    /// Lets the worker's incarnation resolve runs that were ordered from an earlier one.
+    void carryOver(Worker &worker, const std::map<RunKey, Run> &runs, TimePoint now);
     void removeAgent(const std::string &name, LossCause cause, TimePoint now);
     void addToRoster(const Wire::WorkerDescription &worker);
     void rememberGivenUp(const Worker &worker);
@@ -214,6 +217,8 @@
     void requestStop(Worker &worker, const RunKey &key, TimePoint now);
 
     // jobreports.cpp
+    /// Returns the start times of the reported incarnations whose crashes are recorded.
+    std::vector<std::int64_t> applyCrashes(const Wire::WorkerReport &report);
     [[nodiscard]] std::vector<Wire::RunInfo> describeRuns(const Worker &worker);
     bool isOvertaken(const Wire::WorkerReport &report);
     void applyListing(Worker &worker, const Wire::WorkerReport &report, TimePoint now);
--- a/src/trefoilhoist/jobs/workerincarnations.cpp
+++ b/src/trefoilhoist/jobs/workerincarnations.cpp
@@ -85,6 +85,30 @@
         }
         return known->second;
     }
+    const auto runsToResolve = replaceIncarnations(report, now);
+    Worker worker;
+    worker.info = report.worker;
+    // The lease that an earlier owner granted is not known, so the longest possible one is assumed.
+    worker.leaseEnds = now + m_settings.grantGrace + m_settings.workerLease + m_settings.leaseSlack;
+    worker.inRecordedRoster = m_recordedRoster.count(name) > 0;
+    worker.zoneDrained = isDrained(report.worker.zone);
+    if (wasGivenUp(report.worker)) {
+        worker.raiseTerm(now);
+    }
+    if (!report.gone) {
+        addToRoster(report.worker);
+    }
+    logWorkerEvent("worker_joined", worker, m_epoch);
+    auto &newWorker = m_workers.insert_or_assign(report.worker.id, std::move(worker)).first->second;
+    carryOver(newWorker, runsToResolve, now);
+    return newWorker;
+}
+
+// Ends the incarnations of the minion that came before the reported one. Returns the runs whose orders that one may
+// have executed, or may still execute.
+std::map<RunKey, Run> JobScheduler::replaceIncarnations(const Wire::WorkerReport &report, TimePoint now)
+{
+    const auto name = agentName(report.worker);
     std::map<RunKey, Run> runsToResolve;
     for (auto &[id, worker] : m_workers) {
         // An agent has one minion at a time, so an earlier minion of the same agent has ended.
@@ -103,22 +127,13 @@
     }
     std::erase_if(m_workers,
                   [&](const auto &it) { return it.second.runs.empty() && agentName(it.second.info) == name; });
-    Worker worker;
-    worker.info = report.worker;
-    // The lease that an earlier owner granted is not known, so the longest possible one is assumed.
-    worker.leaseEnds = now + m_settings.grantGrace + m_settings.workerLease + m_settings.leaseSlack;
-    worker.inRecordedRoster = m_recordedRoster.count(name) > 0;
-    worker.zoneDrained = isDrained(report.worker.zone);
-    if (wasGivenUp(report.worker)) {
-        worker.raiseTerm(now);
-    }
-    if (!report.gone) {
-        addToRoster(report.worker);
-    }
-    logWorkerEvent("worker_joined", worker, m_epoch);
-    auto &newWorker = m_workers.insert_or_assign(report.worker.id, std::move(worker)).first->second;
+    return runsToResolve;
+}
+
+void JobScheduler::carryOver(Worker &worker, const std::map<RunKey, Run> &runs, TimePoint now)
+{
     // A listing of the new incarnation shows whether it has the run. A run that may still start is stopped there first.
-    for (auto &[key, run] : runsToResolve) {
+    for (auto [key, run] : runs) {
         auto *entry = find(key.task.job);
         if (entry == nullptr) {
             continue;
@@ -131,11 +146,10 @@
             run.lastListingBeforeResolution = INT64_MAX;
             run.nextOrderAt = now;
         }
-        newWorker.addRun(key, run);
-        entry->job.trackRun(key.task, key.run, report.worker.id);
+        worker.addRun(key, run);
+        entry->job.trackRun(key.task, key.run, worker.info.id);
         markChanged(key.task.job);
     }
-    return newWorker;
 }
 
 void JobScheduler::rememberGivenUp(const Worker &worker)
