Let connections reach the target late in the fault proxy

A delayed call reached only the process that listened when the connection was taken: a connection to the target was made at once. `connectDelayMs` and `silentRequests` make it late, so that a call can reach the next process at that address.

--- a/review/standins/site.h
+++ b/review/standins/site.h
@@ -258,7 +258,7 @@
         if (m_plan.proxyProgram.empty()) {
             return target;
         }
-        const Address listen{target.ip, nextPort(target.ip)};
+        Address listen{target.ip, nextPort(target.ip)};
         m_links.add(name, listen, target);
         return listen;
     }
@@ -269,7 +269,7 @@
         if (m_plan.proxyProgram.empty()) {
             return m_storeAddress;
         }
-        const Address listen{ip, nextPort(ip)};
+        Address listen{ip, nextPort(ip)};
         m_links.add("store-" + program, listen, m_storeAddress);
         return listen;
     }
--- a/standins/faultproxy/faultlink.cpp
+++ b/standins/faultproxy/faultlink.cpp
@@ -151,6 +151,10 @@
 
     awaitable<void> connect(std::shared_ptr<Pair> pair)
     {
+        co_await sleepIfAny(currentFaults().connectDelay);
+        while (currentFaults().silentRequests) {
+            co_await sleepFor(silentPoll);
+        }
         boost::system::error_code ec;
         const Tcp::endpoint to(Asio::ip::make_address(target.host), target.port);
         co_await pair->target.async_connect(to, Asio::redirect_error(Asio::use_awaitable, ec));
--- a/standins/faultproxy/faultlink.h
+++ b/standins/faultproxy/faultlink.h
@@ -21,9 +21,11 @@
     bool reset = false;
     /// Takes bytes and connections and passes nothing on.
     bool silent = false;
-    /// Like silent, in one direction.
+    /// Like silent, in one direction. Without requests, new connections reach the target once the link is healed.
     bool silentRequests = false;
     bool silentAnswers = false;
+    /// New connections reach the target after this time, which may be another process there by then.
+    Duration connectDelay{};
     /// Added to each chunk on its way to the target, and from it.
     Duration requestDelay{};
     Duration answerDelay{};
--- a/standins/faultproxy/main.cpp
+++ b/standins/faultproxy/main.cpp
@@ -36,6 +36,7 @@
     faults.silent = json.value("silent", false);
     faults.silentRequests = json.value("silentRequests", false);
     faults.silentAnswers = json.value("silentAnswers", false);
+    faults.connectDelay = milliseconds(json.value("connectDelayMs", 0));
     faults.requestDelay = milliseconds(json.value("requestDelayMs", 0));
     faults.answerDelay = milliseconds(json.value("answerDelayMs", 0));
     faults.truncateAnswersAfter = json.value("truncateAnswersAfter", std::int64_t{0});
--- a/tests/soak/linkchaos.cpp
+++ b/tests/soak/linkchaos.cpp
@@ -30,7 +30,9 @@
     constexpr std::int64_t maxDelayMs = 1500;
     switch (fault) {
     case LinkFault::Delay:
-        return {{"requestDelayMs", between(random, 0, maxDelayMs)}, {"answerDelayMs", between(random, 0, maxDelayMs)}};
+        return {{"connectDelayMs", between(random, 0, maxDelayMs)},
+                {"requestDelayMs", between(random, 0, maxDelayMs)},
+                {"answerDelayMs", between(random, 0, maxDelayMs)}};
     case LinkFault::Reset:
         return {{"reset", true}, {"cut", true}};
     case LinkFault::Refuse:
