--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -18,6 +18,10 @@
 constexpr std::int64_t listingsPerMillisecond = 100;
 constexpr Duration ownerRetryDelay = milliseconds(200);
 constexpr const char *reportSignal = "news";
+constexpr const char *departureSignal = "departure";
+/// A minion waits for the answer to its departure for a second.
+constexpr Duration departureTimeout = milliseconds(800);
+constexpr Duration departureCheckInterval = milliseconds(50);
 
 bool capacityDiffers(const Wire::WorkerDescription &a, const Wire::WorkerDescription &b)
 {
@@ -110,8 +114,8 @@
     }
     if (notice.heartbeat) {
         applyHeartbeat(std::move(*notice.heartbeat));
-    } else {
-        handleDeparture(notice.departedId, notice.departedBornMs);
+    } else if (handleDeparture(notice.departedId, notice.departedBornMs)) {
+        co_await emptyMinion();
     }
     co_return jsonResponse(200, "{}");
 }
@@ -207,18 +211,39 @@
     }
 }
 
-void AgentServer::handleDeparture(const std::string &id, std::int64_t bornMs)
+bool AgentServer::handleDeparture(const std::string &id, std::int64_t bornMs)
 {
     const bool isOther = !m_minion || m_minion->worker.id != id || (bornMs != 0 && m_minion->worker.born != bornMs);
     if (isOther) {
         Event("departure_ignored").add("worker", id).add("born", bornMs);
-        return;
+        return false;
     }
     Event("minion_leaves").add("worker", id).add("runs", m_running.size());
     m_leaving = true;
+    m_emptyListing.reset();
     m_minion->draining = true;
     m_reportDue = true;
     m_waiters.notifyAll();
+    return true;
+}
+
+// The minion ends once its departure is answered, and its host may be taken away with this agent. Its tasks start
+// elsewhere at once if the owner has heard by then that they are over.
+awaitable<void> AgentServer::emptyMinion()
+{
+    const auto deadline = m_runtime.clock().now() + departureTimeout;
+    if (m_reachable) {
+        stopRuns(m_running);
+    }
+    while (m_minion && m_reachable && !isReportedEmpty() && m_runtime.clock().now() < deadline) {
+        co_await m_waiters.wait(departureSignal, departureCheckInterval);
+    }
+    Event("departure_answered").add("runs", m_running.size()).add("reportedEmpty", isReportedEmpty());
+}
+
+bool AgentServer::isReportedEmpty() const
+{
+    return m_emptyListing && m_reportedListing >= *m_emptyListing;
 }
 
 void AgentServer::finishDeparture()
@@ -371,6 +396,10 @@
     if (!sameIncarnation) {
         co_return;
     }
+    m_reportedListing = std::max(m_reportedListing, sent.listing);
+    if (m_leaving) {
+        m_waiters.notify(departureSignal);
+    }
     const auto recordedBefore = m_fence.recordedEnds();
     m_fence.applyReply(*reply, sentAt);
     // The owner uses the minion again once it knows of the lapse.
--- a/src/programs/agent/agent.h
+++ b/src/programs/agent/agent.h
@@ -78,8 +78,12 @@
     bool adoptIncarnation(Jobs::MinionHeartbeat heartbeat);
     /// Uses the heartbeat of another incarnation that arrived while the present one still answered.
     void adoptAnnounced();
-    /// Notes that the minion is about to end. Until it has, it keeps its runs.
-    void handleDeparture(const std::string &id, std::int64_t bornMs);
+    /// Notes that the minion is about to end; false if that is not the present one. Its hold is no longer extended.
+    bool handleDeparture(const std::string &id, std::int64_t bornMs);
+    /// Stops what the minion runs, and returns when the owner has heard that it is over, or after some time.
+    awaitable<void> emptyMinion();
+    /// True if the owner has heard that the minion, which leaves, runs nothing.
+    [[nodiscard]] bool isReportedEmpty() const;
     /// Forgets the minion that left, as it has ended or can hold nothing any more.
     void finishDeparture();
     /// True if the last hold that an agent's process can have extended has expired. `answered`: the minion has just
@@ -98,8 +102,10 @@
     awaitable<void> listLoop();
     awaitable<void> listOnce();
     void applyListing(const Jobs::MinionListing &listing, std::int64_t number, std::int64_t epoch);
-    /// Stops what the minion still runs though the owner has given it up.
-    void stopGivenUpRuns(const Jobs::MinionListing &listing);
+    /// Stops what the minion still runs though the owner has given it up, or though the minion leaves.
+    void stopUnwantedRuns(const std::vector<Wire::RunningTask> &running);
+    /// Orders these runs to stop, but for those that were ordered lately.
+    void stopRuns(const std::vector<Wire::RunningTask> &running);
     awaitable<void> stopRun(Wire::TaskRef task, std::int64_t run);
     void observeEndNumbers(const Jobs::MinionListing &listing);
     /// Judges the rows that can't be read; false if they may be the owner's runs, so that the hold must expire.
@@ -147,6 +153,10 @@
     std::int64_t m_announcedAtListing = 0;
     /// The minion has said that it leaves, and may still run tasks.
     bool m_leaving = false;
+    /// The first listing that showed no run after that.
+    std::optional<std::int64_t> m_emptyListing;
+    /// The last listing that the owner has answered a report of.
+    std::int64_t m_reportedListing = 0;
     /// Id and start time of the minion that departed last.
     std::string m_departedId;
     std::int64_t m_departedStartMs = -1;
--- a/src/programs/agent/minionruns.cpp
+++ b/src/programs/agent/minionruns.cpp
@@ -194,8 +194,13 @@
 void AgentServer::applyListing(const Jobs::MinionListing &listing, std::int64_t number, std::int64_t epoch)
 {
     const auto now = m_runtime.clock().now();
-    if (m_fence.mustLapse(now)) {
-        stopGivenUpRuns(listing);
+    if (m_leaving || m_fence.mustLapse(now)) {
+        stopUnwantedRuns(listing.running);
+    }
+    if (m_leaving && listing.running.empty() && !listing.lacksEnds) {
+        m_emptyListing = m_emptyListing.value_or(number);
+        m_reportDue = true;
+        m_waiters.notify(reportSignal);
     }
     if (!m_reachable) {
         withdrawCrash();
@@ -233,16 +238,23 @@
     }
 }
 
-void AgentServer::stopGivenUpRuns(const Jobs::MinionListing &listing)
+void AgentServer::stopUnwantedRuns(const std::vector<Wire::RunningTask> &running)
 {
-    if (listing.running.empty()) {
+    if (running.empty()) {
         return;
     }
-    Event("runs_outlived_hold")
-        .add("worker", m_minion->worker.id)
-        .add("born", m_minion->worker.born)
-        .add("runs", listing.running.size());
-    for (const auto &row : listing.running) {
+    if (m_fence.mustLapse(m_runtime.clock().now())) {
+        Event("runs_outlived_hold")
+            .add("worker", m_minion->worker.id)
+            .add("born", m_minion->worker.born)
+            .add("runs", running.size());
+    }
+    stopRuns(running);
+}
+
+void AgentServer::stopRuns(const std::vector<Wire::RunningTask> &running)
+{
+    for (const auto &row : running) {
         if (m_runs.knownResult({row.task, row.run}) == OrderResult::Superseded) {
             // It was ordered to stop lately.
             continue;
--- a/tests/integration/agent.cpp
+++ b/tests/integration/agent.cpp
@@ -57,10 +57,23 @@
     std::vector<ListingCall> listingCalls;
     int starts = 0;
     int stops = 0;
+    /// A run that is stopped is listed as ended.
+    bool endsStoppedRuns = false;
     /// The time for which the host was suspended, which the minion's clock doesn't count.
     std::chrono::milliseconds suspended{0};
     const std::chrono::steady_clock::time_point startedAt = std::chrono::steady_clock::now();
 
+    void end(const Wire::TaskRef &task, std::int64_t run, Jobs::EndKind how)
+    {
+        std::erase_if(listing.running, [&](const auto &it) { return it.task == task && it.run == run; });
+        Wire::EndedTask row;
+        row.number = static_cast<std::int64_t>(listing.ended.size()) + 1;
+        row.task = task;
+        row.run = run;
+        row.how = static_cast<int>(how);
+        listing.ended.push_back(row);
+    }
+
     [[nodiscard]] std::int64_t clockMs() const
     {
         const auto age = std::chrono::steady_clock::now() - startedAt - suspended;
@@ -95,9 +108,12 @@
         ++m_minion.starts;
         co_return Jobs::OrderAnswer{Jobs::OrderResult::Done, 0, {}};
     }
-    awaitable<Jobs::OrderAnswer> stop(Jobs::MinionTarget, Wire::StopOrder) override
+    awaitable<Jobs::OrderAnswer> stop(Jobs::MinionTarget, Wire::StopOrder order) override
     {
         ++m_minion.stops;
+        if (m_minion.endsStoppedRuns) {
+            m_minion.end(order.task, order.run, Jobs::EndKind::Stopped);
+        }
         co_return Jobs::OrderAnswer{Jobs::OrderResult::Done, 0, {}};
     }
     awaitable<bool> throttle(Jobs::MinionTarget, Wire::TaskRef, std::int64_t, int percent) override
@@ -704,6 +720,22 @@
     EXPECT_GE(m_minion.clockMs(), m_minion.heldUntilMs);
 }
 
+// The agent ends with the host of a minion that leaves. Its tasks waited for the end of the lease, as nobody had told
+// the owner that they were over.
+TEST_F(AgentTest, minionLeaves_itsRunsAreStoppedAndReportedBeforeItIsAnswered)
+{
+    addRun("a", 1000);
+    join();
+    m_minion.endsStoppedRuns = true;
+    m_departedBornMs = firstBorn;
+    sendHeartbeat();
+    EXPECT_EQ(m_minion.stops, 1);
+    EXPECT_TRUE(m_lastReport.running.empty());
+    ASSERT_EQ(m_lastReport.ended.size(), 1U);
+    EXPECT_EQ(m_lastReport.ended.front().how, static_cast<int>(Jobs::EndKind::Stopped));
+    EXPECT_TRUE(m_lastReport.draining);
+}
+
 // Whatever made an owner give up what a minion runs: if the minion holds it still, it must not go on beside the tasks
 // that were started elsewhere, and their ends must not be acknowledged.
 TEST_F(AgentTest, ownerHasGivenUpTheRuns_theyAreStoppedAndNothingIsExtendedOrAcknowledgedInsideTheHold)
