--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -91,7 +91,11 @@
     m_heartbeats.drain();
     // The minion continues under its current lease. Its last listing is reported once more.
     m_waiters.notifyAll();
-    co_await extendHoldForRestart();
+    if (m_leaving) {
+        co_await reportDeparture();
+    } else {
+        co_await extendHoldForRestart();
+    }
     co_await sleepFor(milliseconds(300));
     Event("stopped").add("name", m_settings.name);
     EventLog::instance().flush();
@@ -220,6 +224,7 @@
     }
     Event("minion_leaves").add("worker", id).add("runs", m_running.size());
     m_leaving = true;
+    m_departureReported = false;
     m_emptyListing.reset();
     m_minion->draining = true;
     m_reportDue = true;
@@ -241,6 +246,15 @@
     Event("departure_answered").add("runs", m_running.size()).add("reportedEmpty", isReportedEmpty());
 }
 
+awaitable<void> AgentServer::reportDeparture()
+{
+    const auto deadline = m_runtime.clock().now() + m_settings.hold.extension + reportTimeout;
+    while (!m_departureReported && m_runtime.clock().now() < deadline) {
+        co_await m_waiters.wait(departureSignal, departureCheckInterval);
+    }
+    Event("departure_awaited").add("worker", m_departedId).add("reported", m_departureReported);
+}
+
 bool AgentServer::isReportedEmpty() const
 {
     return m_emptyListing && m_reportedListing >= *m_emptyListing;
@@ -394,6 +408,7 @@
             != reply->recordedCrashes.end();
     });
     if (!sameIncarnation) {
+        m_departureReported = m_departureReported || (sent.gone && sent.worker.id.empty());
         co_return;
     }
     m_reportedListing = std::max(m_reportedListing, sent.listing);
--- a/tests/integration/agent.cpp
+++ b/tests/integration/agent.cpp
@@ -736,6 +736,26 @@
     EXPECT_TRUE(m_lastReport.draining);
 }
 
+// The minion has ended, and its host is taken away before its hold has expired. The agent ended without a word, so that
+// the tasks waited for the end of the lease.
+TEST_F(AgentTest, agentIsStoppedAfterItsMinionLeft_ownerHearsOfItOnceTheHoldHasExpired)
+{
+    addRun("a", 1000);
+    join();
+    ASSERT_TRUE(runUntil([&] { return m_minion.heldUntilMs > 0; }));
+    m_minion.refusesConnections = true;
+    m_departedBornMs = firstBorn;
+    sendHeartbeat();
+    bool stopped = false;
+    spawnOn(m_runtime.executor(), "stop", [&]() -> awaitable<void> {
+        co_await m_agent->stop();
+        stopped = true;
+    });
+    ASSERT_TRUE(runUntil([&] { return stopped; }));
+    EXPECT_TRUE(m_lastReport.gone);
+    EXPECT_GE(m_minion.clockMs(), m_minion.heldUntilMs);
+}
+
 // Whatever made an owner give up what a minion runs: if the minion holds it still, it must not go on beside the tasks
 // that were started elsewhere, and their ends must not be acknowledged.
 TEST_F(AgentTest, ownerHasGivenUpTheRuns_theyAreStoppedAndNothingIsExtendedOrAcknowledgedInsideTheHold)
