--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -411,18 +411,23 @@
         m_departureReported = m_departureReported || (sent.gone && sent.worker.id.empty());
         co_return;
     }
+    applyReply(sent, *reply, sentAt);
+}
+
+void AgentServer::applyReply(const Wire::WorkerReport &sent, const Wire::WorkerReportReply &reply, TimePoint sentAt)
+{
     m_reportedListing = std::max(m_reportedListing, sent.listing);
     if (m_leaving) {
         m_waiters.notify(departureSignal);
     }
     const auto recordedBefore = m_fence.recordedEnds();
-    m_fence.applyReply(*reply, sentAt);
+    m_fence.applyReply(reply, sentAt);
     // The owner uses the minion again once it knows of the lapse.
-    m_reportDue = m_reportDue || m_fence.lapsedTerm() > std::max(sent.lapsedTerm, reply->lapsedTerm);
-    for (const auto &info : reply->runs) {
+    m_reportDue = m_reportDue || m_fence.lapsedTerm() > std::max(sent.lapsedTerm, reply.lapsedTerm);
+    for (const auto &info : reply.runs) {
         m_throttle.addRun(info);
     }
-    for (const auto &pair : reply->pairs) {
+    for (const auto &pair : reply.pairs) {
         m_throttle.setPairEffect(pair);
     }
     if (m_fence.recordedEnds() > recordedBefore) {
@@ -430,7 +435,7 @@
             .add("worker", sent.worker.id)
             .add("born", sent.worker.born)
             .add("number", m_fence.recordedEnds())
-            .add("epoch", epoch);
+            .add("epoch", sent.epoch);
         std::erase_if(m_ended, [&](const auto &it) { return it.number <= m_fence.recordedEnds(); });
     }
 }
--- a/src/programs/agent/agent.h
+++ b/src/programs/agent/agent.h
@@ -135,6 +135,8 @@
     // The owner.
     awaitable<void> reportLoop();
     awaitable<void> reportOnce();
+    /// Uses the owner's answer to a report about the present incarnation.
+    void applyReply(const Wire::WorkerReport &sent, const Wire::WorkerReportReply &reply, TimePoint sentAt);
     awaitable<void> findOwner();
     [[nodiscard]] Wire::WorkerReport report() const;
 
