--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -91,11 +91,8 @@
     m_heartbeats.drain();
     // The minion continues under its current lease. Its last listing is reported once more.
     m_waiters.notifyAll();
-    if (m_leaving) {
-        co_await reportDeparture();
-    } else {
-        co_await extendHoldForRestart();
-    }
+    co_await reportEndOfMinion();
+    co_await extendHoldForRestart();
     co_await sleepFor(milliseconds(300));
     Event("stopped").add("name", m_settings.name);
     EventLog::instance().flush();
@@ -188,6 +185,7 @@
     Event("minion_seen").add("worker", worker.id).add("born", worker.born).add("endpoint", heartbeat.endpoint.str());
     m_minion = std::move(heartbeat);
     m_announced.reset();
+    m_endReported = false;
     m_fence.resetForNewIncarnation(m_minion->worker.born);
     m_throttle.clear();
     m_unreachableSince.reset();
@@ -224,7 +222,7 @@
     }
     Event("minion_leaves").add("worker", id).add("runs", m_running.size());
     m_leaving = true;
-    m_departureReported = false;
+    m_endReported = false;
     m_emptyListing.reset();
     m_minion->draining = true;
     m_reportDue = true;
@@ -246,13 +244,18 @@
     Event("departure_answered").add("runs", m_running.size()).add("reportedEmpty", isReportedEmpty());
 }
 
-awaitable<void> AgentServer::reportDeparture()
+awaitable<void> AgentServer::reportEndOfMinion()
 {
     const auto deadline = m_runtime.clock().now() + m_settings.hold.extension + reportTimeout;
-    while (!m_departureReported && m_runtime.clock().now() < deadline) {
+    const auto isAwaited = [this] {
+        const bool isKnown = m_minion || !m_departedId.empty();
+        const bool mayHaveEnded = m_leaving || !m_minion || !m_reachable;
+        return isKnown && mayHaveEnded && !m_endReported;
+    };
+    while (isAwaited() && m_runtime.clock().now() < deadline) {
         co_await m_waiters.wait(departureSignal, departureCheckInterval);
     }
-    Event("departure_awaited").add("worker", m_departedId).add("reported", m_departureReported);
+    Event("end_of_minion_reported").add("departed", m_departedId).add("reported", m_endReported);
 }
 
 bool AgentServer::isReportedEmpty() const
@@ -408,9 +411,10 @@
             != reply->recordedCrashes.end();
     });
     if (!sameIncarnation) {
-        m_departureReported = m_departureReported || (sent.gone && sent.worker.id.empty());
+        m_endReported = m_endReported || (sent.gone && sent.worker.id.empty());
         co_return;
     }
+    m_endReported = sent.gone;
     applyReply(sent, *reply, sentAt);
 }
 
--- a/src/programs/agent/agent.h
+++ b/src/programs/agent/agent.h
@@ -82,8 +82,9 @@
     bool handleDeparture(const std::string &id, std::int64_t bornMs);
     /// Stops what the minion runs, and returns when the owner has heard that it is over, or after some time.
     awaitable<void> emptyMinion();
-    /// Returns when the owner has heard that the minion has left, which it can only once its hold has expired.
-    awaitable<void> reportDeparture();
+    /// Returns when the owner has heard that a minion that leaves or can't be reached is gone, which it can only once
+    /// the hold has expired, or when that took too long.
+    awaitable<void> reportEndOfMinion();
     /// True if the owner has heard that the minion, which leaves, runs nothing.
     [[nodiscard]] bool isReportedEmpty() const;
     /// Forgets the minion that left, as it has ended or can hold nothing any more.
@@ -157,8 +158,8 @@
     std::int64_t m_announcedAtListing = 0;
     /// The minion has said that it leaves, and may still run tasks.
     bool m_leaving = false;
-    /// The owner has answered a report that the minion has left.
-    bool m_departureReported = false;
+    /// The owner has answered the last report, which said that the minion is gone.
+    bool m_endReported = false;
     /// The first listing that showed no run after that.
     std::optional<std::int64_t> m_emptyListing;
     /// The last listing that the owner has answered a report of.
--- a/tests/integration/agent.cpp
+++ b/tests/integration/agent.cpp
@@ -230,6 +230,16 @@
         m_minion.suspended += time;
     }
 
+    void stopAgent()
+    {
+        bool stopped = false;
+        spawnOn(m_runtime.executor(), "stop", [&]() -> awaitable<void> {
+            co_await m_agent->stop();
+            stopped = true;
+        });
+        ASSERT_TRUE(runUntil([&] { return stopped; }));
+    }
+
     void addEnd(std::int64_t number)
     {
         Wire::EndedTask end;
@@ -736,8 +746,21 @@
     EXPECT_TRUE(m_lastReport.draining);
 }
 
-// The minion has ended, and its host is taken away before its hold has expired. The agent ended without a word, so that
-// the tasks waited for the end of the lease.
+// The minion has ended without a word, and its host is taken away before its hold has expired. The agent ended, too, so
+// that the tasks waited for the end of the lease.
+TEST_F(AgentTest, agentIsStoppedAfterItsMinionEnded_ownerHearsOfItOnceTheHoldHasExpired)
+{
+    addRun("a", 1000);
+    join();
+    ASSERT_TRUE(runUntil([&] { return m_minion.heldUntilMs > 0; }));
+    m_minion.refusesConnections = true;
+    nextListingCalls(callsToMeetRestart);
+    stopAgent();
+    EXPECT_TRUE(m_lastReport.gone);
+    EXPECT_GE(m_minion.clockMs(), m_minion.heldUntilMs);
+}
+
+// The same for a minion that has said that it leaves.
 TEST_F(AgentTest, agentIsStoppedAfterItsMinionLeft_ownerHearsOfItOnceTheHoldHasExpired)
 {
     addRun("a", 1000);
@@ -746,12 +769,7 @@
     m_minion.refusesConnections = true;
     m_departedBornMs = firstBorn;
     sendHeartbeat();
-    bool stopped = false;
-    spawnOn(m_runtime.executor(), "stop", [&]() -> awaitable<void> {
-        co_await m_agent->stop();
-        stopped = true;
-    });
-    ASSERT_TRUE(runUntil([&] { return stopped; }));
+    stopAgent();
     EXPECT_TRUE(m_lastReport.gone);
     EXPECT_GE(m_minion.clockMs(), m_minion.heldUntilMs);
 }
