--- a/src/programs/agent/minionruns.cpp
+++ b/src/programs/agent/minionruns.cpp
@@ -86,6 +86,7 @@
     const auto number = ++m_listings;
     const auto epoch = m_fence.epoch();
     const auto worker = m_minion->worker;
+    m_fence.noteCall(now);
     const auto hold = extendHold(now);
     // The first listings under a new owner or lease don't wait for ended tasks, because the owner waits for them.
     const bool wait = m_fence.isListed() && m_reachable && hold.has_value();
@@ -97,6 +98,7 @@
     if (!m_minion || m_minion->worker.id != worker.id || m_minion->worker.born != worker.born) {
         co_return;
     }
+    m_fence.noteCall(m_runtime.clock().now());
     if (!listing) {
         handleMissingListing(listing.error(), false);
         co_await sleepFor(listingRetryDelay);
--- a/src/trefoilhoist/jobs/orderfence.cpp
+++ b/src/trefoilhoist/jobs/orderfence.cpp
@@ -195,6 +195,22 @@
     }
 }
 
+void OrderFence::noteCall(TimePoint now)
+{
+    if (now - std::max(m_clockAt, m_calledAt) > maxCallInterval) {
+        m_hostWasSuspended = true;
+        keepHoldUntilClockPasses(now);
+    }
+    m_calledAt = now;
+}
+
+void OrderFence::keepHoldUntilClockPasses(TimePoint now)
+{
+    if (m_clockMs < m_extendedUntilMs) {
+        m_holdExpiry = std::max(m_holdExpiry, now + realTime(m_extendedUntilMs - m_clockMs));
+    }
+}
+
 void OrderFence::observeMinionClock(std::int64_t clockMs, TimePoint now)
 {
     if (clockMs <= 0) {
@@ -206,9 +222,7 @@
     m_clockMs = clockMs;
     m_clockAt = now;
     m_hostWasSuspended = false;
-    if (clockMs < m_extendedUntilMs) {
-        m_holdExpiry = std::max(m_holdExpiry, now + realTime(m_extendedUntilMs - clockMs));
-    }
+    keepHoldUntilClockPasses(now);
     noteLapse();
 }
 
@@ -224,9 +238,7 @@
 
 std::optional<std::int64_t> OrderFence::extendHoldUntil(TimePoint until, TimePoint now)
 {
-    const auto lastCallAt = std::max(m_clockAt, m_triedAt);
-    m_hostWasSuspended = m_hostWasSuspended || now - lastCallAt > maxCallInterval;
-    m_triedAt = now;
+    noteCall(now);
     // After markStopped(), the owner may be giving the runs up.
     const bool mayBeGivenUp = m_leaseTerm <= m_stoppedTerm;
     if (m_replaced || m_clockMs == 0 || m_hostWasSuspended || now >= m_leaseExpiry || mayBeGivenUp || mustLapse(now)) {
--- a/src/trefoilhoist/jobs/orderfence.h
+++ b/src/trefoilhoist/jobs/orderfence.h
@@ -96,6 +96,9 @@
     /// ended tasks from 1 again.
     void resetForNewIncarnation(std::int64_t bornMs);
 
+    /// To be called at each call to the minion and when it returns. After a gap, the host was suspended: the minion's
+    /// clock may stand where it was read last, so that its hold lasts for as long from now on.
+    void noteCall(TimePoint now);
     /// Observes the minion's clock: it shows at least `clockMs` at `now`.
     void observeMinionClock(std::int64_t clockMs, TimePoint now);
     /// Returns until when, on the minion's clock, it may keep its runs; nothing without a lease or a known clock. Each
@@ -130,6 +133,8 @@
     /// Notes a new lease term of the owner, and whether it has given up what ran before.
     void applyLeaseTerm(const Wire::WorkerReportReply &reply);
     void noteLapse();
+    /// Moves holdExpiry() to when the minion's clock has passed the end of the hold, if it goes on from its last time.
+    void keepHoldUntilClockPasses(TimePoint now);
 
     HoldLimits m_limits;
     std::int64_t m_epoch = 0;
@@ -150,8 +155,8 @@
     TimePoint m_holdExpiry;
     std::int64_t m_clockMs = 0;
     TimePoint m_clockAt;
-    /// When the hold was last to be extended.
-    TimePoint m_triedAt;
+    /// When the minion was called last, or the call returned.
+    TimePoint m_calledAt;
     /// The minion's clock is not known since.
     bool m_hostWasSuspended = false;
     /// The end of the lease under which the hold was extended last.
--- a/tests/integration/agent.cpp
+++ b/tests/integration/agent.cpp
@@ -831,6 +831,19 @@
     EXPECT_GE(m_minion.clockMs(), m_minion.heldUntilMs);
 }
 
+// The same for a minion that doesn't answer after the suspension. Found by the soak, beside a takeover: soak --site
+// blachownia-ops --seed 126 --seconds 20.
+TEST_F(AgentTest, hostWasSuspendedForLongerThanTheHold_refusesAtOnce_isNotGoneBeforeItsHoldExpires)
+{
+    addRun("a", 1000);
+    join();
+    ASSERT_TRUE(runUntil([&] { return m_minion.heldUntilMs > 0; }));
+    suspendHost(milliseconds(2700));
+    m_minion.refusesConnections = true;
+    ASSERT_TRUE(runUntil([&] { return m_lastReport.gone; }));
+    EXPECT_GE(m_minion.clockMs(), m_minion.heldUntilMs);
+}
+
 // The tasks of a minion that had refused connections and lived were blamed for a crash, and its real crash was not
 // noted.
 TEST_F(AgentTest, minionRefusesConnectionsUntilItsHoldExpires_thenAnswers_noCrashIsToldAnyMore)
