Write the fields of a run that was given up once

run_lost and given_up_run_listed have the same first fields; the lines that are logged stay as they were. The comment of logUnlistedIncarnation() names what it logs now.

--- a/src/trefoilhoist/jobs/joblog.cpp
+++ b/src/trefoilhoist/jobs/joblog.cpp
@@ -18,6 +18,17 @@
         .add("listing", worker.lastListing);
 }
 
+// Adds the fields that identify a run that was given up.
+void addLostRun(Event &event, const Worker &worker, const RunKey &key, LossCause cause)
+{
+    event.add("job", key.task.job)
+        .add("task", taskName(key.task))
+        .add("run", key.run)
+        .add("worker", worker.info.id)
+        .add("born", worker.info.born)
+        .add("cause", lossCauseName(cause));
+}
+
 } // namespace
 
 void logWorkerEvent(std::string_view name, const Worker &worker, std::int64_t epoch)
@@ -36,14 +47,9 @@
 void logRunLost(const Worker &worker, const RunKey &key, LossCause cause, TimePoint now, std::int64_t epoch)
 {
     const auto &run = worker.runs.at(key);
-    Event("run_lost")
-        .add("job", key.task.job)
-        .add("task", taskName(key.task))
-        .add("run", key.run)
-        .add("worker", worker.info.id)
-        .add("born", worker.info.born)
-        .add("cause", lossCauseName(cause))
-        .add("listed", run.listedIn > 0)
+    Event event("run_lost");
+    addLostRun(event, worker, key, cause);
+    event.add("listed", run.listedIn > 0)
         .add("ageMs", duration_cast<milliseconds>(now - run.orderedAt).count())
         .add("leaseLeftMs", duration_cast<milliseconds>(worker.leaseEnds - now).count())
         .add("epoch", epoch);
@@ -52,17 +58,9 @@
 void logGivenUpRunListed(
     const Worker &worker, const RunKey &key, LossCause cause, std::string_view state, std::int64_t epoch)
 {
-    Event("given_up_run_listed")
-        .add("job", key.task.job)
-        .add("task", taskName(key.task))
-        .add("run", key.run)
-        .add("worker", worker.info.id)
-        .add("born", worker.info.born)
-        .add("cause", lossCauseName(cause))
-        .add("state", state)
-        .add("term", worker.leaseTerm)
-        .add("lapsedTerm", worker.lapsedTerm)
-        .add("epoch", epoch);
+    Event event("given_up_run_listed");
+    addLostRun(event, worker, key, cause);
+    event.add("state", state).add("term", worker.leaseTerm).add("lapsedTerm", worker.lapsedTerm).add("epoch", epoch);
 }
 
 void logCrash(const Wire::CrashReport &crash, std::int64_t epoch)
--- a/src/trefoilhoist/jobs/joblog.h
+++ b/src/trefoilhoist/jobs/joblog.h
@@ -30,7 +30,7 @@
                    double blame,
                    const CrashHistory &history,
                    std::int64_t epoch);
-/// Logs a report about an incarnation before the present one, which is ignored.
+/// Logs a report about an incarnation that only a heartbeat speaks for, which is ignored.
 void logUnlistedIncarnation(const Wire::WorkerReport &report, std::int64_t epoch);
 /// Logs a report that arrived after a later one of the same agent, and is ignored.
 void logOvertakenReport(const Wire::WorkerReport &report, std::int64_t lastReport, std::int64_t epoch);
