--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -323,6 +323,8 @@
             answer = await self.delay(target, data)
             if answer == "lost":
                 return None
+            if answer == "shed":
+                return 503, {"clockMs": self.clock(), "born": self.born}
         return await self.carry_out(target, data)
 
     async def carry_out(self, target, data):
