--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -377,6 +377,10 @@
         work = json.loads(data["specification"])
         if work.get("gang"):
             self.site.join_gang(self, name, run, work)
+        elif work.get("flaky") and self.site.flaky:
+            # The task fails by its own fault soon after its start, for as long as the site says so.
+            loop = asyncio.get_running_loop()
+            entry["timer"] = loop.call_later(work["flaky"] / 1000, self.finish, name, run, "failed")
         elif work.get("ms"):
             loop = asyncio.get_running_loop()
             entry["timer"] = loop.call_later(work["ms"] / 1000, self.finish, name, run, work.get("how", "done"))
@@ -401,6 +405,7 @@
         self.open_runs = {}
         self.logs = {}
         self.gangs = {}
+        self.flaky = False
         self.queues = queues or [
             {"name": "q", "host": "q.example", "prefix": "/q/", "kind": "unsafe", "timeoutMs": 3000,
              "targetLatencyMs": 1000, "priority": 0, "service": "svc", "maxAttempts": 4, "stretch": 2.0}
