--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -9,6 +9,7 @@
 import base64
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -24,10 +25,22 @@
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 
 
+TAKEN_PORTS = set()
+
+
 def free_port():
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return s.getsockname()[1]
+    """A free port below those that the system gives to outgoing connections, so that none of them takes it."""
+    while True:
+        port = random.randrange(18000, 32000)
+        if port in TAKEN_PORTS:
+            continue
+        with socket.socket() as s:
+            try:
+                s.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        TAKEN_PORTS.add(port)
+        return port
 
 
 class Record:
@@ -247,6 +260,7 @@
         self.up = False
         self.same_id = None
         self.delay = None
+        self.lapses = []
 
     async def start(self):
         Minion.lives += 1
@@ -295,9 +309,15 @@
             await asyncio.sleep(HEARTBEAT_MS / 1000)
 
     async def watch_lease(self, life):
+        held = False
         while self.up and self.born == life:
             await asyncio.sleep(0.01)
-            if self.running and self.clock() >= self.deadline:
+            lapsed = self.clock() >= self.deadline
+            if held and lapsed:
+                self.lapses.append(self.site.record.now())
+                self.site.record(f"the lease of minion {self.number} lapses")
+            held = not lapsed
+            if self.running and lapsed:
                 for name in list(self.running):
                     self.end(name, "lapsed")
 
