Short tasks no longer starve beside a best-effort task

Cause: while a long-running best-effort task waited for idle CPU, closestFit() returned a worker on which nothing else was lacking (shortage 0), and each plan reserved it for long-running tasks. Change: closestFit() skips workers on which the reserved CPU, memory and accelerators suffice.

--- a/src/trefoilhoist/jobs/workerselector.cpp
+++ b/src/trefoilhoist/jobs/workerselector.cpp
@@ -314,6 +314,10 @@
     Worker *closest = nullptr;
     double leastShortage = 0;
     for (auto *worker : m_full) {
+        if (worker->fits(m_demand)) {
+            // Only idle CPU is lacking, which short tasks neither take nor return.
+            continue;
+        }
         const auto shortage = worker->shortage(m_demand);
         if (shortage && (closest == nullptr || *shortage < leastShortage)) {
             closest = worker;
--- a/src/trefoilhoist/jobs/workerselector.h
+++ b/src/trefoilhoist/jobs/workerselector.h
@@ -79,8 +79,9 @@
 
     /// Number of considered workers by the reason why they were rejected.
     [[nodiscard]] std::map<std::string_view, int> rejections() const;
-    /// For a long-running task that fits on no worker: the worker with the least shortage, among those where it fits
-    /// once the short tasks have ended. Null for other tasks.
+    /// For a long-running task that fits on no worker: the worker with the least shortage of reserved CPU and memory,
+    /// among those where it fits once the short tasks have ended. Null for other tasks, and where only idle CPU is
+    /// lacking.
     [[nodiscard]] Worker *closestFit() const;
 
 private:
--- a/tests/unit/jobscheduler.cpp
+++ b/tests/unit/jobscheduler.cpp
@@ -640,6 +640,19 @@
     EXPECT_NEAR(effects.at("heavy"), learned, 0.1 * learned);
 }
 
+// The worker was reserved for the waiting task in each plan, although short tasks neither take nor return idle CPU.
+TEST_F(BestEffortLoadTest, longRunningTaskLacksOnlyIdleCpu_shortTask_starts)
+{
+    joinWorker("w1");
+    auto step = bestEffortStep("image", 3);
+    step.cpuMilli = 2000;
+    step.longRunning = true;
+    accept(jobOf("fill", {step}));
+    ASSERT_EQ(starts(plan()), 2U);
+    accept(jobOf("short", {stepOf(1, 1000)}));
+    EXPECT_EQ(starts(plan()), 1U);
+}
+
 TEST_F(BestEffortLoadTest, workerWithoutServingTasks_bestEffortTask_startsThere)
 {
     startServingTask("w1", 45);
