A gang may have more members than one plan starts

Cause: placeGang() placed all members with the starts of one plan, at most 24 per worker. A gang of more never started. Change: when the workers with fewer starts are used up, those that have 24 are chosen again. Their further members occupy capacity at once, and their starts are sent with the next plans, before other starts. If the worker takes no starts then, the whole gang is stopped as after a lost member. Gangs that fit into one plan are placed as before. Weighed: no bound for a gang's message: at 4,000 bytes of specification per start some 1,000 members exceed the 4 MB of a frame, and an agent starts six at a time within the owner's timeout of 1.5 s. Several messages to a worker in one plan: the same load on the agent and the minion at once, and a new type of plan() result. The order over several plans keeps the pace that other starts have; an owner that is replaced between two plans leaves a part of the gang, which ends alone after its timeout.

--- a/src/trefoilhoist/jobs/jobplacement.cpp
+++ b/src/trefoilhoist/jobs/jobplacement.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-/// Maximum number of starts per worker in one plan.
-constexpr std::size_t maxStartsPerPlan = 24;
 /// A long-running step that has waited longer than this is logged, and no more often than this.
 constexpr Duration minWaitToLog = milliseconds(1000);
 /// A step with nothing running waits this long for a worker where it doesn't interfere with serving tasks.
@@ -112,7 +110,8 @@
     selector.startedOn(*worker);
 }
 
-// All members of a gang start together or none does.
+// All members of a gang are placed in one plan or none is. If they need more starts per worker than one plan sends, the
+// rest is sent in the next plans. The owner plans at least every 150 ms; members wait for each other for 3 s and more.
 void JobScheduler::placeGang(Entry &entry,
                              const PendingStep &pending,
                              std::map<std::string, Wire::WorkerOrders> &orders,
@@ -139,6 +138,9 @@
     std::map<const Worker *, std::size_t> members;
     for (std::size_t i = 0; i < tasks.size(); ++i) {
         auto *worker = selector.select(tasks[i]);
+        if (worker == nullptr && selector.extendForGang()) {
+            worker = selector.select(tasks[i]);
+        }
         if (worker == nullptr) {
             handleUnplaced(entry, pending, selector, now);
             break;
@@ -149,7 +151,7 @@
         keys.push_back({ref, run});
         selector.startedOn(*worker);
         if (++members[worker] + ordersFor(orders, *worker).starts.size() >= maxStartsPerPlan) {
-            selector.exclude(*worker);
+            selector.withhold(*worker);
         }
     }
     for (std::size_t i = 0; i < chosen.size(); ++i) {
@@ -162,7 +164,16 @@
     const std::string checkpoint = tasks.front().checkpoint;
     for (std::size_t i = 0; i < tasks.size(); ++i) {
         tasks[i].checkpoint = checkpoint;
-        start(entry, keys[i].task, *chosen[i], orders, run, now);
+        startMember(entry, keys[i], *chosen[i], orders, now);
+    }
+}
+
+void JobScheduler::startMember(
+    Entry &entry, const RunKey &key, Worker &worker, std::map<std::string, Wire::WorkerOrders> &orders, TimePoint now)
+{
+    if (!start(entry, key.task, worker, orders, key.run, now)) {
+        addRun(entry, key, worker, now).startDeferred = true;
+        worker.mayNeedOrders = true;
     }
 }
 
@@ -237,6 +248,16 @@
     return run;
 }
 
+Run &JobScheduler::addRun(Entry &entry, const RunKey &key, Worker &worker, TimePoint now)
+{
+    const auto &step = entry.job.step(key.task.step);
+    Run run = newRun(step, now);
+    run.checkpoint = step.checkpoints ? entry.job.task(key.task)->checkpoint : std::string();
+    auto &added = worker.addRun(key, std::move(run));
+    entry.job.trackRun(key.task, key.run, worker.info.id);
+    return added;
+}
+
 bool JobScheduler::start(Entry &entry,
                          const Wire::TaskRef &ref,
                          Worker &worker,
@@ -248,14 +269,10 @@
     if (workerOrders.starts.size() >= maxStartsPerPlan) {
         return false;
     }
-    const auto &step = entry.job.step(ref.step);
-    Run added = newRun(step, now);
-    added.inFlight = true;
-    added.checkpoint = step.checkpoints ? entry.job.task(ref)->checkpoint : std::string();
     const RunKey key{ref, run};
-    const auto &tracked = worker.addRun(key, std::move(added));
-    entry.job.trackRun(ref, run, worker.info.id);
-    workerOrders.starts.push_back(startOrder(entry, key, tracked));
+    auto &added = addRun(entry, key, worker, now);
+    added.inFlight = true;
+    workerOrders.starts.push_back(startOrder(entry, key, added));
     return true;
 }
 
--- a/src/trefoilhoist/jobs/jobplanning.cpp
+++ b/src/trefoilhoist/jobs/jobplanning.cpp
@@ -192,15 +192,21 @@
                 && (run.unansweredOrders >= maxUnansweredStarts || entry == nullptr || !takesStarts)) {
                 run.state = RunState::Stopping;
             }
+            if (run.startDeferred && (entry == nullptr || !takesStarts)) {
+                requestStop(worker, key, now);
+            }
             auto &workerOrders = ordersFor(orders, worker);
             if (run.state == RunState::Stopping) {
                 Wire::StopOrder stop;
                 stop.task = key.task;
                 stop.run = key.run;
                 workerOrders.stops.push_back(stop);
+            } else if (run.startDeferred && workerOrders.starts.size() >= maxStartsPerPlan) {
+                continue;
             } else {
                 workerOrders.starts.push_back(startOrder(*entry, key, run));
             }
+            run.startDeferred = false;
             run.inFlight = true;
         }
     }
--- a/src/trefoilhoist/jobs/jobscheduler.h
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -299,6 +299,14 @@
                     WorkerSelector &selector,
                     std::map<std::string, Wire::WorkerOrders> &orders,
                     TimePoint now);
+    /// Adds a run of the task to the worker, without an order.
+    Run &addRun(Entry &entry, const RunKey &key, Worker &worker, TimePoint now);
+    /// Starts a member of a gang, in one of the next plans if the worker takes no more starts in this one.
+    void startMember(Entry &entry,
+                     const RunKey &key,
+                     Worker &worker,
+                     std::map<std::string, Wire::WorkerOrders> &orders,
+                     TimePoint now);
     /// False if the worker takes no more starts in this plan.
     bool start(Entry &entry,
                const Wire::TaskRef &ref,
@@ -307,6 +315,9 @@
                std::int64_t run,
                TimePoint now);
 
+    /// Maximum number of new starts per worker in one plan. It keeps order messages small, and an agent can execute
+    /// them before the owner's call times out.
+    static constexpr std::size_t maxStartsPerPlan = 24;
     /// Stands for agents that an unreadable roster may hold. Agents are named HOST:PORT, so that none reports under it.
     static constexpr const char *unknownAgents = "unknown";
 
--- a/src/trefoilhoist/jobs/worker.h
+++ b/src/trefoilhoist/jobs/worker.h
@@ -56,6 +56,8 @@
     TimePoint nextOrderAt;
     /// An order about this run is in flight.
     bool inFlight = false;
+    /// The start order has not been sent yet, because the worker took no more starts in the plan that added the run.
+    bool startDeferred = false;
     /// Only a listing with a higher number shows whether the run exists.
     std::int64_t lastListingBeforeResolution = INT64_MAX;
     /// A start order got no answer at least once, so only a stop or a listing resolves whether the run exists.
@@ -88,10 +90,10 @@
         const bool isOver = stopAcknowledged && listedIn == 0;
         return state == RunState::Running || (state == RunState::Stopping && !mayStillStart && !isOver);
     }
-    /// True if another order about the run is needed: a stop, or the start again.
+    /// True if another order about the run is needed: a stop, or the start, again or for the first time.
     [[nodiscard]] bool needsOrder() const
     {
-        return state == RunState::Stopping || state == RunState::Unresolved;
+        return state == RunState::Stopping || state == RunState::Unresolved || startDeferred;
     }
 };
 
--- a/src/trefoilhoist/jobs/workerselector.cpp
+++ b/src/trefoilhoist/jobs/workerselector.cpp
@@ -277,6 +277,26 @@
     }
 }
 
+void WorkerSelector::withhold(const Worker &worker)
+{
+    if (const auto it = find(worker); it != m_candidates.end() && m_mayWithhold) {
+        m_withheld.push_back(*it);
+        remove(it);
+    }
+}
+
+bool WorkerSelector::extendForGang()
+{
+    if (m_withheld.empty()) {
+        return false;
+    }
+    m_mayWithhold = false;
+    for (const auto &it : std::exchange(m_withheld, {})) {
+        evaluate(*it.worker, it.order);
+    }
+    return true;
+}
+
 void WorkerSelector::startedOn(Worker &worker)
 {
     ++m_siblings[worker.info.id];
--- a/src/trefoilhoist/jobs/workerselector.h
+++ b/src/trefoilhoist/jobs/workerselector.h
@@ -76,6 +76,10 @@
     void startedOn(Worker &worker);
     /// Removes a worker that can take no more orders in this plan.
     void exclude(const Worker &worker);
+    /// Like exclude(), until extendForGang() is called.
+    void withhold(const Worker &worker);
+    /// To be called when select() finds no worker for a further member of a gang. Returns true if it has added workers.
+    [[nodiscard]] bool extendForGang();
 
     /// Number of considered workers by the reason why they were rejected.
     [[nodiscard]] std::map<std::string_view, int> rejections() const;
@@ -123,6 +127,8 @@
     bool m_overdue = false;
     /// Workers that can run a task now, as a heap.
     std::vector<Candidate> m_candidates;
+    std::vector<Candidate> m_withheld;
+    bool m_mayWithhold = true;
     /// Workers that lack only capacity.
     std::vector<Worker *> m_full;
     std::vector<Worker *> m_considered;
--- a/tests/unit/jobscheduler.cpp
+++ b/tests/unit/jobscheduler.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 namespace Trefoilhoist::Jobs {
 
 class JobSchedulerTest : public SchedulerFixture
@@ -478,6 +480,69 @@
     EXPECT_EQ(starts(plan()), 5U);
 }
 
+/// A worker with capacity for a gang of more members than one plan starts.
+class LargeGangTest : public JobSchedulerTest
+{
+protected:
+    Wire::WorkerReport largeReport()
+    {
+        auto report = reportOf("w1");
+        report.worker.cpuMilli = 100'000;
+        return report;
+    }
+
+    /// Accepts a gang of 50 members, of which one plan starts 24.
+    void acceptGang()
+    {
+        auto step = stepOf(50, 100);
+        step.gang = true;
+        accept(jobOf("a", {step}));
+    }
+};
+
+// The gang never started, because all of its members had to be placed with the starts of one plan.
+TEST_F(LargeGangTest, moreMembersThanOnePlanStarts_theOthersFollowInTheNextPlans)
+{
+    sendReport(largeReport());
+    acceptGang();
+    std::set<RunKey> started;
+    std::set<std::int64_t> runs;
+    for (const std::size_t expected : {24, 24, 2, 0}) {
+        const auto orders = plan();
+        EXPECT_EQ(starts(orders), expected);
+        for (const auto &[worker, it] : orders) {
+            for (const auto &start : it.starts) {
+                started.insert({start.task, start.run});
+                runs.insert(start.run);
+            }
+        }
+    }
+    EXPECT_EQ(started.size(), 50U);
+    EXPECT_EQ(runs.size(), 1U);
+}
+
+// The members that were ordered would wait for the others until they time out.
+TEST_F(LargeGangTest, workerDrainsBeforeAllMembersAreOrdered_allAreStopped)
+{
+    sendReport(largeReport());
+    acceptGang();
+    const auto first = plan().at("w1");
+    answer(first, OrderResult::Done);
+    auto report = largeReport();
+    report.draining = true;
+    for (const auto &it : first.starts) {
+        report.running.push_back(running(it));
+    }
+    sendReport(report);
+    const auto second = plan().at("w1");
+    EXPECT_TRUE(second.starts.empty());
+    EXPECT_EQ(second.stops.size(), 26U);
+    answer(second, OrderResult::Done);
+    report.listing = ++m_listingNumber;
+    sendReport(report);
+    EXPECT_EQ(plan().at("w1").stops.size(), 24U);
+}
+
 TEST_F(JobSchedulerTest, stepWithALimitPerWorker_manyTasks_limitIsKept)
 {
     joinWorker("w1");
