An overdue best-effort gang starts whole

Cause: an overdue step may start without enough idle CPU, but startedOn() ends that with the first start. A gang that asks for more than the idle CPU of all workers never started. Change: when no worker with idle CPU is left for a further member of an overdue gang, the exception holds for all its members. Workers with idle CPU are still chosen first. Steps that are no gangs, and gangs that find room, are placed as before. Weighed: the exception for all members from the start: simpler, but members then start on busy workers while others are idle. Figures: gangExceedsTheIdleCpu_waitedTooLong_startsWhole failed before (0 starts instead of 3).

--- a/src/trefoilhoist/jobs/jobplacement.cpp
+++ b/src/trefoilhoist/jobs/jobplacement.cpp
@@ -138,7 +138,7 @@
     std::map<const Worker *, std::size_t> members;
     for (std::size_t i = 0; i < tasks.size(); ++i) {
         auto *worker = selector.select(tasks[i]);
-        if (worker == nullptr && selector.extendForGang()) {
+        while (worker == nullptr && selector.extendForGang()) {
             worker = selector.select(tasks[i]);
         }
         if (worker == nullptr) {
--- a/src/trefoilhoist/jobs/workerselector.cpp
+++ b/src/trefoilhoist/jobs/workerselector.cpp
@@ -215,6 +215,16 @@
     std::push_heap(m_candidates.begin(), m_candidates.end());
 }
 
+void WorkerSelector::evaluateAll()
+{
+    m_candidates.clear();
+    m_full.clear();
+    m_rejections = {};
+    for (std::size_t i = 0; i < m_considered.size(); ++i) {
+        evaluate(*m_considered[i], i + 1);
+    }
+}
+
 Worker *WorkerSelector::select(const TaskState &task) const
 {
     if (m_candidates.empty()) {
@@ -288,7 +298,7 @@
 bool WorkerSelector::extendForGang()
 {
     if (m_withheld.empty()) {
-        return false;
+        return extendOverdue();
     }
     m_mayWithhold = false;
     for (const auto &it : std::exchange(m_withheld, {})) {
@@ -297,18 +307,25 @@
     return true;
 }
 
+// The members of a gang work only together, so that an overdue one must not wait for idle CPU for the others.
+bool WorkerSelector::extendOverdue()
+{
+    if (!std::exchange(m_mayExtendOverdue, false)) {
+        return false;
+    }
+    m_overdue = true;
+    m_allOverdue = true;
+    evaluateAll();
+    return true;
+}
+
 void WorkerSelector::startedOn(Worker &worker)
 {
     ++m_siblings[worker.info.id];
-    if (m_overdue) {
+    if (m_overdue && !m_allOverdue) {
         // What was allowed to the first task alone no longer holds for any worker.
         m_overdue = false;
-        m_candidates.clear();
-        m_full.clear();
-        m_rejections = {};
-        for (std::size_t i = 0; i < m_considered.size(); ++i) {
-            evaluate(*m_considered[i], i + 1);
-        }
+        evaluateAll();
         return;
     }
     if (const auto it = find(worker); it != m_candidates.end()) {
--- a/src/trefoilhoist/jobs/workerselector.h
+++ b/src/trefoilhoist/jobs/workerselector.h
@@ -59,10 +59,12 @@
                    TimePoint now);
 
     /// Allows workers that lack idle CPU or where the task interferes with serving tasks, because its step has waited
-    /// too long. It holds until the first start. Must be called before consider().
+    /// too long. It holds until the first start, and for a gang again from extendForGang() on. Must be called before
+    /// consider().
     void setOverdue(bool overdue)
     {
         m_overdue = overdue;
+        m_mayExtendOverdue = overdue && m_step.gang && m_step.usesIdleCpu;
     }
     void consider(Worker &worker);
     /// The worker for this task; null if no worker can run it now.
@@ -112,6 +114,8 @@
     [[nodiscard]] double shareOfOtherImages(const Worker &worker) const;
     [[nodiscard]] int siblingsOn(const Worker &worker) const;
     void evaluate(Worker &worker, std::size_t order);
+    void evaluateAll();
+    [[nodiscard]] bool extendOverdue();
     [[nodiscard]] std::vector<Candidate>::iterator find(const Worker &worker);
     void remove(std::vector<Candidate>::iterator candidate);
     void reject(Rejection rejection);
@@ -125,6 +129,10 @@
     TimePoint m_now;
     Demand m_demand;
     bool m_overdue = false;
+    /// The further members of a gang may be overdue as well, if they find no worker otherwise.
+    bool m_mayExtendOverdue = false;
+    /// All members of a gang are overdue.
+    bool m_allOverdue = false;
     /// Workers that can run a task now, as a heap.
     std::vector<Candidate> m_candidates;
     std::vector<Candidate> m_withheld;
--- a/tests/unit/jobscheduler.cpp
+++ b/tests/unit/jobscheduler.cpp
@@ -718,6 +718,24 @@
     EXPECT_EQ(starts(plan()), 1U);
 }
 
+// Only the first member was allowed to start without idle CPU, so that the gang never started.
+TEST_F(BestEffortLoadTest, gangExceedsTheIdleCpu_waitedTooLong_startsWhole)
+{
+    auto step = bestEffortStep("image", 3);
+    step.cpuMilli = 3000;
+    step.gang = true;
+    joinWorker("w1");
+    joinWorker("w2");
+    accept(jobOf("fill", {step}));
+    EXPECT_EQ(starts(plan()), 0U);
+    m_now += milliseconds(2100);
+    joinWorker("w1");
+    joinWorker("w2");
+    const auto orders = plan();
+    EXPECT_EQ(starts(orders), 3U);
+    EXPECT_EQ(orders.size(), 2U) << "a worker with idle CPU was left out";
+}
+
 TEST_F(BestEffortLoadTest, workerWithoutServingTasks_bestEffortTask_startsThere)
 {
     startServingTask("w1", 45);
