Run numbers: an epoch has 10,000,000

Cause: the numbers of an epoch began at 1,000 times the epoch before it, and the last number isn't recorded. A task that failed over 1,000 times under one owner was numbered too low by the next, and minions refused its starts as old. Change: a range of 10,000,000 numbers. Nothing but nextRun() depends on its size: fences and records use epochs, the minions' listings are read up to 2^53, which the highest epoch doesn't exceed (static_assert). After an upgrade the first epoch begins above all earlier numbers. Weighed: restarts at a growing delay: a long-running task must run again within 9 s, so 1,000 restarts remain possible in some hours. Recording the last number: a write per range, and no help against numbers already used at the upgrade. A higher number after an answer `old`: numbers of two epochs may then be equal, and a late end could be taken for that of another run.

--- a/src/trefoilhoist/jobs/jobplanning.cpp
+++ b/src/trefoilhoist/jobs/jobplanning.cpp
@@ -1,6 +1,7 @@
 // Part of JobScheduler: plans which starts and stops are ordered and which orders are sent again.
 #include "trefoilhoist/jobs/joblog.h"
 #include "trefoilhoist/jobs/jobscheduler.h"
+#include "trefoilhoist/jobs/ownerrecord.h"
 
 #include <algorithm>
 #include <tuple>
@@ -10,8 +11,12 @@
 
 namespace {
 
-/// Size of the range of run numbers of one epoch, so that runs of a later owner have higher numbers.
-constexpr std::int64_t runNumbersPerEpoch = 1000;
+/// Size of the range of run numbers of one epoch, so that runs of a later owner have higher numbers: minions refuse
+/// lower ones. A task that fails at each start took 60 numbers a second, so that it exceeds its range after 46 hours of
+/// one term. With the former size of 1,000 it took 17 s.
+constexpr std::int64_t runNumbersPerEpoch = 10'000'000;
+static_assert(maxEpoch <= (std::int64_t{1} << 53U) / runNumbersPerEpoch,
+              "run numbers are JSON numbers, which are exact up to 2^53");
 /// After this many unresolved start orders the run is stopped and its task is started elsewhere.
 constexpr int maxUnansweredStarts = 3;
 
--- a/tests/unit/jobscheduler.cpp
+++ b/tests/unit/jobscheduler.cpp
@@ -264,6 +264,34 @@
     EXPECT_EQ(again.at("w2").starts.front().checkpoint, "half");
 }
 
+// The later owner's run numbers began below those that minions know, and each of its starts was superseded.
+TEST_F(JobSchedulerTest, longRunningTaskFailedOften_laterOwnerWithOnlyTheRecords_usesAHigherRun)
+{
+    auto step = stepOf(1, 1000);
+    step.longRunning = true;
+    accept(jobOf("a", {step}));
+    std::int64_t lastRun = 0;
+    for (int i = 1; i <= 1100; ++i) {
+        // Late enough that the worker isn't quarantined for its failures.
+        m_now += seconds(60);
+        joinWorker("w1");
+        const auto orders = plan().at("w1");
+        answer(orders, OrderResult::Done);
+        auto report = reportOf("w1");
+        report.ended = {ended(i, orders.starts.front(), EndKind::Failed)};
+        lastRun = report.ended.front().run;
+        sendReport(report);
+    }
+
+    JobScheduler later(m_settings, epoch + 1);
+    later.restoreJob(m_scheduler.job("a")->spec(), m_scheduler.job("a")->progress(), m_now, wallMs);
+    auto report = reportOf("w1");
+    report.epoch = epoch + 1;
+    later.handleReport(report, true, m_now);
+    later.markRosterRecorded(later.takeChangedRoster().value());
+    EXPECT_GT(later.plan(m_now, wallMs, true).at("w1").starts.front().run, lastRun);
+}
+
 TEST_F(JobSchedulerTest, manyNewCheckpoints_withinOneRecordingInterval_areRecordedOnce)
 {
     joinWorker("w1");
