--- a/src/trefoilhoist/jobs/jobplanning.cpp
+++ b/src/trefoilhoist/jobs/jobplanning.cpp
@@ -1,6 +1,7 @@
 // Part of JobScheduler: plans which starts and stops are ordered and which orders are sent again.
 #include "trefoilhoist/jobs/joblog.h"
 #include "trefoilhoist/jobs/jobscheduler.h"
+#include "trefoilhoist/jobs/ownerrecord.h"
 
 #include <algorithm>
 #include <utility>
@@ -9,8 +10,12 @@
 
 namespace {
 
-/// Size of the range of run numbers of one epoch, so that runs of a later owner have higher numbers.
-constexpr std::int64_t runNumbersPerEpoch = 1000;
+/// Size of the range of run numbers of one epoch, so that runs of a later owner have higher numbers: minions refuse
+/// lower ones. A task that fails at each start took 60 numbers a second, so that it exceeds its range after 46 hours of
+/// one term. With the former size of 1,000 it took 17 s.
+constexpr std::int64_t runNumbersPerEpoch = 10'000'000;
+static_assert(maxEpoch <= (std::int64_t{1} << 53U) / runNumbersPerEpoch,
+              "run numbers are JSON numbers, which are exact up to 2^53");
 /// After this many unresolved start orders the run is stopped and its task is started elsewhere.
 constexpr int maxUnansweredStarts = 3;
 
@@ -185,15 +190,21 @@
                 && (run.unansweredOrders >= maxUnansweredStarts || entry == nullptr || !takesStarts)) {
                 run.state = RunState::Stopping;
             }
+            if (run.startDeferred && (entry == nullptr || !takesStarts)) {
+                requestStop(worker, key, now);
+            }
             auto &workerOrders = ordersFor(orders, worker);
             if (run.state == RunState::Stopping) {
                 Wire::StopOrder stop;
                 stop.task = key.task;
                 stop.run = key.run;
                 workerOrders.stops.push_back(stop);
+            } else if (run.startDeferred && workerOrders.starts.size() >= maxStartsPerPlan) {
+                continue;
             } else {
                 workerOrders.starts.push_back(startOrder(*entry, key, run));
             }
+            run.startDeferred = false;
             run.inFlight = true;
         }
     }
--- a/src/trefoilhoist/jobs/workerselector.cpp
+++ b/src/trefoilhoist/jobs/workerselector.cpp
@@ -222,6 +222,16 @@
     std::push_heap(m_candidates.begin(), m_candidates.end());
 }
 
+void WorkerSelector::evaluateAll()
+{
+    m_candidates.clear();
+    m_full.clear();
+    m_rejections = {};
+    for (std::size_t i = 0; i < m_considered.size(); ++i) {
+        evaluate(*m_considered[i], i + 1);
+    }
+}
+
 Worker *WorkerSelector::select(const TaskState &task) const
 {
     if (m_candidates.empty()) {
@@ -284,18 +294,45 @@
     }
 }
 
+void WorkerSelector::withhold(const Worker &worker)
+{
+    if (const auto it = find(worker); it != m_candidates.end() && m_mayWithhold) {
+        m_withheld.push_back(*it);
+        remove(it);
+    }
+}
+
+bool WorkerSelector::extendForGang()
+{
+    if (m_withheld.empty()) {
+        return extendOverdue();
+    }
+    m_mayWithhold = false;
+    for (const auto &it : std::exchange(m_withheld, {})) {
+        evaluate(*it.worker, it.order);
+    }
+    return true;
+}
+
+// The members of a gang work only together, so that an overdue one must not wait for idle CPU for the others.
+bool WorkerSelector::extendOverdue()
+{
+    if (!std::exchange(m_mayExtendOverdue, false)) {
+        return false;
+    }
+    m_overdue = true;
+    m_allOverdue = true;
+    evaluateAll();
+    return true;
+}
+
 void WorkerSelector::startedOn(Worker &worker)
 {
     ++m_siblings[worker.info.id];
-    if (m_overdue) {
+    if (m_overdue && !m_allOverdue) {
         // What was allowed to the first task alone no longer holds for any worker.
         m_overdue = false;
-        m_candidates.clear();
-        m_full.clear();
-        m_rejections = {};
-        for (std::size_t i = 0; i < m_considered.size(); ++i) {
-            evaluate(*m_considered[i], i + 1);
-        }
+        evaluateAll();
         return;
     }
     if (const auto it = find(worker); it != m_candidates.end()) {
@@ -321,6 +358,10 @@
     Worker *closest = nullptr;
     double leastShortage = 0;
     for (auto *worker : m_full) {
+        if (worker->fits(m_demand)) {
+            // Only idle CPU is lacking, which short tasks neither take nor return.
+            continue;
+        }
         const auto shortage = worker->shortage(m_demand);
         if (shortage && (closest == nullptr || *shortage < leastShortage)) {
             closest = worker;
--- a/src/trefoilhoist/jobs/workerselector.h
+++ b/src/trefoilhoist/jobs/workerselector.h
@@ -71,10 +71,12 @@
                    TimePoint now);
 
     /// Allows workers that lack idle CPU or where the task interferes with serving tasks, because its step has waited
-    /// too long. It holds until the first start. Must be called before consider().
+    /// too long. It holds until the first start, and for a gang again from extendForGang() on. Must be called before
+    /// consider().
     void setOverdue(bool overdue)
     {
         m_overdue = overdue;
+        m_mayExtendOverdue = overdue && m_step.gang && m_step.usesIdleCpu;
     }
     /// Must be called before consider().
     void setSlackRequirement(const SlackRequirement &requirement)
@@ -93,11 +95,16 @@
     void startedOn(Worker &worker);
     /// Removes a worker that can take no more orders in this plan.
     void exclude(const Worker &worker);
+    /// Like exclude(), until extendForGang() is called.
+    void withhold(const Worker &worker);
+    /// To be called when select() finds no worker for a further member of a gang. Returns true if it has added workers.
+    [[nodiscard]] bool extendForGang();
 
     /// Number of considered workers by the reason why they were rejected.
     [[nodiscard]] std::map<std::string_view, int> rejections() const;
-    /// For a long-running task that fits on no worker: the worker with the least shortage, among those where it fits
-    /// once the short tasks have ended. Null for other tasks.
+    /// For a long-running task that fits on no worker: the worker with the least shortage of reserved CPU and memory,
+    /// among those where it fits once the short tasks have ended. Null for other tasks, and where only idle CPU is
+    /// lacking.
     [[nodiscard]] Worker *closestFit() const;
 
 private:
@@ -126,6 +133,8 @@
     [[nodiscard]] double shareOfOtherImages(const Worker &worker) const;
     [[nodiscard]] int siblingsOn(const Worker &worker) const;
     void evaluate(Worker &worker, std::size_t order);
+    void evaluateAll();
+    [[nodiscard]] bool extendOverdue();
     [[nodiscard]] std::vector<Candidate>::iterator find(const Worker &worker);
     void remove(std::vector<Candidate>::iterator candidate);
     void reject(Rejection rejection);
@@ -140,8 +149,14 @@
     Demand m_demand;
     bool m_overdue = false;
     SlackRequirement m_slackRequirement;
+    /// The further members of a gang may be overdue as well, if they find no worker otherwise.
+    bool m_mayExtendOverdue = false;
+    /// All members of a gang are overdue.
+    bool m_allOverdue = false;
     /// Workers that can run a task now, as a heap.
     std::vector<Candidate> m_candidates;
+    std::vector<Candidate> m_withheld;
+    bool m_mayWithhold = true;
     /// Workers that lack only capacity.
     std::vector<Worker *> m_full;
     std::vector<Worker *> m_considered;
--- a/tests/unit/jobscheduler.cpp
+++ b/tests/unit/jobscheduler.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 namespace Trefoilhoist::Jobs {
 
 class JobSchedulerTest : public SchedulerFixture
@@ -262,6 +264,34 @@
     EXPECT_EQ(again.at("w2").starts.front().checkpoint, "half");
 }
 
+// The later owner's run numbers began below those that minions know, and each of its starts was superseded.
+TEST_F(JobSchedulerTest, longRunningTaskFailedOften_laterOwnerWithOnlyTheRecords_usesAHigherRun)
+{
+    auto step = stepOf(1, 1000);
+    step.longRunning = true;
+    accept(jobOf("a", {step}));
+    std::int64_t lastRun = 0;
+    for (int i = 1; i <= 1100; ++i) {
+        // Late enough that the worker isn't quarantined for its failures.
+        m_now += seconds(60);
+        joinWorker("w1");
+        const auto orders = plan().at("w1");
+        answer(orders, OrderResult::Done);
+        auto report = reportOf("w1");
+        report.ended = {ended(i, orders.starts.front(), EndKind::Failed)};
+        lastRun = report.ended.front().run;
+        sendReport(report);
+    }
+
+    JobScheduler later(m_settings, epoch + 1);
+    later.restoreJob(m_scheduler.job("a")->spec(), m_scheduler.job("a")->progress(), m_now, wallMs);
+    auto report = reportOf("w1");
+    report.epoch = epoch + 1;
+    later.handleReport(report, true, m_now);
+    later.markRosterRecorded(later.takeChangedRoster().value());
+    EXPECT_GT(later.plan(m_now, wallMs, true).at("w1").starts.front().run, lastRun);
+}
+
 TEST_F(JobSchedulerTest, manyNewCheckpoints_withinOneRecordingInterval_areRecordedOnce)
 {
     joinWorker("w1");
@@ -478,6 +508,69 @@
     EXPECT_EQ(starts(plan()), 5U);
 }
 
+/// A worker with capacity for a gang of more members than one plan starts.
+class LargeGangTest : public JobSchedulerTest
+{
+protected:
+    Wire::WorkerReport largeReport()
+    {
+        auto report = reportOf("w1");
+        report.worker.cpuMilli = 100'000;
+        return report;
+    }
+
+    /// Accepts a gang of 50 members, of which one plan starts 24.
+    void acceptGang()
+    {
+        auto step = stepOf(50, 100);
+        step.gang = true;
+        accept(jobOf("a", {step}));
+    }
+};
+
+// The gang never started, because all of its members had to be placed with the starts of one plan.
+TEST_F(LargeGangTest, moreMembersThanOnePlanStarts_theOthersFollowInTheNextPlans)
+{
+    sendReport(largeReport());
+    acceptGang();
+    std::set<RunKey> started;
+    std::set<std::int64_t> runs;
+    for (const std::size_t expected : {24, 24, 2, 0}) {
+        const auto orders = plan();
+        EXPECT_EQ(starts(orders), expected);
+        for (const auto &[worker, it] : orders) {
+            for (const auto &start : it.starts) {
+                started.insert({start.task, start.run});
+                runs.insert(start.run);
+            }
+        }
+    }
+    EXPECT_EQ(started.size(), 50U);
+    EXPECT_EQ(runs.size(), 1U);
+}
+
+// The members that were ordered would wait for the others until they time out.
+TEST_F(LargeGangTest, workerDrainsBeforeAllMembersAreOrdered_allAreStopped)
+{
+    sendReport(largeReport());
+    acceptGang();
+    const auto first = plan().at("w1");
+    answer(first, OrderResult::Done);
+    auto report = largeReport();
+    report.draining = true;
+    for (const auto &it : first.starts) {
+        report.running.push_back(running(it));
+    }
+    sendReport(report);
+    const auto second = plan().at("w1");
+    EXPECT_TRUE(second.starts.empty());
+    EXPECT_EQ(second.stops.size(), 26U);
+    answer(second, OrderResult::Done);
+    report.listing = ++m_listingNumber;
+    sendReport(report);
+    EXPECT_EQ(plan().at("w1").stops.size(), 24U);
+}
+
 TEST_F(JobSchedulerTest, stepWithALimitPerWorker_manyTasks_limitIsKept)
 {
     joinWorker("w1");
@@ -640,6 +733,37 @@
     EXPECT_NEAR(effects.at("heavy"), learned, 0.1 * learned);
 }
 
+// The worker was reserved for the waiting task in each plan, although short tasks neither take nor return idle CPU.
+TEST_F(BestEffortLoadTest, longRunningTaskLacksOnlyIdleCpu_shortTask_starts)
+{
+    joinWorker("w1");
+    auto step = bestEffortStep("image", 3);
+    step.cpuMilli = 2000;
+    step.longRunning = true;
+    accept(jobOf("fill", {step}));
+    ASSERT_EQ(starts(plan()), 2U);
+    accept(jobOf("short", {stepOf(1, 1000)}));
+    EXPECT_EQ(starts(plan()), 1U);
+}
+
+// Only the first member was allowed to start without idle CPU, so that the gang never started.
+TEST_F(BestEffortLoadTest, gangExceedsTheIdleCpu_waitedTooLong_startsWhole)
+{
+    auto step = bestEffortStep("image", 3);
+    step.cpuMilli = 3000;
+    step.gang = true;
+    joinWorker("w1");
+    joinWorker("w2");
+    accept(jobOf("fill", {step}));
+    EXPECT_EQ(starts(plan()), 0U);
+    m_now += milliseconds(2100);
+    joinWorker("w1");
+    joinWorker("w2");
+    const auto orders = plan();
+    EXPECT_EQ(starts(orders), 3U);
+    EXPECT_EQ(orders.size(), 2U) << "a worker with idle CPU was left out";
+}
+
 TEST_F(BestEffortLoadTest, workerWithoutServingTasks_bestEffortTask_startsThere)
 {
     startServingTask("w1", 45);
