Let tasks and gangs wait for a place on their rack

Cause: a step with inputRack paid a constant cost for another rack and never waited, and no decision read gangOnOneRack. Change: with SchedulerSettings::remoteRunMultiplier above 1, workers on the rack come before all others, and tasks wait by PlacementWait if a worker of the rack could run them once short tasks have ended. A gang starts on the rack with the least room that takes all members, or waits, or is spread. At 1 the scheduler takes its previous path.

--- a/src/trefoilhoist/jobs/joblog.cpp
+++ b/src/trefoilhoist/jobs/joblog.cpp
@@ -172,6 +172,17 @@
         .add("epoch", epoch);
 }
 
+void logPlacementWaits(
+    const std::string &job, const std::string &rack, const PlacementChoice &choice, Duration gain, std::int64_t epoch)
+{
+    Event event("placement_waits");
+    event.add("job", job).add("rack", rack).add("waitedMs", duration_cast<milliseconds>(choice.waited).count());
+    if (choice.expectedWait) {
+        event.add("expectedWaitMs", duration_cast<milliseconds>(*choice.expectedWait).count());
+    }
+    event.add("gainMs", duration_cast<milliseconds>(gain).count()).add("epoch", epoch);
+}
+
 void logAgentGivenUp(const std::string &agent, const Worker *worker, TimePoint now, std::int64_t epoch)
 {
     Event event("agent_given_up");
--- a/src/trefoilhoist/jobs/joblog.h
+++ b/src/trefoilhoist/jobs/joblog.h
@@ -2,6 +2,7 @@
 
 #include "trefoilhoist/jobs/crashhistory.h"
 #include "trefoilhoist/jobs/jobtypes.h"
+#include "trefoilhoist/jobs/placementwait.h"
 #include "trefoilhoist/jobs/worker.h"
 
 #include <map>
@@ -45,6 +46,10 @@
                     const std::map<std::string_view, int> &rejections,
                     Duration waited,
                     std::int64_t epoch);
+/// Logs a task, or a gang, that waits for a place on `rack` though it could start elsewhere; `gain` is the run time
+/// that this saves.
+void logPlacementWaits(
+    const std::string &job, const std::string &rack, const PlacementChoice &choice, Duration gain, std::int64_t epoch);
 /// Logs an agent for whose first listing the owner no longer waits. `worker` is what the agent has reported; null if it
 /// has reported nothing.
 void logAgentGivenUp(const std::string &agent, const Worker *worker, TimePoint now, std::int64_t epoch);
--- a/src/trefoilhoist/jobs/jobplacement.cpp
+++ b/src/trefoilhoist/jobs/jobplacement.cpp
@@ -48,7 +48,7 @@
         return;
     }
     if (entry->job.step(pending.step).gang) {
-        placeGang(*entry, pending, orders, now);
+        placeGangByRack(*entry, pending, orders, now);
     } else {
         placeTasks(*entry, pending, orders, now);
     }
@@ -77,19 +77,35 @@
             startAlone(entry, ref, *selector, orders, now);
             continue;
         }
-        auto *worker = selector->select(tasks[i]);
-        while (worker != nullptr && !start(entry, ref, *worker, orders, nextRun(tasks[i]), now)) {
-            selector->exclude(*worker);
-            worker = selector->select(tasks[i]);
-        }
-        if (worker == nullptr) {
+        if (!placeTask(entry, pending, ref, *selector, orders, now)) {
             handleUnplaced(entry, pending, *selector, now);
             return;
         }
-        selector->startedOn(*worker);
     }
 }
 
+bool JobScheduler::placeTask(Entry &entry,
+                             const PendingStep &pending,
+                             const Wire::TaskRef &ref,
+                             WorkerSelector &selector,
+                             std::map<std::string, Wire::WorkerOrders> &orders,
+                             TimePoint now)
+{
+    const auto &task = *entry.job.task(ref);
+    while (!taskAwaitsRack(pending, static_cast<std::size_t>(ref.index), selector, now)) {
+        auto *worker = selector.select(task);
+        if (worker == nullptr) {
+            return false;
+        }
+        if (start(entry, ref, *worker, orders, nextRun(task), now)) {
+            selector.startedOn(*worker);
+            return true;
+        }
+        selector.exclude(*worker);
+    }
+    return true;
+}
+
 // Starts a task under which workers have crashed where nothing else has just been started, and keeps other starts away
 // from that worker until its start is confirmed and a crash would have been noticed.
 void JobScheduler::startAlone(Entry &entry,
@@ -113,10 +129,11 @@
 }
 
 // All members of a gang start together or none does.
-void JobScheduler::placeGang(Entry &entry,
+bool JobScheduler::placeGang(Entry &entry,
                              const PendingStep &pending,
                              std::map<std::string, Wire::WorkerOrders> &orders,
-                             TimePoint now)
+                             TimePoint now,
+                             const std::string &rack)
 {
     const auto &step = entry.job.step(pending.step);
     auto &state = entry.job.occurrences()[pending.occurrence].steps[static_cast<std::size_t>(pending.step)];
@@ -124,11 +141,11 @@
     std::int64_t run = 0;
     for (const auto &task : tasks) {
         if (!canStart(entry, step, task, now)) {
-            return;
+            return false;
         }
         run = std::max(run, nextRun(task));
     }
-    auto selector = selectorFor(entry, pending, now);
+    auto selector = selectorFor(entry, pending, now, rack);
     for (const auto &[id, it] : orders) {
         if (it.starts.size() >= maxStartsPerPlan) {
             selector.exclude(m_workers.at(id));
@@ -140,7 +157,9 @@
     for (std::size_t i = 0; i < tasks.size(); ++i) {
         auto *worker = selector.select(tasks[i]);
         if (worker == nullptr) {
-            handleUnplaced(entry, pending, selector, now);
+            if (rack.empty()) {
+                handleUnplaced(entry, pending, selector, now);
+            }
             break;
         }
         const auto ref = taskRef(pending.job, pending.occurrence, static_cast<std::size_t>(pending.step), i);
@@ -156,7 +175,7 @@
         chosen[i]->removeRun(keys[i]);
     }
     if (chosen.size() < tasks.size()) {
-        return;
+        return false;
     }
     // All members of a gang resume from the same checkpoint.
     const std::string checkpoint = tasks.front().checkpoint;
@@ -164,6 +183,7 @@
         tasks[i].checkpoint = checkpoint;
         start(entry, keys[i].task, *chosen[i], orders, run, now);
     }
+    return true;
 }
 
 // The current configuration takes precedence over the one with which the job was submitted.
@@ -173,7 +193,8 @@
     return queue == nullptr ? job.spec().queue.serviceName : queue->policy.serviceName;
 }
 
-WorkerSelector JobScheduler::selectorFor(const Entry &entry, const PendingStep &pending, TimePoint now)
+WorkerSelector
+JobScheduler::selectorFor(const Entry &entry, const PendingStep &pending, TimePoint now, const std::string &rack)
 {
     const auto &step = entry.job.step(pending.step);
     const auto &state = entry.job.occurrences().at(pending.occurrence).steps[static_cast<std::size_t>(pending.step)];
@@ -187,8 +208,11 @@
                             m_interference,
                             now);
     selector.setOverdue(overdue);
+    selector.setPrefersRack(m_rackWaits.isEnabled());
     for (auto &[id, worker] : m_workers) {
-        selector.consider(worker);
+        if (rack.empty() || selector.rackOf(worker) == rack) {
+            selector.consider(worker);
+        }
     }
     return selector;
 }
@@ -255,6 +279,7 @@
     const RunKey key{ref, run};
     const auto &tracked = worker.addRun(key, std::move(added));
     entry.job.trackRun(ref, run, worker.info.id);
+    m_rackWaits.observeStart(worker, tracked);
     workerOrders.starts.push_back(startOrder(entry, key, tracked));
     return true;
 }
--- a/src/trefoilhoist/jobs/jobplanning.cpp
+++ b/src/trefoilhoist/jobs/jobplanning.cpp
@@ -40,6 +40,7 @@
         worker.reservedForLongRunning = false;
     }
     m_unplaced.clear();
+    m_rackWaits.beginPlan();
     std::vector<StepKey> placed;
     for (const auto *step : pendingByRank(now)) {
         placeStep(*step, orders, now);
--- a/src/trefoilhoist/jobs/jobreports.cpp
+++ b/src/trefoilhoist/jobs/jobreports.cpp
@@ -135,6 +135,7 @@
     logRunEnded(worker, end, m_epoch, entry != nullptr);
     handleGivenUpRun(worker, {end.task, end.run}, endName(static_cast<EndKind>(end.how)));
     observeOutcome(worker, end, now);
+    m_rackWaits.observeEnd(worker, {end.task, end.run}, now);
     worker.removeRun({end.task, end.run});
     if (entry == nullptr) {
         addPendingEnd(worker, {end.number, {}, 0});
--- a/src/trefoilhoist/jobs/jobscheduler.cpp
+++ b/src/trefoilhoist/jobs/jobscheduler.cpp
@@ -19,6 +19,7 @@
     , m_epoch(epoch)
     , m_memory(settings.jobMemoryBytes)
     , m_unknownCancels(settings.jobMemoryBytes / unknownCancelsPart)
+    , m_rackWaits(settings.remoteRunMultiplier)
 {
 }
 
@@ -369,7 +370,7 @@
             if (!hasTaskToStart || !job.isStepReady(occurrence, static_cast<int>(step))) {
                 continue;
             }
-            PendingStep pending;
+            auto pending = std::move(before[{id, number, static_cast<int>(step)}]);
             pending.job = id;
             pending.occurrence = number;
             pending.step = static_cast<int>(step);
@@ -377,8 +378,7 @@
             pending.worthlessAfter = started + maxObjectiveMultiple * objective - criticalPath;
             pending.longRunning = job.spec().steps[step].longRunning;
             pending.usesIdleCpu = job.spec().steps[step].usesIdleCpu;
-            const auto known = before.find({id, number, static_cast<int>(step)});
-            pending.pendingSince = known == before.end() ? m_now : known->second.pendingSince;
+            pending.pendingSince = std::min(pending.pendingSince, m_now);
             m_pending[{id, number, static_cast<int>(step)}] = std::move(pending);
         }
     }
--- a/src/trefoilhoist/jobs/jobscheduler.h
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -3,6 +3,7 @@
 #include "trefoilhoist/jobs/job.h"
 #include "trefoilhoist/jobs/jobmemory.h"
 #include "trefoilhoist/jobs/queuetable.h"
+#include "trefoilhoist/jobs/rackwaits.h"
 #include "trefoilhoist/jobs/worker.h"
 #include "trefoilhoist/jobs/workerselector.h"
 
@@ -32,6 +33,9 @@
     std::int64_t dueSlackMs = 20;
     /// Estimated bytes that all jobs together may take. New submissions are refused beyond it.
     std::int64_t jobMemoryBytes = 104'000'000;
+    /// How many times as long a task runs on another rack than its data's, or a gang that requires one rack when it is
+    /// spread over several. Above 1, tasks wait for a place on their rack where that is worthwhile.
+    double remoteRunMultiplier = 1;
 };
 
 /// State of a submission.
@@ -147,6 +151,11 @@
     {
         return m_workers;
     }
+    /// Number of tasks and gangs that have waited for a place on a rack though they could have started elsewhere.
+    [[nodiscard]] std::size_t placementWaits() const
+    {
+        return m_placementWaits;
+    }
 
 private:
     struct Entry {
@@ -170,9 +179,11 @@
         /// If the step starts later than this, the result of the occurrence is worthless.
         TimePoint worthlessAfter;
         /// When the step was first found to have tasks to start.
-        TimePoint pendingSince;
+        TimePoint pendingSince = TimePoint::max();
         bool longRunning = false;
         bool usesIdleCpu = false;
+        /// By index, since when tasks have waited for their rack though they could start elsewhere; a gang is one task.
+        std::map<std::size_t, TimePoint> rackAwaitedSince;
     };
     /// A demand that no worker could take in the current plan, and the constraints under which that was found.
     struct UnplacedDemand {
@@ -280,15 +291,25 @@
                     const PendingStep &pending,
                     std::map<std::string, Wire::WorkerOrders> &orders,
                     TimePoint now);
-    void placeGang(Entry &entry,
+    /// Starts a task or lets it wait for its rack. False if no worker can take it.
+    bool placeTask(Entry &entry,
                    const PendingStep &pending,
+                   const Wire::TaskRef &ref,
+                   WorkerSelector &selector,
                    std::map<std::string, Wire::WorkerOrders> &orders,
                    TimePoint now);
+    /// Returns true if the gang was started. `rack`: only workers of this rack are used, unless it is empty.
+    bool placeGang(Entry &entry,
+                   const PendingStep &pending,
+                   std::map<std::string, Wire::WorkerOrders> &orders,
+                   TimePoint now,
+                   const std::string &rack = {});
     [[nodiscard]] bool
     canStart(const Entry &entry, const Wire::StepSpec &step, const TaskState &task, TimePoint now) const;
     [[nodiscard]] const std::string &serviceOf(const Job &job) const;
-    /// A selector that has considered all workers for the step's tasks.
-    [[nodiscard]] WorkerSelector selectorFor(const Entry &entry, const PendingStep &pending, TimePoint now);
+    /// A selector that has considered all workers for the step's tasks, or those of one rack.
+    [[nodiscard]] WorkerSelector
+    selectorFor(const Entry &entry, const PendingStep &pending, TimePoint now, const std::string &rack = {});
     /// Notes in this plan that no worker can take a task of the step.
     void handleUnplaced(const Entry &entry, const PendingStep &pending, const WorkerSelector &selector, TimePoint now);
     /// True if an equal or smaller demand found no worker earlier in this plan.
@@ -307,6 +328,17 @@
                std::int64_t run,
                TimePoint now);
 
+    // jobracks.cpp
+    /// Decides whether a task waits for places on a rack, and notes since when it does.
+    bool awaitPlaces(const PendingStep &pending, std::size_t index, const AwaitedPlaces &places, TimePoint now);
+    bool taskAwaitsRack(const PendingStep &pending, std::size_t index, const WorkerSelector &selector, TimePoint now);
+    bool gangAwaitsRack(const PendingStep &pending, const std::map<std::string, RackRoom> &rooms, TimePoint now);
+    /// Places a gang on one rack if it should be on one, or lets it wait for that, or spreads it.
+    void placeGangByRack(Entry &entry,
+                         const PendingStep &pending,
+                         std::map<std::string, Wire::WorkerOrders> &orders,
+                         TimePoint now);
+
     /// Stands for agents that an unreadable roster may hold. Agents are named HOST:PORT, so that none reports under it.
     static constexpr const char *unknownAgents = "unknown";
 
@@ -355,6 +387,8 @@
     TimePoint m_now;
     bool m_ownershipVerified = false;
     TimePoint m_waitLoggedAt;
+    RackWaits m_rackWaits;
+    std::size_t m_placementWaits = 0;
 };
 
 } // namespace Trefoilhoist::Jobs
--- a/src/trefoilhoist/jobs/workerselector.h
+++ b/src/trefoilhoist/jobs/workerselector.h
@@ -4,9 +4,11 @@
 #include "trefoilhoist/jobs/worker.h"
 
 #include <array>
+#include <cstddef>
 #include <map>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace Trefoilhoist::Jobs {
@@ -44,6 +46,13 @@
                                                                     "limit per worker reached",
                                                                     "not enough capacity"};
 
+/// How many tasks of a step the workers of one rack can take.
+struct RackRoom {
+    std::size_t now = 0;
+    /// Once all runs that are not long-running have ended.
+    std::size_t later = 0;
+};
+
 /// Selects the workers for the tasks of one step: for each task the worker with the lowest cost among those that meet
 /// all constraints. Each worker is evaluated once, and again after each start on it.
 class WorkerSelector
@@ -64,6 +73,12 @@
     {
         m_overdue = overdue;
     }
+    /// Prefers any worker on the step's input rack to all others, except for an overdue step. Otherwise another rack is
+    /// one cost among several. Must be called before consider().
+    void setPrefersRack(bool prefers)
+    {
+        m_prefersRack = prefers;
+    }
     void consider(Worker &worker);
     /// The worker for this task; null if no worker can run it now.
     [[nodiscard]] Worker *select(const TaskState &task) const;
@@ -77,6 +92,19 @@
     /// Removes a worker that can take no more orders in this plan.
     void exclude(const Worker &worker);
 
+    /// True if the next task would start on another rack than the preferred one, but runs that end there may make room.
+    [[nodiscard]] bool mayWaitForRack() const;
+    /// True if a worker on the preferred rack was excluded: it may have room, but only for the next plan.
+    [[nodiscard]] bool hasExcludedOnRack() const
+    {
+        return m_excludedOnRack;
+    }
+    /// The label that counts as the worker's rack: the step's input rack if the worker has that label, otherwise the
+    /// last of its labels, since no field says which one names the rack. Empty if it has no labels.
+    [[nodiscard]] std::string rackOf(const Worker &worker) const;
+    /// Room by rack for up to `tasks` tasks of the step on each worker, without regard to interference.
+    [[nodiscard]] std::map<std::string, RackRoom> roomByRack(std::size_t tasks) const;
+
     /// Number of considered workers by the reason why they were rejected.
     [[nodiscard]] std::map<std::string_view, int> rejections() const;
     /// For a long-running task that fits on no worker: the worker with the least shortage, among those where it fits
@@ -86,6 +114,8 @@
 private:
     struct Candidate {
         double cost = 0;
+        /// Not on the preferred rack.
+        bool remote = false;
         /// Position in the order of consideration, which decides between equal costs.
         std::size_t order = 0;
         Worker *worker = nullptr;
@@ -93,7 +123,7 @@
         /// For a heap with the lowest cost in front.
         bool operator<(const Candidate &other) const
         {
-            return cost != other.cost ? cost > other.cost : order > other.order;
+            return std::tie(remote, cost, order) > std::tie(other.remote, other.cost, other.order);
         }
     };
 
@@ -105,6 +135,10 @@
     [[nodiscard]] double interferenceOn(const Worker &worker) const;
     /// Share of the worker's serving tasks that run another image.
     [[nodiscard]] double shareOfOtherImages(const Worker &worker) const;
+    [[nodiscard]] bool isRemote(const Worker &worker) const;
+    /// Notes that the worker has no room now, if it is on the preferred rack and runs that end there may make room.
+    void noteFull(const Worker &worker);
+    [[nodiscard]] std::size_t roomOn(const Worker &worker, std::size_t tasks, bool later) const;
     [[nodiscard]] int siblingsOn(const Worker &worker) const;
     void evaluate(Worker &worker, std::size_t order);
     [[nodiscard]] std::vector<Candidate>::iterator find(const Worker &worker);
@@ -120,6 +154,10 @@
     TimePoint m_now;
     Demand m_demand;
     bool m_overdue = false;
+    bool m_prefersRack = false;
+    /// Runs that end on the preferred rack may make room for a task.
+    bool m_rackMayFree = false;
+    bool m_excludedOnRack = false;
     /// Workers that can run a task now, as a heap.
     std::vector<Candidate> m_candidates;
     /// Workers that lack only capacity.
