--- a/src/trefoilhoist/jobs/jobreports.cpp
+++ b/src/trefoilhoist/jobs/jobreports.cpp
@@ -139,6 +139,7 @@
     if (entry != nullptr && learnsRunTimes()) {
         observeRunTime(entry->job, worker, end, now);
     }
+    m_rackWaits.observeEnd(worker, {end.task, end.run}, now);
     worker.removeRun({end.task, end.run});
     if (entry == nullptr) {
         addPendingEnd(worker, {end.number, {}, 0});
--- a/src/trefoilhoist/jobs/jobscheduler.cpp
+++ b/src/trefoilhoist/jobs/jobscheduler.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-/// An occurrence that takes longer than this multiple of its objective is worthless.
-constexpr int maxObjectiveMultiple = 3;
 /// Cancels of unknown jobs get one part in so many of the memory for jobs, so that there is room for submissions.
 constexpr std::int64_t unknownCancelsPart = 8;
 
@@ -20,6 +18,7 @@
     , m_epoch(epoch)
     , m_memory(settings.jobMemoryBytes)
     , m_unknownCancels(settings.jobMemoryBytes / unknownCancelsPart)
+    , m_rackWaits(settings.remoteRunMultiplier)
 {
 }
 
@@ -342,93 +341,4 @@
     }
 }
 
-void JobScheduler::refreshDueJobs(std::int64_t wallMs)
-{
-    while (!m_dueJobs.empty() && m_dueJobs.begin()->first <= wallMs - m_settings.dueSlackMs) {
-        m_jobsToRefresh.insert(m_dueJobs.begin()->second);
-        m_dueJobs.erase(m_dueJobs.begin());
-    }
-}
-
-void JobScheduler::updateExpectedRunTimes(Job &job)
-{
-    for (std::size_t i = 0; i < job.spec().steps.size(); ++i) {
-        const auto &step = job.spec().steps[i];
-        if (step.longRunning || step.estimatedMs <= 0) {
-            continue;
-        }
-        const auto observed = job.observedRunTime(i);
-        job.setExpectedRunTime(
-            i, observed ? *observed : m_durations.expected(job.spec().queue.name, milliseconds(step.estimatedMs)));
-    }
-}
-
-// Recomputes which steps of the job have tasks to start.
-void JobScheduler::refreshPending(Entry &entry, std::int64_t wallMs)
-{
-    auto &job = entry.job;
-    const auto &id = job.id();
-    std::map<StepKey, PendingStep> before;
-    const auto first = m_pending.lower_bound({id, INT32_MIN, INT32_MIN});
-    const auto last = m_pending.upper_bound({id, INT32_MAX, INT32_MAX});
-    before.insert(first, last);
-    m_pending.erase(first, last);
-    if (!job.isActive()) {
-        m_active.erase(id);
-        m_baselines.forget(id);
-        releaseMemory(entry);
-        updateMemory(entry);
-        return;
-    }
-    job.openDueOccurrences(wallMs - m_settings.dueSlackMs, m_memory.maxOpenOccurrences(job));
-    updateMemory(entry);
-    if (const auto due = job.nextDueMs()) {
-        m_dueJobs.emplace(*due, id);
-    }
-    if (learnsRunTimes()) {
-        updateExpectedRunTimes(job);
-    }
-    const auto &policy = job.spec().queue;
-    for (const auto &[number, occurrence] : job.occurrences()) {
-        if (occurrence.finished) {
-            continue;
-        }
-        if (occurrence.openedEarly && job.dueMs(number) > wallMs - m_settings.dueSlackMs) {
-            m_dueJobs.emplace(job.dueMs(number), id);
-            continue;
-        }
-        Duration untilDue{};
-        if (job.spec().occurrences > 0) {
-            untilDue = milliseconds(job.dueMs(number) - wallMs);
-        }
-        const auto started = job.spec().occurrences > 0 ? m_now + untilDue : job.acceptedAt();
-        const Duration objective
-            = duration_cast<Duration>(policy.stretch * job.totalCriticalPath()) + milliseconds(policy.targetLatencyMs);
-        const Duration criticalPath = job.remainingCriticalPath(occurrence);
-        const double remainingWork = job.remainingWork(occurrence);
-        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
-            const auto &tasks = occurrence.steps[step].tasks;
-            const bool hasTaskToStart = std::any_of(
-                tasks.begin(), tasks.end(), [](const auto &it) { return !it.done && it.activeRuns.empty(); });
-            if (!hasTaskToStart || !job.isStepReady(occurrence, static_cast<int>(step))) {
-                continue;
-            }
-            PendingStep pending;
-            pending.job = id;
-            pending.occurrence = number;
-            pending.step = static_cast<int>(step);
-            pending.rank.latestStart = started + objective - criticalPath;
-            pending.rank.worthlessAfter = started + maxObjectiveMultiple * objective - criticalPath;
-            pending.rank.longRunning = job.spec().steps[step].longRunning;
-            pending.rank.usesIdleCpu = job.spec().steps[step].usesIdleCpu;
-            pending.rank.hasRun
-                = std::any_of(tasks.begin(), tasks.end(), [](const auto &it) { return it.lastRun > 0; });
-            pending.rank.remainingWork = remainingWork;
-            const auto known = before.find({id, number, static_cast<int>(step)});
-            pending.pendingSince = known == before.end() ? m_now : known->second.pendingSince;
-            m_pending[{id, number, static_cast<int>(step)}] = std::move(pending);
-        }
-    }
-}
-
 } // namespace Trefoilhoist::Jobs
--- a/src/trefoilhoist/jobs/jobscheduler.h
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -4,6 +4,7 @@
 #include "trefoilhoist/jobs/job.h"
 #include "trefoilhoist/jobs/jobmemory.h"
 #include "trefoilhoist/jobs/queuetable.h"
+#include "trefoilhoist/jobs/rackwaits.h"
 #include "trefoilhoist/jobs/servingbaselines.h"
 #include "trefoilhoist/jobs/steporder.h"
 #include "trefoilhoist/jobs/worker.h"
@@ -42,6 +43,9 @@
     StepOrder stepOrder = EarliestDeadlineFirst{};
     /// Refuses long-running jobs that don't fit beside the short tasks.
     bool servingAdmission = false;
+    /// How many times as long a task runs on another rack than its data's, or a gang that requires one rack when it is
+    /// spread over several. Above 1, tasks wait for a place on their rack where that is worthwhile.
+    double remoteRunMultiplier = 1;
 };
 
 /// State of a submission.
@@ -159,6 +163,11 @@
     {
         return m_workers;
     }
+    /// Number of tasks and gangs that have waited for a place on a rack though they could have started elsewhere.
+    [[nodiscard]] std::size_t placementWaits() const
+    {
+        return m_placementWaits;
+    }
 
 private:
     struct Entry {
@@ -179,7 +188,9 @@
         int step = 0;
         StepRank rank;
         /// When the step was first found to have tasks to start.
-        TimePoint pendingSince;
+        TimePoint pendingSince = TimePoint::max();
+        /// By index, since when tasks have waited for their rack though they could start elsewhere; a gang is one task.
+        std::map<std::size_t, TimePoint> rackAwaitedSince;
     };
     /// A demand that no worker could take in the current plan, and the constraints under which that was found.
     struct UnplacedDemand {
@@ -196,14 +207,10 @@
     void markChanged(const std::string &id);
     /// The job of a run that an agent has reported; opens the run's occurrence if this owner has not done so.
     Entry *findForRun(const Wire::TaskRef &task);
-    void refreshPending(Entry &entry, std::int64_t wallMs);
-    void refreshDueJobs(std::int64_t wallMs);
     [[nodiscard]] bool learnsRunTimes() const
     {
         return std::holds_alternative<LeastWorkFirst>(m_settings.stepOrder);
     }
-    /// Replaces the run times that the job's caller has declared by those of earlier tasks.
-    void updateExpectedRunTimes(Job &job);
     [[nodiscard]] bool isDrained(const std::string &zone) const;
     void stopRuns(Entry &entry, TimePoint now);
     void releaseMemory(Entry &entry);
@@ -212,6 +219,12 @@
     void setMemory(Entry &entry, std::int64_t bytes);
     void erase(const std::string &id);
 
+    // jobpending.cpp
+    void refreshDueJobs(std::int64_t wallMs);
+    /// Replaces the run times that the job's caller has declared by those of earlier tasks.
+    void updateExpectedRunTimes(Job &job);
+    void refreshPending(Entry &entry, std::int64_t wallMs);
+
     // workerincarnations.cpp
     /// True if only a heartbeat speaks for the incarnation that the report is about, and another one that may hold runs
     /// is known: the heartbeat may be an old one that was held up.
@@ -305,15 +318,25 @@
                     const PendingStep &pending,
                     std::map<std::string, Wire::WorkerOrders> &orders,
                     TimePoint now);
-    void placeGang(Entry &entry,
+    /// Starts a task or lets it wait for its rack. False if no worker can take it.
+    bool placeTask(Entry &entry,
                    const PendingStep &pending,
+                   const Wire::TaskRef &ref,
+                   WorkerSelector &selector,
                    std::map<std::string, Wire::WorkerOrders> &orders,
                    TimePoint now);
+    /// Returns true if the gang was started. `rack`: only workers of this rack are used, unless it is empty.
+    bool placeGang(Entry &entry,
+                   const PendingStep &pending,
+                   std::map<std::string, Wire::WorkerOrders> &orders,
+                   TimePoint now,
+                   const std::string &rack = {});
     [[nodiscard]] bool
     canStart(const Entry &entry, const Wire::StepSpec &step, const TaskState &task, TimePoint now) const;
     [[nodiscard]] const std::string &serviceOf(const Job &job) const;
-    /// A selector that has considered all workers for the step's tasks.
-    [[nodiscard]] WorkerSelector selectorFor(const Entry &entry, const PendingStep &pending, TimePoint now);
+    /// A selector that has considered all workers for the step's tasks, or those of one rack.
+    [[nodiscard]] WorkerSelector
+    selectorFor(const Entry &entry, const PendingStep &pending, TimePoint now, const std::string &rack = {});
     /// Notes in this plan that no worker can take a task of the step.
     void handleUnplaced(const Entry &entry, const PendingStep &pending, const WorkerSelector &selector, TimePoint now);
     /// True if an equal or smaller demand found no worker earlier in this plan.
@@ -340,6 +363,17 @@
                std::int64_t run,
                TimePoint now);
 
+    // jobracks.cpp
+    /// Decides whether a task waits for places on a rack, and notes since when it does.
+    bool awaitPlaces(const PendingStep &pending, std::size_t index, const AwaitedPlaces &places, TimePoint now);
+    bool taskAwaitsRack(const PendingStep &pending, std::size_t index, const WorkerSelector &selector, TimePoint now);
+    bool gangAwaitsRack(const PendingStep &pending, const std::map<std::string, RackRoom> &rooms, TimePoint now);
+    /// Places a gang on one rack if it should be on one, or lets it wait for that, or spreads it.
+    void placeGangByRack(Entry &entry,
+                         const PendingStep &pending,
+                         std::map<std::string, Wire::WorkerOrders> &orders,
+                         TimePoint now);
+
     /// Maximum number of new starts per worker in one plan. It keeps order messages small, and an agent can execute
     /// them before the owner's call times out.
     static constexpr std::size_t maxStartsPerPlan = 24;
@@ -393,6 +427,8 @@
     TimePoint m_now;
     bool m_ownershipVerified = false;
     TimePoint m_waitLoggedAt;
+    RackWaits m_rackWaits;
+    std::size_t m_placementWaits = 0;
 };
 
 } // namespace Trefoilhoist::Jobs
