Add trefoilhoist-configcheck

Cause: operators write a configuration to the store as a whole, and dispatchers log an unreadable one and ignore an older one silently. Change: checkConfiguration() finds errors, routes that never match, contradictory limits and differences from the version in force; the tool prints one finding a line and ends with 0, 1 or 2.

--- a/tests/integration/commandline.cpp
+++ b/tests/integration/commandline.cpp
@@ -205,6 +205,7 @@
                                          "trefoilhoist-agent",
                                          "trefoilhoist-ctl",
                                          "trefoilhoist-burn",
+                                         "trefoilhoist-configcheck",
                                          "trefoilhoist-load",
                                          "trefoilhoist-routing-trial",
                                          "trefoilhoist-placement-trial",
@@ -219,6 +220,72 @@
                              return name;
                          });
 
+namespace {
+
+class ConfigCheckToolTest : public testing::Test
+{
+protected:
+    Finished check(const std::string &text, const std::vector<std::string> &options = {})
+    {
+        const SettingsFile file(text);
+        auto arguments = options;
+        arguments.push_back(file.path());
+        return runToEnd("trefoilhoist-configcheck", arguments);
+    }
+
+    const std::string m_valid
+        = R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/","service":"s","maxAttempts":4,"stretch":1.5}],)"
+          R"("services":[{"name":"s"}]})";
+};
+
+} // namespace
+
+TEST_F(ConfigCheckToolTest, validConfiguration_exitsWithCodeZeroAndNoFindings)
+{
+    const auto finished = check(m_valid);
+    EXPECT_EQ(finished.code, 0) << finished.errors;
+    EXPECT_EQ(finished.output, "");
+}
+
+// A line break or a terminal's control sequence in a name must not look like a finding of its own.
+TEST_F(ConfigCheckToolTest, findings_areOneLineEachSortedBySeverity)
+{
+    const auto finished = check(R"({"version":0,"routes":[],"services":[{"name":"a\n\u001b[2Jb"}]})");
+    EXPECT_EQ(finished.code, 1) << finished.errors;
+    EXPECT_EQ(finished.output,
+              "error /: the version is missing or not above 0\n"
+              "warning /: there is no route, so every request is answered as not found\n"
+              "note /services/0: no route names service \"a??[2Jb\"\n");
+}
+
+TEST_F(ConfigCheckToolTest, unreadableConfiguration_exitsWithCodeOne)
+{
+    const auto finished = check("no JSON");
+    EXPECT_EQ(finished.code, 1);
+    EXPECT_EQ(finished.output.find("error /: "), 0U) << finished.output;
+}
+
+TEST_F(ConfigCheckToolTest, sameFileInForce_isAnErrorOfTheVersion)
+{
+    const SettingsFile file(m_valid);
+    const auto finished = runToEnd("trefoilhoist-configcheck", {"--in-force", file.path(), file.path()});
+    EXPECT_EQ(finished.code, 1) << finished.errors;
+    EXPECT_EQ(finished.output.find("error /: version 7 is not above the one in force, 7"), 0U) << finished.output;
+}
+
+// An unusable file must not look like a configuration with or without errors.
+TEST_F(ConfigCheckToolTest, unusableFiles_exitWithCodeTwo)
+{
+    EXPECT_EQ(runToEnd("trefoilhoist-configcheck", {"no-such-file.json"}).code, 2);
+    EXPECT_EQ(runToEnd("trefoilhoist-configcheck", {"/"}).code, 2);
+    EXPECT_EQ(runToEnd("trefoilhoist-configcheck", {"--in-force", "-", "-"}).code, 2);
+    EXPECT_EQ(check(m_valid, {"--in-force", "no-such-file.json"}).code, 2);
+    constexpr std::size_t tooManyBytes = (std::size_t{8} << 20U) + 1;
+    const auto tooLarge = check(std::string(tooManyBytes, ' '));
+    EXPECT_EQ(tooLarge.code, 2);
+    EXPECT_NE(tooLarge.errors.find("larger than"), std::string::npos) << tooLarge.errors;
+}
+
 TEST(SiteTest, programThatDoesNotStart_isReported)
 {
     SitePlan plan;
