--- a/review/standins/site.h
+++ b/review/standins/site.h
@@ -14,6 +14,9 @@
 
 namespace Review {
 
+/// How many times as long the site takes a run away from its rack to last. The stand-ins run all tasks alike.
+constexpr double remoteMultiplier = 2;
+
 struct SidePlan {
     std::int64_t cpu = 4000;
     std::string rack = "r1-1";
@@ -379,7 +382,8 @@
                        {"limits.processorShare", 0.25},
                        {"limits.linkMbps", 1000.0},
                        {"limits.memoryMb", 260},
-                       {"bounds.maxHoldMs", m_plan.workerLeaseMs}},
+                       {"bounds.maxHoldMs", m_plan.workerLeaseMs},
+                       {"bounds.remoteMultiplier", remoteMultiplier}},
                       linkTo(peers, "reports-" + front.name));
         m_fronts.push_back(std::move(front));
     }
--- a/src/trefoilhoist/jobs/jobscheduler.h
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -5,6 +5,7 @@
 #include "trefoilhoist/jobs/jobmemory.h"
 #include "trefoilhoist/jobs/queuetable.h"
 #include "trefoilhoist/jobs/rackwaits.h"
+#include "trefoilhoist/jobs/schedulersettings.h"
 #include "trefoilhoist/jobs/servingbaselines.h"
 #include "trefoilhoist/jobs/steporder.h"
 #include "trefoilhoist/jobs/worker.h"
@@ -18,52 +19,6 @@
 
 namespace Trefoilhoist::Jobs {
 
-struct SchedulerSettings {
-    /// How long a worker may hold its runs, counted from the sending of a report. The tasks of a worker that no longer
-    /// reports start elsewhere after this time.
-    Duration workerLease = seconds(6);
-    /// Margin for clock drift during one worker lease.
-    Duration leaseSlack = milliseconds(150);
-    /// An owner that could not renew its own lease for this long no longer grants worker leases.
-    Duration grantGrace = seconds(2);
-    /// Delay before the next order about a run if the last one got no answer.
-    Duration orderRetryDelay = milliseconds(250);
-    /// Minimum time between two recordings of checkpoints.
-    Duration checkpointRecordingInterval = seconds(1);
-    /// How long a final job is kept, in milliseconds.
-    std::int64_t keepEndedMs = 150'000;
-    /// An occurrence starts this long after its due time, in milliseconds, because clocks differ.
-    std::int64_t dueSlackMs = 20;
-    /// Estimated bytes that all jobs together may take. New submissions are refused beyond it.
-    std::int64_t jobMemoryBytes = 104'000'000;
-    /// Estimates the slack of serving tasks without interference from all tasks of their step, tells it to the agents,
-    /// and derives from it what best-effort tasks do and how much CPU is idle.
-    bool replicaBaselines = false;
-    /// With LeastWorkFirst, run times are expected from those of earlier tasks instead of being taken as declared.
-    StepOrder stepOrder = EarliestDeadlineFirst{};
-    /// Refuses long-running jobs that don't fit beside the short tasks.
-    bool servingAdmission = false;
-    /// How many times as long a task runs on another rack than its data's, or a gang that requires one rack when it is
-    /// spread over several. Above 1, tasks wait for a place on their rack where that is worthwhile.
-    double remoteRunMultiplier = 1;
-};
-
-/// State of a submission.
-enum class SubmissionState {
-    /// Known and recorded.
-    Known,
-    /// Known from an earlier submission that is still being recorded.
-    Pending,
-    /// Added just now; it must be recorded before anything else.
-    New,
-    /// Refused: the job was cancelled before this submission arrived.
-    CancelledBefore,
-    /// Refused: the memory for jobs is used up.
-    NoMemory,
-    /// Refused: there is no room for the job's long-running tasks beside the short ones.
-    NoRoom,
-};
-
 /// Holds the owner's view of all jobs and workers and plans the orders to the workers. Each term of ownership has one.
 ///
 /// Uses no network, and callers pass the current time. A task is started only when none of its earlier runs can still
@@ -159,6 +114,12 @@
     /// if one of its runs was given up without a report of its end, which another owner may have received.
     std::map<std::string, Wire::WorkerOrders> plan(TimePoint now, std::int64_t wallMs, bool ownershipVerified);
 
+    /// Number of serving steps whose slack without interference is estimated.
+    [[nodiscard]] std::size_t servingBaselines() const
+    {
+        return m_baselines.size();
+    }
+
     [[nodiscard]] const std::map<std::string, Worker> &workers() const
     {
         return m_workers;
--- a/src/trefoilhoist/jobs/jobtypes.h
+++ b/src/trefoilhoist/jobs/jobtypes.h
@@ -116,6 +116,22 @@
     NotOwner = 4,
 };
 
+/// State of a submission.
+enum class SubmissionState {
+    /// Known and recorded.
+    Known,
+    /// Known from an earlier submission that is still being recorded.
+    Pending,
+    /// Added just now; it must be recorded before anything else.
+    New,
+    /// Refused: the job was cancelled before this submission arrived.
+    CancelledBefore,
+    /// Refused: the memory for jobs is used up.
+    NoMemory,
+    /// Refused: there is no room for the job's long-running tasks beside the short ones.
+    NoRoom,
+};
+
 /// Number of tasks that one occurrence of a job may have, and that a repeated job may have in all its open occurrences.
 /// The owner keeps the state of each in memory.
 inline constexpr std::int64_t maxTasksOfJob = 100'000;
--- a/src/trefoilhoist/jobs/throttlecontrol.h
+++ b/src/trefoilhoist/jobs/throttlecontrol.h
@@ -76,6 +76,12 @@
     {
         return m_worstTailRatio;
     }
+    /// Returns the ratio of the drops of slack in the last listing to those that the pairs of images predict; 1 without
+    /// baselines of the owner.
+    [[nodiscard]] double interferenceScale() const
+    {
+        return m_scale.factor();
+    }
     void clear();
 
 private:
--- a/tests/soak/chaos.cpp
+++ b/tests/soak/chaos.cpp
@@ -58,6 +58,9 @@
         if (i > 0) {
             step["after"] = {i - 1};
         }
+        if (!kind.rack.empty()) {
+            step["dataRack"] = kind.rack;
+        }
         // Tasks of a class differ from step to step.
         const auto taskMs = kind.lasts ? ms : between(random, ms / 2, 3 * ms / 2);
         text += (i > 0 ? "," : "") + std::to_string(taskMs);
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -81,7 +81,9 @@
 {
     Review::SitePlan plan;
     plan.fronts = shape.dispatchers;
-    plan.sides.assign(static_cast<std::size_t>(shape.minions), Review::SidePlan{shape.milliCpu, "r1-1"});
+    for (int i = 0; i < shape.minions; ++i) {
+        plan.sides.push_back({shape.milliCpu, i % 2 == 0 ? Soak::firstRack : Soak::secondRack});
+    }
     plan.workerLeaseMs = shape.maxHoldMs;
     plan.bin = bin;
     plan.proxyProgram = bin + "/standin-faultproxy";
--- a/tests/soak/siteshape.h
+++ b/tests/soak/siteshape.h
@@ -8,6 +8,10 @@
 
 namespace Trefoilhoist::Soak {
 
+/// The minions of a site are on these two racks by turns.
+inline constexpr const char *firstRack = "r1-1";
+inline constexpr const char *secondRack = "r1-2";
+
 /// Jobs that are alike.
 struct JobClass {
     double perSecond = 1;
@@ -19,6 +23,8 @@
     std::int64_t taskMs = 1000;
     /// Tasks run until their job is cancelled.
     bool lasts = false;
+    /// The rack of the tasks' data, if any.
+    std::string rack = {};
 };
 
 struct SiteShape {
