--- a/idl/gen/messages_types.cpp
+++ b/idl/gen/messages_types.cpp
@@ -7693,173 +7693,6 @@
 }
 
 
-SlackBaseline::~SlackBaseline() noexcept {
-}
-
-
-void SlackBaseline::__set_task(const TaskRef& val) {
-  this->task = val;
-}
-
-void SlackBaseline::__set_run(const int64_t val) {
-  this->run = val;
-}
-
-void SlackBaseline::__set_slack(const double val) {
-  this->slack = val;
-}
-
-void SlackBaseline::__set_slopePerSecond(const double val) {
-  this->slopePerSecond = val;
-}
-std::ostream& operator<<(std::ostream& out, const SlackBaseline& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t SlackBaseline::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->task.read(iprot);
-          this->__isset.task = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->run);
-          this->__isset.run = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
-          xfer += iprot->readDouble(this->slack);
-          this->__isset.slack = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
-          xfer += iprot->readDouble(this->slopePerSecond);
-          this->__isset.slopePerSecond = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t SlackBaseline::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("SlackBaseline");
-
-  xfer += oprot->writeFieldBegin("task", ::apache::thrift::protocol::T_STRUCT, 1);
-  xfer += this->task.write(oprot);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->run);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("slack", ::apache::thrift::protocol::T_DOUBLE, 3);
-  xfer += oprot->writeDouble(this->slack);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("slopePerSecond", ::apache::thrift::protocol::T_DOUBLE, 4);
-  xfer += oprot->writeDouble(this->slopePerSecond);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(SlackBaseline &a, SlackBaseline &b) {
-  using ::std::swap;
-  swap(a.task, b.task);
-  swap(a.run, b.run);
-  swap(a.slack, b.slack);
-  swap(a.slopePerSecond, b.slopePerSecond);
-  swap(a.__isset, b.__isset);
-}
-
-SlackBaseline::SlackBaseline(const SlackBaseline& other323) {
-  task = other323.task;
-  run = other323.run;
-  slack = other323.slack;
-  slopePerSecond = other323.slopePerSecond;
-  __isset = other323.__isset;
-}
-SlackBaseline::SlackBaseline(SlackBaseline&& other324) noexcept {
-  task = std::move(other324.task);
-  run = other324.run;
-  slack = other324.slack;
-  slopePerSecond = other324.slopePerSecond;
-  __isset = other324.__isset;
-}
-SlackBaseline& SlackBaseline::operator=(const SlackBaseline& other325) {
-  task = other325.task;
-  run = other325.run;
-  slack = other325.slack;
-  slopePerSecond = other325.slopePerSecond;
-  __isset = other325.__isset;
-  return *this;
-}
-SlackBaseline& SlackBaseline::operator=(SlackBaseline&& other326) noexcept {
-  task = std::move(other326.task);
-  run = other326.run;
-  slack = other326.slack;
-  slopePerSecond = other326.slopePerSecond;
-  __isset = other326.__isset;
-  return *this;
-}
-void SlackBaseline::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "SlackBaseline(";
-  out << "task=" << to_string(task);
-  out << ", " << "run=" << to_string(run);
-  out << ", " << "slack=" << to_string(slack);
-  out << ", " << "slopePerSecond=" << to_string(slopePerSecond);
-  out << ")";
-}
-
-
 WorkerReportReply::~WorkerReportReply() noexcept {
 }
 
@@ -7903,10 +7736,6 @@
 void WorkerReportReply::__set_lapsedTerm(const int64_t val) {
   this->lapsedTerm = val;
 }
-
-void WorkerReportReply::__set_baselines(const std::vector<SlackBaseline> & val) {
-  this->baselines = val;
-}
 std::ostream& operator<<(std::ostream& out, const WorkerReportReply& obj)
 {
   obj.printTo(out);
@@ -7971,14 +7800,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->runs.clear();
-            uint32_t _size327;
-            ::apache::thrift::protocol::TType _etype330;
-            xfer += iprot->readListBegin(_etype330, _size327);
-            this->runs.resize(_size327);
-            uint32_t _i331;
-            for (_i331 = 0; _i331 < _size327; ++_i331)
+            uint32_t _size323;
+            ::apache::thrift::protocol::TType _etype326;
+            xfer += iprot->readListBegin(_etype326, _size323);
+            this->runs.resize(_size323);
+            uint32_t _i327;
+            for (_i327 = 0; _i327 < _size323; ++_i327)
             {
-              xfer += this->runs[_i331].read(iprot);
+              xfer += this->runs[_i327].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7991,14 +7820,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->pairs.clear();
-            uint32_t _size332;
-            ::apache::thrift::protocol::TType _etype335;
-            xfer += iprot->readListBegin(_etype335, _size332);
-            this->pairs.resize(_size332);
-            uint32_t _i336;
-            for (_i336 = 0; _i336 < _size332; ++_i336)
+            uint32_t _size328;
+            ::apache::thrift::protocol::TType _etype331;
+            xfer += iprot->readListBegin(_etype331, _size328);
+            this->pairs.resize(_size328);
+            uint32_t _i332;
+            for (_i332 = 0; _i332 < _size328; ++_i332)
             {
-              xfer += this->pairs[_i336].read(iprot);
+              xfer += this->pairs[_i332].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8011,14 +7840,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->recordedCrashes.clear();
-            uint32_t _size337;
-            ::apache::thrift::protocol::TType _etype340;
-            xfer += iprot->readListBegin(_etype340, _size337);
-            this->recordedCrashes.resize(_size337);
-            uint32_t _i341;
-            for (_i341 = 0; _i341 < _size337; ++_i341)
+            uint32_t _size333;
+            ::apache::thrift::protocol::TType _etype336;
+            xfer += iprot->readListBegin(_etype336, _size333);
+            this->recordedCrashes.resize(_size333);
+            uint32_t _i337;
+            for (_i337 = 0; _i337 < _size333; ++_i337)
             {
-              xfer += iprot->readI64(this->recordedCrashes[_i341]);
+              xfer += iprot->readI64(this->recordedCrashes[_i337]);
             }
             xfer += iprot->readListEnd();
           }
@@ -8051,26 +7880,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 11:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->baselines.clear();
-            uint32_t _size342;
-            ::apache::thrift::protocol::TType _etype345;
-            xfer += iprot->readListBegin(_etype345, _size342);
-            this->baselines.resize(_size342);
-            uint32_t _i346;
-            for (_i346 = 0; _i346 < _size342; ++_i346)
-            {
-              xfer += this->baselines[_i346].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.baselines = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8107,10 +7916,10 @@
   xfer += oprot->writeFieldBegin("runs", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->runs.size()));
-    std::vector<RunInfo> ::const_iterator _iter347;
-    for (_iter347 = this->runs.begin(); _iter347 != this->runs.end(); ++_iter347)
+    std::vector<RunInfo> ::const_iterator _iter338;
+    for (_iter338 = this->runs.begin(); _iter338 != this->runs.end(); ++_iter338)
     {
-      xfer += (*_iter347).write(oprot);
+      xfer += (*_iter338).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8119,10 +7928,10 @@
   xfer += oprot->writeFieldBegin("pairs", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->pairs.size()));
-    std::vector<ImagePair> ::const_iterator _iter348;
-    for (_iter348 = this->pairs.begin(); _iter348 != this->pairs.end(); ++_iter348)
+    std::vector<ImagePair> ::const_iterator _iter339;
+    for (_iter339 = this->pairs.begin(); _iter339 != this->pairs.end(); ++_iter339)
     {
-      xfer += (*_iter348).write(oprot);
+      xfer += (*_iter339).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8131,10 +7940,10 @@
   xfer += oprot->writeFieldBegin("recordedCrashes", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->recordedCrashes.size()));
-    std::vector<int64_t> ::const_iterator _iter349;
-    for (_iter349 = this->recordedCrashes.begin(); _iter349 != this->recordedCrashes.end(); ++_iter349)
+    std::vector<int64_t> ::const_iterator _iter340;
+    for (_iter340 = this->recordedCrashes.begin(); _iter340 != this->recordedCrashes.end(); ++_iter340)
     {
-      xfer += oprot->writeI64((*_iter349));
+      xfer += oprot->writeI64((*_iter340));
     }
     xfer += oprot->writeListEnd();
   }
@@ -8152,18 +7961,6 @@
   xfer += oprot->writeI64(this->lapsedTerm);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("baselines", ::apache::thrift::protocol::T_LIST, 11);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->baselines.size()));
-    std::vector<SlackBaseline> ::const_iterator _iter350;
-    for (_iter350 = this->baselines.begin(); _iter350 != this->baselines.end(); ++_iter350)
-    {
-      xfer += (*_iter350).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8181,66 +7978,61 @@
   swap(a.lastReport, b.lastReport);
   swap(a.lastListing, b.lastListing);
   swap(a.lapsedTerm, b.lapsedTerm);
-  swap(a.baselines, b.baselines);
   swap(a.__isset, b.__isset);
 }
 
-WorkerReportReply::WorkerReportReply(const WorkerReportReply& other351) {
-  epoch = other351.epoch;
-  leaseMs = other351.leaseMs;
-  recordedEnds = other351.recordedEnds;
-  leaseTerm = other351.leaseTerm;
-  runs = other351.runs;
-  pairs = other351.pairs;
-  recordedCrashes = other351.recordedCrashes;
-  lastReport = other351.lastReport;
-  lastListing = other351.lastListing;
-  lapsedTerm = other351.lapsedTerm;
-  baselines = other351.baselines;
-  __isset = other351.__isset;
-}
-WorkerReportReply::WorkerReportReply(WorkerReportReply&& other352) noexcept {
-  epoch = other352.epoch;
-  leaseMs = other352.leaseMs;
-  recordedEnds = other352.recordedEnds;
-  leaseTerm = other352.leaseTerm;
-  runs = std::move(other352.runs);
-  pairs = std::move(other352.pairs);
-  recordedCrashes = std::move(other352.recordedCrashes);
-  lastReport = other352.lastReport;
-  lastListing = other352.lastListing;
-  lapsedTerm = other352.lapsedTerm;
-  baselines = std::move(other352.baselines);
-  __isset = other352.__isset;
-}
-WorkerReportReply& WorkerReportReply::operator=(const WorkerReportReply& other353) {
-  epoch = other353.epoch;
-  leaseMs = other353.leaseMs;
-  recordedEnds = other353.recordedEnds;
-  leaseTerm = other353.leaseTerm;
-  runs = other353.runs;
-  pairs = other353.pairs;
-  recordedCrashes = other353.recordedCrashes;
-  lastReport = other353.lastReport;
-  lastListing = other353.lastListing;
-  lapsedTerm = other353.lapsedTerm;
-  baselines = other353.baselines;
-  __isset = other353.__isset;
+WorkerReportReply::WorkerReportReply(const WorkerReportReply& other341) {
+  epoch = other341.epoch;
+  leaseMs = other341.leaseMs;
+  recordedEnds = other341.recordedEnds;
+  leaseTerm = other341.leaseTerm;
+  runs = other341.runs;
+  pairs = other341.pairs;
+  recordedCrashes = other341.recordedCrashes;
+  lastReport = other341.lastReport;
+  lastListing = other341.lastListing;
+  lapsedTerm = other341.lapsedTerm;
+  __isset = other341.__isset;
+}
+WorkerReportReply::WorkerReportReply(WorkerReportReply&& other342) noexcept {
+  epoch = other342.epoch;
+  leaseMs = other342.leaseMs;
+  recordedEnds = other342.recordedEnds;
+  leaseTerm = other342.leaseTerm;
+  runs = std::move(other342.runs);
+  pairs = std::move(other342.pairs);
+  recordedCrashes = std::move(other342.recordedCrashes);
+  lastReport = other342.lastReport;
+  lastListing = other342.lastListing;
+  lapsedTerm = other342.lapsedTerm;
+  __isset = other342.__isset;
+}
+WorkerReportReply& WorkerReportReply::operator=(const WorkerReportReply& other343) {
+  epoch = other343.epoch;
+  leaseMs = other343.leaseMs;
+  recordedEnds = other343.recordedEnds;
+  leaseTerm = other343.leaseTerm;
+  runs = other343.runs;
+  pairs = other343.pairs;
+  recordedCrashes = other343.recordedCrashes;
+  lastReport = other343.lastReport;
+  lastListing = other343.lastListing;
+  lapsedTerm = other343.lapsedTerm;
+  __isset = other343.__isset;
   return *this;
 }
-WorkerReportReply& WorkerReportReply::operator=(WorkerReportReply&& other354) noexcept {
-  epoch = other354.epoch;
-  leaseMs = other354.leaseMs;
-  recordedEnds = other354.recordedEnds;
-  leaseTerm = other354.leaseTerm;
-  runs = std::move(other354.runs);
-  pairs = std::move(other354.pairs);
-  recordedCrashes = std::move(other354.recordedCrashes);
-  lastReport = other354.lastReport;
-  lastListing = other354.lastListing;
-  lapsedTerm = other354.lapsedTerm;
-  baselines = std::move(other354.baselines);
-  __isset = other354.__isset;
+WorkerReportReply& WorkerReportReply::operator=(WorkerReportReply&& other344) noexcept {
+  epoch = other344.epoch;
+  leaseMs = other344.leaseMs;
+  recordedEnds = other344.recordedEnds;
+  leaseTerm = other344.leaseTerm;
+  runs = std::move(other344.runs);
+  pairs = std::move(other344.pairs);
+  recordedCrashes = std::move(other344.recordedCrashes);
+  lastReport = other344.lastReport;
+  lastListing = other344.lastListing;
+  lapsedTerm = other344.lapsedTerm;
+  __isset = other344.__isset;
   return *this;
 }
 void WorkerReportReply::printTo(std::ostream& out) const {
@@ -8256,7 +8048,6 @@
   out << ", " << "lastReport=" << to_string(lastReport);
   out << ", " << "lastListing=" << to_string(lastListing);
   out << ", " << "lapsedTerm=" << to_string(lapsedTerm);
-  out << ", " << "baselines=" << to_string(baselines);
   out << ")";
 }
 
@@ -8421,42 +8212,42 @@
   swap(a.__isset, b.__isset);
 }
 
-StartOrder::StartOrder(const StartOrder& other355) {
-  task = other355.task;
-  run = other355.run;
-  payload = other355.payload;
-  checkpoint = other355.checkpoint;
-  info = other355.info;
-  permit = other355.permit;
-  __isset = other355.__isset;
-}
-StartOrder::StartOrder(StartOrder&& other356) noexcept {
-  task = std::move(other356.task);
-  run = other356.run;
-  payload = std::move(other356.payload);
-  checkpoint = std::move(other356.checkpoint);
-  info = std::move(other356.info);
-  permit = std::move(other356.permit);
-  __isset = other356.__isset;
-}
-StartOrder& StartOrder::operator=(const StartOrder& other357) {
-  task = other357.task;
-  run = other357.run;
-  payload = other357.payload;
-  checkpoint = other357.checkpoint;
-  info = other357.info;
-  permit = other357.permit;
-  __isset = other357.__isset;
+StartOrder::StartOrder(const StartOrder& other345) {
+  task = other345.task;
+  run = other345.run;
+  payload = other345.payload;
+  checkpoint = other345.checkpoint;
+  info = other345.info;
+  permit = other345.permit;
+  __isset = other345.__isset;
+}
+StartOrder::StartOrder(StartOrder&& other346) noexcept {
+  task = std::move(other346.task);
+  run = other346.run;
+  payload = std::move(other346.payload);
+  checkpoint = std::move(other346.checkpoint);
+  info = std::move(other346.info);
+  permit = std::move(other346.permit);
+  __isset = other346.__isset;
+}
+StartOrder& StartOrder::operator=(const StartOrder& other347) {
+  task = other347.task;
+  run = other347.run;
+  payload = other347.payload;
+  checkpoint = other347.checkpoint;
+  info = other347.info;
+  permit = other347.permit;
+  __isset = other347.__isset;
   return *this;
 }
-StartOrder& StartOrder::operator=(StartOrder&& other358) noexcept {
-  task = std::move(other358.task);
-  run = other358.run;
-  payload = std::move(other358.payload);
-  checkpoint = std::move(other358.checkpoint);
-  info = std::move(other358.info);
-  permit = std::move(other358.permit);
-  __isset = other358.__isset;
+StartOrder& StartOrder::operator=(StartOrder&& other348) noexcept {
+  task = std::move(other348.task);
+  run = other348.run;
+  payload = std::move(other348.payload);
+  checkpoint = std::move(other348.checkpoint);
+  info = std::move(other348.info);
+  permit = std::move(other348.permit);
+  __isset = other348.__isset;
   return *this;
 }
 void StartOrder::printTo(std::ostream& out) const {
@@ -8564,26 +8355,26 @@
   swap(a.__isset, b.__isset);
 }
 
-StopOrder::StopOrder(const StopOrder& other359) {
-  task = other359.task;
-  run = other359.run;
-  __isset = other359.__isset;
+StopOrder::StopOrder(const StopOrder& other349) {
+  task = other349.task;
+  run = other349.run;
+  __isset = other349.__isset;
 }
-StopOrder::StopOrder(StopOrder&& other360) noexcept {
-  task = std::move(other360.task);
-  run = other360.run;
-  __isset = other360.__isset;
+StopOrder::StopOrder(StopOrder&& other350) noexcept {
+  task = std::move(other350.task);
+  run = other350.run;
+  __isset = other350.__isset;
 }
-StopOrder& StopOrder::operator=(const StopOrder& other361) {
-  task = other361.task;
-  run = other361.run;
-  __isset = other361.__isset;
+StopOrder& StopOrder::operator=(const StopOrder& other351) {
+  task = other351.task;
+  run = other351.run;
+  __isset = other351.__isset;
   return *this;
 }
-StopOrder& StopOrder::operator=(StopOrder&& other362) noexcept {
-  task = std::move(other362.task);
-  run = other362.run;
-  __isset = other362.__isset;
+StopOrder& StopOrder::operator=(StopOrder&& other352) noexcept {
+  task = std::move(other352.task);
+  run = other352.run;
+  __isset = other352.__isset;
   return *this;
 }
 void StopOrder::printTo(std::ostream& out) const {
@@ -8710,14 +8501,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->starts.clear();
-            uint32_t _size363;
-            ::apache::thrift::protocol::TType _etype366;
-            xfer += iprot->readListBegin(_etype366, _size363);
-            this->starts.resize(_size363);
-            uint32_t _i367;
-            for (_i367 = 0; _i367 < _size363; ++_i367)
+            uint32_t _size353;
+            ::apache::thrift::protocol::TType _etype356;
+            xfer += iprot->readListBegin(_etype356, _size353);
+            this->starts.resize(_size353);
+            uint32_t _i357;
+            for (_i357 = 0; _i357 < _size353; ++_i357)
             {
-              xfer += this->starts[_i367].read(iprot);
+              xfer += this->starts[_i357].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8730,14 +8521,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->stops.clear();
-            uint32_t _size368;
-            ::apache::thrift::protocol::TType _etype371;
-            xfer += iprot->readListBegin(_etype371, _size368);
-            this->stops.resize(_size368);
-            uint32_t _i372;
-            for (_i372 = 0; _i372 < _size368; ++_i372)
+            uint32_t _size358;
+            ::apache::thrift::protocol::TType _etype361;
+            xfer += iprot->readListBegin(_etype361, _size358);
+            this->stops.resize(_size358);
+            uint32_t _i362;
+            for (_i362 = 0; _i362 < _size358; ++_i362)
             {
-              xfer += this->stops[_i372].read(iprot);
+              xfer += this->stops[_i362].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8810,10 +8601,10 @@
   xfer += oprot->writeFieldBegin("starts", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->starts.size()));
-    std::vector<StartOrder> ::const_iterator _iter373;
-    for (_iter373 = this->starts.begin(); _iter373 != this->starts.end(); ++_iter373)
+    std::vector<StartOrder> ::const_iterator _iter363;
+    for (_iter363 = this->starts.begin(); _iter363 != this->starts.end(); ++_iter363)
     {
-      xfer += (*_iter373).write(oprot);
+      xfer += (*_iter363).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8822,10 +8613,10 @@
   xfer += oprot->writeFieldBegin("stops", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->stops.size()));
-    std::vector<StopOrder> ::const_iterator _iter374;
-    for (_iter374 = this->stops.begin(); _iter374 != this->stops.end(); ++_iter374)
+    std::vector<StopOrder> ::const_iterator _iter364;
+    for (_iter364 = this->stops.begin(); _iter364 != this->stops.end(); ++_iter364)
     {
-      xfer += (*_iter374).write(oprot);
+      xfer += (*_iter364).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8863,58 +8654,58 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerOrders::WorkerOrders(const WorkerOrders& other375) {
-  epoch = other375.epoch;
-  ownerHost = other375.ownerHost;
-  ownerPort = other375.ownerPort;
-  worker = other375.worker;
-  born = other375.born;
-  starts = other375.starts;
-  stops = other375.stops;
-  leaseTerm = other375.leaseTerm;
-  afterReport = other375.afterReport;
-  sinceReportMs = other375.sinceReportMs;
-  __isset = other375.__isset;
-}
-WorkerOrders::WorkerOrders(WorkerOrders&& other376) noexcept {
-  epoch = other376.epoch;
-  ownerHost = std::move(other376.ownerHost);
-  ownerPort = other376.ownerPort;
-  worker = std::move(other376.worker);
-  born = other376.born;
-  starts = std::move(other376.starts);
-  stops = std::move(other376.stops);
-  leaseTerm = other376.leaseTerm;
-  afterReport = other376.afterReport;
-  sinceReportMs = other376.sinceReportMs;
-  __isset = other376.__isset;
-}
-WorkerOrders& WorkerOrders::operator=(const WorkerOrders& other377) {
-  epoch = other377.epoch;
-  ownerHost = other377.ownerHost;
-  ownerPort = other377.ownerPort;
-  worker = other377.worker;
-  born = other377.born;
-  starts = other377.starts;
-  stops = other377.stops;
-  leaseTerm = other377.leaseTerm;
-  afterReport = other377.afterReport;
-  sinceReportMs = other377.sinceReportMs;
-  __isset = other377.__isset;
+WorkerOrders::WorkerOrders(const WorkerOrders& other365) {
+  epoch = other365.epoch;
+  ownerHost = other365.ownerHost;
+  ownerPort = other365.ownerPort;
+  worker = other365.worker;
+  born = other365.born;
+  starts = other365.starts;
+  stops = other365.stops;
+  leaseTerm = other365.leaseTerm;
+  afterReport = other365.afterReport;
+  sinceReportMs = other365.sinceReportMs;
+  __isset = other365.__isset;
+}
+WorkerOrders::WorkerOrders(WorkerOrders&& other366) noexcept {
+  epoch = other366.epoch;
+  ownerHost = std::move(other366.ownerHost);
+  ownerPort = other366.ownerPort;
+  worker = std::move(other366.worker);
+  born = other366.born;
+  starts = std::move(other366.starts);
+  stops = std::move(other366.stops);
+  leaseTerm = other366.leaseTerm;
+  afterReport = other366.afterReport;
+  sinceReportMs = other366.sinceReportMs;
+  __isset = other366.__isset;
+}
+WorkerOrders& WorkerOrders::operator=(const WorkerOrders& other367) {
+  epoch = other367.epoch;
+  ownerHost = other367.ownerHost;
+  ownerPort = other367.ownerPort;
+  worker = other367.worker;
+  born = other367.born;
+  starts = other367.starts;
+  stops = other367.stops;
+  leaseTerm = other367.leaseTerm;
+  afterReport = other367.afterReport;
+  sinceReportMs = other367.sinceReportMs;
+  __isset = other367.__isset;
   return *this;
 }
-WorkerOrders& WorkerOrders::operator=(WorkerOrders&& other378) noexcept {
-  epoch = other378.epoch;
-  ownerHost = std::move(other378.ownerHost);
-  ownerPort = other378.ownerPort;
-  worker = std::move(other378.worker);
-  born = other378.born;
-  starts = std::move(other378.starts);
-  stops = std::move(other378.stops);
-  leaseTerm = other378.leaseTerm;
-  afterReport = other378.afterReport;
-  sinceReportMs = other378.sinceReportMs;
-  __isset = other378.__isset;
+WorkerOrders& WorkerOrders::operator=(WorkerOrders&& other368) noexcept {
+  epoch = other368.epoch;
+  ownerHost = std::move(other368.ownerHost);
+  ownerPort = other368.ownerPort;
+  worker = std::move(other368.worker);
+  born = other368.born;
+  starts = std::move(other368.starts);
+  stops = std::move(other368.stops);
+  leaseTerm = other368.leaseTerm;
+  afterReport = other368.afterReport;
+  sinceReportMs = other368.sinceReportMs;
+  __isset = other368.__isset;
   return *this;
 }
 void WorkerOrders::printTo(std::ostream& out) const {
@@ -8981,14 +8772,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->starts.clear();
-            uint32_t _size379;
-            ::apache::thrift::protocol::TType _etype382;
-            xfer += iprot->readListBegin(_etype382, _size379);
-            this->starts.resize(_size379);
-            uint32_t _i383;
-            for (_i383 = 0; _i383 < _size379; ++_i383)
+            uint32_t _size369;
+            ::apache::thrift::protocol::TType _etype372;
+            xfer += iprot->readListBegin(_etype372, _size369);
+            this->starts.resize(_size369);
+            uint32_t _i373;
+            for (_i373 = 0; _i373 < _size369; ++_i373)
             {
-              xfer += iprot->readI32(this->starts[_i383]);
+              xfer += iprot->readI32(this->starts[_i373]);
             }
             xfer += iprot->readListEnd();
           }
@@ -9001,14 +8792,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->stops.clear();
-            uint32_t _size384;
-            ::apache::thrift::protocol::TType _etype387;
-            xfer += iprot->readListBegin(_etype387, _size384);
-            this->stops.resize(_size384);
-            uint32_t _i388;
-            for (_i388 = 0; _i388 < _size384; ++_i388)
+            uint32_t _size374;
+            ::apache::thrift::protocol::TType _etype377;
+            xfer += iprot->readListBegin(_etype377, _size374);
+            this->stops.resize(_size374);
+            uint32_t _i378;
+            for (_i378 = 0; _i378 < _size374; ++_i378)
             {
-              xfer += iprot->readI32(this->stops[_i388]);
+              xfer += iprot->readI32(this->stops[_i378]);
             }
             xfer += iprot->readListEnd();
           }
@@ -9045,10 +8836,10 @@
   xfer += oprot->writeFieldBegin("starts", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->starts.size()));
-    std::vector<int32_t> ::const_iterator _iter389;
-    for (_iter389 = this->starts.begin(); _iter389 != this->starts.end(); ++_iter389)
+    std::vector<int32_t> ::const_iterator _iter379;
+    for (_iter379 = this->starts.begin(); _iter379 != this->starts.end(); ++_iter379)
     {
-      xfer += oprot->writeI32((*_iter389));
+      xfer += oprot->writeI32((*_iter379));
     }
     xfer += oprot->writeListEnd();
   }
@@ -9057,10 +8848,10 @@
   xfer += oprot->writeFieldBegin("stops", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->stops.size()));
-    std::vector<int32_t> ::const_iterator _iter390;
-    for (_iter390 = this->stops.begin(); _iter390 != this->stops.end(); ++_iter390)
+    std::vector<int32_t> ::const_iterator _iter380;
+    for (_iter380 = this->stops.begin(); _iter380 != this->stops.end(); ++_iter380)
     {
-      xfer += oprot->writeI32((*_iter390));
+      xfer += oprot->writeI32((*_iter380));
     }
     xfer += oprot->writeListEnd();
   }
@@ -9083,30 +8874,30 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerOrdersReply::WorkerOrdersReply(const WorkerOrdersReply& other391) {
-  starts = other391.starts;
-  stops = other391.stops;
-  listing = other391.listing;
-  __isset = other391.__isset;
+WorkerOrdersReply::WorkerOrdersReply(const WorkerOrdersReply& other381) {
+  starts = other381.starts;
+  stops = other381.stops;
+  listing = other381.listing;
+  __isset = other381.__isset;
 }
-WorkerOrdersReply::WorkerOrdersReply(WorkerOrdersReply&& other392) noexcept {
-  starts = std::move(other392.starts);
-  stops = std::move(other392.stops);
-  listing = other392.listing;
-  __isset = other392.__isset;
+WorkerOrdersReply::WorkerOrdersReply(WorkerOrdersReply&& other382) noexcept {
+  starts = std::move(other382.starts);
+  stops = std::move(other382.stops);
+  listing = other382.listing;
+  __isset = other382.__isset;
 }
-WorkerOrdersReply& WorkerOrdersReply::operator=(const WorkerOrdersReply& other393) {
-  starts = other393.starts;
-  stops = other393.stops;
-  listing = other393.listing;
-  __isset = other393.__isset;
+WorkerOrdersReply& WorkerOrdersReply::operator=(const WorkerOrdersReply& other383) {
+  starts = other383.starts;
+  stops = other383.stops;
+  listing = other383.listing;
+  __isset = other383.__isset;
   return *this;
 }
-WorkerOrdersReply& WorkerOrdersReply::operator=(WorkerOrdersReply&& other394) noexcept {
-  starts = std::move(other394.starts);
-  stops = std::move(other394.stops);
-  listing = other394.listing;
-  __isset = other394.__isset;
+WorkerOrdersReply& WorkerOrdersReply::operator=(WorkerOrdersReply&& other384) noexcept {
+  starts = std::move(other384.starts);
+  stops = std::move(other384.stops);
+  listing = other384.listing;
+  __isset = other384.__isset;
   return *this;
 }
 void WorkerOrdersReply::printTo(std::ostream& out) const {
@@ -9194,22 +8985,22 @@
   swap(a.__isset, b.__isset);
 }
 
-SubmitJob::SubmitJob(const SubmitJob& other395) {
-  spec = other395.spec;
-  __isset = other395.__isset;
+SubmitJob::SubmitJob(const SubmitJob& other385) {
+  spec = other385.spec;
+  __isset = other385.__isset;
 }
-SubmitJob::SubmitJob(SubmitJob&& other396) noexcept {
-  spec = std::move(other396.spec);
-  __isset = other396.__isset;
+SubmitJob::SubmitJob(SubmitJob&& other386) noexcept {
+  spec = std::move(other386.spec);
+  __isset = other386.__isset;
 }
-SubmitJob& SubmitJob::operator=(const SubmitJob& other397) {
-  spec = other397.spec;
-  __isset = other397.__isset;
+SubmitJob& SubmitJob::operator=(const SubmitJob& other387) {
+  spec = other387.spec;
+  __isset = other387.__isset;
   return *this;
 }
-SubmitJob& SubmitJob::operator=(SubmitJob&& other398) noexcept {
-  spec = std::move(other398.spec);
-  __isset = other398.__isset;
+SubmitJob& SubmitJob::operator=(SubmitJob&& other388) noexcept {
+  spec = std::move(other388.spec);
+  __isset = other388.__isset;
   return *this;
 }
 void SubmitJob::printTo(std::ostream& out) const {
@@ -9295,22 +9086,22 @@
   swap(a.__isset, b.__isset);
 }
 
-JobQuery::JobQuery(const JobQuery& other399) {
-  id = other399.id;
-  __isset = other399.__isset;
+JobQuery::JobQuery(const JobQuery& other389) {
+  id = other389.id;
+  __isset = other389.__isset;
 }
-JobQuery::JobQuery(JobQuery&& other400) noexcept {
-  id = std::move(other400.id);
-  __isset = other400.__isset;
+JobQuery::JobQuery(JobQuery&& other390) noexcept {
+  id = std::move(other390.id);
+  __isset = other390.__isset;
 }
-JobQuery& JobQuery::operator=(const JobQuery& other401) {
-  id = other401.id;
-  __isset = other401.__isset;
+JobQuery& JobQuery::operator=(const JobQuery& other391) {
+  id = other391.id;
+  __isset = other391.__isset;
   return *this;
 }
-JobQuery& JobQuery::operator=(JobQuery&& other402) noexcept {
-  id = std::move(other402.id);
-  __isset = other402.__isset;
+JobQuery& JobQuery::operator=(JobQuery&& other392) noexcept {
+  id = std::move(other392.id);
+  __isset = other392.__isset;
   return *this;
 }
 void JobQuery::printTo(std::ostream& out) const {
@@ -9396,22 +9187,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CancelJob::CancelJob(const CancelJob& other403) {
-  id = other403.id;
-  __isset = other403.__isset;
+CancelJob::CancelJob(const CancelJob& other393) {
+  id = other393.id;
+  __isset = other393.__isset;
 }
-CancelJob::CancelJob(CancelJob&& other404) noexcept {
-  id = std::move(other404.id);
-  __isset = other404.__isset;
+CancelJob::CancelJob(CancelJob&& other394) noexcept {
+  id = std::move(other394.id);
+  __isset = other394.__isset;
 }
-CancelJob& CancelJob::operator=(const CancelJob& other405) {
-  id = other405.id;
-  __isset = other405.__isset;
+CancelJob& CancelJob::operator=(const CancelJob& other395) {
+  id = other395.id;
+  __isset = other395.__isset;
   return *this;
 }
-CancelJob& CancelJob::operator=(CancelJob&& other406) noexcept {
-  id = std::move(other406.id);
-  __isset = other406.__isset;
+CancelJob& CancelJob::operator=(CancelJob&& other396) noexcept {
+  id = std::move(other396.id);
+  __isset = other396.__isset;
   return *this;
 }
 void CancelJob::printTo(std::ostream& out) const {
@@ -9497,22 +9288,22 @@
   swap(a.__isset, b.__isset);
 }
 
-QueueQuery::QueueQuery(const QueueQuery& other407) {
-  queue = other407.queue;
-  __isset = other407.__isset;
+QueueQuery::QueueQuery(const QueueQuery& other397) {
+  queue = other397.queue;
+  __isset = other397.__isset;
 }
-QueueQuery::QueueQuery(QueueQuery&& other408) noexcept {
-  queue = std::move(other408.queue);
-  __isset = other408.__isset;
+QueueQuery::QueueQuery(QueueQuery&& other398) noexcept {
+  queue = std::move(other398.queue);
+  __isset = other398.__isset;
 }
-QueueQuery& QueueQuery::operator=(const QueueQuery& other409) {
-  queue = other409.queue;
-  __isset = other409.__isset;
+QueueQuery& QueueQuery::operator=(const QueueQuery& other399) {
+  queue = other399.queue;
+  __isset = other399.__isset;
   return *this;
 }
-QueueQuery& QueueQuery::operator=(QueueQuery&& other410) noexcept {
-  queue = std::move(other410.queue);
-  __isset = other410.__isset;
+QueueQuery& QueueQuery::operator=(QueueQuery&& other400) noexcept {
+  queue = std::move(other400.queue);
+  __isset = other400.__isset;
   return *this;
 }
 void QueueQuery::printTo(std::ostream& out) const {
@@ -9649,34 +9440,34 @@
   swap(a.__isset, b.__isset);
 }
 
-JobAnswer::JobAnswer(const JobAnswer& other411) noexcept {
-  outcome = other411.outcome;
-  phase = other411.phase;
-  waiting = other411.waiting;
-  retryAfterMs = other411.retryAfterMs;
-  __isset = other411.__isset;
-}
-JobAnswer::JobAnswer(JobAnswer&& other412) noexcept {
-  outcome = other412.outcome;
-  phase = other412.phase;
-  waiting = other412.waiting;
-  retryAfterMs = other412.retryAfterMs;
-  __isset = other412.__isset;
-}
-JobAnswer& JobAnswer::operator=(const JobAnswer& other413) noexcept {
-  outcome = other413.outcome;
-  phase = other413.phase;
-  waiting = other413.waiting;
-  retryAfterMs = other413.retryAfterMs;
-  __isset = other413.__isset;
+JobAnswer::JobAnswer(const JobAnswer& other401) noexcept {
+  outcome = other401.outcome;
+  phase = other401.phase;
+  waiting = other401.waiting;
+  retryAfterMs = other401.retryAfterMs;
+  __isset = other401.__isset;
+}
+JobAnswer::JobAnswer(JobAnswer&& other402) noexcept {
+  outcome = other402.outcome;
+  phase = other402.phase;
+  waiting = other402.waiting;
+  retryAfterMs = other402.retryAfterMs;
+  __isset = other402.__isset;
+}
+JobAnswer& JobAnswer::operator=(const JobAnswer& other403) noexcept {
+  outcome = other403.outcome;
+  phase = other403.phase;
+  waiting = other403.waiting;
+  retryAfterMs = other403.retryAfterMs;
+  __isset = other403.__isset;
   return *this;
 }
-JobAnswer& JobAnswer::operator=(JobAnswer&& other414) noexcept {
-  outcome = other414.outcome;
-  phase = other414.phase;
-  waiting = other414.waiting;
-  retryAfterMs = other414.retryAfterMs;
-  __isset = other414.__isset;
+JobAnswer& JobAnswer::operator=(JobAnswer&& other404) noexcept {
+  outcome = other404.outcome;
+  phase = other404.phase;
+  waiting = other404.waiting;
+  retryAfterMs = other404.retryAfterMs;
+  __isset = other404.__isset;
   return *this;
 }
 void JobAnswer::printTo(std::ostream& out) const {
@@ -9850,42 +9641,42 @@
   swap(a.__isset, b.__isset);
 }
 
-OwnerRecord::OwnerRecord(const OwnerRecord& other415) {
-  epoch = other415.epoch;
-  host = other415.host;
-  port = other415.port;
-  name = other415.name;
-  strength = other415.strength;
-  lease = other415.lease;
-  __isset = other415.__isset;
+OwnerRecord::OwnerRecord(const OwnerRecord& other405) {
+  epoch = other405.epoch;
+  host = other405.host;
+  port = other405.port;
+  name = other405.name;
+  strength = other405.strength;
+  lease = other405.lease;
+  __isset = other405.__isset;
 }
-OwnerRecord::OwnerRecord(OwnerRecord&& other416) noexcept {
-  epoch = other416.epoch;
-  host = std::move(other416.host);
-  port = other416.port;
-  name = std::move(other416.name);
-  strength = other416.strength;
-  lease = other416.lease;
-  __isset = other416.__isset;
+OwnerRecord::OwnerRecord(OwnerRecord&& other406) noexcept {
+  epoch = other406.epoch;
+  host = std::move(other406.host);
+  port = other406.port;
+  name = std::move(other406.name);
+  strength = other406.strength;
+  lease = other406.lease;
+  __isset = other406.__isset;
 }
-OwnerRecord& OwnerRecord::operator=(const OwnerRecord& other417) {
-  epoch = other417.epoch;
-  host = other417.host;
-  port = other417.port;
-  name = other417.name;
-  strength = other417.strength;
-  lease = other417.lease;
-  __isset = other417.__isset;
+OwnerRecord& OwnerRecord::operator=(const OwnerRecord& other407) {
+  epoch = other407.epoch;
+  host = other407.host;
+  port = other407.port;
+  name = other407.name;
+  strength = other407.strength;
+  lease = other407.lease;
+  __isset = other407.__isset;
   return *this;
 }
-OwnerRecord& OwnerRecord::operator=(OwnerRecord&& other418) noexcept {
-  epoch = other418.epoch;
-  host = std::move(other418.host);
-  port = other418.port;
-  name = std::move(other418.name);
-  strength = other418.strength;
-  lease = other418.lease;
-  __isset = other418.__isset;
+OwnerRecord& OwnerRecord::operator=(OwnerRecord&& other408) noexcept {
+  epoch = other408.epoch;
+  host = std::move(other408.host);
+  port = other408.port;
+  name = std::move(other408.name);
+  strength = other408.strength;
+  lease = other408.lease;
+  __isset = other408.__isset;
   return *this;
 }
 void OwnerRecord::printTo(std::ostream& out) const {
@@ -9940,14 +9731,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->workers.clear();
-            uint32_t _size419;
-            ::apache::thrift::protocol::TType _etype422;
-            xfer += iprot->readListBegin(_etype422, _size419);
-            this->workers.resize(_size419);
-            uint32_t _i423;
-            for (_i423 = 0; _i423 < _size419; ++_i423)
+            uint32_t _size409;
+            ::apache::thrift::protocol::TType _etype412;
+            xfer += iprot->readListBegin(_etype412, _size409);
+            this->workers.resize(_size409);
+            uint32_t _i413;
+            for (_i413 = 0; _i413 < _size409; ++_i413)
             {
-              xfer += this->workers[_i423].read(iprot);
+              xfer += this->workers[_i413].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9976,10 +9767,10 @@
   xfer += oprot->writeFieldBegin("workers", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->workers.size()));
-    std::vector<WorkerDescription> ::const_iterator _iter424;
-    for (_iter424 = this->workers.begin(); _iter424 != this->workers.end(); ++_iter424)
+    std::vector<WorkerDescription> ::const_iterator _iter414;
+    for (_iter414 = this->workers.begin(); _iter414 != this->workers.end(); ++_iter414)
     {
-      xfer += (*_iter424).write(oprot);
+      xfer += (*_iter414).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9996,22 +9787,22 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerRoster::WorkerRoster(const WorkerRoster& other425) {
-  workers = other425.workers;
-  __isset = other425.__isset;
+WorkerRoster::WorkerRoster(const WorkerRoster& other415) {
+  workers = other415.workers;
+  __isset = other415.__isset;
 }
-WorkerRoster::WorkerRoster(WorkerRoster&& other426) noexcept {
-  workers = std::move(other426.workers);
-  __isset = other426.__isset;
+WorkerRoster::WorkerRoster(WorkerRoster&& other416) noexcept {
+  workers = std::move(other416.workers);
+  __isset = other416.__isset;
 }
-WorkerRoster& WorkerRoster::operator=(const WorkerRoster& other427) {
-  workers = other427.workers;
-  __isset = other427.__isset;
+WorkerRoster& WorkerRoster::operator=(const WorkerRoster& other417) {
+  workers = other417.workers;
+  __isset = other417.__isset;
   return *this;
 }
-WorkerRoster& WorkerRoster::operator=(WorkerRoster&& other428) noexcept {
-  workers = std::move(other428.workers);
-  __isset = other428.__isset;
+WorkerRoster& WorkerRoster::operator=(WorkerRoster&& other418) noexcept {
+  workers = std::move(other418.workers);
+  __isset = other418.__isset;
   return *this;
 }
 void WorkerRoster::printTo(std::ostream& out) const {
--- a/idl/gen/messages_types.h
+++ b/idl/gen/messages_types.h
@@ -134,8 +134,6 @@
 
 class RunInfo;
 
-class SlackBaseline;
-
 class WorkerReportReply;
 
 class StartOrder;
@@ -2815,73 +2813,8 @@
 
 std::ostream& operator<<(std::ostream& out, const RunInfo& obj);
 
-typedef struct _SlackBaseline__isset {
-  _SlackBaseline__isset() : task(false), run(false), slack(false), slopePerSecond(false) {}
-  bool task :1;
-  bool run :1;
-  bool slack :1;
-  bool slopePerSecond :1;
-} _SlackBaseline__isset;
-
-class SlackBaseline : public virtual ::apache::thrift::TBase {
- public:
-
-  SlackBaseline(const SlackBaseline&);
-  SlackBaseline(SlackBaseline&&) noexcept;
-  SlackBaseline& operator=(const SlackBaseline&);
-  SlackBaseline& operator=(SlackBaseline&&) noexcept;
-  SlackBaseline() noexcept
-                : run(0),
-                  slack(0),
-                  slopePerSecond(0) {
-  }
-
-  virtual ~SlackBaseline() noexcept;
-  TaskRef task;
-  int64_t run;
-  double slack;
-  double slopePerSecond;
-
-  _SlackBaseline__isset __isset;
-
-  void __set_task(const TaskRef& val);
-
-  void __set_run(const int64_t val);
-
-  void __set_slack(const double val);
-
-  void __set_slopePerSecond(const double val);
-
-  bool operator == (const SlackBaseline & rhs) const
-  {
-    if (!(task == rhs.task))
-      return false;
-    if (!(run == rhs.run))
-      return false;
-    if (!(slack == rhs.slack))
-      return false;
-    if (!(slopePerSecond == rhs.slopePerSecond))
-      return false;
-    return true;
-  }
-  bool operator != (const SlackBaseline &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const SlackBaseline & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(SlackBaseline &a, SlackBaseline &b);
-
-std::ostream& operator<<(std::ostream& out, const SlackBaseline& obj);
-
 typedef struct _WorkerReportReply__isset {
-  _WorkerReportReply__isset() : epoch(false), leaseMs(false), recordedEnds(false), leaseTerm(false), runs(false), pairs(false), recordedCrashes(false), lastReport(false), lastListing(false), lapsedTerm(false), baselines(false) {}
+  _WorkerReportReply__isset() : epoch(false), leaseMs(false), recordedEnds(false), leaseTerm(false), runs(false), pairs(false), recordedCrashes(false), lastReport(false), lastListing(false), lapsedTerm(false) {}
   bool epoch :1;
   bool leaseMs :1;
   bool recordedEnds :1;
@@ -2892,7 +2825,6 @@
   bool lastReport :1;
   bool lastListing :1;
   bool lapsedTerm :1;
-  bool baselines :1;
 } _WorkerReportReply__isset;
 
 class WorkerReportReply : public virtual ::apache::thrift::TBase {
@@ -2923,7 +2855,6 @@
   int64_t lastReport;
   int64_t lastListing;
   int64_t lapsedTerm;
-  std::vector<SlackBaseline>  baselines;
 
   _WorkerReportReply__isset __isset;
 
@@ -2947,8 +2878,6 @@
 
   void __set_lapsedTerm(const int64_t val);
 
-  void __set_baselines(const std::vector<SlackBaseline> & val);
-
   bool operator == (const WorkerReportReply & rhs) const
   {
     if (!(epoch == rhs.epoch))
@@ -2971,8 +2900,6 @@
       return false;
     if (!(lapsedTerm == rhs.lapsedTerm))
       return false;
-    if (!(baselines == rhs.baselines))
-      return false;
     return true;
   }
   bool operator != (const WorkerReportReply &rhs) const {
--- a/idl/messages.thrift
+++ b/idl/messages.thrift
@@ -397,14 +397,6 @@
   6: i32 cpuMilli;
 }
 
-// What the slack of a serving run would be without best-effort tasks beside it.
-struct SlackBaseline {
-  1: TaskRef task;
-  2: i64 run;
-  3: double slack;
-  4: double slopePerSecond;
-}
-
 struct WorkerReportReply {
   // 0: this process owns nothing.
   1: i64 epoch;
@@ -426,8 +418,6 @@
   // The highest term that the agent, or an earlier process of it, has reported as lapsed. What ran in the terms between
   // this one and `leaseTerm` is given up, so that the minion's hold must expire before it is extended again.
   10: i64 lapsedTerm;
-  // One for each serving run whose step has a baseline.
-  11: list<SlackBaseline> baselines;
 }
 
 struct StartOrder {
--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -434,9 +434,6 @@
     for (const auto &pair : reply.pairs) {
         m_throttle.setPairEffect(pair);
     }
-    for (const auto &baseline : reply.baselines) {
-        m_throttle.setBaseline(baseline, m_runtime.clock().now());
-    }
     if (m_fence.recordedEnds() > recordedBefore) {
         Event("ends_recorded")
             .add("worker", sent.worker.id)
--- a/src/programs/agent/minionruns.cpp
+++ b/src/programs/agent/minionruns.cpp
@@ -410,7 +410,6 @@
         .add("task", Jobs::taskName(order.run.task))
         .add("percent", order.percent)
         .add("pressure", m_throttle.worstTailRatio())
-        .add("scale", m_throttle.interferenceScale())
         .add("done", done);
     if (!done) {
         m_throttle.markNotApplied(order.run);
--- a/src/trefoilhoist/jobs/jobinterference.cpp
+++ b/src/trefoilhoist/jobs/jobinterference.cpp
@@ -128,26 +128,4 @@
     return baseline.has_value();
 }
 
-std::vector<Wire::SlackBaseline> JobScheduler::describeBaselines(const Worker &worker, TimePoint now) const
-{
-    std::vector<Wire::SlackBaseline> baselines;
-    if (!m_settings.replicaBaselines || worker.servingRuns.empty()) {
-        return baselines;
-    }
-    for (const auto &[key, run] : worker.runs) {
-        if (run.tailTargetMs <= 0) {
-            continue;
-        }
-        if (const auto trend = m_baselines.trend({key.task.job, key.task.occurrence, key.task.step}, now)) {
-            Wire::SlackBaseline baseline;
-            baseline.task = key.task;
-            baseline.run = key.run;
-            baseline.slack = trend->level;
-            baseline.slopePerSecond = trend->slopePerSecond;
-            baselines.push_back(std::move(baseline));
-        }
-    }
-    return baselines;
-}
-
 } // namespace Trefoilhoist::Jobs
--- a/src/trefoilhoist/jobs/jobreports.cpp
+++ b/src/trefoilhoist/jobs/jobreports.cpp
@@ -60,7 +60,6 @@
     reply.leaseTerm = worker->leaseTerm;
     reply.lapsedTerm = worker->lapsedTerm;
     reply.pairs = m_interference.takeChanged(worker->sentPairsRevision);
-    reply.baselines = describeBaselines(*worker, now);
     if (report.wantsRunInfo) {
         reply.runs = describeRuns(*worker);
     }
--- a/src/trefoilhoist/jobs/jobscheduler.h
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -235,8 +235,6 @@
     /// Compares a serving run with the baseline of its step. False if the step has none, so that the run is to be
     /// compared with its own last measurement.
     bool observeReplica(const RunKey &key, Run &run, const BestEffortShares &shares, TimePoint now);
-    /// For the worker's agent: the baselines of its serving runs.
-    [[nodiscard]] std::vector<Wire::SlackBaseline> describeBaselines(const Worker &worker, TimePoint now) const;
 
     // jobcrashes.cpp
     /// `certainty` scales the runs' parts in the cause.
--- a/src/trefoilhoist/jobs/schedulersettings.h
+++ b/src/trefoilhoist/jobs/schedulersettings.h
@@ -25,8 +25,8 @@
     std::int64_t dueSlackMs = 20;
     /// Estimated bytes that all jobs together may take. New submissions are refused beyond it.
     std::int64_t jobMemoryBytes = 104'000'000;
-    /// Estimates the slack of serving tasks without interference from all tasks of their step, tells it to the agents,
-    /// and derives from it what best-effort tasks do and how much CPU is idle.
+    /// Estimates the slack of serving tasks without interference from all tasks of their step, derives from it what
+    /// best-effort tasks do, and measures how much CPU is idle.
     bool replicaBaselines = false;
     /// With LeastWorkFirst, run times are expected from those of earlier tasks instead of being taken as declared.
     StepOrder stepOrder = EarliestDeadlineFirst{};
--- a/src/trefoilhoist/jobs/throttlecontrol.cpp
+++ b/src/trefoilhoist/jobs/throttlecontrol.cpp
@@ -16,10 +16,6 @@
 constexpr int minPercent = 2;
 /// A run is throttled until the slack of the serving tasks beside it is expected to reach this value.
 constexpr double targetSlack = 0.95;
-/// The owner sends baselines with each reply to a report, of which there are two a second.
-constexpr Duration maxBaselineAge = milliseconds(1500);
-/// The speeds that are chosen now show in the measurements of about this time later.
-constexpr Duration throttleDelay = milliseconds(500);
 /// A tail over its target for longer than the first limit stops the best-effort tasks that interfere with it; longer
 /// than the second limit, it stops all of them.
 constexpr Duration sustainedViolation = milliseconds(1400);
@@ -66,21 +62,11 @@
     } else if (ratio < clearlyMetRatio) {
         m_targetMissedSince.erase(key);
     }
-    const auto over = m_targetMissedSince.find(key);
-    const Duration missedFor = over == m_targetMissedSince.end() ? Duration{} : now - over->second;
-    const double slack = latencySlack(row.usage, info.tailTargetMs);
-    const double drop = m_table.slackDrop(info.image, shares);
-    const auto known = ownerBaseline(key, now);
-    const double baselineSlack = known ? known->level : slack + drop;
+    const double baselineSlack = latencySlack(row.usage, info.tailTargetMs) + m_table.slackDrop(info.image, shares);
     const auto it = m_baselines.emplace(key, baselineSlack).first;
     it->second += baselineSmoothing * (baselineSlack - it->second);
-    if (known) {
-        m_scale.add(known->level - slack, drop);
-        const double expected = std::min(known->level, known->after(throttleDelay));
-        m_serving.push_back({info.image, expected, missedFor});
-    } else {
-        m_serving.push_back({info.image, it->second, missedFor});
-    }
+    const auto over = m_targetMissedSince.find(key);
+    m_serving.push_back({info.image, it->second, over == m_targetMissedSince.end() ? Duration{} : now - over->second});
 }
 
 void ThrottleControl::readListing(const std::vector<Wire::RunningTask> &running, TimePoint now)
@@ -88,7 +74,6 @@
     m_bestEffort.clear();
     m_serving.clear();
     m_worstTailRatio = 0;
-    m_scale = {};
     BestEffortShares shares;
     std::set<RunKey> present;
     const auto capacity = static_cast<double>(m_cpuMilli);
@@ -114,7 +99,6 @@
     }
     std::erase_if(m_lastPercents, [&](const auto &it) { return present.count(it.first) == 0; });
     std::erase_if(m_baselines, [&](const auto &it) { return present.count(it.first) == 0; });
-    std::erase_if(m_ownerBaselines, [&](const auto &it) { return present.count(it.first) == 0; });
     std::erase_if(m_targetMissedSince, [&](const auto &it) { return present.count(it.first) == 0; });
     std::erase_if(m_runs, [&](const auto &it) { return it.second.listed && present.count(it.first) == 0; });
     for (const auto &row : running) {
@@ -130,7 +114,7 @@
 {
     double deficit = targetSlack - serving.baselineSlack;
     for (const auto &it : m_bestEffort) {
-        deficit += expectedEffect(serving.image, it.image) * it.fullShare * it.speed;
+        deficit += m_table.effect(serving.image, it.image) * it.fullShare * it.speed;
     }
     return deficit;
 }
@@ -179,7 +163,7 @@
         if (deficit <= 0 || effect < minEffect) {
             return;
         }
-        const double interference = std::max(expectedEffect(serving.image, it->image) * it->fullShare, minInterference);
+        const double interference = std::max(effect * it->fullShare, minInterference);
         const double newSpeed = std::min(it->speed, std::max(lowestSpeed, it->speed - deficit / interference));
         deficit -= interference * (it->speed - newSpeed);
         it->speed = newSpeed;
@@ -224,27 +208,6 @@
     return takeChangedThrottles();
 }
 
-void ThrottleControl::setBaseline(const Wire::SlackBaseline &baseline, TimePoint now)
-{
-    m_ownerBaselines[{baseline.task, baseline.run}] = {{baseline.slack, baseline.slopePerSecond}, now};
-}
-
-std::optional<Trend> ThrottleControl::ownerBaseline(const RunKey &run, TimePoint now) const
-{
-    const auto it = m_ownerBaselines.find(run);
-    if (it == m_ownerBaselines.end() || now - it->second.at > maxBaselineAge) {
-        return std::nullopt;
-    }
-    auto trend = it->second.trend;
-    trend.level = trend.after(now - it->second.at);
-    return trend;
-}
-
-double ThrottleControl::expectedEffect(const std::string &servingImage, const std::string &bestEffortImage) const
-{
-    return m_scale.factor() * m_table.effect(servingImage, bestEffortImage);
-}
-
 void ThrottleControl::markNotApplied(const RunKey &run)
 {
     const auto it = m_lastPercents.find(run);
@@ -256,7 +219,6 @@
 void ThrottleControl::clear()
 {
     m_runs.clear();
-    m_ownerBaselines.clear();
     m_lastPercents.clear();
     m_targetMissedSince.clear();
     m_worstTailRatio = 0;
--- a/src/trefoilhoist/jobs/throttlecontrol.h
+++ b/src/trefoilhoist/jobs/throttlecontrol.h
@@ -1,15 +1,11 @@
 #pragma once
 
-#include "trefoilhoist/jobs/interferencescale.h"
 #include "trefoilhoist/jobs/interferencetable.h"
 #include "trefoilhoist/jobs/jobtypes.h"
-#include "trefoilhoist/jobs/trendfit.h"
 #include "trefoilhoist/world/clock.h"
 
 #include <algorithm>
 #include <map>
-#include <optional>
-#include <string>
 #include <vector>
 
 namespace Trefoilhoist::Jobs {
@@ -53,9 +49,6 @@
     {
         m_table.set(pair);
     }
-    /// Sets the slack that a serving run would have without best-effort tasks, as estimated by the owner at `now` from
-    /// all tasks of the run's step. It is used until it is too old.
-    void setBaseline(const Wire::SlackBaseline &baseline, TimePoint now);
 
     /// Returns the effects of all known pairs of images, for a new owner that has not observed them.
     [[nodiscard]] std::vector<Wire::ImagePair> pairs() const
@@ -76,12 +69,6 @@
     {
         return m_worstTailRatio;
     }
-    /// Returns the ratio of the drops of slack in the last listing to those that the pairs of images predict; 1 without
-    /// baselines of the owner.
-    [[nodiscard]] double interferenceScale() const
-    {
-        return m_scale.factor();
-    }
     void clear();
 
 private:
@@ -92,10 +79,6 @@
         double fullShare = 0;
         double speed = 1;
     };
-    struct OwnerBaseline {
-        Trend trend;
-        TimePoint at;
-    };
     struct ServingRun {
         std::string image;
         /// Slack that it would have without best-effort tasks beside it.
@@ -109,10 +92,6 @@
                         const Wire::RunInfo &info,
                         const BestEffortShares &shares,
                         TimePoint now);
-    /// Returns the owner's baseline of the run at `now`; nothing if there is none or it is too old.
-    [[nodiscard]] std::optional<Trend> ownerBaseline(const RunKey &run, TimePoint now) const;
-    /// Returns the expected drop of a serving task's slack for each unit of the best-effort image's share.
-    [[nodiscard]] double expectedEffect(const std::string &servingImage, const std::string &bestEffortImage) const;
     void chooseSpeeds();
     [[nodiscard]] double slackDeficit(const ServingRun &serving) const;
     void throttleFor(const ServingRun &serving);
@@ -132,9 +111,6 @@
     std::vector<ServingRun> m_serving;
     /// Smoothed baselines of the serving tasks.
     std::map<RunKey, double> m_baselines;
-    std::map<RunKey, OwnerBaseline> m_ownerBaselines;
-    /// How the drops of slack in the last listing compare with the table.
-    InterferenceScale m_scale;
     /// Since when each serving task's tail has been over its target.
     std::map<RunKey, TimePoint> m_targetMissedSince;
     std::int64_t m_cpuMilli = 1;
--- a/src/trefoilhoist/jobs/workerselector.h
+++ b/src/trefoilhoist/jobs/workerselector.h
@@ -56,7 +56,7 @@
 
 /// Requirement where the slack of serving tasks is the lowest one expected in the next seconds, which leaves nothing
 /// but the errors of the estimate.
-inline constexpr SlackRequirement expectedSlackRequirement{1.15, 1.0};
+inline constexpr SlackRequirement expectedSlackRequirement{1.15, 0.5};
 
 /// How many tasks of a step the workers of one rack can take.
 struct RackRoom {
