--- a/review/standins/site.h
+++ b/review/standins/site.h
@@ -14,7 +14,7 @@
 
 namespace Review {
 
-/// How many times as long the site takes a run away from its rack to last. The stand-ins run all tasks alike.
+/// Run-time multiplier away from the rack, as told to the dispatchers. The stand-ins do not apply it.
 constexpr double remoteMultiplier = 2;
 
 struct SidePlan {
--- a/src/programs/dispatcher/owneranswers.cpp
+++ b/src/programs/dispatcher/owneranswers.cpp
@@ -80,25 +80,34 @@
     return answerOf(JobOutcome::Refused, duration_cast<milliseconds>(retryAfter).count());
 }
 
+std::optional<Wire::JobAnswer> OwnerSession::answerWithoutRecording(Jobs::SubmissionState state, const std::string &id)
+{
+    switch (state) {
+    case Jobs::SubmissionState::Known:
+        Event("job_repeated").add("job", id).add("epoch", m_term.epoch);
+        return answerOf(JobOutcome::Ok);
+    case Jobs::SubmissionState::CancelledBefore:
+        Event("job_refused").add("job", id).add("epoch", m_term.epoch).add("reason", "cancelled before it arrived");
+        return answerOf(JobOutcome::Refused);
+    case Jobs::SubmissionState::NoMemory:
+        return refuseForMemory("job_refused", id);
+    case Jobs::SubmissionState::NoRoom:
+        return refuseForRoom(id);
+    case Jobs::SubmissionState::New:
+    case Jobs::SubmissionState::Pending:
+        break;
+    }
+    return std::nullopt;
+}
+
 awaitable<Wire::JobAnswer> OwnerSession::submit(Wire::JobSpec spec, Duration timeout)
 {
     const auto self = shared_from_this();
     const auto receivedAt = m_context.clock.now();
     const std::string id = spec.id;
     const auto submissionState = m_scheduler.submit(spec, receivedAt);
-    if (submissionState == Jobs::SubmissionState::Known) {
-        Event("job_repeated").add("job", id).add("epoch", m_term.epoch);
-        co_return answerOf(JobOutcome::Ok);
-    }
-    if (submissionState == Jobs::SubmissionState::CancelledBefore) {
-        Event("job_refused").add("job", id).add("epoch", m_term.epoch).add("reason", "cancelled before it arrived");
-        co_return answerOf(JobOutcome::Refused);
-    }
-    if (submissionState == Jobs::SubmissionState::NoMemory) {
-        co_return refuseForMemory("job_refused", id);
-    }
-    if (submissionState == Jobs::SubmissionState::NoRoom) {
-        co_return refuseForRoom(id);
+    if (const auto answer = answerWithoutRecording(submissionState, id)) {
+        co_return *answer;
     }
     if (submissionState == Jobs::SubmissionState::New) {
         if (const auto refusal = refuseNewRecord("job_refused", id, receivedAt)) {
--- a/src/programs/dispatcher/ownersession.cpp
+++ b/src/programs/dispatcher/ownersession.cpp
@@ -290,7 +290,7 @@
         m_context.metrics.latency("trefoilhoist_owner_lag").record(m_intake.lag(now), now);
         forgetExpired();
         m_context.metrics.gauge("trefoilhoist_serving_baselines")
-            .set(static_cast<double>(m_scheduler.servingBaselines()));
+            .set(static_cast<double>(m_scheduler.servingBaselines(now)));
         m_context.metrics.gauge("trefoilhoist_job_memory_bytes").set(static_cast<double>(m_scheduler.memoryBytes()));
         m_context.metrics.gauge("trefoilhoist_placement_waits").set(static_cast<double>(m_scheduler.placementWaits()));
         queueChanges();
--- a/src/programs/dispatcher/ownersession.h
+++ b/src/programs/dispatcher/ownersession.h
@@ -103,6 +103,8 @@
     /// Returns the refusal of a request that takes a new record, if none can be written in time. Logs it as `event`.
     [[nodiscard]] std::optional<Wire::JobAnswer>
     refuseNewRecord(const char *event, const std::string &id, TimePoint now);
+    /// The answer to a submission that is not recorded; nothing if it is, or is being recorded.
+    std::optional<Wire::JobAnswer> answerWithoutRecording(Jobs::SubmissionState state, const std::string &id);
     /// The answer to a job whose long-running tasks don't fit.
     Wire::JobAnswer refuseForRoom(const std::string &id);
     /// Returns the refusal of a request for which there is no memory. Logs it as `event`.
--- a/src/trefoilhoist/jobs/configcheck.cpp
+++ b/src/trefoilhoist/jobs/configcheck.cpp
@@ -271,7 +271,7 @@
     if (limit > most) {
         add(Severity::Note,
             m_document.limits.entry.path,
-            std::to_string(*limit) + " is never reached: the dispatcher's largest " + what + " is "
+            "the largest " + what + " is " + std::to_string(*limit) + ", but the dispatcher's own limit is "
                 + std::to_string(most));
     }
 }
--- a/src/trefoilhoist/jobs/durationestimates.h
+++ b/src/trefoilhoist/jobs/durationestimates.h
@@ -9,8 +9,8 @@
 
 /// Corrects the run times that callers declare by those that tasks of the same queue turned out to have.
 ///
-/// Fits the logarithms of both, so that a declared time counts only as far as it has told something before. Answers
-/// declared run times that are off by an order of magnitude. Not thread-safe.
+/// Fits the logarithms of both, so that a declared time counts only as far as it has told something before. Intended
+/// for declared run times that are off by an order of magnitude. Evidence does not age. Not thread-safe.
 class DurationEstimates
 {
 public:
--- a/src/trefoilhoist/jobs/interferencetable.cpp
+++ b/src/trefoilhoist/jobs/interferencetable.cpp
@@ -19,12 +19,18 @@
 /// The time in which evidence loses half of its weight.
 constexpr Duration halfLife = seconds(30);
 constexpr double minHalfLivesToDecay = 0.02;
-/// Larger changes of slack come from a restart or a wrong measurement and are clamped.
+/// Larger changes between two consecutive measurements come from a restart or a wrong measurement and are clamped.
 constexpr double maxSlackChange = 2.0;
 constexpr int sweeps = 3;
 /// Standard deviation of a measured difference of slacks.
 constexpr double measurementDeviation = 0.2;
 
+/// Standard deviation of the effect of a pair without evidence.
+double defaultDeviation()
+{
+    return measurementDeviation / std::sqrt(defaultWeight);
+}
+
 } // namespace
 
 InterferenceTable::Estimate &InterferenceTable::Model::at(ImageNumber image)
@@ -109,6 +115,22 @@
                                 double slackChange,
                                 const BestEffortShares &shareChanges,
                                 TimePoint now)
+{
+    addEvidence(servingImage, std::clamp(-slackChange, -maxSlackChange, maxSlackChange), shareChanges, now);
+}
+
+void InterferenceTable::observeDrop(const std::string &servingImage,
+                                    double slackDrop,
+                                    const BestEffortShares &shares,
+                                    TimePoint now)
+{
+    addEvidence(servingImage, slackDrop, shares, now);
+}
+
+void InterferenceTable::addEvidence(const std::string &servingImage,
+                                    double slackDecrease,
+                                    const BestEffortShares &shareChanges,
+                                    TimePoint now)
 {
     if (shareChanges.empty()) {
         return;
@@ -120,7 +142,6 @@
     const auto serving = numberOf(servingImage);
     auto &model = modelOf(serving);
     model.decay(now);
-    const double slackDecrease = std::clamp(-slackChange, -maxSlackChange, maxSlackChange);
     for (const auto &[image, change] : changes) {
         // Makes room for all images of the change before any estimate is referred to.
         model.at(image);
@@ -170,7 +191,7 @@
 {
     const auto *estimate = m_models[static_cast<std::size_t>(servingImage)].find(bestEffortImage);
     if (estimate == nullptr) {
-        return measurementDeviation / std::sqrt(defaultWeight);
+        return defaultDeviation();
     }
     const auto i = static_cast<std::size_t>(bestEffortImage);
     const double evidence = i < estimate->shareProducts.size() ? estimate->shareProducts[i] : 0;
@@ -181,7 +202,7 @@
 {
     const auto serving = findNumber(servingImage);
     const auto bestEffort = findNumber(bestEffortImage);
-    return serving && bestEffort ? deviation(*serving, *bestEffort) : measurementDeviation / std::sqrt(defaultWeight);
+    return serving && bestEffort ? deviation(*serving, *bestEffort) : defaultDeviation();
 }
 
 double InterferenceTable::slackDropVariance(const std::string &servingImage, const BestEffortShares &shares) const
--- a/src/trefoilhoist/jobs/interferencetable.h
+++ b/src/trefoilhoist/jobs/interferencetable.h
@@ -30,12 +30,15 @@
     /// Returns the number of an image, which never changes. Numbers are small and consecutive.
     ImageNumber numberOf(const std::string &image);
 
-    /// Adds evidence about one serving task: a change of its slack and the changes of the best-effort shares that go
-    /// with it. They are taken between two consecutive measurements, or between a measurement and the slack that the
-    /// task would have without best-effort tasks.
+    /// Adds evidence from two consecutive measurements of one serving task: the change of its slack and the changes of
+    /// the best-effort shares.
     void
     observe(const std::string &servingImage, double slackChange, const BestEffortShares &shareChanges, TimePoint now);
 
+    /// Adds evidence from one measurement of a serving task whose slack without best-effort tasks is known: the drop
+    /// below it and the shares of the best-effort tasks beside it.
+    void observeDrop(const std::string &servingImage, double slackDrop, const BestEffortShares &shares, TimePoint now);
+
     /// Returns the estimated effect, which is never below 0. A pair without evidence has the average effect.
     [[nodiscard]] double effect(const std::string &servingImage, const std::string &bestEffortImage) const;
     [[nodiscard]] double effect(ImageNumber servingImage, ImageNumber bestEffortImage) const;
@@ -81,6 +84,10 @@
         void decay(TimePoint now);
         void solve();
     };
+    void addEvidence(const std::string &servingImage,
+                     double slackDecrease,
+                     const BestEffortShares &shareChanges,
+                     TimePoint now);
     [[nodiscard]] Model &modelOf(ImageNumber servingImage);
     void publishChanges(ImageNumber servingImage);
     [[nodiscard]] std::optional<ImageNumber> findNumber(const std::string &image) const;
--- a/src/trefoilhoist/jobs/jobinterference.cpp
+++ b/src/trefoilhoist/jobs/jobinterference.cpp
@@ -117,7 +117,7 @@
     const bool saturated = slack < saturatedSlack;
     // A saturated measurement shows at least how far the slack has dropped.
     if (baseline && (!saturated || baseline->level - drop > slack)) {
-        m_interference.observe(run.image, slack - baseline->level, shares, now);
+        m_interference.observeDrop(run.image, baseline->level - slack, shares, now);
     }
     if (!saturated) {
         m_baselines.observe(step, slack + drop, slackVariance / (slackVariance + variance), now);
--- a/src/trefoilhoist/jobs/joblistings.cpp
+++ b/src/trefoilhoist/jobs/joblistings.cpp
@@ -79,6 +79,7 @@
     const bool known = task != nullptr && entry->accepted;
     Run run = known ? newRun(entry->job.step(row.task.step), now) : Run{};
     run.state = RunState::Running;
+    run.adopted = true;
     run.listedIn = worker.lastListing;
     run.percent = row.percent;
     run.usage = row.usage;
--- a/src/trefoilhoist/jobs/jobpending.cpp
+++ b/src/trefoilhoist/jobs/jobpending.cpp
@@ -34,6 +34,24 @@
     }
 }
 
+StepRank JobScheduler::rankOf(const Job &job, int number, const OccurrenceState &occurrence, std::int64_t wallMs) const
+{
+    Duration untilDue{};
+    if (job.spec().occurrences > 0) {
+        untilDue = milliseconds(job.dueMs(number) - wallMs);
+    }
+    const auto &policy = job.spec().queue;
+    const auto started = job.spec().occurrences > 0 ? m_now + untilDue : job.acceptedAt();
+    const Duration objective
+        = duration_cast<Duration>(policy.stretch * job.totalCriticalPath()) + milliseconds(policy.targetLatencyMs);
+    const Duration criticalPath = job.remainingCriticalPath(occurrence);
+    StepRank rank;
+    rank.latestStart = started + objective - criticalPath;
+    rank.worthlessAfter = started + maxObjectiveMultiple * objective - criticalPath;
+    rank.remainingWork = job.remainingWork(occurrence);
+    return rank;
+}
+
 // Recomputes which steps of the job have tasks to start.
 void JobScheduler::refreshPending(Entry &entry, std::int64_t wallMs)
 {
@@ -59,7 +77,6 @@
     if (learnsRunTimes()) {
         updateExpectedRunTimes(job);
     }
-    const auto &policy = job.spec().queue;
     for (const auto &[number, occurrence] : job.occurrences()) {
         if (occurrence.finished) {
             continue;
@@ -68,15 +85,7 @@
             m_dueJobs.emplace(job.dueMs(number), id);
             continue;
         }
-        Duration untilDue{};
-        if (job.spec().occurrences > 0) {
-            untilDue = milliseconds(job.dueMs(number) - wallMs);
-        }
-        const auto started = job.spec().occurrences > 0 ? m_now + untilDue : job.acceptedAt();
-        const Duration objective
-            = duration_cast<Duration>(policy.stretch * job.totalCriticalPath()) + milliseconds(policy.targetLatencyMs);
-        const Duration criticalPath = job.remainingCriticalPath(occurrence);
-        const double remainingWork = job.remainingWork(occurrence);
+        const auto occurrenceRank = rankOf(job, number, occurrence, wallMs);
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
             const auto &tasks = occurrence.steps[step].tasks;
             const bool hasTaskToStart = std::any_of(
@@ -88,13 +97,11 @@
             pending.job = id;
             pending.occurrence = number;
             pending.step = static_cast<int>(step);
-            pending.rank.latestStart = started + objective - criticalPath;
-            pending.rank.worthlessAfter = started + maxObjectiveMultiple * objective - criticalPath;
+            pending.rank = occurrenceRank;
             pending.rank.longRunning = job.spec().steps[step].longRunning;
             pending.rank.usesIdleCpu = job.spec().steps[step].usesIdleCpu;
             pending.rank.hasRun
                 = std::any_of(tasks.begin(), tasks.end(), [](const auto &it) { return it.lastRun > 0; });
-            pending.rank.remainingWork = remainingWork;
             pending.pendingSince = std::min(pending.pendingSince, m_now);
             m_pending[{id, number, static_cast<int>(step)}] = std::move(pending);
         }
--- a/src/trefoilhoist/jobs/jobplacement.cpp
+++ b/src/trefoilhoist/jobs/jobplacement.cpp
@@ -127,7 +127,7 @@
 }
 
 // All members of a gang are placed in one plan or none is. If they need more starts per worker than one plan sends, the
-// rest is sent in the next plans. The owner plans at least every 150 ms; members wait for each other for 3 s and more.
+// rest is sent in the next plans, one each maxPlanInterval at least; members wait for each other for 3 s and more.
 bool JobScheduler::placeGang(Entry &entry,
                              const PendingStep &pending,
                              std::map<std::string, Wire::WorkerOrders> &orders,
@@ -282,6 +282,10 @@
     run.checkpoint = step.checkpoints ? entry.job.task(key.task)->checkpoint : std::string();
     auto &added = worker.addRun(key, std::move(run));
     entry.job.trackRun(key.task, key.run, worker.info.id);
+    m_rackWaits.observeStart(worker, added);
+    if (const auto it = m_pending.find({key.task.job, key.task.occurrence, key.task.step}); it != m_pending.end()) {
+        it->second.rackAwaitedSince.erase(static_cast<std::size_t>(key.task.index));
+    }
     return added;
 }
 
@@ -299,7 +303,6 @@
     const RunKey key{ref, run};
     auto &added = addRun(entry, key, worker, now);
     added.inFlight = true;
-    m_rackWaits.observeStart(worker, added);
     workerOrders.starts.push_back(startOrder(entry, key, added));
     return true;
 }
--- a/src/trefoilhoist/jobs/jobplanning.cpp
+++ b/src/trefoilhoist/jobs/jobplanning.cpp
@@ -11,8 +11,7 @@
 namespace {
 
 /// Size of the range of run numbers of one epoch, so that runs of a later owner have higher numbers: minions refuse
-/// lower ones. A task that fails at each start took 60 numbers a second, so that it exceeds its range after 46 hours of
-/// one term. With the former size of 1,000 it took 17 s.
+/// lower ones. A task that fails at each start uses up to 60 numbers a second, for which the range lasts 46 hours.
 constexpr std::int64_t runNumbersPerEpoch = 10'000'000;
 static_assert(maxEpoch <= (std::int64_t{1} << 53U) / runNumbersPerEpoch,
               "run numbers are JSON numbers, which are exact up to 2^53");
@@ -205,7 +204,9 @@
             } else {
                 workerOrders.starts.push_back(startOrder(*entry, key, run));
             }
-            run.startDeferred = false;
+            if (std::exchange(run.startDeferred, false)) {
+                run.orderedAt = now;
+            }
             run.inFlight = true;
         }
     }
--- a/src/trefoilhoist/jobs/jobracks.cpp
+++ b/src/trefoilhoist/jobs/jobracks.cpp
@@ -16,7 +16,7 @@
 }
 
 // True if the places of `a` are expected to be free first, or if fewer are missing where that is not known.
-bool comesBefore(const AwaitedPlaces &a, const AwaitedPlaces &b)
+bool isFreeSooner(const AwaitedPlaces &a, const AwaitedPlaces &b)
 {
     if (a.expectedWait && b.expectedWait) {
         return *a.expectedWait < *b.expectedWait;
@@ -56,7 +56,7 @@
     choice.runTime = m_jobs.at(pending.job).job.expectedRunTime(static_cast<std::size_t>(pending.step));
     choice.waited = since == awaitedSince.end() ? Duration{} : now - since->second;
     if (step.usesIdleCpu) {
-        // It may have waited for a place without interference before, also while there was capacity.
+        // A best-effort task may have waited for a place without interference before, also while there was capacity.
         choice.waited = now - pending.pendingSince;
     }
     choice.untilLatestStart = pending.rank.latestStart - now;
@@ -97,7 +97,7 @@
         }
         AwaitedPlaces places{rack, pending.rank.usesIdleCpu, members - std::min(members, room.now), {}};
         places.expectedWait = m_rackWaits.expectedWait(rack, places.idleCpu, places.count, now);
-        if (!best || comesBefore(places, *best)) {
+        if (!best || isFreeSooner(places, *best)) {
             best = std::move(places);
         }
     }
--- a/src/trefoilhoist/jobs/jobreports.cpp
+++ b/src/trefoilhoist/jobs/jobreports.cpp
@@ -175,11 +175,13 @@
     const auto run = worker.runs.find({end.task, end.run});
     const bool done = static_cast<EndKind>(end.how) == EndKind::Done;
     // A run that resumed from a checkpoint has done a part of the work only.
-    if (!done || run == worker.runs.end() || !run->second.checkpoint.empty() || job.task(end.task) == nullptr) {
+    const bool whole = run != worker.runs.end() && !run->second.adopted && run->second.checkpoint.empty();
+    if (!done || !whole || job.task(end.task) == nullptr) {
         return;
     }
     const auto &step = job.step(end.task.step);
-    if (step.longRunning || step.estimatedMs <= 0) {
+    const bool remote = !step.inputRack.empty() && !worker.hasLabel(step.inputRack);
+    if (step.longRunning || step.estimatedMs <= 0 || remote) {
         return;
     }
     const Duration time = now - run->second.orderedAt;
--- a/src/trefoilhoist/jobs/jobscheduler.cpp
+++ b/src/trefoilhoist/jobs/jobscheduler.cpp
@@ -99,10 +99,10 @@
 
 bool JobScheduler::hasRoomFor(const Wire::JobSpec &spec) const
 {
-    const bool isService
+    const bool hasLongRunning
         = std::any_of(spec.steps.begin(), spec.steps.end(), [](const auto &it) { return it.longRunning; });
-    if (!isService || !m_unreported.empty()) {
-        // Agents that have not reported yet may have room.
+    if (!hasLongRunning || !m_unreported.empty() || m_workers.empty()) {
+        // Workers that have not reported yet may have room.
         return true;
     }
     ServingAdmission admission;
@@ -112,7 +112,7 @@
         }
     }
     for (const auto &[id, entry] : m_jobs) {
-        if (entry.job.isActive() && entry.job.spec().queue.serviceName == spec.queue.serviceName) {
+        if (entry.job.isActive() && serviceOf(entry.job) == spec.queue.serviceName) {
             admission.addWaiting(entry.job);
         }
     }
--- a/src/trefoilhoist/jobs/jobscheduler.h
+++ b/src/trefoilhoist/jobs/jobscheduler.h
@@ -115,9 +115,9 @@
     std::map<std::string, Wire::WorkerOrders> plan(TimePoint now, std::int64_t wallMs, bool ownershipVerified);
 
     /// Number of serving steps whose slack without interference is estimated.
-    [[nodiscard]] std::size_t servingBaselines() const
+    [[nodiscard]] std::size_t servingBaselines(TimePoint now) const
     {
-        return m_baselines.size();
+        return m_baselines.count(now);
     }
 
     [[nodiscard]] const std::map<std::string, Worker> &workers() const
@@ -148,7 +148,7 @@
         int occurrence = 0;
         int step = 0;
         StepRank rank;
-        /// When the step was first found to have tasks to start.
+        /// When the step was first found to have tasks to start; max() before that.
         TimePoint pendingSince = TimePoint::max();
         /// By index, since when tasks have waited for their rack though they could start elsewhere; a gang is one task.
         std::map<std::size_t, TimePoint> rackAwaitedSince;
@@ -184,6 +184,9 @@
     void refreshDueJobs(std::int64_t wallMs);
     /// Replaces the run times that the job's caller has declared by those of earlier tasks.
     void updateExpectedRunTimes(Job &job);
+    /// What the steps of an occurrence have in common of their ranks.
+    [[nodiscard]] StepRank
+    rankOf(const Job &job, int number, const OccurrenceState &occurrence, std::int64_t wallMs) const;
     void refreshPending(Entry &entry, std::int64_t wallMs);
 
     // workerincarnations.cpp
--- a/src/trefoilhoist/jobs/placementwait.cpp
+++ b/src/trefoilhoist/jobs/placementwait.cpp
@@ -1,5 +1,7 @@
 #include "trefoilhoist/jobs/placementwait.h"
 
+#include "trefoilhoist/jobs/planpacer.h"
+
 #include <algorithm>
 
 namespace Trefoilhoist::Jobs {
@@ -8,8 +10,6 @@
 
 /// A ready task must not stand still for 3 s while there is capacity for it; the rest is for the start itself.
 constexpr Duration maxWait = seconds(2);
-/// A decision is taken again after at most this time, with the next plan.
-constexpr Duration maxDecisionInterval = milliseconds(100);
 /// In microseconds: keeps the product with a large multiplier within the range of Duration.
 constexpr double maxGain = 1e15;
 
@@ -28,14 +28,14 @@
     if (!isEnabled() || choice.longRunning || choice.waited >= maxWait) {
         return PlacementVerdict::StartElsewhere;
     }
-    const auto worth = gain(choice.runTime);
+    const auto saved = gain(choice.runTime);
     // A start elsewhere still meets the objective, but may not do so at the next decision.
-    if (choice.untilLatestStart >= worth && choice.untilLatestStart < worth + maxDecisionInterval) {
+    if (choice.untilLatestStart >= saved && choice.untilLatestStart < saved + maxPlanInterval) {
         return PlacementVerdict::StartElsewhere;
     }
     // Without a measured rate, the job ends later by at most the gain than with perfect knowledge.
     const auto cost = choice.expectedWait.value_or(choice.waited);
-    return cost < worth ? PlacementVerdict::Wait : PlacementVerdict::StartElsewhere;
+    return cost < saved ? PlacementVerdict::Wait : PlacementVerdict::StartElsewhere;
 }
 
 } // namespace Trefoilhoist::Jobs
--- a/src/trefoilhoist/jobs/planpacer.h
+++ b/src/trefoilhoist/jobs/planpacer.h
@@ -4,6 +4,9 @@
 
 namespace Trefoilhoist::Jobs {
 
+/// Longest time between two plans while the owner keeps up: the longest gap that PlanPacer leaves, and one tick.
+inline constexpr Duration maxPlanInterval = milliseconds(150);
+
 /// Decides how long a requested plan waits, so that planning takes only a part of the owner's time and one plan answers
 /// the changes of several reports. Reports, lease renewals and callers' queries are handled between two plans.
 ///
--- a/src/trefoilhoist/jobs/rackvacancies.cpp
+++ b/src/trefoilhoist/jobs/rackvacancies.cpp
@@ -36,7 +36,7 @@
     rate.advance(now);
 }
 
-void RackVacancies::observe(const std::string &rack, TimePoint now)
+void RackVacancies::observeEnd(const std::string &rack, TimePoint now)
 {
     auto &rate = m_rates.try_emplace(rack, Rate{0, 0, now}).first->second;
     rate.advance(now);
--- a/src/trefoilhoist/jobs/rackvacancies.h
+++ b/src/trefoilhoist/jobs/rackvacancies.h
@@ -19,7 +19,7 @@
     /// To be called when a run starts on the rack.
     void observeStart(const std::string &rack, TimePoint now);
     /// To be called when a run on the rack ends.
-    void observe(const std::string &rack, TimePoint now);
+    void observeEnd(const std::string &rack, TimePoint now);
     /// Expected time until a task with `ahead` others before it gets a place on the rack: a mean time between ends for
     /// each of them and itself. Grows when ends stop coming. Nothing if no time between ends was measured.
     [[nodiscard]] std::optional<Duration> expectedWait(const std::string &rack, std::size_t ahead, TimePoint now) const;
--- a/src/trefoilhoist/jobs/rackwaits.cpp
+++ b/src/trefoilhoist/jobs/rackwaits.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-/// Behind this number of awaited places tasks start elsewhere. Bounds the memory and the time of a plan for large steps
+/// Beyond this number of awaited places tasks start elsewhere. Bounds the memory and the time of a plan for large steps
 /// whose rack has no measured rate.
 constexpr std::size_t maxPlacesAwaited = 1000;
 /// Minimum time between two log lines about waits.
@@ -26,7 +26,7 @@
     if (!isEnabled()) {
         return;
     }
-    // No field says which label is the rack; nobody asks about the others.
+    // No field says which label is the rack; rates of other labels are never read.
     for (const auto &label : worker.info.labels) {
         vacancies(run.demand.idleCpuMilli > 0).observeStart(label, run.orderedAt);
     }
@@ -39,7 +39,7 @@
         return;
     }
     for (const auto &label : worker.info.labels) {
-        vacancies(run->second.demand.idleCpuMilli > 0).observe(label, now);
+        vacancies(run->second.demand.idleCpuMilli > 0).observeEnd(label, now);
     }
 }
 
--- a/src/trefoilhoist/jobs/servingadmission.h
+++ b/src/trefoilhoist/jobs/servingadmission.h
@@ -9,12 +9,12 @@
 
 namespace Trefoilhoist::Jobs {
 
-/// Decides whether long-running tasks fit on the workers of a service for good, beside the tasks that run or wait there
-/// and without taking the CPU that short tasks use.
+/// Decides whether long-running tasks fit on the workers of a service, beside the long-running tasks that run or wait
+/// there and without taking the CPU that short tasks reserve now.
 ///
 /// A long-running task keeps what it reserves, so that one that is accepted without room is never placed, or takes the
-/// room of short tasks. Answers long-running jobs that arrive while the workers are full. Holds one moment's view; not
-/// thread-safe.
+/// room of short tasks. Intended for long-running jobs that arrive while the workers are full. Holds one moment's view;
+/// not thread-safe.
 class ServingAdmission
 {
 public:
--- a/src/trefoilhoist/jobs/servingbaselines.cpp
+++ b/src/trefoilhoist/jobs/servingbaselines.cpp
@@ -8,8 +8,8 @@
 namespace {
 
 /// Below this weight a baseline would rest on one or two tasks, which may have troubles of their own. A task that is
-/// measured twice a second has a weight of about 2.
-constexpr double minWeight = 5;
+/// measured twice a second has a weight of about 1.6.
+constexpr double minWeight = 3.5;
 /// A slower change of slack per second may be noise.
 constexpr double minSlope = 0.1;
 
@@ -20,16 +20,16 @@
     auto &known = m_steps[step];
     known.fit.add(slack, weight, now);
     if (known.fit.weight(now) >= minWeight) {
-        known.updateTurns(known.fit.at(now));
+        known.updateMinima(known.fit.at(now));
     }
 }
 
-void ServingBaselines::Step::updateTurns(const Trend &trend)
+void ServingBaselines::Step::updateMinima(const Trend &trend)
 {
     if (trend.slopePerSecond < -minSlope) {
         lowestOfFall = std::min(lowestOfFall.value_or(trend.level), trend.level);
     } else if (trend.slopePerSecond > minSlope && lowestOfFall) {
-        lowestTurn = std::min(lowestTurn.value_or(*lowestOfFall), *lowestOfFall);
+        lowestMinimum = std::min(lowestMinimum.value_or(*lowestOfFall), *lowestOfFall);
         lowestOfFall.reset();
     }
 }
@@ -50,8 +50,14 @@
         return std::nullopt;
     }
     const double later = current->after(horizon);
-    const auto &turn = m_steps.at(step).lowestTurn;
-    return std::min(current->level, turn ? std::max(*turn, later) : later);
+    const auto &minimum = m_steps.at(step).lowestMinimum;
+    return std::min(current->level, minimum ? std::max(*minimum, later) : later);
+}
+
+std::size_t ServingBaselines::count(TimePoint now) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_steps.begin(), m_steps.end(), [&](const auto &it) { return it.second.fit.weight(now) >= minWeight; }));
 }
 
 void ServingBaselines::forget(const std::string &job)
--- a/src/trefoilhoist/jobs/servingbaselines.h
+++ b/src/trefoilhoist/jobs/servingbaselines.h
@@ -26,10 +26,8 @@
     /// level at which the step's baseline has turned before.
     [[nodiscard]] std::optional<double> lowest(const StepKey &step, TimePoint now, Duration horizon) const;
     void forget(const std::string &job);
-    [[nodiscard]] std::size_t size() const
-    {
-        return m_steps.size();
-    }
+    /// Number of steps that have a baseline.
+    [[nodiscard]] std::size_t count(TimePoint now) const;
 
 private:
     struct Step {
@@ -37,9 +35,9 @@
         /// The lowest level since the baseline began to fall; nothing while it doesn't.
         std::optional<double> lowestOfFall;
         /// The lowest level from which the baseline has risen again after a fall.
-        std::optional<double> lowestTurn;
+        std::optional<double> lowestMinimum;
 
-        void updateTurns(const Trend &trend);
+        void updateMinima(const Trend &trend);
     };
 
     std::map<StepKey, Step> m_steps;
--- a/src/trefoilhoist/jobs/steporder.cpp
+++ b/src/trefoilhoist/jobs/steporder.cpp
@@ -24,10 +24,10 @@
     bool operator()(const LeastWorkFirst & /*order*/) const
     {
         const auto key = [&](const StepRank &it) {
-            const bool newService = it.longRunning && !it.hasRun;
+            const bool neverRun = it.longRunning && !it.hasRun;
             const double work = it.longRunning ? 0 : it.remainingWork;
             return std::tuple(!it.longRunning,
-                              newService,
+                              neverRun,
                               it.worthlessAfter < now,
                               it.usesIdleCpu,
                               it.latestStart < now,
--- a/src/trefoilhoist/jobs/steporder.h
+++ b/src/trefoilhoist/jobs/steporder.h
@@ -23,14 +23,14 @@
     double remainingWork = 0;
 };
 
-/// Among steps that can still meet their objective, those whose time is shortest come first. Optimal while all can be
-/// in time.
+/// Among steps that can still meet their objective, those with the earliest latest start come first. Optimal while all
+/// can be in time.
 struct EarliestDeadlineFirst {
 };
 
 /// Among steps that can still meet their objective, those of the smallest job come first, which keeps most callers in
 /// time when not all can be. Long-running steps that have run before come before those that have not, as they serve
-/// users already. Answers a burst of one kind of job.
+/// users already. Intended for bursts of one kind of job.
 struct LeastWorkFirst {
 };
 
@@ -45,8 +45,8 @@
 
 /// True if a step of rank `a` comes before one of rank `b`.
 ///
-/// In each order long-running tasks come first, because they serve users now, short tasks before best-effort ones, and
-/// steps that can still meet their objective before those that can't.
+/// In each order long-running tasks come first, because they serve users now. Then come steps whose result still has a
+/// value, short ones before best-effort ones; among each, those that can still meet their objective before others.
 [[nodiscard]] bool comesBefore(const StepOrder &order, const StepRank &a, const StepRank &b, TimePoint now);
 
 } // namespace Trefoilhoist::Jobs
--- a/src/trefoilhoist/jobs/worker.h
+++ b/src/trefoilhoist/jobs/worker.h
@@ -69,6 +69,8 @@
     bool stopAcknowledged = false;
     /// The task belongs to no known job.
     bool orphaned = false;
+    /// An earlier owner has started the run, so that it is not known how long it has run.
+    bool adopted = false;
     std::string checkpoint;
     int percent = -1;
     /// Tail latency in milliseconds for a serving task, otherwise the used CPU in thousandths of a core.
--- a/src/trefoilhoist/jobs/workerselector.cpp
+++ b/src/trefoilhoist/jobs/workerselector.cpp
@@ -257,7 +257,7 @@
     for (const auto &it : m_candidates) {
         if (it.worker->isSettled(m_now)) {
             settled.push_back(it);
-            // Another machine is worth more than the rack.
+            // A machine on which the task has not crashed matters more than its rack.
             settled.back().remote = false;
             settled.back().cost += task.crashes.containsAgent(agentName(it.worker->info)) ? sameMachineCrashedCost : 0;
         }
@@ -296,7 +296,7 @@
 void WorkerSelector::exclude(const Worker &worker)
 {
     if (const auto it = find(worker); it != m_candidates.end()) {
-        m_excludedOnRack = m_excludedOnRack || !it->remote;
+        m_excludedOnRack = m_excludedOnRack || (m_prefersRack && worker.hasLabel(m_step.inputRack));
         remove(it);
     }
 }
--- a/src/trefoilhoist/jobs/workerselector.h
+++ b/src/trefoilhoist/jobs/workerselector.h
@@ -112,7 +112,8 @@
     void exclude(const Worker &worker);
     /// Like exclude(), until extendForGang() is called.
     void withhold(const Worker &worker);
-    /// To be called when select() finds no worker for a further member of a gang. Returns true if it has added workers.
+    /// To be called when select() finds no worker for a further member of a gang. Returns true if select() should be
+    /// tried again.
     [[nodiscard]] bool extendForGang();
 
     /// True if the next task would start on another rack than the preferred one, but runs that end there may make room.
