--- a/src/trefoilhoist/jobs/jobinterference.cpp
+++ b/src/trefoilhoist/jobs/jobinterference.cpp
@@ -89,6 +89,7 @@
         }
         const auto before = std::exchange(run.measuredSlack, measuredSlackOf(run));
         run.slack = run.measuredSlack;
+        run.slackIsExpected = false;
         if (m_settings.replicaBaselines && observeReplica(key, run, measurements.shares, now)) {
             continue;
         }
@@ -124,6 +125,7 @@
     }
     if (const auto lowest = m_baselines.lowest(step, now, slackHorizon)) {
         run.slack = *lowest - m_interference.slackDrop(run.image, shares);
+        run.slackIsExpected = true;
     }
     return baseline.has_value();
 }
--- a/src/trefoilhoist/jobs/jobplacement.cpp
+++ b/src/trefoilhoist/jobs/jobplacement.cpp
@@ -219,9 +219,6 @@
                             m_interference,
                             now);
     selector.setOverdue(overdue);
-    if (m_settings.replicaBaselines) {
-        selector.setSlackRequirement(expectedSlackRequirement);
-    }
     selector.setPrefersRack(m_rackWaits.isEnabled());
     for (auto &[id, worker] : m_workers) {
         if (rack.empty() || selector.rackOf(worker) == rack) {
--- a/src/trefoilhoist/jobs/worker.h
+++ b/src/trefoilhoist/jobs/worker.h
@@ -82,8 +82,10 @@
     std::int64_t tailTargetMs = 0;
     /// Slack of a serving task in the worker's last measurements: its target over its tail latency.
     std::optional<double> measuredSlack;
-    /// The slack on which placement relies: the measured one, or the lowest one expected in the next seconds.
+    /// The slack on which placement relies: the measured one, or the lowest one expected in the next second.
     std::optional<double> slack;
+    /// `slack` is expected from the baseline of the run's step.
+    bool slackIsExpected = false;
     /// Number of the last listing that showed the run.
     std::int64_t listedIn = 0;
     /// The task started alone, because workers have crashed under it.
--- a/src/trefoilhoist/jobs/workerselector.cpp
+++ b/src/trefoilhoist/jobs/workerselector.cpp
@@ -30,6 +30,24 @@
 constexpr double mixedImagesCost = 1.2;
 constexpr double toleratedInterference = 0.05;
 
+/// What best-effort tasks must leave to a serving task.
+struct SlackRequirement {
+    /// The slack that it must keep. Slack is the target latency divided by the tail latency.
+    double slack = 1;
+    /// By how many standard deviations the effect of a best-effort task may exceed its estimate.
+    double deviations = 0;
+};
+
+/// For a slack that was measured: the task's load may rise.
+constexpr SlackRequirement measuredRequirement{1.3, 0};
+/// For the lowest slack that is expected in the next second: nothing but the errors of the estimate is left.
+constexpr SlackRequirement expectedRequirement{1.15, 0.5};
+
+const SlackRequirement &requirementOf(const Run &serving)
+{
+    return serving.slackIsExpected ? expectedRequirement : measuredRequirement;
+}
+
 double shareOf(std::int64_t part, std::int64_t whole)
 {
     return whole <= 0 ? 1.0 : static_cast<double>(part) / static_cast<double>(whole);
@@ -146,12 +164,12 @@
     return cost;
 }
 
-double WorkerSelector::expectedEffect(ImageNumber servingImage, ImageNumber bestEffortImage) const
+double WorkerSelector::expectedEffect(const Run &serving, ImageNumber bestEffortImage) const
 {
-    const double effect = m_interference.effect(servingImage, bestEffortImage);
-    return m_slackRequirement.deviations <= 0
-        ? effect
-        : effect + m_slackRequirement.deviations * m_interference.deviation(servingImage, bestEffortImage);
+    const double effect = m_interference.effect(serving.imageNumber, bestEffortImage);
+    const double deviations = requirementOf(serving).deviations;
+    return deviations <= 0 ? effect
+                           : effect + deviations * m_interference.deviation(serving.imageNumber, bestEffortImage);
 }
 
 double WorkerSelector::interferenceOn(const Worker &worker) const
@@ -159,12 +177,11 @@
     if (worker.servingRuns.empty()) {
         return 0;
     }
-    const double required = m_slackRequirement.slack;
     const double capacity = worker.cpuCapacity();
     const double ownShare = static_cast<double>(m_demand.idleCpuMilli) / capacity;
     double sum = 0;
     for (const auto *serving : worker.servingRuns) {
-        const double ownEffect = expectedEffect(serving->imageNumber, m_image);
+        const double ownEffect = expectedEffect(*serving, m_image);
         double unmeasuredOfImage = ownShare;
         double slackDrop = ownEffect * ownShare;
         // Best-effort tasks that were started since the last measurements are not included in them yet.
@@ -173,9 +190,10 @@
                 continue;
             }
             const double share = static_cast<double>(run->demand.idleCpuMilli) / capacity;
-            slackDrop += expectedEffect(serving->imageNumber, run->imageNumber) * share;
+            slackDrop += expectedEffect(*serving, run->imageNumber) * share;
             unmeasuredOfImage += run->imageNumber == m_image ? share : 0;
         }
+        const double required = requirementOf(*serving).slack;
         const double shortfall = required - (serving->slack.value_or(required) - slackDrop);
         sum += std::clamp(shortfall, 0.0, ownEffect * unmeasuredOfImage);
     }
--- a/src/trefoilhoist/jobs/workerselector.h
+++ b/src/trefoilhoist/jobs/workerselector.h
@@ -46,18 +46,6 @@
                                                                     "limit per worker reached",
                                                                     "not enough capacity"};
 
-/// What a best-effort task must leave to the serving tasks beside it.
-struct SlackRequirement {
-    /// The slack that serving tasks must keep. Slack is the target latency divided by the tail latency.
-    double slack = 1.3;
-    /// By how many standard deviations the effect of a best-effort task may exceed its estimate.
-    double deviations = 0;
-};
-
-/// Requirement where the slack of serving tasks is the lowest one expected in the next seconds, which leaves nothing
-/// but the errors of the estimate.
-inline constexpr SlackRequirement expectedSlackRequirement{1.15, 0.5};
-
 /// How many tasks of a step the workers of one rack can take.
 struct RackRoom {
     std::size_t now = 0;
@@ -87,11 +75,6 @@
         m_overdue = overdue;
         m_mayExtendOverdue = overdue && m_step.gang && m_step.usesIdleCpu;
     }
-    /// Must be called before consider().
-    void setSlackRequirement(const SlackRequirement &requirement)
-    {
-        m_slackRequirement = requirement;
-    }
     /// Prefers any worker on the step's input rack to all others, except for an overdue step. Otherwise another rack is
     /// one cost among several. Must be called before consider().
     void setPrefersRack(bool prefers)
@@ -156,8 +139,8 @@
     [[nodiscard]] Rejection rejectionOf(const Worker &worker) const;
     [[nodiscard]] bool hasFreeCapacity(const Worker &worker) const;
     [[nodiscard]] double cost(const Worker &worker) const;
-    /// The effect of a best-effort image on a serving one that must be expected.
-    [[nodiscard]] double expectedEffect(ImageNumber servingImage, ImageNumber bestEffortImage) const;
+    /// The effect of a best-effort image on a serving task that must be reckoned with.
+    [[nodiscard]] double expectedEffect(const Run &serving, ImageNumber bestEffortImage) const;
     /// By how much the task would reduce the slack of the worker's serving tasks below the required slack, in total.
     [[nodiscard]] double interferenceOn(const Worker &worker) const;
     /// Share of the worker's serving tasks that run another image.
@@ -183,7 +166,6 @@
     TimePoint m_now;
     Demand m_demand;
     bool m_overdue = false;
-    SlackRequirement m_slackRequirement;
     /// The further members of a gang may be overdue as well, if they find no worker otherwise.
     bool m_mayExtendOverdue = false;
     /// All members of a gang are overdue.
--- a/tests/unit/jobscheduler.cpp
+++ b/tests/unit/jobscheduler.cpp
@@ -681,6 +681,26 @@
     EXPECT_EQ(starts(plan()), 1U);
 }
 
+// A measured slack tells nothing of the next second, so that it must be larger than one that is expected from replicas.
+TEST_F(BestEffortLoadTest, servingStepOfOneTask_replicaBaselines_slackRequiredOfMeasurementsHolds)
+{
+    m_settings.replicaBaselines = true;
+    m_scheduler = JobScheduler(m_settings, epoch);
+    startServingTask("w1", 36);
+    m_now += seconds(2);
+    auto report = reportOf("w1");
+    report.running = {m_serving};
+    sendReport(report);
+    accept(jobOf("fill", {bestEffortStep("image")}));
+    EXPECT_EQ(starts(plan()), 0U);
+    m_now += milliseconds(600);
+    m_serving.usage = 20;
+    report = reportOf("w1");
+    report.running = {m_serving};
+    sendReport(report);
+    EXPECT_EQ(starts(plan()), 1U);
+}
+
 // After a takeover the new owner has no measurements of its own and uses those that the agents report.
 TEST_F(BestEffortLoadTest, servingTaskWithSomeSlack_bestEffortTaskReportedAsInterfering_waits)
 {
