--- a/review/standins-3/fuzz.cpp
+++ b/review/standins-3/fuzz.cpp
@@ -202,6 +202,20 @@
         });
     }
     // Faults.
+    std::atomic<int> trigger = 0;
+    std::atomic<unsigned> rowsSeen = static_cast<unsigned>(seed);
+    const char *setting = std::getenv("TRIGGER");
+    const unsigned rarity = setting == nullptr ? 0 : static_cast<unsigned>(std::stoi(setting));
+    record.onRow = [&](const Json &row) {
+        const std::string what = row.at("what");
+        const bool isAck = (what == "submit" || what == "cancel") && row.at("status") == 200;
+        if (rarity > 0 && (isAck || what == "start" || what == "end" || what == "noted")) {
+            const auto n = (rowsSeen++ * 2654435761U) >> 8U;
+            if (n % rarity == 0) {
+                trigger = 1 + static_cast<int>(n / rarity % 4);
+            }
+        }
+    };
     std::vector<std::string> kinds = {"kill-owner",
                                       "kill-dispatcher",
                                       "stop-owner",
@@ -261,7 +275,11 @@
         }
     };
     while (steadyMs() < t0 + lengthMs) {
-        sleepMs(100 + static_cast<std::int64_t>(r() % 1800));
+        const auto nextAt = steadyMs() + 100 + static_cast<std::int64_t>(r() % 1800);
+        trigger = 0;
+        while (steadyMs() < nextAt && trigger == 0) {
+            sleepMs(1);
+        }
         checkEnds();
         std::string kind = kinds[r() % kinds.size()];
         if (!only.empty()) {
@@ -274,6 +292,13 @@
             }
             kind = some[r() % some.size()];
         }
+        if (trigger == 1 || trigger == 2) {
+            kind = "kill-owner";
+        } else if (trigger == 3) {
+            kind = "crash-same";
+        } else if (trigger == 4) {
+            kind = "kill-agent";
+        }
         const auto forMs = static_cast<std::int64_t>(300 + r() % 3700);
         const auto x = r();
         auto *owner = site.owner();
@@ -284,7 +309,7 @@
         auto &side = site.sides[x % site.sides.size()];
         const bool isFront = kind.find("owner") != std::string::npos || kind.find("dispatcher") != std::string::npos;
         const std::string target = isFront                                    ? front.name
-            : kind.rfind("store", 0) == 0 || kind == "lost" || kind == "herd" ? "store"
+            : kind.rfind("store", 0) == 0 || kind == "lost" || kind == "herd" || kind == "slow" ? "store"
                                                                               : side.name;
         if (kind == "store-owner" ? !claim("store") : !claim(target)) {
             continue;
@@ -379,6 +404,24 @@
                 site.store.setLost(0, false);
                 release("store");
             });
+        } else if (kind == "slow") {
+            site.store.setDelay(120);
+            later(forMs, [&site, &release] {
+                site.store.setDelay(2);
+                release("store");
+            });
+        } else if (kind == "mute" || kind == "lose-answers") {
+            side.running->setMute(kind == "mute" ? 0 : 0.6, kind == "mute" ? 1 : 0.2);
+            later(forMs, [&side, &release] {
+                side.running->setMute(0, 0);
+                release(side.name);
+            });
+        } else if (kind == "sluggish") {
+            side.running->setSluggish(true);
+            later(forMs, [&side, &release] {
+                side.running->setSluggish(false);
+                release(side.name);
+            });
         } else if (kind == "late") {
             side.running->setLate(0.3);
             later(forMs, [&side, &release] {
--- a/review/standins-3/minion.h
+++ b/review/standins-3/minion.h
@@ -26,6 +26,9 @@
     void add(Json row)
     {
         row["t"] = steadyMs();
+        if (onRow) {
+            onRow(row);
+        }
         std::lock_guard lock(m_mutex);
         m_out << row.dump() << std::endl;
         m_rows.push_back(std::move(row));
@@ -42,6 +45,9 @@
         return m_rows;
     }
 
+    /// Is called with each row that is added.
+    std::function<void(const Json &)> onRow;
+
 private:
     std::mutex m_mutex;
     std::ofstream m_out;
@@ -130,6 +136,17 @@
         std::lock_guard lock(m_state->mutex);
         m_state->lateShare = share;
     }
+    /// Some calls wait before they are carried out, some before they are answered.
+    void setSluggish(bool sluggish)
+    {
+        m_state->sluggish = sluggish;
+    }
+    /// Share of the calls that are carried out and not answered, and of those that are not even carried out.
+    void setMute(double answersLost, double callsLost)
+    {
+        m_state->answersLost = answersLost;
+        m_state->callsLost = callsLost;
+    }
     /// Fails all that it starts, with a good health.
     void setGrey(bool grey)
     {
@@ -188,6 +205,10 @@
         bool grey = false;
         bool draining = false;
         double lateShare = 0;
+        std::atomic<bool> sluggish = false;
+        std::atomic<unsigned> calls = 0;
+        std::atomic<double> answersLost = 0;
+        std::atomic<double> callsLost = 0;
         std::mt19937_64 random{static_cast<std::uint64_t>(wallMs())};
 
         State(MinionSettings it, Record &r, Shared &s) : settings(std::move(it)), record(r), shared(s) { }
@@ -231,8 +252,30 @@
         }
 
         Response answer(const Request &request)
+        {
+            constexpr std::int64_t delayMs = 250;
+            const auto call = calls++ * 2654435761U >> 16U;
+            sleepMs(sluggish && call % 9 == 0 ? delayMs : 0);
+            constexpr std::int64_t silenceMs = 1000;
+            if (call / 9 % 1000 < callsLost * 1000) {
+                sleepMs(silenceMs);
+                return {0, ""};
+            }
+            const auto response = answerAtOnce(request);
+            if (call / 11 % 1000 < answersLost * 1000) {
+                sleepMs(silenceMs);
+                return {0, ""};
+            }
+            sleepMs(sluggish && call % 9 == 1 ? delayMs : 0);
+            return response;
+        }
+
+        Response answerAtOnce(const Request &request)
         {
             std::unique_lock lock(mutex);
+            if (dead) {
+                return {0, ""};
+            }
             const auto path = request.path();
             if (path == "/health") {
                 return {200, "{}"};
--- a/review/standins-3/site.h
+++ b/review/standins-3/site.h
@@ -139,6 +139,12 @@
     {
         return m_temporary;
     }
+    /// Adds a machine beside those of the start; its agent is not started yet. References to the sides end here.
+    Side &addMachine()
+    {
+        addSide(static_cast<int>(sides.size()));
+        return sides.back();
+    }
     void removeTemporary() const
     {
         std::filesystem::remove_all(m_temporary);
--- a/review/standins-3/store.h
+++ b/review/standins-3/store.h
@@ -100,6 +100,12 @@
         m_lostLate = late;
     }
 
+    /// Each call takes this long on its way there, and its answer as long on its way back.
+    void setDelay(std::int64_t ms)
+    {
+        m_delayMs = ms;
+    }
+
     /// Removes the keys of all leases that this node has opened.
     void revoke(const std::string &node)
     {
@@ -204,6 +210,14 @@
     }
 
     Response answer(const std::string &node, const Request &request)
+    {
+        sleepMs(m_delayMs);
+        const auto response = answerAtOnce(node, request);
+        sleepMs(m_delayMs);
+        return response;
+    }
+
+    Response answerAtOnce(const std::string &node, const Request &request)
     {
         std::unique_lock lock(m_mutex);
         const auto path = request.path();
@@ -362,6 +376,7 @@
     std::int64_t m_revision = 100;
     std::int64_t m_lastLease = 1000;
     std::map<std::string, StoreFault> m_faults;
+    std::atomic<std::int64_t> m_delayMs = 2;
     double m_lostShare = 0;
     bool m_lostLate = false;
     std::mt19937_64 m_random{1};
