--- a/review/standins-3/fuzz.cpp
+++ b/review/standins-3/fuzz.cpp
@@ -308,9 +308,9 @@
             : site.dispatchers[x % site.dispatchers.size()];
         auto &side = site.sides[x % site.sides.size()];
         const bool isFront = kind.find("owner") != std::string::npos || kind.find("dispatcher") != std::string::npos;
-        const std::string target = isFront                                    ? front.name
+        const std::string target = isFront                                                      ? front.name
             : kind.rfind("store", 0) == 0 || kind == "lost" || kind == "herd" || kind == "slow" ? "store"
-                                                                              : side.name;
+                                                                                                : side.name;
         if (kind == "store-owner" ? !claim("store") : !claim(target)) {
             continue;
         }
