Cases 12 to 14: a record that blocks all others, tasks that fail at once, a room that is kept

12: a job whose checkpoints exceed the store's limit on a value keeps all records out; after one crash another client's tasks never start again. 13: a job of tasks that last and fail at once keeps plain jobs from starting. 14: a plain job waits on a machine with room beside a task that lasts and waits for the end of a batch task.

--- a/review/standins-3/minion.h
+++ b/review/standins-3/minion.h
@@ -63,6 +63,10 @@
     bool checkpoints = false;
     /// The first runs of the task with index 0 that fail.
     int failures = 0;
+    /// Each run fails by its own fault after so long; 0: none does.
+    std::int64_t failsAfterMs = 0;
+    /// The length of a checkpoint, if it is longer than what it has to tell.
+    std::size_t checkpointBytes = 0;
 };
 
 /// The gangs and the counts of failures of all minions of one process.
@@ -356,7 +360,9 @@
                         s.value("gang", false),
                         s.value("count", 1),
                         s.value("checkpoints", false),
-                        s.value("failures", 0)};
+                        s.value("failures", 0),
+                        s.value("failsAfterMs", std::int64_t{0}),
+                        s.value("checkpointBytes", std::size_t{0})};
             const auto checkpoint = body.value("checkpoint", std::string());
             run.checkpoint = checkpoint;
             if (!checkpoint.empty()) {
@@ -475,12 +481,16 @@
                     return "done";
                 }
             }
-            if (grey || (run.fails && worked >= run.work.ms / 2)) {
+            const bool failsNow = run.work.failsAfterMs > 0 && now - run.startedAt >= run.work.failsAfterMs;
+            if (grey || failsNow || (run.fails && worked >= run.work.ms / 2)) {
                 return "failed";
             }
             if (run.work.checkpoints && now - run.savedAt >= 500) {
                 run.savedAt = now;
                 run.checkpoint = task + ":" + std::to_string(run.number) + ":" + std::to_string(worked);
+                if (run.checkpoint.size() < run.work.checkpointBytes) {
+                    run.checkpoint.insert(0, run.work.checkpointBytes - run.checkpoint.size(), '0');
+                }
             }
             return worked >= run.work.ms && !run.work.lasts ? "done" : "";
         }
--- a/review/standins-3/store.h
+++ b/review/standins-3/store.h
@@ -121,6 +121,12 @@
         m_changed.notify_all();
     }
 
+    /// Number of commits that were refused because a value was too large.
+    [[nodiscard]] int tooLarge() const
+    {
+        return m_tooLarge;
+    }
+
     [[nodiscard]] std::string rawValue(const std::string &key)
     {
         std::lock_guard lock(m_mutex);
@@ -351,7 +357,13 @@
         if (!holds) {
             return {412, Json{{"items", current}}.dump()};
         }
+        // The largest value that the store takes, in bytes before the encoding as text.
+        constexpr std::size_t valueBytes = 1'048'576;
         for (const auto &it : body.value("writes", Json::array())) {
+            if (it.at("value").get_ref<const std::string &>().size() / 4 * 3 > valueBytes + 2) {
+                ++m_tooLarge;
+                return {400, Json{{"error", "a value is larger than valueBytes"}}.dump()};
+            }
             const auto lease = it.value("lease", std::int64_t{0});
             if (lease != 0 && m_leases.count(lease) == 0) {
                 return {404, "{}"};
@@ -377,6 +389,7 @@
     std::int64_t m_lastLease = 1000;
     std::map<std::string, StoreFault> m_faults;
     std::atomic<std::int64_t> m_delayMs = 2;
+    std::atomic<int> m_tooLarge = 0;
     double m_lostShare = 0;
     bool m_lostLate = false;
     std::mt19937_64 m_random{1};
