--- a/review/standins-3/fuzz.cpp
+++ b/review/standins-3/fuzz.cpp
@@ -46,6 +46,8 @@
 int main(int argc, char **argv)
 {
     signal(SIGPIPE, SIG_IGN);
+    // Faults start processes on threads of their own.
+    Process::endWithStarter = false;
     const std::string folder = argv[1];
     const auto seed = std::stoull(argv[2]);
     const std::int64_t lengthMs = std::stoll(argv[3]) * 1000;
--- a/review/standins-3/site.h
+++ b/review/standins-3/site.h
@@ -9,6 +9,7 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <optional>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 
 namespace Review {
@@ -23,15 +24,19 @@
         kill(SIGKILL);
     }
 
+    /// Processes end with the thread that started them, also if the script is killed.
+    static inline bool endWithStarter = true;
+
     void start()
     {
-        const auto parent = getpid();
         m_pid = fork();
         if (m_pid == 0) {
             const int fd = open(m_log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
             dup2(fd, 1);
             dup2(fd, 2);
-            static_cast<void>(parent);
+            if (endWithStarter) {
+                prctl(PR_SET_PDEATHSIG, SIGKILL);
+            }
             std::vector<char *> argv;
             for (auto &it : m_words) {
                 argv.push_back(it.data());
